Whole path as separate processes: entry, coordinator, stand-ins

What: cells with terms on the log, grants with fences and leases, majority authority, order book with horizon, keyed and unkeyed routing, stand-ins for log, host list, servers and targets. Ruled out while writing: answering not-run from a coordinator that has not checked with a majority since the order arrived, since a newer coordinator may have run it; reusing a fence after a coordinator restart, so terms name runs of a coordinator, not hosts.

--- /dev/null
+++ b/src/coordinator/cellKeeper.ts
@@ -0,0 +1,495 @@
+/** One task a cell: decides whether this host coordinates it, and hands it over when another host should. */
+import { v7 as newOrderedUuid } from "uuid";
+import type { CellId, Fence, RecordId, RunId, Shard, TargetId } from "../model/ids.js";
+import { fenceOf, hostOfRun, noFence, noOffset } from "../model/ids.js";
+import type { Clock, Instant } from "../model/time.js";
+import type { CoordinatorAnswer, KeyedWork } from "../model/work.js";
+import { redirect } from "../model/work.js";
+import type { CellLayout, ConfigDocument, TermsOfService } from "../config/document.js";
+import { emptyDocument, findPool, listCells, termsOf } from "../config/document.js";
+import type { PlacementEvent } from "../ownership/cell.js";
+import { Cell } from "../ownership/cell.js";
+import { CellRunner } from "../ownership/cellRunner.js";
+import { LoadBalancer, neededMoves } from "../ownership/balance.js";
+import type { OrderBookLimits } from "../orders/orderBook.js";
+import { OrderBook } from "../orders/orderBook.js";
+import type { TermInForce } from "../platform/fold.js";
+import type { LogFollower } from "../platform/logFollower.js";
+import type { LogPort } from "../platform/logPort.js";
+import type { TermRecord } from "../platform/records.js";
+import type { Journal } from "../platform/journal.js";
+import { assignCoordinators } from "./assignment.js";
+import type { DispatchLimits } from "./dispatcher.js";
+import { Dispatcher } from "./dispatcher.js";
+import type { HandOver } from "./peerPort.js";
+import type { Peers, SteadyHost } from "./peers.js";
+import type { ServerPort } from "./serverPort.js";
+import type { SuccessionDecision } from "./succession.js";
+import { decideSuccession, isCoordinatedElsewhere } from "./succession.js";
+
+const activePaceMs = 40;
+const passivePaceMs = 300;
+const settleMs = 3_000;
+const claimAfterMs = 1_200;
+const claimStepMs = 400;
+const ranksPerTerm = 4;
+const drainMs = 700;
+const handOverTimeoutMs = 400;
+const witnessTimeoutMs = 120;
+const redirectAfterMs = 20;
+const driftMarginMs = 5;
+const balanceSettleMs = 2_000;
+const rateSmoothing = 0.3;
+const rateWindowMs = 1_000;
+const minCellRatePerSecond = 20;
+const aheadMarginMs = 100;
+const hostSkewMs = 50;
+
+/** What a keeper works with. */
+export interface CellKeeperParts {
+    cell: CellId;
+    self: RunId;
+    follower: LogFollower;
+    log: LogPort;
+    peers: Peers;
+    servers: ServerPort;
+    clock: Clock;
+    journal: Journal;
+    random: () => number;
+}
+
+interface Acting {
+    inForce: TermInForce;
+    fence: Fence;
+    runner: CellRunner;
+    dispatcher: Dispatcher;
+    book: OrderBook;
+    handOver?: HandOver;
+}
+
+/** Keeps one cell. */
+export class CellKeeper {
+    private acting: Acting | undefined;
+    private handedOver: HandOver | undefined;
+    private highestFence: Fence = noFence;
+    private lastActingMs = Number.NEGATIVE_INFINITY;
+    private termSeen: { offset: number; atMs: number } | undefined;
+    private lastPublishMs = Number.NEGATIVE_INFINITY;
+    private orphanedSinceMs: number | undefined;
+    private leaving = false;
+    private stepping = false;
+    private readonly stopping = new AbortController();
+    private readonly balancer = new LoadBalancer(balanceSettleMs);
+    private readonly workByShard = new Map<Shard, number>();
+    private readonly rateByShard = new Map<Shard, number>();
+    private rateFromMs: number | undefined;
+
+    /** @param parts the cell, this host and the ports */
+    constructor(private readonly parts: CellKeeperParts) {}
+
+    /** Fence under which this host acts, if it does. */
+    get actingFence(): Fence | undefined {
+        return this.acting?.fence;
+    }
+
+    /** Runs until stopped. */
+    async run(): Promise<void> {
+        while (!this.stopping.signal.aborted) {
+            await this.step();
+            const pace = this.isRanked() ? activePaceMs : passivePaceMs;
+            await this.parts.clock.sleep(pace, this.stopping.signal);
+        }
+    }
+
+    /**
+     * Serves keyed work, or tells where to ask.
+     * @param work the request
+     * @returns the outcome, or a redirect
+     */
+    async serve(work: KeyedWork): Promise<CoordinatorAnswer> {
+        const acting = this.acting;
+        if (acting === undefined) {
+            return redirect("not-coordinator", redirectAfterMs, this.likelyCoordinator());
+        }
+        this.workByShard.set(work.shard, (this.workByShard.get(work.shard) ?? 0) + 1);
+        return acting.dispatcher.serve(work);
+    }
+
+    /**
+     * Takes a planned hand-over; this host acts at its next step if its rank allows.
+     * @param handOver the predecessor's orders
+     * @returns whether it was taken
+     */
+    acceptHandOver(handOver: HandOver): boolean {
+        if (this.acting !== undefined || this.leaving) {
+            return false;
+        }
+        this.handedOver = handOver;
+        void this.step();
+        return true;
+    }
+
+    /** Hands the cell over and stops; for the end of this process. */
+    async leave(): Promise<void> {
+        this.leaving = true;
+        this.stopping.abort();
+        if (this.acting !== undefined) {
+            await this.handOverTo(this.nextRanked());
+        }
+    }
+
+    /** Describes the cell for a dump. */
+    describe(nowMs: number): object {
+        return {
+            cell: this.parts.cell,
+            acting: this.acting !== undefined,
+            highestFence: this.highestFence,
+            term: this.parts.follower.state.terms[this.parts.cell],
+            grants: this.acting?.runner.cell.describe(nowMs),
+            work: this.acting?.dispatcher.describe(),
+        };
+    }
+
+    private async step(): Promise<void> {
+        const now = this.parts.clock.now();
+        const layout = this.layout();
+        const inForce = this.parts.follower.state.terms[this.parts.cell];
+        if (layout === undefined || this.stepping || this.leaving) {
+            return;
+        }
+        this.stepping = true;
+        if (inForce === undefined || this.acting === undefined) {
+            await this.stepIdle(layout, inForce, now);
+        }
+        else {
+            await this.stepActing(layout, inForce, this.acting, now);
+        }
+        this.stepping = false;
+    }
+
+    private async stepIdle(layout: CellLayout, inForce: TermInForce | undefined, now: Instant): Promise<void> {
+        this.noteOthers(inForce, now.monoMs);
+        if (this.isOrphaned(inForce, now.monoMs)) {
+            await this.claimWhenDue(layout, inForce, now);
+            return;
+        }
+        this.orphanedSinceMs = undefined;
+        const decision = this.decide(inForce as TermInForce, now.monoMs);
+        if (decision.act && (!decision.askServers || !await this.isServedElsewhere(layout, decision.fence))) {
+            this.start(layout, inForce as TermInForce, decision.fence);
+        }
+    }
+
+    private async stepActing(layout: CellLayout, inForce: TermInForce, acting: Acting, now: Instant): Promise<void> {
+        this.lastActingMs = now.monoMs;
+        if (inForce.offset !== acting.inForce.offset) {
+            await this.followTerm(layout, inForce, acting);
+            return;
+        }
+        this.directMoves(acting, now);
+        await this.renewTermWhenDue(layout, acting, now);
+    }
+
+    /** A newer term: act under its fence, or hand over to the coordinator that it ranks first. */
+    private async followTerm(layout: CellLayout, inForce: TermInForce, acting: Acting): Promise<void> {
+        const first = inForce.term.coordinators[0] as RunId;
+        if (first !== this.parts.self) {
+            await this.handOverTo(first);
+            return;
+        }
+        this.handedOver = await this.stopActing(acting);
+        this.start(layout, inForce, fenceOf(inForce.offset, 0));
+    }
+
+    private async handOverTo(successor: RunId | undefined): Promise<void> {
+        if (this.acting === undefined) {
+            return;
+        }
+        const handOver = await this.stopActing(this.acting);
+        const taken = successor !== undefined && await this.parts.peers.handOver(successor, handOver, handOverTimeoutMs);
+        this.parts.journal.info("cell", `${this.parts.cell} handed over to ${successor ?? "nobody"}: ${taken ? "taken" : "not taken"}.`);
+    }
+
+    private async stopActing(acting: Acting): Promise<HandOver> {
+        const drained = acting.dispatcher.close(redirect("not-coordinator", redirectAfterMs));
+        await Promise.race([drained, this.parts.clock.sleep(drainMs)]);
+        acting.runner.stop();
+        this.acting = undefined;
+        this.highestFence = Math.max(this.highestFence, acting.fence) as Fence;
+        const stoppedWallMs = this.parts.clock.now().wallMs;
+        return { cell: this.parts.cell, fence: acting.fence, stoppedWallMs, book: acting.book.copy() };
+    }
+
+    private start(layout: CellLayout, inForce: TermInForce, fence: Fence): void {
+        const { clock, servers, journal, random } = this.parts;
+        const { term } = inForce;
+        const cell = new Cell({
+            cell: layout.cell, fence, driftMarginMs,
+            servers: term.servers,
+            voterSets: term.voterSets,
+            shards: layout.shards as Shard[],
+            leaseMs: term.leaseMs,
+            waitMs: term.waitMs,
+        });
+        const book = new OrderBook(() => this.bookLimits(layout));
+        const dispatcher = new Dispatcher({
+            cell, book, servers, clock, random,
+            limits: () => this.dispatchLimits(layout),
+            hurry: () => {
+                runner.hurry();
+            },
+        });
+        const runner: CellRunner = new CellRunner(cell, servers, clock, () => this.terms(layout), {
+            onChange: (at) => {
+                this.adoptWhenCurrent(acting, at);
+                dispatcher.onCellChanged(at);
+            },
+            onPlacement: (event) => {
+                this.reportPlacement(event);
+            },
+            onOutranked: () => {
+                this.onOutranked(acting);
+            },
+        });
+        const acting: Acting = { inForce, fence, runner, dispatcher, book, handOver: this.handedOver };
+        this.handedOver = undefined;
+        this.acting = acting;
+        journal.info("cell", `${layout.cell} is coordinated here under fence ${String(fence)}.`);
+        runner.start();
+    }
+
+    private bookLimits(layout: CellLayout): OrderBookLimits {
+        const { orderWindowMs, maxOrders } = this.terms(layout);
+        return { windowMs: orderWindowMs, maxOrders, aheadMarginMs, hostSkewMs };
+    }
+
+    private dispatchLimits(layout: CellLayout): DispatchLimits {
+        const { lookahead, maxWaiting, warmUpMs, maxHeld } = this.terms(layout);
+        const pool = findPool(this.document(), layout.institution, layout.pool);
+        const slots = pool?.slots ?? 1;
+        return { queue: { slots, lookahead, maxWaiting, warmUpMs }, maxHeld, fenceChecked: pool?.fenceChecked ?? false };
+    }
+
+    private reportPlacement(event: PlacementEvent): void {
+        this.parts.journal.count("placement", 1, { cause: event.cause });
+        if (event.cause !== "kept") {
+            this.parts.journal.info("grant", `${this.parts.cell} shard ${String(event.shard)} goes to ${event.to}: ${event.cause}.`);
+        }
+    }
+
+    /**
+     * A predecessor's book replaces the horizon only if no other coordinator can have acted in between: a majority
+     * saw no fence above the predecessor's, and authority stood before a restarted server could count again.
+     */
+    private adoptWhenCurrent(acting: Acting, now: Instant): void {
+        const handOver = acting.handOver;
+        if (handOver === undefined || acting.runner.cell.sinceMs === undefined) {
+            return;
+        }
+        acting.handOver = undefined;
+        const priorFence = acting.runner.cell.authority.highestPriorFence() ?? noFence;
+        const elapsedMs = now.wallMs - handOver.stoppedWallMs + hostSkewMs;
+        if (priorFence <= handOver.fence && elapsedMs < acting.runner.cell.plan.leaseMs) {
+            acting.dispatcher.adopt(handOver.book);
+        }
+    }
+
+    private onOutranked(acting: Acting): void {
+        this.highestFence = Math.max(this.highestFence, acting.runner.cell.outrankedBy ?? noFence) as Fence;
+        this.parts.journal.info("cell", `${this.parts.cell} is coordinated elsewhere under fence ${String(this.highestFence)}.`);
+        if (this.acting === acting) {
+            this.acting = undefined;
+        }
+        void acting.dispatcher.close(redirect("not-coordinator", redirectAfterMs));
+    }
+
+    private decide(inForce: TermInForce, nowMs: number): SuccessionDecision {
+        return decideSuccession({
+            inForce,
+            self: this.parts.self,
+            peers: this.parts.peers.viewsOf(this.parts.cell),
+            termSeenMs: this.termSeen?.atMs ?? nowMs,
+            lastActingMs: this.lastActingMs,
+            highestFence: this.highestFence,
+            handedOverFence: this.handedOver?.fence,
+        }, nowMs);
+    }
+
+    private noteOthers(inForce: TermInForce | undefined, nowMs: number): void {
+        if (inForce !== undefined && this.termSeen?.offset !== inForce.offset) {
+            this.termSeen = { offset: inForce.offset, atMs: nowMs };
+        }
+        const acting = this.parts.peers.viewsOf(this.parts.cell).filter((peer) => peer.actingFence !== undefined);
+        this.lastActingMs = Math.max(this.lastActingMs, ...acting.map((peer) => peer.heardMs));
+    }
+
+    /** Asks the servers themselves whether a coordinator that this host cannot reach is at work. */
+    private async isServedElsewhere(layout: CellLayout, fence: Fence): Promise<boolean> {
+        const question = { cell: layout.cell, fence: noFence, sequence: 0, leaseEndServerMs: 0, renew: [], grant: [], release: [] };
+        const replies = await Promise.all(layout.servers.map((server) =>
+            this.parts.servers.heartbeat(server, question, witnessTimeoutMs)));
+        const answered = replies.flatMap((reply) => reply.isOk() ? [reply.value] : []);
+        this.highestFence = Math.max(this.highestFence, ...answered.map((reply) => reply.fence)) as Fence;
+        const { heartbeatMs } = this.terms(layout);
+        const witnesses = answered.filter((reply) => reply.fence > noFence).map((reply) => reply.sinceAcceptedMs);
+        return this.highestFence >= fence || isCoordinatedElsewhere(witnesses, layout.servers.length, heartbeatMs);
+    }
+
+    /** No term yet, or none of its coordinators is alive. */
+    private isOrphaned(inForce: TermInForce | undefined, nowMs: number): boolean {
+        if (inForce === undefined) {
+            return true;
+        }
+        const someoneActs = nowMs - this.lastActingMs < claimAfterMs;
+        const rankedLive = inForce.term.coordinators.some((run, rank) =>
+            this.parts.peers.isLive(run, nowMs) && fenceOf(inForce.offset, rank) > this.highestFence);
+        return !someoneActs && !rankedLive;
+    }
+
+    private async claimWhenDue(layout: CellLayout, inForce: TermInForce | undefined, now: Instant): Promise<void> {
+        this.orphanedSinceMs ??= now.monoMs;
+        const ranking = this.desiredRanking(now.monoMs, 0);
+        const turn = ranking.indexOf(this.parts.self);
+        const waitMs = (inForce === undefined ? claimStepMs : claimAfterMs) + Math.max(0, turn) * claimStepMs;
+        if (turn >= 0 && now.monoMs - this.orphanedSinceMs >= waitMs) {
+            await this.publishTerm(layout, inForce, ranking, inForce === undefined ? "first term" : "no ranked coordinator is alive", now);
+            this.orphanedSinceMs = undefined;
+        }
+    }
+
+    /** The acting coordinator keeps the term fit: its servers, its rank order, live successors. */
+    private async renewTermWhenDue(layout: CellLayout, acting: Acting, now: Instant): Promise<void> {
+        if (now.monoMs - this.lastPublishMs < settleMs || !acting.runner.cell.hasAuthority(now.monoMs)) {
+            return;
+        }
+        const term = acting.inForce.term;
+        const desired = this.desiredRanking(now.monoMs, settleMs);
+        const { leaseMs } = this.terms(layout);
+        const serversChanged = leaseMs !== term.leaseMs || [...layout.servers].sort().join() !== [...term.servers].sort().join();
+        const rankingStale = desired.length > 0 && (desired[0] !== term.coordinators[0]
+            || term.coordinators.some((run) => !this.parts.peers.isLive(run, now.monoMs))
+            || term.coordinators.length < desired.length);
+        if (serversChanged || rankingStale) {
+            await this.publishTerm(layout, acting.inForce, desired, serversChanged ? "servers changed" : "coordinators changed", now);
+        }
+    }
+
+    private desiredRanking(nowMs: number, steadyMs: number): RunId[] {
+        const hosts: SteadyHost[] = this.parts.peers.steadyHosts(nowMs, steadyMs);
+        const cells = listCells(this.document()).map((layout) => layout.cell);
+        const runOf = new Map(hosts.map((host) => [host.hostId, host.run]));
+        return (assignCoordinators(cells, hosts, ranksPerTerm).get(this.parts.cell) ?? []).map((host) => runOf.get(host) as RunId);
+    }
+
+    /** Appends a term; the log's order decides, and the follower brings the result. */
+    private async publishTerm(
+        layout: CellLayout,
+        prior: TermInForce | undefined,
+        coordinators: RunId[],
+        reason: string,
+        now: Instant,
+    ): Promise<void> {
+        this.lastPublishMs = now.monoMs;
+        const servers = layout.servers;
+        const { leaseMs } = this.terms(layout);
+        const same = prior === undefined || [...prior.term.servers].sort().join() === [...servers].sort().join();
+        const record: TermRecord = {
+            kind: "term", cell: layout.cell, servers, coordinators, reason,
+            leaseMs,
+            waitMs: Math.max(leaseMs, this.earlierWaitMs(prior)),
+            recordId: newOrderedUuid() as RecordId,
+            basedOn: prior?.offset ?? noOffset,
+            voterSets: this.voterSets(servers, prior, same),
+        };
+        const appended = await this.parts.log.append(record);
+        this.parts.journal.info("term", `${layout.cell} term ${appended.isOk() ? "appended" : "not appended"}: ${reason}.`);
+    }
+
+    /** The acting coordinator's own majority is enough to replace older sets; anyone else must keep them all. */
+    private voterSets(servers: TargetId[], prior: TermInForce | undefined, same: boolean): TargetId[][] {
+        const acts = this.acting?.runner.cell.hasAuthority(this.parts.clock.now().monoMs) === true;
+        const older = prior === undefined ? [] : acts ? [prior.term.servers] : prior.term.voterSets;
+        return same && acts ? [servers] : [servers, ...older.filter((set) => set.join() !== servers.join())];
+    }
+
+    private earlierWaitMs(prior: TermInForce | undefined): number {
+        const acts = this.acting?.runner.cell.hasAuthority(this.parts.clock.now().monoMs) === true;
+        return (acts ? prior?.term.leaseMs : prior?.term.waitMs) ?? 0;
+    }
+
+    private directMoves(acting: Acting, now: Instant): void {
+        const layout = this.layout();
+        const document = this.document();
+        if (layout === undefined) {
+            return;
+        }
+        const { cell } = acting.runner;
+        const pool = findPool(document, layout.institution, layout.pool);
+        cell.setDrained(new Set(pool?.targets.filter((target) => target.drain === true).map((target) => target.id as TargetId)));
+        const pinned = new Map(document.moves
+            .filter((move) => move.institution === layout.institution && move.pool === layout.pool && layout.shards.includes(move.shard))
+            .map((move) => [move.shard as Shard, move.target as TargetId]));
+        const moves = neededMoves(cell, pinned, now.monoMs);
+        const forLoad = this.moveForLoad(cell, layout, now);
+        for (const move of forLoad === undefined ? moves : [...moves, forLoad]) {
+            if (cell.requestMove(move.shard, move.to)) {
+                this.parts.journal.info("move", `${layout.cell} shard ${String(move.shard)} moves to ${move.to}: ${move.reason}.`);
+            }
+        }
+        acting.dispatcher.onCellChanged(now);
+    }
+
+    private moveForLoad(cell: Cell, layout: CellLayout, now: Instant) {
+        this.updateRates(now.monoMs);
+        const terms = this.terms(layout);
+        const limits = { movesPerHour: terms.movesPerHour, moveAboveRatio: terms.moveAboveRatio, minCellRate: minCellRatePerSecond };
+        return this.balancer.nextMove(cell, this.rateByShard, limits, now.monoMs);
+    }
+
+    private updateRates(nowMs: number): void {
+        this.rateFromMs ??= nowMs;
+        const elapsedMs = nowMs - this.rateFromMs;
+        if (elapsedMs < rateWindowMs) {
+            return;
+        }
+        for (const shard of new Set([...this.workByShard.keys(), ...this.rateByShard.keys()])) {
+            const perSecond = (this.workByShard.get(shard) ?? 0) * 1_000 / elapsedMs;
+            const before = this.rateByShard.get(shard) ?? perSecond;
+            this.rateByShard.set(shard, before + rateSmoothing * (perSecond - before));
+        }
+        this.workByShard.clear();
+        this.rateFromMs = nowMs;
+    }
+
+    private nextRanked(): RunId | undefined {
+        const acting = this.acting;
+        const nowMs = this.parts.clock.now().monoMs;
+        return acting?.inForce.term.coordinators.find((run, rank) =>
+            run !== this.parts.self && this.parts.peers.isLive(run, nowMs) && fenceOf(acting.inForce.offset, rank) > acting.fence);
+    }
+
+    private likelyCoordinator(): RunId | undefined {
+        const acting = this.parts.peers.viewsOf(this.parts.cell)
+            .filter((peer) => peer.actingFence !== undefined)
+            .sort((left, right) => (right.actingFence ?? 0) - (left.actingFence ?? 0));
+        return acting[0]?.run;
+    }
+
+    private isRanked(): boolean {
+        const inForce = this.parts.follower.state.terms[this.parts.cell];
+        const self = hostOfRun(this.parts.self);
+        return inForce === undefined || inForce.term.coordinators.some((run) => hostOfRun(run) === self);
+    }
+
+    private document(): ConfigDocument {
+        return this.parts.follower.state.config?.document ?? emptyDocument;
+    }
+
+    private layout(): CellLayout | undefined {
+        return listCells(this.document()).find((layout) => layout.cell === this.parts.cell);
+    }
+
+    private terms(layout: CellLayout): TermsOfService {
+        return termsOf(this.document(), layout.institution, layout.pool, this.parts.clock.now().wallMs);
+    }
+}
--- /dev/null
+++ b/src/model/failure.ts
@@ -0,0 +1,43 @@
+/** The one error type that crosses module boundaries: it names the step and the peer at which it arose. */
+
+/** Steps at which a failure can arise. */
+export type Step =
+    | "connect" | "heartbeat" | "order-send" | "order-cancel" | "read" | "write" | "bulk"
+    | "log-append" | "log-read" | "log-find" | "host-list" | "peer-call" | "publish" | "settings" | "parse" | "fold";
+
+/** A failure with its place. `kind` decides what a caller of the module may do next. */
+export interface Failure {
+    /**
+     * `refused`: the peer answered no before it began; `unreachable`: nothing was sent;
+     * `lost`: sent, but no proof either way; `invalid`: the input or the answer breaks the interface.
+     */
+    kind: "refused" | "unreachable" | "lost" | "invalid";
+    step: Step;
+    /** Address or id of the peer. */
+    peer: string;
+    message: string;
+    /** When another try may help, in milliseconds from now. */
+    retryAfterMs?: number;
+}
+
+/**
+ * Builds a failure.
+ * @param kind what the failure proves
+ * @param step the step at which it arose
+ * @param peer the peer it arose with
+ * @param message a short sentence for logs
+ * @param retryAfterMs when another try may help
+ * @returns the failure
+ */
+export function failure(kind: Failure["kind"], step: Step, peer: string, message: string, retryAfterMs?: number): Failure {
+    return { kind, step, peer, message, retryAfterMs };
+}
+
+/**
+ * Renders a failure as one line.
+ * @param of the failure
+ * @returns step, peer, kind and message
+ */
+export function describeFailure(of: Failure): string {
+    return `${of.step} with ${of.peer} ${of.kind}: ${of.message}`;
+}
--- /dev/null
+++ b/src/ownership/cell.ts
@@ -0,0 +1,461 @@
+/**
+ * The coordinator's side of the lease rules for one cell under one fence.
+ *
+ * A shard goes to another server only after its owner released it in time, or its owner's lease has certainly
+ * lapsed, or a whole lease has passed under unbroken authority. The last two also need a majority that accepted a
+ * heartbeat sent afterwards, since a newer coordinator may otherwise have renewed the owner in place.
+ */
+import type { CellId, Fence, Shard, TargetId } from "../model/ids.js";
+import { Authority } from "./authority.js";
+import type { HeartbeatReply, HeartbeatRequest } from "./messages.js";
+import type { PlacementCandidate } from "./placement.js";
+import { chooseServer } from "./placement.js";
+
+/** Fixed facts of a cell under one fence. */
+export interface CellPlan {
+    cell: CellId;
+    fence: Fence;
+    servers: TargetId[];
+    /** Sets of servers of which each must accept by majority; more than one while the servers change. */
+    voterSets: TargetId[][];
+    shards: Shard[];
+    leaseMs: number;
+    /** Longest lease of this and earlier terms; what must have passed before nobody can own a shard. */
+    waitMs: number;
+    /** Allowance for clocks that run at different speeds over one lease. */
+    driftMarginMs: number;
+}
+
+/** Guards that a proof may take out to show that it turns red; none is ever set by a program. */
+export interface CellGuardsOut {
+    leaseCap?: boolean;
+    freshMajority?: boolean;
+    unlapsedRelease?: boolean;
+    wait?: boolean;
+    amnesia?: boolean;
+}
+
+/** How a shard came to its present server; reported to the log and the operators. */
+export type PlacementCause = "unowned" | "lapsed" | "released" | "kept";
+
+/** A change of a shard's server, or its confirmation where it was. */
+export interface PlacementEvent {
+    shard: Shard;
+    from?: TargetId;
+    to: TargetId;
+    cause: PlacementCause;
+}
+
+interface Tenure {
+    /** Undefined while the owner is being looked for. */
+    owner?: TargetId;
+    /** When the unbroken wait for this shard began; only used without an owner. */
+    waitFromMs: number;
+    /** When the owner's lease has certainly lapsed. */
+    lapseMs: number;
+    /** True once this coordinator renewed or granted the lease itself. */
+    confirmed: boolean;
+    /** True once the owner's answer showed the lease under this fence. */
+    serving: boolean;
+    /** True until the owner's answer shows the grant. */
+    granting: boolean;
+    releasing: boolean;
+    releaseSent: boolean;
+    moveTo?: TargetId;
+    lastOwner?: TargetId;
+}
+
+/** Decides the grants of one cell. Every time is the coordinator's monotonic clock unless its name says otherwise. */
+export class Cell {
+    readonly authority: Authority;
+    private readonly tenures = new Map<Shard, Tenure>();
+    private sequence = 0;
+    private authoritySinceMs: number | undefined;
+    private outrankingFence: Fence | undefined;
+    private events: PlacementEvent[] = [];
+    private newlyServing: Shard[] = [];
+    private drained: ReadonlySet<TargetId> = new Set();
+
+    /**
+     * @param plan the cell and the fence
+     * @param guardsOut guards left out by a proof
+     */
+    constructor(readonly plan: CellPlan, private readonly guardsOut: CellGuardsOut = {}) {
+        this.authority = new Authority({ ...plan, amnesiaGuardOut: guardsOut.amnesia });
+        for (const shard of plan.shards) {
+            this.tenures.set(shard, soughtFrom(Number.NEGATIVE_INFINITY, undefined));
+        }
+    }
+
+    /** Higher fence that a server reported; the coordinator of this one must stop. */
+    get outrankedBy(): Fence | undefined {
+        return this.outrankingFence;
+    }
+
+    /** Since when authority has stood unbroken, if it stands. */
+    get sinceMs(): number | undefined {
+        return this.authoritySinceMs;
+    }
+
+    /**
+     * Tells whether this coordinator may act.
+     * @param nowMs now
+     * @returns true within its authority
+     */
+    hasAuthority(nowMs: number): boolean {
+        return this.outrankingFence === undefined && this.authority.endMs() > nowMs;
+    }
+
+    /**
+     * Tells which server owns a shard and may be sent work.
+     * @param shard the shard
+     * @param nowMs now
+     * @returns the server, or undefined without authority, a confirmed owner or while the shard moves
+     */
+    servingOwner(shard: Shard, nowMs: number): TargetId | undefined {
+        const tenure = this.tenures.get(shard);
+        if (tenure?.serving !== true || tenure.moveTo !== undefined || nowMs >= tenure.lapseMs) {
+            return undefined;
+        }
+        return this.hasAuthority(nowMs) ? tenure.owner : undefined;
+    }
+
+    /**
+     * Estimates when a shard without a serving owner may be served again.
+     * @param shard the shard
+     * @param nowMs now
+     * @returns milliseconds from now
+     */
+    servedAgainInMs(shard: Shard, nowMs: number): number {
+        const tenure = this.tenures.get(shard);
+        const lapseInMs = tenure?.owner === undefined ? this.plan.waitMs : tenure.lapseMs - nowMs;
+        return Math.min(this.plan.waitMs, Math.max(10, lapseInMs));
+    }
+
+    /**
+     * Lists the shards that a server owns or is being granted.
+     * @param server the server
+     * @returns its shards
+     */
+    shardsOf(server: TargetId): Shard[] {
+        return [...this.tenures].filter(([, tenure]) => tenure.owner === server).map(([shard]) => shard);
+    }
+
+    /**
+     * Names the servers that operators want no work on.
+     * @param servers the servers
+     */
+    setDrained(servers: ReadonlySet<TargetId>): void {
+        this.drained = servers;
+    }
+
+    /**
+     * Lists the servers that answered lately.
+     * @param nowMs now
+     * @returns each with the number of its shards and whether it should be relieved
+     */
+    reachableServers(nowMs: number): PlacementCandidate[] {
+        return this.plan.servers.flatMap((server) => {
+            const known = this.authority.of(server);
+            if (known === undefined || nowMs - known.receivedMs > this.plan.leaseMs / 2) {
+                return [];
+            }
+            return [{
+                server,
+                shardCount: this.shardsOf(server).length,
+                draining: known.draining || this.drained.has(server),
+                heldLast: false,
+            }];
+        });
+    }
+
+    /**
+     * Asks for a shard to be moved; work for it is held from now on.
+     * @param shard the shard
+     * @param to the server that should own it
+     * @returns false when the shard is not served now or is there already
+     */
+    requestMove(shard: Shard, to: TargetId): boolean {
+        const tenure = this.tenures.get(shard);
+        if (tenure?.serving !== true || tenure.owner === to || tenure.moveTo !== undefined || !this.plan.servers.includes(to)) {
+            return false;
+        }
+        tenure.moveTo = to;
+        return true;
+    }
+
+    /** Lists the shards that are being moved and whose owner has not been asked to release them yet. */
+    shardsAwaitingRelease(): { shard: Shard; owner: TargetId }[] {
+        return [...this.tenures].flatMap(([shard, tenure]) =>
+            tenure.moveTo !== undefined && !tenure.releasing && tenure.owner !== undefined
+                ? [{ shard, owner: tenure.owner }]
+                : []);
+    }
+
+    /**
+     * Lets the owner be asked to release a shard that is being moved; its work in flight has ended.
+     * @param shard the shard
+     */
+    startRelease(shard: Shard): void {
+        const tenure = this.tenures.get(shard);
+        if (tenure?.moveTo !== undefined) {
+            tenure.releasing = true;
+            tenure.serving = false;
+        }
+    }
+
+    /** Tells whether a server still has to be asked to release a shard. */
+    hasReleaseToSend(): boolean {
+        return [...this.tenures.values()].some((tenure) => tenure.releasing && !tenure.releaseSent);
+    }
+
+    /** Takes the placements since the last call. */
+    takeEvents(): PlacementEvent[] {
+        const events = this.events;
+        this.events = [];
+        return events;
+    }
+
+    /** Takes the shards that began to be served since the last call. */
+    takeNewlyServing(): Shard[] {
+        const shards = this.newlyServing;
+        this.newlyServing = [];
+        return shards;
+    }
+
+    /**
+     * Builds the next heartbeat for a server, with its whole grant.
+     * @param server the server
+     * @param nowMs now; counts as the moment of sending
+     * @returns the heartbeat
+     */
+    nextHeartbeat(server: TargetId, nowMs: number): HeartbeatRequest {
+        this.tick(nowMs);
+        this.sequence += 1;
+        const known = this.authority.of(server);
+        const request: HeartbeatRequest = {
+            cell: this.plan.cell,
+            fence: this.plan.fence,
+            sequence: this.sequence,
+            incarnation: known?.incarnation,
+            leaseEndServerMs: 0,
+            renew: [], grant: [], release: [],
+        };
+        if (known === undefined || !this.hasAuthority(nowMs)) {
+            return request;
+        }
+        const spanMs = this.leaseSpanMs(known.receivedMs);
+        request.leaseEndServerMs = known.serverClockMs + spanMs - this.plan.driftMarginMs;
+        for (const [shard, tenure] of this.tenures) {
+            if (tenure.owner === server) {
+                this.addShard(request, shard, tenure, known.receivedMs + spanMs);
+            }
+        }
+        return request;
+    }
+
+    /**
+     * Takes in a server's answer.
+     * @param server who answered
+     * @param request the heartbeat that it answers
+     * @param sentMs when that heartbeat was built
+     * @param reply the answer
+     * @param nowMs now
+     */
+    onReply(server: TargetId, request: HeartbeatRequest, sentMs: number, reply: HeartbeatReply, nowMs: number): void {
+        this.noteAuthority(nowMs);
+        if (!reply.accepted) {
+            this.onRejected(server, reply);
+            return;
+        }
+        if (!this.authority.record(server, reply, sentMs, nowMs)) {
+            return;
+        }
+        const held = new Set(reply.held.map((one) => one.shard));
+        for (const shard of request.release) {
+            this.onReleaseAnswered(shard, server, held.has(shard), reply.unlapsedOnArrival.includes(shard), nowMs);
+        }
+        for (const shard of request.renew) {
+            this.onRenewAnswered(shard, server, held.has(shard) && reply.unlapsedOnArrival.includes(shard));
+        }
+        for (const shard of request.grant) {
+            this.onGrantAnswered(shard, server, held.has(shard));
+        }
+        this.tick(nowMs);
+    }
+
+    /**
+     * Applies what the passing of time alone changes: authority lost, leases lapsed, waits ended.
+     * @param nowMs now
+     */
+    tick(nowMs: number): void {
+        this.noteAuthority(nowMs);
+        if (this.authoritySinceMs === undefined) {
+            return;
+        }
+        for (const [shard, tenure] of this.tenures) {
+            if (tenure.owner === undefined) {
+                this.seekOwner(shard, tenure, nowMs);
+            }
+            else if (nowMs > tenure.lapseMs) {
+                this.onLapsed(shard, tenure, nowMs);
+            }
+        }
+    }
+
+    /** Describes the cell for a dump. */
+    describe(nowMs: number): object {
+        return {
+            cell: this.plan.cell,
+            fence: this.plan.fence,
+            authorityLeftMs: Math.round(this.authority.endMs() - nowMs),
+            shards: [...this.tenures].map(([shard, tenure]) => ({
+                shard, owner: tenure.owner, serving: tenure.serving, moveTo: tenure.moveTo,
+                leaseLeftMs: Math.round(tenure.lapseMs - nowMs),
+            })),
+        };
+    }
+
+    private addShard(request: HeartbeatRequest, shard: Shard, tenure: Tenure, lapseMs: number): void {
+        if (tenure.releasing) {
+            request.release.push(shard);
+            tenure.releaseSent = true;
+            return;
+        }
+        (tenure.granting ? request.grant : request.renew).push(shard);
+        tenure.lapseMs = Math.max(tenure.lapseMs, lapseMs);
+    }
+
+    /** A lease never outlasts the coordinator's own authority, however late its renewal arrives. */
+    private leaseSpanMs(receivedMs: number): number {
+        const authorityLeftMs = this.authority.endMs() - receivedMs;
+        return this.guardsOut.leaseCap === true ? this.plan.leaseMs : Math.min(this.plan.leaseMs, authorityLeftMs);
+    }
+
+    private onRejected(server: TargetId, reply: HeartbeatReply): void {
+        if (reply.fence > this.plan.fence) {
+            this.outrankingFence = reply.fence;
+        }
+        if (this.authority.of(server)?.incarnation !== reply.incarnation) {
+            this.authority.forget(server);
+        }
+    }
+
+    private onReleaseAnswered(shard: Shard, server: TargetId, stillHeld: boolean, inTime: boolean, nowMs: number): void {
+        const tenure = this.tenures.get(shard);
+        if (tenure?.owner !== server || !tenure.releasing || stillHeld) {
+            return;
+        }
+        if (inTime || this.guardsOut.unlapsedRelease === true) {
+            this.place(shard, tenure, "released", nowMs);
+            return;
+        }
+        this.tenures.set(shard, soughtFrom(nowMs, server));
+    }
+
+    private onRenewAnswered(shard: Shard, server: TargetId, renewed: boolean): void {
+        const tenure = this.tenures.get(shard);
+        if (tenure?.owner !== server || tenure.releasing) {
+            return;
+        }
+        if (renewed && !tenure.confirmed) {
+            this.events.push({ shard, from: server, to: server, cause: "kept" });
+        }
+        tenure.confirmed ||= renewed;
+        this.setServing(shard, tenure, renewed);
+    }
+
+    private onGrantAnswered(shard: Shard, server: TargetId, held: boolean): void {
+        const tenure = this.tenures.get(shard);
+        if (tenure?.owner !== server || !held) {
+            return;
+        }
+        tenure.granting = false;
+        this.setServing(shard, tenure, true);
+    }
+
+    private setServing(shard: Shard, tenure: Tenure, serving: boolean): void {
+        if (serving && !tenure.serving) {
+            this.newlyServing.push(shard);
+        }
+        tenure.serving = serving;
+    }
+
+    /** Authority that was lost for an instant starts again: another coordinator may have acted meanwhile. */
+    private noteAuthority(nowMs: number): void {
+        if (!this.hasAuthority(nowMs)) {
+            if (this.authoritySinceMs !== undefined) {
+                this.loseAuthority();
+            }
+            return;
+        }
+        this.authoritySinceMs ??= nowMs;
+    }
+
+    private loseAuthority(): void {
+        this.authoritySinceMs = undefined;
+        for (const [shard, tenure] of this.tenures) {
+            this.tenures.set(shard, soughtFrom(Number.NEGATIVE_INFINITY, tenure.owner ?? tenure.lastOwner));
+        }
+    }
+
+    private seekOwner(shard: Shard, tenure: Tenure, nowMs: number): void {
+        for (const [server, known] of this.authority.all()) {
+            const leaseEndServerMs = known.leaseEndByShard.get(shard);
+            if (leaseEndServerMs !== undefined && this.plan.servers.includes(server)) {
+                const lapseMs = known.receivedMs + leaseEndServerMs - known.serverClockMs + this.plan.driftMarginMs;
+                this.tenures.set(shard, { ...soughtFrom(nowMs, server), owner: server, lapseMs });
+                return;
+            }
+        }
+        const waitedUntilMs = Math.max(this.authoritySinceMs ?? nowMs, tenure.waitFromMs)
+            + this.plan.waitMs + this.plan.driftMarginMs;
+        const waited = nowMs >= waitedUntilMs && this.isFreshAfter(waitedUntilMs);
+        if (waited || this.guardsOut.wait === true) {
+            this.place(shard, tenure, "unowned", nowMs);
+        }
+    }
+
+    private onLapsed(shard: Shard, tenure: Tenure, nowMs: number): void {
+        if (!tenure.confirmed) {
+            this.tenures.set(shard, soughtFrom(nowMs, tenure.owner));
+            return;
+        }
+        tenure.serving = false;
+        if (this.isFreshAfter(tenure.lapseMs)) {
+            this.place(shard, tenure, "lapsed", nowMs);
+        }
+    }
+
+    private isFreshAfter(momentMs: number): boolean {
+        return this.guardsOut.freshMajority === true || this.authority.hasMajoritySentAfter(momentMs);
+    }
+
+    private place(shard: Shard, tenure: Tenure, cause: PlacementCause, nowMs: number): void {
+        const from = tenure.owner ?? tenure.lastOwner;
+        const candidates = this.reachableServers(nowMs)
+            .filter((candidate) => cause !== "released" || candidate.server !== tenure.owner)
+            .map((candidate) => ({ ...candidate, heldLast: this.wasHeldBy(candidate.server, shard, tenure) }));
+        const to = chooseServer(shard, candidates, tenure.moveTo);
+        if (to === undefined) {
+            return;
+        }
+        this.tenures.set(shard, {
+            ...soughtFrom(nowMs, to),
+            owner: to, lapseMs: nowMs, confirmed: true, granting: true,
+        });
+        this.events.push({ shard, from, to, cause });
+    }
+
+    private wasHeldBy(server: TargetId, shard: Shard, tenure: Tenure): boolean {
+        return server === tenure.lastOwner || this.authority.of(server)?.lastHeld.has(shard) === true;
+    }
+}
+
+function soughtFrom(waitFromMs: number, lastOwner: TargetId | undefined): Tenure {
+    return {
+        waitFromMs, lastOwner,
+        lapseMs: Number.NEGATIVE_INFINITY,
+        confirmed: false, serving: false, granting: false, releasing: false, releaseSent: false,
+    };
+}
--- /dev/null
+++ b/src/platform/snapshotter.ts
@@ -0,0 +1,83 @@
+/** Appends the whole state to the log again, well before the oldest record in use expires. */
+import { v7 as newOrderedUuid } from "uuid";
+import type { HostId, Offset, RunId } from "../model/ids.js";
+import { hostOfRun, noOffset } from "../model/ids.js";
+import { rendezvousOrder } from "../model/keyHash.js";
+import type { Clock } from "../model/time.js";
+import { splitSnapshot } from "./fold.js";
+import type { Journal } from "./journal.js";
+import type { LogFollower } from "./logFollower.js";
+import type { LogPort } from "./logPort.js";
+
+const maxPartBytes = 60_000;
+const checkMs = 500;
+const minStepMs = 200;
+
+/** What a snapshotter works with. */
+export interface SnapshotterParts {
+    self: RunId;
+    log: LogPort;
+    follower: LogFollower;
+    clock: Clock;
+    journal: Journal;
+    /** Longest time between snapshots; at most a third of the log's retention. */
+    everyMs: number;
+    liveHosts: () => HostId[];
+}
+
+/** Takes snapshots when this host is due. Two at once do no harm: each is whole by itself. */
+export class Snapshotter {
+    private readonly stopping = new AbortController();
+    private seenUpTo: Offset = noOffset;
+    private dueFromMs: number;
+
+    /** @param parts the ports and the interval */
+    constructor(private readonly parts: SnapshotterParts) {
+        this.dueFromMs = parts.clock.now().monoMs + parts.everyMs;
+    }
+
+    /** Runs until stopped. */
+    async run(): Promise<void> {
+        while (!this.stopping.signal.aborted) {
+            await this.step(this.parts.clock.now().monoMs);
+            await this.parts.clock.sleep(checkMs, this.stopping.signal);
+        }
+    }
+
+    /** Ends the task. */
+    stop(): void {
+        this.stopping.abort();
+    }
+
+    /** The first live host takes it; each next one waits a step longer for it to show up on the log. */
+    private async step(nowMs: number): Promise<void> {
+        const { snapshotUpTo } = this.parts.follower.state;
+        if (snapshotUpTo > this.seenUpTo) {
+            this.seenUpTo = snapshotUpTo;
+            this.dueFromMs = nowMs + this.parts.everyMs;
+        }
+        const order = rendezvousOrder(`snapshot ${String(this.seenUpTo)}`, this.parts.liveHosts());
+        const turn = Math.max(0, order.indexOf(hostOfRun(this.parts.self)));
+        const stepMs = Math.max(minStepMs, this.parts.everyMs / 10);
+        if (this.parts.follower.isLogWell && nowMs >= this.dueFromMs + turn * stepMs) {
+            this.dueFromMs = nowMs + this.parts.everyMs;
+            await this.take();
+        }
+    }
+
+    private async take(): Promise<void> {
+        const state = this.parts.follower.state;
+        if (state.config === undefined) {
+            return;
+        }
+        for (const chunk of splitSnapshot(state, newOrderedUuid(), maxPartBytes)) {
+            const appended = await this.parts.log.append(chunk);
+            if (appended.isErr()) {
+                this.parts.journal.warn("snapshot", `Chunk ${String(chunk.chunk)} was not appended: ${appended.error.message}.`);
+                this.dueFromMs = Number.NEGATIVE_INFINITY;
+                return;
+            }
+        }
+        this.parts.journal.info("snapshot", `Snapshot up to offset ${String(state.offset)} is on the log.`);
+    }
+}
--- /dev/null
+++ b/src/settings/settings.ts
@@ -0,0 +1,105 @@
+/** Settings of the daemons, from flags and environment variables, checked at the start. */
+import yargs from "yargs";
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
+import { z } from "zod";
+import type { Failure } from "../model/failure.js";
+import { failure } from "../model/failure.js";
+
+const environmentPrefix = "HORNBEAM";
+
+const address = z.string().regex(/^[0-9.]+:[0-9]{1,5}$/, "an IP number and a port, such as 10.0.0.7:7100");
+const url = z.string().regex(/^http:\/\/[0-9.]+:[0-9]{1,5}$/, "an http address by IP number, such as http://10.0.0.7:7000");
+const hostName = z.string().regex(/^[a-z][a-z0-9-]{0,39}$/, "lower-case letters, digits and hyphens, at most 40");
+const logLevel = z.enum(["trace", "debug", "info", "warn", "error", "fatal"]);
+
+const common = {
+    host: hostName,
+    dataCentre: hostName,
+    logUrl: url,
+    hostListUrl: url,
+    adminAddress: address,
+    sharedKey: z.string().min(16, "at least 16 characters"),
+    knownAddresses: z.string().default("").transform((text) => text.split(",").filter((part) => part !== "")),
+    metricsAddress: address.optional(),
+    logLevel: logLevel.default("info"),
+    stopTimeoutMs: z.coerce.number().int().min(100).max(600_000).default(10_000),
+};
+
+/** Schema of the coordinator's settings. */
+export const coordinatorSettings = z.strictObject({
+    ...common,
+    listenAddress: address,
+    /** Hosts that share the connections of each server. */
+    connectionShares: z.coerce.number().int().min(1).max(1_000).default(10),
+    snapshotEveryMs: z.coerce.number().int().min(500).max(86_400_000).default(3_600_000),
+});
+
+/** Schema of the entry's settings. */
+export const entrySettings = z.strictObject({
+    ...common,
+    listenAddress: address,
+    connectionShares: z.coerce.number().int().min(1).max(1_000).default(10),
+    maxHeaderBytes: z.coerce.number().int().min(1_024).max(65_536).default(8_192),
+});
+
+/** Schema of the settings that every call of hornbeamctl needs. */
+export const controlSettings = z.object({
+    logUrl: url,
+    hostListUrl: url,
+});
+
+export type CoordinatorSettings = z.infer<typeof coordinatorSettings>;
+export type EntrySettings = z.infer<typeof entrySettings>;
+
+/**
+ * Reads settings from flags, and from variables such as HORNBEAM_LOG_URL where a flag is absent.
+ * @param args command line without the program's name
+ * @param environment environment variables
+ * @param schema what is allowed
+ * @returns the settings, or a failure whose message names the flag, the value and what is allowed
+ */
+export function readSettings<T extends z.ZodObject>(
+    args: readonly string[],
+    environment: Readonly<Record<string, string | undefined>>,
+    schema: T,
+): Result<z.infer<T>, Failure> {
+    const flags = Object.keys(schema.shape);
+    const parsed = yargs([...args]).string(flags).help(false).version(false)
+        .parserConfiguration({ "strip-dashed": true }).parseSync() as Record<string, unknown>;
+    const given: Record<string, unknown> = {};
+    for (const flag of flags) {
+        const value = parsed[flag] ?? environment[variableOf(flag)];
+        if (value !== undefined) {
+            given[flag] = value;
+        }
+    }
+    const unknown = Object.keys(parsed).filter((name) => name !== "_" && name !== "$0" && !flags.includes(name));
+    if (unknown.length > 0) {
+        return err(failure("invalid", "settings", "command line", `--${flagOf(unknown[0] as string)} is not a flag; allowed: ${flags.map((flag) => `--${flagOf(flag)}`).join(", ")}`));
+    }
+    const checked = schema.safeParse(given);
+    if (checked.success) {
+        return ok(checked.data);
+    }
+    const issue = checked.error.issues[0];
+    const name = String(issue?.path[0] ?? "");
+    return err(failure("invalid", "settings", "command line",
+        `--${flagOf(name)} (or ${variableOf(name)}) is ${shown(name, given[name])}; allowed: ${issue?.message ?? ""}`));
+}
+
+/** A secret never shows up in a message. */
+function shown(name: string, value: unknown): string {
+    if (value === undefined) {
+        return "missing";
+    }
+    return name === "sharedKey" ? "not usable" : JSON.stringify(value);
+}
+
+function flagOf(name: string): string {
+    return name.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`);
+}
+
+function variableOf(name: string): string {
+    return `${environmentPrefix}_${name.replace(/[A-Z]/g, (letter) => `_${letter}`).toUpperCase()}`;
+}
