--- a/src/bin/hornbeam-coordinator.ts
+++ b/src/bin/hornbeam-coordinator.ts
@@ -4,6 +4,7 @@
 import { container } from "tsyringe";
 import { v4 as newUuid } from "uuid";
 import type { HostId } from "../model/ids.js";
+import { noGuardsOut } from "../model/guards.js";
 import { runIdOf } from "../model/ids.js";
 import { tokens } from "../model/tokens.js";
 import { listPools } from "../config/document.js";
@@ -29,6 +30,7 @@
 container.registerInstance(tokens.hostList, createHostListHttp(settings.hostListUrl));
 container.registerInstance(tokens.linkFactory, (address: string) => createRpcLink(address, identity, clock));
 container.registerInstance(tokens.random, () => Math.random());
+container.registerInstance(tokens.guardsOut, noGuardsOut);
 container.registerInstance(tokens.snapshotEveryMs, settings.snapshotEveryMs);
 container.registerInstance(tokens.servers, createServerHttp((server) => {
     const document = service.follower.state.config?.document;
--- a/src/coordinator/cellKeeper.ts
+++ b/src/coordinator/cellKeeper.ts
@@ -2,6 +2,7 @@
 import { v7 as newOrderedUuid } from "uuid";
 import type { CellId, Fence, RecordId, RunId, Shard, TargetId } from "../model/ids.js";
 import { fenceOf, hostOfRun, noFence, noOffset } from "../model/ids.js";
+import type { GuardsOut } from "../model/guards.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { CoordinatorAnswer, KeyedWork } from "../model/work.js";
 import { redirect } from "../model/work.js";
@@ -56,6 +57,8 @@
     clock: Clock;
     journal: Journal;
     random: () => number;
+    /** Guards left out by a proof. */
+    guardsOut: GuardsOut;
 }
 
 interface Acting {
@@ -221,7 +224,7 @@
     }
 
     private start(layout: CellLayout, inForce: TermInForce, fence: Fence): void {
-        const { clock, servers, journal, random } = this.parts;
+        const { clock, servers, journal, random, guardsOut } = this.parts;
         const { term } = inForce;
         const cell = new Cell({
             cell: layout.cell, fence, driftMarginMs,
@@ -230,10 +233,10 @@
             shards: layout.shards as Shard[],
             leaseMs: term.leaseMs,
             waitMs: term.waitMs,
-        });
-        const book = new OrderBook(() => this.bookLimits(layout));
+        }, guardsOut);
+        const book = new OrderBook(() => this.bookLimits(layout), guardsOut);
         const dispatcher = new Dispatcher({
-            cell, book, servers, clock, random,
+            cell, book, servers, clock, random, guardsOut,
             limits: () => this.dispatchLimits(layout),
             hurry: () => {
                 runner.hurry();
@@ -289,7 +292,8 @@
         acting.handOver = undefined;
         const priorFence = acting.runner.cell.authority.highestPriorFence() ?? noFence;
         const elapsedMs = now.wallMs - handOver.stoppedWallMs + hostSkewMs;
-        if (priorFence <= handOver.fence && elapsedMs < acting.runner.cell.plan.leaseMs) {
+        const current = priorFence <= handOver.fence && elapsedMs < acting.runner.cell.plan.leaseMs;
+        if (current || this.parts.guardsOut.handOverCheck === true) {
             acting.dispatcher.adopt(handOver.book);
         }
     }
--- a/src/coordinator/dispatcher.ts
+++ b/src/coordinator/dispatcher.ts
@@ -3,6 +3,7 @@
 import type { Result } from "neverthrow";
 import type { CellId, Fence, Shard, TargetId } from "../model/ids.js";
 import type { Failure } from "../model/failure.js";
+import type { GuardsOut } from "../model/guards.js";
 import type { Clock, Instant } from "../model/time.js";
 import { Signal } from "../model/signal.js";
 import type { CoordinatorAnswer, KeyedWork, NotRunOutcome, Outcome, Redirect, RefusalReason, ServerWork } from "../model/work.js";
@@ -30,14 +31,6 @@
     fenceChecked: boolean;
 }
 
-/** Guards that a proof may take out; none is ever set by a program. */
-export interface DispatchGuardsOut {
-    authority?: boolean;
-    answerMatch?: boolean;
-    cancelIncarnation?: boolean;
-    currentProof?: boolean;
-}
-
 /** What a dispatcher works with. */
 export interface DispatcherParts {
     cell: Cell;
@@ -49,7 +42,7 @@
     random: () => number;
     /** Asks for the next heartbeats at once. */
     hurry: () => void;
-    guardsOut?: DispatchGuardsOut;
+    guardsOut: GuardsOut;
 }
 
 type OwnerFound = { server: TargetId } | { refusal: NotRunOutcome | Redirect };
@@ -201,7 +194,7 @@
      * accepted a heartbeat sent afterwards.
      */
     private async isStillCurrent(arrivedMs: number): Promise<boolean> {
-        if (this.parts.guardsOut?.currentProof === true) {
+        if (this.parts.guardsOut.currentProof === true) {
             return true;
         }
         const latestMs = this.nowMs() + currentProofMs;
@@ -241,7 +234,7 @@
 
     /** Authority and ownership may have ended while the request waited for its slot. */
     private mayStillSend(shard: Shard, server: TargetId, nowMs: number): boolean {
-        return this.parts.guardsOut?.authority === true || this.parts.cell.servingOwner(shard, nowMs) === server;
+        return this.parts.guardsOut.authority === true || this.parts.cell.servingOwner(shard, nowMs) === server;
     }
 
     private async sendRead(work: KeyedWork, server: TargetId, queue: ServerQueue, deadlineMs: number): Promise<Outcome> {
@@ -275,7 +268,7 @@
 
     private async send(server: TargetId, work: ServerWork, timeoutMs: number): Promise<Result<ServerAnswer, Failure>> {
         const answer = await this.parts.servers.send(server, work, Math.max(1, timeoutMs));
-        if (this.parts.guardsOut?.answerMatch === true) {
+        if (this.parts.guardsOut.answerMatch === true) {
             return answer;
         }
         return answer.andThen((whole) => checkAnswer(server, work, whole, (body) => this.parts.servers.digestOf(body)));
@@ -297,7 +290,7 @@
             const timeoutMs = Math.max(cancelReserveMs, Math.min(silenceCheckMs, deadlineMs - this.nowMs()));
             const cancelled = await this.parts.servers.cancel(server, work.requestId, timeoutMs);
             const known = cancelled.isOk() && cancelled.value.requestId === work.requestId ? cancelled.value : undefined;
-            const sameRun = known?.incarnation === incarnation || this.parts.guardsOut?.cancelIncarnation === true;
+            const sameRun = known?.incarnation === incarnation || this.parts.guardsOut.cancelIncarnation === true;
             if (known !== undefined && !sameRun) {
                 return unknownOutcome("lost", 0);
             }
--- a/src/coordinator/service.ts
+++ b/src/coordinator/service.ts
@@ -3,6 +3,7 @@
 import { inject, singleton } from "tsyringe";
 import type { CellId, HostId, Offset, RunId } from "../model/ids.js";
 import { hostOfRun } from "../model/ids.js";
+import type { GuardsOut } from "../model/guards.js";
 import type { Clock } from "../model/time.js";
 import type { CoordinatorAnswer, KeyedWork } from "../model/work.js";
 import { redirect } from "../model/work.js";
@@ -40,6 +41,7 @@
         @inject(tokens.journal) private readonly journal: Journal,
         @inject(tokens.random) private readonly random: () => number,
         @inject(tokens.snapshotEveryMs) snapshotEveryMs: number,
+        @inject(tokens.guardsOut) private readonly guardsOut: GuardsOut,
     ) {
         this.peers = new Peers(self, hostList, createLink, clock);
         this.follower = new LogFollower(log, clock, (above) => this.peers.fetchState(above));
@@ -131,8 +133,8 @@
         const document = this.follower.state.config?.document;
         for (const { cell } of document === undefined ? [] : listCells(document)) {
             if (!this.keepers.has(cell)) {
-                const { self, follower, log, peers, servers, clock, journal, random } = this;
-                const keeper = new CellKeeper({ cell, self, follower, log, peers, servers, clock, journal, random });
+                const { self, follower, log, peers, servers, clock, journal, random, guardsOut } = this;
+                const keeper = new CellKeeper({ cell, self, follower, log, peers, servers, clock, journal, random, guardsOut });
                 this.keepers.set(cell, keeper);
                 void keeper.run();
             }
--- a/src/model/tokens.ts
+++ b/src/model/tokens.ts
@@ -11,5 +11,6 @@
     targets: Symbol("targets"),
     journal: Symbol("journal"),
     random: Symbol("random"),
+    guardsOut: Symbol("guardsOut"),
     snapshotEveryMs: Symbol("snapshotEveryMs"),
 } as const;
--- a/src/orders/orderBook.ts
+++ b/src/orders/orderBook.ts
@@ -1,6 +1,8 @@
 /** Remembers the orders of one coordinator, so that an order id is sent to a server at most once. */
 import type { OrderId, Shard } from "../model/ids.js";
 import { orderCreatedWallMs } from "../model/ids.js";
+import type { GuardsOut } from "../model/guards.js";
+import { noGuardsOut } from "../model/guards.js";
 import type { Instant } from "../model/time.js";
 import type { CoordinatorAnswer, Outcome } from "../model/work.js";
 import { notRun, unknownOutcome } from "../model/work.js";
@@ -48,9 +50,9 @@
 
     /**
      * @param limits bounds of memory and clocks in force
-     * @param horizonOut leaves the horizon check out, for a proof that it is needed
+     * @param guardsOut guards left out by a proof
      */
-    constructor(private readonly limits: () => OrderBookLimits, private readonly horizonOut = false) {}
+    constructor(private readonly limits: () => OrderBookLimits, private readonly guardsOut: GuardsOut = noGuardsOut) {}
 
     /** Number of orders remembered. */
     get size(): number {
@@ -150,7 +152,7 @@
         }
         const horizonWallMs = this.horizonWallMsByShard.get(shard) ?? Number.POSITIVE_INFINITY;
         const tooOld = createdWallMs < Math.max(horizonWallMs, this.windowStartWallMs(now));
-        if (tooOld && !this.horizonOut) {
+        if (tooOld && this.guardsOut.idHorizon !== true) {
             return { kind: "answer", outcome: unknownOutcome("id-too-old", 0) };
         }
         return this.makeRoom() ? { kind: "send" } : { kind: "answer", outcome: unknownOutcome("window-full", 0) };
--- a/src/ownership/cell.ts
+++ b/src/ownership/cell.ts
@@ -6,6 +6,8 @@
  * heartbeat sent afterwards, since a newer coordinator may otherwise have renewed the owner in place.
  */
 import type { CellId, Fence, Shard, TargetId } from "../model/ids.js";
+import type { GuardsOut } from "../model/guards.js";
+import { noGuardsOut } from "../model/guards.js";
 import { Authority } from "./authority.js";
 import type { HeartbeatReply, HeartbeatRequest } from "./messages.js";
 import type { PlacementCandidate } from "./placement.js";
@@ -26,15 +28,6 @@
     driftMarginMs: number;
 }
 
-/** Guards that a proof may take out to show that it turns red; none is ever set by a program. */
-export interface CellGuardsOut {
-    leaseCap?: boolean;
-    freshMajority?: boolean;
-    unlapsedRelease?: boolean;
-    wait?: boolean;
-    amnesia?: boolean;
-}
-
 /** How a shard came to its present server; reported to the log and the operators. */
 export type PlacementCause = "unowned" | "lapsed" | "released" | "kept";
 
@@ -80,7 +73,7 @@
      * @param plan the cell and the fence
      * @param guardsOut guards left out by a proof
      */
-    constructor(readonly plan: CellPlan, private readonly guardsOut: CellGuardsOut = {}) {
+    constructor(readonly plan: CellPlan, private readonly guardsOut: GuardsOut = noGuardsOut) {
         this.authority = new Authority({ ...plan, amnesiaGuardOut: guardsOut.amnesia });
         for (const shard of plan.shards) {
             this.tenures.set(shard, soughtFrom(Number.NEGATIVE_INFINITY, undefined));
--- a/src/ownership/leaseHolder.ts
+++ b/src/ownership/leaseHolder.ts
@@ -1,6 +1,8 @@
 /** The server's side of the lease rules, as docs/INTERFACE.md asks of every server that owns keys. */
 import type { Fence, Incarnation, Shard } from "../model/ids.js";
 import { noFence } from "../model/ids.js";
+import type { GuardsOut } from "../model/guards.js";
+import { noGuardsOut } from "../model/guards.js";
 import type { HeartbeatReply, HeartbeatRequest, HeldShard } from "./messages.js";
 
 /** Why a server refuses to begin a piece of work. */
@@ -16,8 +18,13 @@
     /**
      * @param incarnation names this run of the process
      * @param startedMs when this run began
+     * @param guardsOut guards left out by a proof
      */
-    constructor(readonly incarnation: Incarnation, private readonly startedMs: number) {}
+    constructor(
+        readonly incarnation: Incarnation,
+        private readonly startedMs: number,
+        private readonly guardsOut: GuardsOut = noGuardsOut,
+    ) {}
 
     /**
      * Applies a heartbeat if its fence is not lower, this incarnation is meant and it is newer than the last.
@@ -31,7 +38,7 @@
         const priorFence = this.fence;
         const sinceAcceptedMs = nowMs - this.acceptedAtMs;
         const meantForThisRun = request.incarnation === undefined || request.incarnation === this.incarnation;
-        const accepted = request.fence >= this.fence && meantForThisRun;
+        const accepted = (request.fence >= this.fence || this.guardsOut.fence === true) && (meantForThisRun || this.guardsOut.amnesia === true);
         const touched = [...request.renew, ...request.release];
         const unlapsedOnArrival = touched.filter((shard) => this.owns(shard, nowMs));
         if (accepted) {
@@ -66,7 +73,7 @@
      * @returns why not, or undefined when it may
      */
     refuseWork(work: { shard: Shard; fence: Fence; notAfterServerMs: number }, nowMs: number): WorkRefusal | undefined {
-        if (work.fence < this.fence) {
+        if (work.fence < this.fence && this.guardsOut.fence !== true) {
             return "fence";
         }
         if (!this.owns(work.shard, nowMs)) {
@@ -87,8 +94,8 @@
     }
 
     private apply(request: HeartbeatRequest, nowMs: number): void {
-        const newer = request.fence > this.fence || request.sequence > this.sequence;
-        this.fence = request.fence;
+        const newer = request.fence > this.fence || request.sequence > this.sequence || this.guardsOut.sequence === true;
+        this.fence = Math.max(this.fence, request.fence) as Fence;
         this.acceptedAtMs = nowMs;
         if (!newer) {
             return;
@@ -98,7 +105,7 @@
             this.leaseEndByShard.delete(shard);
         }
         for (const shard of request.renew) {
-            if (this.owns(shard, nowMs)) {
+            if (this.owns(shard, nowMs) || (this.guardsOut.unlapsedRenewal === true && this.leaseEndByShard.has(shard))) {
                 this.extend(shard, request.leaseEndServerMs);
             }
         }
--- a/src/standins/keyedServer.ts
+++ b/src/standins/keyedServer.ts
@@ -3,6 +3,8 @@
 import { v4 as newUuid } from "uuid";
 import { z } from "zod";
 import type { Incarnation } from "../model/ids.js";
+import type { GuardsOut } from "../model/guards.js";
+import { noGuardsOut } from "../model/guards.js";
 import type { Clock } from "../model/time.js";
 import type { ServerWork } from "../model/work.js";
 import type { CancelAnswer, ServerAnswer } from "../coordinator/serverPort.js";
@@ -55,6 +57,8 @@
     cancelled: boolean;
     state: "queued" | "running" | "done";
     answer?: ServerAnswer;
+    /** The answer to every copy of the request; absent when it was cancelled before it arrived. */
+    settled?: Promise<ServerAnswer>;
 }
 
 /** The server apart from HTTP, so that a test can hold it in its own process. */
@@ -67,9 +71,12 @@
     private running = 0;
     private served = 0;
 
-    /** @param options its settings */
-    constructor(private readonly options: Omit<KeyedServerOptions, "address">) {
-        this.lease = new LeaseHolder(newUuid() as Incarnation, options.clock.now().monoMs);
+    /**
+     * @param options its settings
+     * @param guardsOut guards left out by a proof
+     */
+    constructor(private readonly options: Omit<KeyedServerOptions, "address">, guardsOut: GuardsOut = noGuardsOut) {
+        this.lease = new LeaseHolder(newUuid() as Incarnation, options.clock.now().monoMs, guardsOut);
         this.record = { incarnation: this.lease.incarnation, runsByOrderId: {}, reads: 0 };
     }
 
@@ -82,17 +89,15 @@
     async work(work: ServerWork): Promise<ServerAnswer> {
         const known = this.jobs.get(work.requestId);
         if (known !== undefined) {
-            return this.refuse(work, "cancelled");
+            return known.settled ?? this.refuse(work, "cancelled");
         }
         if (this.fault.shedding || this.queue.length >= this.options.maxQueued) {
             return this.refuse(work, "shedding", this.options.serviceMs * 10);
         }
         const job: Job = { work, cancelled: false, state: "queued" };
         this.remember(job);
-        await this.slot();
-        const answer = await this.run(job);
-        this.release();
-        return answer;
+        job.settled = this.runInSlot(job);
+        return job.settled;
     }
 
     /** Stops work that has not begun; also work that has not arrived, until it would be too late to begin. */
@@ -110,6 +115,13 @@
         return { requestId, incarnation, state: job.state, answer: job.answer };
     }
 
+    private async runInSlot(job: Job): Promise<ServerAnswer> {
+        await this.slot();
+        const answer = await this.run(job);
+        this.release();
+        return answer;
+    }
+
     private async run(job: Job): Promise<ServerAnswer> {
         const { work } = job;
         if (job.cancelled) {
