--- /dev/null
+++ b/src/control/commands.ts
@@ -0,0 +1,343 @@
+/** Commands of hornbeamctl. */
+import diff from "microdiff";
+import { stringify } from "yaml";
+import type { Result } from "neverthrow";
+import type { Offset } from "../model/ids.js";
+import { hostOfRun, noOffset } from "../model/ids.js";
+import type { Failure } from "../model/failure.js";
+import { describeFailure } from "../model/failure.js";
+import type { ConfigDocument } from "../config/document.js";
+import { cellOfShard, findPool, forbiddenChanges } from "../config/document.js";
+import type { ChangeNote } from "../config/edits.js";
+import { parseKeyName, shardOfKey, withDrain, withMove } from "../config/edits.js";
+import { readDocument } from "../config/source.js";
+import type { ConfigVersion, FoldedState, Verdict } from "../platform/fold.js";
+import type { CommandResult, ExitCode } from "./output.js";
+import { exitCodes } from "./output.js";
+import type { ControlSession, HostReport } from "./session.js";
+
+/**
+ * Checks a document without publishing it.
+ * @param text the document's text
+ * @returns every problem with its line and path
+ */
+export function validate(text: string): CommandResult {
+    const read = readDocument(text);
+    if (read.isOk()) {
+        return done(["The document is valid."], read.value);
+    }
+    return {
+        exitCode: exitCodes.badInput,
+        lines: [`${String(read.error.length)} problem(s); nothing was published.`],
+        table: { head: ["line", "path", "problem"], rows: read.error.map((problem) => [problem.line, problem.path, problem.message]) },
+        json: read.error,
+    };
+}
+
+/**
+ * Publishes a document.
+ * @param session the session
+ * @param text the document's text
+ * @param note who and why
+ * @param basedOn offset that the document was based on; the one in force when absent
+ * @returns whether it won, or what won instead
+ */
+export async function publishText(session: ControlSession, text: string, note: ChangeNote, basedOn?: number): Promise<CommandResult> {
+    const checked = validate(text);
+    if (checked.exitCode !== exitCodes.done) {
+        return checked;
+    }
+    return withState(session, (state) =>
+        publishDocument(session, checked.json as ConfigDocument, note, (basedOn ?? state.config?.offset ?? noOffset) as Offset));
+}
+
+/** Shows the configuration in force. */
+export function show(session: ControlSession): Promise<CommandResult> {
+    return withConfig(session, (config) => done([stringify(config.document), `Version ${String(config.offset)}.`], config));
+}
+
+/**
+ * Compares a document with the one in force.
+ * @param session the session
+ * @param text the document's text
+ */
+export async function compare(session: ControlSession, text: string): Promise<CommandResult> {
+    const checked = validate(text);
+    if (checked.exitCode !== exitCodes.done) {
+        return checked;
+    }
+    return withConfig(session, (config) => {
+        const next = checked.json as ConfigDocument;
+        const changes = diff(config.document, next);
+        const forbidden = forbiddenChanges(config.document, next);
+        return {
+            exitCode: forbidden.length > 0 ? exitCodes.refused : exitCodes.done,
+            lines: [`${String(changes.length)} change(s) against version ${String(config.offset)}.`, ...forbidden],
+            table: {
+                head: ["path", "change", "value"],
+                rows: changes.map((change) => [change.path.join("."), change.type, "value" in change ? JSON.stringify(change.value) : ""]),
+            },
+            json: { basedOn: config.offset, changes, forbidden },
+        };
+    });
+}
+
+/** Lists the versions that were in force. */
+export function history(session: ControlSession): Promise<CommandResult> {
+    return withState(session, (state) => ({
+        exitCode: exitCodes.done,
+        lines: [],
+        table: {
+            head: ["version", "based on", "published", "author", "reason"],
+            rows: state.history.map((version) => [
+                version.offset, version.basedOn, new Date(version.publishedWallMs).toISOString(), version.author, version.reason,
+            ]),
+        },
+        json: state.history.map(({ offset, basedOn, publishedWallMs, author, reason }) =>
+            ({ offset, basedOn, publishedWallMs, author, reason })),
+    }));
+}
+
+/**
+ * Publishes an earlier version again.
+ * @param session the session
+ * @param offset the earlier version
+ * @param note who and why
+ */
+export function revert(session: ControlSession, offset: number, note: ChangeNote): Promise<CommandResult> {
+    return withState(session, (state) => {
+        const earlier = state.history.find((version) => version.offset === offset);
+        if (earlier === undefined) {
+            return refused(`Version ${String(offset)} is not in the history; see: hornbeamctl config history`);
+        }
+        return publishDocument(session, earlier.document, note, state.config?.offset ?? noOffset);
+    });
+}
+
+/**
+ * Tells where the configuration is in force.
+ * @param session the session
+ * @param waitMs how long to wait for every live host
+ */
+export function configStatus(session: ControlSession, waitMs: number): Promise<CommandResult> {
+    return withConfig(session, async (config) => {
+        const without = await session.hostsWithout(config.offset, waitMs);
+        if (without.isErr()) {
+            return unreachable(without.error);
+        }
+        const names = without.value.map(({ host }) => host.hostId);
+        if (names.length === 0) {
+            return done([`Version ${String(config.offset)} is in force on every live host.`], { version: config.offset, without: [] });
+        }
+        return {
+            exitCode: exitCodes.notEverywhere,
+            lines: [
+                `Version ${String(config.offset)} is not in force on: ${names.join(", ")}.`,
+                "Look at them with: hornbeamctl dump HOST, or wait with: hornbeamctl config status --wait",
+            ],
+            json: { version: config.offset, without: names },
+        };
+    });
+}
+
+/** Shows every live host. */
+export async function status(session: ControlSession): Promise<CommandResult> {
+    return withReports(session, (reports) => {
+        const notWell = reports.filter(({ dump }) => dump.isErr() || dump.value.unready !== undefined || !dump.value.logWell);
+        return {
+            exitCode: notWell.length === 0 ? exitCodes.done : exitCodes.unreachable,
+            lines: notWell.length === 0
+                ? ["Every live host is well."]
+                : [`Not well: ${notWell.map(({ host }) => host.hostId).join(", ")}. Look closer with: hornbeamctl dump HOST`],
+            table: {
+                head: ["host", "data centre", "state", "configuration", "offset", "log", "cells"],
+                rows: reports.map(({ host, dump }) => dump.match(
+                    (of) => [
+                        host.hostId, host.dataCentre, of.unready ?? "ready", of.configOffset ?? "-", of.offset,
+                        of.logWell ? "well" : "not read", of.cells.filter((cell) => cell.acting).length,
+                    ],
+                    (failed) => [host.hostId, host.dataCentre, describeFailure(failed), "-", "-", "-", "-"],
+                )),
+            },
+            json: reports.map(({ host, dump }) => ({ host, dump: dump.isOk() ? dump.value : undefined })),
+        };
+    });
+}
+
+/** Shows every cell with its coordinator. */
+export async function cells(session: ControlSession): Promise<CommandResult> {
+    return withReports(session, (reports) => {
+        const rows = actingCells(reports).map(({ host, cell }) => {
+            const shards = cell.grants?.shards ?? [];
+            const unserved = shards.filter((shard) => !shard.serving).length;
+            return [cell.cell, host, cell.grants?.fence ?? 0, shards.length, unserved, cell.work?.active ?? 0, cell.work?.orders ?? 0];
+        });
+        return {
+            exitCode: exitCodes.done,
+            lines: rows.length === 0 ? ["No cell is coordinated; see: hornbeamctl status"] : [],
+            table: { head: ["cell", "coordinator", "fence", "shards", "not served", "in flight", "order ids"], rows },
+            json: actingCells(reports),
+        };
+    });
+}
+
+/**
+ * Shows which server owns a key.
+ * @param session the session
+ * @param keyName the key, as `institution/pool/key`
+ */
+export function owners(session: ControlSession, keyName: string): Promise<CommandResult> {
+    return withConfig(session, async (config) => {
+        const name = parseKeyName(keyName);
+        const shard = name.andThen((parsed) => shardOfKey(config.document, parsed));
+        if (name.isErr() || shard.isErr()) {
+            return badInput(name.isErr() ? name.error : shard._unsafeUnwrapErr());
+        }
+        const { institution, pool } = name.value;
+        const poolConfig = findPool(config.document, institution, pool);
+        const cell = poolConfig === undefined ? "" : cellOfShard(institution, pool, poolConfig, shard.value);
+        return withReports(session, (reports) => {
+            const acting = actingCells(reports).find((one) => one.cell.cell === cell);
+            const tenure = acting?.cell.grants?.shards.find((one) => one.shard === shard.value);
+            const found = { cell, shard: shard.value, coordinator: acting?.host, ...tenure };
+            return tenure === undefined
+                ? { ...refused(`Shard ${String(shard.value)} of ${cell} has no coordinator now; see: hornbeamctl cells`), json: found }
+                : done([
+                    `${keyName}: shard ${String(shard.value)} of ${cell}, owner ${tenure.owner ?? "none"},`
+                    + ` ${tenure.serving ? "served" : "not served"}, coordinator ${acting?.host ?? ""}.`,
+                ], found);
+        });
+    });
+}
+
+/**
+ * Marks a target as one without work, or takes the mark away.
+ * @param session the session
+ * @param target id of the target
+ * @param undo takes the mark away
+ * @param note who and why
+ */
+export function drain(session: ControlSession, target: string, undo: boolean, note: ChangeNote): Promise<CommandResult> {
+    return edit(session, note, (document) => withDrain(document, target, !undo));
+}
+
+/**
+ * Pins the shard of a key to a target.
+ * @param session the session
+ * @param keyName the key, as `institution/pool/key`
+ * @param target id of the target
+ * @param note who and why
+ */
+export function move(session: ControlSession, keyName: string, target: string, note: ChangeNote): Promise<CommandResult> {
+    return edit(session, note, (document) => parseKeyName(keyName).andThen((name) => withMove(document, name, target, note)));
+}
+
+/**
+ * Shows the whole state of one host's coordinator.
+ * @param session the session
+ * @param hostName the host
+ */
+export async function dump(session: ControlSession, hostName: string): Promise<CommandResult> {
+    return withReports(session, (reports) => {
+        const report = reports.find(({ host }) => host.hostId === hostName);
+        if (report === undefined) {
+            return refused(`The host list names no live host ${hostName}; it names: ${reports.map(({ host }) => host.hostId).join(", ")}`);
+        }
+        return report.dump.match((of) => done([JSON.stringify(of, undefined, 2)], of), unreachable);
+    });
+}
+
+async function edit(
+    session: ControlSession,
+    note: ChangeNote,
+    change: (document: ConfigDocument) => Result<ConfigDocument, Failure>,
+): Promise<CommandResult> {
+    return withConfig(session, async (config) => {
+        const changed = change(config.document);
+        return changed.isErr() ? badInput(changed.error) : publishDocument(session, changed.value, note, config.offset);
+    });
+}
+
+async function publishDocument(
+    session: ControlSession,
+    document: ConfigDocument,
+    note: ChangeNote,
+    basedOn: Offset,
+): Promise<CommandResult> {
+    if (note.author.trim() === "" || note.reason.trim() === "") {
+        return badInput({ kind: "invalid", step: "publish", peer: "command line", message: "--author and --reason must not be empty" });
+    }
+    const verdict = await session.publish(document, basedOn, note);
+    return verdict.match((of) => verdictResult(session, of), unreachable);
+}
+
+function verdictResult(session: ControlSession, verdict: Verdict): CommandResult {
+    if (verdict.accepted) {
+        return done([
+            `Version ${String(verdict.offset)} won and is taking hold.`,
+            "Wait for every host with: hornbeamctl config status --wait",
+        ], verdict);
+    }
+    if (verdict.why !== undefined) {
+        return { ...refused(`Not accepted: ${verdict.why}`), json: verdict };
+    }
+    const winner = session.state.history.find((version) => version.offset === verdict.wonBy);
+    return {
+        exitCode: exitCodes.refused,
+        lines: [
+            `Another change won: version ${String(verdict.wonBy)} by ${winner?.author ?? "unknown"}, because: ${winner?.reason ?? "unknown"}.`,
+            "Look at it with: hornbeamctl config diff FILE, and publish again based on it.",
+        ],
+        json: { verdict, winner: { offset: winner?.offset, author: winner?.author, reason: winner?.reason } },
+    };
+}
+
+function actingCells(reports: readonly HostReport[]) {
+    return reports.flatMap(({ dump: of }) => of.isErr()
+        ? []
+        : of.value.cells.filter((cell) => cell.acting).map((cell) => ({ host: hostOfRun(of.value.run as never), cell })));
+}
+
+async function withState(
+    session: ControlSession,
+    use: (state: FoldedState) => CommandResult | Promise<CommandResult>,
+): Promise<CommandResult> {
+    const state = await session.readState();
+    return state.isErr() ? unreachable(state.error) : use(state.value);
+}
+
+function withConfig(
+    session: ControlSession,
+    use: (config: ConfigVersion) => CommandResult | Promise<CommandResult>,
+): Promise<CommandResult> {
+    return withState(session, (state) => state.config === undefined
+        ? refused("No configuration has been published; publish one with: hornbeamctl config publish FILE")
+        : use(state.config));
+}
+
+async function withReports(session: ControlSession, use: (reports: HostReport[]) => CommandResult): Promise<CommandResult> {
+    const reports = await session.reports();
+    return reports.isErr() ? unreachable(reports.error) : use(reports.value);
+}
+
+function done(lines: string[], json: unknown): CommandResult {
+    return { exitCode: exitCodes.done, lines, json };
+}
+
+function refused(line: string): CommandResult {
+    return { exitCode: exitCodes.refused, lines: [line], json: undefined };
+}
+
+function badInput(failed: Failure): CommandResult {
+    return ended(exitCodes.badInput, failed);
+}
+
+function unreachable(failed: Failure): CommandResult {
+    const next = failed.step === "publish" ? ["Look whether it took effect with: hornbeamctl config history, before publishing again."] : [];
+    const result = ended(exitCodes.unreachable, failed);
+    return { ...result, lines: [...result.lines, ...next] };
+}
+
+function ended(exitCode: ExitCode, failed: Failure): CommandResult {
+    return { exitCode, lines: [describeFailure(failed)], json: failed };
+}
--- a/src/coordinator/cellKeeper.ts
+++ b/src/coordinator/cellKeeper.ts
@@ -31,10 +31,12 @@
 const activePaceMs = 40;
 const passivePaceMs = 300;
 const settleMs = 3_000;
+/** How long a term stands before a merely better ranked coordinator replaces a live one. */
+const preferenceSettleMs = 10_000;
 const claimAfterMs = 1_200;
 const claimStepMs = 400;
 const ranksPerTerm = 4;
-const drainMs = 700;
+const drainMs = 300;
 const handOverTimeoutMs = 400;
 const witnessTimeoutMs = 120;
 const redirectAfterMs = 20;
@@ -76,6 +78,7 @@
     private handedOver: HandOver | undefined;
     private highestFence: Fence = noFence;
     private lastActingMs = Number.NEGATIVE_INFINITY;
+    private lastActingRun: RunId | undefined;
     private termSeen: { offset: number; atMs: number } | undefined;
     private lastPublishMs = Number.NEGATIVE_INFINITY;
     private orphanedSinceMs: number | undefined;
@@ -112,12 +115,23 @@
     async serve(work: KeyedWork): Promise<CoordinatorAnswer> {
         const acting = this.acting;
         if (acting === undefined) {
-            return redirect("not-coordinator", redirectAfterMs, this.likelyCoordinator());
+            return work.relay === true ? this.relay(work) : redirect("not-coordinator", redirectAfterMs, this.likelyCoordinator());
         }
         this.workByShard.set(work.shard, (this.workByShard.get(work.shard) ?? 0) + 1);
         return acting.dispatcher.serve(work);
     }
 
+    /** Passes a request on for an entry host that cannot reach the coordinator itself. */
+    private async relay(work: KeyedWork): Promise<CoordinatorAnswer> {
+        const run = this.likelyCoordinator();
+        if (run === undefined) {
+            return redirect("not-coordinator", redirectAfterMs);
+        }
+        const answer = await this.parts.peers.callHost<CoordinatorAnswer>(
+            hostOfRun(run), "work", { ...work, relay: false }, work.budgetMs + redirectAfterMs);
+        return answer.unwrapOr(redirect("unreachable", redirectAfterMs, run));
+    }
+
     /**
      * Takes a planned hand-over; this host acts at its next step if its rank allows.
      * @param handOver the predecessor's orders
@@ -185,6 +199,7 @@
 
     private async stepActing(layout: CellLayout, inForce: TermInForce, acting: Acting, now: Instant): Promise<void> {
         this.lastActingMs = now.monoMs;
+        this.noteTerm(inForce, now.monoMs);
         if (inForce.offset !== acting.inForce.offset) {
             await this.followTerm(layout, inForce, acting);
             return;
@@ -319,12 +334,20 @@
         }, nowMs);
     }
 
-    private noteOthers(inForce: TermInForce | undefined, nowMs: number): void {
+    private noteTerm(inForce: TermInForce | undefined, nowMs: number): void {
         if (inForce !== undefined && this.termSeen?.offset !== inForce.offset) {
             this.termSeen = { offset: inForce.offset, atMs: nowMs };
         }
-        const acting = this.parts.peers.viewsOf(this.parts.cell).filter((peer) => peer.actingFence !== undefined);
-        this.lastActingMs = Math.max(this.lastActingMs, ...acting.map((peer) => peer.heardMs));
+    }
+
+    private noteOthers(inForce: TermInForce | undefined, nowMs: number): void {
+        this.noteTerm(inForce, nowMs);
+        for (const peer of this.parts.peers.viewsOf(this.parts.cell)) {
+            if (peer.actingFence !== undefined && peer.heardMs > this.lastActingMs) {
+                this.lastActingMs = peer.heardMs;
+                this.lastActingRun = peer.run;
+            }
+        }
     }
 
     /** Asks the servers themselves whether a coordinator that this host cannot reach is at work. */
@@ -336,7 +359,10 @@
         this.highestFence = Math.max(this.highestFence, ...answered.map((reply) => reply.fence)) as Fence;
         const { heartbeatMs } = this.terms(layout);
         const witnesses = answered.filter((reply) => reply.fence > noFence).map((reply) => reply.sinceAcceptedMs);
-        return this.highestFence >= fence || isCoordinatedElsewhere(witnesses, layout.servers.length, heartbeatMs);
+        // A coordinator that most hosts cannot reach serves few callers, however well it reaches the servers.
+        const reachable = this.lastActingRun === undefined
+            || this.parts.peers.isHeardByHalf(this.lastActingRun, this.parts.clock.now().monoMs);
+        return this.highestFence >= fence || (reachable && isCoordinatedElsewhere(witnesses, layout.servers.length, heartbeatMs));
     }
 
     /** No term yet, or none of its coordinators is alive. */
@@ -363,14 +389,19 @@
 
     /** The acting coordinator keeps the term fit: its servers, its rank order, live successors. */
     private async renewTermWhenDue(layout: CellLayout, acting: Acting, now: Instant): Promise<void> {
-        if (now.monoMs - this.lastPublishMs < settleMs || !acting.runner.cell.hasAuthority(now.monoMs)) {
+        const { cell } = acting.runner;
+        // A new term makes its coordinator look for owners afresh, which would prolong a recovery under way.
+        if (now.monoMs - this.lastPublishMs < settleMs || !cell.hasAuthority(now.monoMs) || !cell.isSettled(now.monoMs)) {
             return;
         }
         const term = acting.inForce.term;
         const desired = this.desiredRanking(now.monoMs, settleMs);
         const { leaseMs } = this.terms(layout);
         const serversChanged = leaseMs !== term.leaseMs || [...layout.servers].sort().join() !== [...term.servers].sort().join();
-        const rankingStale = desired.length > 0 && (desired[0] !== term.coordinators[0]
+        const termAgeMs = now.monoMs - (this.termSeen?.atMs ?? now.monoMs);
+        const firstStale = desired[0] !== term.coordinators[0]
+            && (termAgeMs >= preferenceSettleMs || term.coordinators[0] !== this.parts.self);
+        const rankingStale = desired.length > 0 && (firstStale
             || term.coordinators.some((run) => !this.parts.peers.isLive(run, now.monoMs))
             || term.coordinators.length < desired.length);
         if (serversChanged || rankingStale) {
--- a/src/coordinator/peerPort.ts
+++ b/src/coordinator/peerPort.ts
@@ -26,6 +26,8 @@
     run: RunId;
     offset: Offset;
     acting: ActingCell[];
+    /** Runs that this host hears itself. */
+    hears: RunId[];
     leaving: boolean;
 }
 
--- a/src/coordinator/peers.ts
+++ b/src/coordinator/peers.ts
@@ -90,14 +90,15 @@
 
     /**
      * Lists the hosts that may coordinate: their own answers go before the list, but a host that the list calls
-     * leaving is given nothing new.
+     * leaving, or no longer names, is given nothing new.
      * @param nowMs monotonic time
      * @param steadyMs how long a host must have answered without a gap
      * @returns the hosts, this one included when it is listed
      */
     steadyHosts(nowMs: number, steadyMs: number): SteadyHost[] {
         const steady = [...this.peers.values()].flatMap((peer) => {
-            const fit = isHeard(peer, nowMs) && nowMs - peer.steadySinceMs >= steadyMs && peer.listed.state === "live";
+            const listed = !peer.gone && peer.listed.state === "live";
+            const fit = listed && isHeard(peer, nowMs) && nowMs - peer.steadySinceMs >= steadyMs;
             return fit && peer.last?.leaving === false ? [{ ...hostOf(peer.listed), run: peer.last.run }] : [];
         });
         return this.listedSelf === undefined ? steady : [...steady, { ...hostOf(this.listedSelf), run: this.self }];
@@ -114,6 +115,23 @@
         return run === this.self || (peer?.last?.run === run && isHeard(peer, nowMs) && !peer.last.leaving);
     }
 
+    /** Runs of other hosts that answered lately. */
+    heardRuns(nowMs: number): RunId[] {
+        return [...this.peers.values()].flatMap((peer) => peer.last !== undefined && isHeard(peer, nowMs) ? [peer.last.run] : []);
+    }
+
+    /**
+     * Tells whether at least half of the live hosts, this one included, hear a run that this host may not hear.
+     * @param run the run
+     * @param nowMs monotonic time
+     * @returns false when the run is cut off from most hosts
+     */
+    isHeardByHalf(run: RunId, nowMs: number): boolean {
+        const live = [...this.peers.values()].filter((peer) => isHeard(peer, nowMs) && peer.last?.run !== run);
+        const hear = live.filter((peer) => peer.last?.hears.includes(run) === true).length + (this.isLive(run, nowMs) ? 1 : 0);
+        return hear * 2 >= live.length + 1;
+    }
+
     /** IP numbers that the list names. */
     listedAddresses(): Set<string> {
         const listed = [...this.peers.values()].map((peer) => peer.listed);
--- a/src/coordinator/service.ts
+++ b/src/coordinator/service.ts
@@ -78,7 +78,8 @@
     ping(): PingReply {
         const acting = [...this.keepers].flatMap(([cell, keeper]): ActingCell[] =>
             keeper.actingFence === undefined ? [] : [{ cell, fence: keeper.actingFence }]);
-        return { run: this.self, offset: this.follower.state.offset, acting, leaving: this.leaving };
+        const hears = this.peers.heardRuns(this.clock.now().monoMs);
+        return { run: this.self, offset: this.follower.state.offset, acting, hears, leaving: this.leaving };
     }
 
     /** Gives the folded state to a reader that is behind. */
--- a/src/entry/keyedRouter.ts
+++ b/src/entry/keyedRouter.ts
@@ -46,7 +46,9 @@
                 return this.giveUp(work, lastReason);
             }
             const run = this.choose(cell, attempt);
-            const answer = run === undefined ? undefined : await this.ask(cell, run, { ...work, budgetMs: Math.max(0, leftMs) });
+            const answer = run === undefined
+                ? undefined
+                : await this.ask(cell, run, { ...work, budgetMs: Math.max(0, leftMs), relay: attempt > 0 });
             if (answer?.isOk() === true && answer.value.outcome !== "redirect") {
                 return answer.value;
             }
--- a/src/model/guards.ts
+++ b/src/model/guards.ts
@@ -6,6 +6,8 @@
     leaseCap?: boolean;
     /** A lapsed or unowned shard is placed without a majority that accepted a heartbeat sent afterwards. */
     freshMajority?: boolean;
+    /** Answers from before the search for an owner count as proof that nobody owns a shard. */
+    freshAnswers?: boolean;
     /** A release counts although the lease had lapsed before. */
     unlapsedRelease?: boolean;
     /** An unowned shard is placed without waiting for earlier leases to end. */
--- a/src/model/work.ts
+++ b/src/model/work.ts
@@ -19,6 +19,8 @@
     budgetMs: number;
     /** Smaller is more urgent. */
     priority: number;
+    /** Asks a host that does not coordinate the cell to pass the request on, since the sender cannot reach who does. */
+    relay?: boolean;
     body: string;
 }
 
--- a/src/ownership/cell.ts
+++ b/src/ownership/cell.ts
@@ -2,8 +2,9 @@
  * The coordinator's side of the lease rules for one cell under one fence.
  *
  * A shard goes to another server only after its owner released it in time, or its owner's lease has certainly
- * lapsed, or a whole lease has passed under unbroken authority. The last two also need a majority that accepted a
- * heartbeat sent afterwards, since a newer coordinator may otherwise have renewed the owner in place.
+ * lapsed, or every server has answered that it does not hold the shard, or a whole lease has passed under unbroken
+ * authority. A lapse and a wait also need a majority that accepted a heartbeat sent afterwards, since a newer
+ * coordinator may otherwise have renewed the owner in place.
  */
 import type { CellId, Fence, Shard, TargetId } from "../model/ids.js";
 import type { GuardsOut } from "../model/guards.js";
@@ -52,6 +53,8 @@
     serving: boolean;
     /** True until the owner's answer shows the grant. */
     granting: boolean;
+    /** True once the owner answered that it does not hold the lease any more; it is not renewed again. */
+    lapsed: boolean;
     releasing: boolean;
     releaseSent: boolean;
     moveTo?: TargetId;
@@ -197,6 +200,16 @@
         }
     }
 
+    /**
+     * Tells whether every shard is served by a server that answered lately, and none is on the move.
+     * @param nowMs now
+     */
+    isSettled(nowMs: number): boolean {
+        const reachable = new Set(this.reachableServers(nowMs).map(({ server }) => server));
+        return [...this.tenures.values()].every((tenure) =>
+            tenure.serving && tenure.moveTo === undefined && tenure.owner !== undefined && reachable.has(tenure.owner));
+    }
+
     /** Tells whether a server still has to be asked to release a shard. */
     hasReleaseToSend(): boolean {
         return [...this.tenures.values()].some((tenure) => tenure.releasing && !tenure.releaseSent);
@@ -269,7 +282,7 @@
             this.onReleaseAnswered(shard, server, held.has(shard), reply.unlapsedOnArrival.includes(shard), nowMs);
         }
         for (const shard of request.renew) {
-            this.onRenewAnswered(shard, server, held.has(shard) && reply.unlapsedOnArrival.includes(shard));
+            this.onRenewAnswered(shard, server, held.has(shard) && reply.unlapsedOnArrival.includes(shard), nowMs);
         }
         for (const shard of request.grant) {
             this.onGrantAnswered(shard, server, held.has(shard));
@@ -315,6 +328,9 @@
             tenure.releaseSent = true;
             return;
         }
+        if (tenure.lapsed) {
+            return;
+        }
         (tenure.granting ? request.grant : request.renew).push(shard);
         tenure.lapseMs = Math.max(tenure.lapseMs, lapseMs);
     }
@@ -346,11 +362,16 @@
         this.tenures.set(shard, soughtFrom(nowMs, server));
     }
 
-    private onRenewAnswered(shard: Shard, server: TargetId, renewed: boolean): void {
+    private onRenewAnswered(shard: Shard, server: TargetId, renewed: boolean, nowMs: number): void {
         const tenure = this.tenures.get(shard);
         if (tenure?.owner !== server || tenure.releasing) {
             return;
         }
+        if (!renewed) {
+            // No renewal that is still on its way can revive a lease that has lapsed.
+            tenure.lapsed = true;
+            tenure.lapseMs = nowMs;
+        }
         if (renewed && !tenure.confirmed) {
             this.events.push({ shard, from: server, to: server, cause: "kept" });
         }
@@ -401,14 +422,27 @@
                 return;
             }
         }
-        const waitedUntilMs = Math.max(this.authoritySinceMs ?? nowMs, tenure.waitFromMs)
-            + this.plan.waitMs + this.plan.driftMarginMs;
+        const soughtSinceMs = Math.max(this.authoritySinceMs ?? nowMs, tenure.waitFromMs);
+        const waitedUntilMs = soughtSinceMs + this.plan.waitMs + this.plan.driftMarginMs;
         const waited = nowMs >= waitedUntilMs && this.isFreshAfter(waitedUntilMs);
-        if (waited || this.guardsOut.wait === true) {
+        if (waited || this.isHeldByNobody(shard, soughtSinceMs) || this.guardsOut.wait === true) {
             this.place(shard, tenure, "unowned", nowMs);
         }
     }
 
+    /**
+     * Every server has accepted this fence and answered that it does not hold the shard, so no earlier grant can
+     * take effect any more. Answers to heartbeats from before the search prove nothing: a grant of this coordinator
+     * may have followed them.
+     */
+    private isHeldByNobody(shard: Shard, soughtSinceMs: number): boolean {
+        return [...this.plan.servers, ...this.plan.voterSets.flat()].every((server) => {
+            const known = this.authority.of(server);
+            const fresh = known !== undefined && (known.sentMs > soughtSinceMs || this.guardsOut.freshAnswers === true);
+            return fresh && !known.leaseEndByShard.has(shard);
+        });
+    }
+
     private onLapsed(shard: Shard, tenure: Tenure, nowMs: number): void {
         if (!tenure.confirmed) {
             this.tenures.set(shard, soughtFrom(nowMs, tenure.owner));
@@ -449,6 +483,6 @@
     return {
         waitFromMs, lastOwner,
         lapseMs: Number.NEGATIVE_INFINITY,
-        confirmed: false, serving: false, granting: false, releasing: false, releaseSent: false,
+        confirmed: false, serving: false, granting: false, lapsed: false, releasing: false, releaseSent: false,
     };
 }
--- a/src/ownership/leaseHolder.ts
+++ b/src/ownership/leaseHolder.ts
@@ -38,7 +38,8 @@
         const priorFence = this.fence;
         const sinceAcceptedMs = nowMs - this.acceptedAtMs;
         const meantForThisRun = request.incarnation === undefined || request.incarnation === this.incarnation;
-        const accepted = (request.fence >= this.fence || this.guardsOut.fence === true) && (meantForThisRun || this.guardsOut.amnesia === true);
+        const fenceStands = request.fence >= this.fence || this.guardsOut.fence === true;
+        const accepted = fenceStands && (meantForThisRun || this.guardsOut.amnesia === true);
         const touched = [...request.renew, ...request.release];
         const unlapsedOnArrival = touched.filter((shard) => this.owns(shard, nowMs));
         if (accepted) {
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -67,17 +67,29 @@
     const flags = Object.keys(schema.shape);
     const parsed = yargs([...args]).string(flags).help(false).version(false)
         .parserConfiguration({ "strip-dashed": true }).parseSync() as Record<string, unknown>;
-    const given: Record<string, unknown> = {};
-    for (const flag of flags) {
-        const value = parsed[flag] ?? environment[variableOf(flag)];
-        if (value !== undefined) {
-            given[flag] = value;
-        }
-    }
     const unknown = Object.keys(parsed).filter((name) => name !== "_" && name !== "$0" && !flags.includes(name));
     if (unknown.length > 0) {
         return err(failure("invalid", "settings", "command line", `--${flagOf(unknown[0] as string)} is not a flag; allowed: ${flags.map((flag) => `--${flagOf(flag)}`).join(", ")}`));
     }
+    return checkSettings(parsed, environment, schema);
+}
+
+/**
+ * Checks settings that were given as flags, and takes absent ones from environment variables.
+ * @param flags values by name, as the command line gave them
+ * @param environment environment variables
+ * @param schema what is allowed
+ * @returns the settings, or a failure whose message names the flag, the value and what is allowed
+ */
+export function checkSettings<T extends z.ZodObject>(
+    flags: Readonly<Record<string, unknown>>,
+    environment: Readonly<Record<string, string | undefined>>,
+    schema: T,
+): Result<z.infer<T>, Failure> {
+    const names = Object.keys(schema.shape);
+    const given = Object.fromEntries(names
+        .map((name) => [name, flags[name] ?? environment[variableOf(name)]] as const)
+        .filter(([, value]) => value !== undefined));
     const checked = schema.safeParse(given);
     if (checked.success) {
         return ok(checked.data);
--- a/test/proof/matrix.ts
+++ b/test/proof/matrix.ts
@@ -13,14 +13,16 @@
     .option("shard", { type: "string", default: "1/1" })
     .option("fault", { type: "string" })
     .option("step", { type: "string" })
+    .option("second", { type: "string" })
+    .option("trace", { type: "boolean", default: false })
     .option("guards-out", { type: "string" })
     .option("unchecked", { type: "boolean", default: false, describe: "servers do not check fences" })
     .strict().parseSync();
 
 const [shard = 1, shards = 1] = options.shard.split("/").map(Number);
 const guardsOut = options.guardsOut === undefined ? {} : { [options.guardsOut]: true };
-const seconds: (Fault | undefined)[] = options.pairs ? [...faults] : [undefined];
-const table = new Table({ head: ["", ...steps] });
+const seconds: (Fault | undefined)[] = options.pairs ? [...faults] : [options.second as Fault | undefined];
+const table = new Table({ head: ["", ...steps], style: { head: [], border: [] } });
 let cases = 0;
 let failed = 0;
 let number = 0;
@@ -51,7 +53,8 @@
             if (number % shards !== shard - 1 || (second !== undefined && notApplicable(second, step) !== undefined)) {
                 continue;
             }
-            const result = await runCase({ fault, step, phase, second, seed: options.seed, guardsOut, fenceChecked: !options.unchecked });
+            const { seed, trace } = options;
+            const result = await runCase({ fault, step, phase, second, seed, trace, guardsOut, fenceChecked: !options.unchecked });
             const late = result.longestGapMs > result.boundMs;
             const good = result.reached && !late && result.violations.length === 0;
             run += 1;
--- a/test/support/cellModel.ts
+++ b/test/support/cellModel.ts
@@ -118,7 +118,8 @@
         if (message.reply === undefined) {
             const reply = model.holder.onHeartbeat(request, nowMs + model.clockOffsetMs);
             if (!cuts.has(`${String(contender.index)}>${String(server)}`) || random.chance(0.5)) {
-                messages.push({ ...message, reply, atMs: random.chance(0.95) ? nowMs + random.pick([1, 1, 2, 4]) : nowMs + 10 + random.upTo(140) });
+                const delayMs = random.chance(0.95) ? random.pick([1, 1, 2, 4]) : 10 + random.upTo(140);
+                messages.push({ ...message, reply, atMs: nowMs + delayMs });
             }
             return;
         }
--- a/test/support/matrix.ts
+++ b/test/support/matrix.ts
@@ -46,6 +46,8 @@
     seed: number;
     guardsOut?: GuardsOut;
     fenceChecked?: boolean;
+    /** Writes the log lines of every host. */
+    trace?: boolean;
 }
 
 export interface MatrixResult {
@@ -70,7 +72,7 @@
 /** Makes one run. */
 export async function runCase(of: MatrixCase): Promise<MatrixResult> {
     const world = new World({
-        ...usualWorld, seed: of.seed, guardsOut: of.guardsOut ?? {}, fenceChecked: of.fenceChecked ?? true,
+        ...usualWorld, seed: of.seed, trace: of.trace, guardsOut: of.guardsOut ?? {}, fenceChecked: of.fenceChecked ?? true,
         snapshotEveryMs: of.step === "snapshot" ? 6_000 : 60_000,
     });
     let reached = 0;
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -8,6 +8,7 @@
 import { v7 as newOrderedUuid } from "uuid";
 import type { CellId, HostId, Offset, OrderId, RecordId, Shard, TargetId } from "../../src/model/ids.js";
 import { runIdOf } from "../../src/model/ids.js";
+import type { Step } from "../../src/model/failure.js";
 import { failure } from "../../src/model/failure.js";
 import { shardOf } from "../../src/model/keyHash.js";
 import type { ConfigDocument } from "../../src/config/document.js";
@@ -32,7 +33,6 @@
 import { Random } from "./random.js";
 import { VirtualClock, VirtualProcess } from "./virtualTime.js";
 
-const quiet: Journal = { info: () => undefined, warn: () => undefined, count: () => undefined, timing: () => undefined };
 const pool = "status";
 const institution = "hladvarmi";
 export const cell = `${institution}/${pool}/cell-1` as CellId;
@@ -54,6 +54,7 @@
     keepRecords: number;
     snapshotEveryMs: number;
     adjust: (document: ConfigDocument) => void;
+    trace?: boolean;
 }
 
 export const usualWorld: WorldOptions = {
@@ -116,6 +117,16 @@
         this.log.records = this.log.records.filter((record) => record.offset > read);
     }
 
+    /** Drops the records that a whole snapshot on the log contains. */
+    passRetentionBehindSnapshot(): void {
+        const snapshots = this.log.records.flatMap(({ payload }) => {
+            const record = payload as LogRecord;
+            return record.kind === "snapshot" && record.chunk === record.chunks - 1 ? [record.upTo] : [];
+        });
+        const upTo = Math.max(0, ...snapshots);
+        this.log.records = this.log.records.filter((record) => record.offset > upTo);
+    }
+
     async advance(durationMs: number): Promise<void> {
         await this.clock.advance(durationMs, () => {
             this.checkOwnership();
@@ -271,17 +282,29 @@
         const { clock } = process;
         const log = this.logOf(hostId, process);
         const list: HostListPort = { list: () => Promise.resolve(ok(this.listed)) };
+        const journal = this.journalOf(hostId);
         const createLink = (address: string) => this.link(hostId, address);
         const run = String(this.runCount);
         const random = () => this.random.unit();
         const coordinator = new CoordinatorService(
-            runIdOf(hostId, run), clock, log, list, createLink, this.serverPort(hostId), quiet, random, this.options.snapshotEveryMs, this.options.guardsOut);
+            runIdOf(hostId, run), clock, log, list, createLink, this.serverPort(hostId),
+            journal, random, this.options.snapshotEveryMs, this.options.guardsOut);
         const targets = { call: () => Promise.resolve(err(failure("unreachable", "bulk", "none", "no targets here"))) };
         const entry = new EntryService(
-            runIdOf(`${hostId}/entry` as HostId, run), clock, log, list, createLink, targets, quiet, random);
+            runIdOf(`${hostId}/entry` as HostId, run), clock, log, list, createLink, targets, journal, random);
         return { host: hostId, process, coordinator, entry };
     }
 
+    /** Writes the log lines of a host, with the virtual time, when a run is traced. */
+    private journalOf(host: string): Journal {
+        const write = (prefix: string, sentence: string) => {
+            if (this.options.trace === true) {
+                process.stdout.write(`${this.clock.now().monoMs.toFixed(0)} ${host} ${prefix}: ${sentence}\n`);
+            }
+        };
+        return { info: write, warn: write, count: () => undefined, timing: () => undefined };
+    }
+
     private startHost(host: HostState): void {
         host.coordinator.start();
         host.entry.start();
@@ -294,7 +317,8 @@
                 serve: async () => {
                     const target = this.hosts.find((host) => host.host === to)?.coordinator as CoordinatorApi;
                     if (method !== "handOver") {
-                        return await (target[method as keyof CoordinatorApi] as (p: object) => unknown).call(target, structuredClone(params)) as never;
+                        const handle = target[method as keyof CoordinatorApi] as (p: object) => unknown;
+                        return await handle.call(target, structuredClone(params)) as never;
                     }
                     this.onStep("hand-over", "before", { host: to });
                     const taken = target.handOver(structuredClone(params) as never);
@@ -307,7 +331,8 @@
     }
 
     private serverPort(host: string): ServerPort {
-        const call = <T>(server: TargetId, step: Parameters<Network["call"]>[0]["step"], timeoutMs: number, serve: (s: KeyedServer) => T | Promise<T>, fresh = false) =>
+        type Serve<T> = (server: KeyedServer) => T | Promise<T>;
+        const call = <T>(server: TargetId, step: Step, timeoutMs: number, serve: Serve<T>, fresh = false) =>
             this.network.call<T>({ from: host, to: server, step, timeoutMs, fresh, serve: () => serve(this.serverOf(server).server) });
         return {
             heartbeat: (server, request, timeoutMs) => {
