--- a/src/coordinator/cellKeeper.ts
+++ b/src/coordinator/cellKeeper.ts
@@ -1,7 +1,7 @@
 /** One task a cell: decides whether this host coordinates it, and hands it over when another host should. */
 import { v7 as newOrderedUuid } from "uuid";
 import type { CellId, Fence, RecordId, RunId, Shard, TargetId } from "../model/ids.js";
-import { fenceOf, hostOfRun, noFence, noOffset } from "../model/ids.js";
+import { fenceOf, hostOfRun, noFence, noOffset, rankOf } from "../model/ids.js";
 import type { GuardsOut } from "../model/guards.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { CoordinatorAnswer, KeyedWork } from "../model/work.js";
@@ -41,6 +41,7 @@
 const witnessTimeoutMs = 120;
 const redirectAfterMs = 20;
 const driftMarginMs = 5;
+const moveHoldMs = 250;
 const balanceSettleMs = 2_000;
 const rateSmoothing = 0.3;
 const rateWindowMs = 1_000;
@@ -234,8 +235,14 @@
         acting.runner.stop();
         this.acting = undefined;
         this.highestFence = Math.max(this.highestFence, acting.fence) as Fence;
-        const stoppedWallMs = this.parts.clock.now().wallMs;
-        return { cell: this.parts.cell, fence: acting.fence, stoppedWallMs, book: acting.book.copy() };
+        const now = this.parts.clock.now();
+        return {
+            cell: this.parts.cell,
+            fence: acting.fence,
+            stoppedWallMs: now.wallMs,
+            book: acting.book.copy(),
+            leases: acting.runner.cell.leasesLeft(now.monoMs),
+        };
     }
 
     private start(layout: CellLayout, inForce: TermInForce, fence: Fence): void {
@@ -310,6 +317,7 @@
         const current = priorFence <= handOver.fence && elapsedMs < acting.runner.cell.plan.leaseMs;
         if (current || this.parts.guardsOut.handOverCheck === true) {
             acting.dispatcher.adopt(handOver.book);
+            acting.runner.cell.adoptLeases(handOver.leases, now.monoMs);
         }
     }
 
@@ -360,11 +368,18 @@
         const { heartbeatMs } = this.terms(layout);
         const witnesses = answered.filter((reply) => reply.fence > noFence).map((reply) => reply.sinceAcceptedMs);
         // A coordinator that most hosts cannot reach serves few callers, however well it reaches the servers.
-        const reachable = this.lastActingRun === undefined
-            || this.parts.peers.isHeardByHalf(this.lastActingRun, this.parts.clock.now().monoMs);
+        const run = this.runUnder(this.highestFence) ?? this.lastActingRun;
+        const reachable = run === undefined || this.parts.peers.isHeardByHalf(run, this.parts.clock.now().monoMs);
         return this.highestFence >= fence || (reachable && isCoordinatedElsewhere(witnesses, layout.servers.length, heartbeatMs));
     }
 
+    /** Run that the term in force ranks under a fence. */
+    private runUnder(fence: Fence): RunId | undefined {
+        const inForce = this.parts.follower.state.terms[this.parts.cell];
+        const isOfThisTerm = inForce !== undefined && fence >= fenceOf(inForce.offset, 0);
+        return isOfThisTerm ? inForce.term.coordinators[rankOf(fence)] : undefined;
+    }
+
     /** No term yet, or none of its coordinators is alive. */
     private isOrphaned(inForce: TermInForce | undefined, nowMs: number): boolean {
         if (inForce === undefined) {
@@ -464,10 +479,11 @@
         const pinned = new Map(document.moves
             .filter((move) => move.institution === layout.institution && move.pool === layout.pool && layout.shards.includes(move.shard))
             .map((move) => [move.shard as Shard, move.target as TargetId]));
+        cell.abandonSlowMoves(now.monoMs, moveHoldMs);
         const moves = neededMoves(cell, pinned, now.monoMs);
-        const forLoad = this.moveForLoad(cell, layout, now);
+        const forLoad = cell.isSettled(now.monoMs) ? this.moveForLoad(cell, layout, now) : undefined;
         for (const move of forLoad === undefined ? moves : [...moves, forLoad]) {
-            if (cell.requestMove(move.shard, move.to)) {
+            if (cell.requestMove(move.shard, move.to, now.monoMs)) {
                 this.parts.journal.info("move", `${layout.cell} shard ${String(move.shard)} moves to ${move.to}: ${move.reason}.`);
             }
         }
--- a/src/coordinator/dispatcher.ts
+++ b/src/coordinator/dispatcher.ts
@@ -50,7 +50,7 @@
 /** Serves the keyed work of one cell under one fence. */
 export class Dispatcher {
     private readonly queues = new Map<TargetId, ServerQueue>();
-    private readonly inFlightByShard = new Map<Shard, number>();
+    private readonly ordersInFlight = new Map<string, number>();
     private readonly horizonEpochMs = new Map<Shard, number>();
     private readonly changed = new Signal();
     private readonly retries = new RetryBudget(retryRatio, retryBurst);
@@ -253,13 +253,13 @@
         const sentMs = this.nowMs();
         const serverWork = this.bind(work, server, deadlineMs, sentMs);
         const incarnation = this.parts.cell.authority.of(server)?.incarnation;
-        this.countInFlight(work.shard, 1);
+        this.countInFlight(work.shard, server, 1);
         const timeoutMs = Math.min(silenceCheckMs, Math.max(1, deadlineMs - sentMs - cancelReserveMs));
         const answer = await this.send(server, serverWork, timeoutMs);
         const outcome = answer.isOk()
             ? this.outcomeOf(answer.value, server, queue)
             : await this.resolveLost(answer.error, serverWork, server, incarnation, deadlineMs);
-        this.countInFlight(work.shard, -1);
+        this.countInFlight(work.shard, server, -1);
         const nowMs = this.nowMs();
         queue.leave(answer.isOk() ? nowMs - sentMs : undefined, nowMs);
         this.releaseDrained();
@@ -384,16 +384,22 @@
     }
 
     private releaseDrained(): void {
-        for (const { shard } of this.parts.cell.shardsAwaitingRelease()) {
-            if ((this.inFlightByShard.get(shard) ?? 0) === 0) {
+        for (const { shard, owner } of this.parts.cell.shardsAwaitingRelease()) {
+            if (!this.ordersInFlight.has(`${String(shard)}@${owner}`)) {
                 this.parts.cell.startRelease(shard);
                 this.parts.hurry();
             }
         }
     }
 
-    private countInFlight(shard: Shard, change: number): void {
-        this.inFlightByShard.set(shard, (this.inFlightByShard.get(shard) ?? 0) + change);
+    private countInFlight(shard: Shard, server: TargetId, change: number): void {
+        const place = `${String(shard)}@${server}`;
+        const count = (this.ordersInFlight.get(place) ?? 0) + change;
+        if (count === 0) {
+            this.ordersInFlight.delete(place);
+            return;
+        }
+        this.ordersInFlight.set(place, count);
     }
 
     private queueOf(server: TargetId): ServerQueue {
--- a/src/coordinator/peerPort.ts
+++ b/src/coordinator/peerPort.ts
@@ -4,6 +4,7 @@
 import type { Failure } from "../model/failure.js";
 import type { CoordinatorAnswer, KeyedWork } from "../model/work.js";
 import type { OrderBookCopy } from "../orders/orderBook.js";
+import type { LeaseLeft } from "../ownership/cell.js";
 import type { FoldedState } from "../platform/fold.js";
 
 /** A connection to one peer, made on demand. */
@@ -39,6 +40,7 @@
     /** Predecessor's wall clock when it stopped acting. */
     stoppedWallMs: number;
     book: OrderBookCopy;
+    leases: LeaseLeft[];
 }
 
 /** What coordinators offer to one another and to the entry hosts. */
--- a/src/ownership/cell.ts
+++ b/src/ownership/cell.ts
@@ -40,6 +40,13 @@
     cause: PlacementCause;
 }
 
+/** A lease as a predecessor knew it when it stopped. */
+export interface LeaseLeft {
+    shard: Shard;
+    owner: TargetId;
+    leftMs: number;
+}
+
 interface Tenure {
     /** Undefined while the owner is being looked for. */
     owner?: TargetId;
@@ -58,6 +65,7 @@
     releasing: boolean;
     releaseSent: boolean;
     moveTo?: TargetId;
+    moveFromMs?: number;
     lastOwner?: TargetId;
 }
 
@@ -169,17 +177,32 @@
      * Asks for a shard to be moved; work for it is held from now on.
      * @param shard the shard
      * @param to the server that should own it
+     * @param nowMs now
      * @returns false when the shard is not served now or is there already
      */
-    requestMove(shard: Shard, to: TargetId): boolean {
+    requestMove(shard: Shard, to: TargetId, nowMs: number): boolean {
         const tenure = this.tenures.get(shard);
         if (tenure?.serving !== true || tenure.owner === to || tenure.moveTo !== undefined || !this.plan.servers.includes(to)) {
             return false;
         }
         tenure.moveTo = to;
+        tenure.moveFromMs = nowMs;
         return true;
     }
 
+    /**
+     * Gives up the moves whose owner still has orders in flight; the shard is served again where it is.
+     * @param nowMs now
+     * @param afterMs how long a move may hold work back
+     */
+    abandonSlowMoves(nowMs: number, afterMs: number): void {
+        for (const tenure of this.tenures.values()) {
+            if (tenure.moveTo !== undefined && !tenure.releasing && nowMs - (tenure.moveFromMs ?? nowMs) > afterMs) {
+                tenure.moveTo = undefined;
+            }
+        }
+    }
+
     /** Lists the shards that are being moved and whose owner has not been asked to release them yet. */
     shardsAwaitingRelease(): { shard: Shard; owner: TargetId }[] {
         return [...this.tenures].flatMap(([shard, tenure]) =>
@@ -300,7 +323,7 @@
             return;
         }
         for (const [shard, tenure] of this.tenures) {
-            if (tenure.owner === undefined) {
+            if (tenure.owner === undefined || this.isHeldAfterAll(shard, tenure)) {
                 this.seekOwner(shard, tenure, nowMs);
             }
             else if (nowMs > tenure.lapseMs) {
@@ -309,6 +332,29 @@
         }
     }
 
+    /**
+     * Tells a successor when each lease has certainly lapsed, so that it need not wait longer for a lost server.
+     * @param nowMs now
+     */
+    leasesLeft(nowMs: number): LeaseLeft[] {
+        return [...this.tenures].flatMap(([shard, tenure]) => tenure.owner === undefined || !tenure.confirmed
+            ? []
+            : [{ shard, owner: tenure.owner, leftMs: Math.max(0, tenure.lapseMs - nowMs) + this.plan.driftMarginMs }]);
+    }
+
+    /**
+     * Takes over what the immediate predecessor knew of the shards that no server reports as its own.
+     * @param leases what it passed on
+     * @param nowMs now, later than the predecessor's last renewal
+     */
+    adoptLeases(leases: readonly LeaseLeft[], nowMs: number): void {
+        for (const { shard, owner, leftMs } of leases) {
+            if (this.tenures.get(shard)?.owner === undefined) {
+                this.tenures.set(shard, { ...soughtFrom(nowMs, owner), owner, lapseMs: nowMs + leftMs, confirmed: true, lapsed: true });
+            }
+        }
+    }
+
     /** Describes the cell for a dump. */
     describe(nowMs: number): object {
         return {
@@ -443,6 +489,11 @@
         });
     }
 
+    /** A server that the predecessor had lost sight of answers, and still holds its lease. */
+    private isHeldAfterAll(shard: Shard, tenure: Tenure): boolean {
+        return tenure.lapsed && tenure.owner !== undefined && this.authority.of(tenure.owner)?.leaseEndByShard.has(shard) === true;
+    }
+
     private onLapsed(shard: Shard, tenure: Tenure, nowMs: number): void {
         if (!tenure.confirmed) {
             this.tenures.set(shard, soughtFrom(nowMs, tenure.owner));
