--- a/src/coordinator/cellKeeper.ts
+++ b/src/coordinator/cellKeeper.ts
@@ -1,53 +1,36 @@
 /** One task a cell: decides whether this host coordinates it, and hands it over when another host should. */
-import { v7 as newOrderedUuid } from "uuid";
-import type { CellId, Fence, RecordId, RunId, Shard, TargetId } from "../model/ids.js";
-import { fenceOf, hostOfRun, noFence, noOffset, rankOf } from "../model/ids.js";
+import type { CellId, Fence, RunId, Shard } from "../model/ids.js";
+import { fenceOf, hostOfRun, noFence, rankOf } from "../model/ids.js";
 import type { GuardsOut } from "../model/guards.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { CoordinatorAnswer, KeyedWork } from "../model/work.js";
 import { redirect } from "../model/work.js";
-import type { CellLayout, ConfigDocument, TermsOfService } from "../config/document.js";
-import { emptyDocument, findPool, listCells, termsOf } from "../config/document.js";
+import type { CellLayout } from "../config/document.js";
 import type { PlacementEvent } from "../ownership/cell.js";
 import { Cell } from "../ownership/cell.js";
 import { CellRunner } from "../ownership/cellRunner.js";
-import { LoadBalancer, neededMoves } from "../ownership/balance.js";
-import type { OrderBookLimits } from "../orders/orderBook.js";
 import { OrderBook } from "../orders/orderBook.js";
 import type { TermInForce } from "../platform/fold.js";
+import type { Journal } from "../platform/journal.js";
 import type { LogFollower } from "../platform/logFollower.js";
 import type { LogPort } from "../platform/logPort.js";
-import type { TermRecord } from "../platform/records.js";
-import type { Journal } from "../platform/journal.js";
-import { assignCoordinators } from "./assignment.js";
-import type { DispatchLimits } from "./dispatcher.js";
+import { CellConfig, hostSkewMs } from "./cellConfig.js";
 import { Dispatcher } from "./dispatcher.js";
+import { MoveDirector } from "./moveDirector.js";
 import type { HandOver } from "./peerPort.js";
-import type { Peers, SteadyHost } from "./peers.js";
+import type { Peers } from "./peers.js";
 import type { ServerPort } from "./serverPort.js";
 import type { SuccessionDecision } from "./succession.js";
 import { decideSuccession, isCoordinatedElsewhere } from "./succession.js";
+import { claimAfterMs, TermKeeper } from "./termKeeper.js";
 
 const activePaceMs = 40;
 const passivePaceMs = 300;
-const settleMs = 3_000;
-/** How long a term stands before a merely better ranked coordinator replaces a live one. */
-const preferenceSettleMs = 10_000;
-const claimAfterMs = 1_200;
-const claimStepMs = 400;
-const ranksPerTerm = 4;
 const drainMs = 300;
 const handOverTimeoutMs = 400;
 const witnessTimeoutMs = 120;
 const redirectAfterMs = 20;
 const driftMarginMs = 5;
-const moveHoldMs = 250;
-const balanceSettleMs = 2_000;
-const rateSmoothing = 0.3;
-const rateWindowMs = 1_000;
-const minCellRatePerSecond = 20;
-const aheadMarginMs = 100;
-const hostSkewMs = 50;
 
 /** What a keeper works with. */
 export interface CellKeeperParts {
@@ -81,18 +64,20 @@
     private lastActingMs = Number.NEGATIVE_INFINITY;
     private lastActingRun: RunId | undefined;
     private termSeen: { offset: number; atMs: number } | undefined;
-    private lastPublishMs = Number.NEGATIVE_INFINITY;
-    private orphanedSinceMs: number | undefined;
     private leaving = false;
     private stepping = false;
     private readonly stopping = new AbortController();
-    private readonly balancer = new LoadBalancer(balanceSettleMs);
-    private readonly workByShard = new Map<Shard, number>();
-    private readonly rateByShard = new Map<Shard, number>();
-    private rateFromMs: number | undefined;
+
+    private readonly config: CellConfig;
+    private readonly terms: TermKeeper;
+    private readonly moves: MoveDirector;
 
     /** @param parts the cell, this host and the ports */
-    constructor(private readonly parts: CellKeeperParts) {}
+    constructor(private readonly parts: CellKeeperParts) {
+        this.config = new CellConfig(parts.cell, parts.follower, parts.clock);
+        this.terms = new TermKeeper({ ...parts, config: this.config });
+        this.moves = new MoveDirector(this.config);
+    }
 
     /** Fence under which this host acts, if it does. */
     get actingFence(): Fence | undefined {
@@ -118,7 +103,7 @@
         if (acting === undefined) {
             return work.relay === true ? this.relay(work) : redirect("not-coordinator", redirectAfterMs, this.likelyCoordinator());
         }
-        this.workByShard.set(work.shard, (this.workByShard.get(work.shard) ?? 0) + 1);
+        this.moves.noteWork(work.shard);
         return acting.dispatcher.serve(work);
     }
 
@@ -170,7 +155,7 @@
 
     private async step(): Promise<void> {
         const now = this.parts.clock.now();
-        const layout = this.layout();
+        const layout = this.config.layout;
         const inForce = this.parts.follower.state.terms[this.parts.cell];
         if (layout === undefined || this.stepping || this.leaving) {
             return;
@@ -188,10 +173,10 @@
     private async stepIdle(layout: CellLayout, inForce: TermInForce | undefined, now: Instant): Promise<void> {
         this.noteOthers(inForce, now.monoMs);
         if (this.isOrphaned(inForce, now.monoMs)) {
-            await this.claimWhenDue(layout, inForce, now);
+            await this.terms.claimWhenDue(inForce, now);
             return;
         }
-        this.orphanedSinceMs = undefined;
+        this.terms.noteNotOrphaned();
         const decision = this.decide(inForce as TermInForce, now.monoMs);
         if (decision.act && (!decision.askServers || !await this.isServedElsewhere(layout, decision.fence))) {
             this.start(layout, inForce as TermInForce, decision.fence);
@@ -205,8 +190,12 @@
             await this.followTerm(layout, inForce, acting);
             return;
         }
-        this.directMoves(acting, now);
-        await this.renewTermWhenDue(layout, acting, now);
+        const { cell } = acting.runner;
+        for (const move of this.moves.direct(cell, now)) {
+            this.parts.journal.info("move", `${cell.plan.cell} shard ${String(move.shard)} moves to ${move.to}: ${move.reason}.`);
+        }
+        acting.dispatcher.onCellChanged(now);
+        await this.terms.renewWhenDue({ inForce, cell, seenMs: this.termSeen?.atMs ?? now.monoMs }, now);
     }
 
     /** A newer term: act under its fence, or hand over to the coordinator that it ranks first. */
@@ -256,15 +245,15 @@
             leaseMs: term.leaseMs,
             waitMs: term.waitMs,
         }, guardsOut);
-        const book = new OrderBook(() => this.bookLimits(layout), guardsOut);
+        const book = new OrderBook(() => this.config.bookLimits, guardsOut);
         const dispatcher = new Dispatcher({
             cell, book, servers, clock, random, guardsOut,
-            limits: () => this.dispatchLimits(layout),
+            limits: () => this.config.dispatchLimits,
             hurry: () => {
                 runner.hurry();
             },
         });
-        const runner: CellRunner = new CellRunner(cell, servers, clock, () => this.terms(layout), {
+        const runner: CellRunner = new CellRunner(cell, servers, clock, () => this.config.terms, {
             onChange: (at) => {
                 this.adoptWhenCurrent(acting, at);
                 dispatcher.onCellChanged(at);
@@ -283,18 +272,6 @@
         runner.start();
     }
 
-    private bookLimits(layout: CellLayout): OrderBookLimits {
-        const { orderWindowMs, maxOrders } = this.terms(layout);
-        return { windowMs: orderWindowMs, maxOrders, aheadMarginMs, hostSkewMs };
-    }
-
-    private dispatchLimits(layout: CellLayout): DispatchLimits {
-        const { lookahead, maxWaiting, warmUpMs, maxHeld } = this.terms(layout);
-        const pool = findPool(this.document(), layout.institution, layout.pool);
-        const slots = pool?.slots ?? 1;
-        return { queue: { slots, lookahead, maxWaiting, warmUpMs }, maxHeld, fenceChecked: pool?.fenceChecked ?? false };
-    }
-
     private reportPlacement(event: PlacementEvent): void {
         this.parts.journal.count("placement", 1, { cause: event.cause });
         if (event.cause !== "kept") {
@@ -365,7 +342,7 @@
             this.parts.servers.heartbeat(server, question, witnessTimeoutMs)));
         const answered = replies.flatMap((reply) => reply.isOk() ? [reply.value] : []);
         this.highestFence = Math.max(this.highestFence, ...answered.map((reply) => reply.fence)) as Fence;
-        const { heartbeatMs } = this.terms(layout);
+        const { heartbeatMs } = this.config.terms;
         const witnesses = answered.filter((reply) => reply.fence > noFence).map((reply) => reply.sinceAcceptedMs);
         // A coordinator that most hosts cannot reach serves few callers, however well it reaches the servers.
         const run = this.runUnder(this.highestFence) ?? this.lastActingRun;
@@ -391,127 +368,6 @@
         return !someoneActs && !rankedLive;
     }
 
-    private async claimWhenDue(layout: CellLayout, inForce: TermInForce | undefined, now: Instant): Promise<void> {
-        this.orphanedSinceMs ??= now.monoMs;
-        const ranking = this.desiredRanking(now.monoMs, 0);
-        const turn = ranking.indexOf(this.parts.self);
-        const waitMs = (inForce === undefined ? claimStepMs : claimAfterMs) + Math.max(0, turn) * claimStepMs;
-        if (turn >= 0 && now.monoMs - this.orphanedSinceMs >= waitMs) {
-            await this.publishTerm(layout, inForce, ranking, inForce === undefined ? "first term" : "no ranked coordinator is alive", now);
-            this.orphanedSinceMs = undefined;
-        }
-    }
-
-    /** The acting coordinator keeps the term fit: its servers, its rank order, live successors. */
-    private async renewTermWhenDue(layout: CellLayout, acting: Acting, now: Instant): Promise<void> {
-        const { cell } = acting.runner;
-        // A new term makes its coordinator look for owners afresh, which would prolong a recovery under way.
-        if (now.monoMs - this.lastPublishMs < settleMs || !cell.hasAuthority(now.monoMs) || !cell.isSettled(now.monoMs)) {
-            return;
-        }
-        const term = acting.inForce.term;
-        const desired = this.desiredRanking(now.monoMs, settleMs);
-        const { leaseMs } = this.terms(layout);
-        const serversChanged = leaseMs !== term.leaseMs || [...layout.servers].sort().join() !== [...term.servers].sort().join();
-        const termAgeMs = now.monoMs - (this.termSeen?.atMs ?? now.monoMs);
-        const firstStale = desired[0] !== term.coordinators[0]
-            && (termAgeMs >= preferenceSettleMs || term.coordinators[0] !== this.parts.self);
-        const rankingStale = desired.length > 0 && (firstStale
-            || term.coordinators.some((run) => !this.parts.peers.isLive(run, now.monoMs))
-            || term.coordinators.length < desired.length);
-        if (serversChanged || rankingStale) {
-            await this.publishTerm(layout, acting.inForce, desired, serversChanged ? "servers changed" : "coordinators changed", now);
-        }
-    }
-
-    private desiredRanking(nowMs: number, steadyMs: number): RunId[] {
-        const hosts: SteadyHost[] = this.parts.peers.steadyHosts(nowMs, steadyMs);
-        const cells = listCells(this.document()).map((layout) => layout.cell);
-        const runOf = new Map(hosts.map((host) => [host.hostId, host.run]));
-        return (assignCoordinators(cells, hosts, ranksPerTerm).get(this.parts.cell) ?? []).map((host) => runOf.get(host) as RunId);
-    }
-
-    /** Appends a term; the log's order decides, and the follower brings the result. */
-    private async publishTerm(
-        layout: CellLayout,
-        prior: TermInForce | undefined,
-        coordinators: RunId[],
-        reason: string,
-        now: Instant,
-    ): Promise<void> {
-        this.lastPublishMs = now.monoMs;
-        const servers = layout.servers;
-        const { leaseMs } = this.terms(layout);
-        const same = prior === undefined || [...prior.term.servers].sort().join() === [...servers].sort().join();
-        const record: TermRecord = {
-            kind: "term", cell: layout.cell, servers, coordinators, reason,
-            leaseMs,
-            waitMs: Math.max(leaseMs, this.earlierWaitMs(prior)),
-            recordId: newOrderedUuid() as RecordId,
-            basedOn: prior?.offset ?? noOffset,
-            voterSets: this.voterSets(servers, prior, same),
-        };
-        const appended = await this.parts.log.append(record);
-        this.parts.journal.info("term", `${layout.cell} term ${appended.isOk() ? "appended" : "not appended"}: ${reason}.`);
-    }
-
-    /** The acting coordinator's own majority is enough to replace older sets; anyone else must keep them all. */
-    private voterSets(servers: TargetId[], prior: TermInForce | undefined, same: boolean): TargetId[][] {
-        const acts = this.acting?.runner.cell.hasAuthority(this.parts.clock.now().monoMs) === true;
-        const older = prior === undefined ? [] : acts ? [prior.term.servers] : prior.term.voterSets;
-        return same && acts ? [servers] : [servers, ...older.filter((set) => set.join() !== servers.join())];
-    }
-
-    private earlierWaitMs(prior: TermInForce | undefined): number {
-        const acts = this.acting?.runner.cell.hasAuthority(this.parts.clock.now().monoMs) === true;
-        return (acts ? prior?.term.leaseMs : prior?.term.waitMs) ?? 0;
-    }
-
-    private directMoves(acting: Acting, now: Instant): void {
-        const layout = this.layout();
-        const document = this.document();
-        if (layout === undefined) {
-            return;
-        }
-        const { cell } = acting.runner;
-        const pool = findPool(document, layout.institution, layout.pool);
-        cell.setDrained(new Set(pool?.targets.filter((target) => target.drain === true).map((target) => target.id as TargetId)));
-        const pinned = new Map(document.moves
-            .filter((move) => move.institution === layout.institution && move.pool === layout.pool && layout.shards.includes(move.shard))
-            .map((move) => [move.shard as Shard, move.target as TargetId]));
-        cell.abandonSlowMoves(now.monoMs, moveHoldMs);
-        const moves = neededMoves(cell, pinned, now.monoMs);
-        const forLoad = cell.isSettled(now.monoMs) ? this.moveForLoad(cell, layout, now) : undefined;
-        for (const move of forLoad === undefined ? moves : [...moves, forLoad]) {
-            if (cell.requestMove(move.shard, move.to, now.monoMs)) {
-                this.parts.journal.info("move", `${layout.cell} shard ${String(move.shard)} moves to ${move.to}: ${move.reason}.`);
-            }
-        }
-        acting.dispatcher.onCellChanged(now);
-    }
-
-    private moveForLoad(cell: Cell, layout: CellLayout, now: Instant) {
-        this.updateRates(now.monoMs);
-        const terms = this.terms(layout);
-        const limits = { movesPerHour: terms.movesPerHour, moveAboveRatio: terms.moveAboveRatio, minCellRate: minCellRatePerSecond };
-        return this.balancer.nextMove(cell, this.rateByShard, limits, now.monoMs);
-    }
-
-    private updateRates(nowMs: number): void {
-        this.rateFromMs ??= nowMs;
-        const elapsedMs = nowMs - this.rateFromMs;
-        if (elapsedMs < rateWindowMs) {
-            return;
-        }
-        for (const shard of new Set([...this.workByShard.keys(), ...this.rateByShard.keys()])) {
-            const perSecond = (this.workByShard.get(shard) ?? 0) * 1_000 / elapsedMs;
-            const before = this.rateByShard.get(shard) ?? perSecond;
-            this.rateByShard.set(shard, before + rateSmoothing * (perSecond - before));
-        }
-        this.workByShard.clear();
-        this.rateFromMs = nowMs;
-    }
-
     private nextRanked(): RunId | undefined {
         const acting = this.acting;
         const nowMs = this.parts.clock.now().monoMs;
@@ -531,16 +387,4 @@
         const self = hostOfRun(this.parts.self);
         return inForce === undefined || inForce.term.coordinators.some((run) => hostOfRun(run) === self);
     }
-
-    private document(): ConfigDocument {
-        return this.parts.follower.state.config?.document ?? emptyDocument;
-    }
-
-    private layout(): CellLayout | undefined {
-        return listCells(this.document()).find((layout) => layout.cell === this.parts.cell);
-    }
-
-    private terms(layout: CellLayout): TermsOfService {
-        return termsOf(this.document(), layout.institution, layout.pool, this.parts.clock.now().wallMs);
-    }
 }
--- /dev/null
+++ b/src/coordinator/moveDirector.ts
@@ -0,0 +1,65 @@
+/** Decides which shards of a cell should move: off draining servers, onto pinned ones, and for balance. */
+import type { Shard } from "../model/ids.js";
+import type { Instant } from "../model/time.js";
+import type { Cell } from "../ownership/cell.js";
+import type { MoveOrder } from "../ownership/balance.js";
+import { LoadBalancer, neededMoves } from "../ownership/balance.js";
+import type { CellConfig } from "./cellConfig.js";
+
+const moveHoldMs = 250;
+const balanceSettleMs = 2_000;
+const rateSmoothing = 0.3;
+const rateWindowMs = 1_000;
+const minCellRatePerSecond = 20;
+
+/** Keeps count of each shard's work, and asks the cell for moves. */
+export class MoveDirector {
+    private readonly balancer = new LoadBalancer(balanceSettleMs);
+    private readonly workByShard = new Map<Shard, number>();
+    private readonly rateByShard = new Map<Shard, number>();
+    private rateFromMs: number | undefined;
+
+    /** @param config what operators want of the cell */
+    constructor(private readonly config: CellConfig) {}
+
+    /** Counts one request. */
+    noteWork(shard: Shard): void {
+        this.workByShard.set(shard, (this.workByShard.get(shard) ?? 0) + 1);
+    }
+
+    /**
+     * Asks the cell for the moves that are due.
+     * @param cell the cell
+     * @param now this host's clocks
+     * @returns the moves that began
+     */
+    direct(cell: Cell, now: Instant): MoveOrder[] {
+        cell.setDrained(this.config.drained);
+        cell.abandonSlowMoves(now.monoMs, moveHoldMs);
+        this.updateRates(now.monoMs);
+        const moves = neededMoves(cell, this.config.pinned, now.monoMs);
+        const forLoad = cell.isSettled(now.monoMs) ? this.moveForLoad(cell, now.monoMs) : undefined;
+        return [...moves, ...forLoad === undefined ? [] : [forLoad]]
+            .filter((move) => cell.requestMove(move.shard, move.to, now.monoMs));
+    }
+
+    private moveForLoad(cell: Cell, nowMs: number): MoveOrder | undefined {
+        const { movesPerHour, moveAboveRatio } = this.config.terms;
+        return this.balancer.nextMove(cell, this.rateByShard, { movesPerHour, moveAboveRatio, minCellRate: minCellRatePerSecond }, nowMs);
+    }
+
+    private updateRates(nowMs: number): void {
+        this.rateFromMs ??= nowMs;
+        const elapsedMs = nowMs - this.rateFromMs;
+        if (elapsedMs < rateWindowMs) {
+            return;
+        }
+        for (const shard of new Set([...this.workByShard.keys(), ...this.rateByShard.keys()])) {
+            const perSecond = (this.workByShard.get(shard) ?? 0) * 1_000 / elapsedMs;
+            const before = this.rateByShard.get(shard) ?? perSecond;
+            this.rateByShard.set(shard, before + rateSmoothing * (perSecond - before));
+        }
+        this.workByShard.clear();
+        this.rateFromMs = nowMs;
+    }
+}
--- a/src/standins/keyedServer.ts
+++ b/src/standins/keyedServer.ts
@@ -49,6 +49,8 @@
     incarnation: string;
     /** Times that each order id began. */
     runsByOrderId: Record<string, number>;
+    /** Orders that began though this server did not own their shard. */
+    runsWithoutOwnership: number;
     reads: number;
 }
 
@@ -77,7 +79,7 @@
      */
     constructor(private readonly options: Omit<KeyedServerOptions, "address">, guardsOut: GuardsOut = noGuardsOut) {
         this.lease = new LeaseHolder(newUuid() as Incarnation, options.clock.now().monoMs, guardsOut);
-        this.record = { incarnation: this.lease.incarnation, runsByOrderId: {}, reads: 0 };
+        this.record = { incarnation: this.lease.incarnation, runsByOrderId: {}, runsWithoutOwnership: 0, reads: 0 };
     }
 
     /** Answers a heartbeat. */
@@ -154,6 +156,7 @@
             this.record.reads += 1;
             return;
         }
+        this.record.runsWithoutOwnership += this.lease.owns(work.shard, this.nowMs()) ? 0 : 1;
         this.record.runsByOrderId[work.orderId] = (this.record.runsByOrderId[work.orderId] ?? 0) + 1;
     }
 
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -15,7 +15,7 @@
 import { sampleConfig } from "../../src/harness/sampleConfig.js";
 import type { CoordinatorApi, RpcLink } from "../../src/coordinator/peerPort.js";
 import { CoordinatorService } from "../../src/coordinator/service.js";
-import type { ServerPort } from "../../src/coordinator/serverPort.js";
+import type { ServerAnswer, ServerPort } from "../../src/coordinator/serverPort.js";
 import { stepOfWork } from "../../src/coordinator/serverPort.js";
 import type { BadRequest } from "../../src/entry/service.js";
 import { EntryService } from "../../src/entry/service.js";
@@ -87,6 +87,9 @@
     listed: ListedHost[] = [];
     /** Called around each step's first moments; faults hang here. */
     onStep: (step: WorldStep, phase: "before" | "after", who: { host?: string; server?: TargetId }) => void = () => undefined;
+    /** Server answers that will be replaced by the one before. */
+    crossAnswers = 0;
+    private lastAnswer: ServerAnswer | undefined;
     private runCount = 0;
 
     constructor(readonly options: WorldOptions) {
@@ -372,7 +375,7 @@
                     if (work.kind === "order") {
                         this.onStep("order answered", "before", { host, server });
                     }
-                    return answer;
+                    return this.perhapsCross(answer);
                 });
                 return work.kind === "read" ? answered : answered.then((answer) => {
                     this.onStep("order answered", "after", { host, server });
@@ -387,6 +390,16 @@
         };
     }
 
+    private perhapsCross(answer: ServerAnswer): ServerAnswer {
+        const before = this.lastAnswer;
+        this.lastAnswer = answer;
+        if (this.crossAnswers === 0 || before === undefined) {
+            return answer;
+        }
+        this.crossAnswers -= 1;
+        return before;
+    }
+
     private store(payload: LogRecord): Offset {
         const offset = this.log.next as Offset;
         this.log.records.push({ offset, payload: structuredClone(payload) });
