--- a/src/harness/fleet.ts
+++ b/src/harness/fleet.ts
@@ -1,7 +1,7 @@
 /** Starts the daemons and stand-ins as separate processes on this machine; for the demo, tests and benchmarks only. */
 import type { ChildProcess } from "node:child_process";
 import { spawn } from "node:child_process";
-import { mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
+import { existsSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import net from "node:net";
 import { tmpdir } from "node:os";
 import path from "node:path";
@@ -15,6 +15,8 @@
 import { createLogHttp } from "../adapters/logHttp.js";
 import { createSystemClock } from "../adapters/systemClock.js";
 import type { SampleTargets } from "./sampleConfig.js";
+import type { Relay } from "./relay.js";
+import { startRelay } from "./relay.js";
 import { dataCentreOf, sampleConfig } from "./sampleConfig.js";
 
 const distFolder = path.resolve(path.dirname(fileURLToPath(import.meta.url)), "../../dist");
@@ -22,6 +24,7 @@
 const readyTimeoutMs = 60_000;
 const pollMs = 50;
 const horizonPassedMs = 300;
+const recordFileName = "orders.txt";
 const sharedKey = "only-for-this-machine-0123456789";
 const clock = createSystemClock();
 
@@ -38,6 +41,8 @@
     snapshotEveryMs: number;
     /** Changes the sample configuration before it is published. */
     adjust?: (document: ConfigDocument) => ConfigDocument;
+    /** Puts a relay in front of every keyed server, whose connections a test can make silent. */
+    relayed?: boolean;
     /** Flags added to every keyed server. */
     serverFlags?: string[];
 }
@@ -62,6 +67,7 @@
     readonly processes = new Map<string, FleetProcess>();
     readonly hosts: ListedHost[] = [];
     readonly entryUrls: string[] = [];
+    readonly relays = new Map<string, Relay>();
     document: ConfigDocument | undefined;
     private readonly folder = mkdtempSync(path.join(tmpdir(), "hornbeam-"));
 
@@ -84,7 +90,7 @@
     /** Starts everything, publishes the configuration and waits until each daemon is ready and each cell is served. */
     async start(): Promise<void> {
         await this.startPlatform();
-        const targets = await this.startTargets();
+        const targets = await this.withRelays(await this.startTargets());
         await this.startDaemons();
         const document = sampleConfig(targets);
         await this.publish(this.options.adjust?.(document) ?? document);
@@ -185,6 +191,21 @@
         await this.until("every shard served", timeoutMs, async () => (await this.unservedCells()).length === 0);
     }
 
+    /**
+     * Counts how often each order began, on all servers together, those that were killed included.
+     * @returns runs by order id
+     */
+    runsByOrderId(): Map<string, number> {
+        const runs = new Map<string, number>();
+        const file = path.join(this.folder, recordFileName);
+        for (const orderId of existsSync(file) ? readFileSync(file, "utf8").split("\n") : []) {
+            if (orderId !== "") {
+                runs.set(orderId, (runs.get(orderId) ?? 0) + 1);
+            }
+        }
+        return runs;
+    }
+
     /** Ends every process and waits for it. */
     async stop(): Promise<void> {
         this.killAll();
@@ -249,12 +270,25 @@
         return targets;
     }
 
+    private async withRelays(targets: SampleTargets): Promise<SampleTargets> {
+        if (this.options.relayed !== true) {
+            return targets;
+        }
+        const behind = async (addresses: string[], name: string) => Promise.all(addresses.map(async (address, index) => {
+            const relay = await startRelay(address);
+            this.relays.set(`${name}-${String(index + 1)}`, relay);
+            return relay.address;
+        }));
+        return { ...targets, status: await behind(targets.status, "status"), numbering: await behind(targets.numbering, "numbering") };
+    }
+
     private async startMany(name: string, count: number, args: string[]): Promise<string[]> {
         const addresses: string[] = [];
         for (let index = 0; index < count; index += 1) {
             const address = await freeAddress();
             addresses.push(address);
-            this.spawn(`${name}-${String(index + 1)}`, "hornbeam-standin.js", address, args);
+            const recordFile = args[0] === "server" ? [`--record-file=${path.join(this.folder, recordFileName)}`] : [];
+            this.spawn(`${name}-${String(index + 1)}`, "hornbeam-standin.js", address, [...args, ...recordFile]);
         }
         return addresses;
     }
--- a/src/standins/keyedServer.ts
+++ b/src/standins/keyedServer.ts
@@ -1,5 +1,6 @@
 /** Stand-in for a server that owns keys: grants, slots, drain, shedding, cancellation, deadlines, its own record. */
 import { createHash } from "node:crypto";
+import { appendFileSync } from "node:fs";
 import { v4 as newUuid } from "uuid";
 import { z } from "zod";
 import type { Incarnation } from "../model/ids.js";
@@ -41,6 +42,8 @@
     /** How much slower the first pieces of work are. */
     coldFactor: number;
     coldRequests: number;
+    /** File that every beginning order is appended to, so that the record outlives the process; none when empty. */
+    recordFile?: string;
     clock: Clock;
 }
 
@@ -156,6 +159,9 @@
             this.record.reads += 1;
             return;
         }
+        if (this.options.recordFile !== undefined && this.options.recordFile !== "") {
+            appendFileSync(this.options.recordFile, `${work.orderId}\n`);
+        }
         this.record.runsWithoutOwnership += this.lease.owns(work.shard, this.nowMs()) ? 0 : 1;
         this.record.runsByOrderId[work.orderId] = (this.record.runsByOrderId[work.orderId] ?? 0) + 1;
     }
--- a/test/platform/fold.spec.ts
+++ b/test/platform/fold.spec.ts
@@ -1,20 +1,9 @@
 import { expect } from "chai";
 import type { Offset, RecordId } from "../../src/model/ids.js";
-import { sampleConfig } from "../../src/harness/sampleConfig.js";
+import { configRecord as config } from "../support/configRecord.js";
 import type { FoldedState } from "../../src/platform/fold.js";
 import { emptyState, foldFromStart, foldRecord, splitSnapshot, verdictOf } from "../../src/platform/fold.js";
-import type { LogRecord, StoredRecord } from "../../src/platform/records.js";
-
-const addresses = ["10.0.0.1:1", "10.0.0.2:1"];
-const document = sampleConfig({ status: addresses, archive: addresses, numbering: addresses, gazetteer: addresses }, 4);
-
-function config(recordId: string, basedOn: number, change: (of: typeof document) => void = () => undefined): LogRecord {
-    const changed = structuredClone(document);
-    change(changed);
-    return {
-        kind: "config", recordId: recordId as RecordId, basedOn: basedOn as Offset, author: "a", reason: "b", publishedWallMs: 0, document: changed,
-    };
-}
+import type { StoredRecord } from "../../src/platform/records.js";
 
 function stored(...payloads: unknown[]): StoredRecord[] {
     return payloads.map((payload, index) => ({ offset: index + 1 as Offset, payload }));
