Benchmarks: latency beside the direct way, scenarios against a plain baseline, configuration times

Cause: hot-shots in mock mode keeps every metric in memory for ever; without a metrics address there is no client now.

--- a/src/adapters/journal.ts
+++ b/src/adapters/journal.ts
@@ -19,15 +19,7 @@
  */
 export function createJournal(settings: JournalSettings): Journal {
     const logger = bunyan.createLogger({ name: settings.program, host: settings.host, level: settings.logLevel });
-    const [statsHost, statsPort] = settings.metricsAddress?.split(":") ?? [];
-    const metrics = new StatsD({
-        prefix: "hornbeam.",
-        host: statsHost,
-        port: statsPort === undefined ? undefined : Number(statsPort),
-        mock: settings.metricsAddress === undefined,
-        globalTags: { program: settings.program, host: settings.host },
-        errorHandler: () => undefined,
-    });
+    const metrics = settings.metricsAddress === undefined ? undefined : createMetrics(settings.metricsAddress, settings);
     return {
         info: (prefix, sentence) => {
             logger.info(`${prefix}: ${sentence}`);
@@ -36,10 +28,21 @@
             logger.warn(`${prefix}: ${sentence}`);
         },
         count: (metric, by, tags) => {
-            metrics.increment(metric, by, tags);
+            metrics?.increment(metric, by, tags);
         },
         timing: (metric, durationMs, tags) => {
-            metrics.timing(metric, durationMs, tags);
+            metrics?.timing(metric, durationMs, tags);
         },
     };
 }
+
+function createMetrics(address: string, settings: JournalSettings): StatsD {
+    const [host, port] = address.split(":");
+    return new StatsD({
+        host,
+        port: Number(port),
+        prefix: "hornbeam.",
+        globalTags: { program: settings.program, host: settings.host },
+        errorHandler: () => undefined,
+    });
+}
--- a/src/admission/serverQueue.ts
+++ b/src/admission/serverQueue.ts
@@ -8,6 +8,9 @@
 const initialServiceMs = 3;
 const serviceSmoothing = 0.1;
 
+/** `queue` admits by slots, priority and deadline; `plain` sends everything at once. */
+export type AdmissionPolicy = "queue" | "plain";
+
 /** Bounds of one queue. */
 export interface QueueLimits {
     /** Requests that the server works on at once. */
@@ -17,6 +20,7 @@
     maxWaiting: number;
     /** How long a server counts as cold after its first use; it starts with one slot. */
     warmUpMs: number;
+    policy: AdmissionPolicy;
 }
 
 /** What the queue needs to know of a request. */
@@ -105,6 +109,9 @@
      * @param nowMs now
      */
     pause(durationMs: number, nowMs: number): void {
+        if (this.limits().policy === "plain") {
+            return;
+        }
         this.pausedUntilMs = Math.max(this.pausedUntilMs, nowMs + durationMs);
     }
 
@@ -139,12 +146,11 @@
     }
 
     private hasFreeSlot(nowMs: number): boolean {
-        return nowMs >= this.pausedUntilMs && this.inFlight < this.openSlots(nowMs);
+        return nowMs >= this.pausedUntilMs && this.inFlight < openSlotsByPolicy[this.limits().policy](this.limits(), this.ageMs(nowMs));
     }
 
-    private openSlots(nowMs: number): number {
-        const warm = nowMs - (this.firstUsedMs ?? nowMs) >= this.limits().warmUpMs;
-        return warm ? this.limits().slots + this.limits().lookahead : 1;
+    private ageMs(nowMs: number): number {
+        return nowMs - (this.firstUsedMs ?? nowMs);
     }
 
     private expectedWaitMs(request: QueueRequest, nowMs: number): number {
@@ -174,6 +180,11 @@
     }
 }
 
+const openSlotsByPolicy: Record<AdmissionPolicy, (limits: QueueLimits, ageMs: number) => number> = {
+    queue: (limits, ageMs) => ageMs >= limits.warmUpMs ? limits.slots + limits.lookahead : 1,
+    plain: () => Number.POSITIVE_INFINITY,
+};
+
 function isBefore(left: QueueRequest, right: QueueRequest): boolean {
     return left.priority < right.priority || (left.priority === right.priority && left.deadlineMs < right.deadlineMs);
 }
--- a/src/config/document.ts
+++ b/src/config/document.ts
@@ -34,6 +34,8 @@
     warmUpMs: z.number().int().min(0).max(600_000),
     /** Requests sent ahead of a free slot of a server. */
     lookahead: z.number().int().min(0).max(16),
+    /** `queue` is the product; `plain` is the baseline that measurements compare it with. */
+    policy: z.enum(["queue", "plain"]),
     /** Moves of shards for balance that one cell may make in an hour. */
     movesPerHour: z.number().int().min(0),
     /** Load of the busiest server over the mean above which a shard may be moved. */
--- a/src/coordinator/cellConfig.ts
+++ b/src/coordinator/cellConfig.ts
@@ -55,9 +55,9 @@
     }
 
     get dispatchLimits(): DispatchLimits {
-        const { lookahead, maxWaiting, warmUpMs, maxHeld } = this.terms;
+        const { lookahead, maxWaiting, warmUpMs, maxHeld, policy } = this.terms;
         const slots = this.pool?.slots ?? 1;
-        return { queue: { slots, lookahead, maxWaiting, warmUpMs }, maxHeld, fenceChecked: this.pool?.fenceChecked ?? false };
+        return { queue: { slots, lookahead, maxWaiting, warmUpMs, policy }, maxHeld, fenceChecked: this.pool?.fenceChecked ?? false };
     }
 
     /** Servers that operators want no work on. */
--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -174,8 +174,8 @@
             deadlineMs: place.deadlineMs,
             maxAnswerBytes: terms.maxAnswerBytes,
         };
-        const { lookahead, maxWaiting, warmUpMs } = terms;
-        const limits = () => ({ slots: pool.slots, lookahead, maxWaiting, warmUpMs });
+        const { lookahead, maxWaiting, warmUpMs, policy } = terms;
+        const limits = () => ({ slots: pool.slots, lookahead, maxWaiting, warmUpMs, policy });
         return await this.limited(request, terms, () => this.unkeyed.serve(work, pool.targets, limits)) ?? notRun("limit", comeBackMs);
     }
 
--- a/src/entry/unkeyedRouter.ts
+++ b/src/entry/unkeyedRouter.ts
@@ -11,7 +11,7 @@
 import { notRun, unknownOutcome } from "../model/work.js";
 import type { TargetConfig } from "../config/document.js";
 import { RetryBudget } from "../admission/retryBudget.js";
-import type { QueueLimits } from "../admission/serverQueue.js";
+import type { AdmissionPolicy, QueueLimits } from "../admission/serverQueue.js";
 import { ServerQueue } from "../admission/serverQueue.js";
 import type { TargetAnswer, TargetPort } from "./targetPort.js";
 
@@ -150,11 +150,19 @@
         state.ejectedUntilMs = nowMs + restMs;
     }
 
-    /** The less loaded of two random targets; ejected ones only when no other is left. */
     private choose(
         targets: readonly TargetConfig[],
         tried: ReadonlySet<TargetId>,
         limits: () => QueueLimits,
+    ): TargetConfig | undefined {
+        return chooseByPolicy[limits().policy](() => this.chooseLessLoaded(targets, tried, limits), () => this.pick(targets));
+    }
+
+    /** The less loaded of two random targets; ejected ones only when no other is left. */
+    private chooseLessLoaded(
+        targets: readonly TargetConfig[],
+        tried: ReadonlySet<TargetId>,
+        limits: () => QueueLimits,
     ): TargetConfig | undefined {
         const nowMs = this.clock.now().monoMs;
         const open = targets.filter((target) => target.drain !== true && !tried.has(target.id as TargetId));
@@ -192,3 +200,10 @@
         return state;
     }
 }
+
+type Choice = () => TargetConfig | undefined;
+
+const chooseByPolicy: Record<AdmissionPolicy, (lessLoaded: Choice, random: Choice) => TargetConfig | undefined> = {
+    queue: (lessLoaded) => lessLoaded(),
+    plain: (_lessLoaded, random) => random(),
+};
--- a/src/harness/latency.ts
+++ b/src/harness/latency.ts
@@ -5,6 +5,7 @@
 import { v4 as newUuid } from "uuid";
 import { callJson } from "../adapters/httpJson.js";
 import { createSystemClock } from "../adapters/systemClock.js";
+import { shardOf } from "../model/keyHash.js";
 import type { ServerAnswer } from "../coordinator/serverPort.js";
 import type { CoordinatorDump } from "./fleet.js";
 import { Fleet } from "./fleet.js";
@@ -100,17 +101,19 @@
     }));
 }
 
-/** Sends the same work to the owner itself, under the grant in force. */
+/** Sends the same work to the owner of each key itself, under the grant in force. */
 async function directWay(fleet: Fleet, agent: http.Agent): Promise<Send> {
     const dump = await fleet.dump<CoordinatorDump>("coordinator-host-1");
     const cell = dump?.cells.find((one) => one.cell.startsWith(pool));
-    const shard = cell?.grants?.shards[0];
-    const address = fleet.processes.get(shard?.owner ?? "")?.address ?? "";
+    const ownerByShard = new Map(cell?.grants?.shards.map(({ shard, owner }) => [shard, owner ?? ""]));
+    const shardCount = ownerByShard.size;
     return async (key) => {
+        const shard = shardOf(key, shardCount);
+        const address = fleet.processes.get(ownerByShard.get(shard) ?? "")?.address ?? "";
         const answer = await callJson<ServerAnswer>({
             method: "POST", url: `http://${address}/work`, agent, timeoutMs: 2_000, maxAnswerBytes: 100_000, step: "read", peer: address,
             payload: {
-                requestId: newUuid(), kind: "read", cell: cell?.cell, key, shard: shard?.shard, fence: cell?.grants?.fence,
+                requestId: newUuid(), kind: "read", cell: cell?.cell, key, shard, fence: cell?.grants?.fence,
                 notAfterServerMs: Number.MAX_SAFE_INTEGER, body: "",
             },
         });
--- a/src/harness/probe.ts
+++ b/src/harness/probe.ts
@@ -35,6 +35,8 @@
     pool: string;
     keys: string[];
     ordersPerSecond: number;
+    /** Pause between two reads of a key; 10 ms when absent. */
+    readEveryMs?: number;
 }
 
 /** Reads every key all the time, and gives orders at a rate, through hosts that answer. */
@@ -62,7 +64,9 @@
         this.options.keys.forEach((key, index) => {
             this.tasks.push(this.keepReading(key, index));
         });
-        this.tasks.push(this.keepOrdering());
+        if (this.options.ordersPerSecond > 0) {
+            this.tasks.push(this.keepOrdering());
+        }
     }
 
     /** Ends, and judges what callers were told by the servers' own record. */
@@ -103,7 +107,7 @@
             else {
                 turn += 1;
             }
-            await this.clock.sleep(readEveryMs);
+            await this.clock.sleep(this.options.readEveryMs ?? readEveryMs);
         }
         gaps.push(this.clock.now().monoMs - servedMs);
     }
--- a/src/harness/sampleConfig.ts
+++ b/src/harness/sampleConfig.ts
@@ -26,6 +26,7 @@
     heartbeatTimeoutMs: 150,
     warmUpMs: 0,
     lookahead: 1,
+    policy: "queue",
     movesPerHour: 60,
     moveAboveRatio: 1.3,
 };
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -8,10 +8,11 @@
 
 const environmentPrefix = "HORNBEAM";
 
-const address = z.string().regex(/^[0-9.]+:[0-9]{1,5}$/, "an IP number and a port, such as 10.0.0.7:7100");
-const url = z.string().regex(/^http:\/\/[0-9.]+:[0-9]{1,5}$/, "an http address by IP number, such as http://10.0.0.7:7000");
-const hostName = z.string().regex(/^[a-z][a-z0-9-]{0,39}$/, "lower-case letters, digits and hyphens, at most 40");
-const logLevel = z.enum(["trace", "debug", "info", "warn", "error", "fatal"]);
+const logLevels = ["trace", "debug", "info", "warn", "error", "fatal"] as const;
+
+const address = text(/^[0-9.]+:[0-9]{1,5}$/, "an IP number and a port, such as 10.0.0.7:7100");
+const url = text(/^http:\/\/[0-9.]+:[0-9]{1,5}$/, "an http address by IP number, such as http://10.0.0.7:7000");
+const hostName = text(/^[a-z][a-z0-9-]{0,39}$/, "lower-case letters, digits and hyphens, at most 40");
 
 const common = {
     host: hostName,
@@ -19,11 +20,11 @@
     logUrl: url,
     hostListUrl: url,
     adminAddress: address,
-    sharedKey: z.string().min(16, "at least 16 characters"),
-    knownAddresses: z.string().default("").transform((text) => text.split(",").filter((part) => part !== "")),
+    sharedKey: text(/^.{16,}$/, "at least 16 characters"),
+    knownAddresses: z.string().default("").transform((list) => list.split(",").filter((part) => part !== "")),
     metricsAddress: address.optional(),
-    logLevel: logLevel.default("info"),
-    stopTimeoutMs: z.coerce.number().int().min(100).max(600_000).default(10_000),
+    logLevel: z.enum(logLevels, { error: `one of ${logLevels.join(", ")}` }).default("info"),
+    stopTimeoutMs: wholeNumber(100, 600_000).default(10_000),
 };
 
 /** Schema of the coordinator's settings. */
@@ -31,16 +32,16 @@
     ...common,
     listenAddress: address,
     /** Hosts that share the connections of each server. */
-    connectionShares: z.coerce.number().int().min(1).max(1_000).default(10),
-    snapshotEveryMs: z.coerce.number().int().min(500).max(86_400_000).default(3_600_000),
+    connectionShares: wholeNumber(1, 1_000).default(10),
+    snapshotEveryMs: wholeNumber(500, 86_400_000).default(3_600_000),
 });
 
 /** Schema of the entry's settings. */
 export const entrySettings = z.strictObject({
     ...common,
     listenAddress: address,
-    connectionShares: z.coerce.number().int().min(1).max(1_000).default(10),
-    maxHeaderBytes: z.coerce.number().int().min(1_024).max(65_536).default(8_192),
+    connectionShares: wholeNumber(1, 1_000).default(10),
+    maxHeaderBytes: wholeNumber(1_024, 65_536).default(8_192),
 });
 
 /** Schema of the settings that every call of hornbeamctl needs. */
@@ -66,7 +67,7 @@
 ): Result<z.infer<T>, Failure> {
     const flags = Object.keys(schema.shape);
     const parsed = yargs([...args]).string(flags).help(false).version(false)
-        .parserConfiguration({ "strip-dashed": true }).parseSync() as Record<string, unknown>;
+        .parserConfiguration({ "strip-dashed": true, "duplicate-arguments-array": false }).parseSync() as Record<string, unknown>;
     const unknown = Object.keys(parsed).filter((name) => name !== "_" && name !== "$0" && !flags.includes(name));
     if (unknown.length > 0) {
         return err(failure("invalid", "settings", "command line", `--${flagOf(unknown[0] as string)} is not a flag; allowed: ${flags.map((flag) => `--${flagOf(flag)}`).join(", ")}`));
@@ -100,6 +101,15 @@
         `--${flagOf(name)} (or ${variableOf(name)}) is ${shown(name, given[name])}; allowed: ${issue?.message ?? ""}`));
 }
 
+function text(form: RegExp, allowed: string) {
+    return z.string({ error: allowed }).regex(form, allowed);
+}
+
+function wholeNumber(min: number, max: number) {
+    const allowed = `a whole number from ${String(min)} to ${String(max)}`;
+    return z.coerce.number({ error: allowed }).int(allowed).min(min, allowed).max(max, allowed);
+}
+
 /** A secret never shows up in a message. */
 function shown(name: string, value: unknown): string {
     if (value === undefined) {
--- a/src/standins/keyedServer.ts
+++ b/src/standins/keyedServer.ts
@@ -139,7 +139,10 @@
         }
         job.state = "running";
         this.count(work);
-        await this.options.clock.sleep(this.serviceMs());
+        const serviceMs = this.serviceMs();
+        if (serviceMs > 0) {
+            await this.options.clock.sleep(serviceMs);
+        }
         this.served += 1;
         job.answer = this.done(work);
         job.state = "done";
--- a/test/admission/serverQueue.spec.ts
+++ b/test/admission/serverQueue.spec.ts
@@ -2,7 +2,7 @@
 import type { Permit } from "../../src/admission/serverQueue.js";
 import { ServerQueue } from "../../src/admission/serverQueue.js";
 
-const limits = { slots: 2, lookahead: 0, maxWaiting: 2, warmUpMs: 0 };
+const limits = { slots: 2, lookahead: 0, maxWaiting: 2, warmUpMs: 0, policy: "queue" as const };
 const request = (priority: number, deadlineMs = 1_000) => ({ priority, deadlineMs });
 
 function createQueue(changes: Partial<typeof limits> = {}): ServerQueue {
