Harness takes ports below the system's own range

Cause: ports found free above 32768 were taken by outgoing connections before a daemon listened; one start of 10 hosts failed so (every daemon ready: not within 60 s).

--- a/src/harness/fleet.ts
+++ b/src/harness/fleet.ts
@@ -365,15 +365,31 @@
     }[];
 }
 
+/** Below the ports that the system gives to outgoing connections, which would otherwise take a free one first. */
+const firstPort = 10_000 + process.pid % 200 * 100;
+const portCount = 20_000;
+let portsTried = 0;
+
 /** Finds a free port by listening for a moment. */
 async function freeAddress(): Promise<string> {
-    return new Promise((resolve, reject) => {
+    for (;;) {
+        const port = 10_000 + (firstPort - 10_000 + portsTried) % portCount;
+        portsTried += 1;
+        if (await canListen(port)) {
+            return `${ip}:${String(port)}`;
+        }
+    }
+}
+
+function canListen(port: number): Promise<boolean> {
+    return new Promise((resolve) => {
         const probe = net.createServer();
-        probe.once("error", reject);
-        probe.listen(0, ip, () => {
-            const { port } = probe.address() as net.AddressInfo;
+        probe.once("error", () => {
+            resolve(false);
+        });
+        probe.listen(port, ip, () => {
             probe.close(() => {
-                resolve(`${ip}:${String(port)}`);
+                resolve(true);
             });
         });
     });
