--- a/src/bin/hornbeam-coordinator.ts
+++ b/src/bin/hornbeam-coordinator.ts
@@ -49,7 +49,7 @@
     sharedKey: settings.sharedKey,
     isKnownAddress: (ip) => settings.knownAddresses.includes(ip) || service.peers.listedAddresses().has(ip),
 }, {
-    ping: () => service.ping(),
+    ping: (params) => service.ping(params),
     state: (params) => service.state(params),
     work: (params) => service.work(params),
     handOver: (params) => service.handOver(params),
--- a/src/bin/hornbeam-entry.ts
+++ b/src/bin/hornbeam-entry.ts
@@ -40,7 +40,7 @@
 }));
 
 const service: EntryService = container.resolve(EntryService);
-const callers = createCallerHttp(settings.listenAddress, service, settings.maxHeaderBytes);
+const callers = createCallerHttp(settings.listenAddress, service, settings);
 const admin = await listenAdmin(settings.adminAddress, {
     unreadyBecause: () => service.unreadyBecause,
     dump: () => service.describe(),
--- a/src/control/session.ts
+++ b/src/control/session.ts
@@ -24,6 +24,8 @@
     unready?: string;
     offset: number;
     configOffset?: number;
+    /** The same for the entry on the host; absent when no entry runs there. */
+    entryConfigOffset?: number;
     logWell: boolean;
     cells: {
         cell: string;
@@ -124,7 +126,7 @@
             if (reports.isErr()) {
                 return reports;
             }
-            const without = reports.value.filter(({ dump }) => dump.isErr() || (dump.value.configOffset ?? 0) < offset);
+            const without = reports.value.filter(({ dump }) => dump.isErr() || inForceOn(dump.value) < offset);
             if (without.length === 0 || this.parts.clock.now().monoMs >= untilMs) {
                 return ok(without);
             }
@@ -137,3 +139,8 @@
         this.follower.stop();
     }
 }
+
+/** The older of the configurations that the two daemons of a host have in force. */
+function inForceOn(dump: HostDump): number {
+    return Math.min(dump.configOffset ?? 0, dump.entryConfigOffset ?? Number.POSITIVE_INFINITY);
+}
--- a/src/coordinator/cellKeeper.ts
+++ b/src/coordinator/cellKeeper.ts
@@ -6,7 +6,7 @@
 import type { CoordinatorAnswer, KeyedWork } from "../model/work.js";
 import { redirect } from "../model/work.js";
 import type { CellLayout } from "../config/document.js";
-import type { PlacementEvent } from "../ownership/cell.js";
+import type { PlacementEvent } from "../ownership/tenure.js";
 import { Cell } from "../ownership/cell.js";
 import { CellRunner } from "../ownership/cellRunner.js";
 import { OrderBook } from "../orders/orderBook.js";
@@ -31,6 +31,8 @@
 const witnessTimeoutMs = 120;
 const redirectAfterMs = 20;
 const driftMarginMs = 5;
+const leavePollMs = 5;
+const rankSuccessorMs = 1_500;
 
 /** What a keeper works with. */
 export interface CellKeeperParts {
@@ -136,9 +138,25 @@
     async leave(): Promise<void> {
         this.leaving = true;
         this.stopping.abort();
+        while (this.stepping) {
+            await this.parts.clock.sleep(leavePollMs);
+        }
         if (this.acting !== undefined) {
-            await this.handOverTo(this.nextRanked());
+            await this.handOverTo(this.nextRanked() ?? await this.rankSuccessor(this.acting));
+        }
+    }
+
+    /** When the term ranks no live successor any more, a new term does; this host serves on until it is read. */
+    private async rankSuccessor(acting: Acting): Promise<RunId | undefined> {
+        const successor = await this.terms.publishWithoutSelf(acting.inForce, this.parts.clock.now());
+        const untilMs = this.parts.clock.now().monoMs + rankSuccessorMs;
+        while (successor !== undefined && this.parts.clock.now().monoMs < untilMs) {
+            if (this.parts.follower.state.terms[this.parts.cell]?.term.coordinators[0] === successor) {
+                return successor;
+            }
+            await this.parts.clock.sleep(leavePollMs);
         }
+        return undefined;
     }
 
     /** Describes the cell for a dump. */
@@ -178,7 +196,8 @@
         }
         this.terms.noteNotOrphaned();
         const decision = this.decide(inForce as TermInForce, now.monoMs);
-        if (decision.act && (!decision.askServers || !await this.isServedElsewhere(layout, decision.fence))) {
+        const mayAct = decision.act && (!decision.askServers || !await this.isServedElsewhere(layout, decision.fence));
+        if (decision.act && mayAct && !this.leaving) {
             this.start(layout, inForce as TermInForce, decision.fence);
         }
     }
--- a/src/coordinator/dispatcher.ts
+++ b/src/coordinator/dispatcher.ts
@@ -1,24 +1,19 @@
 /** Takes keyed work of one cell to the server that owns its shard, at most once for an order. */
-import { v4 as newUuid } from "uuid";
-import type { Result } from "neverthrow";
 import type { CellId, Fence, Shard, TargetId } from "../model/ids.js";
-import type { Failure } from "../model/failure.js";
 import type { GuardsOut } from "../model/guards.js";
 import type { Clock, Instant } from "../model/time.js";
 import { Signal } from "../model/signal.js";
-import type { CoordinatorAnswer, KeyedWork, NotRunOutcome, Outcome, Redirect, RefusalReason, ServerWork } from "../model/work.js";
+import type { CoordinatorAnswer, KeyedWork, NotRunOutcome, Outcome, Redirect, RefusalReason } from "../model/work.js";
 import { notRun, unknownOutcome } from "../model/work.js";
 import type { Cell } from "../ownership/cell.js";
 import type { OrderBook, OrderBookCopy } from "../orders/orderBook.js";
 import type { QueueLimits } from "../admission/serverQueue.js";
 import { ServerQueue } from "../admission/serverQueue.js";
 import { RetryBudget } from "../admission/retryBudget.js";
-import type { ServerAnswer, ServerPort } from "./serverPort.js";
-import { checkAnswer } from "./serverPort.js";
+import type { ServerPort } from "./serverPort.js";
+import { WorkSender } from "./workSender.js";
 
-const cancelReserveMs = 60;
 const currentProofMs = 200;
-const silenceCheckMs = 250;
 const retryRatio = 0.1;
 const retryBurst = 20;
 
@@ -59,8 +54,12 @@
     private active = 0;
     private closed: Redirect | undefined;
 
+    private readonly sender: WorkSender;
+
     /** @param parts the cell, its order book and the ports */
-    constructor(private readonly parts: DispatcherParts) {}
+    constructor(private readonly parts: DispatcherParts) {
+        this.sender = new WorkSender(parts);
+    }
 
     get cellId(): CellId {
         return this.parts.cell.plan.cell;
@@ -228,7 +227,7 @@
             }
             return isOrder
                 ? await this.sendOrder(work, owner.server, queue, deadlineMs)
-                : await this.sendRead(work, owner.server, queue, deadlineMs);
+                : await this.sender.sendRead(work, owner.server, queue, deadlineMs);
         }
     }
 
@@ -237,108 +236,15 @@
         return this.parts.guardsOut.authority === true || this.parts.cell.servingOwner(shard, nowMs) === server;
     }
 
-    private async sendRead(work: KeyedWork, server: TargetId, queue: ServerQueue, deadlineMs: number): Promise<Outcome> {
-        const sentMs = this.nowMs();
-        const serverWork = this.bind(work, server, deadlineMs, sentMs);
-        const answer = await this.send(server, serverWork, deadlineMs - sentMs);
-        const nowMs = this.nowMs();
-        queue.leave(answer.isOk() ? nowMs - sentMs : undefined, nowMs);
-        return answer.match(
-            (whole) => this.outcomeOf(whole, server, queue),
-            (failed) => unknownOutcome(failed.kind === "unreachable" ? "unreachable" : "lost", 0),
-        );
-    }
-
+    /** Counts the order as in flight, which holds back the release of its shard. */
     private async sendOrder(work: KeyedWork, server: TargetId, queue: ServerQueue, deadlineMs: number): Promise<Outcome> {
-        const sentMs = this.nowMs();
-        const serverWork = this.bind(work, server, deadlineMs, sentMs);
-        const incarnation = this.parts.cell.authority.of(server)?.incarnation;
         this.countInFlight(work.shard, server, 1);
-        const timeoutMs = Math.min(silenceCheckMs, Math.max(1, deadlineMs - sentMs - cancelReserveMs));
-        const answer = await this.send(server, serverWork, timeoutMs);
-        const outcome = answer.isOk()
-            ? this.outcomeOf(answer.value, server, queue)
-            : await this.resolveLost(answer.error, serverWork, server, incarnation, deadlineMs);
+        const outcome = await this.sender.sendOrder(work, server, queue, deadlineMs);
         this.countInFlight(work.shard, server, -1);
-        const nowMs = this.nowMs();
-        queue.leave(answer.isOk() ? nowMs - sentMs : undefined, nowMs);
         this.releaseDrained();
         return outcome;
     }
 
-    private async send(server: TargetId, work: ServerWork, timeoutMs: number): Promise<Result<ServerAnswer, Failure>> {
-        const answer = await this.parts.servers.send(server, work, Math.max(1, timeoutMs));
-        if (this.parts.guardsOut.answerMatch === true) {
-            return answer;
-        }
-        return answer.andThen((whole) => checkAnswer(server, work, whole, (body) => this.parts.servers.digestOf(body)));
-    }
-
-    /** Looks for proof of what became of an order whose answer did not come or was not its own. */
-    private async resolveLost(
-        cause: Failure,
-        work: ServerWork,
-        server: TargetId,
-        incarnation: string | undefined,
-        deadlineMs: number,
-    ): Promise<Outcome> {
-        if (cause.kind === "unreachable") {
-            return notRun("unreachable", 0);
-        }
-        this.parts.servers.dropIdle(server);
-        for (;;) {
-            const timeoutMs = Math.max(cancelReserveMs, Math.min(silenceCheckMs, deadlineMs - this.nowMs()));
-            const cancelled = await this.parts.servers.cancel(server, work.requestId, timeoutMs);
-            const known = cancelled.isOk() && cancelled.value.requestId === work.requestId ? cancelled.value : undefined;
-            const sameRun = known?.incarnation === incarnation || this.parts.guardsOut.cancelIncarnation === true;
-            if (known !== undefined && !sameRun) {
-                return unknownOutcome("lost", 0);
-            }
-            if (known?.state === "cancelled") {
-                return notRun("cancelled", 0);
-            }
-            if (known?.state === "done" && known.answer !== undefined) {
-                const whole = checkAnswer(server, work, known.answer, (body) => this.parts.servers.digestOf(body));
-                return whole.match((answer) => this.outcomeOf(answer, server), () => unknownOutcome("bad-answer", 0));
-            }
-            if (this.nowMs() + cancelReserveMs >= deadlineMs) {
-                return unknownOutcome("lost", 0);
-            }
-            await this.parts.clock.sleep(cancelReserveMs / 2);
-        }
-    }
-
-    private outcomeOf(answer: ServerAnswer, server: TargetId, queue?: ServerQueue): Outcome {
-        if (answer.state === "done") {
-            return { outcome: "done", status: answer.status, body: answer.body, server };
-        }
-        const retryAfterMs = answer.retryAfterMs ?? 0;
-        if (answer.reason === "shedding") {
-            queue?.pause(retryAfterMs, this.nowMs());
-        }
-        return notRun(answer.reason ?? "shedding", retryAfterMs);
-    }
-
-    /** Binds the work to the grant: it may begin only inside the caller's deadline and this authority. */
-    private bind(work: KeyedWork, server: TargetId, deadlineMs: number, nowMs: number): ServerWork {
-        const { cell } = this.parts;
-        const known = cell.authority.of(server);
-        const latestMs = Math.min(deadlineMs, cell.authority.endMs());
-        const readAtMs = known?.receivedMs ?? nowMs;
-        return {
-            requestId: newUuid(),
-            kind: work.kind,
-            cell: cell.plan.cell,
-            key: work.key,
-            shard: work.shard,
-            fence: cell.plan.fence,
-            orderId: work.orderId,
-            // Counted from the server's last reading, so that a late arrival gains no time.
-            notAfterServerMs: (known?.serverClockMs ?? 0) + latestMs - readAtMs,
-            body: work.body,
-        };
-    }
-
     private async findOwner(shard: Shard, deadlineMs: number): Promise<OwnerFound> {
         for (;;) {
             const nowMs = this.nowMs();
--- a/src/coordinator/peerPort.ts
+++ b/src/coordinator/peerPort.ts
@@ -4,7 +4,7 @@
 import type { Failure } from "../model/failure.js";
 import type { CoordinatorAnswer, KeyedWork } from "../model/work.js";
 import type { OrderBookCopy } from "../orders/orderBook.js";
-import type { LeaseLeft } from "../ownership/cell.js";
+import type { LeaseLeft } from "../ownership/tenure.js";
 import type { FoldedState } from "../platform/fold.js";
 
 /** A connection to one peer, made on demand. */
@@ -22,6 +22,12 @@
     fence: Fence;
 }
 
+/** A ping says who asks, and what configuration is in force there. */
+export interface Ping {
+    run: RunId;
+    configOffset: Offset;
+}
+
 /** Answer to a ping. */
 export interface PingReply {
     run: RunId;
@@ -45,7 +51,7 @@
 
 /** What coordinators offer to one another and to the entry hosts. */
 export interface CoordinatorApi {
-    ping(): PingReply;
+    ping(params: Ping): PingReply;
     /** The folded state, if it is beyond an offset. */
     state(params: { above: Offset }): FoldedState | undefined;
     work(params: KeyedWork): Promise<CoordinatorAnswer>;
--- a/src/coordinator/peers.ts
+++ b/src/coordinator/peers.ts
@@ -8,7 +8,7 @@
 import type { Clock } from "../model/time.js";
 import type { FoldedState } from "../platform/fold.js";
 import type { HostListPort, ListedHost } from "../platform/logPort.js";
-import type { HandOver, PingReply, RpcLink } from "./peerPort.js";
+import type { HandOver, Ping, PingReply, RpcLink } from "./peerPort.js";
 import type { CoordinatorHost } from "./assignment.js";
 import type { PeerView } from "./succession.js";
 import { suspectMs } from "./succession.js";
@@ -47,12 +47,14 @@
      * @param list port to the host list
      * @param createLink creates links to peers
      * @param clock clocks of this process
+     * @param configOffset offset of the configuration in force here
      */
     constructor(
         private readonly self: RunId,
         private readonly list: HostListPort,
         private readonly createLink: LinkFactory,
         private readonly clock: Clock,
+        private readonly configOffset: () => Offset,
     ) {}
 
     /** Reads the host list again and again; a list that cannot be read changes nothing. */
@@ -227,7 +229,8 @@
     /** A host that has left the list is still pinged while it answers, since the list may be wrong. */
     private async keepPinging(peer: Peer): Promise<void> {
         while (!this.stopping.signal.aborted) {
-            const reply = await peer.link.call<PingReply>("ping", {}, pingTimeoutMs);
+            const ping: Ping = { run: this.self, configOffset: this.configOffset() };
+            const reply = await peer.link.call<PingReply>("ping", ping, pingTimeoutMs);
             const nowMs = this.clock.now().monoMs;
             if (reply.isOk()) {
                 if (!isHeard(peer, nowMs) || peer.last?.run !== reply.value.run) {
--- a/src/coordinator/service.ts
+++ b/src/coordinator/service.ts
@@ -2,7 +2,7 @@
 import "reflect-metadata";
 import { inject, singleton } from "tsyringe";
 import type { CellId, HostId, Offset, RunId } from "../model/ids.js";
-import { hostOfRun } from "../model/ids.js";
+import { hostOfRun, noOffset } from "../model/ids.js";
 import type { GuardsOut } from "../model/guards.js";
 import type { Clock } from "../model/time.js";
 import type { CoordinatorAnswer, KeyedWork } from "../model/work.js";
@@ -15,7 +15,7 @@
 import { Snapshotter } from "../platform/snapshotter.js";
 import { tokens } from "../model/tokens.js";
 import { CellKeeper } from "./cellKeeper.js";
-import type { ActingCell, CoordinatorApi, HandOver, PingReply } from "./peerPort.js";
+import type { ActingCell, CoordinatorApi, HandOver, Ping, PingReply } from "./peerPort.js";
 import type { LinkFactory } from "./peers.js";
 import { Peers } from "./peers.js";
 import type { ServerPort } from "./serverPort.js";
@@ -29,6 +29,7 @@
     readonly peers: Peers;
     private readonly keepers = new Map<CellId, CellKeeper>();
     private readonly snapshotter: Snapshotter;
+    private readonly heardFrom = new Map<HostId, { configOffset: Offset; atMs: number }>();
     private leaving = false;
 
     constructor(
@@ -43,7 +44,7 @@
         @inject(tokens.snapshotEveryMs) snapshotEveryMs: number,
         @inject(tokens.guardsOut) private readonly guardsOut: GuardsOut,
     ) {
-        this.peers = new Peers(self, hostList, createLink, clock);
+        this.peers = new Peers(self, hostList, createLink, clock, () => this.follower.state.config?.offset ?? noOffset);
         this.follower = new LogFollower(log, clock, (above) => this.peers.fetchState(above));
         this.snapshotter = new Snapshotter({
             self, log, clock, journal, everyMs: snapshotEveryMs,
@@ -74,8 +75,14 @@
         return this.leaving ? "shutting down" : this.follower.unreadyBecause;
     }
 
+    /** True while this host coordinates any cell. */
+    get isActing(): boolean {
+        return [...this.keepers.values()].some((keeper) => keeper.actingFence !== undefined);
+    }
+
     /** Answers a peer's ping. */
-    ping(): PingReply {
+    ping(from: Ping): PingReply {
+        this.heardFrom.set(hostOfRun(from.run), { configOffset: from.configOffset, atMs: this.clock.now().monoMs });
         const acting = [...this.keepers].flatMap(([cell, keeper]): ActingCell[] =>
             keeper.actingFence === undefined ? [] : [{ cell, fence: keeper.actingFence }]);
         const hears = this.peers.heardRuns(this.clock.now().monoMs);
@@ -117,6 +124,8 @@
             offset: this.follower.state.offset,
             configOffset: this.follower.state.config?.offset,
             logWell: this.follower.isLogWell,
+            // The entry beside this coordinator; it shows up here by its pings.
+            entryConfigOffset: this.heardFrom.get(`${this.host}/entry` as HostId)?.configOffset,
             peers: this.peers.describe(nowMs),
             cells: [...this.keepers.values()].map((keeper) => keeper.describe(nowMs)),
         };
--- a/src/coordinator/termKeeper.ts
+++ b/src/coordinator/termKeeper.ts
@@ -93,6 +93,20 @@
         await this.publish(acting.inForce, this.desiredRanking(now.monoMs, settleMs), reason, acting.cell, now);
     }
 
+    /**
+     * Publishes a term that ranks the other live hosts, for a coordinator that leaves.
+     * @param inForce the term in force
+     * @param now this host's clocks
+     * @returns the coordinator that it ranks first, or undefined when there is no other host
+     */
+    async publishWithoutSelf(inForce: TermInForce, now: Instant): Promise<RunId | undefined> {
+        const ranking = this.desiredRanking(now.monoMs, 0).filter((run) => run !== this.parts.self);
+        if (ranking.length > 0) {
+            await this.publish(inForce, ranking, "coordinator leaves", undefined, now);
+        }
+        return ranking[0];
+    }
+
     private whyStale(acting: ActingTerm, nowMs: number): string | undefined {
         const { term } = acting.inForce;
         const { terms, layout } = this.parts.config;
--- a/src/entry/callerHttp.ts
+++ b/src/entry/callerHttp.ts
@@ -6,9 +6,10 @@
 import type { BadRequest, EntryService } from "./service.js";
 import type { UnkeyedOutcome } from "./unkeyedRouter.js";
 
-const maxBodyBytes = 16_777_216;
 const payloadTimeoutMs = 10_000;
 const keepAliveMs = 65_000;
+const headersTimeoutMs = 10_000;
+const requestTimeoutMs = 30_000;
 
 /** Header names of the callers' interface. */
 export const callerHeaders = {
@@ -30,20 +31,27 @@
 const notRunStatus = 503;
 const unknownStatus = 504;
 
+/** Bounds on callers' input, in bytes and connections. */
+export interface CallerLimits {
+    maxHeaderBytes: number;
+    maxBodyBytes: number;
+    maxConnections: number;
+}
+
 /**
  * Listens for callers.
  * @param address IP number and port
  * @param service serves the requests
- * @param maxHeaderBytes headers beyond this are refused before they are parsed
+ * @param limits bounds that hold before a request is parsed
  * @returns the HTTP server, not started yet
  */
-export function createCallerHttp(address: string, service: EntryService, maxHeaderBytes: number): Hapi.Server {
+export function createCallerHttp(address: string, service: EntryService, limits: CallerLimits): Hapi.Server {
     const [host, port] = address.split(":");
     const server = Hapi.server({
         host,
         port: Number(port),
-        listener: http.createServer({ maxHeaderSize: maxHeaderBytes, keepAliveTimeout: keepAliveMs }),
-        routes: { payload: { parse: false, output: "data", maxBytes: maxBodyBytes, timeout: payloadTimeoutMs } },
+        listener: createListener(limits),
+        routes: { payload: { parse: false, output: "data", maxBytes: limits.maxBodyBytes, timeout: payloadTimeoutMs } },
     });
     server.route([
         { method: "GET", path: "/v1/{institution}/{pool}/keys/{key}", handler: keyedHandler(service, "read") },
@@ -55,6 +63,17 @@
     return server;
 }
 
+function createListener(limits: CallerLimits): http.Server {
+    const listener = http.createServer({
+        maxHeaderSize: limits.maxHeaderBytes,
+        keepAliveTimeout: keepAliveMs,
+        headersTimeout: headersTimeoutMs,
+        requestTimeout: requestTimeoutMs,
+    });
+    listener.maxConnections = limits.maxConnections;
+    return listener;
+}
+
 function keyedHandler(service: EntryService, kind: "read" | "order"): Lifecycle.Method {
     return async (request, h) => {
         const deadlineWallMs = deadlineOf(request);
--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -3,7 +3,7 @@
 import { inject, singleton } from "tsyringe";
 import { v4 as newUuid } from "uuid";
 import type { InstitutionId, OrderId, PoolId, RunId } from "../model/ids.js";
-import { parseOrderId } from "../model/ids.js";
+import { noOffset, parseOrderId } from "../model/ids.js";
 import { shardOf } from "../model/keyHash.js";
 import type { Clock } from "../model/time.js";
 import { tokens } from "../model/tokens.js";
@@ -68,6 +68,7 @@
     private readonly keyed: KeyedRouter;
     private readonly unkeyed: UnkeyedRouter;
     private readonly inFlightByPool = new Map<string, number>();
+    private readonly keyForms = new Map<string, RegExp>();
     private leaving = false;
 
     constructor(
@@ -80,7 +81,7 @@
         @inject(tokens.journal) private readonly journal: Journal,
         @inject(tokens.random) random: () => number,
     ) {
-        this.peers = new Peers(self, hostList, createLink, clock);
+        this.peers = new Peers(self, hostList, createLink, clock, () => this.follower.state.config?.offset ?? noOffset);
         this.follower = new LogFollower(log, clock, (above) => this.peers.fetchState(above));
         this.keyed = new KeyedRouter({ follower: this.follower, peers: this.peers, clock });
         this.unkeyed = new UnkeyedRouter(targets, clock, random);
@@ -122,7 +123,7 @@
         if (pool.kind !== "keyed") {
             return badRequest(`pool ${request.pool} has no keys`);
         }
-        if (request.key.length > maxKeyLength || !new RegExp(`^(?:${pool.keyPattern})$`).test(request.key)) {
+        if (request.key.length > maxKeyLength || !this.keyForm(pool.keyPattern).test(request.key)) {
             return badRequest(`the key does not have the form ${pool.keyPattern}`);
         }
         const orderId = request.orderId === undefined ? undefined : parseOrderId(request.orderId);
@@ -193,6 +194,12 @@
         };
     }
 
+    private keyForm(keyPattern: string): RegExp {
+        const known = this.keyForms.get(keyPattern) ?? new RegExp(`^(?:${keyPattern})$`);
+        this.keyForms.set(keyPattern, known);
+        return known;
+    }
+
     private findPlace(request: CallerRequest, deadlineTerm: DeadlineTerm): Place | BadRequest | UnknownOutcome {
         const document: ConfigDocument | undefined = this.follower.state.config?.document;
         if (document === undefined) {
--- a/src/entry/unkeyedRouter.ts
+++ b/src/entry/unkeyedRouter.ts
@@ -19,7 +19,7 @@
 const initialLatencyMs = 5;
 const firstEjectionMs = 500;
 const longestEjectionMs = 8_000;
-const drainingMs = 5_000;
+const drainingMs = 30_000;
 const retryRatio = 0.1;
 const retryBurst = 20;
 
--- a/src/harness/latency.ts
+++ b/src/harness/latency.ts
@@ -11,6 +11,7 @@
 import { Fleet } from "./fleet.js";
 import { Caller } from "./caller.js";
 import { round } from "./load.js";
+import { cpuMsOf } from "./usage.js";
 
 const pool = "hladvarmi/status";
 const clock = createSystemClock();
@@ -63,13 +64,20 @@
             direct: await directWay(fleet, agent),
         };
         const rows: Figures[] = [];
+        const daemons = ["entry-host-1", "coordinator-host-1"];
+        const cpuMs = () => daemons.map((name) => cpuMsOf(fleet.processes.get(name)?.child.pid ?? 0));
+        let perRequest: number[] = [];
         for (const inFlight of [1, 64]) {
+            const before = cpuMs();
             rows.push(...await alternate(ways, inFlight));
+            const requests = warmUpRequests + blocks * blockRequests;
+            perRequest = cpuMs().map((after, index) => Math.round((after - (before[index] ?? 0)) * microsPerMs / requests));
         }
         for (const row of rows) {
             process.stdout.write(`${row.way.padEnd(7)} in flight ${String(row.inFlight).padStart(2)}: p50 ${String(row.p50Ms)} ms, `
                 + `p99 ${String(row.p99Ms)} ms, ${String(row.perSecond)} requests/s\n`);
         }
+        process.stdout.write(`processor time a request with 64 in flight: entry ${String(perRequest[0])} µs, coordinator ${String(perRequest[1])} µs\n`);
         const [router, direct] = rows as [Figures, Figures];
         process.stdout.write(`added at p50 with one in flight: ${String(round(router.p50Ms - direct.p50Ms))} ms (target: at most 1 ms)\n`);
     }
--- a/src/ownership/cell.ts
+++ b/src/ownership/cell.ts
@@ -13,6 +13,8 @@
 import type { HeartbeatReply, HeartbeatRequest } from "./messages.js";
 import type { PlacementCandidate } from "./placement.js";
 import { chooseServer } from "./placement.js";
+import type { LeaseLeft, PlacementCause, PlacementEvent, Tenure } from "./tenure.js";
+import { soughtFrom } from "./tenure.js";
 
 /** Fixed facts of a cell under one fence. */
 export interface CellPlan {
@@ -29,46 +31,6 @@
     driftMarginMs: number;
 }
 
-/** How a shard came to its present server; reported to the log and the operators. */
-export type PlacementCause = "unowned" | "lapsed" | "released" | "kept";
-
-/** A change of a shard's server, or its confirmation where it was. */
-export interface PlacementEvent {
-    shard: Shard;
-    from?: TargetId;
-    to: TargetId;
-    cause: PlacementCause;
-}
-
-/** A lease as a predecessor knew it when it stopped. */
-export interface LeaseLeft {
-    shard: Shard;
-    owner: TargetId;
-    leftMs: number;
-}
-
-interface Tenure {
-    /** Undefined while the owner is being looked for. */
-    owner?: TargetId;
-    /** When the unbroken wait for this shard began; only used without an owner. */
-    waitFromMs: number;
-    /** When the owner's lease has certainly lapsed. */
-    lapseMs: number;
-    /** True once this coordinator renewed or granted the lease itself. */
-    confirmed: boolean;
-    /** True once the owner's answer showed the lease under this fence. */
-    serving: boolean;
-    /** True until the owner's answer shows the grant. */
-    granting: boolean;
-    /** True once the owner answered that it does not hold the lease any more; it is not renewed again. */
-    lapsed: boolean;
-    releasing: boolean;
-    releaseSent: boolean;
-    moveTo?: TargetId;
-    moveFromMs?: number;
-    lastOwner?: TargetId;
-}
-
 /** Decides the grants of one cell. Every time is the coordinator's monotonic clock unless its name says otherwise. */
 export class Cell {
     readonly authority: Authority;
@@ -529,11 +491,3 @@
         return server === tenure.lastOwner || this.authority.of(server)?.lastHeld.has(shard) === true;
     }
 }
-
-function soughtFrom(waitFromMs: number, lastOwner: TargetId | undefined): Tenure {
-    return {
-        waitFromMs, lastOwner,
-        lapseMs: Number.NEGATIVE_INFINITY,
-        confirmed: false, serving: false, granting: false, lapsed: false, releasing: false, releaseSent: false,
-    };
-}
--- a/src/ownership/cellRunner.ts
+++ b/src/ownership/cellRunner.ts
@@ -2,7 +2,8 @@
 import type { TargetId } from "../model/ids.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { ServerPort } from "../coordinator/serverPort.js";
-import type { Cell, PlacementEvent } from "./cell.js";
+import type { Cell } from "./cell.js";
+import type { PlacementEvent } from "./tenure.js";
 
 const minHeartbeatSpacingMs = 5;
 
--- a/src/platform/fold.ts
+++ b/src/platform/fold.ts
@@ -48,17 +48,23 @@
     verdicts: Verdict[];
     /** Offset up to which the newest snapshot on the log reaches. */
     snapshotUpTo: Offset;
+    /** When that snapshot was taken, by its host's wall clock; 0 when there is none. */
+    snapshotWallMs: number;
 }
 
 /** State before any record. */
 export const emptyState: FoldedState = {
-    offset: noOffset, history: [], terms: {}, verdicts: [], snapshotUpTo: noOffset,
+    offset: noOffset, history: [], terms: {}, verdicts: [], snapshotUpTo: noOffset, snapshotWallMs: 0,
 };
 
 const foldByKind: { [K in LogRecord["kind"]]: (state: FoldedState, offset: Offset, record: LogRecord & { kind: K }) => FoldedState } = {
     term: foldTerm,
     config: foldConfig,
-    snapshot: (state, _offset, record) => ({ ...state, snapshotUpTo: Math.max(state.snapshotUpTo, record.upTo) as Offset }),
+    snapshot: (state, _offset, record) => ({
+        ...state,
+        snapshotUpTo: Math.max(state.snapshotUpTo, record.upTo) as Offset,
+        snapshotWallMs: Math.max(state.snapshotWallMs, record.takenWallMs),
+    }),
     notice: (state) => state,
 };
 
@@ -158,15 +164,21 @@
  * @param state the state to keep
  * @param snapshotId names the snapshot
  * @param maxPartBytes length of the text in one record
+ * @param takenWallMs wall clock now
  * @returns the records in order
  */
-export function splitSnapshot(state: FoldedState, snapshotId: string, maxPartBytes: number): SnapshotRecord[] {
+export function splitSnapshot(
+    state: FoldedState,
+    snapshotId: string,
+    maxPartBytes: number,
+    takenWallMs: number,
+): SnapshotRecord[] {
     const text = JSON.stringify(state);
     const chunks = Math.ceil(text.length / maxPartBytes);
     return Array.from({ length: chunks }, (_, chunk) => ({
         kind: "snapshot" as const,
         recordId: `${snapshotId}-${String(chunk)}` as RecordId,
-        snapshotId, chunk, chunks,
+        snapshotId, takenWallMs, chunk, chunks,
         upTo: state.offset,
         part: text.slice(chunk * maxPartBytes, (chunk + 1) * maxPartBytes),
     }));
--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -45,6 +45,7 @@
     snapshotId: z.string(),
     /** Every record up to and including this offset is contained. */
     upTo: offset,
+    takenWallMs: z.number(),
     chunk: z.number().int().min(0),
     chunks: z.number().int().min(1),
     /** Part of the folded state as JSON text. */
--- a/src/platform/snapshotter.ts
+++ b/src/platform/snapshotter.ts
@@ -1,7 +1,7 @@
 /** Appends the whole state to the log again, well before the oldest record in use expires. */
 import { v7 as newOrderedUuid } from "uuid";
-import type { HostId, Offset, RunId } from "../model/ids.js";
-import { hostOfRun, noOffset } from "../model/ids.js";
+import type { HostId, RunId } from "../model/ids.js";
+import { hostOfRun } from "../model/ids.js";
 import { rendezvousOrder } from "../model/keyHash.js";
 import type { Clock } from "../model/time.js";
 import { splitSnapshot } from "./fold.js";
@@ -28,18 +28,15 @@
 /** Takes snapshots when this host is due. Two at once do no harm: each is whole by itself. */
 export class Snapshotter {
     private readonly stopping = new AbortController();
-    private seenUpTo: Offset = noOffset;
-    private dueFromMs: number;
+    private triedWallMs = Number.NEGATIVE_INFINITY;
 
     /** @param parts the ports and the interval */
-    constructor(private readonly parts: SnapshotterParts) {
-        this.dueFromMs = parts.clock.now().monoMs + parts.everyMs;
-    }
+    constructor(private readonly parts: SnapshotterParts) {}
 
     /** Runs until stopped. */
     async run(): Promise<void> {
         while (!this.stopping.signal.aborted) {
-            await this.step(this.parts.clock.now().monoMs);
+            await this.step(this.parts.clock.now().wallMs);
             await this.parts.clock.sleep(checkMs, this.stopping.signal);
         }
     }
@@ -49,35 +46,34 @@
         this.stopping.abort();
     }
 
-    /** The first live host takes it; each next one waits a step longer for it to show up on the log. */
-    private async step(nowMs: number): Promise<void> {
-        const { snapshotUpTo } = this.parts.follower.state;
-        if (snapshotUpTo > this.seenUpTo) {
-            this.seenUpTo = snapshotUpTo;
-            this.dueFromMs = nowMs + this.parts.everyMs;
-        }
-        const order = rendezvousOrder(`snapshot ${String(this.seenUpTo)}`, this.parts.liveHosts());
+    /**
+     * The first live host takes it; each next one waits a step longer for it to show up on the log. Counted from the
+     * time on the log, so that restarts never put a snapshot off.
+     */
+    private async step(nowWallMs: number): Promise<void> {
+        const { snapshotUpTo, snapshotWallMs, history } = this.parts.follower.state;
+        const lastWallMs = Math.max(snapshotWallMs, history[0]?.publishedWallMs ?? nowWallMs, this.triedWallMs);
+        const order = rendezvousOrder(`snapshot ${String(snapshotUpTo)}`, this.parts.liveHosts());
         const turn = Math.max(0, order.indexOf(hostOfRun(this.parts.self)));
         const stepMs = Math.max(minStepMs, this.parts.everyMs / 10);
-        if (this.parts.follower.isLogWell && nowMs >= this.dueFromMs + turn * stepMs) {
-            this.dueFromMs = nowMs + this.parts.everyMs;
-            await this.take();
+        if (this.parts.follower.isLogWell && nowWallMs >= lastWallMs + this.parts.everyMs + turn * stepMs) {
+            await this.take(nowWallMs);
         }
     }
 
-    private async take(): Promise<void> {
+    private async take(nowWallMs: number): Promise<void> {
         const state = this.parts.follower.state;
         if (state.config === undefined) {
             return;
         }
-        for (const chunk of splitSnapshot(state, newOrderedUuid(), maxPartBytes)) {
+        for (const chunk of splitSnapshot(state, newOrderedUuid(), maxPartBytes, nowWallMs)) {
             const appended = await this.parts.log.append(chunk);
             if (appended.isErr()) {
                 this.parts.journal.warn("snapshot", `Chunk ${String(chunk.chunk)} was not appended: ${appended.error.message}.`);
-                this.dueFromMs = Number.NEGATIVE_INFINITY;
                 return;
             }
         }
+        this.triedWallMs = nowWallMs;
         this.parts.journal.info("snapshot", `Snapshot up to offset ${String(state.offset)} is on the log.`);
     }
 }
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -42,6 +42,8 @@
     listenAddress: address,
     connectionShares: wholeNumber(1, 1_000).default(10),
     maxHeaderBytes: wholeNumber(1_024, 65_536).default(8_192),
+    maxBodyBytes: wholeNumber(1_024, 16_777_216).default(1_048_576),
+    maxConnections: wholeNumber(1, 100_000).default(10_000),
 });
 
 /** Schema of the settings that every call of hornbeamctl needs. */
