Balance by busy slots: slow servers are relieved, hot clusters spread

Reads waited until just before their deadline under load, since a wait was allowed to fill the whole of it.

--- a/src/admission/serverQueue.ts
+++ b/src/admission/serverQueue.ts
@@ -8,6 +8,9 @@
 const initialServiceMs = 3;
 const serviceSmoothing = 0.1;
 
+/** Share of a caller's time that it may spend waiting here; the rest covers what the estimate misses. */
+const maxWaitShare = 0.5;
+
 /** `queue` admits by slots, priority and deadline; `plain` sends everything at once. */
 export type AdmissionPolicy = "queue" | "plain";
 
@@ -57,6 +60,11 @@
         return this.inFlight;
     }
 
+    /** Time that the server takes for a request, smoothed. */
+    get meanServiceMs(): number {
+        return this.serviceMs;
+    }
+
     /** Requests that wait for a slot. */
     get waitingCount(): number {
         return this.waiting.length;
@@ -78,7 +86,7 @@
             return Promise.resolve({ granted: true });
         }
         const waitMs = this.expectedWaitMs(request, nowMs);
-        if (nowMs + waitMs + this.serviceMs > request.deadlineMs) {
+        if (waitMs + this.serviceMs > (request.deadlineMs - nowMs) * maxWaitShare) {
             return Promise.resolve({ granted: false, refusal: this.refusal(waitMs) });
         }
         if (this.waiting.length >= this.limits().maxWaiting && !this.displaces(request)) {
--- a/src/coordinator/cellKeeper.ts
+++ b/src/coordinator/cellKeeper.ts
@@ -210,7 +210,7 @@
             return;
         }
         const { cell } = acting.runner;
-        for (const move of this.moves.direct(cell, now)) {
+        for (const move of this.moves.direct(cell, (server) => acting.dispatcher.serviceMsOf(server), now)) {
             this.parts.journal.info("move", `${cell.plan.cell} shard ${String(move.shard)} moves to ${move.to}: ${move.reason}.`);
         }
         acting.dispatcher.onCellChanged(now);
--- a/src/coordinator/dispatcher.ts
+++ b/src/coordinator/dispatcher.ts
@@ -87,6 +87,15 @@
         return outcome;
     }
 
+    /**
+     * Tells how long a server takes for a request, as observed here.
+     * @param server the server
+     * @returns milliseconds
+     */
+    serviceMsOf(server: TargetId): number {
+        return this.queueOf(server).meanServiceMs;
+    }
+
     /** Takes note that the cell may have changed: wakes held requests, releases drained shards, sets horizons. */
     onCellChanged(now: Instant): void {
         for (const shard of this.parts.cell.takeNewlyServing()) {
--- a/src/coordinator/moveDirector.ts
+++ b/src/coordinator/moveDirector.ts
@@ -2,7 +2,7 @@
 import type { Shard } from "../model/ids.js";
 import type { Instant } from "../model/time.js";
 import type { Cell } from "../ownership/cell.js";
-import type { MoveOrder } from "../ownership/balance.js";
+import type { MoveOrder, ObservedWork } from "../ownership/balance.js";
 import { LoadBalancer, neededMoves } from "../ownership/balance.js";
 import type { CellConfig } from "./cellConfig.js";
 
@@ -10,7 +10,6 @@
 const balanceSettleMs = 2_000;
 const rateSmoothing = 0.3;
 const rateWindowMs = 1_000;
-const minCellRatePerSecond = 20;
 
 /** Keeps count of each shard's work, and asks the cell for moves. */
 export class MoveDirector {
@@ -30,22 +29,24 @@
     /**
      * Asks the cell for the moves that are due.
      * @param cell the cell
+     * @param serviceMs time that a server takes for a request, as observed
      * @param now this host's clocks
      * @returns the moves that began
      */
-    direct(cell: Cell, now: Instant): MoveOrder[] {
+    direct(cell: Cell, serviceMs: ObservedWork["serviceMs"], now: Instant): MoveOrder[] {
         cell.setDrained(this.config.drained);
         cell.abandonSlowMoves(now.monoMs, moveHoldMs);
         this.updateRates(now.monoMs);
         const moves = neededMoves(cell, this.config.pinned, now.monoMs);
-        const forLoad = cell.isSettled(now.monoMs) ? this.moveForLoad(cell, now.monoMs) : undefined;
-        return [...moves, ...forLoad === undefined ? [] : [forLoad]]
-            .filter((move) => cell.requestMove(move.shard, move.to, now.monoMs));
+        const forLoad = cell.isSettled(now.monoMs) ? this.movesForLoad(cell, serviceMs, now.monoMs) : [];
+        return [...moves, ...forLoad].filter((move) => cell.requestMove(move.shard, move.to, now.monoMs));
     }
 
-    private moveForLoad(cell: Cell, nowMs: number): MoveOrder | undefined {
+    private movesForLoad(cell: Cell, serviceMs: ObservedWork["serviceMs"], nowMs: number): MoveOrder[] {
         const { movesPerHour, moveAboveRatio } = this.config.terms;
-        return this.balancer.nextMove(cell, this.rateByShard, { movesPerHour, moveAboveRatio, minCellRate: minCellRatePerSecond }, nowMs);
+        const { slots } = this.config.dispatchLimits.queue;
+        const ratePerSecond = (shard: Shard) => this.rateByShard.get(shard) ?? 0;
+        return this.balancer.nextMoves(cell, { ratePerSecond, serviceMs }, { movesPerHour, moveAboveRatio, slots }, nowMs);
     }
 
     private updateRates(nowMs: number): void {
--- a/src/harness/fleet.ts
+++ b/src/harness/fleet.ts
@@ -23,6 +23,7 @@
 const ip = "127.0.0.1";
 const readyTimeoutMs = 60_000;
 const pollMs = 50;
+const readinessPollMs = 100;
 const horizonPassedMs = 300;
 const recordFileName = "orders.txt";
 const sharedKey = "only-for-this-machine-0123456789";
@@ -67,16 +68,19 @@
     readonly processes = new Map<string, FleetProcess>();
     readonly hosts: ListedHost[] = [];
     readonly entryUrls: string[] = [];
+    /** Entry hosts that were ready when last asked, as the platform's balancer knows them. */
+    readyEntryUrls: string[] = [];
     readonly relays = new Map<string, Relay>();
     document: ConfigDocument | undefined;
+    private readonly onExit = () => {
+        this.killAll();
+    };
     private readonly folder = mkdtempSync(path.join(tmpdir(), "hornbeam-"));
 
     /** @param options numbers and behaviour */
     constructor(readonly options: FleetOptions) {
         // Whatever ends this program ends the fleet too.
-        process.on("exit", () => {
-            this.killAll();
-        });
+        process.on("exit", this.onExit);
     }
 
     get logUrl(): string {
@@ -191,6 +195,23 @@
         await this.until("every shard served", timeoutMs, async () => (await this.unservedCells()).length === 0);
     }
 
+    /**
+     * Asks the entry hosts again and again whether they are ready, as the platform's balancer does.
+     * @param watching ends the asking when `done` is set
+     */
+    async watchReadiness(watching: { done: boolean }): Promise<void> {
+        this.readyEntryUrls = [...this.entryUrls];
+        while (!watching.done) {
+            const ready = await Promise.all(this.hosts.map(async ({ hostId }) => {
+                const dump = await this.dump<{ unready?: string }>(`entry-${hostId}`);
+                return dump !== undefined && dump.unready === undefined;
+            }));
+            const urls = this.entryUrls.filter((_url, index) => ready[index]);
+            this.readyEntryUrls = urls.length > 0 ? urls : [...this.entryUrls];
+            await clock.sleep(readinessPollMs);
+        }
+    }
+
     /**
      * Counts how often each order began, on all servers together, those that were killed included.
      * @returns runs by order id
@@ -212,6 +233,10 @@
         for (const name of this.processes.keys()) {
             await this.whenEnded(name);
         }
+        process.off("exit", this.onExit);
+        for (const relay of this.relays.values()) {
+            relay.stop();
+        }
         rmSync(this.folder, { recursive: true, force: true });
     }
 
--- a/src/harness/load.ts
+++ b/src/harness/load.ts
@@ -71,7 +71,7 @@
 /**
  * Sends every plan's requests at their intended times and waits for all answers.
  * @param plans the streams
- * @param entryUrls entry hosts, used in turn
+ * @param entryUrls entry hosts that the balancer would use now, taken in turn
  * @param caller sends the requests
  * @param clock clocks of this process
  * @param seed fixes times and keys
@@ -79,7 +79,7 @@
  */
 export async function sendLoad(
     plans: readonly LoadPlan[],
-    entryUrls: readonly string[],
+    entryUrls: () => readonly string[],
     caller: Caller,
     clock: Clock,
     seed: number,
@@ -92,7 +92,7 @@
 
 async function sendStream(
     plan: LoadPlan,
-    entryUrls: readonly string[],
+    entryUrls: () => readonly string[],
     caller: Caller,
     clock: Clock,
     startMs: number,
@@ -100,14 +100,15 @@
 ): Promise<LoadSample[]> {
     const samples: Promise<LoadSample>[] = [];
     let intendedMs = plan.fromMs;
-    let turn = Math.floor(random.unit() * entryUrls.length);
+    let turn = Math.floor(random.unit() * 100);
     while (intendedMs < plan.untilMs) {
         const waitMs = startMs + intendedMs - clock.now().monoMs;
         if (waitMs > 0) {
             await clock.sleep(waitMs);
         }
         const key = chooseKey(plan, random);
-        samples.push(sendOne(plan, key, entryUrls[turn % entryUrls.length] as string, caller, clock, startMs, intendedMs));
+        const urls = entryUrls();
+        samples.push(sendOne(plan, key, urls[turn % urls.length] as string, caller, clock, startMs, intendedMs));
         turn += 1;
         // Exponential gaps: callers know nothing of one another.
         intendedMs += -Math.log(1 - random.unit()) * 1_000 / plan.perSecond;
--- a/src/harness/probe.ts
+++ b/src/harness/probe.ts
@@ -132,6 +132,7 @@
     }
 
     private url(turn: number): string {
-        return this.fleet.entryUrls[turn % this.fleet.entryUrls.length] as string;
+        const urls = this.fleet.readyEntryUrls.length > 0 ? this.fleet.readyEntryUrls : this.fleet.entryUrls;
+        return urls[turn % urls.length] as string;
     }
 }
--- a/src/harness/scenarios.ts
+++ b/src/harness/scenarios.ts
@@ -9,6 +9,10 @@
 const statusServers = 5;
 const statusSlots = 3;
 const readDeadlineMs = 1_000;
+
+/** The probes' own reads are part of the load. */
+const probesPerSecond = 28;
+
 const orderDeadlineMs = 2_000;
 
 /** Requests per second that the status servers can serve together. */
@@ -41,7 +45,7 @@
 const streetKeys = { prefix: "street-", count: 2_000, hotCount: 0, hotShare: 0 };
 
 function statusLoad(share: number, durationMs: number, keys = statusKeys): LoadPlan[] {
-    const perSecond = statusCapacity * share;
+    const perSecond = statusCapacity * share - probesPerSecond;
     const common = { pool: "hladvarmi/status", keys, fromMs: 0, untilMs: durationMs };
     return [
         { ...common, kind: "read", perSecond: perSecond * 0.9, deadlineMs: readDeadlineMs },
--- a/src/ownership/balance.ts
+++ b/src/ownership/balance.ts
@@ -3,6 +3,14 @@
 import type { Cell } from "./cell.js";
 
 const hourMs = 3_600_000;
+const secondMs = 1_000;
+const maxMovesAtOnce = 4;
+
+/** Share of its slots that the busiest server must use before balance matters. */
+const busyShare = 0.5;
+
+/** Share by which a move must lower the load of the busiest server. */
+const minGain = 0.05;
 
 /** A move, and why it is worth a key changing its server. */
 export interface MoveOrder {
@@ -14,10 +22,18 @@
 /** Settings of balance; institutions that weigh churn allow fewer moves. */
 export interface BalanceLimits {
     movesPerHour: number;
-    /** Load of the busiest server over the mean above which a shard may be moved. */
+    /** Load of the busiest server over the mean above which shards may move. */
     moveAboveRatio: number;
-    /** Work per second of the whole cell below which it is left alone. */
-    minCellRate: number;
+    /** Requests that a server works on at once. */
+    slots: number;
+}
+
+/** What is observed of a cell's work. */
+export interface ObservedWork {
+    /** Requests per second that a shard brings, refused ones included. */
+    ratePerSecond(shard: Shard): number;
+    /** Time that a server takes for a request, in milliseconds. */
+    serviceMs(server: TargetId): number;
 }
 
 /**
@@ -46,48 +62,53 @@
     return [...pins, ...drains];
 }
 
-/** Moves single shards off the busiest server, with hysteresis and a budget. */
+interface ServerLoad {
+    server: TargetId;
+    serviceMs: number;
+    /** Slots that its shards keep busy. */
+    busySlots: number;
+    shards: Shard[];
+}
+
+/** Moves shards off the busiest server, with hysteresis and a budget; a slow server counts as a busy one. */
 export class LoadBalancer {
     private readonly movedAtMs: number[] = [];
     private aboveSinceMs: number | undefined;
 
     /**
-     * @param settleMs how long the imbalance must last before a shard moves
+     * @param settleMs how long the imbalance must last before shards move
      */
     constructor(private readonly settleMs: number) {}
 
     /**
-     * Chooses the next move for balance, if one is worth it.
+     * Chooses the moves that are worth it now.
      * @param cell the cell
-     * @param rateByShard work per second of each shard
+     * @param work what is observed of its work
      * @param limits settings
      * @param nowMs monotonic time
-     * @returns a move that lowers the load of the busiest server, or undefined
+     * @returns moves that lower the load of the busiest server; mostly none
      */
-    nextMove(cell: Cell, rateByShard: ReadonlyMap<Shard, number>, limits: BalanceLimits, nowMs: number): MoveOrder | undefined {
-        const loads = cell.reachableServers(nowMs)
-            .filter((server) => !server.draining)
-            .map(({ server }) => ({ server, rate: sumRates(cell.shardsOf(server), rateByShard) }))
-            .sort((left, right) => right.rate - left.rate);
-        const busiest = loads[0];
-        const idlest = loads.at(-1);
-        const total = loads.reduce((sum, load) => sum + load.rate, 0);
-        if (busiest === undefined || idlest === undefined || total < limits.minCellRate
-            || busiest.rate < limits.moveAboveRatio * total / loads.length) {
+    nextMoves(cell: Cell, work: ObservedWork, limits: BalanceLimits, nowMs: number): MoveOrder[] {
+        const loads = cell.reachableServers(nowMs).filter((server) => !server.draining).map(({ server }) => loadOf(cell, server, work));
+        if (!isUnbalanced(loads, limits)) {
             this.aboveSinceMs = undefined;
-            return undefined;
+            return [];
         }
         this.aboveSinceMs ??= nowMs;
-        if (nowMs - this.aboveSinceMs < this.settleMs || !this.hasBudget(limits, nowMs)) {
-            return undefined;
-        }
-        const shard = bestShard(cell.shardsOf(busiest.server), rateByShard, busiest.rate - idlest.rate);
-        if (shard === undefined) {
-            return undefined;
+        if (nowMs - this.aboveSinceMs < this.settleMs) {
+            return [];
         }
-        this.movedAtMs.push(nowMs);
         this.aboveSinceMs = undefined;
-        return { shard, to: idlest.server, reason: "load" };
+        const moves: MoveOrder[] = [];
+        while (moves.length < maxMovesAtOnce && this.hasBudget(limits, nowMs) && isUnbalanced(loads, limits)) {
+            const move = bestMove(loads, work);
+            if (move === undefined) {
+                break;
+            }
+            this.movedAtMs.push(nowMs);
+            moves.push(move);
+        }
+        return moves;
     }
 
     private hasBudget(limits: BalanceLimits, nowMs: number): boolean {
@@ -98,14 +119,42 @@
     }
 }
 
-/** The shard whose move brings the two servers closest: its rate is nearest to half the gap, and below the gap. */
-function bestShard(shards: readonly Shard[], rateByShard: ReadonlyMap<Shard, number>, gap: number): Shard | undefined {
-    const rateOf = (shard: Shard) => rateByShard.get(shard) ?? 0;
-    return shards
-        .filter((shard) => rateOf(shard) > gap / 20 && rateOf(shard) < gap)
-        .sort((left, right) => Math.abs(rateOf(left) - gap / 2) - Math.abs(rateOf(right) - gap / 2))[0];
+function loadOf(cell: Cell, server: TargetId, work: ObservedWork): ServerLoad {
+    const serviceMs = work.serviceMs(server);
+    const shards = cell.shardsOf(server);
+    const busySlots = shards.reduce((sum, shard) => sum + busySlotsOf(shard, serviceMs, work), 0);
+    return { server, serviceMs, shards, busySlots };
+}
+
+function busySlotsOf(shard: Shard, serviceMs: number, work: ObservedWork): number {
+    return work.ratePerSecond(shard) * serviceMs / secondMs;
 }
 
-function sumRates(shards: readonly Shard[], rateByShard: ReadonlyMap<Shard, number>): number {
-    return shards.reduce((sum, shard) => sum + (rateByShard.get(shard) ?? 0), 0);
+/** A cell whose busiest server has slots to spare is left alone, however uneven it is. */
+function isUnbalanced(loads: readonly ServerLoad[], limits: BalanceLimits): boolean {
+    const busiest = Math.max(0, ...loads.map((load) => load.busySlots));
+    const mean = loads.reduce((sum, load) => sum + load.busySlots, 0) / Math.max(1, loads.length);
+    return busiest > limits.slots * busyShare && busiest > mean * limits.moveAboveRatio;
+}
+
+/** The move after which the busier of the two servers is least busy, if it helps enough; the loads follow it. */
+function bestMove(loads: ServerLoad[], work: ObservedWork): MoveOrder | undefined {
+    const from = [...loads].sort((left, right) => right.busySlots - left.busySlots)[0];
+    if (from === undefined) {
+        return undefined;
+    }
+    const options = loads.filter((load) => load !== from).flatMap((to) => from.shards.map((shard) => {
+        const fromAfter = from.busySlots - busySlotsOf(shard, from.serviceMs, work);
+        const toAfter = to.busySlots + busySlotsOf(shard, to.serviceMs, work);
+        return { shard, to, fromAfter, toAfter, worst: Math.max(fromAfter, toAfter) };
+    }));
+    const best = options.sort((left, right) => left.worst - right.worst)[0];
+    if (best === undefined || best.worst > from.busySlots * (1 - minGain)) {
+        return undefined;
+    }
+    from.busySlots = best.fromAfter;
+    from.shards = from.shards.filter((shard) => shard !== best.shard);
+    best.to.busySlots = best.toAfter;
+    best.to.shards = [...best.to.shards, best.shard];
+    return { shard: best.shard, to: best.to.server, reason: "load" };
 }
