Cells over hosts with slack: a host that leaves displaces hardly any others' cells

Cause: with an exact bound on the cells of one host, a leaving host displaced the cells of others in a chain: 771 of 3,000 cells changed where 3 had to (1,000 hosts), 66 of 300 at 100. The test is red at 100 and 1,000 hosts with the slack out. The ranking is kept until hosts or document change.

--- a/src/coordinator/assignment.ts
+++ b/src/coordinator/assignment.ts
@@ -2,6 +2,9 @@
 import type { CellId, HostId } from "../model/ids.js";
 import { rendezvousOrder } from "../model/keyHash.js";
 
+/** Room above an even share; without it, one host that leaves displaces cells of many others. */
+const slack = 1.25;
+
 /** A host that may coordinate. */
 export interface CoordinatorHost {
     hostId: HostId;
@@ -24,7 +27,7 @@
     if (hosts.length === 0) {
         return assigned;
     }
-    const maxFirst = Math.ceil(cells.length / hosts.length);
+    const maxFirst = Math.ceil(cells.length / hosts.length * slack);
     const firstCount = new Map<HostId, number>();
     const dataCentreOf = new Map(hosts.map((host) => [host.hostId, host.dataCentre]));
     for (const cell of [...cells].sort()) {
--- a/src/coordinator/termKeeper.ts
+++ b/src/coordinator/termKeeper.ts
@@ -3,6 +3,7 @@
 import type { RecordId, RunId, TargetId } from "../model/ids.js";
 import { noOffset } from "../model/ids.js";
 import type { Instant } from "../model/time.js";
+import type { ConfigDocument } from "../config/document.js";
 import type { Cell } from "../ownership/cell.js";
 import type { TermInForce } from "../platform/fold.js";
 import type { Journal } from "../platform/journal.js";
@@ -46,6 +47,8 @@
     private lastPublishMs = Number.NEGATIVE_INFINITY;
     private orphanedSinceMs: number | undefined;
     private staleSinceMs: number | undefined;
+    /** Last ranking, and the hosts and document that it was computed from. */
+    private ranking: { of: string; document: ConfigDocument; runs: RunId[] } | undefined;
 
     /** @param parts the cell and the ports */
     constructor(private readonly parts: TermKeeperParts) {}
@@ -125,9 +128,14 @@
 
     private desiredRanking(nowMs: number, steadyMs: number): RunId[] {
         const hosts = this.parts.peers.steadyHosts(nowMs, steadyMs);
-        const runOf = new Map(hosts.map((host) => [host.hostId, host.run]));
-        const ranked = assignCoordinators(this.parts.config.allCells, hosts, ranksPerTerm).get(this.parts.config.cell) ?? [];
-        return ranked.map((host) => runOf.get(host) as RunId);
+        const { document, cell, allCells } = this.parts.config;
+        const of = hosts.map((host) => host.run).join();
+        if (this.ranking?.of !== of || this.ranking.document !== document) {
+            const runOf = new Map(hosts.map((host) => [host.hostId, host.run]));
+            const ranked = assignCoordinators(allCells, hosts, ranksPerTerm).get(cell) ?? [];
+            this.ranking = { of, document, runs: ranked.map((host) => runOf.get(host) as RunId) };
+        }
+        return this.ranking.runs;
     }
 
     /** Appends a term; the follower brings what the log's order made of it. */
