--- a/src/admission/serverQueue.ts
+++ b/src/admission/serverQueue.ts
@@ -123,6 +123,11 @@
         this.pausedUntilMs = Math.max(this.pausedUntilMs, nowMs + durationMs);
     }
 
+    /** Treats the server as cold from its next use on: it was lost and may have restarted. */
+    startCold(): void {
+        this.firstUsedMs = undefined;
+    }
+
     /**
      * Lets waiting requests go after a pause or a warm-up, and refuses those that have become too late.
      * @param nowMs now
--- a/src/entry/unkeyedRouter.ts
+++ b/src/entry/unkeyedRouter.ts
@@ -148,6 +148,7 @@
         state.failuresInRow += 1;
         const restMs = Math.min(longestEjectionMs, firstEjectionMs * 2 ** (state.failuresInRow - 1));
         state.ejectedUntilMs = nowMs + restMs;
+        state.queue.startCold();
     }
 
     private choose(
--- a/src/harness/fleet.ts
+++ b/src/harness/fleet.ts
@@ -44,6 +44,8 @@
     adjust?: (document: ConfigDocument) => ConfigDocument;
     /** Puts a relay in front of every keyed server, whose connections a test can make silent. */
     relayed?: boolean;
+    /** Flags added to every unkeyed target. */
+    targetFlags?: string[];
     /** Flags added to every keyed server. */
     serverFlags?: string[];
 }
@@ -287,9 +289,9 @@
         const flags = this.options.serverFlags ?? [];
         const targets = {
             status: await this.startMany("status", this.options.status, ["server", "--slots=3", serviceMs, ...flags]),
-            archive: await this.startMany("archive", this.options.archive, ["target", "--slots=3", serviceMs]),
+            archive: await this.startMany("archive", this.options.archive, ["target", "--slots=3", serviceMs, ...this.options.targetFlags ?? []]),
             numbering: await this.startMany("numbering", this.options.numbering, ["server", "--slots=2", serviceMs, ...flags]),
-            gazetteer: await this.startMany("gazetteer", this.options.gazetteer, ["target", "--slots=2", serviceMs]),
+            gazetteer: await this.startMany("gazetteer", this.options.gazetteer, ["target", "--slots=2", serviceMs, ...this.options.targetFlags ?? []]),
         };
         await this.whenListening([...this.processes.keys()]);
         return targets;
--- a/src/harness/scenarios.ts
+++ b/src/harness/scenarios.ts
@@ -27,6 +27,7 @@
 /** The fleet that scenarios run on. */
 export const benchFleet: FleetOptions = {
     hosts: 4, status: statusServers, archive: 3, numbering: 5, gazetteer: 3, serviceMs, keepRecords: 10_000, snapshotEveryMs: 60_000,
+    targetFlags: ["--cold-factor=10", "--cold-requests=40"],
 };
 
 /** One scenario. */
@@ -131,6 +132,17 @@
             await fleet.fault("gazetteer-2", {});
         },
     },
+    "cold-start": {
+        pool: "hladvarmi/status",
+        durationMs: 12_000,
+        plans: [floodOf("list", "malanad/gazetteer", 200, 12_000)],
+        happen: async (fleet, clock) => {
+            await clock.sleep(3_000);
+            fleet.signal("gazetteer-1", "SIGKILL");
+            await clock.sleep(1_000);
+            await fleet.restart("gazetteer-1");
+        },
+    },
     "server-frozen": {
         pool: "hladvarmi/status",
         durationMs: 12_000,
--- a/src/ownership/authority.ts
+++ b/src/ownership/authority.ts
@@ -1,6 +1,6 @@
 /** How long a coordinator may act: for one lease after the oldest heartbeat of an accepting majority was sent. */
 import type { Fence, Incarnation, Shard, TargetId } from "../model/ids.js";
-import type { HeartbeatReply } from "./messages.js";
+import type { HeartbeatReply, HeldShards } from "./messages.js";
 
 /** The newest accepted answer of one server under the coordinator's fence. All times are monotonic milliseconds. */
 export interface Acknowledgement {
@@ -61,7 +61,7 @@
             serverClockMs: reply.clockMs,
             incarnation: reply.incarnation,
             counts: this.limits.amnesiaGuardOut === true || reply.upMs > this.limits.waitMs + this.limits.driftMarginMs,
-            leaseEndByShard: new Map(reply.held.map((held) => [held.shard, held.leaseEndServerMs])),
+            leaseEndByShard: leaseEndsOf(reply.held),
             lastHeld: new Set(reply.lastHeld),
             draining: reply.draining,
             load: reply.load,
@@ -129,3 +129,7 @@
         return sentMs[majority - 1] ?? Number.NEGATIVE_INFINITY;
     }
 }
+
+function leaseEndsOf(held: readonly HeldShards[]): Map<Shard, number> {
+    return new Map(held.flatMap(({ shards, leaseEndServerMs }) => shards.map((shard) => [shard, leaseEndServerMs] as const)));
+}
--- a/src/ownership/cell.ts
+++ b/src/ownership/cell.ts
@@ -262,12 +262,12 @@
         if (!this.authority.record(server, reply, sentMs, nowMs)) {
             return;
         }
-        const held = new Set(reply.held.map((one) => one.shard));
+        const held = new Set(reply.held.flatMap((one) => one.shards));
         for (const shard of request.release) {
-            this.onReleaseAnswered(shard, server, held.has(shard), reply.unlapsedOnArrival.includes(shard), nowMs);
+            this.onReleaseAnswered(shard, server, held.has(shard), !reply.lapsedOnArrival.includes(shard), nowMs);
         }
         for (const shard of request.renew) {
-            this.onRenewAnswered(shard, server, held.has(shard) && reply.unlapsedOnArrival.includes(shard), nowMs);
+            this.onRenewAnswered(shard, server, held.has(shard) && !reply.lapsedOnArrival.includes(shard), nowMs);
         }
         for (const shard of request.grant) {
             this.onGrantAnswered(shard, server, held.has(shard));
--- a/src/ownership/leaseHolder.ts
+++ b/src/ownership/leaseHolder.ts
@@ -3,7 +3,7 @@
 import { noFence } from "../model/ids.js";
 import type { GuardsOut } from "../model/guards.js";
 import { noGuardsOut } from "../model/guards.js";
-import type { HeartbeatReply, HeartbeatRequest, HeldShard } from "./messages.js";
+import type { HeartbeatReply, HeartbeatRequest, HeldShards } from "./messages.js";
 
 /** Why a server refuses to begin a piece of work. */
 export type WorkRefusal = "fence" | "not-owner" | "too-late";
@@ -41,12 +41,12 @@
         const fenceStands = request.fence >= this.fence || this.guardsOut.fence === true;
         const accepted = fenceStands && (meantForThisRun || this.guardsOut.amnesia === true);
         const touched = [...request.renew, ...request.release];
-        const unlapsedOnArrival = touched.filter((shard) => this.owns(shard, nowMs));
+        const lapsedOnArrival = touched.filter((shard) => !this.owns(shard, nowMs));
         if (accepted) {
             this.apply(request, nowMs);
         }
         return {
-            accepted, priorFence, unlapsedOnArrival, draining, load, sinceAcceptedMs,
+            accepted, priorFence, lapsedOnArrival, draining, load, sinceAcceptedMs,
             sequence: request.sequence,
             fence: this.fence,
             clockMs: nowMs,
@@ -86,12 +86,16 @@
     /**
      * Lists what is owned.
      * @param nowMs reading of the server's clock
-     * @returns every shard whose lease stands
+     * @returns every shard whose lease stands, by the end of its lease
      */
-    held(nowMs: number): HeldShard[] {
-        return [...this.leaseEndByShard]
-            .filter(([, leaseEndServerMs]) => leaseEndServerMs > nowMs)
-            .map(([shard, leaseEndServerMs]) => ({ shard, leaseEndServerMs }));
+    held(nowMs: number): HeldShards[] {
+        const shardsByEnd = new Map<number, Shard[]>();
+        for (const [shard, leaseEndServerMs] of this.leaseEndByShard) {
+            if (leaseEndServerMs > nowMs) {
+                shardsByEnd.set(leaseEndServerMs, [...shardsByEnd.get(leaseEndServerMs) ?? [], shard]);
+            }
+        }
+        return [...shardsByEnd].map(([leaseEndServerMs, shards]) => ({ leaseEndServerMs, shards }));
     }
 
     private apply(request: HeartbeatRequest, nowMs: number): void {
--- a/src/ownership/messages.ts
+++ b/src/ownership/messages.ts
@@ -19,10 +19,10 @@
     release: Shard[];
 }
 
-/** One shard as the server holds it. */
-export interface HeldShard {
-    shard: Shard;
+/** Shards that the server holds up to one reading of its clock; mostly all of them. */
+export interface HeldShards {
     leaseEndServerMs: number;
+    shards: Shard[];
 }
 
 /** From the server to the coordinator. */
@@ -39,9 +39,9 @@
     incarnation: Incarnation;
     upMs: number;
     /** Shards owned with an unlapsed lease after this heartbeat. */
-    held: HeldShard[];
-    /** Shards among `renew` and `release` whose lease had not lapsed on arrival. */
-    unlapsedOnArrival: Shard[];
+    held: HeldShards[];
+    /** Shards among `renew` and `release` that the server did not hold on arrival. */
+    lapsedOnArrival: Shard[];
     /** Shards whose last lease was held here though it has lapsed; a hint for placement, no proof. */
     lastHeld: Shard[];
     /** True while the server asks to be relieved of its shards. */
--- a/src/standins/unkeyedTarget.ts
+++ b/src/standins/unkeyedTarget.ts
@@ -27,6 +27,9 @@
     maxQueued: number;
     /** Entries of every list that the export answers. */
     listEntries: number;
+    /** How much slower the first pieces of work are. */
+    coldFactor: number;
+    coldRequests: number;
     clock: Clock;
 }
 
@@ -38,6 +41,7 @@
 export async function startUnkeyedTarget(options: UnkeyedTargetOptions): Promise<StandIn> {
     let fault = targetFaultSchema.parse({});
     let running = 0;
+    let served = 0;
     const waiting: (() => void)[] = [];
     const record = { accepted: [] as string[], lists: 0 };
     const server = serverOn(options.address);
@@ -68,7 +72,9 @@
     };
 
     const serve = async (effect: () => object): Promise<string> => withSlot(async () => {
-        await options.clock.sleep(options.serviceMs + fault.slowMs);
+        const coldFactor = served < options.coldRequests ? options.coldFactor : 1;
+        await options.clock.sleep(options.serviceMs * coldFactor + fault.slowMs);
+        served += 1;
         return JSON.stringify(effect());
     });
 
