Control cost no longer grows with the number of hosts squared

Now an entry asks one coordinator for what it knows of all, and a coordinator asks closely only those that it may have to follow, the others every 500 ms.

--- a/src/bin/hornbeam-coordinator.ts
+++ b/src/bin/hornbeam-coordinator.ts
@@ -50,6 +50,7 @@
     isKnownAddress: (ip) => settings.knownAddresses.includes(ip) || service.peers.listedAddresses().has(ip),
 }, {
     ping: (params) => service.ping(params),
+    view: (params) => service.view(params),
     state: (params) => service.state(params),
     work: (params) => service.work(params),
     handOver: (params) => service.handOver(params),
--- a/src/coordinator/cellKeeper.ts
+++ b/src/coordinator/cellKeeper.ts
@@ -86,6 +86,17 @@
         return this.acting?.fence;
     }
 
+    /** Runs that this host may have to follow: those ranked before it, and whoever acts now. */
+    watchedRuns(): RunId[] {
+        const ranked = this.parts.follower.state.terms[this.parts.cell]?.term.coordinators ?? [];
+        const rank = ranked.indexOf(this.parts.self);
+        if (rank < 0) {
+            return [];
+        }
+        const acting = this.likelyCoordinator();
+        return [...ranked.slice(0, rank), ...acting === undefined ? [] : [acting]];
+    }
+
     /** Runs until stopped. */
     async run(): Promise<void> {
         while (!this.stopping.signal.aborted) {
@@ -330,7 +341,7 @@
         return decideSuccession({
             inForce,
             self: this.parts.self,
-            peers: this.parts.peers.viewsOf(this.parts.cell),
+            peers: this.parts.peers.viewsOf(this.parts.cell, nowMs),
             termSeenMs: this.termSeen?.atMs ?? nowMs,
             lastActingMs: this.lastActingMs,
             highestFence: this.highestFence,
@@ -346,7 +357,7 @@
 
     private noteOthers(inForce: TermInForce | undefined, nowMs: number): void {
         this.noteTerm(inForce, nowMs);
-        for (const peer of this.parts.peers.viewsOf(this.parts.cell)) {
+        for (const peer of this.parts.peers.viewsOf(this.parts.cell, nowMs)) {
             if (peer.actingFence !== undefined && peer.heardMs > this.lastActingMs) {
                 this.lastActingMs = peer.heardMs;
                 this.lastActingRun = peer.run;
@@ -395,7 +406,7 @@
     }
 
     private likelyCoordinator(): RunId | undefined {
-        const acting = this.parts.peers.viewsOf(this.parts.cell)
+        const acting = this.parts.peers.viewsOf(this.parts.cell, this.parts.clock.now().monoMs)
             .filter((peer) => peer.actingFence !== undefined)
             .sort((left, right) => (right.actingFence ?? 0) - (left.actingFence ?? 0));
         return acting[0]?.run;
--- a/src/coordinator/peerPort.ts
+++ b/src/coordinator/peerPort.ts
@@ -28,13 +28,33 @@
     configOffset: Offset;
 }
 
+/** A run that a host watches, because it may have to follow it. */
+export interface WatchedRun {
+    run: RunId;
+    heard: boolean;
+}
+
+/** What one coordinator knows of another, or of itself. */
+export interface CoordinatorSight {
+    run: RunId;
+    acting: ActingCell[];
+    live: boolean;
+    leaving: boolean;
+}
+
+/** What one coordinator tells an entry host of all. */
+export interface ViewReply {
+    offset: Offset;
+    coordinators: CoordinatorSight[];
+}
+
 /** Answer to a ping. */
 export interface PingReply {
     run: RunId;
     offset: Offset;
     acting: ActingCell[];
-    /** Runs that this host hears itself. */
-    hears: RunId[];
+    /** Runs that this host watches closely, and whether it hears them. */
+    watched: WatchedRun[];
     leaving: boolean;
 }
 
@@ -52,6 +72,8 @@
 /** What coordinators offer to one another and to the entry hosts. */
 export interface CoordinatorApi {
     ping(params: Ping): PingReply;
+    /** What this coordinator knows of all, for an entry host. */
+    view(params: Ping): ViewReply;
     /** The folded state, if it is beyond an offset. */
     state(params: { above: Offset }): FoldedState | undefined;
     work(params: KeyedWork): Promise<CoordinatorAnswer>;
--- a/src/coordinator/peers.ts
+++ b/src/coordinator/peers.ts
@@ -8,12 +8,14 @@
 import type { Clock } from "../model/time.js";
 import type { FoldedState } from "../platform/fold.js";
 import type { HostListPort, ListedHost } from "../platform/logPort.js";
-import type { HandOver, Ping, PingReply, RpcLink } from "./peerPort.js";
+import type { CoordinatorSight, HandOver, Ping, PingReply, RpcLink, WatchedRun } from "./peerPort.js";
 import type { CoordinatorHost } from "./assignment.js";
 import type { PeerView } from "./succession.js";
 import { suspectMs } from "./succession.js";
 
-const pingMs = 75;
+const watchMs = 75;
+const pingMs = 500;
+const silentMs = 800;
 const pingTimeoutMs = 200;
 const listMs = 500;
 const stateTimeoutMs = 2_000;
@@ -33,6 +35,8 @@
     /** Since when it has been heard without a gap; a host that flaps is not steady. */
     steadySinceMs: number;
     last?: PingReply;
+    /** True while it is asked at the close pace. */
+    watched: boolean;
     gone: boolean;
 }
 
@@ -48,6 +52,7 @@
      * @param createLink creates links to peers
      * @param clock clocks of this process
      * @param configOffset offset of the configuration in force here
+     * @param watches runs that this host may have to follow; they are asked more often
      */
     constructor(
         private readonly self: RunId,
@@ -55,6 +60,7 @@
         private readonly createLink: LinkFactory,
         private readonly clock: Clock,
         private readonly configOffset: () => Offset,
+        private readonly watches: () => ReadonlySet<RunId>,
     ) {}
 
     /** Reads the host list again and again; a list that cannot be read changes nothing. */
@@ -79,14 +85,16 @@
     /**
      * Tells what the peers say about a cell.
      * @param cell the cell
+     * @param nowMs monotonic time
      * @returns one view for each listed peer
      */
-    viewsOf(cell: CellId): PeerView[] {
-        return [...this.peers.values()].flatMap(({ last, heardMs }) => last === undefined ? [] : [{
-            heardMs,
-            run: last.run,
-            leaving: last.leaving,
-            actingFence: last.acting.find((acting) => acting.cell === cell)?.fence,
+    viewsOf(cell: CellId, nowMs: number): PeerView[] {
+        return [...this.peers.values()].flatMap((peer) => peer.last === undefined ? [] : [{
+            heardMs: peer.heardMs,
+            live: isHeard(peer, nowMs),
+            run: peer.last.run,
+            leaving: peer.last.leaving,
+            actingFence: peer.last.acting.find((acting) => acting.cell === cell)?.fence,
         }]);
     }
 
@@ -117,21 +125,30 @@
         return run === this.self || (peer?.last?.run === run && isHeard(peer, nowMs) && !peer.last.leaving);
     }
 
-    /** Runs of other hosts that answered lately. */
-    heardRuns(nowMs: number): RunId[] {
-        return [...this.peers.values()].flatMap((peer) => peer.last !== undefined && isHeard(peer, nowMs) ? [peer.last.run] : []);
+    /** Runs that this host watches, and whether it hears them. */
+    watchedRuns(nowMs: number): WatchedRun[] {
+        return [...this.watches()].filter((run) => run !== this.self).map((run) => ({ run, heard: this.isLive(run, nowMs) }));
+    }
+
+    /** What this host knows of the others' coordinators. */
+    sights(nowMs: number): CoordinatorSight[] {
+        return [...this.peers.values()].flatMap((peer) => peer.last === undefined ? [] : [{
+            run: peer.last.run, acting: peer.last.acting, leaving: peer.last.leaving, live: isHeard(peer, nowMs),
+        }]);
     }
 
     /**
-     * Tells whether at least half of the live hosts, this one included, hear a run that this host may not hear.
+     * Tells whether at least half of the live hosts that watch a run, this one included, hear it.
      * @param run the run
      * @param nowMs monotonic time
-     * @returns false when the run is cut off from most hosts
+     * @returns false when the run is cut off from most of those that may follow it
      */
     isHeardByHalf(run: RunId, nowMs: number): boolean {
-        const live = [...this.peers.values()].filter((peer) => isHeard(peer, nowMs) && peer.last?.run !== run);
-        const hear = live.filter((peer) => peer.last?.hears.includes(run) === true).length + (this.isLive(run, nowMs) ? 1 : 0);
-        return hear * 2 >= live.length + 1;
+        const accounts = [...this.peers.values()]
+            .filter((peer) => isHeard(peer, nowMs) && peer.last?.run !== run)
+            .flatMap((peer) => peer.last?.watched.find((one) => one.run === run) ?? []);
+        const hear = accounts.filter((account) => account.heard).length + (this.isLive(run, nowMs) ? 1 : 0);
+        return hear * 2 >= accounts.length + 1;
     }
 
     /** IP numbers that the list names. */
@@ -220,6 +237,7 @@
             link: this.createLink(listed.coordinatorAddress),
             heardMs: Number.NEGATIVE_INFINITY,
             steadySinceMs: Number.POSITIVE_INFINITY,
+            watched: false,
             gone: false,
         };
         this.peers.set(listed.hostId, peer);
@@ -244,7 +262,8 @@
                 peer.link.close();
                 return;
             }
-            await this.clock.sleep(pingMs, this.stopping.signal);
+            peer.watched = peer.last !== undefined && this.watches().has(peer.last.run);
+            await this.clock.sleep(peer.watched ? watchMs : pingMs, this.stopping.signal);
         }
     }
 }
@@ -254,5 +273,5 @@
 }
 
 function isHeard(peer: Peer, nowMs: number): boolean {
-    return nowMs - peer.heardMs <= suspectMs;
+    return nowMs - peer.heardMs <= (peer.watched ? suspectMs : silentMs);
 }
--- a/src/coordinator/service.ts
+++ b/src/coordinator/service.ts
@@ -15,7 +15,7 @@
 import { Snapshotter } from "../platform/snapshotter.js";
 import { tokens } from "../model/tokens.js";
 import { CellKeeper } from "./cellKeeper.js";
-import type { ActingCell, CoordinatorApi, HandOver, Ping, PingReply } from "./peerPort.js";
+import type { ActingCell, CoordinatorApi, HandOver, Ping, PingReply, ViewReply } from "./peerPort.js";
 import type { LinkFactory } from "./peers.js";
 import { Peers } from "./peers.js";
 import type { ServerPort } from "./serverPort.js";
@@ -44,7 +44,8 @@
         @inject(tokens.snapshotEveryMs) snapshotEveryMs: number,
         @inject(tokens.guardsOut) private readonly guardsOut: GuardsOut,
     ) {
-        this.peers = new Peers(self, hostList, createLink, clock, () => this.follower.state.config?.offset ?? noOffset);
+        this.peers = new Peers(self, hostList, createLink, clock, () => this.follower.state.config?.offset ?? noOffset,
+            () => this.watchedRuns());
         this.follower = new LogFollower(log, clock, (above) => this.peers.fetchState(above));
         this.snapshotter = new Snapshotter({
             self, log, clock, journal, everyMs: snapshotEveryMs,
@@ -82,11 +83,16 @@
 
     /** Answers a peer's ping. */
     ping(from: Ping): PingReply {
-        this.heardFrom.set(hostOfRun(from.run), { configOffset: from.configOffset, atMs: this.clock.now().monoMs });
-        const acting = [...this.keepers].flatMap(([cell, keeper]): ActingCell[] =>
-            keeper.actingFence === undefined ? [] : [{ cell, fence: keeper.actingFence }]);
-        const hears = this.peers.heardRuns(this.clock.now().monoMs);
-        return { run: this.self, offset: this.follower.state.offset, acting, hears, leaving: this.leaving };
+        const nowMs = this.noteCaller(from);
+        const { self: run, leaving } = this;
+        return { run, leaving, offset: this.follower.state.offset, acting: this.actingCells(), watched: this.peers.watchedRuns(nowMs) };
+    }
+
+    /** Tells an entry host what this coordinator knows of all. */
+    view(from: Ping): ViewReply {
+        const nowMs = this.noteCaller(from);
+        const own = { run: this.self, acting: this.actingCells(), live: true, leaving: this.leaving };
+        return { offset: this.follower.state.offset, coordinators: [own, ...this.peers.sights(nowMs)] };
     }
 
     /** Gives the folded state to a reader that is behind. */
@@ -131,6 +137,21 @@
         };
     }
 
+    private noteCaller(from: Ping): number {
+        const atMs = this.clock.now().monoMs;
+        this.heardFrom.set(hostOfRun(from.run), { configOffset: from.configOffset, atMs });
+        return atMs;
+    }
+
+    private actingCells(): ActingCell[] {
+        return [...this.keepers].flatMap(([cell, keeper]) =>
+            keeper.actingFence === undefined ? [] : [{ cell, fence: keeper.actingFence }]);
+    }
+
+    private watchedRuns(): Set<RunId> {
+        return new Set([...this.keepers.values()].flatMap((keeper) => keeper.watchedRuns()));
+    }
+
     private async followState(): Promise<void> {
         while (!this.leaving) {
             this.addKeepers();
--- a/src/coordinator/succession.ts
+++ b/src/coordinator/succession.ts
@@ -17,6 +17,8 @@
     run: RunId;
     /** Monotonic time of its last answer. */
     heardMs: number;
+    /** Whether that was lately enough for the pace at which it is asked. */
+    live: boolean;
     leaving: boolean;
     /** Fence under which it acts for the cell, if it does. */
     actingFence?: Fence;
@@ -61,7 +63,7 @@
     if (view.handedOverFence !== undefined && view.handedOverFence < fence) {
         return { act: true, fence, askServers: false };
     }
-    const live = view.peers.filter((peer) => nowMs - peer.heardMs <= suspectMs);
+    const live = view.peers.filter((peer) => peer.live);
     const acting = live.map((peer) => peer.actingFence ?? noFence).reduce((left, right) => Math.max(left, right) as Fence, noFence);
     const termStart = fenceOf(view.inForce.offset, 0);
     if (acting >= termStart) {
--- a/src/entry/keyedRouter.ts
+++ b/src/entry/keyedRouter.ts
@@ -8,7 +8,7 @@
 import type { Clock } from "../model/time.js";
 import type { CoordinatorAnswer, KeyedWork, Outcome, RefusalReason } from "../model/work.js";
 import { notRun, unknownOutcome } from "../model/work.js";
-import type { Peers } from "../coordinator/peers.js";
+import type { CoordinatorView } from "./coordinatorView.js";
 import type { LogFollower } from "../platform/logFollower.js";
 
 const movedCheckMs = 50;
@@ -19,7 +19,7 @@
 /** What a router works with. */
 export interface KeyedRouterParts {
     follower: LogFollower;
-    peers: Peers;
+    coordinators: CoordinatorView;
     clock: Clock;
 }
 
@@ -81,26 +81,18 @@
 
     /** Whoever was heard to act goes before a hint, and a hint before the term's ranks. */
     private choose(cell: CellId, attempt: number): RunId | undefined {
-        const acting = this.actingRun(cell);
+        const acting = this.parts.coordinators.actingRun(cell, this.nowMs());
         const ranked = this.parts.follower.state.terms[cell]?.term.coordinators ?? [];
         const nowMs = this.nowMs();
-        const live = ranked.filter((run) => this.parts.peers.isLive(run, nowMs));
+        const live = ranked.filter((run) => this.parts.coordinators.isLive(run, nowMs));
         const candidates = [acting, this.hintByCell.get(cell), ...live].filter((run) => run !== undefined);
         return candidates.length === 0 ? ranked[attempt % Math.max(1, ranked.length)] : candidates[attempt % candidates.length];
     }
 
-    private actingRun(cell: CellId): RunId | undefined {
-        const nowMs = this.nowMs();
-        const acting = this.parts.peers.viewsOf(cell)
-            .filter((peer) => peer.actingFence !== undefined && this.parts.peers.isLive(peer.run, nowMs))
-            .sort((left, right) => (right.actingFence ?? 0) - (left.actingFence ?? 0));
-        return acting[0]?.run;
-    }
-
     /** Asks one coordinator, and stops waiting for it when another one acts for the cell. */
     private async ask(cell: CellId, run: RunId, work: KeyedWork): Promise<Result<CoordinatorAnswer, Failure>> {
         const host: HostId = hostOfRun(run);
-        const call = this.parts.peers.callHost<CoordinatorAnswer>(host, "work", work, work.budgetMs + answerGraceMs);
+        const call = this.parts.coordinators.callHost<CoordinatorAnswer>(host, "work", work, work.budgetMs + answerGraceMs);
         const ended = { done: false };
         const answered = call.finally(() => {
             ended.done = true;
@@ -111,7 +103,7 @@
     private async movedAway(cell: CellId, run: RunId, ended: { done: boolean }): Promise<Result<CoordinatorAnswer, Failure>> {
         for (;;) {
             await this.parts.clock.sleep(movedCheckMs);
-            const acting = this.actingRun(cell);
+            const acting = this.parts.coordinators.actingRun(cell, this.nowMs());
             if (!ended.done && acting !== undefined && acting !== run) {
                 return err(failure("lost", "peer-call", run, "another coordinator acts for the cell now"));
             }
--- a/src/entry/service.ts
+++ b/src/entry/service.ts
@@ -12,10 +12,10 @@
 import type { ConfigDocument, PoolConfig, TermsOfService } from "../config/document.js";
 import { cellOfShard, findPool, termsOf } from "../config/document.js";
 import type { LinkFactory } from "../coordinator/peers.js";
-import { Peers } from "../coordinator/peers.js";
 import type { Journal } from "../platform/journal.js";
 import { LogFollower } from "../platform/logFollower.js";
 import type { HostListPort, LogPort } from "../platform/logPort.js";
+import { CoordinatorView, hostOfEntry } from "./coordinatorView.js";
 import { KeyedRouter } from "./keyedRouter.js";
 import type { TargetPort } from "./targetPort.js";
 import type { UnkeyedOutcome } from "./unkeyedRouter.js";
@@ -64,7 +64,7 @@
 @singleton()
 export class EntryService {
     readonly follower: LogFollower;
-    readonly peers: Peers;
+    private readonly coordinators: CoordinatorView;
     private readonly keyed: KeyedRouter;
     private readonly unkeyed: UnkeyedRouter;
     private readonly inFlightByPool = new Map<string, number>();
@@ -81,15 +81,20 @@
         @inject(tokens.journal) private readonly journal: Journal,
         @inject(tokens.random) random: () => number,
     ) {
-        this.peers = new Peers(self, hostList, createLink, clock, () => this.follower.state.config?.offset ?? noOffset);
-        this.follower = new LogFollower(log, clock, (above) => this.peers.fetchState(above));
-        this.keyed = new KeyedRouter({ follower: this.follower, peers: this.peers, clock });
+        this.coordinators = new CoordinatorView({
+            self, clock, createLink,
+            ownHost: hostOfEntry(self),
+            list: hostList,
+            configOffset: () => this.follower.state.config?.offset ?? noOffset,
+        });
+        this.follower = new LogFollower(log, clock, (above) => this.coordinators.fetchState(above));
+        this.keyed = new KeyedRouter({ follower: this.follower, coordinators: this.coordinators, clock });
         this.unkeyed = new UnkeyedRouter(targets, clock, random);
     }
 
     /** Starts every task. */
     start(): void {
-        void this.peers.run();
+        void this.coordinators.run();
         void this.follower.run();
     }
 
@@ -101,7 +106,7 @@
     /** Ends the tasks. */
     stop(): void {
         this.follower.stop();
-        this.peers.stop();
+        this.coordinators.stop();
     }
 
     /** Why this host cannot serve, or undefined when it can. */
@@ -189,7 +194,7 @@
             configOffset: this.follower.state.config?.offset,
             logWell: this.follower.isLogWell,
             inFlight: Object.fromEntries(this.inFlightByPool),
-            peers: this.peers.describe(nowMs),
+            coordinators: this.coordinators.describe(nowMs),
             targets: this.unkeyed.describe(nowMs),
         };
     }
--- a/src/harness/faults.ts
+++ b/src/harness/faults.ts
@@ -8,6 +8,7 @@
 import { Probe } from "./probe.js";
 
 const clock = createSystemClock();
+const caller = new Caller();
 const pool = "hladvarmi/status";
 const keys = Array.from({ length: 12 }, (_, index) => `battery-${String(index + 1)}`);
 const beforeMs = 1_500;
@@ -19,14 +20,10 @@
 /** One fault: strikes, and undoes itself before it resolves. */
 type FaultRun = (fleet: Fleet) => Promise<void>;
 
+/** Server that owns one of the keys that are read. */
 async function ownerName(fleet: Fleet): Promise<string> {
-    const cells = await actingCells(fleet);
-    return cells[0]?.grants?.shards[0]?.owner ?? "";
-}
-
-async function actingCells(fleet: Fleet): Promise<CoordinatorDump["cells"]> {
-    const dumps = await Promise.all(fleet.hosts.map((host) => fleet.dump<CoordinatorDump>(`coordinator-${host.hostId}`)));
-    return dumps.flatMap((dump) => dump?.cells.filter((cell) => cell.acting && cell.cell.startsWith(pool)) ?? []);
+    const answer = await caller.read(fleet.entryUrls[0] as string, pool, keys[0] as string);
+    return answer.server ?? "";
 }
 
 async function coordinatorName(fleet: Fleet): Promise<string> {
@@ -94,7 +91,6 @@
     const fleet = new Fleet({
         hosts, status: 5, archive: 1, numbering: 5, gazetteer: 1, serviceMs: 2, keepRecords: 10_000, snapshotEveryMs: 60_000, relayed: true,
     });
-    const caller = new Caller();
     const verdicts = new Map<string, ProbeVerdict>();
     try {
         await fleet.start();
