Split by concern: acting cell, planned moves, ports

No change of behaviour: the coordinator's side of one fence left the cell keeper, planned moves left the cell, ports left the fleet.

--- a/src/coordinator/cellKeeper.ts
+++ b/src/coordinator/cellKeeper.ts
@@ -1,21 +1,17 @@
 /** One task a cell: decides whether this host coordinates it, and hands it over when another host should. */
-import type { CellId, Fence, RunId, Shard } from "../model/ids.js";
+import type { CellId, Fence, RunId } from "../model/ids.js";
 import { fenceOf, hostOfRun, noFence, rankOf } from "../model/ids.js";
 import type { GuardsOut } from "../model/guards.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { CoordinatorAnswer, KeyedWork } from "../model/work.js";
 import { redirect } from "../model/work.js";
 import type { CellLayout } from "../config/document.js";
-import type { PlacementEvent } from "../ownership/tenure.js";
-import { Cell } from "../ownership/cell.js";
-import { CellRunner } from "../ownership/cellRunner.js";
-import { OrderBook } from "../orders/orderBook.js";
 import type { TermInForce } from "../platform/fold.js";
 import type { Journal } from "../platform/journal.js";
 import type { LogFollower } from "../platform/logFollower.js";
 import type { LogPort } from "../platform/logPort.js";
-import { CellConfig, hostSkewMs } from "./cellConfig.js";
-import { Dispatcher } from "./dispatcher.js";
+import { ActingCell, notCoordinator, redirectAfterMs } from "./actingCell.js";
+import { CellConfig } from "./cellConfig.js";
 import { MoveDirector } from "./moveDirector.js";
 import type { HandOver } from "./peerPort.js";
 import type { Peers } from "./peers.js";
@@ -26,11 +22,8 @@
 
 const activePaceMs = 40;
 const passivePaceMs = 300;
-const drainMs = 300;
 const handOverTimeoutMs = 400;
 const witnessTimeoutMs = 120;
-const redirectAfterMs = 20;
-const driftMarginMs = 5;
 const leavePollMs = 5;
 const rankSuccessorMs = 1_500;
 
@@ -49,18 +42,9 @@
     guardsOut: GuardsOut;
 }
 
-interface Acting {
-    inForce: TermInForce;
-    fence: Fence;
-    runner: CellRunner;
-    dispatcher: Dispatcher;
-    book: OrderBook;
-    handOver?: HandOver;
-}
-
 /** Keeps one cell. */
 export class CellKeeper {
-    private acting: Acting | undefined;
+    private acting: ActingCell | undefined;
     private handedOver: HandOver | undefined;
     private highestFence: Fence = noFence;
     private lastActingMs = Number.NEGATIVE_INFINITY;
@@ -114,7 +98,7 @@
     async serve(work: KeyedWork): Promise<CoordinatorAnswer> {
         const acting = this.acting;
         if (acting === undefined) {
-            return work.relay === true ? this.relay(work) : redirect("not-coordinator", redirectAfterMs, this.likelyCoordinator());
+            return work.relay === true ? this.relay(work) : notCoordinator(this.likelyCoordinator());
         }
         this.moves.noteWork(work.shard);
         return acting.dispatcher.serve(work);
@@ -124,7 +108,7 @@
     private async relay(work: KeyedWork): Promise<CoordinatorAnswer> {
         const run = this.likelyCoordinator();
         if (run === undefined) {
-            return redirect("not-coordinator", redirectAfterMs);
+            return notCoordinator();
         }
         const answer = await this.parts.peers.callHost<CoordinatorAnswer>(
             hostOfRun(run), "work", { ...work, relay: false }, work.budgetMs + redirectAfterMs);
@@ -158,7 +142,7 @@
     }
 
     /** When the term ranks no live successor any more, a new term does; this host serves on until it is read. */
-    private async rankSuccessor(acting: Acting): Promise<RunId | undefined> {
+    private async rankSuccessor(acting: ActingCell): Promise<RunId | undefined> {
         const successor = await this.terms.publishWithoutSelf(acting.inForce, this.parts.clock.now());
         const untilMs = this.parts.clock.now().monoMs + rankSuccessorMs;
         while (successor !== undefined && this.parts.clock.now().monoMs < untilMs) {
@@ -177,7 +161,7 @@
             acting: this.acting !== undefined,
             highestFence: this.highestFence,
             term: this.parts.follower.state.terms[this.parts.cell],
-            grants: this.acting?.runner.cell.describe(nowMs),
+            grants: this.acting?.cell.describe(nowMs),
             work: this.acting?.dispatcher.describe(),
         };
     }
@@ -213,14 +197,14 @@
         }
     }
 
-    private async stepActing(layout: CellLayout, inForce: TermInForce, acting: Acting, now: Instant): Promise<void> {
+    private async stepActing(layout: CellLayout, inForce: TermInForce, acting: ActingCell, now: Instant): Promise<void> {
         this.lastActingMs = now.monoMs;
         this.noteTerm(inForce, now.monoMs);
         if (inForce.offset !== acting.inForce.offset) {
             await this.followTerm(layout, inForce, acting);
             return;
         }
-        const { cell } = acting.runner;
+        const { cell } = acting;
         for (const move of this.moves.direct(cell, (server) => acting.dispatcher.serviceMsOf(server), now)) {
             this.parts.journal.info("move", `${cell.plan.cell} shard ${String(move.shard)} moves to ${move.to}: ${move.reason}.`);
         }
@@ -229,7 +213,7 @@
     }
 
     /** A newer term: act under its fence, or hand over to the coordinator that it ranks first. */
-    private async followTerm(layout: CellLayout, inForce: TermInForce, acting: Acting): Promise<void> {
+    private async followTerm(layout: CellLayout, inForce: TermInForce, acting: ActingCell): Promise<void> {
         const first = inForce.term.coordinators[0] as RunId;
         if (first !== this.parts.self) {
             await this.handOverTo(first);
@@ -248,93 +232,35 @@
         this.parts.journal.info("cell", `${this.parts.cell} handed over to ${successor ?? "nobody"}: ${taken ? "taken" : "not taken"}.`);
     }
 
-    private async stopActing(acting: Acting): Promise<HandOver> {
-        const drained = acting.dispatcher.close(redirect("not-coordinator", redirectAfterMs));
-        await Promise.race([drained, this.parts.clock.sleep(drainMs)]);
-        acting.runner.stop();
+    private async stopActing(acting: ActingCell): Promise<HandOver> {
+        const handOver = await acting.stop();
         this.acting = undefined;
         this.highestFence = Math.max(this.highestFence, acting.fence) as Fence;
-        const now = this.parts.clock.now();
-        return {
-            cell: this.parts.cell,
-            fence: acting.fence,
-            stoppedWallMs: now.wallMs,
-            book: acting.book.copy(),
-            leases: acting.runner.cell.leasesLeft(now.monoMs),
-        };
+        return handOver;
     }
 
     private start(layout: CellLayout, inForce: TermInForce, fence: Fence): void {
-        const { clock, servers, journal, random, guardsOut } = this.parts;
-        const { term } = inForce;
-        const cell = new Cell({
-            cell: layout.cell, fence, driftMarginMs,
-            servers: term.servers,
-            voterSets: term.voterSets,
-            shards: layout.shards as Shard[],
-            leaseMs: term.leaseMs,
-            waitMs: term.waitMs,
-        }, guardsOut);
-        const book = new OrderBook(() => this.config.bookLimits, guardsOut);
-        const dispatcher = new Dispatcher({
-            cell, book, servers, clock, random, guardsOut,
-            limits: () => this.config.dispatchLimits,
-            hurry: () => {
-                runner.hurry();
-            },
-        });
-        const runner: CellRunner = new CellRunner(cell, servers, clock, () => this.config.terms, {
-            onChange: (at) => {
-                this.adoptWhenCurrent(acting, at);
-                dispatcher.onCellChanged(at);
-            },
-            onPlacement: (event) => {
-                this.reportPlacement(event);
-            },
+        const acting: ActingCell = new ActingCell({
+            ...this.parts, layout, inForce, fence,
+            config: this.config,
+            handOver: this.handedOver,
             onOutranked: () => {
                 this.onOutranked(acting);
             },
         });
-        const acting: Acting = { inForce, fence, runner, dispatcher, book, handOver: this.handedOver };
         this.handedOver = undefined;
         this.acting = acting;
-        journal.info("cell", `${layout.cell} is coordinated here under fence ${String(fence)}.`);
-        runner.start();
-    }
-
-    private reportPlacement(event: PlacementEvent): void {
-        this.parts.journal.count("placement", 1, { cause: event.cause });
-        if (event.cause !== "kept") {
-            this.parts.journal.info("grant", `${this.parts.cell} shard ${String(event.shard)} goes to ${event.to}: ${event.cause}.`);
-        }
-    }
-
-    /**
-     * A predecessor's book replaces the horizon only if no other coordinator can have acted in between: a majority
-     * saw no fence above the predecessor's, and authority stood before a restarted server could count again.
-     */
-    private adoptWhenCurrent(acting: Acting, now: Instant): void {
-        const handOver = acting.handOver;
-        if (handOver === undefined || acting.runner.cell.sinceMs === undefined) {
-            return;
-        }
-        acting.handOver = undefined;
-        const priorFence = acting.runner.cell.authority.highestPriorFence() ?? noFence;
-        const elapsedMs = now.wallMs - handOver.stoppedWallMs + hostSkewMs;
-        const current = priorFence <= handOver.fence && elapsedMs < acting.runner.cell.plan.leaseMs;
-        if (current || this.parts.guardsOut.handOverCheck === true) {
-            acting.dispatcher.adopt(handOver.book);
-            acting.runner.cell.adoptLeases(handOver.leases, now.monoMs);
-        }
+        this.parts.journal.info("cell", `${layout.cell} is coordinated here under fence ${String(fence)}.`);
+        acting.start();
     }
 
-    private onOutranked(acting: Acting): void {
-        this.highestFence = Math.max(this.highestFence, acting.runner.cell.outrankedBy ?? noFence) as Fence;
+    private onOutranked(acting: ActingCell): void {
+        this.highestFence = Math.max(this.highestFence, acting.cell.outrankedBy ?? noFence) as Fence;
         this.parts.journal.info("cell", `${this.parts.cell} is coordinated elsewhere under fence ${String(this.highestFence)}.`);
         if (this.acting === acting) {
             this.acting = undefined;
         }
-        void acting.dispatcher.close(redirect("not-coordinator", redirectAfterMs));
+        void acting.dispatcher.close(notCoordinator());
     }
 
     private decide(inForce: TermInForce, nowMs: number): SuccessionDecision {
--- a/src/coordinator/dispatcher.ts
+++ b/src/coordinator/dispatcher.ts
@@ -299,9 +299,9 @@
     }
 
     private releaseDrained(): void {
-        for (const { shard, owner } of this.parts.cell.shardsAwaitingRelease()) {
+        for (const { shard, owner } of this.parts.cell.moves.awaitingRelease()) {
             if (!this.ordersInFlight.has(`${String(shard)}@${owner}`)) {
-                this.parts.cell.startRelease(shard);
+                this.parts.cell.moves.startRelease(shard);
                 this.parts.hurry();
             }
         }
--- a/src/coordinator/moveDirector.ts
+++ b/src/coordinator/moveDirector.ts
@@ -35,11 +35,11 @@
      */
     direct(cell: Cell, serviceMs: ObservedWork["serviceMs"], now: Instant): MoveOrder[] {
         cell.setDrained(this.config.drained);
-        cell.abandonSlowMoves(now.monoMs, moveHoldMs);
+        cell.moves.abandonSlow(now.monoMs, moveHoldMs);
         this.updateRates(now.monoMs);
         const moves = neededMoves(cell, this.config.pinned, now.monoMs);
         const forLoad = cell.isSettled(now.monoMs) ? this.movesForLoad(cell, serviceMs, now.monoMs) : [];
-        return [...moves, ...forLoad].filter((move) => cell.requestMove(move.shard, move.to, now.monoMs));
+        return [...moves, ...forLoad].filter((move) => cell.moves.request(move.shard, move.to, now.monoMs));
     }
 
     private movesForLoad(cell: Cell, serviceMs: ObservedWork["serviceMs"], nowMs: number): MoveOrder[] {
--- a/src/harness/fleet.ts
+++ b/src/harness/fleet.ts
@@ -2,7 +2,6 @@
 import type { ChildProcess } from "node:child_process";
 import { spawn } from "node:child_process";
 import { existsSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import net from "node:net";
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { fileURLToPath } from "node:url";
@@ -15,12 +14,12 @@
 import { createLogHttp } from "../adapters/logHttp.js";
 import { createSystemClock } from "../adapters/systemClock.js";
 import type { SampleTargets } from "./sampleConfig.js";
+import { freeAddress, loopback } from "./ports.js";
 import type { Relay } from "./relay.js";
 import { startRelay } from "./relay.js";
 import { dataCentreOf, sampleConfig } from "./sampleConfig.js";
 
 const distFolder = path.resolve(path.dirname(fileURLToPath(import.meta.url)), "../../dist");
-const ip = "127.0.0.1";
 const readyTimeoutMs = 60_000;
 const pollMs = 50;
 const readinessPollMs = 100;
@@ -328,7 +327,7 @@
             ];
             this.spawn(`coordinator-${host.hostId}`, "hornbeam-coordinator.js", host.coordinatorAddress, [
                 ...common, `--listen-address=${host.coordinatorAddress}`, `--admin-address=${host.adminAddress}`,
-                `--snapshot-every-ms=${String(this.options.snapshotEveryMs)}`, `--known-addresses=${ip}`,
+                `--snapshot-every-ms=${String(this.options.snapshotEveryMs)}`, `--known-addresses=${loopback}`,
             ]);
             const entryAddress = await freeAddress();
             this.entryUrls.push(`http://${entryAddress}`);
@@ -391,33 +390,3 @@
         grants?: { fence: number; shards: { shard: number; owner?: string; serving: boolean }[] };
     }[];
 }
-
-/** Below the ports that the system gives to outgoing connections, which would otherwise take a free one first. */
-const firstPort = 10_000 + process.pid % 200 * 100;
-const portCount = 20_000;
-let portsTried = 0;
-
-/** Finds a free port by listening for a moment. */
-async function freeAddress(): Promise<string> {
-    for (;;) {
-        const port = 10_000 + (firstPort - 10_000 + portsTried) % portCount;
-        portsTried += 1;
-        if (await canListen(port)) {
-            return `${ip}:${String(port)}`;
-        }
-    }
-}
-
-function canListen(port: number): Promise<boolean> {
-    return new Promise((resolve) => {
-        const probe = net.createServer();
-        probe.once("error", () => {
-            resolve(false);
-        });
-        probe.listen(port, ip, () => {
-            probe.close(() => {
-                resolve(true);
-            });
-        });
-    });
-}
--- a/src/ownership/cell.ts
+++ b/src/ownership/cell.ts
@@ -13,6 +13,7 @@
 import type { HeartbeatReply, HeartbeatRequest } from "./messages.js";
 import type { PlacementCandidate } from "./placement.js";
 import { chooseServer } from "./placement.js";
+import { ShardMoves } from "./shardMoves.js";
 import type { LeaseLeft, PlacementCause, PlacementEvent, Tenure } from "./tenure.js";
 import { soughtFrom } from "./tenure.js";
 
@@ -34,6 +35,8 @@
 /** Decides the grants of one cell. Every time is the coordinator's monotonic clock unless its name says otherwise. */
 export class Cell {
     readonly authority: Authority;
+    /** Planned moves of the cell's shards. */
+    readonly moves: ShardMoves;
     private readonly tenures = new Map<Shard, Tenure>();
     private sequence = 0;
     private authoritySinceMs: number | undefined;
@@ -47,6 +50,7 @@
      * @param guardsOut guards left out by a proof
      */
     constructor(readonly plan: CellPlan, private readonly guardsOut: GuardsOut = noGuardsOut) {
+        this.moves = new ShardMoves(this.tenures, plan.servers);
         this.authority = new Authority({ ...plan, amnesiaGuardOut: guardsOut.amnesia });
         for (const shard of plan.shards) {
             this.tenures.set(shard, soughtFrom(Number.NEGATIVE_INFINITY, undefined));
@@ -135,56 +139,6 @@
         });
     }
 
-    /**
-     * Asks for a shard to be moved; work for it is held from now on.
-     * @param shard the shard
-     * @param to the server that should own it
-     * @param nowMs now
-     * @returns false when the shard is not served now or is there already
-     */
-    requestMove(shard: Shard, to: TargetId, nowMs: number): boolean {
-        const tenure = this.tenures.get(shard);
-        if (tenure?.serving !== true || tenure.owner === to || tenure.moveTo !== undefined || !this.plan.servers.includes(to)) {
-            return false;
-        }
-        tenure.moveTo = to;
-        tenure.moveFromMs = nowMs;
-        return true;
-    }
-
-    /**
-     * Gives up the moves whose owner still has orders in flight; the shard is served again where it is.
-     * @param nowMs now
-     * @param afterMs how long a move may hold work back
-     */
-    abandonSlowMoves(nowMs: number, afterMs: number): void {
-        for (const tenure of this.tenures.values()) {
-            if (tenure.moveTo !== undefined && !tenure.releasing && nowMs - (tenure.moveFromMs ?? nowMs) > afterMs) {
-                tenure.moveTo = undefined;
-            }
-        }
-    }
-
-    /** Lists the shards that are being moved and whose owner has not been asked to release them yet. */
-    shardsAwaitingRelease(): { shard: Shard; owner: TargetId }[] {
-        return [...this.tenures].flatMap(([shard, tenure]) =>
-            tenure.moveTo !== undefined && !tenure.releasing && tenure.owner !== undefined
-                ? [{ shard, owner: tenure.owner }]
-                : []);
-    }
-
-    /**
-     * Lets the owner be asked to release a shard that is being moved; its work in flight has ended.
-     * @param shard the shard
-     */
-    startRelease(shard: Shard): void {
-        const tenure = this.tenures.get(shard);
-        if (tenure?.moveTo !== undefined) {
-            tenure.releasing = true;
-            tenure.serving = false;
-        }
-    }
-
     /**
      * Tells whether every shard is served by a server that answered lately, and none is on the move.
      * @param nowMs now
@@ -195,11 +149,6 @@
             tenure.serving && tenure.moveTo === undefined && tenure.owner !== undefined && reachable.has(tenure.owner));
     }
 
-    /** Tells whether a server still has to be asked to release a shard. */
-    hasReleaseToSend(): boolean {
-        return [...this.tenures.values()].some((tenure) => tenure.releasing && !tenure.releaseSent);
-    }
-
     /** Takes the placements since the last call. */
     takeEvents(): PlacementEvent[] {
         const events = this.events;
--- a/src/ownership/cellRunner.ts
+++ b/src/ownership/cellRunner.ts
@@ -114,7 +114,7 @@
         events.forEach((event) => {
             this.listener.onPlacement(event);
         });
-        if (events.some((event) => event.cause !== "kept") || this.cell.hasReleaseToSend()) {
+        if (events.some((event) => event.cause !== "kept") || this.cell.moves.hasReleaseToSend()) {
             this.hurry();
         }
     }
--- a/test/ownership/cell.spec.ts
+++ b/test/ownership/cell.spec.ts
@@ -81,9 +81,9 @@
         const nowMs = serve(bench, cell, 0);
         const [owner] = bench.owners(nowMs);
         const to = servers.find((server) => server !== owner) as TargetId;
-        expect(cell.requestMove(shard, to, nowMs)).to.equal(true);
+        expect(cell.moves.request(shard, to, nowMs)).to.equal(true);
         expect(cell.servingOwner(shard, nowMs)).to.equal(undefined);
-        cell.startRelease(shard);
+        cell.moves.startRelease(shard);
         bench.beat(cell, nowMs + 10);
         bench.beat(cell, nowMs + 11);
         expect(bench.owners(nowMs + 11)).to.deep.equal([to]);
--- a/test/support/cellModel.ts
+++ b/test/support/cellModel.ts
@@ -153,8 +153,8 @@
         cell.tick(nowMs);
         if (random.chance(weather.move)) {
             const shard = random.pick(shards);
-            if (cell.requestMove(shard, random.pick(servers), nowMs)) {
-                cell.startRelease(shard);
+            if (cell.moves.request(shard, random.pick(servers), nowMs)) {
+                cell.moves.startRelease(shard);
             }
         }
         if (nowMs % 8 === contender.index * 2) {
