--- a/src/coordinator/dispatcher.ts
+++ b/src/coordinator/dispatcher.ts
@@ -1,5 +1,5 @@
 /** Takes keyed work of one cell to the server that owns its shard, at most once for an order. */
-import type { CellId, Fence, Shard, TargetId } from "../model/ids.js";
+import type { Shard, TargetId } from "../model/ids.js";
 import type { GuardsOut } from "../model/guards.js";
 import type { Clock, Instant } from "../model/time.js";
 import { Signal } from "../model/signal.js";
@@ -53,7 +53,6 @@
     private heldCount = 0;
     private active = 0;
     private closed: Redirect | undefined;
-
     private readonly sender: WorkSender;
 
     /** @param parts the cell, its order book and the ports */
@@ -61,19 +60,6 @@
         this.sender = new WorkSender(parts);
     }
 
-    get cellId(): CellId {
-        return this.parts.cell.plan.cell;
-    }
-
-    get fence(): Fence {
-        return this.parts.cell.plan.fence;
-    }
-
-    /** Requests that are being served. */
-    get activeCount(): number {
-        return this.active;
-    }
-
     /**
      * Serves one request.
      * @param work the request; its budget counts from now
@@ -102,6 +88,7 @@
             this.noteServing(shard, now);
         }
         this.releaseDrained();
+        this.parts.book.forgetExpired(now);
         for (const queue of this.queues.values()) {
             queue.startNext(now.monoMs);
         }
--- a/src/orders/orderBook.ts
+++ b/src/orders/orderBook.ts
@@ -111,14 +111,18 @@
     }
 
     /**
-     * Forgets settled orders that the window has passed; their ids are refused by age from then on.
+     * Forgets settled orders that the window has passed; their ids are refused by age from then on. Ids are kept in
+     * about the order of their creation, so the search ends at the first young one.
      * @param now this host's clocks
      */
     forgetExpired(now: Instant): void {
         // A successor's clock may be behind this one's, so its window may begin a little earlier.
         const startWallMs = this.windowStartWallMs(now) - this.limits().hostSkewMs;
         for (const [orderId, order] of this.remembered) {
-            if (order.createdWallMs < startWallMs && order.outcome !== undefined) {
+            if (order.createdWallMs >= startWallMs) {
+                return;
+            }
+            if (order.outcome !== undefined) {
                 this.remembered.delete(orderId);
             }
         }
