Requests for a cell that nobody serves are refused, not held until their deadline

Cause: with the log down and every ranked coordinator or most servers of a cell lost, each request waited for its whole deadline. Now a request is held 1.5 s at most for an owner or a coordinator (a loss is mended in one), and once a cell has been without a coordinator that long, one failed try is enough.

--- a/src/coordinator/dispatcher.ts
+++ b/src/coordinator/dispatcher.ts
@@ -14,6 +14,9 @@
 import { WorkSender } from "./workSender.js";
 
 const currentProofMs = 200;
+
+/** Longest time that a request is held for an owner; a loss is mended well before. */
+const maxHoldMs = 1_500;
 const retryRatio = 0.1;
 const retryBurst = 20;
 
@@ -242,6 +245,7 @@
     }
 
     private async findOwner(shard: Shard, deadlineMs: number): Promise<OwnerFound> {
+        const holdUntilMs = Math.min(deadlineMs, this.nowMs() + maxHoldMs);
         for (;;) {
             const nowMs = this.nowMs();
             if (this.closed !== undefined) {
@@ -252,7 +256,7 @@
                 return { server };
             }
             const waitMs = this.parts.cell.servedAgainInMs(shard, nowMs);
-            if (nowMs >= deadlineMs || nowMs + waitMs > deadlineMs || this.heldCount >= this.parts.limits().maxHeld) {
+            if (nowMs >= holdUntilMs || nowMs + waitMs > deadlineMs || this.heldCount >= this.parts.limits().maxHeld) {
                 return { refusal: notRun("no-owner", waitMs) };
             }
             this.heldCount += 1;
--- a/src/entry/keyedRouter.ts
+++ b/src/entry/keyedRouter.ts
@@ -16,6 +16,9 @@
 const answerGraceMs = 30;
 const comeBackMs = 500;
 
+/** After this time without a coordinator, requests for its cell are refused after one try instead of held. */
+const hopelessAfterMs = 1_500;
+
 /** What a router works with. */
 export interface KeyedRouterParts {
     follower: LogFollower;
@@ -26,6 +29,7 @@
 /** Asks coordinators for the outcome of keyed work. */
 export class KeyedRouter {
     private readonly hintByCell = new Map<CellId, RunId>();
+    private readonly lostSinceMs = new Map<CellId, number>();
 
     /** @param parts the agreed state, the coordinators and the clocks */
     constructor(private readonly parts: KeyedRouterParts) {}
@@ -42,7 +46,7 @@
         let lastReason: RefusalReason = "not-ready";
         for (let attempt = 0; ; attempt += 1) {
             const leftMs = deadlineMs - this.nowMs();
-            if (leftMs <= 0 && attempt > 0) {
+            if (attempt > 0 && (leftMs <= 0 || this.isHopeless(cell))) {
                 return this.giveUp(work, lastReason);
             }
             const run = this.choose(cell, attempt);
@@ -50,8 +54,10 @@
                 ? undefined
                 : await this.ask(cell, run, { ...work, budgetMs: Math.max(0, leftMs), relay: attempt > 0 });
             if (answer?.isOk() === true && answer.value.outcome !== "redirect") {
+                this.lostSinceMs.delete(cell);
                 return answer.value;
             }
+            this.lostSinceMs.set(cell, this.lostSinceMs.get(cell) ?? this.nowMs());
             lastReason = this.learn(cell, answer);
             await this.parts.clock.sleep(pauseMs);
         }
@@ -62,6 +68,10 @@
         return work.kind === "order" ? unknownOutcome(reason, comeBackMs) : notRun(reason, comeBackMs);
     }
 
+    private isHopeless(cell: CellId): boolean {
+        return this.nowMs() - (this.lostSinceMs.get(cell) ?? this.nowMs()) > hopelessAfterMs;
+    }
+
     private learn(cell: CellId, answer: Result<CoordinatorAnswer, Failure> | undefined): RefusalReason {
         this.hintByCell.delete(cell);
         if (answer === undefined) {
--- a/test/proof/guards.spec.ts
+++ b/test/proof/guards.spec.ts
@@ -174,3 +174,33 @@
         });
     }
 });
+
+describe("a cell that cannot be served", function () {
+    this.timeout(30_000);
+
+    it("has its requests refused at once, with a time to come back, after 1.5 s", async () => {
+        const world = await startWorld({});
+        world.log.down = true;
+        const [entry, ...others] = world.hosts as [Host, Host, Host];
+        for (const host of others) {
+            world.killHost(host);
+        }
+        for (const server of [1, 2, 3].map((number) => `status-${String(number)}` as TargetId)) {
+            world.killServer(server);
+        }
+        const deadlineMs = 10_000;
+        const tookMs = async (): Promise<number> => {
+            const startMs = world.clock.now().monoMs;
+            let endMs = Number.POSITIVE_INFINITY;
+            void world.read(entry, key, deadlineMs).then((outcome) => {
+                expect(outcome.outcome).to.equal("not-run");
+                expect(outcome).to.have.property("retryAfterMs").that.is.greaterThan(0);
+                endMs = world.clock.now().monoMs;
+            });
+            await world.advance(4_000);
+            return endMs - startMs;
+        };
+        expect(await tookMs()).to.be.at.most(3_500);
+        expect(await tookMs()).to.be.at.most(2_000);
+    });
+});
