--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -110,6 +110,9 @@
         if (earlier === undefined) {
             return refused(`Version ${String(offset)} is not in the history; see: hornbeamctl config history`);
         }
+        if (earlier.document === undefined) {
+            return refused(`Version ${String(offset)} is too old: its document is not kept any more. Publish its file again.`);
+        }
         return publishDocument(session, earlier.document, note, state.config?.offset ?? noOffset);
     });
 }
--- a/src/platform/fold.ts
+++ b/src/platform/fold.ts
@@ -10,6 +10,9 @@
 import { recordSchema } from "./records.js";
 
 const maxHistory = 50;
+
+/** Versions whose whole document is kept, so that one can be reverted to. */
+const maxDocuments = 5;
 const maxVerdicts = 200;
 
 /** A term in force, with the offset that its fences derive from. */
@@ -18,14 +21,20 @@
     term: TermRecord;
 }
 
-/** A configuration in force or once in force. */
-export interface ConfigVersion {
+/** A configuration that was once in force. */
+export interface PastVersion {
     offset: Offset;
     basedOn: Offset;
     recordId: RecordId;
     author: string;
     reason: string;
     publishedWallMs: number;
+    /** Only kept for the newest versions. */
+    document?: ConfigDocument;
+}
+
+/** The configuration in force. */
+export interface ConfigVersion extends PastVersion {
     document: ConfigDocument;
 }
 
@@ -43,7 +52,7 @@
 export interface FoldedState {
     offset: Offset;
     config?: ConfigVersion;
-    history: ConfigVersion[];
+    history: PastVersion[];
     terms: Record<CellId, TermInForce>;
     verdicts: Verdict[];
     /** Offset up to which the newest snapshot on the log reaches. */
@@ -135,10 +144,14 @@
     }
     const { basedOn, recordId, author, reason, publishedWallMs } = record;
     const version: ConfigVersion = { offset, basedOn, recordId, author, reason, publishedWallMs, document: checked.data };
-    const history = [...state.history, version].slice(-maxHistory);
+    const history = withoutOldDocuments([...state.history, version].slice(-maxHistory));
     return withVerdict({ ...state, config: version, history }, { recordId, offset, accepted: true });
 }
 
+function withoutOldDocuments(history: PastVersion[]): PastVersion[] {
+    return history.map((version, index) => index < history.length - maxDocuments ? { ...version, document: undefined } : version);
+}
+
 function withVerdict(state: FoldedState, verdict: Verdict): FoldedState {
     return { ...state, verdicts: [...state.verdicts, verdict].slice(-maxVerdicts) };
 }
--- a/test/platform/fold.spec.ts
+++ b/test/platform/fold.spec.ts
@@ -18,6 +18,13 @@
         expect(verdictOf(state, "third" as RecordId)).to.deep.include({ accepted: false, wonBy: 2 });
     });
 
+    it("keeps the whole documents of the newest versions only", () => {
+        const versions = Array.from({ length: 12 }, (_, index) => config(`version ${String(index)}`, index));
+        const state = fold(stored(...versions));
+        expect(state.history.map((version) => version.document !== undefined).filter((kept) => kept)).to.have.length(5);
+        expect(state.history).to.have.length(12);
+    });
+
     it("counts a record once though its append was repeated", () => {
         const state = fold(stored(config("first", 0), config("first", 0)));
         expect(state.history).to.have.length(1);
