--- a/src/bin/hornbeamctl.ts
+++ b/src/bin/hornbeamctl.ts
@@ -83,6 +83,8 @@
             (of) => of.positional("version", { type: "number", demandOption: true }).options(note),
             (args) => run(args, (session) => commands.revert(session, args.version, args)))
         .demandCommand(1))
+    .command("begin", "let hosts start on a log whose older records have expired", {},
+        (args) => run(args as unknown as Common, commands.begin))
     .command("status", "show every live host", {}, (args) => run(args as unknown as Common, commands.status))
     .command("cells", "show every cell and its coordinator", {}, (args) => run(args as unknown as Common, commands.cells))
     .command("owners <key>", "show which server owns INSTITUTION/POOL/KEY",
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -51,6 +51,28 @@
         publishDocument(session, checked.json as ConfigDocument, note, (basedOn ?? state.config?.offset ?? noOffset) as Offset));
 }
 
+/**
+ * Lets readers start on a log whose older records have expired: on a new platform, or after everything was lost.
+ * @param session the session
+ * @returns refused while any live host has a configuration in force, or does not answer
+ */
+export async function begin(session: ControlSession): Promise<CommandResult> {
+    const reports = await session.reports();
+    if (reports.isErr()) {
+        return unreachable(reports.error);
+    }
+    const inTheWay = reports.value.filter(({ dump: of }) => of.isErr() || of.value.configOffset !== undefined);
+    if (inTheWay.length > 0) {
+        const names = inTheWay.map(({ host }) => host.hostId).join(", ");
+        return refused(`A configuration may be in force on: ${names}. Begin only when no live host has one.`);
+    }
+    const appended = await session.appendBeginning();
+    return appended.match(
+        (upTo) => done([`Readers start after offset ${String(upTo)}. Now publish with: hornbeamctl config publish FILE`], { upTo }),
+        unreachable,
+    );
+}
+
 /** Shows the configuration in force. */
 export function show(session: ControlSession): Promise<CommandResult> {
     return withConfig(session, (config) => done([stringify(config.document), `Version ${String(config.offset)}.`], config));
--- a/src/control/session.ts
+++ b/src/control/session.ts
@@ -10,6 +10,7 @@
 import type { ChangeNote } from "../config/edits.js";
 import type { ConfigDocument } from "../config/document.js";
 import type { FoldedState, Verdict } from "../platform/fold.js";
+import { emptyState, maxPartBytes, splitSnapshot } from "../platform/fold.js";
 import { LogFollower } from "../platform/logFollower.js";
 import type { HostListPort, ListedHost, LogPort } from "../platform/logPort.js";
 import { publish } from "../platform/publisher.js";
@@ -98,6 +99,26 @@
         return publish(record, this.parts.log, this.follower, this.parts.clock, publishTimeoutMs);
     }
 
+    /**
+     * Appends a snapshot of the empty state, so that readers may start here although older records have expired.
+     * @returns the offset up to which the log counts as read
+     */
+    async appendBeginning(): Promise<Result<Offset, Failure>> {
+        const page = await this.parts.log.read(noOffset, 0);
+        if (page.isErr()) {
+            return err(page.error);
+        }
+        const upTo = page.value.nextOffset - 1 as Offset;
+        const beginning: FoldedState = { ...emptyState, offset: upTo };
+        for (const chunk of splitSnapshot(beginning, newOrderedUuid(), maxPartBytes, this.parts.clock.now().wallMs)) {
+            const appended = await this.parts.log.append(chunk);
+            if (appended.isErr()) {
+                return err(appended.error);
+            }
+        }
+        return ok(upTo);
+    }
+
     /** Newest state that this session has read. */
     get state(): FoldedState {
         return this.follower.state;
--- a/src/platform/fold.ts
+++ b/src/platform/fold.ts
@@ -15,6 +15,9 @@
 const maxDocuments = 5;
 const maxVerdicts = 200;
 
+/** Longest text in one snapshot record, in bytes of ASCII. */
+export const maxPartBytes = 60_000;
+
 /** A term in force, with the offset that its fences derive from. */
 export interface TermInForce {
     offset: Offset;
--- a/src/platform/snapshotter.ts
+++ b/src/platform/snapshotter.ts
@@ -4,12 +4,11 @@
 import { hostOfRun } from "../model/ids.js";
 import { rendezvousOrder } from "../model/keyHash.js";
 import type { Clock } from "../model/time.js";
-import { splitSnapshot } from "./fold.js";
+import { maxPartBytes, splitSnapshot } from "./fold.js";
 import type { Journal } from "./journal.js";
 import type { LogFollower } from "./logFollower.js";
 import type { LogPort } from "./logPort.js";
 
-const maxPartBytes = 60_000;
 const checkMs = 500;
 const minStepMs = 200;
 
--- a/test/control/commands.spec.ts
+++ b/test/control/commands.spec.ts
@@ -5,6 +5,9 @@
 import { createSystemClock } from "../../src/adapters/systemClock.js";
 import * as commands from "../../src/control/commands.js";
 import { exitCodes, render } from "../../src/control/output.js";
+import type { HostId } from "../../src/model/ids.js";
+import type { ListedHost } from "../../src/platform/logPort.js";
+import type { HostDump } from "../../src/control/session.js";
 import { ControlSession } from "../../src/control/session.js";
 import { configRecord, smallDocument } from "../support/configRecord.js";
 import { FakeLog } from "../support/fakeLog.js";
@@ -14,16 +17,20 @@
 const note = { author: "ops", reason: "a change for a test" };
 const sessions: ControlSession[] = [];
 
-function openSession(log: FakeLog): ControlSession {
+function openSession(log: FakeLog, dumps: object[] = []): ControlSession {
     const session = new ControlSession({
         log, clock: createSystemClock(),
-        hostList: { list: () => Promise.resolve(ok([])) },
-        dumps: { dump: () => Promise.reject(new Error("no hosts here")) },
+        hostList: { list: () => Promise.resolve(ok(dumps.map((_dump, index) => listedHost(index)))) },
+        dumps: { dump: (host) => Promise.resolve(ok(dumps[Number(host.hostId)] as HostDump)) },
     });
     sessions.push(session);
     return session;
 }
 
+function listedHost(index: number): ListedHost {
+    return { hostId: String(index) as HostId, dataCentre: "dc-a", coordinatorAddress: "", adminAddress: "", state: "live" };
+}
+
 describe("hornbeamctl", () => {
     afterEach(() => {
         sessions.splice(0).forEach((session) => {
@@ -76,6 +83,20 @@
         expect(history.table?.rows.map((row) => row[0])).to.deep.equal([1, 2, 3, 4]);
     });
 
+    it("begins on a log whose older records have expired, unless a host has a configuration", async () => {
+        const log = new FakeLog();
+        await log.append({ kind: "of somebody else" });
+        await log.append({ kind: "of somebody else" });
+        log.forget(1);
+        const busy = openSession(log, [{ configOffset: 7 }]);
+        expect((await commands.begin(busy)).exitCode).to.equal(exitCodes.refused);
+        expect((await commands.begin(openSession(log))).exitCode).to.equal(exitCodes.done);
+        const published = await commands.publishText(openSession(log), stringify(smallDocument()), note);
+        expect(published.exitCode, published.lines.join()).to.equal(exitCodes.done);
+        const shown = await commands.show(openSession(log));
+        expect(shown.exitCode).to.equal(exitCodes.done);
+    });
+
     it("says when the log cannot be reached", async () => {
         const log = new FakeLog();
         log.down = true;
