A young term is filled with successors within a second; a wait may fill nine tenths of a caller's time

Cause: the first host that starts ranks only itself, and the ranks were filled after 3 s of steadiness and 3 s more; a coordinator killed in that time left its cell to a claim.

--- a/src/admission/serverQueue.ts
+++ b/src/admission/serverQueue.ts
@@ -9,7 +9,7 @@
 const serviceSmoothing = 0.1;
 
 /** Share of a caller's time that it may spend waiting here; the rest covers what the estimate misses. */
-const maxWaitShare = 0.5;
+const maxWaitShare = 0.9;
 
 /** `queue` admits by slots, priority and deadline; `plain` sends everything at once. */
 export type AdmissionPolicy = "queue" | "plain";
--- a/src/coordinator/termKeeper.ts
+++ b/src/coordinator/termKeeper.ts
@@ -16,6 +16,9 @@
 /** How long the hosts must have been steady before a term follows their coming and going. */
 const settleMs = 3_000;
 
+/** How long a host must have been steady to fill a missing rank. */
+const fillSteadyMs = 500;
+
 /** How long a term stands before a merely better ranked coordinator replaces a live one. */
 const preferenceSettleMs = 10_000;
 
@@ -82,6 +85,9 @@
      * @param now this host's clocks
      */
     async renewWhenDue(acting: ActingTerm, now: Instant): Promise<void> {
+        if (await this.fillRanksWhenDue(acting, now)) {
+            return;
+        }
         const reason = this.whyStale(acting, now.monoMs);
         if (reason === undefined) {
             this.staleSinceMs = undefined;
@@ -96,6 +102,23 @@
         await this.publish(acting.inForce, this.desiredRanking(now.monoMs, settleMs), reason, acting.cell, now);
     }
 
+    /**
+     * A term with fewer successors than live hosts is filled soon: until then a loss would have to wait for a claim. The
+     * acting coordinator stays first.
+     */
+    private async fillRanksWhenDue(acting: ActingTerm, now: Instant): Promise<boolean> {
+        const { self } = this.parts;
+        const others = this.desiredRanking(now.monoMs, fillSteadyMs).filter((run) => run !== self);
+        const ranking = [self, ...others].slice(0, ranksPerTerm);
+        const sincePublishMs = now.monoMs - this.lastPublishMs;
+        const due = acting.inForce.term.coordinators.length < ranking.length && sincePublishMs >= fillSteadyMs;
+        if (!due || !acting.cell.hasAuthority(now.monoMs) || !acting.cell.isSettled(now.monoMs)) {
+            return false;
+        }
+        await this.publish(acting.inForce, ranking, "successors missing", acting.cell, now);
+        return true;
+    }
+
     /**
      * Publishes a term that ranks the other live hosts, for a coordinator that leaves.
      * @param inForce the term in force
--- a/src/harness/scenarioRun.ts
+++ b/src/harness/scenarioRun.ts
@@ -48,7 +48,7 @@
  * @returns its figures
  */
 export async function runScenario(scenario: Scenario, options: RunOptions, clock: Clock): Promise<ScenarioFigures> {
-    const fleet = new Fleet({ ...benchFleet, adjust: (document) => withOptions(document, options) });
+    const fleet = new Fleet({ ...benchFleet, ...scenario.fleet, adjust: (document) => withOptions(document, options) });
     const caller = new Caller();
     try {
         await fleet.start();
--- a/src/ownership/cell.ts
+++ b/src/ownership/cell.ts
@@ -17,6 +17,8 @@
 import type { LeaseLeft, PlacementCause, PlacementEvent, Tenure } from "./tenure.js";
 import { soughtFrom } from "./tenure.js";
 
+const minComeBackMs = 10;
+
 /** Fixed facts of a cell under one fence. */
 export interface CellPlan {
     cell: CellId;
@@ -99,7 +101,7 @@
     servedAgainInMs(shard: Shard, nowMs: number): number {
         const tenure = this.tenures.get(shard);
         const lapseInMs = tenure?.owner === undefined ? this.plan.waitMs : tenure.lapseMs - nowMs;
-        return Math.min(this.plan.waitMs, Math.max(10, lapseInMs));
+        return Math.min(this.plan.waitMs, Math.max(minComeBackMs, lapseInMs));
     }
 
     /**
--- a/test/coordinator/membership.spec.ts
+++ b/test/coordinator/membership.spec.ts
@@ -29,6 +29,30 @@
         expect(callers.longestGapMs.get("battery-1")).to.be.at.most(1_000);
     });
 
+    it("survives the loss of the first host soon after the others have joined", async () => {
+        const world = new World(usualWorld);
+        world.publish(world.document());
+        const [first, ...others] = world.hosts as [World["hosts"][number], World["hosts"][number], World["hosts"][number]];
+        for (const host of others) {
+            host.process.dead = true;
+        }
+        world.startHost(first);
+        await world.advance(3_000);
+        for (const host of others) {
+            host.process.dead = false;
+            world.startHost(host);
+        }
+        await world.advance(2_500);
+        const callers = new Callers(world);
+        void callers.keepReading("battery-1");
+        await world.advance(200);
+        world.killHost(first);
+        await world.advance(3_000);
+        callers.stop();
+        await world.advance(1_000);
+        expect(callers.longestGapMs.get("battery-1")).to.be.at.most(1_000);
+    });
+
     for (const restMs of [4_000, 300]) {
         it(`restarts every host in turn, ${String(restMs)} ms apart: no order unknown, no key moved`, async () => {
             await restartAll(restMs);
