A term that only re-ranks coordinators costs no pause

Cause: each new term changed the fence of the coordinator that stayed first, with a drain and a new search for owners: 220 to 244 ms without service some seconds after every start, p99 over ideal 2.83 to 3.64 at 80 % in four runs. Change: the coordinator goes by the newer term under its old fence when servers, majorities and lease are the same.

--- a/src/coordinator/actingCell.ts
+++ b/src/coordinator/actingCell.ts
@@ -43,19 +43,19 @@
 
 /** Coordinates one cell until it is stopped or outranked. */
 export class ActingCell {
-    readonly inForce: TermInForce;
     readonly fence: Fence;
     readonly cell: Cell;
     readonly dispatcher: Dispatcher;
     private readonly book: OrderBook;
     private readonly runner: CellRunner;
+    private term: TermInForce;
     private handOver: HandOver | undefined;
 
     /** @param parts the term, the fence and the ports */
     constructor(private readonly parts: ActingCellParts) {
         const { inForce, fence, layout, config, servers, clock, random, guardsOut } = parts;
         const { term } = inForce;
-        this.inForce = inForce;
+        this.term = inForce;
         this.fence = fence;
         this.handOver = parts.handOver;
         this.cell = new Cell({
@@ -86,6 +86,29 @@
         });
     }
 
+    /** Term that this coordinator goes by; its fence may derive from an earlier one. */
+    get inForce(): TermInForce {
+        return this.term;
+    }
+
+    /**
+     * Goes by a newer term that changes only who follows whom. The fence stays, so nothing has to be drained: those that
+     * the new term ranks have higher fences anyway.
+     * @param inForce the newer term
+     * @returns false when its servers, majorities or lease differ, so that a new fence is needed
+     */
+    tryFollow(inForce: TermInForce): boolean {
+        const { plan } = this.cell;
+        const known = new Set([...plan.voterSets, plan.servers].map(nameOfSet));
+        const { servers, voterSets, leaseMs } = inForce.term;
+        const same = nameOfSet(servers) === nameOfSet(plan.servers) && leaseMs === plan.leaseMs;
+        if (!same || voterSets.some((set) => !known.has(nameOfSet(set)))) {
+            return false;
+        }
+        this.term = inForce;
+        return true;
+    }
+
     /** Begins to send heartbeats. */
     start(): void {
         this.runner.start();
@@ -145,3 +168,7 @@
 export function notCoordinator(coordinator?: RunId): Redirect {
     return redirect("not-coordinator", redirectAfterMs, coordinator);
 }
+
+function nameOfSet(servers: readonly string[]): string {
+    return [...servers].sort().join();
+}
--- a/src/coordinator/cellKeeper.ts
+++ b/src/coordinator/cellKeeper.ts
@@ -212,13 +212,16 @@
         await this.terms.renewWhenDue({ inForce, cell, seenMs: this.termSeen?.atMs ?? now.monoMs }, now);
     }
 
-    /** A newer term: act under its fence, or hand over to the coordinator that it ranks first. */
+    /** A newer term: go by it, under its fence if need be, or hand over to the coordinator that it ranks first. */
     private async followTerm(layout: CellLayout, inForce: TermInForce, acting: ActingCell): Promise<void> {
         const first = inForce.term.coordinators[0] as RunId;
         if (first !== this.parts.self) {
             await this.handOverTo(first);
             return;
         }
+        if (acting.tryFollow(inForce)) {
+            return;
+        }
         this.handedOver = await this.stopActing(acting);
         this.start(layout, inForce, fenceOf(inForce.offset, 0));
     }
