--- a/src/coordinator/termKeeper.ts
+++ b/src/coordinator/termKeeper.ts
@@ -95,7 +95,7 @@
         }
         this.staleSinceMs ??= now.monoMs;
         const lastedMs = now.monoMs - Math.max(this.staleSinceMs, this.lastPublishMs);
-        // A new term makes its coordinator look for owners afresh, which would prolong a recovery under way.
+        // A new first coordinator looks for owners afresh, which would prolong a recovery under way.
         if (lastedMs < settleMs || !acting.cell.hasAuthority(now.monoMs) || !acting.cell.isSettled(now.monoMs)) {
             return;
         }
