--- a/src/coordinator/actingCell.ts
+++ b/src/coordinator/actingCell.ts
@@ -118,7 +118,7 @@
      * Stops: new requests are told to ask elsewhere, what is in flight has a moment to end.
      * @returns what the successor needs
      */
-    async stop(): Promise<HandOver> {
+    async stop(): Promise<Omit<HandOver, "moveAgesMs">> {
         const drained = this.dispatcher.close(notCoordinator());
         await Promise.race([drained, this.parts.clock.sleep(drainMs)]);
         this.runner.stop();
--- a/src/coordinator/cellKeeper.ts
+++ b/src/coordinator/cellKeeper.ts
@@ -236,7 +236,8 @@
     }
 
     private async stopActing(acting: ActingCell): Promise<HandOver> {
-        const handOver = await acting.stop();
+        const passedOn = await acting.stop();
+        const handOver = { ...passedOn, moveAgesMs: this.moves.balancer.moveAgesMs(this.parts.clock.now().monoMs) };
         this.acting = undefined;
         this.highestFence = Math.max(this.highestFence, acting.fence) as Fence;
         return handOver;
@@ -251,6 +252,9 @@
                 this.onOutranked(acting);
             },
         });
+        if (this.handedOver !== undefined) {
+            this.moves.balancer.adoptMoves(this.handedOver.moveAgesMs, this.parts.clock.now().monoMs);
+        }
         this.handedOver = undefined;
         this.acting = acting;
         this.parts.journal.info("cell", `${layout.cell} is coordinated here under fence ${String(fence)}.`);
--- a/src/coordinator/moveDirector.ts
+++ b/src/coordinator/moveDirector.ts
@@ -13,7 +13,8 @@
 
 /** Keeps count of each shard's work, and asks the cell for moves. */
 export class MoveDirector {
-    private readonly balancer = new LoadBalancer(balanceSettleMs);
+    /** Holds the budget of moves, which a hand-over passes on. */
+    readonly balancer = new LoadBalancer(balanceSettleMs);
     private readonly workByShard = new Map<Shard, number>();
     private readonly rateByShard = new Map<Shard, number>();
     private rateFromMs: number | undefined;
--- a/src/coordinator/peerPort.ts
+++ b/src/coordinator/peerPort.ts
@@ -67,6 +67,8 @@
     stoppedWallMs: number;
     book: OrderBookCopy;
     leases: LeaseLeft[];
+    /** How long ago the moves were that the budget has been spent on, in milliseconds. */
+    moveAgesMs: number[];
 }
 
 /** What coordinators offer to one another and to the entry hosts. */
--- a/src/ownership/balance.ts
+++ b/src/ownership/balance.ts
@@ -111,6 +111,24 @@
         return moves;
     }
 
+    /**
+     * Tells a successor which moves the budget has been spent on.
+     * @param nowMs monotonic time
+     * @returns how long ago each move was, in milliseconds
+     */
+    moveAgesMs(nowMs: number): number[] {
+        return this.movedAtMs.map((atMs) => nowMs - atMs);
+    }
+
+    /**
+     * Takes over the predecessor's spent budget.
+     * @param agesMs how long ago each move was
+     * @param nowMs monotonic time
+     */
+    adoptMoves(agesMs: readonly number[], nowMs: number): void {
+        this.movedAtMs.splice(0, Number.POSITIVE_INFINITY, ...agesMs.map((ageMs) => nowMs - ageMs));
+    }
+
     private hasBudget(limits: BalanceLimits, nowMs: number): boolean {
         while (this.movedAtMs[0] !== undefined && this.movedAtMs[0] < nowMs - hourMs) {
             this.movedAtMs.shift();
--- a/test/ownership/balance.spec.ts
+++ b/test/ownership/balance.spec.ts
@@ -54,6 +54,15 @@
         expect(movesOf(work, { movesPerHour: 0 })).to.deep.equal([]);
         expect(movesOf(work, { movesPerHour: 1 })).to.have.length(1);
     });
+
+    it("takes over a predecessor's spent budget", () => {
+        const balancer = new LoadBalancer(0);
+        balancer.adoptMoves([10, 20], 100);
+        expect(balancer.moveAgesMs(130)).to.deep.equal([40, 50]);
+        const work = workOf((shard) => shard < 4 ? 40 : 5);
+        expect(balancer.nextMoves(createCell(), work, { ...limits, movesPerHour: 2 }, 130)).to.deep.equal([]);
+        expect(balancer.nextMoves(createCell(), work, { ...limits, movesPerHour: 3 }, 130)).to.have.length(1);
+    });
 });
 
 describe("neededMoves", () => {
