--- a/src/bin/hornbeamctl.ts
+++ b/src/bin/hornbeamctl.ts
@@ -7,6 +7,7 @@
 import { settingsOrExit } from "../adapters/process.js";
 import { createSystemClock } from "../adapters/systemClock.js";
 import * as commands from "../control/commands.js";
+import * as fleet from "../control/fleetCommands.js";
 import type { CommandResult } from "../control/output.js";
 import { exitCodes, render } from "../control/output.js";
 import { ControlSession } from "../control/session.js";
@@ -85,11 +86,11 @@
         .demandCommand(1))
     .command("begin", "let hosts start on a log whose older records have expired", {},
         (args) => run(args as unknown as Common, commands.begin))
-    .command("status", "show every live host", {}, (args) => run(args as unknown as Common, commands.status))
-    .command("cells", "show every cell and its coordinator", {}, (args) => run(args as unknown as Common, commands.cells))
+    .command("status", "show every live host", {}, (args) => run(args as unknown as Common, fleet.status))
+    .command("cells", "show every cell and its coordinator", {}, (args) => run(args as unknown as Common, fleet.cells))
     .command("owners <key>", "show which server owns INSTITUTION/POOL/KEY",
         (of) => of.positional("key", { type: "string", demandOption: true }),
-        (args) => run(args, (session) => commands.owners(session, args.key)))
+        (args) => run(args, (session) => fleet.owners(session, args.key)))
     .command("drain <target>", "take work off a target",
         (of) => of.positional("target", { type: "string", demandOption: true }).options(note)
             .option("undo", { type: "boolean", default: false, describe: "let it have work again" }),
@@ -99,7 +100,7 @@
         (args) => run(args, (session) => commands.move(session, args.key, args.target, args)))
     .command("dump <host>", "show the whole state of a host's coordinator",
         (of) => of.positional("host", { type: "string", demandOption: true }),
-        (args) => run(args, (session) => commands.dump(session, args.host)))
+        (args) => run(args, (session) => fleet.dump(session, args.host)))
     .strict()
     .demandCommand(1, "Name a command.")
     .exitProcess(false)
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -1,20 +1,20 @@
-/** Commands of hornbeamctl. */
+/** Commands of hornbeamctl that read or change the configuration. */
 import diff from "microdiff";
 import { stringify } from "yaml";
 import type { Result } from "neverthrow";
 import type { Offset } from "../model/ids.js";
-import { hostOfRun, noOffset } from "../model/ids.js";
+import { noOffset } from "../model/ids.js";
 import type { Failure } from "../model/failure.js";
-import { describeFailure } from "../model/failure.js";
 import type { ConfigDocument } from "../config/document.js";
-import { cellOfShard, findPool, forbiddenChanges } from "../config/document.js";
+import { forbiddenChanges } from "../config/document.js";
 import type { ChangeNote } from "../config/edits.js";
-import { parseKeyName, shardOfKey, withDrain, withMove } from "../config/edits.js";
+import { parseKeyName, withDrain, withMove } from "../config/edits.js";
 import { readDocument } from "../config/source.js";
-import type { ConfigVersion, FoldedState, Verdict } from "../platform/fold.js";
-import type { CommandResult, ExitCode } from "./output.js";
+import type { Verdict } from "../platform/fold.js";
+import type { CommandResult } from "./output.js";
 import { exitCodes } from "./output.js";
-import type { ControlSession, HostReport } from "./session.js";
+import { badInput, done, refused, unreachable, withConfig, withState } from "./results.js";
+import type { ControlSession } from "./session.js";
 
 /**
  * Checks a document without publishing it.
@@ -165,76 +165,6 @@
     });
 }
 
-/** Shows every live host. */
-export async function status(session: ControlSession): Promise<CommandResult> {
-    return withReports(session, (reports) => {
-        const notWell = reports.filter(({ dump }) => dump.isErr() || dump.value.unready !== undefined || !dump.value.logWell);
-        return {
-            exitCode: notWell.length === 0 ? exitCodes.done : exitCodes.unreachable,
-            lines: notWell.length === 0
-                ? ["Every live host is well."]
-                : [`Not well: ${notWell.map(({ host }) => host.hostId).join(", ")}. Look closer with: hornbeamctl dump HOST`],
-            table: {
-                head: ["host", "data centre", "state", "configuration", "offset", "log", "cells"],
-                rows: reports.map(({ host, dump }) => dump.match(
-                    (of) => [
-                        host.hostId, host.dataCentre, of.unready ?? "ready", of.configOffset ?? "-", of.offset,
-                        of.logWell ? "well" : "not read", of.cells.filter((cell) => cell.acting).length,
-                    ],
-                    (failed) => [host.hostId, host.dataCentre, describeFailure(failed), "-", "-", "-", "-"],
-                )),
-            },
-            json: reports.map(({ host, dump }) => ({ host, dump: dump.isOk() ? dump.value : undefined })),
-        };
-    });
-}
-
-/** Shows every cell with its coordinator. */
-export async function cells(session: ControlSession): Promise<CommandResult> {
-    return withReports(session, (reports) => {
-        const rows = actingCells(reports).map(({ host, cell }) => {
-            const shards = cell.grants?.shards ?? [];
-            const unserved = shards.filter((shard) => !shard.serving).length;
-            return [cell.cell, host, cell.grants?.fence ?? 0, shards.length, unserved, cell.work?.active ?? 0, cell.work?.orders ?? 0];
-        });
-        return {
-            exitCode: exitCodes.done,
-            lines: rows.length === 0 ? ["No cell is coordinated; see: hornbeamctl status"] : [],
-            table: { head: ["cell", "coordinator", "fence", "shards", "not served", "in flight", "order ids"], rows },
-            json: actingCells(reports),
-        };
-    });
-}
-
-/**
- * Shows which server owns a key.
- * @param session the session
- * @param keyName the key, as `institution/pool/key`
- */
-export function owners(session: ControlSession, keyName: string): Promise<CommandResult> {
-    return withConfig(session, async (config) => {
-        const name = parseKeyName(keyName);
-        const shard = name.andThen((parsed) => shardOfKey(config.document, parsed));
-        if (name.isErr() || shard.isErr()) {
-            return badInput(name.isErr() ? name.error : shard._unsafeUnwrapErr());
-        }
-        const { institution, pool } = name.value;
-        const poolConfig = findPool(config.document, institution, pool);
-        const cell = poolConfig === undefined ? "" : cellOfShard(institution, pool, poolConfig, shard.value);
-        return withReports(session, (reports) => {
-            const acting = actingCells(reports).find((one) => one.cell.cell === cell);
-            const tenure = acting?.cell.grants?.shards.find((one) => one.shard === shard.value);
-            const found = { cell, shard: shard.value, coordinator: acting?.host, ...tenure };
-            return tenure === undefined
-                ? { ...refused(`Shard ${String(shard.value)} of ${cell} has no coordinator now; see: hornbeamctl cells`), json: found }
-                : done([
-                    `${keyName}: shard ${String(shard.value)} of ${cell}, owner ${tenure.owner ?? "none"},`
-                    + ` ${tenure.serving ? "served" : "not served"}, coordinator ${acting?.host ?? ""}.`,
-                ], found);
-        });
-    });
-}
-
 /**
  * Marks a target as one without work, or takes the mark away.
  * @param session the session
@@ -257,21 +187,6 @@
     return edit(session, note, (document) => parseKeyName(keyName).andThen((name) => withMove(document, name, target, note)));
 }
 
-/**
- * Shows the whole state of one host's coordinator.
- * @param session the session
- * @param hostName the host
- */
-export async function dump(session: ControlSession, hostName: string): Promise<CommandResult> {
-    return withReports(session, (reports) => {
-        const report = reports.find(({ host }) => host.hostId === hostName);
-        if (report === undefined) {
-            return refused(`The host list names no live host ${hostName}; it names: ${reports.map(({ host }) => host.hostId).join(", ")}`);
-        }
-        return report.dump.match((of) => done([JSON.stringify(of, undefined, 2)], of), unreachable);
-    });
-}
-
 async function edit(
     session: ControlSession,
     note: ChangeNote,
@@ -316,53 +231,3 @@
         json: { verdict, winner: { offset: winner?.offset, author: winner?.author, reason: winner?.reason } },
     };
 }
-
-function actingCells(reports: readonly HostReport[]) {
-    return reports.flatMap(({ dump: of }) => of.isErr()
-        ? []
-        : of.value.cells.filter((cell) => cell.acting).map((cell) => ({ host: hostOfRun(of.value.run as never), cell })));
-}
-
-async function withState(
-    session: ControlSession,
-    use: (state: FoldedState) => CommandResult | Promise<CommandResult>,
-): Promise<CommandResult> {
-    const state = await session.readState();
-    return state.isErr() ? unreachable(state.error) : use(state.value);
-}
-
-function withConfig(
-    session: ControlSession,
-    use: (config: ConfigVersion) => CommandResult | Promise<CommandResult>,
-): Promise<CommandResult> {
-    return withState(session, (state) => state.config === undefined
-        ? refused("No configuration has been published; publish one with: hornbeamctl config publish FILE")
-        : use(state.config));
-}
-
-async function withReports(session: ControlSession, use: (reports: HostReport[]) => CommandResult): Promise<CommandResult> {
-    const reports = await session.reports();
-    return reports.isErr() ? unreachable(reports.error) : use(reports.value);
-}
-
-function done(lines: string[], json: unknown): CommandResult {
-    return { exitCode: exitCodes.done, lines, json };
-}
-
-function refused(line: string): CommandResult {
-    return { exitCode: exitCodes.refused, lines: [line], json: undefined };
-}
-
-function badInput(failed: Failure): CommandResult {
-    return ended(exitCodes.badInput, failed);
-}
-
-function unreachable(failed: Failure): CommandResult {
-    const next = failed.step === "publish" ? ["Look whether it took effect with: hornbeamctl config history, before publishing again."] : [];
-    const result = ended(exitCodes.unreachable, failed);
-    return { ...result, lines: [...result.lines, ...next] };
-}
-
-function ended(exitCode: ExitCode, failed: Failure): CommandResult {
-    return { exitCode, lines: [describeFailure(failed)], json: failed };
-}
