--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,10 +2,10 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**", "report/**"] },
+    { ignores: ["dist/**", "node_modules/**", "report/**", "target/**", "journal/**"] },
     ...tseslint.configs.strict,
     {
-        files: ["**/*.ts", "**/*.js"],
+        files: ["**/*.ts", "**/*.js", "**/*.mjs"],
         plugins: { "@stylistic": stylistic },
         rules: {
             "curly": ["error", "all"],
--- /dev/null
+++ b/src/admission/admissionClient.ts
@@ -0,0 +1,158 @@
+/** Asks the host that keeps a queue for a slot, on behalf of a request of this host. */
+import type { Member, Membership } from "../cluster/membership.js";
+import type { PeerLinks } from "../cluster/peerLinks.js";
+import type { DataCentreId, TargetId } from "../model/names.js";
+import { rankCandidates } from "../model/rendezvous.js";
+import type { Clock } from "../model/time.js";
+import type { Ticket, WorkEnd } from "./admissionQueue.js";
+import type { EnterParams, EnterReply, Group } from "./messages.js";
+import { admissionMethods, groupName } from "./messages.js";
+import type { QueueKeeper } from "./queueKeeper.js";
+
+/** A host that did not answer is passed over for this long. */
+const passOverMs = 1_500;
+
+/** Time beyond a request's deadline for which its answer is awaited. */
+const replySlackMs = 200;
+
+/** Hosts tried in turn before a request is turned away. */
+const maxKeepers = 3;
+
+const retryAfterNoKeeperMs = 300;
+
+/** What a request says to get a slot. */
+export interface SlotRequest extends Omit<EnterParams, "ticket" | "targetLeftMs" | "deadlineLeftMs"> {
+    /** Monotonic time at which the answer loses value. */
+    targetMs: number;
+    /** Monotonic time at which the answer is of no use. */
+    deadlineMs: number;
+    /** Data centre in which the queue is best kept, or undefined for any. */
+    keptNear: DataCentreId | undefined;
+}
+
+/** A slot at a target, or why there is none. */
+export type SlotDecision =
+    | { kind: "granted"; targetId: TargetId; expectedMs: number; leave: (end: WorkEnd) => void }
+    | { kind: "refused"; reason: "overloaded" | "no-target" | "no-keeper" | "withdrawn"; retryAfterMs: number };
+
+/** Gets slots. */
+export interface AdmissionClient {
+    /**
+     * Waits for a slot.
+     * @param request what it is for
+     * @param signal withdraws the request
+     */
+    enter(request: SlotRequest, signal: AbortSignal): Promise<SlotDecision>;
+}
+
+/** What a client works with. */
+export interface AdmissionClientParts {
+    keeper: QueueKeeper;
+    membership: Membership;
+    links: PeerLinks;
+    clock: Clock;
+    nextTicket: () => Ticket;
+}
+
+/**
+ * Creates the client.
+ * @param parts what it works with
+ */
+export function createAdmissionClient({ keeper, membership, links, clock, nextTicket }: AdmissionClientParts): AdmissionClient {
+    const isSelf = (member: Member) => member.hostId === membership.self.hostId;
+
+    const candidatesFor = ({ group, keptNear }: SlotRequest, nowMs: number): Member[] => {
+        const ranked = rankCandidates(groupName(group), membership.reachable(nowMs), ({ hostId }) => hostId);
+        return [
+            ...ranked.filter(({ dataCentreId }) => dataCentreId === keptNear),
+            ...ranked.filter(({ dataCentreId }) => dataCentreId !== keptNear),
+        ].slice(0, maxKeepers);
+    };
+
+    const ask = async (member: Member, params: EnterParams): Promise<EnterReply | undefined> => {
+        if (isSelf(member)) {
+            return keeper.enter(params);
+        }
+        const timeoutMs = params.deadlineLeftMs + replySlackMs;
+        const reply = await links.call<EnterReply>(member.peerAddress, admissionMethods.enter, params, timeoutMs);
+        if (reply.isErr()) {
+            membership.suspect(member.peerAddress, clock.now().monoMs + passOverMs);
+            return undefined;
+        }
+        return reply.value;
+    };
+
+    const tell = (member: Member, method: "leave" | "withdraw", params: { group: Group; ticket: Ticket; end?: WorkEnd }) => {
+        if (!isSelf(member)) {
+            links.notify(member.peerAddress, admissionMethods[method], params);
+        }
+        else if (params.end === undefined) {
+            keeper.withdraw(params);
+        }
+        else {
+            keeper.leave({ ...params, end: params.end });
+        }
+    };
+
+    const askOne = async (member: Member, request: SlotRequest, signal: AbortSignal): Promise<SlotDecision | undefined> => {
+        const nowMs = clock.now().monoMs;
+        const ticket = nextTicket();
+        const { group, priority, workKind, typicalWorkMs, near, avoid, targetMs, deadlineMs } = request;
+        const withdraw = () => {
+            tell(member, "withdraw", { group, ticket });
+        };
+        const withdrawn = abortOf(signal);
+        const reply = await Promise.race([
+            ask(member, {
+                ticket, group, priority, workKind, typicalWorkMs, near, avoid,
+                targetLeftMs: targetMs - nowMs, deadlineLeftMs: deadlineMs - nowMs,
+            }),
+            withdrawn.promise,
+        ]);
+        withdrawn.release();
+        if (signal.aborted) {
+            withdraw();
+            return { kind: "refused", reason: "withdrawn", retryAfterMs: 0 };
+        }
+        if (reply === undefined) {
+            return undefined;
+        }
+        return "granted" in reply
+            ? {
+                kind: "granted", targetId: reply.granted, expectedMs: reply.expectedMs,
+                leave: (end) => {
+                    tell(member, "leave", { group, ticket, end });
+                },
+            }
+            : { kind: "refused", reason: reply.refused, retryAfterMs: reply.retryAfterMs };
+    };
+
+    return {
+        enter: async (request, signal) => {
+            for (const member of candidatesFor(request, clock.now().monoMs)) {
+                const decision = await askOne(member, request, signal);
+                if (decision !== undefined) {
+                    return decision;
+                }
+            }
+            return { kind: "refused", reason: "no-keeper", retryAfterMs: retryAfterNoKeeperMs };
+        },
+    };
+}
+
+/** Resolves when a signal aborts; `release` takes the listener away again. */
+function abortOf(signal: AbortSignal): { promise: Promise<undefined>; release: () => void } {
+    let onAbort: () => void = () => undefined;
+    const promise = new Promise<undefined>((resolve) => {
+        onAbort = () => {
+            resolve(undefined);
+        };
+        if (signal.aborted) {
+            resolve(undefined);
+        }
+        signal.addEventListener("abort", onAbort, { once: true });
+    });
+    return { promise, release: () => {
+        signal.removeEventListener("abort", onAbort);
+    } };
+}
--- /dev/null
+++ b/src/admission/admissionQueue.ts
@@ -0,0 +1,382 @@
+/**
+ * Decides which requests of a group of targets are sent, wait, or are turned away. One host keeps the queue of a group
+ * for all hosts, so that the slots of its targets are counted exactly.
+ *
+ * Load pattern: more work than slots for some seconds (hot keys, a burst, slow targets). Sending everything would make
+ * every answer late and overfill targets that then never answer. So a target gets no more than it has slots; what can
+ * still be answered in its target latency goes before what cannot, more urgent before less urgent, and what cannot be
+ * answered before its deadline is turned away at once.
+ */
+import type { Branded, DataCentreId, TargetId } from "../model/names.js";
+
+/** Names one request at the queue. */
+export type Ticket = Branded<string, "Ticket">;
+
+/** A request that asks for a slot. Times are monotonic milliseconds of the queue's host. */
+export interface AdmissionRequest {
+    ticket: Ticket;
+    /** 0 is the most urgent. */
+    priority: number;
+    /** Requests of one kind take similar time; usually the route. */
+    workKind: string;
+    /** Time that the work takes when nothing is known of its kind yet. */
+    typicalWorkMs: number;
+    /** Last moment at which the answer has its full value. */
+    targetMs: number;
+    /** Last moment at which an answer is of any use. */
+    deadlineMs: number;
+    /** Data centre of the host that would send the request. */
+    near: DataCentreId;
+    /** Targets that have already turned this request away. */
+    avoid: ReadonlySet<TargetId>;
+}
+
+/** A target as the queue sees it. */
+export interface QueueTarget {
+    targetId: TargetId;
+    dataCentreId: DataCentreId;
+    slots: number;
+    /** False while no new work may go there. */
+    open: boolean;
+    warmingUp: boolean;
+}
+
+/** What the queue decided about a request. */
+export type AdmissionVerdict =
+    | { kind: "granted"; ticket: Ticket; targetId: TargetId; expectedMs: number }
+    | { kind: "refused"; ticket: Ticket; reason: RefusalOfQueue; retryAfterMs: number };
+
+/** Why a queue turns a request away. */
+export type RefusalOfQueue = "overloaded" | "no-target";
+
+/** How a request ended at its target. */
+export type WorkEnd =
+    /** Answered after so long. */
+    | { kind: "answered"; tookMs: number }
+    /** The target turned it away without running it. */
+    | { kind: "turned-away" }
+    /** No connection could be opened. */
+    | { kind: "unreachable" }
+    /** Sent, and no answer came. */
+    | { kind: "lost" }
+    /** The client left, or the request was never sent. */
+    | { kind: "dropped" };
+
+/** Weights of the newest observation. */
+const speedWeight = 0.15;
+const workWeight = 0.05;
+
+/** Bounds of how much slower or faster than usual a target counts. */
+const minSlowness = 0.25;
+const maxSlowness = 20;
+
+/** Time for which a target that could not be reached, or turned work away, gets no more. */
+const pauseAfterUnreachableMs = 300;
+const pauseAfterTurnedAwayMs = 15;
+
+const minRetryAfterMs = 50;
+
+/** Time after which an arrival counts only by a third. */
+const offeredMemoryMs = 1_000;
+
+/** Bounds that keep the expected wait finite. */
+const minSlots = 0.05;
+const minSpareShare = 0.05;
+
+/** A slot counts as free again this long after the deadline of a request whose end was never reported. */
+const unreportedGraceMs = 1_000;
+
+/** Slowness of a target in its first seconds. */
+const warmUpSlowness = 2;
+
+/** A target elsewhere must be expected to answer this much sooner before it is preferred to one nearby. */
+const farPenaltyRatio = 1.5;
+
+interface Running {
+    targetId: TargetId;
+    startedMs: number;
+    giveUpMs: number;
+    workKind: string;
+}
+
+interface TargetRecord {
+    target: QueueTarget;
+    running: number;
+    /** Time that work takes here over the time that it takes on average. */
+    slowness: number;
+    pausedUntilMs: number;
+}
+
+/** Queue in front of a group of targets. */
+export class AdmissionQueue {
+    private readonly targets = new Map<TargetId, TargetRecord>();
+    private readonly running = new Map<Ticket, Running>();
+    private readonly workMsByKind = new Map<string, number>();
+    private waiting: AdmissionRequest[] = [];
+    private offered = 0;
+    private offeredMs = 0;
+
+    /** @param random uniform in [0, 1), spreads the times to come back */
+    constructor(private readonly random: () => number) {}
+
+    /** Requests that wait. */
+    get waitingCount(): number {
+        return this.waiting.length;
+    }
+
+    /** Requests at the targets. */
+    get runningCount(): number {
+        return this.running.size;
+    }
+
+    /** Describes each target for reports and dumps. */
+    describeTargets(): { targetId: TargetId; running: number; slowness: number }[] {
+        return [...this.targets.values()].map(({ target, running, slowness }) => ({ targetId: target.targetId, running, slowness }));
+    }
+
+    /** Tells how long work of a kind takes at an average target. */
+    workMsOf(kind: string, typicalMs: number): number {
+        return this.workMsByKind.get(kind) ?? typicalMs;
+    }
+
+    /**
+     * Replaces the targets.
+     * @param targets all targets of the group
+     * @param nowMs now
+     * @returns verdicts on requests that waited
+     */
+    setTargets(targets: readonly QueueTarget[], nowMs: number): AdmissionVerdict[] {
+        const ids = new Set(targets.map(({ targetId }) => targetId));
+        for (const id of [...this.targets.keys()].filter((known) => !ids.has(known))) {
+            this.targets.delete(id);
+        }
+        for (const target of targets) {
+            const known = this.targets.get(target.targetId);
+            this.targets.set(target.targetId, known === undefined
+                ? this.newRecord(target)
+                : { ...known, target });
+        }
+        return this.dispatch(nowMs);
+    }
+
+    /**
+     * Asks for a slot.
+     * @param request the request
+     * @param nowMs now
+     * @returns verdicts, on this request and on others that waited; none on this one while it waits
+     */
+    offer(request: AdmissionRequest, nowMs: number): AdmissionVerdict[] {
+        this.noteOffered(request, nowMs);
+        const open = [...this.targets.values()].filter((record) => record.target.open);
+        if (open.length === 0) {
+            return [this.refuse(request, "no-target", this.workMsOf(request.workKind, request.typicalWorkMs))];
+        }
+        const waitMs = this.expectedWaitMs(request, open, nowMs);
+        if (nowMs + waitMs + this.shortestWorkMs(request, open) > request.deadlineMs) {
+            return [this.refuse(request, "overloaded", waitMs)];
+        }
+        this.waiting.push(request);
+        return this.dispatch(nowMs);
+    }
+
+    /**
+     * Takes a request that waits out of the queue.
+     * @param ticket names the request
+     * @param nowMs now
+     * @returns verdicts on others
+     */
+    withdraw(ticket: Ticket, nowMs: number): AdmissionVerdict[] {
+        this.waiting = this.waiting.filter((request) => request.ticket !== ticket);
+        return this.running.has(ticket) ? this.finish(ticket, { kind: "dropped" }, nowMs) : [];
+    }
+
+    /**
+     * Gives a slot back.
+     * @param ticket names the request that had it
+     * @param end how it ended
+     * @param nowMs now
+     * @returns verdicts on requests that waited
+     */
+    finish(ticket: Ticket, end: WorkEnd, nowMs: number): AdmissionVerdict[] {
+        const ended = this.running.get(ticket);
+        if (ended === undefined) {
+            return [];
+        }
+        this.running.delete(ticket);
+        const record = this.targets.get(ended.targetId);
+        if (record !== undefined) {
+            record.running -= 1;
+            learnByEnd[end.kind](this, record, ended, end as never, nowMs);
+        }
+        return this.dispatch(nowMs);
+    }
+
+    /**
+     * Turns away what has become too late, and frees slots whose end was never reported.
+     * @param nowMs now
+     * @returns verdicts
+     */
+    tick(nowMs: number): AdmissionVerdict[] {
+        const unreported = [...this.running].filter(([, { giveUpMs }]) => nowMs > giveUpMs);
+        const verdicts = unreported.flatMap(([ticket]) => this.finish(ticket, { kind: "lost" }, nowMs));
+        const open = [...this.targets.values()].filter((record) => record.target.open);
+        const isLate = (request: AdmissionRequest) => nowMs + this.shortestWorkMs(request, open) > request.deadlineMs;
+        const late = this.waiting.filter(isLate);
+        this.waiting = this.waiting.filter((request) => !isLate(request));
+        verdicts.push(...late.map((request) => this.refuse(request, "overloaded", this.workOf([request]))));
+        return [...verdicts, ...this.dispatch(nowMs)];
+    }
+
+    /** Learns from an answer how slow the target is and how long the kind of work takes. */
+    learnAnswer(record: TargetRecord, workKind: string, tookMs: number): void {
+        const workMs = this.workMsByKind.get(workKind) ?? tookMs / record.slowness;
+        const observed = tookMs / Math.max(1, workMs);
+        record.slowness = clamp(record.slowness + speedWeight * (observed - record.slowness), minSlowness, maxSlowness);
+        this.workMsByKind.set(workKind, workMs + workWeight * (tookMs / record.slowness - workMs));
+    }
+
+    private dispatch(nowMs: number): AdmissionVerdict[] {
+        const verdicts: AdmissionVerdict[] = [];
+        while (this.waiting.length > 0) {
+            const next = this.chooseNext(nowMs);
+            if (next === undefined) {
+                break;
+            }
+            this.waiting.splice(this.waiting.indexOf(next.request), 1);
+            verdicts.push(this.grant(next.request, next.record, nowMs));
+        }
+        return verdicts;
+    }
+
+    private grant(request: AdmissionRequest, record: TargetRecord, nowMs: number): AdmissionVerdict {
+        record.running += 1;
+        this.running.set(request.ticket, {
+            targetId: record.target.targetId, startedMs: nowMs, giveUpMs: request.deadlineMs + unreportedGraceMs, workKind: request.workKind,
+        });
+        const expectedMs = this.workMsOf(request.workKind, request.typicalWorkMs) * record.slowness;
+        return { kind: "granted", ticket: request.ticket, targetId: record.target.targetId, expectedMs };
+    }
+
+    /** Finds the request to send next and the target for it. */
+    private chooseNext(nowMs: number): { request: AdmissionRequest; record: TargetRecord } | undefined {
+        const free = [...this.targets.values()].filter((record) => hasFreeSlot(record, nowMs));
+        if (free.length === 0) {
+            return undefined;
+        }
+        const inOrder = [...this.waiting].sort((left, right) => this.compare(left, right, nowMs));
+        for (const request of inOrder) {
+            const record = this.bestTarget(request, free);
+            if (record !== undefined) {
+                return { request, record };
+            }
+        }
+        return undefined;
+    }
+
+    private bestTarget(request: AdmissionRequest, free: readonly TargetRecord[]): TargetRecord | undefined {
+        const usable = free.filter(({ target }) => !request.avoid.has(target.targetId));
+        const costOf = ({ target, slowness, running }: TargetRecord) =>
+            slowness * (1 + running / target.slots) * (target.dataCentreId === request.near ? 1 : farPenaltyRatio);
+        return (usable.length > 0 ? usable : [...free]).reduce<TargetRecord | undefined>(
+            (best, record) => best === undefined || costOf(record) < costOf(best) ? record : best, undefined);
+    }
+
+    private compare(left: AdmissionRequest, right: AdmissionRequest, nowMs: number): number {
+        const lateLeft = this.isPastTarget(left, nowMs);
+        const lateRight = this.isPastTarget(right, nowMs);
+        if (lateLeft !== lateRight) {
+            return lateLeft ? 1 : -1;
+        }
+        return left.priority - right.priority || left.targetMs - right.targetMs;
+    }
+
+    private isPastTarget(request: AdmissionRequest, nowMs: number): boolean {
+        return nowMs + this.workMsOf(request.workKind, request.typicalWorkMs) > request.targetMs;
+    }
+
+    /**
+     * Time until a slot is free for a request. What waits before it goes first; if it will be late all the same, so does
+     * what arrives meanwhile and can still be in time.
+     */
+    private expectedWaitMs(request: AdmissionRequest, open: readonly TargetRecord[], nowMs: number): number {
+        if (open.some((record) => hasFreeSlot(record, nowMs))) {
+            return 0;
+        }
+        const slots = Math.max(minSlots, open.reduce((sum, { target, slowness }) => sum + target.slots / slowness, 0));
+        const before = this.waiting.filter((other) => this.compare(other, request, nowMs) <= 0);
+        const waitMs = (this.workOf(before) + this.runningWorkMs(request, nowMs)) / slots;
+        if (nowMs + waitMs + this.shortestWorkMs(request, open) <= request.targetMs) {
+            return waitMs;
+        }
+        const spareShare = Math.max(minSpareShare, 1 - this.offeredSlots(nowMs) / slots);
+        return (this.workOf(this.waiting) + this.runningWorkMs(request, nowMs)) / slots / spareShare;
+    }
+
+    private workOf(requests: readonly AdmissionRequest[]): number {
+        return requests.reduce((sum, { workKind, typicalWorkMs }) => sum + this.workMsOf(workKind, typicalWorkMs), 0);
+    }
+
+    /** Work that is left of what the targets are at. */
+    private runningWorkMs({ typicalWorkMs }: AdmissionRequest, nowMs: number): number {
+        let leftMs = 0;
+        for (const { workKind, startedMs } of this.running.values()) {
+            leftMs += Math.max(0, this.workMsOf(workKind, typicalWorkMs) - (nowMs - startedMs));
+        }
+        return leftMs;
+    }
+
+    /** Slots of an average target that all recent requests need, those too that were turned away. */
+    private offeredSlots(nowMs: number): number {
+        return this.offered * Math.exp(-(nowMs - this.offeredMs) / offeredMemoryMs);
+    }
+
+    private noteOffered(request: AdmissionRequest, nowMs: number): void {
+        this.offered = this.offeredSlots(nowMs) + this.workMsOf(request.workKind, request.typicalWorkMs) / offeredMemoryMs;
+        this.offeredMs = nowMs;
+    }
+
+    private shortestWorkMs(request: AdmissionRequest, open: readonly TargetRecord[]): number {
+        const slowness = open.reduce((least, record) => Math.min(least, record.slowness), maxSlowness);
+        return this.workMsOf(request.workKind, request.typicalWorkMs) * slowness;
+    }
+
+    private newRecord(target: QueueTarget): TargetRecord {
+        return {
+            target, running: this.countRunning(target.targetId), slowness: target.warmingUp ? warmUpSlowness : 1, pausedUntilMs: 0,
+        };
+    }
+
+    private countRunning(targetId: TargetId): number {
+        return [...this.running.values()].filter((running) => running.targetId === targetId).length;
+    }
+
+    private refuse({ ticket }: AdmissionRequest, reason: RefusalOfQueue, waitMs: number): AdmissionVerdict {
+        return { kind: "refused", ticket, reason, retryAfterMs: Math.max(minRetryAfterMs, waitMs) * (0.75 + this.random() / 2) };
+    }
+}
+
+type Learn<Kind extends WorkEnd["kind"]> = (
+    queue: AdmissionQueue, record: TargetRecord, ended: Running, end: Extract<WorkEnd, { kind: Kind }>, nowMs: number,
+) => void;
+
+const learnByEnd: { [Kind in WorkEnd["kind"]]: Learn<Kind> } = {
+    "answered": (queue, record, ended, end) => {
+        queue.learnAnswer(record, ended.workKind, end.tookMs);
+    },
+    "turned-away": (_queue, record, _ended, _end, nowMs) => {
+        record.pausedUntilMs = nowMs + pauseAfterTurnedAwayMs;
+    },
+    "unreachable": (_queue, record, _ended, _end, nowMs) => {
+        record.pausedUntilMs = nowMs + pauseAfterUnreachableMs;
+    },
+    "lost": () => undefined,
+    "dropped": () => undefined,
+};
+
+function hasFreeSlot(record: TargetRecord, nowMs: number): boolean {
+    return record.target.open && record.running < record.target.slots && nowMs >= record.pausedUntilMs;
+}
+
+function clamp(value: number, least: number, most: number): number {
+    return Math.min(most, Math.max(least, value));
+}
--- /dev/null
+++ b/src/admission/messages.ts
@@ -0,0 +1,49 @@
+/** Messages between a host that has a request and the host that keeps the queue for it. */
+import type { DataCentreId, ServiceId, TargetId } from "../model/names.js";
+import type { Ticket, WorkEnd } from "./admissionQueue.js";
+
+/** The targets that share a queue: one that owns keys, or all of a service without keys. */
+export type Group =
+    | { kind: "target"; targetId: TargetId }
+    | { kind: "service"; serviceId: ServiceId };
+
+/** Asks for a slot. */
+export interface EnterParams {
+    ticket: Ticket;
+    group: Group;
+    priority: number;
+    workKind: string;
+    typicalWorkMs: number;
+    /** Time left until the answer loses value, in milliseconds. */
+    targetLeftMs: number;
+    /** Time left until the answer is of no use, in milliseconds. */
+    deadlineLeftMs: number;
+    near: DataCentreId;
+    avoid: readonly TargetId[];
+}
+
+/** Answer to `EnterParams`. */
+export type EnterReply =
+    | { granted: TargetId; expectedMs: number }
+    | { refused: "overloaded" | "no-target"; retryAfterMs: number };
+
+/** Gives a slot back. */
+export interface LeaveParams {
+    group: Group;
+    ticket: Ticket;
+    end: WorkEnd;
+}
+
+/** Takes a request out of the queue. */
+export interface WithdrawParams {
+    group: Group;
+    ticket: Ticket;
+}
+
+/** Methods that a host offers for its queues. */
+export const admissionMethods = { enter: "enter", leave: "leave", withdraw: "withdraw" } as const;
+
+/** Names a group. */
+export function groupName(group: Group): string {
+    return group.kind === "target" ? group.targetId : group.serviceId;
+}
--- /dev/null
+++ b/src/admission/queueKeeper.ts
@@ -0,0 +1,197 @@
+/** Keeps the queues that fall to this host, for all hosts. */
+import type { PeerConnection, PeerHandlers } from "../cluster/peerConnection.js";
+import type { TargetId } from "../model/names.js";
+import type { KnownTarget } from "../model/target.js";
+import { mayReceive } from "../model/target.js";
+import type { Clock } from "../model/time.js";
+import type { ClusterView } from "../store/clusterView.js";
+import type { AdmissionRequest, AdmissionVerdict, QueueTarget, Ticket } from "./admissionQueue.js";
+import { AdmissionQueue } from "./admissionQueue.js";
+import type { EnterParams, EnterReply, Group, LeaveParams, WithdrawParams } from "./messages.js";
+import { admissionMethods, groupName } from "./messages.js";
+
+const tickMs = 25;
+
+/** A queue that nobody used for this long is forgotten. */
+const idleQueueMs = 30_000;
+
+/** What a keeper works with. */
+export interface QueueKeeperParts {
+    view: ClusterView;
+    clock: Clock;
+    random: () => number;
+    /** Time after which a leaving target gets nothing new. */
+    drainMs: number;
+    /** Tells whether a target is known not to answer. */
+    isSilent: (targetId: TargetId) => boolean;
+}
+
+/** What a keeper knows of a target that it keeps the queue for. */
+export interface TargetPressure {
+    targetId: TargetId;
+    slowness: number;
+    running: number;
+    waiting: number;
+}
+
+interface KeptQueue {
+    group: Group;
+    queue: AdmissionQueue;
+    replies: Map<Ticket, (reply: EnterReply) => void>;
+    viewVersion: number;
+    /** True while some target leaves, so that time alone may change what is open. */
+    hasLeaving: boolean;
+    usedMs: number;
+}
+
+/** Queues kept by this host. */
+export interface QueueKeeper {
+    enter(params: EnterParams): Promise<EnterReply>;
+    leave(params: LeaveParams): void;
+    withdraw(params: WithdrawParams): void;
+    /** What other hosts may call. */
+    handlers(): PeerHandlers;
+    /** Looks after what waits, until stopped. */
+    run(signal: AbortSignal): Promise<void>;
+    /** Tells how each target fares whose queue is kept here. */
+    pressures(): TargetPressure[];
+}
+
+/**
+ * Creates the keeper.
+ * @param parts what it works with
+ */
+export function createQueueKeeper({ view, clock, random, drainMs, isSilent }: QueueKeeperParts): QueueKeeper {
+    const queues = new Map<string, KeptQueue>();
+    const ticketsByPeer = new Map<PeerConnection, Map<Ticket, Group>>();
+
+    const queueOf = (group: Group, nowMs: number): KeptQueue => {
+        const name = groupName(group);
+        const known = queues.get(name)
+            ?? { group, queue: new AdmissionQueue(random), replies: new Map(), viewVersion: -1, hasLeaving: false, usedMs: nowMs };
+        queues.set(name, known);
+        known.usedMs = nowMs;
+        refresh(known, nowMs);
+        return known;
+    };
+
+    const refresh = (kept: KeptQueue, nowMs: number) => {
+        if (kept.viewVersion !== view.targetsVersion || kept.hasLeaving) {
+            const targets = targetsOf(kept.group);
+            kept.viewVersion = view.targetsVersion;
+            kept.hasLeaving = targets.some(({ leavingSinceMs }) => leavingSinceMs !== undefined);
+            deliver(kept, kept.queue.setTargets(targets.map((target) => toQueueTarget(target, kept.group, nowMs)), nowMs));
+        }
+    };
+
+    const targetsOf = (group: Group): KnownTarget[] => {
+        const targets = group.kind === "service" ? view.targets.ofService(group.serviceId) : [view.targets.get(group.targetId)];
+        return targets.flatMap((target) => target === undefined ? [] : [target]);
+    };
+
+    /** A leaving target that owns keys is used until they have moved. */
+    const toQueueTarget = (target: KnownTarget, group: Group, nowMs: number): QueueTarget => ({
+        targetId: target.targetId,
+        dataCentreId: target.dataCentreId,
+        slots: target.slots,
+        open: !isSilent(target.targetId) && (group.kind === "target" ? mayReceive(target, drainMs, nowMs) : target.state === "ready"),
+        warmingUp: target.warmingUp,
+    });
+
+    const deliver = (kept: KeptQueue, verdicts: readonly AdmissionVerdict[]) => {
+        for (const verdict of verdicts) {
+            const reply = kept.replies.get(verdict.ticket);
+            kept.replies.delete(verdict.ticket);
+            reply?.(verdict.kind === "granted"
+                ? { granted: verdict.targetId, expectedMs: verdict.expectedMs }
+                : { refused: verdict.reason, retryAfterMs: verdict.retryAfterMs });
+        }
+    };
+
+    const enter = (params: EnterParams): Promise<EnterReply> => {
+        const nowMs = clock.now().monoMs;
+        const kept = queueOf(params.group, nowMs);
+        return new Promise((resolve) => {
+            kept.replies.set(params.ticket, resolve);
+            deliver(kept, kept.queue.offer(toRequest(params, nowMs), nowMs));
+        });
+    };
+
+    const leave = ({ group, ticket, end }: LeaveParams) => {
+        const nowMs = clock.now().monoMs;
+        const kept = queueOf(group, nowMs);
+        deliver(kept, kept.queue.finish(ticket, end, nowMs));
+    };
+
+    const withdraw = ({ group, ticket }: WithdrawParams) => {
+        const nowMs = clock.now().monoMs;
+        const kept = queueOf(group, nowMs);
+        kept.replies.delete(ticket);
+        deliver(kept, kept.queue.withdraw(ticket, nowMs));
+    };
+
+    /** Requests of a host that is lost give their places back. */
+    const onPeerLost = (tickets: ReadonlyMap<Ticket, Group>) => {
+        for (const [ticket, group] of tickets) {
+            withdraw({ group, ticket });
+        }
+    };
+
+    const ticketsOf = (from: PeerConnection): Map<Ticket, Group> => {
+        const known = ticketsByPeer.get(from);
+        if (known !== undefined) {
+            return known;
+        }
+        const tickets = new Map<Ticket, Group>();
+        ticketsByPeer.set(from, tickets);
+        void from.closed.then(() => {
+            ticketsByPeer.delete(from);
+            onPeerLost(tickets);
+        });
+        return tickets;
+    };
+
+    return {
+        enter, leave, withdraw,
+        handlers: () => ({
+            [admissionMethods.enter]: (params: EnterParams, from: PeerConnection) => {
+                ticketsOf(from).set(params.ticket, params.group);
+                return enter(params);
+            },
+            [admissionMethods.leave]: (params: LeaveParams, from: PeerConnection) => {
+                ticketsOf(from).delete(params.ticket);
+                leave(params);
+            },
+            [admissionMethods.withdraw]: (params: WithdrawParams, from: PeerConnection) => {
+                ticketsOf(from).delete(params.ticket);
+                withdraw(params);
+            },
+        }),
+        run: async (signal) => {
+            while (!signal.aborted) {
+                await clock.sleep(tickMs, signal);
+                const nowMs = clock.now().monoMs;
+                for (const [name, kept] of queues) {
+                    refresh(kept, nowMs);
+                    deliver(kept, kept.queue.tick(nowMs));
+                    if (nowMs - kept.usedMs > idleQueueMs && kept.queue.runningCount + kept.queue.waitingCount === 0) {
+                        queues.delete(name);
+                    }
+                }
+            }
+        },
+        pressures: () => [...queues.values()].flatMap(({ queue }) =>
+            queue.describeTargets().map((target) => ({ ...target, waiting: queue.waitingCount }))),
+    };
+}
+
+function toRequest(params: EnterParams, nowMs: number): AdmissionRequest {
+    const { ticket, priority, workKind, typicalWorkMs, near } = params;
+    return {
+        ticket, priority, workKind, typicalWorkMs, near,
+        targetMs: nowMs + params.targetLeftMs,
+        deadlineMs: nowMs + params.deadlineLeftMs,
+        avoid: new Set(params.avoid),
+    };
+}
+
--- a/src/admission/retryBudget.ts
+++ b/src/admission/retryBudget.ts
@@ -2,19 +2,17 @@
 
 /** A token bucket that first attempts fill and retries empty. */
 export class RetryBudget {
-    private tokens: number;
+    private tokens: number | undefined;
 
     /**
      * @param ratio retries allowed for each first attempt
      * @param maxTokens retries allowed in a burst
      */
-    constructor(private readonly ratio: number, private readonly maxTokens: number) {
-        this.tokens = maxTokens;
-    }
+    constructor(private readonly ratio: number, private readonly maxTokens: () => number) {}
 
     /** Counts a first attempt. */
     onFirstAttempt(): void {
-        this.tokens = Math.min(this.maxTokens, this.tokens + this.ratio);
+        this.tokens = Math.min(this.maxTokens(), this.available() + this.ratio);
     }
 
     /**
@@ -22,10 +20,15 @@
      * @returns false when it is spent
      */
     tryRetry(): boolean {
-        if (this.tokens < 1) {
+        const available = this.available();
+        if (available < 1) {
             return false;
         }
-        this.tokens -= 1;
+        this.tokens = available - 1;
         return true;
     }
+
+    private available(): number {
+        return Math.min(this.maxTokens(), this.tokens ?? this.maxTokens());
+    }
 }
--- /dev/null
+++ b/src/cluster/coordinator.ts
@@ -0,0 +1,287 @@
+/** The coordinator: reads the store for all hosts, gives them news, and looks after owners. */
+import type { PeerConnection } from "./peerConnection.js";
+import type { FollowParams, FollowReply, News, Report, ResignReply } from "./messages.js";
+import { clusterMethods } from "./messages.js";
+import type { Member, Membership } from "./membership.js";
+import type { Offset, Term } from "../model/names.js";
+import { Signal } from "../model/signal.js";
+import type { Clock, Instant } from "../model/time.js";
+import type { Log } from "../observe/log.js";
+import { FenceCounter } from "../ownership/fences.js";
+import { usualHoldMs } from "../ownership/holder.js";
+import type { LeasePort } from "../ownership/leasePort.js";
+import type { LedgerChange } from "../ownership/ledger.js";
+import { createLedgerWriter } from "../ownership/ledgerWriter.js";
+import type { Owners } from "../ownership/owners.js";
+import type { OwnershipKeeper, OwnershipKeeperParts } from "../ownership/ownershipKeeper.js";
+import { createOwnershipKeeper } from "../ownership/ownershipKeeper.js";
+import { TermAuthority } from "../ownership/termAuthority.js";
+import type { ClusterView } from "../store/clusterView.js";
+import type { StorePort } from "../store/storePort.js";
+import type { TargetChange } from "../store/targetDirectory.js";
+import type { TopicReader } from "../store/topicReader.js";
+
+/** How long the store may hold a reading of the configuration. */
+const configWaitMs = 1_400;
+
+/** Targets write all the time, so that a held reading would return at once; it is asked for at this period instead. */
+const targetsPeriodMs = 450;
+
+/** Nearly all that is appended to the ledger is appended here, so that a held reading would be of no use. */
+const ledgerPeriodMs = 650;
+
+const newsPeriodMs = 300;
+const readRetryMs = 100;
+
+/** A host that reported nothing for this long is not at work. */
+const memberSilentMs = 1_200;
+
+/** Leases are as long as targets allow once the store has confirmed nothing for this long. */
+const storeTroubleMs = 1_000;
+
+/** A coordinator that resigned acts again after this time if nobody has taken over. */
+const resignedForMs = 1_200;
+
+/** What a coordinator works with. */
+export interface CoordinatorParts {
+    term: Term;
+    /** When the call was sent by which the store confirmed the term. */
+    confirmedAt: Instant;
+    /** Monotonic time until which an earlier coordinator's grants may count. */
+    predecessorUntilMs: number;
+    maxHoldMs: number;
+    store: StorePort;
+    reader: TopicReader;
+    view: ClusterView;
+    membership: Membership;
+    owners: Owners;
+    leases: LeasePort;
+    clock: Clock;
+    log: Log;
+    onMove: OwnershipKeeperParts["onMove"];
+}
+
+interface Follower {
+    member: Member;
+    connection: PeerConnection;
+    heardMs: number;
+}
+
+/** A coordinator at work. */
+export interface Coordinator {
+    readonly term: Term;
+    /** Works until stopped or until another term is in force. */
+    run(signal: AbortSignal): Promise<void>;
+    follow(params: FollowParams, from: PeerConnection): FollowReply;
+    report(report: Report, from: PeerConnection | undefined): void;
+    resign(): ResignReply;
+    /** Time since the store last confirmed the term. */
+    storeAgeMs(now: Instant): number;
+    describe(): object;
+}
+
+/**
+ * Creates a coordinator for a term that the store has confirmed.
+ * @param parts what it works with
+ */
+export function createCoordinator(parts: CoordinatorParts): Coordinator {
+    const { view, clock, log, membership, owners, reader } = parts;
+    const authority = new TermAuthority();
+    authority.confirm(parts.confirmedAt);
+    const followers = new Map<PeerConnection, Follower>();
+    const pushNow = new Signal();
+    let resignedMs: number | undefined;
+    let targetsConfirmedAt: Instant | undefined;
+
+    const isDeposed = () => view.ledger.term?.term !== parts.term;
+    const mayAct = (now: Instant) => resignedMs === undefined && !isDeposed() && authority.isHeld(now);
+
+    const writer = createLedgerWriter({
+        store: parts.store, reader, view, clock, log,
+        mayWrite: mayAct,
+        onWritten: (changes, _from, _upTo, sentAt) => {
+            authority.confirm(sentAt);
+            pushLedger(changes);
+        },
+    });
+
+    const keeper: OwnershipKeeper = createOwnershipKeeper({
+        view, clock, log, writer, leases: parts.leases,
+        fences: new FenceCounter(parts.term),
+        mayGrant: mayAct,
+        holdMs: (now) => authority.ageMs(now) > storeTroubleMs ? parts.maxHoldMs : usualHoldMs,
+        predecessorUntilMs: parts.predecessorUntilMs,
+        onOutdated: () => {
+            void reader.read("ledger", 0);
+        },
+        onMove: parts.onMove,
+    });
+
+    const newsNow = (more: Partial<News> = {}): News => ({
+        term: parts.term,
+        storeAgeMs: Math.round(Math.min(1e6, storeAgeMs(clock.now()))),
+        configOffset: view.config?.offset ?? -1 as Offset,
+        targetsUpTo: view.targetsUpTo,
+        ledgerUpTo: view.ledger.upTo,
+        ...more,
+    });
+
+    const storeAgeMs = (now: Instant): number => {
+        const targetsAgeMs = targetsConfirmedAt === undefined ? Number.POSITIVE_INFINITY : now.monoMs - targetsConfirmedAt.monoMs;
+        return Math.max(authority.ageMs(now), targetsAgeMs);
+    };
+
+    const push = (news: News) => {
+        for (const { connection } of followers.values()) {
+            connection.notify(clusterMethods.news, news);
+        }
+    };
+
+    const pushLedger = (changes: readonly LedgerChange[]) => {
+        owners.refresh();
+        if (changes.length > 0) {
+            push(newsNow({ ledger: changes }));
+        }
+    };
+
+    const membersNow = (): Member[] => [membership.self, ...[...followers.values()].map(({ member }) => member)];
+
+    const updateMembers = () => {
+        membership.update(membersNow());
+        push(newsNow({ members: membersNow() }));
+    };
+
+    const dropSilentFollowers = (nowMs: number) => {
+        for (const [connection, { heardMs }] of followers) {
+            if (nowMs - heardMs > memberSilentMs) {
+                connection.destroy();
+            }
+        }
+    };
+
+    const confirmTerm = async (signal: AbortSignal) => {
+        while (!signal.aborted && !isDeposed()) {
+            const askedAt = clock.now();
+            const reading = await reader.read("ledger", 0);
+            if (reading.isOk() && !isDeposed()) {
+                authority.confirm(askedAt);
+                resumeIfNobodyTookOver(askedAt);
+                pushLedger(reading.value.ledger);
+            }
+            await clock.sleep(reading.isOk() ? ledgerPeriodMs - authority.ageMs(clock.now()) : readRetryMs, signal);
+        }
+    };
+
+    /** Whoever was to take over has claimed the term by now, or never will without waiting for this term's grants to end. */
+    const resumeIfNobodyTookOver = (askedAt: Instant) => {
+        if (resignedMs !== undefined && askedAt.monoMs - resignedMs > resignedForMs) {
+            resignedMs = undefined;
+            log.info("acting again", { term: parts.term });
+        }
+    };
+
+    const readTargets = async (signal: AbortSignal) => {
+        while (!signal.aborted && !isDeposed()) {
+            const askedAt = clock.now();
+            const reading = await reader.read("targets", 0);
+            if (reading.isOk()) {
+                targetsConfirmedAt = askedAt;
+                pushTargets(reading.value.targets);
+            }
+            await clock.sleep(reading.isOk() ? targetsPeriodMs : readRetryMs, signal);
+        }
+    };
+
+    const pushTargets = (changes: readonly TargetChange[]) => {
+        if (changes.length > 0) {
+            log.info("targets changed", { changes: changes.map(({ targetId, entry }) => `${targetId} ${entry?.state ?? "gone"}`) });
+            push(newsNow({ targets: changes }));
+        }
+    };
+
+    const readConfig = async (signal: AbortSignal) => {
+        while (!signal.aborted && !isDeposed()) {
+            const before = view.config?.offset;
+            const reading = await reader.read("configuration", configWaitMs);
+            if (reading.isErr()) {
+                await clock.sleep(readRetryMs, signal);
+            }
+            else if (view.config?.offset !== before) {
+                push(newsNow());
+            }
+        }
+    };
+
+    const giveNews = async (signal: AbortSignal) => {
+        while (!signal.aborted && !isDeposed()) {
+            const nowMs = clock.now().monoMs;
+            dropSilentFollowers(nowMs);
+            const notice = keeper.notice(nowMs);
+            owners.setNotice(notice, nowMs);
+            push(newsNow({ notice }));
+            await Promise.race([clock.sleep(newsPeriodMs, signal), keeper.noticeChanged.next(), pushNow.next()]);
+        }
+    };
+
+    return {
+        term: parts.term,
+        run: async (signal) => {
+            const stop = new AbortController();
+            const until = AbortSignal.any([signal, stop.signal]);
+            owners.refresh();
+            void keeper.run(until);
+            void giveNews(until);
+            void readConfig(until);
+            void readTargets(until);
+            await confirmTerm(until);
+            stop.abort();
+            authority.drop();
+            for (const { connection } of followers.values()) {
+                connection.destroy();
+            }
+        },
+        follow: (params, from) => {
+            const known = followers.has(from);
+            followers.set(from, { member: params.member, connection: from, heardMs: clock.now().monoMs });
+            if (!known) {
+                void from.closed.then(() => {
+                    followers.delete(from);
+                    log.info("host lost", { host: params.member.hostId });
+                    updateMembers();
+                });
+            }
+            log.info("host follows", { host: params.member.hostId, run: params.member.runId });
+            updateMembers();
+            return { accepted: true, news: newsNow({
+                targets: view.targets.changesSince(params.targetsUpTo),
+                ledger: view.ledger.all().filter(({ offset }) => offset >= params.ledgerUpTo),
+                members: membersNow(),
+                notice: keeper.notice(clock.now().monoMs),
+            }) };
+        },
+        report: ({ loads, pressures }, from) => {
+            const nowMs = clock.now().monoMs;
+            const follower = from === undefined ? undefined : followers.get(from);
+            if (follower !== undefined) {
+                follower.heardMs = nowMs;
+            }
+            keeper.addLoads(loads, nowMs);
+            keeper.addPressures(pressures, nowMs);
+        },
+        resign: () => {
+            const now = clock.now();
+            if (isDeposed()) {
+                return { resigned: false };
+            }
+            resignedMs = now.monoMs;
+            log.info("resigned", { term: parts.term });
+            return { resigned: true, grantsLastMs: keeper.grantsLastMs(now.monoMs) };
+        },
+        storeAgeMs,
+        describe: () => ({
+            term: parts.term, resigned: resignedMs !== undefined, authorityAgeMs: Math.round(authority.ageMs(clock.now())),
+            followers: [...followers.values()].map(({ member }) => member.hostId),
+            owners: keeper.describe(clock.now().monoMs),
+        }),
+    };
+}
--- /dev/null
+++ b/src/cluster/membership.ts
@@ -0,0 +1,57 @@
+/** The hosts that are at work, as far as this host knows. */
+import type { Address, DataCentreId, HostId, RunId } from "../model/names.js";
+import { Signal } from "../model/signal.js";
+
+/** A host at work. */
+export interface Member {
+    hostId: HostId;
+    runId: RunId;
+    peerAddress: Address;
+    dataCentreId: DataCentreId;
+    cpuShare: number;
+}
+
+/** The list of hosts at work; this host is always in it. */
+export class Membership {
+    readonly changed = new Signal();
+    private others: readonly Member[] = [];
+    private readonly suspects = new Map<Address, number>();
+
+    /** @param self this host */
+    constructor(readonly self: Member) {}
+
+    /** Every host at work, in the order of their names. */
+    members(): Member[] {
+        return [this.self, ...this.others].sort((left, right) => left.hostId < right.hostId ? -1 : 1);
+    }
+
+    /** Every host but those that could not be reached lately. */
+    reachable(nowMs: number): Member[] {
+        return this.members().filter(({ peerAddress }) => nowMs >= (this.suspects.get(peerAddress) ?? 0));
+    }
+
+    /**
+     * Replaces the list.
+     * @param members hosts at work, with or without this one
+     */
+    update(members: readonly Member[]): void {
+        this.others = members.filter(({ hostId }) => hostId !== this.self.hostId);
+        this.changed.fire();
+    }
+
+    /**
+     * Notes that a host could not be reached.
+     * @param address where it listens for hosts
+     * @param untilMs it is passed over until then
+     */
+    suspect(address: Address, untilMs: number): void {
+        if (address !== this.self.peerAddress) {
+            this.suspects.set(address, untilMs);
+        }
+    }
+
+    /** Notes that a host answered. */
+    trust(address: Address): void {
+        this.suspects.delete(address);
+    }
+}
--- /dev/null
+++ b/src/cluster/messages.ts
@@ -0,0 +1,70 @@
+/** Messages between the coordinator and the other hosts. */
+import type { TargetPressure } from "../admission/queueKeeper.js";
+import type { Offset, RunId, Term } from "../model/names.js";
+import type { RoutingConfig } from "../model/routing.js";
+import type { LedgerChange } from "../ownership/ledger.js";
+import type { KeyLoads } from "../ownership/loadMeter.js";
+import type { OwnershipNotice } from "../ownership/owners.js";
+import type { TargetChange } from "../store/targetDirectory.js";
+import type { Member } from "./membership.js";
+
+/** Methods that hosts offer each other. */
+export const clusterMethods = {
+    /** A host asks the coordinator for news. */
+    follow: "follow",
+    /** The coordinator gives news. */
+    news: "news",
+    /** A host tells the coordinator what it counted. */
+    report: "report",
+    /** A host asks the coordinator to stop, and takes over when it has. */
+    resign: "resign",
+    /** A coordinator that leaves asks a host to take over. */
+    succeed: "succeed",
+    /** A host that cannot read the store asks for the configuration. */
+    configuration: "configuration",
+} as const;
+
+/** A host asks for news from certain offsets on. */
+export interface FollowParams {
+    member: Member;
+    ledgerUpTo: Offset;
+    targetsUpTo: Offset;
+}
+
+/** Answer to `FollowParams`. */
+export type FollowReply =
+    | { accepted: true; news: News }
+    /** The process that was asked does not coordinate. */
+    | { accepted: false; runId: RunId };
+
+/** What the coordinator says; changes only, on a connection that keeps the order. */
+export interface News {
+    term: Term;
+    /** Time since the store last confirmed the coordinator's reading. */
+    storeAgeMs: number;
+    /** Offset of the configuration in force at the coordinator. */
+    configOffset: Offset;
+    targetsUpTo: Offset;
+    targets?: readonly TargetChange[];
+    ledgerUpTo: Offset;
+    ledger?: readonly LedgerChange[];
+    notice?: OwnershipNotice;
+    members?: readonly Member[];
+}
+
+/** What a host tells the coordinator now and then; it also shows that the host is at work. */
+export interface Report {
+    loads: readonly KeyLoads[];
+    pressures: readonly TargetPressure[];
+}
+
+/** A coordinator's answer to the wish to take over. */
+export type ResignReply =
+    | { resigned: true; grantsLastMs: number }
+    | { resigned: false };
+
+/** A configuration with its place. */
+export interface ConfigurationReply {
+    config: RoutingConfig;
+    offset: Offset;
+}
--- /dev/null
+++ b/src/cluster/node.ts
@@ -0,0 +1,370 @@
+/** This host among the others: it coordinates, or follows the coordinator, or takes over. */
+import type { QueueKeeper } from "../admission/queueKeeper.js";
+import type { Address, Offset, Term } from "../model/names.js";
+import { hash } from "../model/rendezvous.js";
+import { Signal } from "../model/signal.js";
+import type { Clock, Instant } from "../model/time.js";
+import type { Log } from "../observe/log.js";
+import { holdBoundMs } from "../ownership/holder.js";
+import { encodeLedgerRecord, termKey } from "../ownership/ledger.js";
+import type { TermRecord } from "../ownership/ledger.js";
+import type { LeasePort } from "../ownership/leasePort.js";
+import type { LoadMeter } from "../ownership/loadMeter.js";
+import type { Owners } from "../ownership/owners.js";
+import type { OwnershipKeeperParts } from "../ownership/ownershipKeeper.js";
+import { authorityMs } from "../ownership/termAuthority.js";
+import type { ClusterView } from "../store/clusterView.js";
+import type { StorePort } from "../store/storePort.js";
+import type { TopicReader } from "../store/topicReader.js";
+import type { Coordinator } from "./coordinator.js";
+import { createCoordinator } from "./coordinator.js";
+import type { Member, Membership } from "./membership.js";
+import type { ConfigurationReply, FollowParams, FollowReply, News, Report, ResignReply } from "./messages.js";
+import { clusterMethods } from "./messages.js";
+import type { PeerConnection, PeerHandlers } from "./peerConnection.js";
+import type { PeerLinks } from "./peerLinks.js";
+import { claimAtMs } from "./succession.js";
+
+const reportPeriodMs = 300;
+const callTimeoutMs = 500;
+
+/** A coordinator from which nothing came for this long is taken as lost. */
+const coordinatorSilentMs = 900;
+
+/** This host reads the store itself when what it knows may be older than this. */
+const staleAfterMs = 1_400;
+
+const ownReadPeriodMs = 250;
+const retryMs = 80;
+
+/** A host that can read the store takes over from a coordinator that cannot, after this time. */
+const coordinatorCutOffMs = 1_500;
+
+/** A claim counts as taken over from a coordinator that resigned only if it was acknowledged this soon. */
+const resignedClaimMs = 800;
+
+/** Ranks of hosts while it is not known which are at work. */
+const unknownRanks = 6;
+
+/** What a node works with. */
+export interface NodeParts {
+    self: Member;
+    maxHoldMs: number;
+    view: ClusterView;
+    store: StorePort;
+    reader: TopicReader;
+    membership: Membership;
+    owners: Owners;
+    links: PeerLinks;
+    leases: LeasePort;
+    loads: LoadMeter;
+    queues: QueueKeeper;
+    clock: Clock;
+    log: Log;
+    onMove: OwnershipKeeperParts["onMove"];
+}
+
+/** This host among the others. */
+export interface ClusterNode {
+    handlers(): PeerHandlers;
+    run(signal: AbortSignal): Promise<void>;
+    /** Asks another host to coordinate, if this one does. */
+    handOver(): Promise<void>;
+    isCoordinating(): boolean;
+    /** Time since what this host knows was confirmed by the store. */
+    knowledgeAgeMs(nowMs: number): number;
+    describe(): object;
+}
+
+/**
+ * Creates the node.
+ * @param parts what it works with
+ */
+export function createNode(parts: NodeParts): ClusterNode {
+    const { self, view, reader, store, membership, owners, links, clock, log } = parts;
+    let coordinator: Coordinator | undefined;
+    let predecessorUntilMs = 0;
+    let termConfirmedAt: Instant | undefined;
+    let confirmedMs = Number.NEGATIVE_INFINITY;
+    let leaving = false;
+    const takeOverAsked = new Signal();
+    let takeOverFrom: Address | undefined;
+
+    const nowMs = () => clock.now().monoMs;
+
+    /** Reads every topic from the store. */
+    const readAll = async (): Promise<boolean> => {
+        const askedMs = nowMs();
+        const readings = await Promise.all([reader.read("ledger", 0), reader.read("targets", 0), reader.read("configuration", 0)]);
+        owners.refresh();
+        const whole = readings.every((reading) => reading.isOk());
+        confirmedMs = whole ? Math.max(confirmedMs, askedMs) : confirmedMs;
+        return whole;
+    };
+
+    const knowledgeAgeMs = (atMs: number) =>
+        coordinator === undefined ? atMs - confirmedMs : coordinator.storeAgeMs(clock.now());
+
+    /** Reads the store while the coordinator does not keep this host up to date. */
+    const keepFresh = async (signal: AbortSignal) => {
+        while (!signal.aborted) {
+            await clock.sleep(ownReadPeriodMs, signal);
+            if (coordinator === undefined && knowledgeAgeMs(nowMs()) > staleAfterMs) {
+                await readAll();
+            }
+        }
+    };
+
+    const applyNews = (news: News, from: PeerConnection) => {
+        const term = view.ledger.term;
+        if (term !== undefined && news.term < term.term) {
+            return;
+        }
+        confirmedMs = Math.max(confirmedMs, nowMs() - news.storeAgeMs);
+        view.applyTargets(news.targets ?? [], news.targetsUpTo, nowMs());
+        if (news.ledger !== undefined) {
+            view.applyLedger(news.ledger, news.ledgerUpTo);
+            owners.refresh();
+        }
+        if (news.notice !== undefined) {
+            owners.setNotice(news.notice, nowMs());
+            view.touchTargets();
+        }
+        if (news.members !== undefined) {
+            membership.update(news.members);
+        }
+        if (news.configOffset > (view.config?.offset ?? -1)) {
+            void fetchConfig(from);
+        }
+    };
+
+    /** The store is the nearest source of a configuration; the coordinator helps when it cannot be read. */
+    const fetchConfig = async (from: PeerConnection) => {
+        const before = view.config?.offset;
+        await reader.read("configuration", 0);
+        if (view.config?.offset !== before) {
+            return;
+        }
+        const reply = await from.call<ConfigurationReply | undefined>(clusterMethods.configuration, {}, callTimeoutMs);
+        if (reply.isOk() && reply.value !== undefined) {
+            view.applyConfig(reply.value.config, reply.value.offset, view.configUpTo);
+        }
+    };
+
+    /** Follows a coordinator until it is lost. */
+    const follow = async (term: TermRecord, signal: AbortSignal): Promise<void> => {
+        const connected = await links.connect(term.peerAddress);
+        if (connected.isErr()) {
+            return;
+        }
+        const connection = connected.value;
+        const params: FollowParams = { member: self, ledgerUpTo: view.ledger.upTo, targetsUpTo: view.targetsUpTo };
+        const reply = await connection.call<FollowReply>(clusterMethods.follow, params, callTimeoutMs);
+        if (reply.isErr() || !reply.value.accepted) {
+            return;
+        }
+        log.info("following", { coordinator: term.hostId, term: term.term });
+        applyNews(reply.value.news, connection);
+        let lostBecause: string | undefined;
+        void connection.closed.then(() => {
+            lostBecause ??= "connection closed";
+        });
+        while (!signal.aborted && lostBecause === undefined && view.ledger.term?.term === term.term) {
+            const report: Report = { loads: parts.loads.take(), pressures: parts.queues.pressures() };
+            connection.notify(clusterMethods.report, report);
+            await Promise.race([clock.sleep(reportPeriodMs, signal), connection.closed]);
+            lostBecause ??= nowMs() - connection.lastHeardMs > coordinatorSilentMs ? "silent" : undefined;
+            if (knowledgeAgeMs(nowMs()) > coordinatorCutOffMs && await takeOverFromCutOff(term, connection)) {
+                return;
+            }
+        }
+        if (lostBecause !== undefined) {
+            log.warn("coordinator lost", { coordinator: term.hostId, term: term.term, why: lostBecause });
+            connection.destroy();
+            membership.suspect(term.peerAddress, nowMs() + 1_000);
+        }
+    };
+
+    /** The coordinator answers but cannot read the store; a host that can takes over. */
+    const takeOverFromCutOff = async (term: TermRecord, connection: PeerConnection): Promise<boolean> => {
+        if (leaving || !await readAll() || view.ledger.term?.term !== term.term) {
+            return false;
+        }
+        log.info("coordinator cut off from the store", { coordinator: term.hostId, term: term.term });
+        return takeOver(connection);
+    };
+
+    /** Has the coordinator resign, and claims its term. */
+    const takeOver = async (connection: PeerConnection): Promise<boolean> => {
+        const reply = await connection.call<ResignReply>(clusterMethods.resign, {}, callTimeoutMs);
+        if (reply.isErr() || !reply.value.resigned) {
+            return false;
+        }
+        return claim({ grantsLastMs: reply.value.grantsLastMs, resignedMs: nowMs() });
+    };
+
+    /**
+     * Claims the next term.
+     * @param resigned what the predecessor said when it resigned; undefined when it was lost
+     */
+    const claim = async (resigned?: { grantsLastMs: number; resignedMs: number }): Promise<boolean> => {
+        const before = view.ledger.term;
+        const record: TermRecord = {
+            kind: "term", term: (before?.term ?? 0) + 1 as Term, hostId: self.hostId, runId: self.runId, peerAddress: self.peerAddress,
+        };
+        const sentAt = clock.now();
+        const outcome = await store.append([encodeLedgerRecord(termKey, record)], view.ledger.upTo);
+        log.info("term claimed", {
+            term: record.term, end: view.ledger.upTo, resigned: resigned !== undefined,
+            outcome: outcome.isOk() ? outcome.value.kind : outcome.error.message,
+        });
+        if (outcome.isErr() || outcome.value.kind === "conflict") {
+            await reader.read("ledger", 0);
+            return false;
+        }
+        const inTime = resigned !== undefined && nowMs() - resigned.resignedMs < resignedClaimMs;
+        predecessorUntilMs = before === undefined ? 0 : nowMs() + (inTime ? resigned.grantsLastMs : lostPredecessorMs());
+        termConfirmedAt = sentAt;
+        const { offset } = outcome.value;
+        view.applyLedger([{ offset, key: termKey, record }], offset + 1 as Offset);
+        return true;
+    };
+
+    /** Time for which a coordinator that was lost may still have grants in force. */
+    const lostPredecessorMs = () => authorityMs + holdBoundMs(parts.maxHoldMs);
+
+    const coordinate = async (term: TermRecord, signal: AbortSignal) => {
+        if (termConfirmedAt === undefined) {
+            // The claim was only read, not acknowledged: nothing is known of what happened meanwhile.
+            predecessorUntilMs = nowMs() + lostPredecessorMs();
+        }
+        const started = createCoordinator({
+            ...parts, term: term.term, confirmedAt: termConfirmedAt ?? clock.now(), predecessorUntilMs,
+        });
+        termConfirmedAt = undefined;
+        coordinator = started;
+        log.info("coordinating", { term: term.term, predecessorMs: Math.round(Math.max(0, predecessorUntilMs - nowMs())) });
+        const stop = new AbortController();
+        void reportToSelf(started, stop.signal);
+        await started.run(signal);
+        stop.abort();
+        coordinator = undefined;
+        confirmedMs = nowMs();
+        log.info("not coordinating any more", { term: term.term, now: view.ledger.term?.hostId });
+    };
+
+    const reportToSelf = async (to: Coordinator, signal: AbortSignal) => {
+        while (!signal.aborted) {
+            to.report({ loads: parts.loads.take(), pressures: parts.queues.pressures() }, undefined);
+            await clock.sleep(reportPeriodMs, signal);
+        }
+    };
+
+    /** Waits for another coordinator, and takes over when it is this host's turn. */
+    const succeed = async (lost: TermRecord | undefined, signal: AbortSignal): Promise<void> => {
+        const lostSinceMs = nowMs();
+        const others = membership.members().filter(({ hostId }) => hostId !== self.hostId && hostId !== lost?.hostId);
+        const heard = await countHeard(others);
+        const rank = lost?.hostId === self.hostId ? 0 : rankOf(others);
+        const atMs = claimAtMs({ lostSinceMs, rank, othersKnown: others.length, othersHeard: heard });
+        while (!signal.aborted && !leaving) {
+            const isRead = await readAll();
+            if (view.ledger.term?.term !== lost?.term) {
+                return;
+            }
+            if (isRead && nowMs() >= atMs) {
+                await claim();
+                return;
+            }
+            await clock.sleep(Math.min(retryMs, Math.max(1, atMs - nowMs())), signal);
+            if (lost !== undefined && nowMs() > atMs + coordinatorSilentMs) {
+                return;
+            }
+        }
+    };
+
+    const rankOf = (others: readonly Member[]): number => {
+        if (others.length === 0) {
+            return 1 + hash(self.hostId) % unknownRanks;
+        }
+        const weight = ({ cpuShare, hostId }: Member) => cpuShare * 1e9 + hash(hostId) / 0x1_0000_0000;
+        return others.filter((other) => weight(other) > weight(self)).length;
+    };
+
+    const countHeard = async (others: readonly Member[]): Promise<number> => {
+        const replies = await Promise.all(others.map(({ peerAddress }) => links.call(peerAddress, "probe", {}, callTimeoutMs)));
+        return replies.filter((reply) => reply.isOk()).length;
+    };
+
+    const takeOverWhenAsked = async (signal: AbortSignal) => {
+        while (!signal.aborted) {
+            await takeOverAsked.next();
+            const connection = takeOverFrom === undefined ? undefined : await links.connect(takeOverFrom);
+            if (connection?.isOk() === true && !leaving) {
+                await takeOver(connection.value);
+            }
+        }
+    };
+
+    return {
+        handlers: () => ({
+            [clusterMethods.follow]: (params: FollowParams, from: PeerConnection): FollowReply =>
+                coordinator?.follow(params, from) ?? { accepted: false, runId: self.runId },
+            [clusterMethods.news]: (news: News, from: PeerConnection) => {
+                applyNews(news, from);
+            },
+            [clusterMethods.report]: (report: Report, from: PeerConnection) => {
+                coordinator?.report(report, from);
+            },
+            [clusterMethods.resign]: (): ResignReply => coordinator?.resign() ?? { resigned: false },
+            [clusterMethods.succeed]: ({ address }: { address: Address }) => {
+                takeOverFrom = address;
+                takeOverAsked.fire();
+            },
+            [clusterMethods.configuration]: (): ConfigurationReply | undefined =>
+                view.config === undefined ? undefined : { config: view.config.config, offset: view.config.offset },
+        }),
+        run: async (signal) => {
+            void keepFresh(signal);
+            void takeOverWhenAsked(signal);
+            while (!signal.aborted && !await readAll()) {
+                await clock.sleep(retryMs, signal);
+            }
+            while (!signal.aborted) {
+                const term = view.ledger.term;
+                if (term?.runId === self.runId) {
+                    await coordinate(term, signal);
+                    continue;
+                }
+                if (term !== undefined && term.hostId !== self.hostId) {
+                    await follow(term, signal);
+                }
+                if (view.ledger.term?.term === term?.term) {
+                    await succeed(term, signal);
+                }
+                await clock.sleep(1, signal);
+            }
+        },
+        handOver: async () => {
+            leaving = true;
+            const successors = membership.reachable(nowMs()).filter(({ hostId }) => hostId !== self.hostId)
+                .sort((left, right) => right.cpuShare - left.cpuShare);
+            for (const successor of successors) {
+                if (coordinator === undefined) {
+                    return;
+                }
+                await links.call(successor.peerAddress, clusterMethods.succeed, { address: self.peerAddress }, callTimeoutMs);
+                await Promise.race([view.ledgerChanged.next(), clock.sleep(callTimeoutMs)]);
+                await clock.sleep(retryMs);
+            }
+        },
+        isCoordinating: () => coordinator !== undefined,
+        knowledgeAgeMs,
+        describe: () => ({
+            self, members: membership.members(), term: view.ledger.term, ledgerUpTo: view.ledger.upTo,
+            configVersion: view.config?.config.version, configOffset: view.config?.offset,
+            knowledgeAgeMs: Math.round(knowledgeAgeMs(nowMs())), targets: [...view.targets.all()],
+            coordinator: coordinator?.describe(),
+        }),
+    };
+}
--- /dev/null
+++ b/src/cluster/succession.ts
@@ -0,0 +1,34 @@
+/**
+ * Decides when a host takes over from a coordinator that it does not hear any more.
+ *
+ * Load pattern: a coordinator is lost, and every host notices at about the same time. They claim the term one after the
+ * other, so that the store sees one claim and not one from each.
+ */
+
+/** Time between the claims of two hosts that follow each other in rank. */
+const rankStepMs = 120;
+
+/** Extra wait of a host that does not hear most of the others either: it is probably the one that is cut off. */
+const isolatedMs = 2_500;
+
+/** What a host knows when it has lost the coordinator. */
+export interface SuccessionSituation {
+    /** Monotonic time since which the coordinator is not heard. */
+    lostSinceMs: number;
+    /** Position of this host among those that may take over; 0 is first. */
+    rank: number;
+    /** Other hosts that are thought to be at work. */
+    othersKnown: number;
+    /** How many of them answer this host. */
+    othersHeard: number;
+}
+
+/**
+ * Gives the time at which a host claims the term.
+ * @param of what it knows
+ * @returns monotonic time
+ */
+export function claimAtMs({ lostSinceMs, rank, othersKnown, othersHeard }: SuccessionSituation): number {
+    const isolated = othersHeard * 2 < othersKnown;
+    return lostSinceMs + rank * rankStepMs + (isolated ? isolatedMs : 0);
+}
--- a/src/coordinator/dispatcher.ts
+++ b/src/coordinator/dispatcher.ts
@@ -51,7 +51,7 @@
     private readonly ordersInFlight = new Map<string, number>();
     private readonly horizonEpochMs = new Map<Shard, number>();
     private readonly changed = new Signal();
-    private readonly retries = new RetryBudget(retryRatio, retryBurst);
+    private readonly retries = new RetryBudget(retryRatio, () => retryBurst);
     private adoptedEpochMs: number | undefined;
     private heldCount = 0;
     private active = 0;
--- /dev/null
+++ b/src/entry/requestBody.ts
@@ -0,0 +1,66 @@
+/** Reads the body of a client's request. */
+import type { IncomingMessage } from "node:http";
+import type { RequestBody } from "./clientCall.js";
+
+/** Bodies up to this size are kept, so that a request can be sent again. */
+const maxCollectedBytes = 65_536;
+
+/**
+ * Creates the body of a request.
+ * @param request the request
+ * @param maxBodyBytes the body counts as broken beyond this
+ * @param beforeRead called once before the first read
+ */
+export function createRequestBody(request: IncomingMessage, maxBodyBytes: number, beforeRead: () => void): RequestBody {
+    const declared = request.headers["content-length"];
+    const declaredBytes = declared === undefined ? undefined : Number(declared);
+    const isBodiless = declaredBytes === undefined && request.headers["transfer-encoding"] === undefined;
+    const unread: Buffer[] = [];
+    let receivedBytes = 0;
+    let pieces: AsyncIterator<Buffer> | undefined;
+
+    const pull = async (): Promise<Buffer | undefined | "broken"> => {
+        if (pieces === undefined) {
+            beforeRead();
+            pieces = request[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+        }
+        try {
+            const { done, value } = await pieces.next();
+            if (done === true) {
+                return request.complete ? undefined : "broken";
+            }
+            receivedBytes += value.length;
+            return receivedBytes > maxBodyBytes ? "broken" : value;
+        }
+        catch {
+            // The client's connection failed; `ClientCall.left` tells the same.
+            return "broken";
+        }
+    };
+
+    return {
+        declaredBytes: isBodiless ? 0 : declaredBytes,
+        collect: async () => {
+            if (isBodiless) {
+                return Buffer.alloc(0);
+            }
+            if (declaredBytes !== undefined && declaredBytes > maxCollectedBytes) {
+                return "too-long";
+            }
+            for (;;) {
+                const piece = await pull();
+                if (piece === "broken") {
+                    return "broken";
+                }
+                if (piece === undefined) {
+                    return Buffer.concat(unread);
+                }
+                unread.push(piece);
+                if (receivedBytes > maxCollectedBytes) {
+                    return "too-long";
+                }
+            }
+        },
+        next: async () => unread.shift() ?? await pull(),
+    };
+}
--- a/src/entry/unkeyedRouter.ts
+++ b/src/entry/unkeyedRouter.ts
@@ -48,7 +48,7 @@
 /** Keeps this host's own view of every unkeyed target. */
 export class UnkeyedRouter {
     private readonly states = new Map<TargetId, TargetState>();
-    private readonly retries = new RetryBudget(retryRatio, retryBurst);
+    private readonly retries = new RetryBudget(retryRatio, () => retryBurst);
 
     /**
      * @param port port to the targets
--- /dev/null
+++ b/src/forwarding/attempt.ts
@@ -0,0 +1,254 @@
+/** Sends a request to one target and passes the answer on. */
+import type { AnswerHead, ClientCall } from "../entry/clientCall.js";
+import type { TargetEntry } from "../model/target.js";
+import type { Clock } from "../model/time.js";
+import type { ConnectionPool } from "./connectionPool.js";
+import type { HttpDialect } from "./dialect.js";
+import { withoutHopByHop } from "./hopByHop.js";
+import type { ResponseHead } from "./responseParser.js";
+import { headerOf } from "./responseParser.js";
+import type { Exchange, TargetConnection } from "./targetConnection.js";
+
+/** An answer up to this size reaches the client only once it is whole, so that a broken one can be asked for again. */
+const maxHeldBytes = 262_144;
+
+/** An answer of a target that is whole and not yet sent. */
+export interface HeldAnswer {
+    head: AnswerHead;
+    body: Buffer;
+}
+
+/** How an attempt ended. */
+export type AttemptEnd =
+    /** The answer is whole; the client has not got it yet. */
+    | { kind: "answered"; answer: HeldAnswer; tookMs: number }
+    /** The answer was passed on as it came. */
+    | { kind: "streamed"; tookMs: number }
+    /** It broke off after the client had got a part of it; the client's connection was ended. */
+    | { kind: "broken-off" }
+    /** The target turned the request away without running it. */
+    | { kind: "turned-away"; status: number }
+    /** Nothing was sent. */
+    | { kind: "unreachable"; why: string }
+    /** Sent, and no whole answer came. */
+    | { kind: "lost"; why: string }
+    /** No answer in time. */
+    | { kind: "timed-out" }
+    /** The body of the request could not be read whole. */
+    | { kind: "body-broken" }
+    | { kind: "client-left" };
+
+/** What an attempt works with. */
+export interface AttemptParts {
+    pool: ConnectionPool;
+    dialect: HttpDialect;
+    clock: Clock;
+}
+
+/** One attempt. */
+export interface AttemptRequest {
+    call: ClientCall;
+    target: TargetEntry;
+    /** The whole body, or undefined when it is streamed from the client. */
+    body: Buffer | undefined;
+    /** Time left for the target's answer. */
+    budgetMs: number;
+    /** The attempt is given up after this time. */
+    timeoutMs: number;
+    /** Longest time that a connection may have been idle before it carries this request. */
+    maxIdleMs: number;
+    /** False when the target finishes the request even if its client leaves. */
+    cancelWithClient: boolean;
+}
+
+/** Ends an exchange early. */
+type Interrupt = "timed-out" | "client-left";
+
+/**
+ * Sends a request to a target.
+ * @param parts what the attempt works with
+ * @param request what to send where
+ */
+export async function attempt(parts: AttemptParts, request: AttemptRequest): Promise<AttemptEnd> {
+    const { call, target } = request;
+    const interrupt = createInterrupt(request.cancelWithClient ? call.left : undefined, request.timeoutMs);
+    try {
+        const opening = parts.pool.acquire(target.address, request.maxIdleMs);
+        const opened = await Promise.race([opening, interrupt.raised]);
+        if (typeof opened === "string") {
+            void opening.then((late) => late.map((connection) => {
+                parts.pool.release(target.address, connection);
+            }));
+            return opened === "client-left" ? { kind: opened } : { kind: "unreachable", why: "no connection in time" };
+        }
+        if (opened.isErr()) {
+            return { kind: "unreachable", why: opened.error.message };
+        }
+        const connection = opened.value;
+        const end = await converse(parts, request, connection, interrupt.raised);
+        parts.pool.release(target.address, connection);
+        if (end.kind === "timed-out") {
+            parts.pool.dropIdle(target.address);
+        }
+        return end;
+    }
+    finally {
+        interrupt.release();
+    }
+}
+
+async function converse(
+    parts: AttemptParts, request: AttemptRequest, connection: TargetConnection, raised: Promise<Interrupt>,
+): Promise<AttemptEnd> {
+    const startedMs = parts.clock.now().monoMs;
+    const exchange = connection.start({
+        method: request.call.method,
+        head: headOf(parts.dialect, request),
+        body: request.body,
+        hasMore: request.body === undefined,
+        isAnswer: (head) => parts.dialect.isAnswerTo(head, request.call.requestId),
+    });
+    const upload = request.body === undefined ? sendBody(request.call, exchange) : Promise.resolve("sent" as const);
+    const head = await Promise.race([exchange.head(), raised, upload.then((sent) => sent === "sent" ? new Promise<never>(() => undefined) : sent)]);
+    if (typeof head === "string") {
+        return { kind: head };
+    }
+    if (head.isErr()) {
+        return { kind: "lost", why: head.error.message };
+    }
+    const end = await receive(parts, request, exchange, head.value, raised);
+    const tookMs = parts.clock.now().monoMs - startedMs;
+    return "tookMs" in end ? { ...end, tookMs } : end;
+}
+
+async function receive(
+    parts: AttemptParts, { call }: AttemptRequest, exchange: Exchange, head: ResponseHead, raised: Promise<Interrupt>,
+): Promise<AttemptEnd> {
+    const responseClass = parts.dialect.classify(head);
+    if (responseClass === "not-run") {
+        await Promise.race([drain(exchange), raised]);
+        return { kind: "turned-away", status: head.status };
+    }
+    if (responseClass === "unproven" && head.status < 300) {
+        return { kind: "lost", why: "the answer bears no signature" };
+    }
+    const held: Buffer[] = [];
+    let heldBytes = 0;
+    let passing = false;
+    for (;;) {
+        const piece = await Promise.race([exchange.read(), raised]);
+        if (typeof piece === "string") {
+            return passing ? breakOff(call) : { kind: piece };
+        }
+        if (piece.isErr()) {
+            return passing ? breakOff(call) : { kind: "lost", why: piece.error.message };
+        }
+        if (piece.value === undefined) {
+            return finish(call, head, held, passing);
+        }
+        if (passing) {
+            await call.writeAnswer(piece.value);
+            continue;
+        }
+        held.push(piece.value);
+        heldBytes += piece.value.length;
+        if (heldBytes > maxHeldBytes) {
+            passing = true;
+            call.beginAnswer(answerHeadOf(head, lengthOf(head)));
+            await call.writeAnswer(Buffer.concat(held));
+        }
+    }
+}
+
+function finish(call: ClientCall, head: ResponseHead, held: readonly Buffer[], passing: boolean): AttemptEnd {
+    if (passing) {
+        call.finishAnswer();
+        return { kind: "streamed", tookMs: 0 };
+    }
+    const body = Buffer.concat(held);
+    const bodyBytes = call.method === "HEAD" ? lengthOf(head) : body.length;
+    return { kind: "answered", answer: { head: answerHeadOf(head, bodyBytes), body }, tookMs: 0 };
+}
+
+function breakOff(call: ClientCall): AttemptEnd {
+    call.breakOff();
+    return { kind: "broken-off" };
+}
+
+async function drain(exchange: Exchange): Promise<void> {
+    for (;;) {
+        const piece = await exchange.read();
+        if (piece.isErr() || piece.value === undefined) {
+            return;
+        }
+    }
+}
+
+/** Passes a long body on as it comes. */
+async function sendBody(call: ClientCall, exchange: Exchange): Promise<"sent" | "body-broken"> {
+    const chunked = call.body.declaredBytes === undefined;
+    for (;;) {
+        const piece = await call.body.next();
+        if (piece === "broken") {
+            return "body-broken";
+        }
+        if (piece === undefined) {
+            await exchange.write(Buffer.from(chunked ? "0\r\n\r\n" : ""));
+            exchange.finishBody();
+            return "sent";
+        }
+        await exchange.write(chunked ? toChunk(piece) : piece);
+    }
+}
+
+function toChunk(piece: Buffer): Buffer {
+    return Buffer.concat([Buffer.from(`${piece.length.toString(16)}\r\n`), piece, Buffer.from("\r\n")]);
+}
+
+function headOf(dialect: HttpDialect, { call, target, body, budgetMs }: AttemptRequest): string {
+    const headers = [...call.forwardHeaders, ...dialect.headersFor(target.targetId, budgetMs), ...bodyHeadersOf(call, body)];
+    let head = `${call.method} ${call.path} HTTP/1.1\r\n`;
+    for (let index = 0; index < headers.length; index += 2) {
+        head += `${headers[index] as string}: ${headers[index + 1] as string}\r\n`;
+    }
+    return `${head}\r\n`;
+}
+
+function bodyHeadersOf(call: ClientCall, body: Buffer | undefined): string[] {
+    const bytes = body === undefined ? call.body.declaredBytes : body.length;
+    if (bytes === undefined) {
+        return ["Transfer-Encoding", "chunked"];
+    }
+    return bytes === 0 && (call.method === "GET" || call.method === "HEAD") ? [] : ["Content-Length", String(bytes)];
+}
+
+const noHeaders: ReadonlySet<string> = new Set();
+
+function answerHeadOf(head: ResponseHead, bodyBytes: number | undefined): AnswerHead {
+    return { status: head.status, reasonPhrase: head.reasonPhrase, rawHeaders: withoutHopByHop(head.rawHeaders, noHeaders), bodyBytes };
+}
+
+function lengthOf(head: ResponseHead): number | undefined {
+    const length = headerOf(head.rawHeaders, "content-length");
+    return length === undefined ? undefined : Number(length);
+}
+
+/** Resolves when the client leaves or the time is over. */
+function createInterrupt(left: AbortSignal | undefined, timeoutMs: number): { raised: Promise<Interrupt>; release: () => void } {
+    let release: () => void = () => undefined;
+    const raised = new Promise<Interrupt>((resolve) => {
+        const timer = setTimeout(resolve, Math.max(1, timeoutMs), "timed-out");
+        const onLeft = () => {
+            resolve("client-left");
+        };
+        if (left?.aborted === true) {
+            onLeft();
+        }
+        left?.addEventListener("abort", onLeft, { once: true });
+        release = () => {
+            clearTimeout(timer);
+            left?.removeEventListener("abort", onLeft);
+        };
+    });
+    return { raised, release };
+}
--- /dev/null
+++ b/src/forwarding/connectionPool.ts
@@ -0,0 +1,121 @@
+/** Keeps connections to targets open between requests. */
+import type { Result } from "neverthrow";
+import { ok } from "neverthrow";
+import type { Failure } from "../model/failure.js";
+import type { Address } from "../model/names.js";
+import type { Clock } from "../model/time.js";
+import type { TargetConnection } from "./targetConnection.js";
+import { connectToTarget } from "./targetConnection.js";
+
+/** Idle time after which a connection is closed if the target names none; targets drop idle connections unannounced. */
+const defaultKeepAliveMs = 5_000;
+
+/** Share of a target's own limit that a connection may idle; the rest covers the way there. */
+const usableShare = 0.7;
+
+const connectTimeoutMs = 400;
+const sweepMs = 1_000;
+
+/** Idle connections kept for one target. */
+const maxIdlePerTarget = 8;
+
+interface Idle {
+    connection: TargetConnection;
+    sinceMs: number;
+}
+
+/** Connections to all targets. */
+export interface ConnectionPool {
+    /**
+     * Takes the connection that was used last, or opens one.
+     * @param address of the target
+     * @param maxIdleMs longest time that the connection may have been idle
+     */
+    acquire(address: Address, maxIdleMs: number): Promise<Result<TargetConnection, Failure>>;
+    /** Gives a connection back; it is closed if it cannot carry another request. */
+    release(address: Address, connection: TargetConnection): void;
+    /** Closes the idle connections to a target. */
+    dropIdle(address: Address): void;
+    /** Closes what has been idle for too long, until stopped. */
+    run(signal: AbortSignal): Promise<void>;
+    /** Connections that are open and unused. */
+    idleCount(): number;
+}
+
+/**
+ * Creates a pool.
+ * @param clock clocks of this process
+ * @param onOpened told of each new connection, for metrics
+ */
+export function createConnectionPool(clock: Clock, onOpened: (address: Address) => void): ConnectionPool {
+    const idleByAddress = new Map<Address, Idle[]>();
+
+    const listOf = (address: Address): Idle[] => {
+        const known = idleByAddress.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const list: Idle[] = [];
+        idleByAddress.set(address, list);
+        return list;
+    };
+
+    const isUsable = ({ connection, sinceMs }: Idle, maxIdleMs: number, nowMs: number): boolean => {
+        const limitMs = (connection.keepAliveMs ?? defaultKeepAliveMs) * usableShare;
+        return connection.reusable && nowMs - sinceMs < Math.min(limitMs, maxIdleMs);
+    };
+
+    const sweep = (nowMs: number) => {
+        for (const [address, list] of idleByAddress) {
+            const kept = list.filter((idle) => isUsable(idle, Number.POSITIVE_INFINITY, nowMs));
+            list.filter((idle) => !kept.includes(idle)).forEach(({ connection }) => {
+                connection.destroy();
+            });
+            if (kept.length === 0) {
+                idleByAddress.delete(address);
+            }
+            else {
+                idleByAddress.set(address, kept);
+            }
+        }
+    };
+
+    return {
+        acquire: async (address, maxIdleMs) => {
+            const list = listOf(address);
+            const nowMs = clock.now().monoMs;
+            const at = list.findLastIndex((idle) => isUsable(idle, maxIdleMs, nowMs));
+            const [found] = at < 0 ? [] : list.splice(at, 1);
+            if (found !== undefined) {
+                return ok(found.connection);
+            }
+            const opened = await connectToTarget(address, connectTimeoutMs);
+            return opened.map((connection) => {
+                onOpened(address);
+                return connection;
+            });
+        },
+        release: (address, connection) => {
+            const list = listOf(address);
+            if (!connection.reusable || list.length >= maxIdlePerTarget) {
+                connection.destroy();
+                return;
+            }
+            list.push({ connection, sinceMs: clock.now().monoMs });
+        },
+        dropIdle: (address) => {
+            const list = idleByAddress.get(address) ?? [];
+            idleByAddress.delete(address);
+            for (const { connection } of list) {
+                connection.destroy();
+            }
+        },
+        run: async (signal) => {
+            while (!signal.aborted) {
+                await clock.sleep(sweepMs, signal);
+                sweep(clock.now().monoMs);
+            }
+        },
+        idleCount: () => [...idleByAddress.values()].reduce((sum, list) => sum + list.length, 0),
+    };
+}
--- /dev/null
+++ b/src/forwarding/forwarder.ts
@@ -0,0 +1,350 @@
+/** Takes a request from its client to the target that is to serve it, and the answer back. */
+import type { AdmissionClient, SlotDecision } from "../admission/admissionClient.js";
+import type { WorkEnd } from "../admission/admissionQueue.js";
+import type { RetryBudgets } from "../admission/retryBudgets.js";
+import type { ClientCall, Refusal, RefusalReason } from "../entry/clientCall.js";
+import type { LoadMeter } from "../ownership/loadMeter.js";
+import type { DataCentreId, Key, ServiceId, TargetId } from "../model/names.js";
+import type { Route, ServiceConfig } from "../model/routing.js";
+import type { TargetEntry } from "../model/target.js";
+import type { Clock } from "../model/time.js";
+import type { RequestLog } from "../observe/requestLog.js";
+import type { Owners } from "../ownership/owners.js";
+import type { Splitter } from "../routing/splitter.js";
+import type { ClusterView } from "../store/clusterView.js";
+import type { AttemptEnd, AttemptParts, HeldAnswer } from "./attempt.js";
+import { attempt } from "./attempt.js";
+import { nextStep } from "./retryPolicy.js";
+
+/** Share of a route's target latency that its work usually takes. */
+const typicalWorkShare = 0.35;
+
+/** Longest time that a connection may have been idle before it carries what must not run twice. */
+const maxIdleUnrepeatableMs = 1_000;
+
+/** An idempotent request is sent again when its answer takes this many times longer than expected. */
+const patienceRatio = 6;
+const minPatienceMs = 400;
+
+/** Pause before a request goes back to a target that turned it away. */
+const pauseMs = 15;
+
+const retryAfterNotReadyMs = 500;
+const retryAfterUnreachableMs = 250;
+
+/** What a forwarder works with. */
+export interface ForwarderParts extends AttemptParts {
+    view: ClusterView;
+    owners: Owners;
+    admission: AdmissionClient;
+    splitter: Splitter;
+    retries: RetryBudgets;
+    loads: LoadMeter;
+    requestLog: RequestLog;
+    clock: Clock;
+    dataCentreId: DataCentreId;
+    random: () => number;
+}
+
+/** A request with all that was decided about it so far. */
+interface Job {
+    call: ClientCall;
+    route: Route;
+    service: ServiceConfig;
+    /** The whole body, or undefined when it is streamed. */
+    body: Buffer | undefined;
+    /** Monotonic times. */
+    receivedMs: number;
+    targetMs: number;
+    deadlineMs: number;
+    sends: number;
+    tried: Set<TargetId>;
+    /** The last attempt's end. */
+    lastEnd: AttemptEnd | undefined;
+    expectedMs: number;
+}
+
+/** A target with a slot for the request, or the answer that the client gets instead. */
+type Placement =
+    | { kind: "placed"; target: TargetEntry; expectedMs: number; leave: (end: WorkEnd) => void }
+    | { kind: "refused"; refusal: Refusal }
+    | { kind: "client-left" };
+
+/** Serves requests. */
+export interface Forwarder {
+    /** Serves one request to its end. */
+    serve(call: ClientCall): Promise<void>;
+}
+
+/**
+ * Creates the forwarder.
+ * @param parts what it works with
+ */
+export function createForwarder(parts: ForwarderParts): Forwarder {
+    const { view, clock, requestLog } = parts;
+    const nowMs = () => clock.now().monoMs;
+
+    const refuse = (call: ClientCall, refusal: Refusal, job?: Job) => {
+        requestLog.refused(call, refusal, job?.route, job?.tried);
+        call.refuse(refusal);
+    };
+
+    const prepare = async (call: ClientCall): Promise<Job | undefined> => {
+        const inForce = view.config;
+        if (inForce === undefined) {
+            refuse(call, { reason: "not-ready", retryAfterMs: retryAfterNotReadyMs });
+            return undefined;
+        }
+        const route = inForce.routes.find(call.hostName, call.path);
+        if (route === undefined) {
+            refuse(call, { reason: "no-route", retryAfterMs: undefined });
+            return undefined;
+        }
+        const service = inForce.services.get(parts.splitter.choose(route) ?? "" as ServiceId);
+        if (service === undefined) {
+            refuse(call, { reason: "no-target", retryAfterMs: retryAfterNotReadyMs });
+            return undefined;
+        }
+        if (service.sharded && call.key === undefined) {
+            refuse(call, { reason: "no-key", retryAfterMs: undefined });
+            return undefined;
+        }
+        const body = await readBody(call, inForce.config.limits.maxBodyBytes);
+        if (body === "refused") {
+            return undefined;
+        }
+        const receivedMs = call.receivedAt.monoMs;
+        return {
+            call, route, service, body, receivedMs,
+            targetMs: receivedMs + route.targetLatencyMs,
+            deadlineMs: receivedMs + Math.min(call.budgetMs ?? Number.POSITIVE_INFINITY, route.timeoutMs),
+            sends: 0, tried: new Set(), lastEnd: undefined, expectedMs: route.targetLatencyMs * typicalWorkShare,
+        };
+    };
+
+    const readBody = async (call: ClientCall, maxBodyBytes: number): Promise<Buffer | undefined | "refused"> => {
+        if (call.body.declaredBytes !== undefined && call.body.declaredBytes > maxBodyBytes) {
+            refuse(call, { reason: "body-too-large", retryAfterMs: undefined });
+            return "refused";
+        }
+        const body = await call.body.collect();
+        if (body === "broken") {
+            refuse(call, { reason: "body-late", retryAfterMs: undefined });
+            return "refused";
+        }
+        return body === "too-long" ? undefined : body;
+    };
+
+    const place = async (job: Job): Promise<Placement> => {
+        const { call, service } = job;
+        if (service.sharded && call.key !== undefined) {
+            return placeAtOwner(job, call.key);
+        }
+        const decision = await parts.admission.enter({
+            ...slotOf(job), group: { kind: "service", serviceId: service.serviceId }, avoid: [...job.tried], keptNear: undefined,
+        }, call.left);
+        return toPlacement(decision);
+    };
+
+    const placeAtOwner = async (job: Job, key: Key): Promise<Placement> => {
+        const { call, service } = job;
+        for (;;) {
+            const owner = await awaitOwner(job, key);
+            if (typeof owner !== "string") {
+                return owner;
+            }
+            const entry = view.targets.get(owner);
+            const moved = new AbortController();
+            const watch = watchOwner(service.serviceId, key, owner, moved);
+            const decision = await parts.admission.enter({
+                ...slotOf(job), group: { kind: "target", targetId: owner }, avoid: [], keptNear: entry?.dataCentreId,
+            }, AbortSignal.any([call.left, moved.signal]));
+            watch.stop();
+            if (!moved.signal.aborted || call.left.aborted) {
+                return toPlacement(decision);
+            }
+            if (decision.kind === "granted") {
+                decision.leave({ kind: "dropped" });
+            }
+        }
+    };
+
+    /** Aborts when the owner of a key changes while its request waits. */
+    const watchOwner = (serviceId: ServiceId, key: Key, owner: TargetId, moved: AbortController) => {
+        let watching = true;
+        const watch = async () => {
+            while (watching) {
+                await parts.owners.changed.next();
+                const status = parts.owners.find(serviceId, key, nowMs());
+                if (watching && (status.kind !== "owned" || status.targetId !== owner)) {
+                    moved.abort();
+                    return;
+                }
+            }
+        };
+        void watch();
+        return { stop: () => {
+            watching = false;
+        } };
+    };
+
+    /** Waits while nobody owns the key, as long as the request can still be served afterwards. */
+    const awaitOwner = async (job: Job, key: Key): Promise<TargetId | Placement> => {
+        for (;;) {
+            const now = nowMs();
+            const status = parts.owners.find(job.service.serviceId, key, now);
+            if (status.kind === "owned") {
+                return status.targetId;
+            }
+            const freeInMs = status.kind === "silent" ? status.freeInMs : 0;
+            if (now + freeInMs + job.expectedMs > job.deadlineMs) {
+                const reason = status.kind === "silent" ? "owner-silent" : "owner-unknown";
+                return { kind: "refused", refusal: { reason, retryAfterMs: spread(Math.max(freeInMs, retryAfterUnreachableMs)) } };
+            }
+            const latestMs = job.deadlineMs - job.expectedMs - now;
+            await Promise.race([parts.owners.changed.next(), clock.sleep(Math.min(latestMs + 1, 250), job.call.left)]);
+            if (job.call.left.aborted) {
+                return { kind: "client-left" };
+            }
+        }
+    };
+
+    const slotOf = ({ route, targetMs, deadlineMs }: Job) => ({
+        priority: route.priority,
+        workKind: route.routeId,
+        typicalWorkMs: route.targetLatencyMs * typicalWorkShare,
+        near: parts.dataCentreId,
+        targetMs, deadlineMs,
+    });
+
+    const toPlacement = (decision: SlotDecision): Placement => {
+        if (decision.kind === "granted") {
+            const target = view.targets.get(decision.targetId);
+            if (target === undefined) {
+                decision.leave({ kind: "dropped" });
+                return { kind: "refused", refusal: { reason: "no-target", retryAfterMs: spread(retryAfterUnreachableMs) } };
+            }
+            return { kind: "placed", target, expectedMs: decision.expectedMs, leave: decision.leave };
+        }
+        if (decision.reason === "withdrawn") {
+            return { kind: "client-left" };
+        }
+        const reason: RefusalReason = decision.reason === "overloaded" ? "overloaded" : "no-target";
+        return { kind: "refused", refusal: { reason, retryAfterMs: decision.retryAfterMs } };
+    };
+
+    const send = async (job: Job, placed: Extract<Placement, { kind: "placed" }>): Promise<AttemptEnd> => {
+        const remainingMs = job.deadlineMs - nowMs();
+        const patienceMs = Math.max(minPatienceMs, placed.expectedMs * patienceRatio);
+        const mayRepeat = job.route.idempotent && job.body !== undefined && patienceMs + placed.expectedMs < remainingMs;
+        job.tried.add(placed.target.targetId);
+        job.sends += 1;
+        const end = await attempt(parts, {
+            call: job.call,
+            target: placed.target,
+            body: job.body,
+            budgetMs: remainingMs,
+            timeoutMs: mayRepeat ? patienceMs : remainingMs,
+            maxIdleMs: job.route.idempotent ? Number.POSITIVE_INFINITY : maxIdleUnrepeatableMs,
+            cancelWithClient: job.route.idempotent,
+        });
+        placed.leave(workEndOf(end));
+        job.lastEnd = end;
+        return end;
+    };
+
+    const spread = (delayMs: number) => delayMs * (0.9 + parts.random() * 0.4);
+
+    const countLoad = ({ service, call, expectedMs }: Job) => {
+        if (service.sharded && call.key !== undefined) {
+            parts.loads.count(service.serviceId, call.key, expectedMs);
+        }
+    };
+
+    const deliver = ({ call, route, tried }: Job, answer: HeldAnswer, tookMs: number) => {
+        requestLog.answered(call, route, tried, answer.head.status, tookMs);
+        call.answer(answer.head, answer.body);
+    };
+
+    /** Ends a request that was sent at least once, or could not be sent, without an answer of a target. */
+    const giveUp = (job: Job, end: AttemptEnd, mayHaveRun: boolean) => {
+        const reason = mayHaveRun ? reasonIfRun(end) : reasonIfNotRun(end);
+        refuse(job.call, { reason, retryAfterMs: mayHaveRun ? undefined : spread(retryAfterUnreachableMs) }, job);
+    };
+
+    const run = async (job: Job): Promise<void> => {
+        let mayHaveRun = false;
+        for (;;) {
+            const placed = await place(job);
+            if (placed.kind === "client-left") {
+                requestLog.left(job.call, job.route, job.tried);
+                return;
+            }
+            if (placed.kind === "refused") {
+                refuse(job.call, mayHaveRun ? { reason: "timed-out", retryAfterMs: undefined } : placed.refusal, job);
+                return;
+            }
+            job.expectedMs = placed.expectedMs;
+            const end = await send(job, placed);
+            mayHaveRun ||= end.kind === "lost" || end.kind === "timed-out" || end.kind === "answered";
+            const next = nextStep({
+                end, idempotent: job.route.idempotent, repeatable: job.body !== undefined, sends: job.sends,
+                remainingMs: job.deadlineMs - nowMs(), expectedMs: job.expectedMs,
+                takeRetry: () => parts.retries.take(job.service.serviceId),
+            });
+            switch (next) {
+                case "deliver":
+                    if (end.kind === "answered") {
+                        deliver(job, end.answer, end.tookMs);
+                    }
+                    return;
+                case "none":
+                    requestLog.left(job.call, job.route, job.tried);
+                    return;
+                case "refuse":
+                case "fail":
+                    giveUp(job, end, mayHaveRun);
+                    return;
+                case "retry":
+                    requestLog.retried(job.call, job.route, placed.target.targetId, end);
+                    await clock.sleep(pauseMs, job.call.left);
+            }
+        }
+    };
+
+    return {
+        serve: async (call) => {
+            const job = await prepare(call);
+            if (job === undefined) {
+                return;
+            }
+            parts.retries.onRequest(job.service.serviceId);
+            countLoad(job);
+            await run(job);
+        },
+    };
+}
+
+const workEndByKind: { [Kind in AttemptEnd["kind"]]: (end: Extract<AttemptEnd, { kind: Kind }>) => WorkEnd } = {
+    "answered": ({ tookMs }) => ({ kind: "answered", tookMs }),
+    "streamed": ({ tookMs }) => ({ kind: "answered", tookMs }),
+    "broken-off": () => ({ kind: "lost" }),
+    "turned-away": () => ({ kind: "turned-away" }),
+    "unreachable": () => ({ kind: "unreachable" }),
+    "lost": () => ({ kind: "lost" }),
+    "timed-out": () => ({ kind: "lost" }),
+    "body-broken": () => ({ kind: "dropped" }),
+    "client-left": () => ({ kind: "dropped" }),
+};
+
+function workEndOf(end: AttemptEnd): WorkEnd {
+    return (workEndByKind[end.kind] as (of: AttemptEnd) => WorkEnd)(end);
+}
+
+function reasonIfRun(end: AttemptEnd): RefusalReason {
+    return end.kind === "timed-out" ? "timed-out" : "lost";
+}
+
+function reasonIfNotRun(end: AttemptEnd): RefusalReason {
+    return end.kind === "turned-away" ? "rejected" : end.kind === "body-broken" ? "body-late" : "unreachable";
+}
--- /dev/null
+++ b/src/forwarding/responseParser.ts
@@ -0,0 +1,269 @@
+/**
+ * Parses HTTP/1.1 responses as they arrive, strictly: a response that is ambiguous or cut short is an error, never a
+ * shorter response. Responses that follow one another on a connection are reported one by one.
+ */
+
+/** Status line and headers of a response. */
+export interface ResponseHead {
+    status: number;
+    reasonPhrase: string;
+    /** Names and values by turns, as received. */
+    rawHeaders: readonly string[];
+    /** False when the connection ends with this response. */
+    persistent: boolean;
+}
+
+/** Receives what was parsed. */
+export interface ResponseEvents {
+    onHead(head: ResponseHead): void;
+    onBody(chunk: Buffer): void;
+    onEnd(): void;
+}
+
+/** A response that breaks the protocol. */
+export class ResponseSyntaxError extends Error {}
+
+const maxHeadBytes = 65_536;
+const maxChunkLineBytes = 256;
+const headEnd = Buffer.from("\r\n\r\n");
+const lineEnd = Buffer.from("\r\n");
+const statusLine = /^HTTP\/1\.([01]) ([1-9][0-9]{2})(?: ([^\r\n]*))?$/;
+const headerLine = /^([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\r\n]*?)[ \t]*$/;
+const chunkLine = /^([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?$/;
+const digits = /^[0-9]{1,15}$/;
+
+type State = "head" | "sized" | "chunk-line" | "chunk" | "chunk-end" | "trailers" | "until-close";
+
+/** Parser of the responses on one connection. */
+export class ResponseParser {
+    private state: State = "head";
+    private pending: Buffer = Buffer.alloc(0);
+    private bodyLeftBytes = 0;
+    private bodiless = false;
+
+    /** @param events receives what was parsed */
+    constructor(private readonly events: ResponseEvents) {}
+
+    /** True between two responses. */
+    get isBetweenResponses(): boolean {
+        return this.state === "head" && this.pending.length === 0;
+    }
+
+    /**
+     * Says that the next response answers a request without a response body, whatever its headers say.
+     * @param bodiless true after a HEAD request
+     */
+    expectBodiless(bodiless: boolean): void {
+        this.bodiless = bodiless;
+    }
+
+    /**
+     * Takes bytes in.
+     * @param bytes what arrived
+     * @throws ResponseSyntaxError when they break the protocol
+     */
+    push(bytes: Buffer): void {
+        this.pending = this.pending.length === 0 ? bytes : Buffer.concat([this.pending, bytes]);
+        while (this.pending.length > 0 && stepByState[this.state](this)) {
+            // Each step consumes some of the pending bytes.
+        }
+    }
+
+    /**
+     * Takes the end of the connection in.
+     * @throws ResponseSyntaxError when a response was cut short
+     */
+    end(): void {
+        if (this.state === "until-close") {
+            this.state = "head";
+            this.events.onEnd();
+            return;
+        }
+        if (!this.isBetweenResponses) {
+            throw new ResponseSyntaxError("the response is cut short");
+        }
+    }
+
+    /** Parses the head once it is whole. */
+    readHead(): boolean {
+        const end = this.pending.indexOf(headEnd);
+        if (end < 0) {
+            if (this.pending.length > maxHeadBytes) {
+                throw new ResponseSyntaxError("the head is too long");
+            }
+            return false;
+        }
+        const lines = this.take(end + headEnd.length).toString("latin1", 0, end).split("\r\n");
+        const status = statusLine.exec(lines[0] ?? "");
+        if (!status) {
+            throw new ResponseSyntaxError("the status line is malformed");
+        }
+        const rawHeaders = lines.slice(1).flatMap(parseHeaderLine);
+        this.startResponse(Number(status[2]), status[3] ?? "", status[1] === "1", rawHeaders);
+        return true;
+    }
+
+    private startResponse(code: number, reasonPhrase: string, isHttp11: boolean, rawHeaders: string[]): void {
+        if (code < 200) {
+            return;
+        }
+        const framing = framingOf(rawHeaders, isHttp11);
+        const empty = this.bodiless || code === 204 || code === 304 || framing.lengthBytes === 0;
+        const untilClose = !empty && framing.lengthBytes === undefined && !framing.chunked;
+        this.events.onHead({ status: code, reasonPhrase, rawHeaders, persistent: framing.persistent && !untilClose });
+        if (empty) {
+            this.events.onEnd();
+            return;
+        }
+        this.bodyLeftBytes = framing.lengthBytes ?? 0;
+        this.state = framing.chunked ? "chunk-line" : untilClose ? "until-close" : "sized";
+    }
+
+    /** Passes body bytes on, up to the end of the body or of the current chunk. */
+    readBody(next: State): boolean {
+        const chunk = this.take(Math.min(this.bodyLeftBytes, this.pending.length));
+        this.bodyLeftBytes -= chunk.length;
+        this.events.onBody(chunk);
+        if (this.bodyLeftBytes === 0) {
+            this.state = next;
+            if (next === "head") {
+                this.events.onEnd();
+            }
+        }
+        return true;
+    }
+
+    /** Passes everything on; the body ends with the connection. */
+    readUntilClose(): boolean {
+        this.events.onBody(this.take(this.pending.length));
+        return true;
+    }
+
+    /** Parses the line before a chunk. */
+    readChunkLine(): boolean {
+        const line = this.takeLine();
+        if (line === undefined) {
+            return false;
+        }
+        const match = chunkLine.exec(line);
+        if (!match) {
+            throw new ResponseSyntaxError("the size of a chunk is malformed");
+        }
+        this.bodyLeftBytes = parseInt(match[1] as string, 16);
+        this.state = this.bodyLeftBytes === 0 ? "trailers" : "chunk";
+        return true;
+    }
+
+    /** Skips the line end behind a chunk. */
+    readChunkEnd(): boolean {
+        const line = this.takeLine();
+        if (line === undefined) {
+            return false;
+        }
+        if (line !== "") {
+            throw new ResponseSyntaxError("a chunk is longer than its size");
+        }
+        this.state = "chunk-line";
+        return true;
+    }
+
+    /** Skips trailers up to the empty line. */
+    readTrailers(): boolean {
+        const line = this.takeLine();
+        if (line === undefined) {
+            return false;
+        }
+        if (line === "") {
+            this.state = "head";
+            this.events.onEnd();
+            return true;
+        }
+        parseHeaderLine(line);
+        return true;
+    }
+
+    private takeLine(): string | undefined {
+        const end = this.pending.indexOf(lineEnd);
+        if (end < 0) {
+            if (this.pending.length > maxChunkLineBytes) {
+                throw new ResponseSyntaxError("a line of the body is too long");
+            }
+            return undefined;
+        }
+        return this.take(end + lineEnd.length).toString("latin1", 0, end);
+    }
+
+    private take(length: number): Buffer {
+        const taken = this.pending.subarray(0, length);
+        this.pending = this.pending.subarray(length);
+        return taken;
+    }
+}
+
+const stepByState: Record<State, (parser: ResponseParser) => boolean> = {
+    "head": (parser) => parser.readHead(),
+    "sized": (parser) => parser.readBody("head"),
+    "chunk-line": (parser) => parser.readChunkLine(),
+    "chunk": (parser) => parser.readBody("chunk-end"),
+    "chunk-end": (parser) => parser.readChunkEnd(),
+    "trailers": (parser) => parser.readTrailers(),
+    "until-close": (parser) => parser.readUntilClose(),
+};
+
+function parseHeaderLine(line: string): [string, string] {
+    const match = headerLine.exec(line);
+    if (!match) {
+        throw new ResponseSyntaxError("a header is malformed");
+    }
+    return [match[1] as string, match[2] as string];
+}
+
+/** How a body is delimited. */
+interface Framing {
+    lengthBytes: number | undefined;
+    chunked: boolean;
+    persistent: boolean;
+}
+
+function framingOf(rawHeaders: readonly string[], isHttp11: boolean): Framing {
+    const framing: Framing = { lengthBytes: undefined, chunked: false, persistent: isHttp11 };
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+        const value = rawHeaders[index + 1] as string;
+        switch ((rawHeaders[index] as string).toLowerCase()) {
+            case "content-length":
+                if (!digits.test(value) || (framing.lengthBytes !== undefined && framing.lengthBytes !== Number(value))) {
+                    throw new ResponseSyntaxError("the content length is malformed");
+                }
+                framing.lengthBytes = Number(value);
+                break;
+            case "transfer-encoding":
+                if (value.toLowerCase() !== "chunked") {
+                    throw new ResponseSyntaxError("the transfer encoding is not known");
+                }
+                framing.chunked = true;
+                break;
+            case "connection":
+                framing.persistent = framing.persistent && !/\bclose\b/i.test(value);
+                break;
+        }
+    }
+    if (framing.chunked && framing.lengthBytes !== undefined) {
+        throw new ResponseSyntaxError("the response has both a length and chunks");
+    }
+    return framing;
+}
+
+/**
+ * Finds a header.
+ * @param rawHeaders names and values by turns
+ * @param name in lower case
+ * @returns the first value, or undefined
+ */
+export function headerOf(rawHeaders: readonly string[], name: string): string | undefined {
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+        if ((rawHeaders[index] as string).toLowerCase() === name) {
+            return rawHeaders[index + 1];
+        }
+    }
+    return undefined;
+}
--- /dev/null
+++ b/src/forwarding/targetConnection.ts
@@ -0,0 +1,322 @@
+/** One connection to a target, on which one request is under way at a time. */
+import net from "node:net";
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
+import type { Failure } from "../model/failure.js";
+import { failure } from "../model/failure.js";
+import type { Address } from "../model/names.js";
+import type { ResponseHead } from "./responseParser.js";
+import { headerOf, ResponseParser } from "./responseParser.js";
+
+/** Body bytes held for a slow reader before the target is slowed down. */
+const maxBufferedBytes = 262_144;
+
+/** A request as it is written to the wire. */
+export interface OutgoingRequest {
+    method: string;
+    /** Request line and headers, with the empty line behind them. */
+    head: string;
+    /** The whole body, or undefined when there is none or it is written piece by piece. */
+    body: Buffer | undefined;
+    /** True when more of the body follows through `write`. */
+    hasMore: boolean;
+    /** Tells whether a response answers this request; others are skipped. */
+    isAnswer: (head: ResponseHead) => boolean;
+}
+
+/** A request under way. */
+export interface Exchange {
+    /** Waits for the head of the response. */
+    head(): Promise<Result<ResponseHead, Failure>>;
+    /** Waits for the next piece of the body; undefined is its end. */
+    read(): Promise<Result<Buffer | undefined, Failure>>;
+    /**
+     * Writes a piece of the body.
+     * @returns resolves when the target takes more
+     */
+    write(piece: Buffer): Promise<void>;
+    /** Says that the body is whole. */
+    finishBody(): void;
+    /** Responses to other requests that were skipped. */
+    readonly skipped: number;
+}
+
+/** An open connection. */
+export interface TargetConnection {
+    /** True when it may carry another request. */
+    readonly reusable: boolean;
+    /** How long the target keeps it open without a request, if it said so. */
+    readonly keepAliveMs: number | undefined;
+    /** Resolves with why the connection ended. */
+    readonly closed: Promise<string>;
+    start(request: OutgoingRequest): Exchange;
+    destroy(): void;
+    /** Ends it at once; what the network has not delivered yet is dropped. */
+    reset(): void;
+}
+
+/**
+ * Connects to a target.
+ * @param address where it listens
+ * @param timeoutMs how long to wait
+ * @returns the connection, or a failure of kind `unreachable`
+ */
+export function connectToTarget(address: Address, timeoutMs: number): Promise<Result<TargetConnection, Failure>> {
+    const [host, port] = address.split(":");
+    return new Promise((resolve) => {
+        const socket = net.connect({ host, port: Number(port), noDelay: true });
+        const giveUp = (reason: string) => {
+            clearTimeout(timer);
+            socket.destroy();
+            resolve(err(failure("unreachable", "connect", address, reason)));
+        };
+        const timer = setTimeout(giveUp, timeoutMs, "timed out");
+        const onError = (error: Error) => {
+            giveUp(error.message);
+        };
+        socket.once("error", onError);
+        socket.once("connect", () => {
+            clearTimeout(timer);
+            socket.off("error", onError);
+            resolve(ok(attach(socket, address)));
+        });
+    });
+}
+
+interface Waiter {
+    wake: () => void;
+}
+
+function attach(socket: net.Socket, address: Address): TargetConnection {
+    let current: ExchangeState | undefined;
+    let reusable = true;
+    let keepAliveMs: number | undefined;
+    let reason = "closed by the target";
+    let skipping = false;
+
+    const parser = new ResponseParser({
+        onHead: (head) => {
+            skipping = current === undefined || current.responseHead !== undefined || !current.request.isAnswer(head);
+            if (skipping) {
+                onStray(head);
+                return;
+            }
+            keepAliveMs = keepAliveOf(head) ?? keepAliveMs;
+            current?.onHead(head);
+        },
+        onBody: (chunk) => {
+            if (!skipping) {
+                current?.onBody(chunk);
+            }
+        },
+        onEnd: () => {
+            if (!skipping) {
+                onAnswered();
+            }
+            skipping = false;
+        },
+    });
+
+    /** A response to another request is skipped while this one waits; without one waiting the connection ends. */
+    const onStray = (head: ResponseHead) => {
+        if (current === undefined || current.responseHead !== undefined || !head.persistent) {
+            end("a response came that nobody waits for");
+            return;
+        }
+        current.skipped += 1;
+    };
+
+    const onAnswered = () => {
+        const answered = current;
+        reusable = reusable && answered?.responseHead?.persistent === true && answered.bodySent;
+        current = undefined;
+        answered?.onEnd();
+        if (!reusable) {
+            end("the response ends the connection");
+        }
+    };
+
+    const end = (why: string) => {
+        reusable = false;
+        reason = why;
+        socket.destroy();
+    };
+
+    const feed = (take: () => void) => {
+        try {
+            take();
+        }
+        catch (error) {
+            end(error instanceof Error ? error.message : String(error));
+        }
+    };
+
+    socket.on("data", (bytes: Buffer) => {
+        feed(() => {
+            parser.push(bytes);
+        });
+    });
+    socket.on("end", () => {
+        feed(() => {
+            parser.end();
+        });
+        end(reason);
+    });
+    socket.on("error", (error) => {
+        reason = error.message;
+    });
+    socket.on("drain", () => {
+        current?.onDrain();
+    });
+    const closed = new Promise<string>((resolve) => {
+        socket.on("close", () => {
+            reusable = false;
+            current?.onBroken(failure("lost", "forward", address, reason));
+            current = undefined;
+            resolve(reason);
+        });
+    });
+
+    return {
+        get reusable() {
+            return reusable && current === undefined;
+        },
+        get keepAliveMs() {
+            return keepAliveMs;
+        },
+        closed,
+        start: (request) => {
+            const state = new ExchangeState(request, socket);
+            current = state;
+            parser.expectBodiless(request.method === "HEAD");
+            if (socket.destroyed) {
+                state.onBroken(failure("unreachable", "forward", address, reason));
+                return state;
+            }
+            socket.cork();
+            socket.write(request.head, "latin1");
+            if (request.body !== undefined) {
+                socket.write(request.body);
+            }
+            socket.uncork();
+            return state;
+        },
+        destroy: () => {
+            end("closed by this host");
+        },
+        reset: () => {
+            reusable = false;
+            reason = "reset by this host";
+            socket.resetAndDestroy();
+        },
+    };
+}
+
+/** Collects what arrives for one request until it is asked for. */
+class ExchangeState implements Exchange {
+    responseHead: ResponseHead | undefined;
+    skipped = 0;
+    bodySent: boolean;
+    private readonly chunks: Buffer[] = [];
+    private bufferedBytes = 0;
+    private ended = false;
+    private broken: Failure | undefined;
+    private reader: Waiter | undefined;
+    private writer: Waiter | undefined;
+
+    constructor(readonly request: OutgoingRequest, private readonly socket: net.Socket) {
+        this.bodySent = !request.hasMore;
+    }
+
+    async head(): Promise<Result<ResponseHead, Failure>> {
+        while (this.responseHead === undefined) {
+            if (this.broken !== undefined) {
+                return err(this.broken);
+            }
+            await this.nextEvent();
+        }
+        return ok(this.responseHead);
+    }
+
+    async read(): Promise<Result<Buffer | undefined, Failure>> {
+        for (;;) {
+            const chunk = this.chunks.shift();
+            if (chunk !== undefined) {
+                this.bufferedBytes -= chunk.length;
+                if (this.bufferedBytes < maxBufferedBytes) {
+                    this.socket.resume();
+                }
+                return ok(chunk);
+            }
+            if (this.ended) {
+                return ok(undefined);
+            }
+            if (this.broken !== undefined) {
+                return err(this.broken);
+            }
+            await this.nextEvent();
+        }
+    }
+
+    write(piece: Buffer): Promise<void> {
+        if (this.ended || this.broken !== undefined || this.socket.write(piece)) {
+            return Promise.resolve();
+        }
+        return new Promise((wake) => {
+            this.writer = { wake };
+        });
+    }
+
+    finishBody(): void {
+        this.bodySent = true;
+    }
+
+    onHead(head: ResponseHead): void {
+        this.responseHead = head;
+        this.wakeReader();
+    }
+
+    onBody(chunk: Buffer): void {
+        this.chunks.push(chunk);
+        this.bufferedBytes += chunk.length;
+        if (this.bufferedBytes >= maxBufferedBytes) {
+            this.socket.pause();
+        }
+        this.wakeReader();
+    }
+
+    onEnd(): void {
+        this.ended = true;
+        this.onDrain();
+        this.wakeReader();
+    }
+
+    onBroken(failed: Failure): void {
+        this.broken = failed;
+        this.onDrain();
+        this.wakeReader();
+    }
+
+    onDrain(): void {
+        const { writer } = this;
+        this.writer = undefined;
+        writer?.wake();
+    }
+
+    private nextEvent(): Promise<void> {
+        return new Promise((wake) => {
+            this.reader = { wake };
+        });
+    }
+
+    private wakeReader(): void {
+        const { reader } = this;
+        this.reader = undefined;
+        reader?.wake();
+    }
+}
+
+function keepAliveOf(head: ResponseHead): number | undefined {
+    const seconds = /timeout=([0-9]+)/i.exec(headerOf(head.rawHeaders, "keep-alive") ?? "")?.[1];
+    return seconds === undefined ? undefined : Number(seconds) * 1_000;
+}
--- /dev/null
+++ b/src/host/container.ts
@@ -0,0 +1,177 @@
+/** Puts the parts of a host together. */
+import type { DependencyContainer, InjectionToken } from "tsyringe";
+import { container, instanceCachingFactory } from "tsyringe";
+import { v4 as newUuid } from "uuid";
+import { createAdmissionClient } from "../admission/admissionClient.js";
+import type { Ticket } from "../admission/admissionQueue.js";
+import { createQueueKeeper } from "../admission/queueKeeper.js";
+import { createRetryBudgets } from "../admission/retryBudgets.js";
+import { Membership } from "../cluster/membership.js";
+import { createNode } from "../cluster/node.js";
+import { createPeerLinks } from "../cluster/peerLinks.js";
+import { createClientHttp } from "../entry/clientHttp.js";
+import { createConnectionPool } from "../forwarding/connectionPool.js";
+import type { HttpDialect } from "../forwarding/dialect.js";
+import { createForwarder } from "../forwarding/forwarder.js";
+import type { RunId } from "../model/names.js";
+import { createLogger } from "../observe/logger.js";
+import { createLogWriter } from "../observe/logWriter.js";
+import type { Metrics } from "../observe/metrics.js";
+import { createMetrics } from "../observe/metrics.js";
+import { createRequestRecorder } from "../observe/requestRecorder.js";
+import type { LeasePort } from "../ownership/leasePort.js";
+import { LoadMeter } from "../ownership/loadMeter.js";
+import { Owners } from "../ownership/owners.js";
+import { Splitter } from "../routing/splitter.js";
+import type { HostSettings } from "../settings/hostSettings.js";
+import { ClusterView } from "../store/clusterView.js";
+import type { RecordDecoders } from "../store/recordDecoders.js";
+import type { StorePort } from "../store/storePort.js";
+import { createTopicReader } from "../store/topicReader.js";
+import { createSystemClock } from "../adapters/systemClock.js";
+import type { DaemonSettings } from "./daemonSettings.js";
+import { tokens } from "./tokens.js";
+
+/** Time between learning that a target leaves and the last request that is sent to it, as a share of what is allowed. */
+const drainShare = 0.65;
+
+/** Letters of a run's name. */
+const runNameLength = 8;
+
+/** What the platform's adapter provides. */
+export interface HostAdapters {
+    dialect: HttpDialect;
+    decoders: RecordDecoders;
+    createStore: (metrics: Metrics) => StorePort;
+    createLeases: (metrics: Metrics) => LeasePort;
+}
+
+/**
+ * Registers the parts of a host.
+ * @param settings the host's settings
+ * @param daemonSettings the process's own settings
+ * @param adapters what the platform's adapter provides
+ */
+export function createHostContainer(
+    settings: HostSettings, daemonSettings: DaemonSettings, adapters: HostAdapters,
+): DependencyContainer {
+    const host = container.createChildContainer();
+    const provide = <T>(token: InjectionToken<T>, create: (from: DependencyContainer) => T) => {
+        host.register(token, { useFactory: instanceCachingFactory(create) });
+    };
+    const drainMs = settings.drainMs * drainShare;
+
+    provide(tokens.settings, () => settings);
+    provide(tokens.daemonSettings, () => daemonSettings);
+    provide(tokens.clock, createSystemClock);
+    provide(tokens.random, () => Math.random);
+    provide(tokens.logWriter, () => createLogWriter());
+    provide(tokens.logFactory, (from) => createLogger(
+        { program: "hornbeam-host", host: settings.hostId, level: daemonSettings.logLevel }, from.resolve(tokens.logWriter), from.resolve(tokens.clock)));
+    provide(tokens.metrics, createMetrics);
+    provide(tokens.dialect, () => adapters.dialect);
+    provide(tokens.decoders, () => adapters.decoders);
+    provide(tokens.store, (from) => adapters.createStore(from.resolve(tokens.metrics)));
+    provide(tokens.leases, (from) => adapters.createLeases(from.resolve(tokens.metrics)));
+    provide(tokens.view, () => new ClusterView());
+    provide(tokens.owners, (from) => new Owners(from.resolve(tokens.view), drainMs));
+    provide(tokens.loads, () => new LoadMeter());
+    provide(tokens.peerHandlers, () => ({}));
+    provide(tokens.membership, () => new Membership({
+        hostId: settings.hostId,
+        runId: newUuid().slice(0, runNameLength) as RunId,
+        peerAddress: settings.peerAddress,
+        dataCentreId: settings.dataCentreId,
+        cpuShare: settings.cpuShare,
+    }));
+    provide(tokens.links, (from) => createPeerLinks(from.resolve(tokens.peerHandlers), from.resolve(tokens.clock)));
+    provide(tokens.reader, (from) => createTopicReader({
+        store: from.resolve(tokens.store),
+        decoders: from.resolve(tokens.decoders),
+        view: from.resolve(tokens.view),
+        clock: from.resolve(tokens.clock),
+        log: from.resolve(tokens.logFactory)("store"),
+    }));
+    provide(tokens.queues, (from) => {
+        const owners = from.resolve(tokens.owners);
+        const clock = from.resolve(tokens.clock);
+        return createQueueKeeper({
+            view: from.resolve(tokens.view), clock, drainMs,
+            random: from.resolve(tokens.random),
+            isSilent: (targetId) => owners.isSilent(targetId, clock.now().monoMs),
+        });
+    });
+    provide(tokens.admission, (from) => createAdmissionClient({
+        keeper: from.resolve(tokens.queues),
+        membership: from.resolve(tokens.membership),
+        links: from.resolve(tokens.links),
+        clock: from.resolve(tokens.clock),
+        nextTicket: createTicketCounter(from.resolve(tokens.membership).self.runId),
+    }));
+    provide(tokens.retries, (from) => createRetryBudgets(
+        { ratio: settings.retryRatio, extra: settings.extraRetries }, () => from.resolve(tokens.membership).members().length));
+    provide(tokens.pool, (from) => createConnectionPool(from.resolve(tokens.clock), () => {
+        from.resolve(tokens.metrics).connections.inc({ kind: "request" });
+    }));
+    provide(tokens.requestLog, (from) => createRequestRecorder({
+        log: from.resolve(tokens.logFactory)("request"),
+        metrics: from.resolve(tokens.metrics),
+        clock: from.resolve(tokens.clock),
+        configVersion: () => from.resolve(tokens.view).config?.config.version,
+        knowledge: (nowMs) => ({
+            ledgerUpTo: from.resolve(tokens.view).ledger.upTo, ageMs: from.resolve(tokens.node).knowledgeAgeMs(nowMs),
+        }),
+    }));
+    provide(tokens.forwarder, (from) => createForwarder({
+        view: from.resolve(tokens.view),
+        owners: from.resolve(tokens.owners),
+        admission: from.resolve(tokens.admission),
+        splitter: new Splitter(),
+        retries: from.resolve(tokens.retries),
+        loads: from.resolve(tokens.loads),
+        requestLog: from.resolve(tokens.requestLog),
+        pool: from.resolve(tokens.pool),
+        dialect: from.resolve(tokens.dialect),
+        clock: from.resolve(tokens.clock),
+        dataCentreId: settings.dataCentreId,
+        random: from.resolve(tokens.random),
+    }));
+    provide(tokens.clients, (from) => {
+        const log = from.resolve(tokens.logFactory)("clients");
+        return createClientHttp({
+            dialect: from.resolve(tokens.dialect),
+            clock: from.resolve(tokens.clock),
+            serve: (call) => from.resolve(tokens.forwarder).serve(call),
+            onFault: (error) => {
+                log.error("unexpected error", { why: error instanceof Error ? error.stack : String(error) });
+            },
+        });
+    });
+    provide(tokens.node, (from) => createNode({
+        self: from.resolve(tokens.membership).self,
+        maxHoldMs: settings.maxHoldMs,
+        view: from.resolve(tokens.view),
+        store: from.resolve(tokens.store),
+        reader: from.resolve(tokens.reader),
+        membership: from.resolve(tokens.membership),
+        owners: from.resolve(tokens.owners),
+        links: from.resolve(tokens.links),
+        leases: from.resolve(tokens.leases),
+        loads: from.resolve(tokens.loads),
+        queues: from.resolve(tokens.queues),
+        clock: from.resolve(tokens.clock),
+        log: from.resolve(tokens.logFactory)("cluster"),
+        onMove: (move, outcome) => {
+            from.resolve(tokens.metrics).moves.inc({ reason: move.reason, outcome });
+        },
+    }));
+    return host;
+}
+
+function createTicketCounter(runId: RunId): () => Ticket {
+    let used = 0;
+    return () => {
+        used += 1;
+        return `${runId}${used.toString(36)}` as Ticket;
+    };
+}
--- /dev/null
+++ b/src/host/tokens.ts
@@ -0,0 +1,63 @@
+/** Names under which the parts of a host are registered. */
+import type { InjectionToken } from "tsyringe";
+import type { AdmissionClient } from "../admission/admissionClient.js";
+import type { QueueKeeper } from "../admission/queueKeeper.js";
+import type { RetryBudgets } from "../admission/retryBudgets.js";
+import type { Membership } from "../cluster/membership.js";
+import type { ClusterNode } from "../cluster/node.js";
+import type { PeerHandlers } from "../cluster/peerConnection.js";
+import type { PeerLinks } from "../cluster/peerLinks.js";
+import type { ClientHttp } from "../entry/clientHttp.js";
+import type { ConnectionPool } from "../forwarding/connectionPool.js";
+import type { HttpDialect } from "../forwarding/dialect.js";
+import type { Forwarder } from "../forwarding/forwarder.js";
+import type { Clock } from "../model/time.js";
+import type { LogFactory } from "../observe/log.js";
+import type { LogWriter } from "../observe/logWriter.js";
+import type { Metrics } from "../observe/metrics.js";
+import type { RequestLog } from "../observe/requestLog.js";
+import type { LeasePort } from "../ownership/leasePort.js";
+import type { LoadMeter } from "../ownership/loadMeter.js";
+import type { Owners } from "../ownership/owners.js";
+import type { HostSettings } from "../settings/hostSettings.js";
+import type { ClusterView } from "../store/clusterView.js";
+import type { RecordDecoders } from "../store/recordDecoders.js";
+import type { StorePort } from "../store/storePort.js";
+import type { TopicReader } from "../store/topicReader.js";
+import type { DaemonSettings } from "./daemonSettings.js";
+
+/** A token for values of one type. */
+type Token<T> = InjectionToken<T>;
+
+const token = <T>(name: string): Token<T> => Symbol(name);
+
+/** Tokens of the parts. */
+export const tokens = {
+    settings: token<HostSettings>("settings"),
+    daemonSettings: token<DaemonSettings>("daemonSettings"),
+    clock: token<Clock>("clock"),
+    random: token<() => number>("random"),
+    logWriter: token<LogWriter>("logWriter"),
+    logFactory: token<LogFactory>("logFactory"),
+    metrics: token<Metrics>("metrics"),
+    requestLog: token<RequestLog>("requestLog"),
+    dialect: token<HttpDialect>("dialect"),
+    store: token<StorePort>("store"),
+    decoders: token<RecordDecoders>("decoders"),
+    leases: token<LeasePort>("leases"),
+    view: token<ClusterView>("view"),
+    reader: token<TopicReader>("reader"),
+    owners: token<Owners>("owners"),
+    loads: token<LoadMeter>("loads"),
+    membership: token<Membership>("membership"),
+    /** Filled once the parts that offer functions to other hosts exist. */
+    peerHandlers: token<PeerHandlers>("peerHandlers"),
+    links: token<PeerLinks>("links"),
+    queues: token<QueueKeeper>("queues"),
+    admission: token<AdmissionClient>("admission"),
+    retries: token<RetryBudgets>("retries"),
+    pool: token<ConnectionPool>("pool"),
+    forwarder: token<Forwarder>("forwarder"),
+    clients: token<ClientHttp>("clients"),
+    node: token<ClusterNode>("node"),
+} as const;
--- a/src/model/failure.ts
+++ b/src/model/failure.ts
@@ -3,7 +3,7 @@
 /** Steps at which a failure can arise. */
 export type Step =
     | "connect" | "heartbeat" | "order-send" | "order-cancel" | "read" | "write" | "bulk"
-    | "log-append" | "log-read" | "log-find" | "host-list" | "peer-call" | "publish" | "settings" | "parse" | "fold";
+    | "store-append" | "store-read" | "log-append" | "log-read" | "log-find" | "host-list" | "peer-call" | "grant" | "release" | "forward" | "admission" | "publish" | "settings" | "parse" | "fold";
 
 /** A failure with its place. `kind` decides what a caller of the module may do next. */
 export interface Failure {
--- /dev/null
+++ b/src/ownership/holder.ts
@@ -0,0 +1,314 @@
+/** The leases of one target: one task renews them, and gives ranges up when they move. */
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
+import type { Failure } from "../model/failure.js";
+import { failure } from "../model/failure.js";
+import type { Address, Fence, KeyRange, TargetId } from "../model/names.js";
+import { Signal } from "../model/signal.js";
+import type { Clock, Instant } from "../model/time.js";
+import type { Log } from "../observe/log.js";
+import type { FenceCounter } from "./fences.js";
+import type { LeasePort, LeaseSession } from "./leasePort.js";
+import { contains, isSameRange, withoutRange } from "./ranges.js";
+
+/** Period of renewals. */
+export const renewMs = 400;
+
+/** Lease while the store answers: short, so that the keys of a lost target are soon free. */
+export const usualHoldMs = 2_000;
+
+const grantTimeoutMs = 300;
+const retryMs = 60;
+const silentRetryMs = 250;
+
+/** A target counts as silent when it has answered nothing for this long. */
+const silentAfterMs = 700;
+
+/** A target's clock may run slow by 2 %. */
+const clockRateBound = 1.02;
+
+/** Covers the way of a grant that is delivered after its connection was reset. */
+const flightMs = 100;
+
+/** Longest time from the sending of a grant to the end of its lease, when its arrival is certain to be soon. */
+export function holdBoundMs(holdMs: number): number {
+    return holdMs * clockRateBound + flightMs;
+}
+
+/** What a holder works with. */
+export interface HolderParts {
+    leases: LeasePort;
+    fences: FenceCounter;
+    clock: Clock;
+    log: Log;
+    /** Tells whether grants may be sent now. */
+    mayGrant: (now: Instant) => boolean;
+    /** Length of a lease granted now. */
+    holdMs: (now: Instant) => number;
+    /** Told when the target has seen a higher fence. */
+    onOutdated: () => void;
+}
+
+interface Lease {
+    range: KeyRange;
+    fence: Fence;
+    /** Connection on which the fence was first sent; another connection may lead to another process. */
+    session: LeaseSession | undefined;
+    handover: string | undefined;
+    dueMs: number;
+    /** The target certainly does not hold the range on this lease after this time. */
+    heldUntilMs: number;
+}
+
+/** What became of the attempt to take a range back. */
+export type ReleaseOutcome =
+    | { kind: "released"; handover: string | undefined }
+    /** The target may hold the range until then. */
+    | { kind: "failed"; heldUntilMs: number; failure: Failure };
+
+/** Keeps the leases of one target. */
+export class Holder {
+    /** Fires when the target falls silent or answers again. */
+    readonly changed = new Signal();
+    private readonly poked = new Signal();
+    private leases: Lease[] = [];
+    private session: LeaseSession | undefined;
+    private answeredMs: number;
+    private failedInARow = 0;
+    private heldUntilMs = Number.NEGATIVE_INFINITY;
+    private renewing: Promise<void> = Promise.resolve();
+    private resumeSent = false;
+    private silent = false;
+
+    /**
+     * @param targetId the target
+     * @param address where it listens
+     * @param parts what the holder works with
+     */
+    constructor(readonly targetId: TargetId, private address: Address, private readonly parts: HolderParts) {
+        this.answeredMs = parts.clock.now().monoMs;
+    }
+
+    /** True while the target does not answer. */
+    get isSilent(): boolean {
+        return this.silent;
+    }
+
+    /** True when a connection to the target is open. */
+    get isConnected(): boolean {
+        return this.session?.isOpen === true && !this.silent;
+    }
+
+    /** Monotonic time after which the target holds nothing that this holder granted. */
+    get freeAtMs(): number {
+        return Math.max(this.heldUntilMs, ...this.leases.map((lease) => lease.heldUntilMs));
+    }
+
+    /** Ranges that are renewed. */
+    get ranges(): KeyRange[] {
+        return this.leases.map(({ range }) => range);
+    }
+
+    /** Notes a new address. */
+    moveTo(address: Address): void {
+        if (address !== this.address) {
+            this.address = address;
+            this.session?.reset();
+        }
+    }
+
+    /**
+     * Sets the ranges to keep granted.
+     * @param ranges the ranges
+     * @param handovers what their last holders gave, for ranges that are new here
+     */
+    setRanges(ranges: readonly KeyRange[], handovers: readonly { range: KeyRange; handover: string | undefined }[]): void {
+        const nowMs = this.parts.clock.now().monoMs;
+        this.noteHeld();
+        const kept = this.leases.filter((lease) => ranges.some((range) => isSameRange(range, lease.range)));
+        const added = ranges.filter((range) => !kept.some((lease) => isSameRange(range, lease.range)));
+        this.leases = [...kept, ...added.map((range) => this.newLease(range, handoverFor(range, handovers), nowMs))];
+        this.poked.fire();
+    }
+
+    /** Renews until stopped. */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            this.renewing = this.renewDue(signal);
+            await this.renewing;
+            const nowMs = this.parts.clock.now().monoMs;
+            const next = this.failedInARow > 0 ? nowMs + (this.silent ? silentRetryMs : retryMs) : this.nextDueMs(nowMs);
+            await Promise.race([this.parts.clock.sleep(Math.max(1, next - nowMs), signal), this.poked.next()]);
+        }
+        this.session?.reset();
+    }
+
+    /**
+     * Takes a range back. It is not renewed any more; if the target does not give it up, `setRanges` restores it.
+     * @param range the range, within one that is renewed
+     * @param timeoutMs how long to wait for the work under way
+     */
+    async release(range: KeyRange, timeoutMs: number): Promise<ReleaseOutcome> {
+        const covering = this.leases.find((lease) => contains(lease.range, range));
+        this.cutOut(range);
+        await this.renewing;
+        const untilMs = covering?.heldUntilMs ?? Number.NEGATIVE_INFINITY;
+        const opened = await this.parts.leases.open(this.targetId, this.address);
+        if (opened.isErr()) {
+            return { kind: "failed", heldUntilMs: untilMs, failure: opened.error };
+        }
+        const outcome = await this.raiseAndRelease(opened.value, range, timeoutMs);
+        opened.value.reset();
+        return outcome.match(
+            (handover): ReleaseOutcome => ({ kind: "released", handover }),
+            (failed): ReleaseOutcome => ({
+                kind: "failed", failure: failed,
+                heldUntilMs: Math.max(untilMs, this.parts.clock.now().monoMs + holdBoundMs(this.parts.holdMs(this.parts.clock.now()))),
+            }),
+        );
+    }
+
+    /** A fresh fence comes first: once it is accepted, no renewal that is still on its way can bring the lease back. */
+    private async raiseAndRelease(session: LeaseSession, range: KeyRange, timeoutMs: number): Promise<Result<string | undefined, Failure>> {
+        const now = this.parts.clock.now();
+        if (!this.parts.mayGrant(now)) {
+            return err(failure("refused", "release", this.targetId, "the term is not confirmed"));
+        }
+        const fence = this.parts.fences.next();
+        const raised = await session.grant({ range, fence, holdMs: this.parts.holdMs(now), handover: undefined }, grantTimeoutMs);
+        if (raised.isErr()) {
+            return err(raised.error);
+        }
+        if (raised.value !== "granted") {
+            this.parts.onOutdated();
+            return err(failure("refused", "grant", this.targetId, raised.value));
+        }
+        return session.release(range, fence, timeoutMs);
+    }
+
+    private cutOut(range: KeyRange): void {
+        const nowMs = this.parts.clock.now().monoMs;
+        this.leases = this.leases.flatMap((lease) => contains(lease.range, range)
+            ? withoutRange([lease.range], range).map((rest) => this.newLease(rest, undefined, nowMs, lease.heldUntilMs))
+            : [lease]);
+        this.poked.fire();
+    }
+
+    private newLease(range: KeyRange, handover: string | undefined, nowMs: number, heldUntilMs = Number.NEGATIVE_INFINITY): Lease {
+        return { range, handover, fence: this.parts.fences.next(), session: undefined, dueMs: nowMs, heldUntilMs };
+    }
+
+    private nextDueMs(nowMs: number): number {
+        return Math.min(nowMs + renewMs, ...this.leases.map(({ dueMs }) => dueMs));
+    }
+
+    private async renewDue(signal: AbortSignal): Promise<void> {
+        if (!this.parts.mayGrant(this.parts.clock.now()) || signal.aborted) {
+            return;
+        }
+        const session = await this.openSession();
+        if (session.isErr()) {
+            this.onFailure(session.error);
+            return;
+        }
+        if (this.silent && this.leases.length === 0) {
+            this.onAnswer();
+        }
+        for (const lease of [...this.leases].sort((left, right) => left.dueMs - right.dueMs)) {
+            if (signal.aborted || !session.value.isOpen || !this.isDue(lease) || !await this.renew(lease, session.value)) {
+                return;
+            }
+        }
+    }
+
+    /** A silent target is granted its ranges once more when it can be connected to; each grant puts the end of the wait off. */
+    private isDue(lease: Lease): boolean {
+        const nowMs = this.parts.clock.now().monoMs;
+        if (this.silent && this.resumeSent && nowMs < this.freeAtMs) {
+            return false;
+        }
+        return this.leases.includes(lease) && lease.dueMs <= nowMs;
+    }
+
+    private async renew(lease: Lease, session: LeaseSession): Promise<boolean> {
+        const now = this.parts.clock.now();
+        if (!this.parts.mayGrant(now)) {
+            return false;
+        }
+        if (lease.session !== session) {
+            lease.session = session;
+            lease.fence = this.parts.fences.next();
+        }
+        this.resumeSent = this.silent;
+        const holdMs = this.parts.holdMs(now);
+        lease.heldUntilMs = Math.max(lease.heldUntilMs, now.monoMs + grantTimeoutMs + holdBoundMs(holdMs));
+        const reply = await session.grant({ range: lease.range, fence: lease.fence, holdMs, handover: lease.handover }, grantTimeoutMs);
+        const answeredMs = this.parts.clock.now().monoMs;
+        lease.heldUntilMs = Math.max(lease.heldUntilMs, answeredMs + holdBoundMs(holdMs));
+        if (reply.isErr()) {
+            this.onFailure(reply.error);
+            return false;
+        }
+        if (reply.value !== "granted") {
+            this.onTurnedAway(lease, reply.value, session);
+            return false;
+        }
+        lease.handover = undefined;
+        lease.dueMs = now.monoMs + renewMs;
+        this.onAnswer();
+        return true;
+    }
+
+    private onTurnedAway(lease: Lease, reply: "outdated" | "rejected", session: LeaseSession): void {
+        this.parts.log.warn("grant turned away", { target: this.targetId, range: lease.range, fence: lease.fence, reply });
+        lease.session = undefined;
+        if (reply === "outdated") {
+            this.parts.onOutdated();
+            this.failedInARow += 1;
+            return;
+        }
+        session.reset();
+        this.onFailure(failure("refused", "grant", this.targetId, reply));
+    }
+
+    private onAnswer(): void {
+        this.answeredMs = this.parts.clock.now().monoMs;
+        this.failedInARow = 0;
+        this.resumeSent = false;
+        if (this.silent) {
+            this.silent = false;
+            this.parts.log.info("target answers again", { target: this.targetId });
+            this.changed.fire();
+        }
+    }
+
+    private onFailure(failed: Failure): void {
+        this.failedInARow += 1;
+        this.session?.reset();
+        this.session = undefined;
+        const quietMs = this.parts.clock.now().monoMs - this.answeredMs;
+        if (!this.silent && this.failedInARow >= 2 && quietMs > silentAfterMs) {
+            this.silent = true;
+            this.parts.log.warn("target silent", { target: this.targetId, quietMs: Math.round(quietMs), step: failed.step, why: failed.message });
+            this.changed.fire();
+        }
+    }
+
+    private async openSession(): Promise<Result<LeaseSession, Failure>> {
+        if (this.session?.isOpen === true) {
+            return ok(this.session);
+        }
+        const opened = await this.parts.leases.open(this.targetId, this.address);
+        this.session = opened.unwrapOr(undefined);
+        return opened;
+    }
+
+    /** Leases that are dropped may still be held for a while. */
+    private noteHeld(): void {
+        this.heldUntilMs = this.freeAtMs;
+    }
+}
+
+function handoverFor(range: KeyRange, handovers: readonly { range: KeyRange; handover: string | undefined }[]): string | undefined {
+    return handovers.find((given) => contains(range, given.range))?.handover;
+}
--- /dev/null
+++ b/src/ownership/ledgerWriter.ts
@@ -0,0 +1,118 @@
+/** Appends to the ledger on behalf of the coordinator. An append takes effect only if nobody else appended before it. */
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
+import type { Failure } from "../model/failure.js";
+import { failure } from "../model/failure.js";
+import type { Offset } from "../model/names.js";
+import type { Clock, Instant } from "../model/time.js";
+import type { Log } from "../observe/log.js";
+import type { ClusterView } from "../store/clusterView.js";
+import type { StorePort } from "../store/storePort.js";
+import type { TopicReader } from "../store/topicReader.js";
+import type { LedgerChange } from "./ledger.js";
+import { encodeLedgerRecord } from "./ledger.js";
+import type { Assignment, DraftedRecord } from "./ownershipDraft.js";
+import { draftOwnerships } from "./ownershipDraft.js";
+
+const retryMs = 40;
+
+/** What a writer works with. */
+export interface LedgerWriterParts {
+    store: StorePort;
+    reader: TopicReader;
+    view: ClusterView;
+    clock: Clock;
+    log: Log;
+    /** Tells whether this process may still write. */
+    mayWrite: (now: Instant) => boolean;
+    /** Told of each append that took effect, with the time at which it was sent. */
+    onWritten: (changes: readonly LedgerChange[], from: Offset, upTo: Offset, sentAt: Instant) => void;
+}
+
+interface Job {
+    assignments: readonly Assignment[];
+    settle: (result: Result<void, Failure>) => void;
+}
+
+/** Writes to the ledger. */
+export interface LedgerWriter {
+    /**
+     * Gives ranges to targets. Resolves when that is in force, or when it certainly is not and never will be.
+     * A failure of kind `lost` leaves it open; it comes only when this process may not write any more.
+     */
+    assign(assignments: readonly Assignment[]): Promise<Result<void, Failure>>;
+}
+
+/**
+ * Creates the writer.
+ * @param parts what it works with
+ */
+export function createLedgerWriter(parts: LedgerWriterParts): LedgerWriter {
+    const { store, reader, view, clock, log } = parts;
+    let queue: Job[] = [];
+    let working = false;
+
+    const work = async () => {
+        working = true;
+        while (queue.length > 0) {
+            const jobs = queue;
+            queue = [];
+            const result = await appendUntilKnown(jobs.flatMap(({ assignments }) => assignments));
+            jobs.forEach(({ settle }) => {
+                settle(result);
+            });
+        }
+        working = false;
+    };
+
+    /** An append without an answer may take effect later; appending again at the same end makes one of the two fail. */
+    const appendUntilKnown = async (assignments: readonly Assignment[]): Promise<Result<void, Failure>> => {
+        let uncertainFrom: Offset | undefined;
+        for (;;) {
+            const now = clock.now();
+            const records = draftOwnerships(view.ledger, assignments);
+            if (!parts.mayWrite(now)) {
+                return err(failure(uncertainFrom === undefined ? "refused" : "lost", "store-append", "ledger", "the term is not confirmed"));
+            }
+            const expectedEnd = view.ledger.upTo;
+            const outcome = await store.append(records.map(({ key, record }) => encodeLedgerRecord(key, record)), expectedEnd);
+            if (outcome.isOk() && outcome.value.kind === "appended") {
+                take(records, outcome.value.offset, now);
+                return ok(undefined);
+            }
+            if (outcome.isErr()) {
+                log.warn("append failed", { kind: outcome.error.kind, why: outcome.error.message, end: expectedEnd });
+                uncertainFrom ??= outcome.error.kind === "lost" ? expectedEnd : undefined;
+                if (uncertainFrom === undefined) {
+                    return err(outcome.error);
+                }
+                await clock.sleep(retryMs);
+            }
+            await reader.read("ledger", 0);
+            if (uncertainFrom !== undefined && isInForce(records, uncertainFrom)) {
+                return ok(undefined);
+            }
+        }
+    };
+
+    const take = (records: readonly DraftedRecord[], offset: Offset, sentAt: Instant) => {
+        const changes = records.map((record, index) => ({ ...record, offset: offset + index as Offset }));
+        const upTo = offset + records.length as Offset;
+        view.applyLedger(changes, upTo);
+        parts.onWritten(changes, offset, upTo, sentAt);
+    };
+
+    const isInForce = (records: readonly DraftedRecord[], from: Offset): boolean => records.every(({ key, record }) => {
+        const change = view.ledger.get(key);
+        return change !== undefined && change.offset >= from && JSON.stringify(change.record) === JSON.stringify(record);
+    });
+
+    return {
+        assign: (assignments) => new Promise((settle) => {
+            queue.push({ assignments, settle });
+            if (!working) {
+                void work();
+            }
+        }),
+    };
+}
--- /dev/null
+++ b/src/ownership/ownershipDraft.ts
@@ -0,0 +1,45 @@
+/** Works out the ledger's next records from moves of keys. */
+import type { Address, KeyRange, ServiceId, TargetId } from "../model/names.js";
+import type { Ledger, OwnershipRecord } from "./ledger.js";
+import { ownershipKeyOf } from "./ledger.js";
+import { withoutRange, withRange } from "./ranges.js";
+
+/** A range and the target that is to own it. */
+export interface Assignment {
+    serviceId: ServiceId;
+    range: KeyRange;
+    targetId: TargetId;
+    address: Address;
+}
+
+/** A key of the ledger with its next record; undefined removes the key. */
+export interface DraftedRecord {
+    key: string;
+    record: OwnershipRecord | undefined;
+}
+
+/**
+ * Works out which records change when ranges get new owners.
+ * @param ledger the ledger in force
+ * @param assignments in the order in which they count
+ */
+export function draftOwnerships(ledger: Ledger, assignments: readonly Assignment[]): DraftedRecord[] {
+    const owned = new Map<TargetId, OwnershipRecord>(ledger.ownerships().map((record) => [record.targetId, record]));
+    const changed = new Set<TargetId>();
+    for (const { serviceId, range, targetId, address } of assignments) {
+        for (const record of [...owned.values()].filter((other) => other.serviceId === serviceId && other.targetId !== targetId)) {
+            const ranges = withoutRange(record.ranges, range);
+            if (ranges.length !== record.ranges.length || ranges.some((rest, index) => rest !== record.ranges[index])) {
+                owned.set(record.targetId, { ...record, ranges });
+                changed.add(record.targetId);
+            }
+        }
+        const before = owned.get(targetId)?.ranges ?? [];
+        owned.set(targetId, { kind: "ownership", targetId, serviceId, address, ranges: withRange(withoutRange(before, range), range) });
+        changed.add(targetId);
+    }
+    return [...changed].map((targetId) => {
+        const record = owned.get(targetId);
+        return { key: ownershipKeyOf(targetId), record: record === undefined || record.ranges.length === 0 ? undefined : record };
+    });
+}
--- /dev/null
+++ b/src/ownership/ownershipKeeper.ts
@@ -0,0 +1,319 @@
+/** The coordinator's work on owners: grants what the ledger says, moves keys, takes the keys of lost targets back. */
+import type { TargetPressure } from "../admission/queueKeeper.js";
+import type { Address, KeyRange, ServiceId, TargetId } from "../model/names.js";
+import { Signal } from "../model/signal.js";
+import type { TargetEntry } from "../model/target.js";
+import type { Clock, Instant } from "../model/time.js";
+import type { Log } from "../observe/log.js";
+import type { ClusterView } from "../store/clusterView.js";
+import type { FenceCounter } from "./fences.js";
+import type { HolderParts } from "./holder.js";
+import { Holder, holdBoundMs, usualHoldMs } from "./holder.js";
+import { KeyLoads } from "./keyLoads.js";
+import type { LeasePort } from "./leasePort.js";
+import type { KeyLoads as ReportedLoads } from "./loadMeter.js";
+import type { LedgerWriter } from "./ledgerWriter.js";
+import { OwnerMap } from "./ownerMap.js";
+import type { Assignment } from "./ownershipDraft.js";
+import type { MovingRange, OwnershipNotice } from "./owners.js";
+import type { Move, PlannerTarget, TargetStanding } from "./planner.js";
+import { planMoves } from "./planner.js";
+import { isSameRange, withoutRange } from "./ranges.js";
+
+const planMs = 150;
+
+/** How long a move for balance waits for the work under way before it is given up. */
+const balanceReleaseTimeoutMs = 700;
+
+/** A leaving target's work under way is awaited until its lease would have ended anyway. */
+const leavingReleaseTimeoutMs = usualHoldMs;
+
+/** Pause before a move that failed is planned again. */
+const retryMoveMs = 300;
+
+/** Slowness that a target is taken to have in its first seconds. */
+const warmUpSlowness = 2;
+
+/** A report on a target's slowness counts for this long. */
+const pressureLastsMs = 5_000;
+
+/** What a keeper works with. */
+export interface OwnershipKeeperParts {
+    view: ClusterView;
+    leases: LeasePort;
+    writer: LedgerWriter;
+    fences: FenceCounter;
+    clock: Clock;
+    log: Log;
+    mayGrant: (now: Instant) => boolean;
+    holdMs: (now: Instant) => number;
+    /** Monotonic time until which an earlier coordinator's grants may count. */
+    predecessorUntilMs: number;
+    /** Told when a target has seen a higher fence than this term's. */
+    onOutdated: () => void;
+    /** Told of each move that was begun or ended. */
+    onMove: (move: Move, outcome: "begun" | "done" | "failed") => void;
+}
+
+interface ActiveMove {
+    serviceId: ServiceId;
+    move: Move;
+}
+
+/** Handles owners until stopped. */
+export interface OwnershipKeeper {
+    /** Fires when the notice has changed. */
+    readonly noticeChanged: Signal;
+    run(signal: AbortSignal): Promise<void>;
+    /** Takes in what a host counted. */
+    addLoads(loads: readonly ReportedLoads[], nowMs: number): void;
+    /** Takes in how targets fare. */
+    addPressures(pressures: readonly TargetPressure[], nowMs: number): void;
+    notice(nowMs: number): OwnershipNotice;
+    /** Time from now until no grant of this coordinator or an earlier one counts any more. */
+    grantsLastMs(nowMs: number): number;
+    describe(nowMs: number): object;
+}
+
+/**
+ * Creates the keeper.
+ * @param parts what it works with
+ */
+export function createOwnershipKeeper(parts: OwnershipKeeperParts): OwnershipKeeper {
+    const { view, clock, log, writer } = parts;
+    const holders = new Map<TargetId, { holder: Holder; stop: AbortController }>();
+    const loadsByService = new Map<ServiceId, KeyLoads>();
+    const pressures = new Map<TargetId, { slowness: number; atMs: number }>();
+    const moves = new Set<ActiveMove>();
+    const retryAfterMs = new Map<TargetId, number>();
+    const noticeChanged = new Signal();
+    const poked = new Signal();
+
+    const holderParts: HolderParts = {
+        leases: parts.leases, fences: parts.fences, clock, log,
+        mayGrant: parts.mayGrant, holdMs: parts.holdMs, onOutdated: parts.onOutdated,
+    };
+
+    const shardedServices = (): ServiceId[] =>
+        [...view.config?.services.values() ?? []].filter(({ sharded }) => sharded).map(({ serviceId }) => serviceId);
+
+    const loadsOf = (serviceId: ServiceId): KeyLoads => {
+        const known = loadsByService.get(serviceId) ?? new KeyLoads();
+        loadsByService.set(serviceId, known);
+        return known;
+    };
+
+    const startHolder = (entry: Pick<TargetEntry, "targetId" | "address">, signal: AbortSignal): Holder => {
+        const known = holders.get(entry.targetId);
+        if (known !== undefined) {
+            known.holder.moveTo(entry.address);
+            return known.holder;
+        }
+        const holder = new Holder(entry.targetId, entry.address, holderParts);
+        const stop = new AbortController();
+        holders.set(entry.targetId, { holder, stop });
+        void holder.run(AbortSignal.any([signal, stop.signal]));
+        void watchHolder(holder, stop.signal);
+        return holder;
+    };
+
+    const watchHolder = async (holder: Holder, signal: AbortSignal) => {
+        while (!signal.aborted) {
+            await holder.changed.next();
+            noticeChanged.fire();
+            poked.fire();
+        }
+    };
+
+    /** Every target of a sharded service has a holder, so that it is known to answer before it is given keys. */
+    const syncHolders = (signal: AbortSignal) => {
+        const wanted = new Set<TargetId>();
+        for (const serviceId of shardedServices()) {
+            for (const entry of view.targets.ofService(serviceId)) {
+                wanted.add(entry.targetId);
+                startHolder(entry, signal);
+            }
+        }
+        for (const record of view.ledger.ownerships().filter(({ targetId }) => view.targets.get(targetId) === undefined)) {
+            wanted.add(record.targetId);
+            startHolder(record, signal);
+        }
+        for (const [targetId, { holder, stop }] of holders) {
+            if (!wanted.has(targetId) && holder.ranges.length === 0) {
+                stop.abort();
+                holders.delete(targetId);
+            }
+        }
+    };
+
+    /** Grants what the ledger says, but for what is on the move. */
+    const syncRanges = (handovers: readonly { range: KeyRange; handover: string | undefined }[] = []) => {
+        const owned = new Map(view.ledger.ownerships().map((record) => [record.targetId, record]));
+        for (const [targetId, { holder }] of holders) {
+            const record = owned.get(targetId);
+            const away = [...moves].filter(({ move }) => move.from === targetId).map(({ move }) => move.range);
+            const ranges = away.reduce<readonly KeyRange[]>(withoutRange, record?.ranges ?? []);
+            if (!isSameSet(ranges, holder.ranges)) {
+                holder.setRanges(ranges, handovers);
+            }
+        }
+    };
+
+    const standingOf = (targetId: TargetId, nowMs: number): TargetStanding => {
+        const entry = view.targets.get(targetId);
+        const holder = holders.get(targetId)?.holder;
+        if (holder === undefined) {
+            return nowMs > parts.predecessorUntilMs ? "free" : "unsure";
+        }
+        if (holder.isSilent) {
+            return nowMs > Math.max(holder.freeAtMs, parts.predecessorUntilMs) ? "free" : "unsure";
+        }
+        if (entry === undefined || entry.state !== "ready") {
+            return "leaving";
+        }
+        return holder.isConnected ? "ready" : "unsure";
+    };
+
+    const plannerTarget = (targetId: TargetId, nowMs: number): PlannerTarget => {
+        const entry = view.targets.get(targetId);
+        const pressure = pressures.get(targetId);
+        const slowness = pressure !== undefined && nowMs - pressure.atMs < pressureLastsMs
+            ? pressure.slowness
+            : entry?.warmingUp === true ? warmUpSlowness : 1;
+        return { targetId, standing: standingOf(targetId, nowMs), capacity: (entry?.slots ?? 1) / slowness };
+    };
+
+    const plan = (serviceId: ServiceId, nowMs: number): Move[] => {
+        const ranges = new OwnerMap(view.ledger.ownerships()).rangesOf(serviceId);
+        const ids = new Set([...view.targets.ofService(serviceId), ...ranges].map(({ targetId }) => targetId));
+        const loads = loadsOf(serviceId);
+        loads.decay(nowMs);
+        return planMoves({
+            targets: [...ids].map((targetId) => plannerTarget(targetId, nowMs)),
+            ranges, loads,
+            moving: [...moves].filter((active) => active.serviceId === serviceId).map(({ move }) => move.range),
+        }).filter(({ from }) => from === undefined || nowMs >= (retryAfterMs.get(from) ?? 0));
+    };
+
+    const assignmentOf = (serviceId: ServiceId, range: KeyRange, targetId: TargetId): Assignment =>
+        ({ serviceId, range, targetId, address: view.targets.get(targetId)?.address ?? "" as Address });
+
+    /** Ranges that nobody holds are given out together. */
+    const assignFree = async (serviceId: ServiceId, free: readonly Move[]) => {
+        const active = free.map((move) => ({ serviceId, move }));
+        active.forEach((one) => moves.add(one));
+        const result = await writer.assign(free.map(({ range, to }) => assignmentOf(serviceId, range, to)));
+        active.forEach((one) => moves.delete(one));
+        log.info("keys given out", { service: serviceId, moves: free.map(describeMove), ...result.isErr() ? { why: result.error.message } : {} });
+        free.forEach((move) => {
+            parts.onMove(move, result.isOk() ? "done" : "failed");
+        });
+        syncRanges();
+        noticeChanged.fire();
+    };
+
+    const moveAway = async (serviceId: ServiceId, move: Move, from: TargetId) => {
+        const active = { serviceId, move };
+        moves.add(active);
+        noticeChanged.fire();
+        const startedMs = clock.now().monoMs;
+        parts.onMove(move, "begun");
+        const holder = holders.get(from)?.holder;
+        const timeoutMs = move.reason === "leaving" ? leavingReleaseTimeoutMs : balanceReleaseTimeoutMs;
+        const released = await holder?.release(move.range, timeoutMs);
+        const releasedMs = clock.now().monoMs;
+        const isFree = released?.kind === "released" || (released?.kind === "failed" && move.reason === "leaving" && await outwait(released.heldUntilMs));
+        const assigned = isFree ? await writer.assign([assignmentOf(serviceId, move.range, move.to)]) : undefined;
+        moves.delete(active);
+        const handover = released?.kind === "released" ? released.handover : undefined;
+        syncRanges([{ range: move.range, handover }]);
+        noticeChanged.fire();
+        const done = assigned?.isOk() === true;
+        if (!done) {
+            retryAfterMs.set(from, clock.now().monoMs + retryMoveMs);
+        }
+        parts.onMove(move, done ? "done" : "failed");
+        log.info(done ? "keys moved" : "move given up", {
+            service: serviceId, ...describeMove(move), from, handover: handover !== undefined,
+            releaseMs: Math.round(releasedMs - startedMs), totalMs: Math.round(clock.now().monoMs - startedMs),
+            ...released?.kind === "failed" ? { why: released.failure.message } : {},
+            ...assigned?.isErr() === true ? { why: assigned.error.message } : {},
+        });
+    };
+
+    const outwait = async (untilMs: number): Promise<boolean> => {
+        const nowMs = clock.now().monoMs;
+        if (untilMs > nowMs) {
+            await clock.sleep(untilMs - nowMs);
+        }
+        return true;
+    };
+
+    const planAll = () => {
+        const now = clock.now();
+        if (!parts.mayGrant(now)) {
+            return;
+        }
+        for (const serviceId of shardedServices()) {
+            const planned = plan(serviceId, now.monoMs);
+            const free = planned.filter(({ from }) => from === undefined);
+            if (free.length > 0) {
+                void assignFree(serviceId, free);
+            }
+            for (const move of planned) {
+                if (move.from !== undefined) {
+                    void moveAway(serviceId, move, move.from);
+                }
+            }
+        }
+    };
+
+    return {
+        noticeChanged,
+        run: async (signal) => {
+            while (!signal.aborted) {
+                syncHolders(signal);
+                syncRanges();
+                planAll();
+                await Promise.race([clock.sleep(planMs, signal), poked.next(), view.targetsChanged.next()]);
+            }
+        },
+        addLoads: (loads, nowMs) => {
+            for (const { serviceId, pairs } of loads) {
+                loadsOf(serviceId).add(pairs, nowMs);
+            }
+        },
+        addPressures: (reported, nowMs) => {
+            for (const { targetId, slowness } of reported) {
+                pressures.set(targetId, { slowness, atMs: nowMs });
+            }
+        },
+        notice: (nowMs) => ({
+            moving: [...moves].filter(({ move }) => move.from !== undefined)
+                .map(({ serviceId, move }): MovingRange => ({ serviceId, from: move.range.from, to: move.range.to })),
+            silent: [...holders.values()].filter(({ holder }) => holder.isSilent).map(({ holder }) => ({
+                targetId: holder.targetId,
+                freeInMs: Math.round(Math.max(0, Math.max(holder.freeAtMs, parts.predecessorUntilMs) - nowMs)),
+            })),
+        }),
+        grantsLastMs: (nowMs) => {
+            const latestMs = Math.max(parts.predecessorUntilMs, ...[...holders.values()].map(({ holder }) => holder.freeAtMs));
+            return Math.max(0, latestMs - nowMs) + holdBoundMs(0);
+        },
+        describe: (nowMs) => ({
+            targets: [...holders.values()].map(({ holder }) => ({
+                targetId: holder.targetId, standing: standingOf(holder.targetId, nowMs), ranges: holder.ranges,
+                freeInMs: Math.round(holder.freeAtMs - nowMs),
+            })),
+            moves: [...moves].map(({ serviceId, move }) => ({ serviceId, ...describeMove(move) })),
+        }),
+    };
+}
+
+function isSameSet(left: readonly KeyRange[], right: readonly KeyRange[]): boolean {
+    return left.length === right.length && left.every((range) => right.some((other) => isSameRange(range, other)));
+}
+
+function describeMove({ range, from, to, reason }: Move): object {
+    return { keys: `${String(range.from)}-${String(range.to)}`, from, to, reason };
+}
--- /dev/null
+++ b/src/routing/splitter.ts
@@ -0,0 +1,52 @@
+/** Spreads a route's requests over its backends in proportion to their weights, evenly in time. */
+import type { RouteId, ServiceId } from "../model/names.js";
+import type { Backend, Route } from "../model/routing.js";
+
+interface Part extends Backend {
+    /** Grows by the weight with every request of the route; the largest is chosen and pays for all. */
+    credit: number;
+}
+
+/** Chooses the service of each request. */
+export class Splitter {
+    private readonly partsByRoute = new Map<RouteId, { of: readonly Backend[]; parts: Part[] }>();
+
+    /**
+     * Chooses the service of a request.
+     * @param route its route
+     * @returns the service, or undefined when no backend has any weight
+     */
+    choose(route: Route): ServiceId | undefined {
+        if (route.backends.length === 1) {
+            return route.backends[0]?.serviceId;
+        }
+        const parts = this.partsOf(route);
+        const totalWeight = parts.reduce((sum, part) => sum + part.weight, 0);
+        let chosen: Part | undefined;
+        for (const part of parts) {
+            part.credit += part.weight;
+            if (part.weight > 0 && (chosen === undefined || part.credit > chosen.credit)) {
+                chosen = part;
+            }
+        }
+        if (chosen !== undefined) {
+            chosen.credit -= totalWeight;
+        }
+        return chosen?.serviceId;
+    }
+
+    private partsOf(route: Route): Part[] {
+        const known = this.partsByRoute.get(route.routeId);
+        if (known !== undefined && isSameSplit(known.of, route.backends)) {
+            return known.parts;
+        }
+        const parts = route.backends.map((backend) => ({ ...backend, credit: 0 }));
+        this.partsByRoute.set(route.routeId, { of: route.backends, parts });
+        return parts;
+    }
+}
+
+function isSameSplit(left: readonly Backend[], right: readonly Backend[]): boolean {
+    return left.length === right.length
+        && left.every(({ serviceId, weight }, index) => serviceId === right[index]?.serviceId && weight === right[index].weight);
+}
--- /dev/null
+++ b/src/store/storePort.ts
@@ -0,0 +1,65 @@
+/** Port to the platform's store: topics of records in which the newest record of each key is kept. */
+import type { Result } from "neverthrow";
+import type { Failure } from "../model/failure.js";
+import type { Offset } from "../model/names.js";
+
+/** Topics that the router reads. It writes to `ledger` only. */
+export type TopicName = "configuration" | "targets" | "ledger";
+
+/** One record. */
+export interface StoreRecord {
+    offset: Offset;
+    key: string;
+    /** Undefined when the key was removed. */
+    value: Buffer | undefined;
+}
+
+/** The newest record of each key. Every record below `upTo` is accounted for; later ones may be among them. */
+export interface TopicSnapshot {
+    records: readonly StoreRecord[];
+    upTo: Offset;
+}
+
+/** Records from a certain offset on. */
+export interface TopicPage {
+    records: readonly StoreRecord[];
+    /** Offset behind the last record returned. */
+    next: Offset;
+}
+
+/** What became of a read. */
+export type ReadOutcome =
+    | { kind: "page"; page: TopicPage }
+    /** The records asked for are no longer kept; a snapshot is needed. */
+    | { kind: "expired" };
+
+/** What became of an append. */
+export type AppendOutcome =
+    | { kind: "appended"; offset: Offset }
+    /** Nothing was appended, since the topic does not end where it was expected to. */
+    | { kind: "conflict" };
+
+/** A record to append. */
+export interface NewRecord {
+    key: string;
+    /** Undefined removes the key. */
+    value: Buffer | undefined;
+}
+
+/** The store. A failure of kind `lost` leaves open whether an append took effect, and whether it will. */
+export interface StorePort {
+    snapshot(topic: TopicName): Promise<Result<TopicSnapshot, Failure>>;
+    /**
+     * Reads records.
+     * @param topic the topic
+     * @param from offset of the first record wanted
+     * @param waitMs how long the store may hold the call when there is no such record yet
+     */
+    read(topic: TopicName, from: Offset, waitMs: number): Promise<Result<ReadOutcome, Failure>>;
+    /**
+     * Appends records, all or none.
+     * @param records the records
+     * @param expectedEnd the append takes effect only if the topic ends here; undefined for no condition
+     */
+    append(records: readonly NewRecord[], expectedEnd: Offset | undefined): Promise<Result<AppendOutcome, Failure>>;
+}
--- /dev/null
+++ b/src/store/targetDirectory.ts
@@ -0,0 +1,132 @@
+/** Folds the service directory: which targets exist, and in which state. */
+import type { Offset, ServiceId, TargetId } from "../model/names.js";
+import type { KnownTarget, TargetEntry } from "../model/target.js";
+import { isSameEntry } from "../model/target.js";
+
+/** A target that left the directory is remembered for this long. */
+const rememberGoneMs = 10_000;
+
+/** A change of one target. */
+export interface TargetChange {
+    targetId: TargetId;
+    offset: Offset;
+    /** Undefined when the target is gone. */
+    entry: TargetEntry | undefined;
+}
+
+/** The newest entry that was seen of a target's process; older ones that arrive late are ignored. */
+interface Seen {
+    offset: Offset;
+    bornWallMs: number;
+    sequence: number;
+}
+
+/** The service directory as last read. */
+export class TargetDirectory {
+    private readonly known = new Map<TargetId, KnownTarget>();
+    private readonly seen = new Map<TargetId, Seen>();
+    private byService: ReadonlyMap<ServiceId, readonly KnownTarget[]> | undefined;
+
+    /** Every target, those that left a moment ago too. */
+    all(): Iterable<KnownTarget> {
+        return this.known.values();
+    }
+
+    /** Finds a target. */
+    get(targetId: TargetId): KnownTarget | undefined {
+        return this.known.get(targetId);
+    }
+
+    /** Lists the targets of a service. */
+    ofService(serviceId: ServiceId): readonly KnownTarget[] {
+        this.byService ??= groupByService(this.known.values());
+        return this.byService.get(serviceId) ?? [];
+    }
+
+    /** Lists the newest change of each target from an offset on. */
+    changesSince(offset: Offset): TargetChange[] {
+        return [...this.seen].filter(([, seen]) => seen.offset >= offset).map(([targetId, seen]) => {
+            const target = this.known.get(targetId);
+            return { targetId, offset: seen.offset, entry: target === undefined || target.state === "gone" ? undefined : target };
+        });
+    }
+
+    /**
+     * Applies a change.
+     * @param change the change
+     * @param nowMs now
+     * @returns whether anything changed that the router acts on
+     */
+    apply(change: TargetChange, nowMs: number): boolean {
+        const seen = this.seen.get(change.targetId);
+        if (seen !== undefined && (change.offset < seen.offset || isOutdated(change.entry, seen))) {
+            return false;
+        }
+        this.seen.set(change.targetId, {
+            offset: change.offset,
+            bornWallMs: change.entry?.bornWallMs ?? seen?.bornWallMs ?? 0,
+            sequence: change.entry?.sequence ?? seen?.sequence ?? 0,
+        });
+        return this.put(change, nowMs);
+    }
+
+    /**
+     * Removes the targets that a snapshot does not hold.
+     * @param kept ids in the snapshot
+     * @param upTo offset that the snapshot accounts for
+     * @returns ids of targets that were there before
+     */
+    missingFrom(kept: ReadonlySet<TargetId>, upTo: Offset): TargetId[] {
+        return [...this.known.values()]
+            .filter(({ targetId, state }) => state !== "gone" && !kept.has(targetId) && (this.seen.get(targetId)?.offset ?? 0) < upTo)
+            .map(({ targetId }) => targetId);
+    }
+
+    /** Tells whether anything was read about a target from an offset on. */
+    isNewer(targetId: TargetId, offset: Offset): boolean {
+        return (this.seen.get(targetId)?.offset ?? -1) > offset;
+    }
+
+    private put({ targetId, entry }: TargetChange, nowMs: number): boolean {
+        const before = this.known.get(targetId);
+        const next = entry ?? (before === undefined ? undefined : { ...before, state: "gone" as const });
+        if (next === undefined || (before !== undefined && isSameEntry(before, next))) {
+            return false;
+        }
+        const leavingSinceMs = next.state === "ready" ? undefined : before?.leavingSinceMs ?? nowMs;
+        this.known.set(targetId, { ...next, leavingSinceMs });
+        this.forgetGone(nowMs);
+        this.byService = undefined;
+        return true;
+    }
+
+    private forgetGone(nowMs: number): void {
+        for (const [targetId, { state, leavingSinceMs }] of this.known) {
+            if (state === "gone" && nowMs - (leavingSinceMs ?? nowMs) > rememberGoneMs) {
+                this.known.delete(targetId);
+            }
+        }
+    }
+}
+
+/** True for an entry of an earlier process, or one that a later entry of the same process followed. */
+function isOutdated(entry: TargetEntry | undefined, seen: Seen): boolean {
+    if (entry === undefined) {
+        return false;
+    }
+    return entry.bornWallMs < seen.bornWallMs || (entry.bornWallMs === seen.bornWallMs && entry.sequence < seen.sequence);
+}
+
+function groupByService(targets: Iterable<KnownTarget>): Map<ServiceId, KnownTarget[]> {
+    const groups = new Map<ServiceId, KnownTarget[]>();
+    for (const target of targets) {
+        const group = groups.get(target.serviceId);
+        if (group === undefined) {
+            groups.set(target.serviceId, [target]);
+        }
+        else {
+            group.push(target);
+        }
+    }
+    return groups;
+}
