--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -97,15 +97,15 @@
     const askOne = async (member: Member, request: SlotRequest, signal: AbortSignal): Promise<SlotDecision | undefined> => {
         const nowMs = clock.now().monoMs;
         const ticket = nextTicket();
-        const { group, priority, workKind, typicalWorkMs, near, avoid, targetMs, deadlineMs } = request;
+        const { group, priority, workMs, near, avoid, targetMs, deadlineMs } = request;
         const withdraw = () => {
             tell(member, "withdraw", { group, ticket });
         };
         const withdrawn = abortOf(signal);
         const reply = await Promise.race([
             ask(member, {
-                ticket, group, priority, workKind, typicalWorkMs, near, avoid,
-                targetLeftMs: targetMs - nowMs, deadlineLeftMs: deadlineMs - nowMs,
+                ticket, group, priority, near, avoid, workMs: Math.round(workMs),
+                targetLeftMs: Math.round(targetMs - nowMs), deadlineLeftMs: Math.round(deadlineMs - nowMs),
             }),
             withdrawn.promise,
         ]);
--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -17,10 +17,9 @@
     ticket: Ticket;
     /** 0 is the most urgent. */
     priority: number;
-    /** Requests of one kind take similar time; usually the route. */
-    workKind: string;
-    /** Time that the work takes when nothing is known of its kind yet. */
-    typicalWorkMs: number;
+    /** Time that the work takes at an average target. */
+    workMs: number;
+    arrivedMs: number;
     /** Last moment at which the answer has its full value. */
     targetMs: number;
     /** Last moment at which an answer is of any use. */
@@ -62,9 +61,8 @@
     /** The client left, or the request was never sent. */
     | { kind: "dropped" };
 
-/** Weights of the newest observation. */
-const speedWeight = 0.15;
-const workWeight = 0.05;
+/** Weight of the newest observation of a target's speed. */
+const speedWeight = 0.12;
 
 /** Bounds of how much slower or faster than usual a target counts. */
 const minSlowness = 0.25;
@@ -89,14 +87,14 @@
 /** Slowness of a target in its first seconds. */
 const warmUpSlowness = 2;
 
-/** A target elsewhere must be expected to answer this much sooner before it is preferred to one nearby. */
-const farPenaltyRatio = 1.5;
+/** A request goes elsewhere when less than this share of its time is left besides the work. */
+const nearPatienceShare = 0.35;
 
 interface Running {
     targetId: TargetId;
     startedMs: number;
     giveUpMs: number;
-    workKind: string;
+    workMs: number;
 }
 
 interface TargetRecord {
@@ -104,6 +102,8 @@
     running: number;
     /** Time that work takes here over the time that it takes on average. */
     slowness: number;
+    /** Answers that the slowness was learned from. */
+    answers: number;
     pausedUntilMs: number;
 }
 
@@ -111,7 +111,6 @@
 export class AdmissionQueue {
     private readonly targets = new Map<TargetId, TargetRecord>();
     private readonly running = new Map<Ticket, Running>();
-    private readonly workMsByKind = new Map<string, number>();
     private waiting: AdmissionRequest[] = [];
     private offered = 0;
     private offeredMs = 0;
@@ -130,13 +129,9 @@
     }
 
     /** Describes each target for reports and dumps. */
-    describeTargets(): { targetId: TargetId; running: number; slowness: number }[] {
-        return [...this.targets.values()].map(({ target, running, slowness }) => ({ targetId: target.targetId, running, slowness }));
-    }
-
-    /** Tells how long work of a kind takes at an average target. */
-    workMsOf(kind: string, typicalMs: number): number {
-        return this.workMsByKind.get(kind) ?? typicalMs;
+    describeTargets(): { targetId: TargetId; running: number; slowness: number; answers: number }[] {
+        return [...this.targets.values()].map(({ target, running, slowness, answers }) =>
+            ({ targetId: target.targetId, running, slowness, answers }));
     }
 
     /**
@@ -169,7 +164,7 @@
         this.noteOffered(request, nowMs);
         const open = [...this.targets.values()].filter((record) => record.target.open);
         if (open.length === 0) {
-            return [this.refuse(request, "no-target", this.workMsOf(request.workKind, request.typicalWorkMs))];
+            return [this.refuse(request, "no-target", request.workMs)];
         }
         const waitMs = this.expectedWaitMs(request, open, nowMs);
         if (nowMs + waitMs + this.shortestWorkMs(request, open) > request.deadlineMs) {
@@ -223,16 +218,15 @@
         const isLate = (request: AdmissionRequest) => nowMs + this.shortestWorkMs(request, open) > request.deadlineMs;
         const late = this.waiting.filter(isLate);
         this.waiting = this.waiting.filter((request) => !isLate(request));
-        verdicts.push(...late.map((request) => this.refuse(request, "overloaded", this.workOf([request]))));
+        verdicts.push(...late.map((request) => this.refuse(request, "overloaded", request.workMs)));
         return [...verdicts, ...this.dispatch(nowMs)];
     }
 
-    /** Learns from an answer how slow the target is and how long the kind of work takes. */
-    learnAnswer(record: TargetRecord, workKind: string, tookMs: number): void {
-        const workMs = this.workMsByKind.get(workKind) ?? tookMs / record.slowness;
-        const observed = tookMs / Math.max(1, workMs);
-        record.slowness = clamp(record.slowness + speedWeight * (observed - record.slowness), minSlowness, maxSlowness);
-        this.workMsByKind.set(workKind, workMs + workWeight * (tookMs / record.slowness - workMs));
+    /** Learns from an answer how slow the target is. */
+    learnAnswer(record: TargetRecord, workMs: number, tookMs: number): void {
+        record.answers += 1;
+        const weight = Math.max(speedWeight, 1 / (record.answers + 1));
+        record.slowness = clamp(record.slowness + weight * (tookMs / Math.max(1, workMs) - record.slowness), minSlowness, maxSlowness);
     }
 
     private dispatch(nowMs: number): AdmissionVerdict[] {
@@ -251,10 +245,11 @@
     private grant(request: AdmissionRequest, record: TargetRecord, nowMs: number): AdmissionVerdict {
         record.running += 1;
         this.running.set(request.ticket, {
-            targetId: record.target.targetId, startedMs: nowMs, giveUpMs: request.deadlineMs + unreportedGraceMs, workKind: request.workKind,
+            targetId: record.target.targetId, startedMs: nowMs, giveUpMs: request.deadlineMs + unreportedGraceMs, workMs: request.workMs,
         });
-        const expectedMs = this.workMsOf(request.workKind, request.typicalWorkMs) * record.slowness;
-        return { kind: "granted", ticket: request.ticket, targetId: record.target.targetId, expectedMs };
+        return {
+            kind: "granted", ticket: request.ticket, targetId: record.target.targetId, expectedMs: request.workMs * record.slowness,
+        };
     }
 
     /** Finds the request to send next and the target for it. */
@@ -265,7 +260,7 @@
         }
         const inOrder = [...this.waiting].sort((left, right) => this.compare(left, right, nowMs));
         for (const request of inOrder) {
-            const record = this.bestTarget(request, free);
+            const record = this.bestTarget(request, free, nowMs);
             if (record !== undefined) {
                 return { request, record };
             }
@@ -273,12 +268,28 @@
         return undefined;
     }
 
-    private bestTarget(request: AdmissionRequest, free: readonly TargetRecord[]): TargetRecord | undefined {
-        const usable = free.filter(({ target }) => !request.avoid.has(target.targetId));
-        const costOf = ({ target, slowness, running }: TargetRecord) =>
-            slowness * (1 + running / target.slots) * (target.dataCentreId === request.near ? 1 : farPenaltyRatio);
-        return (usable.length > 0 ? usable : [...free]).reduce<TargetRecord | undefined>(
-            (best, record) => best === undefined || costOf(record) < costOf(best) ? record : best, undefined);
+    /**
+     * Chooses a target with a free slot. Bytes between data centres are dear, so a request waits for a target nearby as
+     * long as it can still be in time there.
+     */
+    private bestTarget(request: AdmissionRequest, free: readonly TargetRecord[], nowMs: number): TargetRecord | undefined {
+        const untried = free.filter(({ target }) => !request.avoid.has(target.targetId));
+        const usable = untried.length > 0 ? untried : free;
+        const near = usable.filter(({ target }) => target.dataCentreId === request.near);
+        const nearInTime = near.filter(({ slowness }) => nowMs + request.workMs * slowness <= request.targetMs);
+        if (nearInTime.length > 0) {
+            return quickest(nearInTime);
+        }
+        const leftMs = request.targetMs - nowMs - request.workMs;
+        const mayWait = leftMs > (request.targetMs - request.arrivedMs) * nearPatienceShare;
+        if (near.length === 0 && mayWait && this.hasOpenNear(request.near)) {
+            return undefined;
+        }
+        return quickest(usable);
+    }
+
+    private hasOpenNear(near: DataCentreId): boolean {
+        return [...this.targets.values()].some(({ target }) => target.open && target.dataCentreId === near);
     }
 
     private compare(left: AdmissionRequest, right: AdmissionRequest, nowMs: number): number {
@@ -291,7 +302,7 @@
     }
 
     private isPastTarget(request: AdmissionRequest, nowMs: number): boolean {
-        return nowMs + this.workMsOf(request.workKind, request.typicalWorkMs) > request.targetMs;
+        return nowMs + request.workMs > request.targetMs;
     }
 
     /**
@@ -304,23 +315,19 @@
         }
         const slots = Math.max(minSlots, open.reduce((sum, { target, slowness }) => sum + target.slots / slowness, 0));
         const before = this.waiting.filter((other) => this.compare(other, request, nowMs) <= 0);
-        const waitMs = (this.workOf(before) + this.runningWorkMs(request, nowMs)) / slots;
+        const waitMs = (workOf(before) + this.runningWorkMs(nowMs)) / slots;
         if (nowMs + waitMs + this.shortestWorkMs(request, open) <= request.targetMs) {
             return waitMs;
         }
         const spareShare = Math.max(minSpareShare, 1 - this.offeredSlots(nowMs) / slots);
-        return (this.workOf(this.waiting) + this.runningWorkMs(request, nowMs)) / slots / spareShare;
-    }
-
-    private workOf(requests: readonly AdmissionRequest[]): number {
-        return requests.reduce((sum, { workKind, typicalWorkMs }) => sum + this.workMsOf(workKind, typicalWorkMs), 0);
+        return (workOf(this.waiting) + this.runningWorkMs(nowMs)) / slots / spareShare;
     }
 
     /** Work that is left of what the targets are at. */
-    private runningWorkMs({ typicalWorkMs }: AdmissionRequest, nowMs: number): number {
+    private runningWorkMs(nowMs: number): number {
         let leftMs = 0;
-        for (const { workKind, startedMs } of this.running.values()) {
-            leftMs += Math.max(0, this.workMsOf(workKind, typicalWorkMs) - (nowMs - startedMs));
+        for (const { workMs, startedMs } of this.running.values()) {
+            leftMs += Math.max(0, workMs - (nowMs - startedMs));
         }
         return leftMs;
     }
@@ -331,18 +338,19 @@
     }
 
     private noteOffered(request: AdmissionRequest, nowMs: number): void {
-        this.offered = this.offeredSlots(nowMs) + this.workMsOf(request.workKind, request.typicalWorkMs) / offeredMemoryMs;
+        this.offered = this.offeredSlots(nowMs) + request.workMs / offeredMemoryMs;
         this.offeredMs = nowMs;
     }
 
     private shortestWorkMs(request: AdmissionRequest, open: readonly TargetRecord[]): number {
         const slowness = open.reduce((least, record) => Math.min(least, record.slowness), maxSlowness);
-        return this.workMsOf(request.workKind, request.typicalWorkMs) * slowness;
+        return request.workMs * slowness;
     }
 
     private newRecord(target: QueueTarget): TargetRecord {
         return {
-            target, running: this.countRunning(target.targetId), slowness: target.warmingUp ? warmUpSlowness : 1, pausedUntilMs: 0,
+            target, running: this.countRunning(target.targetId), slowness: target.warmingUp ? warmUpSlowness : 1, answers: 0,
+            pausedUntilMs: 0,
         };
     }
 
@@ -361,7 +369,7 @@
 
 const learnByEnd: { [Kind in WorkEnd["kind"]]: Learn<Kind> } = {
     "answered": (queue, record, ended, end) => {
-        queue.learnAnswer(record, ended.workKind, end.tookMs);
+        queue.learnAnswer(record, ended.workMs, end.tookMs);
     },
     "turned-away": (_queue, record, _ended, _end, nowMs) => {
         record.pausedUntilMs = nowMs + pauseAfterTurnedAwayMs;
@@ -377,6 +385,17 @@
     return record.target.open && record.running < record.target.slots && nowMs >= record.pausedUntilMs;
 }
 
+/** The target that is expected to be done first. */
+function quickest(records: readonly TargetRecord[]): TargetRecord | undefined {
+    const costOf = ({ target, slowness, running }: TargetRecord) => slowness * (1 + running / target.slots);
+    return records.reduce<TargetRecord | undefined>(
+        (best, record) => best === undefined || costOf(record) < costOf(best) ? record : best, undefined);
+}
+
+function workOf(requests: readonly AdmissionRequest[]): number {
+    return requests.reduce((sum, { workMs }) => sum + workMs, 0);
+}
+
 function clamp(value: number, least: number, most: number): number {
     return Math.min(most, Math.max(least, value));
 }
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -12,8 +12,8 @@
     ticket: Ticket;
     group: Group;
     priority: number;
-    workKind: string;
-    typicalWorkMs: number;
+    /** Time that the work takes at an average target. */
+    workMs: number;
     /** Time left until the answer loses value, in milliseconds. */
     targetLeftMs: number;
     /** Time left until the answer is of no use, in milliseconds. */
--- a/src/admission/queueKeeper.ts
+++ b/src/admission/queueKeeper.ts
@@ -15,6 +15,9 @@
 /** A queue that nobody used for this long is forgotten. */
 const idleQueueMs = 30_000;
 
+/** Answers after which a target's speed counts as known. */
+const minAnswers = 3;
+
 /** What a keeper works with. */
 export interface QueueKeeperParts {
     view: ClusterView;
@@ -180,15 +183,21 @@
                 }
             }
         },
-        pressures: () => [...queues.values()].flatMap(({ queue }) =>
-            queue.describeTargets().map((target) => ({ ...target, waiting: queue.waitingCount }))),
+        pressures: () => [...queues.values()].flatMap(({ queue }) => queue.describeTargets()
+            .filter(({ answers }) => answers >= minAnswers)
+            .map(({ targetId, running, slowness }) => ({ targetId, running, slowness: round(slowness), waiting: queue.waitingCount }))),
     };
 }
 
+function round(ratio: number): number {
+    return Math.round(ratio * 100) / 100;
+}
+
 function toRequest(params: EnterParams, nowMs: number): AdmissionRequest {
-    const { ticket, priority, workKind, typicalWorkMs, near } = params;
+    const { ticket, priority, workMs, near } = params;
     return {
-        ticket, priority, workKind, typicalWorkMs, near,
+        ticket, priority, workMs, near,
+        arrivedMs: nowMs,
         targetMs: nowMs + params.targetLeftMs,
         deadlineMs: nowMs + params.deadlineLeftMs,
         avoid: new Set(params.avoid),
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -15,6 +15,7 @@
 import type { AttemptEnd, AttemptParts, HeldAnswer } from "./attempt.js";
 import { attempt } from "./attempt.js";
 import { nextStep } from "./retryPolicy.js";
+import { WorkTimes } from "./workTimes.js";
 
 /** Share of a route's target latency that its work usually takes. */
 const typicalWorkShare = 0.35;
@@ -83,6 +84,7 @@
 export function createForwarder(parts: ForwarderParts): Forwarder {
     const { view, clock, requestLog } = parts;
     const nowMs = () => clock.now().monoMs;
+    const workTimes = new WorkTimes();
 
     const refuse = (call: ClientCall, refusal: Refusal, job?: Job) => {
         requestLog.refused(call, refusal, job?.route, job?.tried);
@@ -118,7 +120,7 @@
             call, route, service, body, receivedMs,
             targetMs: receivedMs + route.targetLatencyMs,
             deadlineMs: receivedMs + Math.min(call.budgetMs ?? Number.POSITIVE_INFINITY, route.timeoutMs),
-            sends: 0, tried: new Set(), lastEnd: undefined, expectedMs: route.targetLatencyMs * typicalWorkShare,
+            sends: 0, tried: new Set(), lastEnd: undefined, expectedMs: workMsOf(route),
         };
     };
 
@@ -209,10 +211,13 @@
         }
     };
 
+    const typicalMsOf = (route: Route) => route.targetLatencyMs * typicalWorkShare;
+
+    const workMsOf = (route: Route) => workTimes.meanMs(route.routeId, typicalMsOf(route));
+
     const slotOf = ({ route, targetMs, deadlineMs }: Job) => ({
         priority: route.priority,
-        workKind: route.routeId,
-        typicalWorkMs: route.targetLatencyMs * typicalWorkShare,
+        workMs: workMsOf(route),
         near: parts.dataCentreId,
         targetMs, deadlineMs,
     });
@@ -262,6 +267,7 @@
     };
 
     const deliver = ({ call, route, tried }: Job, answer: HeldAnswer, tookMs: number) => {
+        workTimes.learn(route.routeId, tookMs, typicalMsOf(route));
         requestLog.answered(call, route, tried, answer.head.status, tookMs);
         call.answer(answer.head, answer.body);
     };
@@ -289,6 +295,7 @@
             mayHaveRun ||= end.kind === "lost" || end.kind === "timed-out" || end.kind === "answered";
             const next = nextStep({
                 end, idempotent: job.route.idempotent, repeatable: job.body !== undefined, sends: job.sends,
+                mayTryAnother: job.service.sharded || job.tried.size < job.route.maxAttempts,
                 remainingMs: job.deadlineMs - nowMs(), expectedMs: job.expectedMs,
                 takeRetry: () => parts.retries.take(job.service.serviceId),
             });
--- a/src/forwarding/retryPolicy.ts
+++ b/src/forwarding/retryPolicy.ts
@@ -16,6 +16,8 @@
     repeatable: boolean;
     /** Times that the request was sent. */
     sends: number;
+    /** True when another attempt may go to a target that did not get the request yet, or goes to the same one. */
+    mayTryAnother: boolean;
     /** Time left for the client's answer. */
     remainingMs: number;
     /** Time that another attempt is expected to take. */
@@ -55,6 +57,6 @@
     return (nextByEnd[of.end.kind] as Rule<AttemptEnd["kind"]>)(of, of.end);
 }
 
-function canRepeat({ repeatable, sends, remainingMs, expectedMs, takeRetry }: RetrySituation): boolean {
-    return repeatable && sends < maxSends && remainingMs > expectedMs && takeRetry();
+function canRepeat({ repeatable, sends, mayTryAnother, remainingMs, expectedMs, takeRetry }: RetrySituation): boolean {
+    return repeatable && mayTryAnother && sends < maxSends && remainingMs > expectedMs && takeRetry();
 }
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -1,4 +1,5 @@
 /** Runs a host from its start to its end. */
+import { setMaxListeners } from "node:events";
 import type { DependencyContainer } from "tsyringe";
 import { listenForPeers } from "../cluster/peerConnection.js";
 import { createAdminHttp, createReadyHttp, listen } from "./adminHttp.js";
@@ -30,6 +31,8 @@
     const clients = host.resolve(tokens.clients);
     const node = host.resolve(tokens.node);
     const stopping = new AbortController();
+    // One task for each connection, target and host waits for it.
+    setMaxListeners(0, stopping.signal);
 
     const unreadyBecause = (): string | undefined => {
         if (stopping.signal.aborted || isLeaving) {
--- a/src/ownership/keyLoads.ts
+++ b/src/ownership/keyLoads.ts
@@ -1,18 +1,36 @@
-/** Recent load by key, over all hosts. */
+/**
+ * Recent load by key, over all hosts.
+ *
+ * Load pattern: load by key is noisy, since single requests make it up, and changes within a fraction of a second when a
+ * key turns hot. So a slow average counts, and a quick one where it is higher by more than chance explains.
+ */
 import type { Key, KeyRange } from "../model/names.js";
 import { maxKey } from "../model/names.js";
 
-/** Time after which a request counts only by a third. */
-const memoryMs = 1_500;
+/** Times after which a request counts only by a third, in the two averages. */
+const slowMemoryMs = 2_500;
+const quickMemoryMs = 400;
+
+/** Standard deviations by which the quick average must be above the slow one to count instead. */
+const surprise = 2;
 
 /** Load that every key is taken to have, so that idle ranges are spread by their width. */
 const idleLoad = 0.5 / (maxKey + 1);
 
+const meanWeight = 0.05;
+
+/** The averages hold less than their full load until they have run for a while. */
+const minWarmth = 0.15;
+
 /** Load by key of one service, as slots that an average target needs for it. */
 export class KeyLoads {
+    private readonly slow = new Float64Array(maxKey + 1);
+    private readonly quick = new Map<number, number>();
     private readonly load = new Float64Array(maxKey + 1);
     private readonly sums = new Float64Array(maxKey + 2);
-    private decayedMs: number | undefined;
+    private startedMs: number | undefined;
+    private decayedMs = 0;
+    private meanWorkMs = 0;
     private summed = false;
 
     /**
@@ -24,8 +42,11 @@
         this.decay(nowMs);
         for (let index = 0; index + 1 < pairs.length; index += 2) {
             const key = pairs[index] as number;
+            const workMs = pairs[index + 1] as number;
             if (key >= 0 && key <= maxKey) {
-                this.load[key] = (this.load[key] as number) + (pairs[index + 1] as number) / memoryMs;
+                this.slow[key] = (this.slow[key] as number) + workMs / slowMemoryMs;
+                this.quick.set(key, (this.quick.get(key) ?? 0) + workMs / quickMemoryMs);
+                this.meanWorkMs += (workMs - this.meanWorkMs) * meanWeight;
             }
         }
         this.summed = false;
@@ -33,14 +54,24 @@
 
     /** Lets old load fade. */
     decay(nowMs: number): void {
-        const passedMs = nowMs - (this.decayedMs ?? nowMs);
+        this.startedMs ??= nowMs;
+        const passedMs = nowMs - Math.max(this.decayedMs, this.startedMs);
         this.decayedMs = nowMs;
         if (passedMs <= 0) {
             return;
         }
-        const factor = Math.exp(-passedMs / memoryMs);
+        const slowFactor = Math.exp(-passedMs / slowMemoryMs);
         for (let key = 0; key <= maxKey; key++) {
-            this.load[key] = (this.load[key] as number) * factor;
+            this.slow[key] = (this.slow[key] as number) * slowFactor;
+        }
+        const quickFactor = Math.exp(-passedMs / quickMemoryMs);
+        for (const [key, load] of this.quick) {
+            if (load * quickFactor < idleLoad) {
+                this.quick.delete(key);
+            }
+            else {
+                this.quick.set(key, load * quickFactor);
+            }
         }
         this.summed = false;
     }
@@ -97,7 +128,16 @@
         if (this.summed) {
             return;
         }
+        const ranMs = this.decayedMs - (this.startedMs ?? 0);
+        const warmth = Math.max(minWarmth, 1 - Math.exp(-ranMs / slowMemoryMs));
         let total = 0;
+        for (let key = 0; key <= maxKey; key++) {
+            this.load[key] = (this.slow[key] as number) / warmth;
+        }
+        for (const [key, quick] of this.quick) {
+            const certain = quick - surprise * Math.sqrt(quick * this.meanWorkMs / quickMemoryMs);
+            this.load[key] = Math.max(this.load[key] as number, certain);
+        }
         for (let key = 0; key <= maxKey; key++) {
             total += (this.load[key] as number) + idleLoad;
             this.sums[key + 1] = total;
--- a/src/ownership/planner.ts
+++ b/src/ownership/planner.ts
@@ -51,12 +51,15 @@
 const relieveAbove = 0.65;
 
 /** Least improvement that is worth a move, in the unit of `strain`. */
-const minGain = 0.3;
+const minGain = 0.35;
 
 /** A target below this share of the mean load gets keys of the fullest one, whether that one needs relief or not. */
 const newcomerShare = 0.15;
 const minNewcomerGain = 0.02;
 
+/** What moving all keys would have to gain; a move of a part of them that part of it. */
+const costOfAllKeys = 1.5;
+
 /** A key with at least this share of a target's capacity is looked at by itself. */
 const hotKeyShare = 0.3;
 
@@ -208,7 +211,8 @@
 function toCandidate(range: KeyRange, load: number, giver: Account, taker: Account): Candidate {
     const relief = strain(giver, giver.load) - strain(giver, giver.load - load);
     const burden = strain(taker, taker.load + load) - strain(taker, taker.load);
-    return { range, load, giver, taker, gain: relief - burden };
+    const cost = costOfAllKeys * (range.to - range.from + 1) / (allKeys.to + 1);
+    return { range, load, giver, taker, gain: relief - burden - cost };
 }
 
 function meanFullness(accounts: readonly Account[]): number {
--- /dev/null
+++ b/test/routing/routing.spec.ts
@@ -0,0 +1,70 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import type { RouteId, ServiceId } from "../../src/model/names.js";
+import type { Route, RoutingConfig } from "../../src/model/routing.js";
+import { createRouteTable } from "../../src/routing/routeTable.js";
+import { Splitter } from "../../src/routing/splitter.js";
+
+function route(name: string, pathPrefix: string, weights: Record<string, number> = { main: 1 }): Route {
+    return {
+        routeId: name as RouteId, hostName: "one.example", pathPrefix, idempotent: true, timeoutMs: 1_000, targetLatencyMs: 300,
+        priority: 2, maxAttempts: 2,
+        backends: Object.entries(weights).map(([serviceId, weight]) => ({ serviceId: serviceId as ServiceId, weight })),
+    };
+}
+
+function tableOf(...routes: Route[]) {
+    return createRouteTable({ routes } as unknown as RoutingConfig);
+}
+
+describe("routes", () => {
+    const table = tableOf(route("root", "/"), route("a", "/a/"), route("ab", "/a/b/"));
+
+    const cases: [path: string, expected: string][] = [
+        ["/a/b/c", "ab"], ["/a/b/", "ab"], ["/a/b", "a"], ["/a/bc/d", "a"], ["/a", "root"], ["/x?y=/a/b/", "root"], ["/a/?y=/b/", "a"],
+    ];
+    for (const [path, expected] of cases) {
+        it(`finds the longest prefix of ${path}`, () => {
+            expect(table.find("one.example", path)?.routeId).to.equal(expected);
+        });
+    }
+
+    it("goes by the host name alone, whatever its case and port", () => {
+        expect(table.find("ONE.example:8080", "/a/x")?.routeId).to.equal("a");
+        expect(table.find("two.example", "/a/x")).to.equal(undefined);
+    });
+
+    it("finds nothing where no prefix fits", () => {
+        expect(tableOf(route("a", "/a/")).find("one.example", "/b/")).to.equal(undefined);
+    });
+});
+
+describe("weights of a route", () => {
+    it("are kept in any run of requests, to within one request for each backend", () => {
+        fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 50 }), { minLength: 2, maxLength: 4 }), fc.integer({ min: 1, max: 300 }),
+            (weights, requests) => {
+                const splitter = new Splitter();
+                const split = route("split", "/", Object.fromEntries(weights.map((weight, index) => [`s${String(index)}`, weight])));
+                const counts = new Map<string, number>();
+                for (let sent = 0; sent < requests; sent++) {
+                    const chosen = splitter.choose(split) ?? "";
+                    counts.set(chosen, (counts.get(chosen) ?? 0) + 1);
+                }
+                const total = weights.reduce((sum, weight) => sum + weight, 0);
+                weights.forEach((weight, index) => {
+                    expect(counts.get(`s${String(index)}`) ?? 0).to.be.closeTo(requests * weight / total, weights.length);
+                });
+            }));
+    });
+
+    it("follow a configuration that changes them", () => {
+        const splitter = new Splitter();
+        splitter.choose(route("split", "/", { old: 9, young: 1 }));
+        const chosen = Array.from({ length: 20 }, () => splitter.choose(route("split", "/", { old: 0, young: 1 })));
+        expect(new Set(chosen)).to.deep.equal(new Set(["young"]));
+    });
+
+    it("leave a route without any weight unserved", () => {
+        expect(new Splitter().choose(route("split", "/", { old: 0, young: 0 }))).to.equal(undefined);
+    });
+});
--- /dev/null
+++ b/test/store/targetDirectory.spec.ts
@@ -0,0 +1,76 @@
+import { expect } from "chai";
+import type { Address, DataCentreId, Offset, ServiceId, TargetId } from "../../src/model/names.js";
+import type { TargetEntry } from "../../src/model/target.js";
+import { mayReceive } from "../../src/model/target.js";
+import { TargetDirectory } from "../../src/store/targetDirectory.js";
+
+const targetId = "t-1" as TargetId;
+
+function entry(change: Partial<TargetEntry> = {}): TargetEntry {
+    return {
+        targetId, serviceId: "main" as ServiceId, address: "10.0.0.1:80" as Address, dataCentreId: "here" as DataCentreId, slots: 3,
+        state: "ready", bornWallMs: 1_000, sequence: 1, warmingUp: false, ...change,
+    };
+}
+
+function apply(directory: TargetDirectory, offset: number, change: Partial<TargetEntry> | undefined, nowMs = 0): boolean {
+    return directory.apply({ targetId, offset: offset as Offset, entry: change === undefined ? undefined : entry(change) }, nowMs);
+}
+
+describe("directory of targets", () => {
+    it("reports only what the router acts on", () => {
+        const directory = new TargetDirectory();
+        expect(apply(directory, 1, {})).to.equal(true);
+        expect(apply(directory, 2, { sequence: 2 })).to.equal(false);
+        expect(apply(directory, 3, { sequence: 3, warmingUp: true })).to.equal(true);
+    });
+
+    it("ignores entries that arrive late: lower offsets, earlier processes, earlier entries of one process", () => {
+        const directory = new TargetDirectory();
+        apply(directory, 5, { bornWallMs: 2_000, sequence: 4, state: "draining" });
+        expect(apply(directory, 4, { bornWallMs: 3_000, sequence: 9 })).to.equal(false);
+        expect(apply(directory, 6, { bornWallMs: 1_000, sequence: 9 })).to.equal(false);
+        expect(apply(directory, 7, { bornWallMs: 2_000, sequence: 3 })).to.equal(false);
+        expect(directory.get(targetId)?.state).to.equal("draining");
+    });
+
+    it("does not bring a target back by an entry from before it left", () => {
+        const directory = new TargetDirectory();
+        apply(directory, 1, { sequence: 7 });
+        apply(directory, 2, undefined);
+        expect(apply(directory, 3, { sequence: 6 })).to.equal(false);
+        expect(directory.get(targetId)?.state).to.equal("gone");
+    });
+
+    it("knows a restart under the same id by the time of birth, though the count starts anew", () => {
+        const directory = new TargetDirectory();
+        apply(directory, 1, { sequence: 50 });
+        expect(apply(directory, 2, { bornWallMs: 5_000, sequence: 1 })).to.equal(true);
+    });
+
+    it("remembers since when a target leaves, whatever else its entry says meanwhile", () => {
+        const directory = new TargetDirectory();
+        apply(directory, 1, {}, 0);
+        apply(directory, 2, { state: "draining", sequence: 2 }, 100);
+        apply(directory, 3, undefined, 900);
+        const target = directory.get(targetId);
+        expect(target?.leavingSinceMs).to.equal(100);
+        expect(target !== undefined && mayReceive(target, 1_300, 1_399)).to.equal(true);
+        expect(target !== undefined && mayReceive(target, 1_300, 1_400)).to.equal(false);
+    });
+
+    it("finds what a snapshot lacks, but for what was read after it", () => {
+        const directory = new TargetDirectory();
+        apply(directory, 10, {});
+        expect(directory.missingFrom(new Set(), 10 as Offset)).to.deep.equal([]);
+        expect(directory.missingFrom(new Set(), 11 as Offset)).to.deep.equal([targetId]);
+    });
+
+    it("brings another host up to date from an offset on", () => {
+        const directory = new TargetDirectory();
+        apply(directory, 3, {});
+        expect(directory.changesSince(4 as Offset)).to.deep.equal([]);
+        apply(directory, 4, undefined);
+        expect(directory.changesSince(4 as Offset)).to.deep.equal([{ targetId, offset: 4, entry: undefined }]);
+    });
+});
