--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -23,7 +23,7 @@
 import { clusterMethods } from "./messages.js";
 import type { PeerConnection, PeerHandlers } from "./peerConnection.js";
 import type { PeerLinks } from "./peerLinks.js";
-import { claimAtMs } from "./succession.js";
+import { claimAtMs, rankStepMs } from "./succession.js";
 
 const reportPeriodMs = 300;
 const callTimeoutMs = 500;
@@ -38,7 +38,7 @@
 const retryMs = 80;
 
 /** A host that can read the store takes over from a coordinator that cannot, after this time. */
-const coordinatorCutOffMs = 1_500;
+const coordinatorCutOffMs = 1_300;
 
 /** A claim counts as taken over from a coordinator that resigned only if it was acknowledged this soon. */
 const resignedClaimMs = 800;
@@ -86,6 +86,8 @@
     let predecessorUntilMs = 0;
     let termConfirmedAt: Instant | undefined;
     let confirmedMs = Number.NEGATIVE_INFINITY;
+    /** The same for what the coordinator knows. */
+    let coordinatorConfirmedMs = Number.NEGATIVE_INFINITY;
     let leaving = false;
     const takeOverAsked = new Signal();
     let takeOverFrom: Address | undefined;
@@ -120,7 +122,8 @@
         if (term !== undefined && news.term < term.term) {
             return;
         }
-        confirmedMs = Math.max(confirmedMs, nowMs() - news.storeAgeMs);
+        coordinatorConfirmedMs = Math.max(coordinatorConfirmedMs, nowMs() - news.storeAgeMs);
+        confirmedMs = Math.max(confirmedMs, coordinatorConfirmedMs);
         view.applyTargets(news.targets ?? [], news.targetsUpTo, nowMs());
         if (news.ledger !== undefined) {
             view.applyLedger(news.ledger, news.ledgerUpTo);
@@ -164,6 +167,7 @@
             return;
         }
         log.info("following", { coordinator: term.hostId, term: term.term });
+        coordinatorConfirmedMs = nowMs();
         applyNews(reply.value.news, connection);
         let lostBecause: string | undefined;
         void connection.closed.then(() => {
@@ -173,7 +177,7 @@
             connection.notify(clusterMethods.report, reportNow());
             await Promise.race([clock.sleep(reportPeriodMs, signal), connection.closed]);
             lostBecause ??= nowMs() - connection.lastHeardMs > coordinatorSilentMs ? "silent" : undefined;
-            if (knowledgeAgeMs(nowMs()) > coordinatorCutOffMs && await takeOverFromCutOff(term, connection)) {
+            if (isCutOff() && await takeOverFromCutOff(term, connection, signal)) {
                 return;
             }
         }
@@ -184,9 +188,13 @@
         }
     };
 
-    /** The coordinator answers but cannot read the store; a host that can takes over. */
-    const takeOverFromCutOff = async (term: TermRecord, connection: PeerConnection): Promise<boolean> => {
-        if (leaving || !await readAll() || view.ledger.term?.term !== term.term) {
+    const isCutOff = () => nowMs() - coordinatorConfirmedMs > coordinatorCutOffMs;
+
+    /** The coordinator answers but cannot read the store; the first host that can takes over. */
+    const takeOverFromCutOff = async (term: TermRecord, connection: PeerConnection, signal: AbortSignal): Promise<boolean> => {
+        const others = membership.members().filter(({ hostId }) => hostId !== self.hostId && hostId !== term.hostId);
+        await clock.sleep(rankOf(others) * rankStepMs, signal);
+        if (leaving || !isCutOff() || !await readAll() || view.ledger.term?.term !== term.term) {
             return false;
         }
         log.info("coordinator cut off from the store", { coordinator: term.hostId, term: term.term });
--- a/src/cluster/succession.ts
+++ b/src/cluster/succession.ts
@@ -6,7 +6,7 @@
  */
 
 /** Time between the claims of two hosts that follow each other in rank. */
-const rankStepMs = 120;
+export const rankStepMs = 120;
 
 /** Extra wait of a host that does not hear most of the others either: it is probably the one that is cut off. */
 const isolatedMs = 2_500;
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import http from "node:http";
 import type { Socket } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import type { HttpDialect } from "../forwarding/dialect.js";
 import { withoutHopByHop } from "../forwarding/hopByHop.js";
 import type { ClientLimits } from "../model/routing.js";
@@ -81,7 +82,13 @@
         });
         response.shouldKeepAlive = response.shouldKeepAlive && !closing;
         const call = createClientCall({ request, response, parts, limits, beforeRead, isClosing: () => closing });
-        parts.serve(call).catch((error: unknown) => {
+        const serve = async () => {
+            await twoTurns();
+            if (!call.left.aborted) {
+                await parts.serve(call);
+            }
+        };
+        serve().catch((error: unknown) => {
             parts.onFault(error);
             call.breakOff();
         });
@@ -125,6 +132,15 @@
     };
 }
 
+/**
+ * Lets the event loop look at its sockets once more. On a host that lags behind, a client may have left before its request
+ * is read, and its leaving is then read in the next turn.
+ */
+async function twoTurns(): Promise<void> {
+    await nextTurn();
+    await nextTurn();
+}
+
 function applyLimits(server: Server & { maxHeaderSize?: number }, limits: ClientLimits): void {
     server.headersTimeout = limits.headerTimeoutMs;
     server.keepAliveTimeout = limits.idleTimeoutMs;
--- a/src/host/daemonSettings.ts
+++ b/src/host/daemonSettings.ts
@@ -2,20 +2,20 @@
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import yargsParser from "yargs-parser";
-import { z } from "zod";
+import * as z from "zod/mini";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 
 const environmentPrefix = "HORNBEAM_";
 const logLevels = ["trace", "debug", "info", "warn", "error", "fatal"] as const;
 const portText = "a port from 1 to 65535";
-const port = z.coerce.number({ error: portText }).int(portText).min(1, portText).max(65_535, portText);
+const port = z.coerce.number({ error: portText }).check(z.int(portText), z.gte(1, portText), z.lte(65_535, portText));
 
 const schema = z.strictObject({
     /** Least level of log lines that are written. */
-    logLevel: z.enum(logLevels, { error: `one of ${logLevels.join(", ")}` }).default("info"),
+    logLevel: z._default(z.enum(logLevels, { error: `one of ${logLevels.join(", ")}` }), "info"),
     /** Port for metrics, dump and liveness. */
-    adminPort: port.default(9_464),
+    adminPort: z._default(port, 9_464),
 });
 
 export type DaemonSettings = z.infer<typeof schema>;
@@ -45,7 +45,7 @@
     return checked.success ? ok(checked.data) : err(failure("invalid", "settings", "command line", describe(checked.error, given)));
 }
 
-function describe(error: z.ZodError, given: Readonly<Record<string, unknown>>): string {
+function describe(error: z.core.$ZodError, given: Readonly<Record<string, unknown>>): string {
     return error.issues.map((issue) => issue.code === "unrecognized_keys"
         ? `${issue.keys.map(flagOf).join(", ")} not known; allowed: ${Object.keys(schema.shape).map(flagOf).join(", ")}`
         : describeValue(String(issue.path[0] ?? ""), given, issue.message)).join("; ");
--- a/src/ownership/ledger.ts
+++ b/src/ownership/ledger.ts
@@ -4,7 +4,7 @@
  */
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod/mini";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Address, HostId, KeyRange, Offset, RunId, ServiceId, TargetId, Term } from "../model/names.js";
@@ -39,9 +39,9 @@
     record: LedgerRecord | undefined;
 }
 
-const keyNumber = z.number().int().min(0).max(maxKey);
+const keyNumber = z.int().check(z.gte(0), z.lte(maxKey));
 const recordSchema = z.discriminatedUnion("kind", [
-    z.object({ kind: z.literal("term"), term: z.number().int(), hostId: z.string(), runId: z.string(), peerAddress: z.string() }),
+    z.object({ kind: z.literal("term"), term: z.int(), hostId: z.string(), runId: z.string(), peerAddress: z.string() }),
     z.object({
         kind: z.literal("ownership"), targetId: z.string(), serviceId: z.string(), address: z.string(),
         ranges: z.array(z.object({ from: keyNumber, to: keyNumber })),
--- a/src/ownership/ledgerWriter.ts
+++ b/src/ownership/ledgerWriter.ts
@@ -14,7 +14,9 @@
 import type { Assignment, DraftedRecord } from "./ownershipDraft.js";
 import { draftOwnerships } from "./ownershipDraft.js";
 
-const retryMs = 40;
+/** Pauses between attempts grow from the first to the second, since the store may be in trouble for seconds. */
+const firstRetryMs = 40;
+const longestRetryMs = 320;
 
 /** What a writer works with. */
 export interface LedgerWriterParts {
@@ -70,6 +72,7 @@
     /** An append without an answer may take effect later; appending again at the same end makes one of the two fail. */
     const appendUntilKnown = async (assignments: readonly Assignment[]): Promise<Result<void, Failure>> => {
         let uncertainFrom: Offset | undefined;
+        let retryMs = firstRetryMs;
         for (;;) {
             const now = clock.now();
             const records = draftOwnerships(view.ledger, assignments);
@@ -96,6 +99,7 @@
                     return err(outcome.error);
                 }
                 await clock.sleep(retryMs);
+                retryMs = Math.min(longestRetryMs, retryMs * 2);
             }
             await reader.read("ledger", 0);
             if (uncertainFrom !== undefined && isInForce(records, uncertainFrom)) {
