--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -126,6 +126,7 @@
         storeAgeMs: Math.round(Math.min(1e6, storeAgeMs(clock.now()))),
         configOffset: view.config?.offset ?? -1 as Offset,
         targetsUpTo: view.targetsUpTo,
+        targetsDigest: view.targets.digest(),
         ledgerUpTo: view.ledger.upTo,
         ...more,
     });
@@ -265,7 +266,7 @@
                 addFollower(params.member, from);
             }
             return { accepted: true, news: newsNow({
-                targets: view.targets.changesSince(params.targetsUpTo),
+                targets: view.targets.changesSince(params.targetsFrom),
                 ledger: view.ledger.all().filter(({ offset }) => offset >= params.ledgerUpTo),
                 ledgerFrom: params.ledgerUpTo,
                 members: membersNow(),
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -28,7 +28,8 @@
 export interface FollowParams {
     member: Member;
     ledgerUpTo: Offset;
-    targetsUpTo: Offset;
+    /** Changes of targets are wanted from here on; 0 for all. */
+    targetsFrom: Offset;
 }
 
 /** Answer to `FollowParams`. */
@@ -45,6 +46,8 @@
     /** Offset of the configuration in force at the coordinator. */
     configOffset: Offset;
     targetsUpTo: Offset;
+    /** See `TargetDirectory.digest`. */
+    targetsDigest: number;
     targets?: readonly TargetChange[];
     ledgerUpTo: Offset;
     /** Every change of the ledger from an offset on, with that offset. */
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -37,6 +37,9 @@
 const ownReadPeriodMs = 250;
 const retryMs = 80;
 
+/** Period at which a host that knows other targets than the coordinator asks for all of them. */
+const catchUpPeriodMs = 1_000;
+
 /** A host that can read the store takes over from a coordinator that cannot, after this time. */
 const coordinatorCutOffMs = 1_300;
 
@@ -94,6 +97,7 @@
     let coordinatorConfirmedMs = Number.NEGATIVE_INFINITY;
     let leaving = false;
     let catchingUp = false;
+    let caughtUpMs = Number.NEGATIVE_INFINITY;
     const takeOverAsked = new Signal();
     let takeOverFrom: Address | undefined;
 
@@ -144,26 +148,33 @@
         if (news.configOffset > (view.config?.offset ?? -1)) {
             void fetchConfig(from);
         }
-        if (news.ledgerUpTo > view.ledger.upTo) {
-            void catchUp(from);
+        const differs = news.targetsDigest !== view.targets.digest() && nowMs() - caughtUpMs > catchUpPeriodMs;
+        if (news.ledgerUpTo > view.ledger.upTo || differs) {
+            void catchUp(from, differs);
         }
     };
 
-    /** Asks for what is missing, as news may overtake the answer to the first question. */
-    const catchUp = async (from: PeerConnection) => {
+    /**
+     * Asks for what is missing. News may overtake the answer to the first question, and hosts that read the store at other
+     * times may have taken other entries for lapsed.
+     */
+    const catchUp = async (from: PeerConnection, allTargets: boolean) => {
         if (catchingUp) {
             return;
         }
         catchingUp = true;
-        const reply = await askForNews(from);
+        caughtUpMs = allTargets ? nowMs() : caughtUpMs;
+        const reply = await askForNews(from, allTargets);
         catchingUp = false;
         if (reply.isOk() && reply.value.accepted) {
             applyNews(reply.value.news, from);
         }
     };
 
-    const askForNews = (from: PeerConnection) => {
-        const params: FollowParams = { member: self, ledgerUpTo: view.ledger.upTo, targetsUpTo: view.targetsUpTo };
+    const askForNews = (from: PeerConnection, allTargets = false) => {
+        const params: FollowParams = {
+            member: self, ledgerUpTo: view.ledger.upTo, targetsFrom: allTargets ? 0 as Offset : view.targetsUpTo,
+        };
         return from.call<FollowReply>(clusterMethods.follow, params, callTimeoutMs);
     };
 
--- a/src/store/targetDirectory.ts
+++ b/src/store/targetDirectory.ts
@@ -1,6 +1,7 @@
 /** Folds the service directory: which targets exist, and in which state. */
 import type { Offset, ServiceId, TargetId } from "../model/names.js";
 import type { KnownTarget, TargetEntry } from "../model/target.js";
+import { hash } from "../model/rendezvous.js";
 import { isSameEntry } from "../model/target.js";
 
 /** A target that left the directory is remembered for this long. */
@@ -25,6 +26,7 @@
 export class TargetDirectory {
     private readonly known = new Map<TargetId, KnownTarget>();
     private readonly seen = new Map<TargetId, Seen>();
+    private lastDigest: number | undefined;
     private byService: ReadonlyMap<ServiceId, readonly KnownTarget[]> | undefined;
 
     /** Every target, those that left a moment ago too. */
@@ -43,14 +45,23 @@
         return this.byService.get(serviceId) ?? [];
     }
 
-    /** Lists the newest change of each target from an offset on. */
+    /** Lists the newest change of each target that is or was known from an offset on. */
     changesSince(offset: Offset): TargetChange[] {
         return [...this.seen].filter(([, seen]) => seen.offset >= offset).map(([targetId, seen]) => {
             const target = this.known.get(targetId);
-            return { targetId, offset: seen.offset, entry: target === undefined || target.state === "gone" ? undefined : target };
+            const entry = target === undefined || target.state === "gone" ? undefined : { ...target, sequence: seen.sequence };
+            return { targetId, offset: seen.offset, entry };
         });
     }
 
+    /** A number that is the same on hosts that know the same targets in the same states. */
+    digest(): number {
+        this.lastDigest ??= hash([...this.known.values()].filter(({ state }) => state !== "gone")
+            .map(({ targetId, address, state, slots, bornWallMs, warmingUp }) =>
+                [targetId, address, state, slots, bornWallMs, warmingUp].join()).sort().join(";"));
+        return this.lastDigest;
+    }
+
     /**
      * Applies a change.
      * @param change the change
@@ -97,6 +108,7 @@
         this.known.set(targetId, { ...next, leavingSinceMs });
         this.forgetGone(nowMs);
         this.byService = undefined;
+        this.lastDigest = undefined;
         return true;
     }
 
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -105,9 +105,15 @@
             log.info("removal put off", { target: targetId, offset });
         }
         const certain = suspicious ? changes.filter(({ entry }) => entry !== undefined) : changes;
-        return view.applyTargets([...certain, ...takeDue()], upTo, nowMs());
+        const returned = takeReturned(certain);
+        const effective = view.applyTargets([...certain, ...takeDue()], upTo, nowMs());
+        return [...effective, ...returned.filter((change) => !effective.includes(change))];
     };
 
+    /** Targets that came back in time: nothing changed here, but hosts that started meanwhile have not heard of them. */
+    const takeReturned = (changes: readonly TargetChange[]): TargetChange[] =>
+        changes.filter(({ targetId, entry }) => entry !== undefined && lapsed.delete(targetId));
+
     const takeDue = (): TargetChange[] => {
         const due = [...lapsed].filter(([, { dueMs }]) => nowMs() >= Math.max(dueMs, troubleMs + lapsedGraceMs));
         due.forEach(([targetId]) => lapsed.delete(targetId));
--- a/test/world/world.spec.ts
+++ b/test/world/world.spec.ts
@@ -9,6 +9,8 @@
     [1_236, "a range was restored to its old owner although the append that gave it away might still take effect"],
     [3_141, "a target that restarted had forgotten its fences and took the grant of a coordinator that was deposed"],
     [3_291, "a host that had missed records of the ledger claimed a term that another had already"],
+    [9_049, "a host that restarted never heard of a target whose removal the coordinator had put off"],
+    [9_297, "news of a target that came back looked older than what a host had read itself"],
     [1_248, "the same as 1236, with grants that were sent before the ledger had been compared"],
 ];
 
