--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,11 +1,15 @@
-/** Bundles the daemon into one file, so that a start loads only what is used. */
+/** Bundles each program into one file, so that a start loads only what is used. */
 import { build } from "esbuild";
 
 /** Optional parts of libraries that the daemon does not use. */
 const unused = ["dtrace-provider", "mv", "source-map-support", "msgpackr-extract"];
 
 await build({
-    entryPoints: { "hornbeam-host": "platform/main.ts" },
+    entryPoints: {
+        "hornbeam-host": "platform/main.ts",
+        "hornbeamctl": "platform/ctl.ts",
+        "hornbeam-standin": "platform/standins/main.ts",
+    },
     outdir: "target",
     outExtension: { ".js": ".cjs" },
     bundle: true,
--- a/src/admission/queueKeeper.ts
+++ b/src/admission/queueKeeper.ts
@@ -87,6 +87,8 @@
         }
     };
 
+    const isDrained = (targetId: TargetId) => view.ledger.drained().includes(targetId);
+
     const targetsOf = (group: Group): KnownTarget[] => {
         const targets = group.kind === "service" ? view.targets.ofService(group.serviceId) : [view.targets.get(group.targetId)];
         return targets.flatMap((target) => target === undefined ? [] : [target]);
@@ -97,7 +99,8 @@
         targetId: target.targetId,
         dataCentreId: target.dataCentreId,
         slots: target.slots,
-        open: !isSilent(target.targetId) && (group.kind === "target" ? mayReceive(target, drainMs, nowMs) : target.state === "ready"),
+        open: !isSilent(target.targetId)
+            && (group.kind === "target" ? mayReceive(target, drainMs, nowMs) : target.state === "ready" && !isDrained(target.targetId)),
         warmingUp: target.warmingUp,
     });
 
--- /dev/null
+++ b/src/config/compile.ts
@@ -0,0 +1,72 @@
+/** Turns the project's own document into the routes and services that hosts work with. */
+import type { RouteId, ServiceId } from "../model/names.js";
+import type { Route, RoutingConfig } from "../model/routing.js";
+import { anyHost } from "../routing/routeTable.js";
+import type { NamedPool } from "./document.js";
+import { listPools, termsOf } from "./document.js";
+import type { ConfigDocument, PoolConfig, TermsOfService } from "./documentSchema.js";
+
+const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 16_777_216, headerTimeoutMs: 10_000, idleTimeoutMs: 60_000 };
+
+/** A kind of request that a pool takes. */
+interface RequestKind {
+    name: "read" | "order" | "bulk" | "write";
+    method: "GET" | "POST";
+    /** Path behind the names of institution and pool. */
+    path: string;
+    idempotent: boolean;
+}
+
+const read: RequestKind = { name: "read", method: "GET", path: "keys/", idempotent: true };
+const order: RequestKind = { name: "order", method: "POST", path: "keys/", idempotent: false };
+const bulk: RequestKind = { name: "bulk", method: "GET", path: "lists/", idempotent: true };
+const write: RequestKind = { name: "write", method: "POST", path: "meter-reads/", idempotent: false };
+
+const kindsByPool: Record<PoolConfig["kind"], readonly RequestKind[]> = {
+    keyed: [read, order],
+    archive: [write],
+    export: [bulk],
+};
+
+/** Paths of the project's own interface begin with this. */
+export const ownPathPrefix = "/v1/";
+
+/**
+ * Compiles a document.
+ * @param document the document
+ * @param version its version
+ * @param nowWallMs wall clock; exceptions that have ended do not count
+ */
+export function compileDocument(document: ConfigDocument, version: number, nowWallMs: number): RoutingConfig {
+    const pools = listPools(document);
+    return {
+        version, limits,
+        routes: pools.flatMap((pool) => routesOf(pool, termsOf(document, pool, nowWallMs))),
+        services: pools.map(({ config }) => ({
+            serviceId: config.service as ServiceId,
+            healthPath: config.healthPath,
+            maxConnections: config.connections,
+            sharded: config.kind === "keyed",
+            warmUpMs: 0,
+        })),
+    };
+}
+
+function routesOf(pool: NamedPool, terms: TermsOfService): Route[] {
+    return kindsByPool[pool.config.kind].map((kind) => toRoute(pool, kind, terms));
+}
+
+function toRoute({ institution, pool, config }: NamedPool, kind: RequestKind, terms: TermsOfService): Route {
+    return {
+        routeId: `${institution}/${pool}/${kind.name}` as RouteId,
+        hostName: anyHost,
+        method: kind.method,
+        pathPrefix: `${ownPathPrefix}${institution}/${pool}/${kind.path}`,
+        idempotent: kind.idempotent,
+        timeoutMs: terms[`${kind.name}TimeoutMs`],
+        targetLatencyMs: terms[`${kind.name}TargetMs`],
+        priority: terms[`${kind.name}Priority`],
+        maxAttempts: terms.maxAttempts,
+        backends: [{ serviceId: config.service as ServiceId, weight: 1 }],
+    };
+}
--- /dev/null
+++ b/src/config/documentSchema.ts
@@ -0,0 +1,64 @@
+/** The project's own configuration document: fleet-wide defaults, institutions with their pools, exceptions with a reason. */
+import { z } from "zod";
+
+const name = z.string().regex(/^[a-z][a-z0-9-]{0,39}$/, "must be lower-case letters, digits and hyphens, at most 40");
+const durationMs = z.number().int().positive().max(3_600_000);
+const priority = z.number().int().min(0).max(9);
+
+const termsSchema = z.strictObject({
+    /** Longest time that a request of each kind may take. */
+    readTimeoutMs: durationMs,
+    orderTimeoutMs: durationMs,
+    bulkTimeoutMs: durationMs,
+    writeTimeoutMs: durationMs,
+    /** Time within which an answer of each kind has its full value. */
+    readTargetMs: durationMs,
+    orderTargetMs: durationMs,
+    bulkTargetMs: durationMs,
+    writeTargetMs: durationMs,
+    /** Smaller is more urgent. */
+    readPriority: priority,
+    orderPriority: priority,
+    bulkPriority: priority,
+    writePriority: priority,
+    /** Targets that one request may be sent to. */
+    maxAttempts: z.number().int().min(1).max(5),
+});
+
+const poolSchema = z.strictObject({
+    /** `keyed`: every key has one owner; `archive` accepts writes; `export` gives lists. */
+    kind: z.enum(["keyed", "archive", "export"]),
+    /** Name under which the pool's targets are in the service directory. */
+    service: z.string().min(1),
+    /** Connections that one target accepts from all hosts together. */
+    connections: z.number().int().positive().max(100_000),
+    healthPath: z.string().startsWith("/").default("/health"),
+});
+
+const exceptionSchema = z.strictObject({
+    institution: name,
+    pool: name.optional(),
+    set: termsSchema.partial(),
+    reason: z.string().trim().min(8, "must say why, in at least 8 letters"),
+    author: z.string().trim().min(1),
+    /** When the exception ends, as an ISO 8601 time in UTC. */
+    until: z.iso.datetime().optional(),
+});
+
+/** Schema of the whole document. */
+export const documentSchema = z.strictObject({
+    defaults: termsSchema,
+    institutions: z.record(name, z.strictObject({ pools: z.record(name, poolSchema) })),
+    exceptions: z.array(exceptionSchema).default([]),
+}).superRefine((document, context) => {
+    document.exceptions.forEach(({ institution, pool }, index) => {
+        const named = document.institutions[institution];
+        if (named === undefined || (pool !== undefined && named.pools[pool] === undefined)) {
+            context.addIssue({ code: "custom", path: ["exceptions", index], message: "names an institution or pool that does not exist" });
+        }
+    });
+});
+
+export type ConfigDocument = z.infer<typeof documentSchema>;
+export type TermsOfService = z.infer<typeof termsSchema>;
+export type PoolConfig = z.infer<typeof poolSchema>;
--- a/src/config/source.ts
+++ b/src/config/source.ts
@@ -3,8 +3,8 @@
 import type { Document } from "yaml";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
-import type { ConfigDocument } from "./document.js";
-import { documentSchema } from "./document.js";
+import type { ConfigDocument } from "./documentSchema.js";
+import { documentSchema } from "./documentSchema.js";
 
 /** One problem of a document. */
 export interface SourceProblem {
--- /dev/null
+++ b/src/control/dumpHttp.ts
@@ -0,0 +1,24 @@
+/** The hosts' pages for operators, over HTTP. */
+import Wreck from "@hapi/wreck";
+import { err, ok } from "neverthrow";
+import { failure } from "../model/failure.js";
+import type { DumpPort, HostDump } from "./session.js";
+
+const callTimeoutMs = 1_500;
+const maxDumpBytes = 16_777_216;
+
+/** Creates the port to the hosts' dumps. */
+export function createDumpHttp(): DumpPort {
+    return {
+        dump: async (address) => {
+            try {
+                const response = await Wreck.request("GET", `http://${address}/dump`, { timeout: callTimeoutMs });
+                const body = await Wreck.read(response, { timeout: callTimeoutMs, maxBytes: maxDumpBytes });
+                return ok(JSON.parse(body.toString("utf8")) as HostDump);
+            }
+            catch (error) {
+                return err(failure("unreachable", "admin-call", address, error instanceof Error ? error.message : String(error)));
+            }
+        },
+    };
+}
--- a/src/control/fleetCommands.ts
+++ b/src/control/fleetCommands.ts
@@ -1,100 +1,116 @@
-/** Commands of hornbeamctl that look at the live hosts. */
-import { hostOfRun } from "../model/ids.js";
+/** Commands of hornbeamctl on hosts, targets and owners of keys. */
+import { ok } from "neverthrow";
 import { describeFailure } from "../model/failure.js";
-import { cellOfShard, findPool } from "../config/document.js";
-import { parseKeyName, shardOfKey } from "../config/edits.js";
+import type { Key, ServiceId, TargetId } from "../model/names.js";
+import { maxKey } from "../model/names.js";
+import { keyOfName } from "../entry/ownDialect.js";
+import { drainKey } from "../ownership/ledger.js";
+import { OwnerMap } from "../ownership/ownerMap.js";
 import type { CommandResult } from "./output.js";
 import { exitCodes } from "./output.js";
-import { badInput, done, refused, unreachable, withConfig, withReports } from "./results.js";
-import type { ControlSession, HostReport } from "./session.js";
+import { done, failed, refused } from "./results.js";
+import type { ControlSession } from "./session.js";
 
-/** Shows every live host. */
+/** Shows every host at work. */
 export async function status(session: ControlSession): Promise<CommandResult> {
-    return withReports(session, (reports) => {
-        const notWell = reports.filter(({ dump }) => dump.isErr() || dump.value.unready !== undefined || !dump.value.logWell);
-        return {
-            exitCode: notWell.length === 0 ? exitCodes.done : exitCodes.unreachable,
-            lines: notWell.length === 0
-                ? ["Every live host is well."]
-                : [`Not well: ${notWell.map(({ host }) => host.hostId).join(", ")}. Look closer with: hornbeamctl dump HOST`],
-            table: {
-                head: ["host", "data centre", "state", "configuration", "offset", "log", "cells"],
-                rows: reports.map(({ host, dump }) => dump.match(
-                    (of) => [
-                        host.hostId, host.dataCentre, of.unready ?? "ready", of.configOffset ?? "-", of.offset,
-                        of.logWell ? "well" : "not read", of.cells.filter((cell) => cell.acting).length,
-                    ],
-                    (failed) => [host.hostId, host.dataCentre, describeFailure(failed), "-", "-", "-", "-"],
-                )),
-            },
-            json: reports.map(({ host, dump }) => ({ host, dump: dump.isOk() ? dump.value : undefined })),
-        };
-    });
+    const reports = await session.reports();
+    if (reports.isErr()) {
+        return failed(reports.error);
+    }
+    const notWell = reports.value.filter(({ dump }) => dump.isErr() || dump.value.unready !== undefined);
+    return {
+        exitCode: notWell.length === 0 ? exitCodes.done : exitCodes.unreachable,
+        lines: notWell.length === 0
+            ? ["Every host at work is well."]
+            : [`Not well: ${notWell.map(({ hostId }) => hostId).join(", ")}. Look closer with: hornbeamctl dump HOST`],
+        table: {
+            head: ["host", "data centre", "state", "configuration", "ledger", "knowledge ms old", "pending", "coordinates"],
+            rows: reports.value.map(({ hostId, dump }) => dump.match(
+                (of) => [
+                    hostId, of.self.dataCentreId, of.unready ?? "ready", of.configVersion ?? "-", of.ledgerUpTo, of.knowledgeAgeMs,
+                    of.pending, of.coordinator === undefined ? "" : `term ${String(of.coordinator.term)}`,
+                ],
+                (failure) => [hostId, "-", describeFailure(failure), "-", "-", "-", "-", "-"],
+            )),
+        },
+        json: reports.value.map(({ hostId, dump }) => ({ hostId, dump: dump.isOk() ? dump.value : undefined })),
+    };
 }
 
-/** Shows every cell with its coordinator. */
-export async function cells(session: ControlSession): Promise<CommandResult> {
-    return withReports(session, (reports) => {
-        const rows = actingCells(reports).map(({ host, cell }) => {
-            const shards = cell.grants?.shards ?? [];
-            const unserved = shards.filter((shard) => !shard.serving).length;
-            return [cell.cell, host, cell.grants?.fence ?? 0, shards.length, unserved, cell.work?.active ?? 0, cell.work?.orders ?? 0];
-        });
-        return {
-            exitCode: exitCodes.done,
-            lines: rows.length === 0 ? ["No cell is coordinated; see: hornbeamctl status"] : [],
-            table: { head: ["cell", "coordinator", "fence", "shards", "not served", "in flight", "order ids"], rows },
-            json: actingCells(reports),
-        };
-    });
+/** Shows the targets that own keys, as the coordinator sees them. */
+export async function targets(session: ControlSession): Promise<CommandResult> {
+    const reports = await session.reports();
+    if (reports.isErr()) {
+        return failed(reports.error);
+    }
+    const dumps = reports.value.flatMap(({ dump }) => dump.isOk() ? [dump.value] : []);
+    const coordinator = dumps.find((one) => one.coordinator !== undefined)?.coordinator;
+    if (coordinator === undefined) {
+        return refused("No host coordinates now; see: hornbeamctl status");
+    }
+    const rows = coordinator.owners.targets;
+    return {
+        exitCode: exitCodes.done,
+        lines: [],
+        table: {
+            head: ["target", "standing", "ranges", "keys", "free in ms"],
+            rows: rows.map(({ targetId, standing, ranges, freeInMs }) => [
+                targetId, standing, ranges.map(({ from, to }) => `${String(from)}-${String(to)}`).join(" "),
+                ranges.reduce((sum, { from, to }) => sum + to - from + 1, 0), Math.max(0, freeInMs),
+            ]),
+        },
+        json: rows,
+    };
 }
 
 /**
- * Shows which server owns a key.
+ * Shows which target owns a key.
  * @param session the session
- * @param keyName the key, as `institution/pool/key`
+ * @param service the service
+ * @param key a number, or a name as clients of the project's own interface use it
  */
-export function owners(session: ControlSession, keyName: string): Promise<CommandResult> {
-    return withConfig(session, async (config) => {
-        const name = parseKeyName(keyName);
-        const shard = name.andThen((parsed) => shardOfKey(config.document, parsed));
-        if (name.isErr() || shard.isErr()) {
-            return badInput(name.isErr() ? name.error : shard._unsafeUnwrapErr());
-        }
-        const { institution, pool } = name.value;
-        const poolConfig = findPool(config.document, institution, pool);
-        const cell = poolConfig === undefined ? "" : cellOfShard(institution, pool, poolConfig, shard.value);
-        return withReports(session, (reports) => {
-            const acting = actingCells(reports).find((one) => one.cell.cell === cell);
-            const tenure = acting?.cell.grants?.shards.find((one) => one.shard === shard.value);
-            const found = { cell, shard: shard.value, coordinator: acting?.host, ...tenure };
-            return tenure === undefined
-                ? { ...refused(`Shard ${String(shard.value)} of ${cell} has no coordinator now; see: hornbeamctl cells`), json: found }
-                : done([
-                    `${keyName}: shard ${String(shard.value)} of ${cell}, owner ${tenure.owner ?? "none"},`
-                    + ` ${tenure.serving ? "served" : "not served"}, coordinator ${acting?.host ?? ""}.`,
-                ], found);
-        });
-    });
+export async function owner(session: ControlSession, service: string, key: string): Promise<CommandResult> {
+    const read = await session.read();
+    if (read.isErr()) {
+        return failed(read.error);
+    }
+    const number = /^[0-9]+$/.test(key) && Number(key) <= maxKey ? Number(key) as Key : keyOfName(key);
+    const targetId = new OwnerMap(session.view.ledger.ownerships()).ownerOf(service as ServiceId, number);
+    return targetId === undefined
+        ? refused(`Key ${String(number)} of ${service} has no owner; see: hornbeamctl targets`)
+        : done([`Key ${String(number)} of ${service} is owned by ${targetId}.`], { service, key: number, targetId });
 }
 
 /**
- * Shows the whole state of one host's coordinator.
+ * Marks a target as one that gets no work, or takes the mark away.
  * @param session the session
- * @param hostName the host
+ * @param target the target
+ * @param undo takes the mark away
  */
-export async function dump(session: ControlSession, hostName: string): Promise<CommandResult> {
-    return withReports(session, (reports) => {
-        const report = reports.find(({ host }) => host.hostId === hostName);
-        if (report === undefined) {
-            return refused(`The host list names no live host ${hostName}; it names: ${reports.map(({ host }) => host.hostId).join(", ")}`);
-        }
-        return report.dump.match((of) => done([JSON.stringify(of, undefined, 2)], of), unreachable);
+export async function drain(session: ControlSession, target: string, undo: boolean): Promise<CommandResult> {
+    const outcome = await session.append(() => {
+        const others = session.view.ledger.drained().filter((targetId) => targetId !== target);
+        return ok([{ key: drainKey, record: { kind: "drain" as const, targetIds: undo ? others : [...others, target as TargetId] } }]);
     });
+    return outcome.match(
+        () => done([undo ? `${target} may have work again.` : `${target} gets no new work; watch it with: hornbeamctl targets`], { target, undo }),
+        failed,
+    );
 }
 
-function actingCells(reports: readonly HostReport[]) {
-    return reports.flatMap(({ dump: of }) => of.isErr()
-        ? []
-        : of.value.cells.filter((cell) => cell.acting).map((cell) => ({ host: hostOfRun(of.value.run as never), cell })));
+/**
+ * Shows the whole state of one host.
+ * @param session the session
+ * @param hostId the host
+ */
+export async function dump(session: ControlSession, hostId: string): Promise<CommandResult> {
+    const reports = await session.reports();
+    if (reports.isErr()) {
+        return failed(reports.error);
+    }
+    const report = reports.value.find((one) => one.hostId === hostId);
+    if (report === undefined) {
+        return refused(`No host ${hostId} is at work; there are: ${reports.value.map((one) => one.hostId).join(", ")}`);
+    }
+    return report.dump.match((of) => done([JSON.stringify(of, undefined, 2)], of), failed);
 }
--- a/src/entry/clientCall.ts
+++ b/src/entry/clientCall.ts
@@ -1,5 +1,5 @@
 /** One request of a client, and the ways to answer it. */
-import type { Key, RequestId } from "../model/names.js";
+import type { Key, RequestId, TargetId } from "../model/names.js";
 import type { Instant } from "../model/time.js";
 
 /** Why a request gets no answer of a target. Each reason has one status, see `clientHttp.ts`. */
@@ -16,6 +16,8 @@
     reason: RefusalReason;
     /** When another attempt may help, in milliseconds from now. */
     retryAfterMs: number | undefined;
+    /** Target that the request was meant for, for the log. */
+    targetId?: TargetId;
 }
 
 /** The body of a request. */
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -3,7 +3,7 @@
 import http from "node:http";
 import type { Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
-import type { HttpDialect } from "../forwarding/dialect.js";
+import type { ClientDialect } from "../forwarding/dialect.js";
 import { withoutHopByHop } from "../forwarding/hopByHop.js";
 import type { ClientLimits } from "../model/routing.js";
 import type { Clock } from "../model/time.js";
@@ -45,7 +45,8 @@
 
 /** What the listener works with. */
 export interface ClientHttpParts {
-    dialect: HttpDialect;
+    /** The first that claims a request counts; the last claims all. */
+    dialects: readonly ClientDialect[];
     clock: Clock;
     serve: (call: ClientCall) => Promise<void>;
     /** Told of an error that `serve` did not expect. */
@@ -166,7 +167,9 @@
 }
 
 function createClientCall({ request, response, parts, limits, beforeRead, isClosing }: CallParts): ClientCall {
-    const terms = parts.dialect.termsOf(request.headers);
+    const path = request.url ?? "/";
+    const dialect = parts.dialects.find((one) => one.claims(path, request.headers)) as ClientDialect;
+    const terms = dialect.termsOf(path, request.headers);
     const left = new AbortController();
     response.once("close", () => {
         if (!response.writableFinished) {
@@ -174,6 +177,10 @@
         }
     });
 
+    const writeAnswerHead = (head: AnswerHead) => {
+        writeHead({ ...head, rawHeaders: [...head.rawHeaders, ...dialect.headersOfAnswer(terms.requestId)] });
+    };
+
     const writeHead = ({ status, reasonPhrase, rawHeaders, bodyBytes }: AnswerHead) => {
         response.shouldKeepAlive = response.shouldKeepAlive && !isClosing();
         const length = bodyBytes === undefined ? [] : ["Content-Length", String(bodyBytes)];
@@ -183,10 +190,10 @@
     return {
         ...terms,
         method: request.method ?? "GET",
-        path: request.url ?? "/",
+        path,
         hostName: request.headers.host ?? "",
         receivedAt: parts.clock.now(),
-        forwardHeaders: withoutHopByHop(request.rawHeaders, parts.dialect.ownHeaders),
+        forwardHeaders: withoutHopByHop(request.rawHeaders, dialect.ownHeaders),
         body: createRequestBody(request, limits.maxBodyBytes, beforeRead),
         left: left.signal,
         refuse: (refusal) => {
@@ -195,16 +202,16 @@
             writeHead({
                 status,
                 reasonPhrase: http.STATUS_CODES[status] ?? "",
-                rawHeaders: ["Content-Type", "application/json", ...parts.dialect.headersOfRefusal(terms.requestId, refusal.retryAfterMs)],
+                rawHeaders: ["Content-Type", "application/json", ...dialect.headersOfRefusal(terms.requestId, refusal)],
                 bodyBytes: body.length,
             });
             response.end(body);
         },
         answer: (head, body) => {
-            writeHead(head);
+            writeAnswerHead(head);
             response.end(body);
         },
-        beginAnswer: writeHead,
+        beginAnswer: writeAnswerHead,
         writeAnswer: (piece) => response.write(piece) || response.destroyed
             ? Promise.resolve()
             : new Promise((resolve) => {
--- /dev/null
+++ b/src/entry/ownDialect.ts
@@ -0,0 +1,57 @@
+/** The project's own interface for clients, as docs/INTERFACE.md describes it. */
+import { v4 as newUuid } from "uuid";
+import { ownPathPrefix } from "../config/compile.js";
+import type { ClientDialect } from "../forwarding/dialect.js";
+import type { Key, RequestId } from "../model/names.js";
+import { maxKey } from "../model/names.js";
+import { hash } from "../model/rendezvous.js";
+import type { RefusalReason } from "./clientCall.js";
+
+/** Headers of the interface, in lower case. */
+export const ownHeaders = {
+    requestId: "hornbeam-request-id",
+    budgetMs: "hornbeam-budget-ms",
+    outcome: "hornbeam-outcome",
+    retryAfterMs: "hornbeam-retry-after-ms",
+} as const;
+
+const wholeNumber = /^[0-9]{1,9}$/;
+const keyPath = /^\/v1\/[^/]+\/[^/]+\/keys\/([^/?]+)/;
+
+/** Reasons for which a request may have run. */
+const mayHaveRun: ReadonlySet<RefusalReason> = new Set(["timed-out", "lost"]);
+
+/** Headers and paths of the project's own interface. */
+export const ownDialect: ClientDialect = {
+    ownHeaders: new Set(Object.values(ownHeaders)),
+    claims: (path) => path.startsWith(ownPathPrefix),
+    termsOf: (path, headers) => {
+        const budget = headers[ownHeaders.budgetMs];
+        const key = keyPath.exec(path)?.[1];
+        return {
+            requestId: (headers[ownHeaders.requestId] ?? newUuid()) as RequestId,
+            budgetMs: typeof budget === "string" && wholeNumber.test(budget) ? Number(budget) : undefined,
+            key: key === undefined ? undefined : keyOfName(key),
+        };
+    },
+    headersOfRefusal: (requestId, { reason, retryAfterMs }) => [
+        ...requestId === undefined ? [] : [ownHeaders.requestId, requestId],
+        ownHeaders.outcome, mayHaveRun.has(reason) ? "unknown" : "not-run",
+        ...retryAfterMs === undefined ? [] : [
+            ownHeaders.retryAfterMs, String(Math.ceil(retryAfterMs)),
+            "Retry-After", String(Math.ceil(retryAfterMs / 1_000)),
+        ],
+    ],
+    headersOfAnswer: (requestId) => [
+        ownHeaders.outcome, "done",
+        ...requestId === undefined ? [] : [ownHeaders.requestId, requestId],
+    ],
+};
+
+/**
+ * Gives the number under which a named key is owned.
+ * @param name as it stands in the path
+ */
+export function keyOfName(name: string): Key {
+    return hash(name) % (maxKey + 1) as Key;
+}
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -3,8 +3,8 @@
 import type { TargetEntry } from "../model/target.js";
 import type { Clock } from "../model/time.js";
 import type { ConnectionPool } from "./connectionPool.js";
-import type { HttpDialect } from "./dialect.js";
-import { withoutHopByHop } from "./hopByHop.js";
+import type { TargetDialect } from "./dialect.js";
+import { withoutHeaders, withoutHopByHop } from "./hopByHop.js";
 import type { ResponseHead } from "./responseParser.js";
 import { headerOf } from "./responseParser.js";
 import type { Exchange, TargetConnection } from "./targetConnection.js";
@@ -41,7 +41,7 @@
 /** What an attempt works with. */
 export interface AttemptParts {
     pool: ConnectionPool;
-    dialect: HttpDialect;
+    dialect: TargetDialect;
     clock: Clock;
 }
 
@@ -205,8 +205,10 @@
     return Buffer.concat([Buffer.from(`${piece.length.toString(16)}\r\n`), piece, Buffer.from("\r\n")]);
 }
 
-function headOf(dialect: HttpDialect, { call, target, body, budgetMs }: AttemptRequest): string {
-    const headers = [...call.forwardHeaders, ...dialect.headersFor(target.targetId, budgetMs), ...bodyHeadersOf(call, body)];
+function headOf(dialect: TargetDialect, { call, target, body, budgetMs }: AttemptRequest): string {
+    const terms = { requestId: call.requestId, key: call.key, targetId: target.targetId, budgetMs };
+    const forwarded = withoutHeaders(call.forwardHeaders, dialect.ownHeaders);
+    const headers = [...forwarded, ...dialect.headersFor(terms), ...bodyHeadersOf(call, body)];
     let head = `${call.method} ${call.path} HTTP/1.1\r\n`;
     for (let index = 0; index < headers.length; index += 2) {
         head += `${headers[index] as string}: ${headers[index + 1] as string}\r\n`;
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -1,8 +1,12 @@
-/** Port to the headers by which clients, targets and this host tell each other about a request. */
+/** Ports to the headers by which clients, targets and this host tell each other about a request. */
+import type { Refusal } from "../entry/clientCall.js";
 import type { Key, RequestId, TargetId } from "../model/names.js";
 import type { ResponseHead } from "./responseParser.js";
 
-/** What a client says about its request in headers. */
+/** Headers of a request, by name in lower case. */
+export type RequestHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
+/** What a client says about its request. */
 export interface RequestTerms {
     /** Undefined when the client gave none. */
     requestId: RequestId | undefined;
@@ -12,7 +16,20 @@
     key: Key | undefined;
 }
 
-/** What the head of a response proves. */
+/** How clients and this host talk. */
+export interface ClientDialect {
+    /** Headers of a client, in lower case, that are not forwarded as they are. */
+    readonly ownHeaders: ReadonlySet<string>;
+    /** Tells whether a request speaks this dialect. */
+    claims(path: string, headers: RequestHeaders): boolean;
+    termsOf(path: string, headers: RequestHeaders): RequestTerms;
+    /** Headers of an answer that this host gives itself: names and values by turns. */
+    headersOfRefusal(requestId: RequestId | undefined, refusal: Refusal): readonly string[];
+    /** Headers that this host adds to a target's answer. */
+    headersOfAnswer(requestId: RequestId | undefined): readonly string[];
+}
+
+/** What a response's head proves. */
 export type ResponseClass =
     /** The target's own answer. */
     | "answer"
@@ -21,20 +38,23 @@
     /** Neither; the request may have run. */
     | "unproven";
 
-/** The headers in use. */
-export interface HttpDialect {
-    /** Headers of a client, in lower case, that are not forwarded as they are. */
+/** A request as a target is told of it. */
+export interface TargetTerms {
+    requestId: RequestId | undefined;
+    key: Key | undefined;
+    /** The only target that may run it. */
+    targetId: TargetId;
+    /** Time left for it. */
+    budgetMs: number;
+}
+
+/** How targets and this host talk. */
+export interface TargetDialect {
+    /** Headers, in lower case, that this host sets itself; a client's are not forwarded. */
     readonly ownHeaders: ReadonlySet<string>;
-    termsOf(headers: Readonly<Record<string, string | string[] | undefined>>): RequestTerms;
-    /**
-     * Headers that this host adds to a request for a target.
-     * @param targetId the only target that may run the request
-     * @param budgetMs time left for it
-     */
-    headersFor(targetId: TargetId, budgetMs: number): readonly string[];
+    /** Headers that this host sets on a request. */
+    headersFor(terms: TargetTerms): readonly string[];
     /** Tells whether a response belongs to a request. */
     isAnswerTo(head: ResponseHead, requestId: RequestId | undefined): boolean;
     classify(head: ResponseHead): ResponseClass;
-    /** Headers of an answer that this host gives itself. */
-    headersOfRefusal(requestId: RequestId | undefined, retryAfterMs: number | undefined): readonly string[];
 }
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -103,7 +103,7 @@
             refuse(call, { reason: "not-ready", retryAfterMs: retryAfterNotReadyMs });
             return undefined;
         }
-        const route = inForce.routes.find(call.hostName, call.path);
+        const route = inForce.routes.find(call.hostName, call.path, call.method);
         if (route === undefined) {
             refuse(call, { reason: "no-route", retryAfterMs: undefined });
             return undefined;
@@ -169,7 +169,7 @@
             }, AbortSignal.any([call.left, moved.signal, stopped.signal]));
             watch.stop();
             if (!moved.signal.aborted || call.left.aborted || stopped.signal.aborted) {
-                return toPlacement(decision);
+                return toPlacement(decision, owner);
             }
             if (decision.kind === "granted") {
                 decision.leave({ kind: "dropped" });
@@ -206,8 +206,13 @@
             }
             const freeInMs = status.kind === "silent" ? status.freeInMs : 0;
             if (now + freeInMs + job.expectedMs > job.deadlineMs) {
-                const reason = status.kind === "silent" ? "owner-silent" : "owner-unknown";
-                return { kind: "refused", refusal: { reason, retryAfterMs: spread(Math.max(freeInMs, retryAfterUnreachableMs)) } };
+                const retryAfterMs = spread(Math.max(freeInMs, retryAfterUnreachableMs));
+                return {
+                    kind: "refused",
+                    refusal: status.kind === "silent"
+                        ? { reason: "owner-silent", retryAfterMs, targetId: status.targetId }
+                        : { reason: "owner-unknown", retryAfterMs },
+                };
             }
             const latestMs = job.deadlineMs - job.expectedMs - now;
             await Promise.race([parts.owners.changed.next(), clock.sleep(Math.min(latestMs + 1, 250), job.call.left)]);
@@ -234,7 +239,7 @@
         targetMs, deadlineMs,
     });
 
-    const toPlacement = (decision: SlotDecision): Placement => {
+    const toPlacement = (decision: SlotDecision, targetId?: TargetId): Placement => {
         if (decision.kind === "granted") {
             const target = view.targets.get(decision.targetId);
             if (target === undefined) {
@@ -247,7 +252,7 @@
             return stopped.signal.aborted ? stoppingRefusal() : { kind: "client-left" };
         }
         const reason: RefusalReason = decision.reason === "overloaded" ? "overloaded" : "no-target";
-        return { kind: "refused", refusal: { reason, retryAfterMs: decision.retryAfterMs } };
+        return { kind: "refused", refusal: { reason, retryAfterMs: decision.retryAfterMs, targetId } };
     };
 
     const send = async (job: Job, placed: Extract<Placement, { kind: "placed" }>): Promise<AttemptEnd> => {
--- a/src/forwarding/hopByHop.ts
+++ b/src/forwarding/hopByHop.ts
@@ -12,11 +12,18 @@
  * @returns names and values by turns
  */
 export function withoutHopByHop(rawHeaders: readonly string[], others: ReadonlySet<string>): string[] {
-    const named = namedByConnection(rawHeaders);
+    return withoutHeaders(rawHeaders, new Set([...hopByHop, ...others, ...namedByConnection(rawHeaders)]));
+}
+
+/**
+ * Removes headers.
+ * @param rawHeaders names and values by turns
+ * @param removed names in lower case
+ */
+export function withoutHeaders(rawHeaders: readonly string[], removed: ReadonlySet<string>): string[] {
     const kept: string[] = [];
     for (let index = 0; index < rawHeaders.length; index += 2) {
-        const name = (rawHeaders[index] as string).toLowerCase();
-        if (!hopByHop.has(name) && !others.has(name) && !named.has(name)) {
+        if (!removed.has((rawHeaders[index] as string).toLowerCase())) {
             kept.push(rawHeaders[index] as string, rawHeaders[index + 1] as string);
         }
     }
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -10,8 +10,9 @@
 import { createNode } from "../cluster/node.js";
 import { createPeerLinks } from "../cluster/peerLinks.js";
 import { createClientHttp } from "../entry/clientHttp.js";
+import { ownDialect } from "../entry/ownDialect.js";
 import { createConnectionPool } from "../forwarding/connectionPool.js";
-import type { HttpDialect } from "../forwarding/dialect.js";
+import type { ClientDialect, TargetDialect } from "../forwarding/dialect.js";
 import { createForwarder } from "../forwarding/forwarder.js";
 import type { RunId } from "../model/names.js";
 import { createLogger } from "../observe/logger.js";
@@ -40,7 +41,8 @@
 
 /** What the platform's adapter provides. */
 export interface HostAdapters {
-    dialect: HttpDialect;
+    clientDialect: ClientDialect;
+    targetDialect: TargetDialect;
     decoders: RecordDecoders;
     createStore: (metrics: Metrics) => StorePort;
     createLeases: (metrics: Metrics) => LeasePort;
@@ -69,7 +71,8 @@
     provide(tokens.logFactory, (from) => createLogger(
         { program: "hornbeam-host", host: settings.hostId, level: daemonSettings.logLevel }, from.resolve(tokens.logWriter), from.resolve(tokens.clock)));
     provide(tokens.metrics, createMetrics);
-    provide(tokens.dialect, () => adapters.dialect);
+    provide(tokens.clientDialects, () => [ownDialectIn(host), adapters.clientDialect]);
+    provide(tokens.targetDialect, () => adapters.targetDialect);
     provide(tokens.decoders, () => adapters.decoders);
     provide(tokens.store, (from) => adapters.createStore(from.resolve(tokens.metrics)));
     provide(tokens.leases, (from) => adapters.createLeases(from.resolve(tokens.metrics)));
@@ -131,7 +134,7 @@
         loads: from.resolve(tokens.loads),
         requestLog: from.resolve(tokens.requestLog),
         pool: from.resolve(tokens.pool),
-        dialect: from.resolve(tokens.dialect),
+        dialect: from.resolve(tokens.targetDialect),
         clock: from.resolve(tokens.clock),
         dataCentreId: settings.dataCentreId,
         random: from.resolve(tokens.random),
@@ -139,7 +142,7 @@
     provide(tokens.clients, (from) => {
         const log = from.resolve(tokens.logFactory)("clients");
         return createClientHttp({
-            dialect: from.resolve(tokens.dialect),
+            dialects: from.resolve(tokens.clientDialects),
             clock: from.resolve(tokens.clock),
             serve: (call) => from.resolve(tokens.forwarder).serve(call),
             onFault: (error) => {
@@ -168,6 +171,12 @@
     return host;
 }
 
+/** The project's own interface is open as long as its own document is in force. */
+function ownDialectIn(host: DependencyContainer): ClientDialect {
+    const view = host.resolve(tokens.view);
+    return { ...ownDialect, claims: (path, headers) => view.isOwnConfig && ownDialect.claims(path, headers) };
+}
+
 function createTicketCounter(runId: RunId): () => Ticket {
     let used = 0;
     return () => {
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -2,6 +2,7 @@
 import { setMaxListeners } from "node:events";
 import type { DependencyContainer } from "tsyringe";
 import { listenForPeers } from "../cluster/peerConnection.js";
+import { followDocument } from "../config/documentSource.js";
 import { createAdminHttp, createReadyHttp, listen } from "./adminHttp.js";
 import { tokens } from "./tokens.js";
 
@@ -71,6 +72,7 @@
     });
     await Promise.all([listen(ready, settings.readyAddress), listen(admin, settings.adminAddress), clients.listen(settings.clientAddress)]);
     void followConfig();
+    void followDocument(view, clock, log, stopping.signal);
     void host.resolve(tokens.pool).run(stopping.signal);
     void host.resolve(tokens.queues).run(stopping.signal);
     void node.run(stopping.signal);
--- a/src/host/tokens.ts
+++ b/src/host/tokens.ts
@@ -9,7 +9,7 @@
 import type { PeerLinks } from "../cluster/peerLinks.js";
 import type { ClientHttp } from "../entry/clientHttp.js";
 import type { ConnectionPool } from "../forwarding/connectionPool.js";
-import type { HttpDialect } from "../forwarding/dialect.js";
+import type { ClientDialect, TargetDialect } from "../forwarding/dialect.js";
 import type { Forwarder } from "../forwarding/forwarder.js";
 import type { Clock } from "../model/time.js";
 import type { LogFactory } from "../observe/log.js";
@@ -41,7 +41,8 @@
     logFactory: token<LogFactory>("logFactory"),
     metrics: token<Metrics>("metrics"),
     requestLog: token<RequestLog>("requestLog"),
-    dialect: token<HttpDialect>("dialect"),
+    clientDialects: token<readonly ClientDialect[]>("clientDialects"),
+    targetDialect: token<TargetDialect>("targetDialect"),
     store: token<StorePort>("store"),
     decoders: token<RecordDecoders>("decoders"),
     leases: token<LeasePort>("leases"),
--- a/src/model/routing.ts
+++ b/src/model/routing.ts
@@ -11,6 +11,8 @@
 export interface Route {
     routeId: RouteId;
     hostName: string;
+    /** The only method of the route, or undefined for any. */
+    method?: string;
     /** Begins and ends with a slash. */
     pathPrefix: string;
     /** True when a request may run more than once. */
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -41,7 +41,7 @@
             metrics.requests.inc({ route: route?.routeId ?? "", outcome: "refused", reason: refusal.reason });
             log.info("refused", {
                 ...basics(call), route: route?.routeId, reason: refusal.reason, retryAfterMs: refusal.retryAfterMs,
-                targets: [...tried ?? []], budgetMs: call.budgetMs,
+                targets: [...tried ?? []], target: refusal.targetId, budgetMs: call.budgetMs,
             });
         },
         retried: (call, route, targetId, end) => {
--- a/src/ownership/keyLoads.ts
+++ b/src/ownership/keyLoads.ts
@@ -9,10 +9,10 @@
 
 /** Times after which a request counts only by a third, in the two averages. */
 const slowMemoryMs = 2_500;
-const quickMemoryMs = 400;
+const quickMemoryMs = 300;
 
-/** Standard deviations by which the quick average must be above the slow one to count instead. */
-const surprise = 2;
+/** Standard deviations that are taken off the quick average before it counts. */
+const surprise = 1;
 
 /** Load that every key is taken to have, so that idle ranges are spread by their width. */
 const idleLoad = 0.5 / (maxKey + 1);
--- a/src/ownership/ledger.ts
+++ b/src/ownership/ledger.ts
@@ -1,10 +1,11 @@
 /**
- * Folds the ledger: the topic in which the hosts record who coordinates and which target was given which
- * keys. A grant is sent only after its record was acknowledged.
+ * Folds the ledger: the topic in which the hosts record who coordinates and which target was given which keys, and operators
+ * their document. A grant is sent only after its record was acknowledged.
  */
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import * as z from "zod/mini";
+import type { ConfigDocument } from "../config/documentSchema.js";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Address, HostId, KeyRange, Offset, RunId, ServiceId, TargetId, Term } from "../model/names.js";
@@ -30,7 +31,25 @@
     ranges: readonly KeyRange[];
 }
 
-export type LedgerRecord = TermRecord | OwnershipRecord;
+/** A version of the project's own configuration document. */
+export interface DocumentRecord {
+    kind: "document";
+    version: number;
+    /** Version that it replaced; 0 for the first. */
+    basedOn: number;
+    document: ConfigDocument;
+    author: string;
+    reason: string;
+    publishedWallMs: number;
+}
+
+/** Targets that operators want without work. */
+export interface DrainRecord {
+    kind: "drain";
+    targetIds: readonly TargetId[];
+}
+
+export type LedgerRecord = TermRecord | OwnershipRecord | DocumentRecord | DrainRecord;
 
 /** A record with its place; `record` is undefined when its key was removed. */
 export interface LedgerChange {
@@ -42,6 +61,11 @@
 const keyNumber = z.int().check(z.gte(0), z.lte(maxKey));
 const recordSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("term"), term: z.int(), hostId: z.string(), runId: z.string(), peerAddress: z.string() }),
+    z.object({
+        kind: z.literal("document"), version: z.int(), basedOn: z.int(), document: z.looseObject({}), author: z.string(), reason: z.string(),
+        publishedWallMs: z.number(),
+    }),
+    z.object({ kind: z.literal("drain"), targetIds: z.array(z.string()) }),
     z.object({
         kind: z.literal("ownership"), targetId: z.string(), serviceId: z.string(), address: z.string(),
         ranges: z.array(z.object({ from: keyNumber, to: keyNumber })),
@@ -51,6 +75,14 @@
 /** Key of the term in force. */
 export const termKey = "term";
 
+/** Key of the targets that operators drain. */
+export const drainKey = "drain";
+
+/** Names the key of a version of the document. */
+export function documentKeyOf(version: number): string {
+    return `document/${String(version)}`;
+}
+
 /** Names the key of what a target was given. */
 export function ownershipKeyOf(targetId: TargetId): string {
     return `ownership/${targetId}`;
@@ -98,6 +130,17 @@
         return record?.kind === "term" ? record : undefined;
     }
 
+    /** Versions of the document that are kept, the newest first. */
+    documents(): DocumentRecord[] {
+        return this.records().filter((record) => record.kind === "document").sort((left, right) => right.version - left.version);
+    }
+
+    /** Targets that operators want without work. */
+    drained(): readonly TargetId[] {
+        const record = this.changes.get(drainKey)?.record;
+        return record?.kind === "drain" ? record.targetIds : [];
+    }
+
     /** Newest change of a key. */
     get(key: string): LedgerChange | undefined {
         return this.changes.get(key);
--- a/src/ownership/owners.ts
+++ b/src/ownership/owners.ts
@@ -29,7 +29,7 @@
     /** No target has it for a moment. */
     | { kind: "moving" }
     /** Its owner does not answer. */
-    | { kind: "silent"; freeInMs: number }
+    | { kind: "silent"; targetId: TargetId; freeInMs: number }
     /** No target was ever given it, as far as this host knows. */
     | { kind: "unowned" };
 
@@ -104,6 +104,6 @@
         const quiet = silent.find((one) => one.targetId === targetId);
         return quiet === undefined
             ? { kind: "owned", targetId }
-            : { kind: "silent", freeInMs: Math.max(0, quiet.freeInMs - (nowMs - this.noticedMs)) };
+            : { kind: "silent", targetId, freeInMs: Math.max(0, quiet.freeInMs - (nowMs - this.noticedMs)) };
     }
 }
--- a/src/ownership/ownershipKeeper.ts
+++ b/src/ownership/ownershipKeeper.ts
@@ -180,7 +180,7 @@
         if (holder.isSilent) {
             return nowMs > Math.max(holder.freeAtMs, parts.predecessor.grantsUntilMs) ? "free" : "unsure";
         }
-        if (entry === undefined || entry.state !== "ready") {
+        if (entry === undefined || entry.state !== "ready" || view.ledger.drained().includes(targetId)) {
             return "leaving";
         }
         return holder.isConnected ? "ready" : "unsure";
--- a/src/ownership/planner.ts
+++ b/src/ownership/planner.ts
@@ -181,13 +181,13 @@
         if (best === undefined) {
             break;
         }
+        moves.push({
+            range: best.range, from: best.giver.target.targetId, to: best.taker.target.targetId,
+            reason: isNewcomer(best.taker, mean) ? "newcomer" : "balance",
+        });
         best.giver.load -= best.load;
         best.taker.load += best.load;
         busy.push(best.range);
-        const newcomer = isNewcomer(best.taker, mean);
-        moves.push({
-            range: best.range, from: best.giver.target.targetId, to: best.taker.target.targetId, reason: newcomer ? "newcomer" : "balance",
-        });
     }
     return moves;
 }
--- a/src/store/clusterView.ts
+++ b/src/store/clusterView.ts
@@ -30,6 +30,7 @@
     /** Fires when the ledger changes. */
     readonly ledgerChanged = new Signal();
     private inForce: ConfigInForce | undefined;
+    private ownInForce: ConfigInForce | undefined;
     private configReadUpTo = noOffset;
     private targetsReadUpTo = noOffset;
     private changesOfTargets = 0;
@@ -39,9 +40,17 @@
         return this.changesOfTargets;
     }
 
-    /** Configuration in force, or undefined before the first. */
+    /**
+     * Configuration in force, or undefined before the first. What operators publish on the platform goes before the
+     * project's own document.
+     */
     get config(): ConfigInForce | undefined {
-        return this.inForce;
+        return this.inForce ?? this.ownInForce;
+    }
+
+    /** True while the project's own document is in force. */
+    get isOwnConfig(): boolean {
+        return this.inForce === undefined && this.ownInForce !== undefined;
     }
 
     /** Offset up to which the configuration's topic is accounted for; negative before the first reading. */
@@ -66,15 +75,20 @@
         if (config === undefined || offset <= (this.inForce?.offset ?? noOffset) || config.version < (this.inForce?.config.version ?? 0)) {
             return false;
         }
-        this.inForce = {
-            config, offset,
-            routes: createRouteTable(config),
-            services: new Map(config.services.map((service) => [service.serviceId, service])),
-        };
+        this.inForce = toInForce(config, offset);
         this.configChanged.fire();
         return true;
     }
 
+    /**
+     * Puts the project's own document into force.
+     * @param config what it was compiled to
+     */
+    applyOwnConfig(config: RoutingConfig): void {
+        this.ownInForce = toInForce(config, noOffset);
+        this.configChanged.fire();
+    }
+
     /**
      * Applies changes of targets.
      * @param changes the changes
@@ -111,3 +125,11 @@
         }
     }
 }
+
+function toInForce(config: RoutingConfig, offset: Offset): ConfigInForce {
+    return {
+        config, offset,
+        routes: createRouteTable(config),
+        services: new Map(config.services.map((service) => [service.serviceId, service])),
+    };
+}
--- /dev/null
+++ b/test/admission/admissionQueue.spec.ts
@@ -0,0 +1,145 @@
+import { expect } from "chai";
+import type { AdmissionRequest, AdmissionVerdict, QueueTarget, Ticket } from "../../src/admission/admissionQueue.js";
+import { AdmissionQueue } from "../../src/admission/admissionQueue.js";
+import type { DataCentreId, TargetId } from "../../src/model/names.js";
+
+const here = "here" as DataCentreId;
+const there = "there" as DataCentreId;
+
+function target(name: string, change: Partial<QueueTarget> = {}): QueueTarget {
+    return { targetId: name as TargetId, dataCentreId: here, slots: 2, open: true, warmingUp: false, ...change };
+}
+
+function request(name: string, change: Partial<AdmissionRequest> = {}): AdmissionRequest {
+    return {
+        ticket: name as Ticket, priority: 2, workMs: 100, arrivedMs: 0, targetMs: 300, deadlineMs: 1_000, near: here, avoid: new Set(),
+        ...change,
+    };
+}
+
+function queueOf(...targets: QueueTarget[]): AdmissionQueue {
+    const queue = new AdmissionQueue(() => 0.5);
+    queue.setTargets(targets, 0);
+    return queue;
+}
+
+/** Verdicts as short texts, such as `a to t1` or `b overloaded`. */
+function texts(verdicts: readonly AdmissionVerdict[]): string[] {
+    return verdicts.map((verdict) => `${verdict.ticket} ${verdict.kind === "granted" ? `to ${verdict.targetId}` : verdict.reason}`);
+}
+
+describe("queue in front of targets", () => {
+    it("never gives a target more than it has slots, and the next request a slot as soon as one is free", () => {
+        const queue = queueOf(target("t1"));
+        expect(texts(["a", "b", "c"].flatMap((name) => queue.offer(request(name), 0)))).to.deep.equal(["a to t1", "b to t1"]);
+        expect(queue.waitingCount).to.equal(1);
+        expect(texts(queue.finish("a" as Ticket, { kind: "answered", tookMs: 100 }, 100))).to.deep.equal(["c to t1"]);
+    });
+
+    it("lets the more urgent go first, and of one rank the one whose time runs out first", () => {
+        const queue = queueOf(target("t1", { slots: 1 }));
+        queue.offer(request("running"), 0);
+        queue.offer(request("read"), 0);
+        queue.offer(request("sooner", { targetMs: 290 }), 0);
+        queue.offer(request("order", { priority: 1 }), 0);
+        const order: string[] = [];
+        for (let last = "running"; queue.waitingCount > 0;) {
+            const [next] = queue.finish(last as Ticket, { kind: "dropped" }, 10);
+            last = next?.ticket ?? "";
+            order.push(last);
+        }
+        expect(order).to.deep.equal(["order", "sooner", "read"]);
+    });
+
+    it("puts what can no longer be in its target latency behind what still can", () => {
+        const queue = queueOf(target("t1", { slots: 1 }));
+        queue.offer(request("running"), 0);
+        queue.offer(request("late", { priority: 1, targetMs: 150 }), 0);
+        queue.offer(request("fresh", { targetMs: 400 }), 0);
+        expect(texts(queue.finish("running" as Ticket, { kind: "dropped" }, 100))).to.deep.equal(["fresh to t1"]);
+    });
+
+    it("turns away at once what cannot be answered before its deadline, with a time to come back", () => {
+        const queue = queueOf(target("t1", { slots: 1 }));
+        const names = Array.from({ length: 12 }, (_, index) => String(index));
+        const verdicts = names.flatMap((name) => queue.offer(request(name, { deadlineMs: 500, targetMs: 400 }), 0));
+        const refused = verdicts.filter((verdict) => verdict.kind === "refused");
+        expect(refused).to.have.length.above(5);
+        expect(refused.every(({ reason, retryAfterMs }) => reason === "overloaded" && retryAfterMs >= 50)).to.equal(true);
+    });
+
+    it("turns away what waits as soon as it has become too late", () => {
+        const queue = queueOf(target("t1", { slots: 1 }));
+        queue.offer(request("running"), 0);
+        queue.offer(request("waiting", { deadlineMs: 400 }), 0);
+        expect(texts(queue.tick(250))).to.deep.equal([]);
+        expect(texts(queue.tick(350))).to.deep.equal(["waiting overloaded"]);
+    });
+
+    it("serves at least nine tenths of its slots' work under twice the load, all of it in its target latency", () => {
+        const queue = queueOf(target("t1", { slots: 3 }));
+        const ends: { ticket: Ticket; atMs: number; startedMs: number }[] = [];
+        let served = 0;
+        let inTime = 0;
+        const arrivals = new Map<string, number>();
+        const take = (verdicts: readonly AdmissionVerdict[], nowMs: number) => {
+            verdicts.filter((verdict) => verdict.kind === "granted").forEach(({ ticket }) => ends.push({ ticket, atMs: nowMs + 100, startedMs: nowMs }));
+        };
+        for (let nowMs = 0; nowMs < 10_000; nowMs += 1) {
+            if (nowMs % 17 === 0) {
+                const name = String(nowMs);
+                arrivals.set(name, nowMs);
+                take(queue.offer(request(name, { arrivedMs: nowMs, targetMs: nowMs + 300, deadlineMs: nowMs + 1_000 }), nowMs), nowMs);
+            }
+            for (const end of ends.filter(({ atMs }) => atMs <= nowMs)) {
+                ends.splice(ends.indexOf(end), 1);
+                served += 1;
+                inTime += nowMs - (arrivals.get(end.ticket) ?? 0) <= 300 ? 1 : 0;
+                take(queue.finish(end.ticket, { kind: "answered", tookMs: 100 }, nowMs), nowMs);
+            }
+            take(queue.tick(nowMs), nowMs);
+        }
+        expect(served).to.be.above(300 * 0.9);
+        expect(inTime / served).to.be.above(0.9);
+    });
+
+    it("learns how slow a target is, and prefers the one that is done first", () => {
+        const queue = queueOf(target("slow"), target("quick"));
+        for (let round = 0; round < 20; round++) {
+            for (const verdict of [...queue.offer(request(`x${String(round)}`), 0), ...queue.offer(request(`y${String(round)}`), 0)]) {
+                if (verdict.kind === "granted") {
+                    queue.finish(verdict.ticket, { kind: "answered", tookMs: verdict.targetId === "slow" ? 140 : 60 }, 0);
+                }
+            }
+        }
+        const slowness = Object.fromEntries(queue.describeTargets().map((one) => [one.targetId, one.slowness]));
+        expect(slowness["quick"]).to.be.closeTo(0.6, 0.1);
+        expect(texts(queue.offer(request("z"), 0))).to.deep.equal(["z to quick"]);
+    });
+
+    it("waits for a target nearby while that can be in time, and then goes elsewhere", () => {
+        const queue = queueOf(target("near", { slots: 1 }), target("far", { dataCentreId: there }));
+        expect(texts(queue.offer(request("a"), 0))).to.deep.equal(["a to near"]);
+        expect(texts(queue.offer(request("b"), 0))).to.deep.equal([]);
+        expect(texts(queue.tick(50))).to.deep.equal([]);
+        expect(texts(queue.tick(150))).to.deep.equal(["b to far"]);
+    });
+
+    it("gives a target that could not be reached a pause, and a request another target than before", () => {
+        const queue = queueOf(target("t1"), target("t2"));
+        const [first] = queue.offer(request("a"), 0);
+        const tried = first?.kind === "granted" ? first.targetId : "" as TargetId;
+        queue.finish("a" as Ticket, { kind: "unreachable" }, 0);
+        const [second] = queue.offer(request("a again", { avoid: new Set([tried]) }), 10);
+        expect(second?.kind === "granted" && second.targetId !== tried).to.equal(true);
+    });
+
+    it("refuses at once when no target is open, and frees slots whose end was never reported", () => {
+        const queue = queueOf(target("t1", { slots: 1 }));
+        queue.offer(request("lost", { deadlineMs: 500 }), 0);
+        queue.offer(request("waiting", { deadlineMs: 5_000, targetMs: 4_000 }), 0);
+        expect(texts(queue.tick(1_600))).to.deep.equal(["waiting to t1"]);
+        queue.setTargets([target("t1", { open: false })], 1_600);
+        expect(texts(queue.offer(request("b", { deadlineMs: 9_000 }), 1_600))).to.deep.equal(["b no-target"]);
+    });
+});
--- /dev/null
+++ b/test/fleet/fleet.ts
@@ -0,0 +1,298 @@
+/** Runs the real daemons as processes against stand-ins of the store and the servers in this process. */
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, openSync, readFileSync, writeFileSync } from "node:fs";
+import http from "node:http";
+import net from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { settingsVariable, topics } from "../../platform/names.js";
+import type { ServerOptions, ServerStandIn } from "../../platform/standins/serverStandIn.js";
+import { startServer } from "../../platform/standins/serverStandIn.js";
+import type { StoreStandIn } from "../../platform/standins/storeStandIn.js";
+import { startStore } from "../../platform/standins/storeStandIn.js";
+
+const host = "127.0.0.1";
+const portsPerHost = 6;
+const startTimeoutMs = 15_000;
+const pollMs = 25;
+const defaultBudgetMs = 4_000;
+const answerSlackMs = 1_000;
+
+/** Status of a request that the host neither answered nor dropped, although its client's time is over. */
+export const unanswered = -1;
+
+/** One answer to a client. */
+export interface ClientAnswer {
+    /** 0 when the connection ended without an answer; `unanswered` when nothing came for long after the client's time. */
+    status: number;
+    headers: http.IncomingHttpHeaders;
+    body: string;
+    tookMs: number;
+}
+
+/** A request of a test. */
+export interface ClientRequest {
+    id: string;
+    path: string;
+    method?: string;
+    key?: number;
+    budgetMs?: number;
+    headers?: Record<string, string>;
+    body?: string;
+    agent?: http.Agent;
+}
+
+/** A daemon of the fleet. */
+export interface FleetHost {
+    name: string;
+    child: ChildProcess;
+    clientPort: number;
+    readyPort: number;
+    adminPort: number;
+    logFile: string;
+}
+
+/** Services of the operator's configuration. */
+export const keyedService = "leases";
+export const plainService = "lists";
+
+/** Paths of its routes. */
+export const paths = { read: "/read/", order: "/order/", list: "/list/" };
+
+/** Configuration as the platform's operators write it. */
+export function operatorConfig(version: number, changes: { timeoutMs?: number; extraPrefix?: string } = {}): object {
+    const timeoutMs = changes.timeoutMs ?? 3_000;
+    const rows = [
+        ["r-read", "fleet.example", paths.read, "safe", timeoutMs, 500, 2, keyedService, 2, undefined],
+        ["r-order", "fleet.example", paths.order, "unsafe", timeoutMs, 500, 1, keyedService, 2, undefined],
+        ["r-list", "fleet.example", paths.list, "safe", timeoutMs, 800, 2, plainService, 2, undefined],
+        ...changes.extraPrefix === undefined ? [] : [
+            ["r-extra", "fleet.example", changes.extraPrefix, "safe", timeoutMs, 800, 2, plainService, 2, undefined],
+        ],
+    ];
+    return {
+        version: `r${String(version)}`,
+        routes: {
+            columns: [
+                "name", "host", "path_prefix", "route_type", "timeout_ms", "target_latency_ms", "priority", "service", "max_attempts", "backends",
+            ],
+            rows,
+        },
+        services: {
+            columns: ["name", "health_check_path", "max_connections", "protocol", "tls", "sharded", "warm_s", "grants"],
+            rows: [
+                [keyedService, "/health", 110, "h1", false, true, 2, "direct_call"],
+                [plainService, "/health", 110, "h1", false, undefined, undefined, undefined],
+            ],
+        },
+        limits: { max_header_bytes: 16_384, max_body_bytes: 1_048_576, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+    };
+}
+
+/** A running fleet. */
+export class Fleet {
+    readonly hosts: FleetHost[] = [];
+    readonly servers: ServerStandIn[] = [];
+    private readonly folder = mkdtempSync(join(tmpdir(), "hornbeam-"));
+    private nextPort = 21_000 + Math.floor(Math.random() * 9_000);
+
+    private constructor(readonly store: StoreStandIn) {}
+
+    /**
+     * Starts a fleet.
+     * @param hostCount daemons
+     * @param keyedCount servers that own keys
+     * @param plainCount servers without keys
+     * @param configured true to publish the operator's configuration
+     */
+    static async start(hostCount: number, keyedCount: number, plainCount: number, configured = true): Promise<Fleet> {
+        const fleet = new Fleet(await startStore(host, 0));
+        for (let index = 0; index < keyedCount; index++) {
+            await fleet.addServer({ id: `k${String(index)}`, service: keyedService, sharded: true });
+        }
+        for (let index = 0; index < plainCount; index++) {
+            await fleet.addServer({ id: `p${String(index)}`, service: plainService, sharded: false });
+        }
+        if (configured) {
+            fleet.store.put(topics.configuration, "config", operatorConfig(1));
+        }
+        for (let index = 0; index < hostCount; index++) {
+            await fleet.startHost(`h${String(index)}`);
+        }
+        if (configured) {
+            await fleet.untilServing();
+        }
+        return fleet;
+    }
+
+    /** Waits until every host is ready and every key is held. */
+    async untilServing(): Promise<void> {
+        await this.until("every host is ready", async () => (await Promise.all(this.hosts.map(isReady))).every(Boolean));
+        await this.until("every key is held", () => Promise.resolve([0, 30_000, 65_535].every((key) => this.holders(key).length === 1)));
+    }
+
+    /** Finds a free port. */
+    static async freePort(): Promise<number> {
+        for (;;) {
+            const port = 30_500 + Math.floor(Math.random() * 2_000);
+            if (await isFree(port)) {
+                return port;
+            }
+        }
+    }
+
+    /** Adds a server. */
+    async addServer(options: Partial<ServerOptions> & { id: string; service: string; sharded: boolean }): Promise<ServerStandIn> {
+        const server = await startServer({
+            zone: "here", host, port: 0, slots: 3, workMs: 15, heartbeatMs: 300, directory: this.store, random: Math.random,
+            nowMs: () => performance.now(), ...options,
+        });
+        this.servers.push(server);
+        return server;
+    }
+
+    /** Starts a daemon. */
+    async startHost(name: string): Promise<FleetHost> {
+        const [peerPort, clientPort, readyPort, adminPort] = await this.takePorts();
+        const settingsFile = join(this.folder, `${name}.toml`);
+        const logFile = join(this.folder, `${name}.log`);
+        writeFileSync(settingsFile, [
+            `node_name = "${name}"`, `ip = "${host}"`, "zone = \"here\"", `internal_port_range = [${String(peerPort)},${String(peerPort)}]`,
+            "heartbeat_ms = 300", "bounds = [\"drain_ms=2000\",\"grace_s=6\",\"retry_budget_ratio=0.2\",\"budget_extra_retries=20\"]",
+            "[listen]", `front = "${host}:${String(clientPort)}"`, `ready = "${host}:${String(readyPort)}"`,
+            "[limits]", "cpu_share = 0.5", "memory_mb = 350", "max_fds = 4100",
+            "[platform]", `address = "${this.store.address}"`,
+        ].join("\n"));
+        const child = spawn(process.execPath, ["target/hornbeam-host.cjs", "--admin-port", String(adminPort)], {
+            env: { PATH: process.env["PATH"], [settingsVariable]: settingsFile }, stdio: ["ignore", openSync(logFile, "a"), "inherit"],
+        });
+        const started: FleetHost = { name, child, clientPort, readyPort, adminPort, logFile };
+        this.hosts.push(started);
+        return started;
+    }
+
+    /** Ends a daemon and waits for its end. */
+    async endHost(of: FleetHost, signal: NodeJS.Signals): Promise<void> {
+        this.hosts.splice(this.hosts.indexOf(of), 1);
+        const ended = once(of.child, "exit");
+        of.child.kill(signal);
+        await ended;
+    }
+
+    /** Servers that hold a key now. */
+    holders(key: number): ServerStandIn[] {
+        return this.servers.filter((server) => server.holds(key));
+    }
+
+    /** Times that a request began at any server. */
+    runsOf(requestId: string): number {
+        return this.servers.reduce((sum, { runs }) => sum + runs.filter((run) => run.requestId === requestId).length, 0);
+    }
+
+    /** Waits until something holds. */
+    async until(what: string, holds: () => Promise<boolean>, timeoutMs = startTimeoutMs): Promise<number> {
+        const startedMs = performance.now();
+        while (!await holds()) {
+            if (performance.now() - startedMs > timeoutMs) {
+                throw new Error(`waited ${String(timeoutMs)} ms in vain until ${what}`);
+            }
+            await sleep(pollMs);
+        }
+        return performance.now() - startedMs;
+    }
+
+    /** Text of every host's log. */
+    logs(): string[] {
+        return this.hosts.map(({ logFile }) => readFileSync(logFile, "utf8"));
+    }
+
+    /** Ends everything. */
+    async stop(): Promise<void> {
+        await Promise.all([...this.hosts].map((one) => this.endHost(one, "SIGKILL")));
+        await Promise.all(this.servers.map((server) => server.crash()));
+        await this.store.stop();
+    }
+
+    private async takePorts(): Promise<[number, number, number, number]> {
+        for (;;) {
+            const first = this.nextPort;
+            this.nextPort += portsPerHost;
+            const ports = [first, first + 1, first + 2, first + 3] as [number, number, number, number];
+            if ((await Promise.all(ports.map(isFree))).every(Boolean)) {
+                return ports;
+            }
+        }
+    }
+}
+
+/** Sends a request to a host. */
+export function send(to: FleetHost, request: ClientRequest): Promise<ClientAnswer> {
+    const startedMs = performance.now();
+    return new Promise((resolve) => {
+        const end = (status: number, headers: http.IncomingHttpHeaders, body: string) => {
+            resolve({ status, headers, body, tookMs: performance.now() - startedMs });
+        };
+        const outgoing = http.request({
+            host, port: to.clientPort, path: request.path, method: request.method ?? "GET", agent: request.agent,
+            headers: {
+                "Host": "fleet.example", "Request-Id": request.id, "Deadline-Ms": String(request.budgetMs ?? defaultBudgetMs),
+                ...request.key === undefined ? {} : { "Shard-Key": String(request.key) }, ...request.headers,
+            },
+        }, (response) => {
+            let body = "";
+            response.on("data", (piece: Buffer) => {
+                body += piece.toString();
+            });
+            response.on("error", () => undefined);
+            response.on("close", () => {
+                end(response.complete ? response.statusCode ?? 0 : 0, response.headers, body);
+            });
+        });
+        outgoing.on("error", () => {
+            end(0, {}, "");
+        });
+        setTimeout(() => {
+            end(unanswered, {}, "");
+        }, (request.budgetMs ?? defaultBudgetMs) + answerSlackMs).unref();
+        outgoing.end(request.body);
+    });
+}
+
+/** Asks a host whether it takes clients. */
+export async function isReady(of: FleetHost): Promise<boolean> {
+    return new Promise((resolve) => {
+        http.get({ host, port: of.readyPort, path: "/" }, (response) => {
+            response.resume();
+            resolve(response.statusCode === 200);
+        }).on("error", () => {
+            resolve(false);
+        });
+    });
+}
+
+/** Reads a page of a host. */
+export async function page(of: FleetHost, path: string): Promise<string> {
+    const response = await fetch(`http://${host}:${String(of.adminPort)}${path}`);
+    return response.text();
+}
+
+/** Waits. */
+export function sleep(durationMs: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
+function isFree(port: number): Promise<boolean> {
+    return new Promise((resolve) => {
+        const probe = net.createServer();
+        probe.once("error", () => {
+            resolve(false);
+        });
+        probe.listen(port, host, () => {
+            probe.close(() => {
+                resolve(true);
+            });
+        });
+    });
+}
--- /dev/null
+++ b/test/forwarding/retryPolicy.spec.ts
@@ -0,0 +1,96 @@
+import { expect } from "chai";
+import { RetryBudget } from "../../src/admission/retryBudget.js";
+import type { AttemptEnd } from "../../src/forwarding/attempt.js";
+import { withoutHopByHop } from "../../src/forwarding/hopByHop.js";
+import type { RetrySituation } from "../../src/forwarding/retryPolicy.js";
+import { nextStep } from "../../src/forwarding/retryPolicy.js";
+import { WorkTimes } from "../../src/forwarding/workTimes.js";
+
+function answered(status: number): AttemptEnd {
+    return { kind: "answered", tookMs: 1, answer: { head: { status, reasonPhrase: "", rawHeaders: [], bodyBytes: 0 }, body: Buffer.alloc(0) } };
+}
+
+function situation(end: AttemptEnd, change: Partial<RetrySituation> = {}): RetrySituation {
+    return {
+        end, idempotent: true, repeatable: true, sends: 1, mayTryAnother: true, remainingMs: 500, expectedMs: 100, takeRetry: () => true,
+        ...change,
+    };
+}
+
+const lost: AttemptEnd = { kind: "lost", why: "reset" };
+const turnedAway: AttemptEnd = { kind: "turned-away", status: 503 };
+
+describe("what follows an attempt", () => {
+    it("never sends again what may have run and must not run twice", () => {
+        const ends: AttemptEnd[] = [lost, { kind: "timed-out" }, { kind: "broken-off" }, answered(500), answered(200)];
+        for (const end of ends) {
+            expect(nextStep(situation(end, { idempotent: false })), end.kind).not.to.equal("retry");
+        }
+    });
+
+    it("says that a request failed, not that it did not run, when it may have run", () => {
+        expect(nextStep(situation(lost, { idempotent: false }))).to.equal("fail");
+        expect(nextStep(situation({ kind: "timed-out" }, { idempotent: false }))).to.equal("fail");
+        expect(nextStep(situation(lost, { takeRetry: () => false }))).to.equal("fail");
+    });
+
+    it("sends again what did not run, whatever its kind, as long as there is time, budget and another target", () => {
+        for (const idempotent of [true, false]) {
+            expect(nextStep(situation(turnedAway, { idempotent }))).to.equal("retry");
+            expect(nextStep(situation(turnedAway, { idempotent, remainingMs: 50 }))).to.equal("refuse");
+            expect(nextStep(situation(turnedAway, { idempotent, takeRetry: () => false }))).to.equal("refuse");
+            expect(nextStep(situation(turnedAway, { idempotent, mayTryAnother: false }))).to.equal("refuse");
+            expect(nextStep(situation(turnedAway, { idempotent, repeatable: false }))).to.equal("refuse");
+        }
+    });
+
+    it("delivers a target's own failure when it may not be asked again", () => {
+        expect(nextStep(situation(answered(500)))).to.equal("retry");
+        expect(nextStep(situation(answered(500), { mayTryAnother: false }))).to.equal("deliver");
+        expect(nextStep(situation(answered(500), { idempotent: false }))).to.equal("deliver");
+        expect(nextStep(situation(answered(404)))).to.equal("deliver");
+    });
+
+    it("does nothing more for a client that has left", () => {
+        expect(nextStep(situation({ kind: "client-left" }))).to.equal("none");
+    });
+});
+
+describe("retry budget", () => {
+    it("allows the stated share of the first attempts and a bounded burst beyond it", () => {
+        const budget = new RetryBudget(0.2, () => 5);
+        let retries = 0;
+        for (let request = 0; request < 1_000; request++) {
+            budget.onFirstAttempt();
+            while (budget.tryRetry()) {
+                retries += 1;
+            }
+        }
+        expect(retries).to.be.within(199, 205);
+    });
+
+    it("shrinks when more hosts share it", () => {
+        let hosts = 1;
+        const budget = new RetryBudget(0, () => 10 / hosts);
+        hosts = 5;
+        expect([1, 2, 3].filter(() => budget.tryRetry())).to.have.length(2);
+    });
+});
+
+describe("headers between connections", () => {
+    it("are forwarded but for those of one connection, and those that a connection header names", () => {
+        const raw = ["Host", "a", "Connection", "close, X-Own", "X-Own", "1", "Keep-Alive", "timeout=5", "Transfer-Encoding", "chunked", "X-Other", "2", "Hidden", "3"];
+        expect(withoutHopByHop(raw, new Set(["hidden"]))).to.deep.equal(["Host", "a", "X-Other", "2"]);
+    });
+});
+
+describe("work times", () => {
+    it("start at what is typical, follow what is observed, and are not shifted by one stuck target", () => {
+        const times = new WorkTimes();
+        expect(times.meanMs("read", 105)).to.equal(105);
+        for (let count = 0; count < 200; count++) {
+            times.learn("read", count % 20 === 0 ? 10_000 : 90, 105);
+        }
+        expect(times.meanMs("read", 105)).to.be.within(85, 115);
+    });
+});
--- /dev/null
+++ b/test/host/settings.spec.ts
@@ -0,0 +1,18 @@
+import { expect, use } from "chai";
+import { jestSnapshotPlugin } from "mocha-chai-jest-snapshot";
+import { readDaemonSettings } from "../../src/host/daemonSettings.js";
+
+use(jestSnapshotPlugin());
+
+describe("settings of the daemon", () => {
+    it("are read from flags, then from environment variables, then by default", () => {
+        const settings = readDaemonSettings(["--admin-port", "9000"], { HORNBEAM_ADMIN_PORT: "9001", HORNBEAM_LOG_LEVEL: "warn" });
+        expect(settings._unsafeUnwrap()).to.deep.equal({ adminPort: 9_000, logLevel: "warn" });
+        expect(readDaemonSettings([], {})._unsafeUnwrap()).to.deep.equal({ adminPort: 9_464, logLevel: "info" });
+    });
+
+    it("end the start with a line that names every flag at fault, its value and what is allowed", () => {
+        const bad = [["--admin-port", "0"], ["--log-level", "loud", "--admin-port", "many"], ["--colour", "red"], ["word"]];
+        expect(bad.map((args) => readDaemonSettings(args, {})._unsafeUnwrapErr().message).join("\n")).toMatchSnapshot();
+    });
+});
--- /dev/null
+++ b/test/platform/decoders.spec.ts
@@ -0,0 +1,120 @@
+import { expect, use } from "chai";
+import { jestSnapshotPlugin } from "mocha-chai-jest-snapshot";
+import { platformDecoders } from "../../platform/decoders.js";
+import { platformClientDialect, platformTargetDialect } from "../../platform/dialect.js";
+import { decodeSettings } from "../../platform/settingsFile.js";
+import type { RequestId, TargetId } from "../../src/model/names.js";
+import { operatorConfig } from "../fleet/fleet.js";
+
+use(jestSnapshotPlugin());
+
+const entry = {
+    service: "leases", address: "10.0.0.9:8080", zone: "a", version: "v1", max_concurrency: 3, state: "ready", warmup_left_ms: 0, sequence: 4,
+    born: 1_700_000_000_000,
+};
+
+function decodeTarget(value: unknown) {
+    return platformDecoders.target("t-1", Buffer.from(typeof value === "string" ? value : JSON.stringify(value)));
+}
+
+describe("entries of the platform's service directory", () => {
+    it("are decoded into the project's own words", () => {
+        expect(decodeTarget({ ...entry, warmup_left_ms: 900, later: "unknown fields are ignored" })._unsafeUnwrap()).to.deep.equal({
+            targetId: "t-1", serviceId: "leases", address: "10.0.0.9:8080", dataCentreId: "a", slots: 3, state: "ready",
+            bornWallMs: 1_700_000_000_000, sequence: 4, warmingUp: true,
+        });
+    });
+
+    const wrong: Record<string, unknown> = {
+        "no service": { ...entry, service: undefined },
+        "an address that is none": { ...entry, address: "here" },
+        "slots as text": { ...entry, max_concurrency: "3" },
+        "an unknown state": { ...entry, state: "sleeping" },
+        "a birth that is no whole number": { ...entry, born: 1.5 },
+        "no JSON": "\u0000\u0001",
+        "a list": [],
+    };
+    for (const [what, value] of Object.entries(wrong)) {
+        it(`name no target when they have ${what}, and the message says where`, () => {
+            const decoded = decodeTarget(value);
+            expect(decoded.isErr()).to.equal(true);
+            expect(decoded._unsafeUnwrapErr().peer).to.equal("t-1");
+            expect(decoded._unsafeUnwrapErr().message).not.to.equal("");
+        });
+    }
+});
+
+describe("configuration of the platform's operators", () => {
+    it("is decoded from columns and rows", () => {
+        const config = platformDecoders.configuration("config", Buffer.from(JSON.stringify(operatorConfig(12))))._unsafeUnwrap();
+        expect(config?.version).to.equal(12);
+        expect(config?.routes[1]).to.deep.equal({
+            routeId: "r-order", hostName: "fleet.example", pathPrefix: "/order/", idempotent: false, timeoutMs: 3_000, targetLatencyMs: 500,
+            priority: 1, maxAttempts: 2, backends: [{ serviceId: "leases", weight: 1 }],
+        });
+        expect(config?.services.map(({ sharded }) => sharded)).to.deep.equal([true, false]);
+    });
+
+    it("is left alone under other keys, and refused when it is cut short", () => {
+        expect(platformDecoders.configuration("other", Buffer.from("x"))._unsafeUnwrap()).to.equal(undefined);
+        expect(platformDecoders.configuration("config", Buffer.from(JSON.stringify(operatorConfig(1)).slice(0, 90))).isErr()).to.equal(true);
+    });
+});
+
+describe("headers of the platform", () => {
+    const head = (...rawHeaders: string[]) => ({ status: 200, reasonPhrase: "", rawHeaders, persistent: true });
+
+    it("tell an answer from what was not run and from what proves nothing", () => {
+        expect(platformTargetDialect.classify(head("response-signature", "x"))).to.equal("answer");
+        expect(platformTargetDialect.classify(head("Not-Executed", "1"))).to.equal("not-run");
+        expect(platformTargetDialect.classify(head())).to.equal("unproven");
+    });
+
+    it("match answers by id; one without an id counts only if it says that nothing ran", () => {
+        const id = "r1" as RequestId;
+        expect(platformTargetDialect.isAnswerTo(head("Request-Id", "r1"), id)).to.equal(true);
+        expect(platformTargetDialect.isAnswerTo(head("Request-Id", "r0"), id)).to.equal(false);
+        expect(platformTargetDialect.isAnswerTo(head("Not-Executed", "1"), id)).to.equal(true);
+        expect(platformTargetDialect.isAnswerTo(head("Response-Signature", "x"), id)).to.equal(false);
+    });
+
+    it("say to a target what the terms are, in place of what a client may have said under the same names", () => {
+        const terms = { requestId: "r1" as RequestId, key: undefined, targetId: "t1" as TargetId, budgetMs: 99.9 };
+        expect(platformTargetDialect.headersFor(terms)).to.deep.equal(["Request-Id", "r1", "Deadline-Ms", "99", "Target-Instance", "t1"]);
+        expect([...platformTargetDialect.ownHeaders]).to.include.members(["request-id", "shard-key", "deadline-ms", "target-instance"]);
+    });
+
+    it("give a client's terms, and none that are malformed", () => {
+        expect(platformClientDialect.termsOf("/", { "request-id": "r", "deadline-ms": "250", "shard-key": "65535" }))
+            .to.deep.equal({ requestId: "r", budgetMs: 250, key: 65_535 });
+        expect(platformClientDialect.termsOf("/", { "deadline-ms": "1e3", "shard-key": "65536" }))
+            .to.deep.equal({ requestId: undefined, budgetMs: undefined, key: undefined });
+    });
+
+    it("tell a client when to come back, in seconds with fractions", () => {
+        expect(platformClientDialect.headersOfRefusal("r" as RequestId, { reason: "overloaded", retryAfterMs: 250 }))
+            .to.deep.equal(["Request-Id", "r", "Retry-After", "0.250"]);
+    });
+});
+
+describe("settings file of the platform", () => {
+    const text = `node_name = "front-a-1"\nip = "10.1.0.10"\nzone = "a"\ninternal_port_range = [7720,7735]\nheartbeat_ms = 870
+bounds = ["drain_ms=2000","grace_s=6","retry_budget_ratio=0.2","budget_extra_retries=56","hold_max_ms=10000","new_one=true"]
+[listen]\nfront = "10.1.0.10:8161"\nready = "10.1.0.10:8167"
+[limits]\ncpu_share = 0.54\nmemory_mb = 350\nmax_fds = 4100
+[platform]\naddress = "10.200.1.7:8169"\nform = "log"\n`;
+
+    it("is decoded into the project's own words", () => {
+        expect(decodeSettings(text, "local.toml")._unsafeUnwrap()).toMatchSnapshot();
+    });
+
+    it("is refused with every field at fault, its value and what is allowed", () => {
+        const broken = text.replace("zone = \"a\"\n", "").replace("10.1.0.10:8167", "nowhere").replace("cpu_share = 0.54", "cpu_share = 0");
+        expect(decodeSettings(broken, "local.toml")._unsafeUnwrapErr().message).toMatchSnapshot();
+    });
+
+    it("is refused when a bound is no number, or when it is no TOML", () => {
+        expect(decodeSettings(text.replace("grace_s=6", "grace_s=soon"), "local.toml")._unsafeUnwrapErr().message).toMatchSnapshot();
+        expect(decodeSettings("= 1", "local.toml")._unsafeUnwrapErr().message).to.match(/^is not TOML/);
+    });
+});
