--- a/src/host/daemonSettings.ts
+++ b/src/host/daemonSettings.ts
@@ -2,7 +2,7 @@
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import yargsParser from "yargs-parser";
-import * as z from "zod/mini";
+import { z } from "../model/schema.js";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 
