--- a/src/ownership/keyLoads.ts
+++ b/src/ownership/keyLoads.ts
@@ -14,8 +14,11 @@
 /** Standard deviations that are taken off the quick average before it counts. */
 const surprise = 1;
 
-/** Load that every key is taken to have, so that idle ranges are spread by their width. */
-const idleLoad = 0.5 / (maxKey + 1);
+/** Load that all keys together are taken to have at least, besides what was counted, so that idle ranges are spread by their width. */
+const leastUncounted = 0.5;
+
+/** Quick averages below this are forgotten. */
+const negligibleLoad = leastUncounted / (maxKey + 1);
 
 const meanWeight = 0.05;
 
@@ -31,8 +34,19 @@
     private startedMs: number | undefined;
     private decayedMs = 0;
     private meanWorkMs = 0;
+    private expected = 0;
     private summed = false;
 
+    /**
+     * Sets the load that is expected of all keys together. As long as less was counted, the rest is taken to be spread evenly:
+     * before the first requests, and after a quiet time, nothing else is known of where they will come.
+     * @param slots the load
+     */
+    expect(slots: number): void {
+        this.summed &&= this.expected === slots;
+        this.expected = slots;
+    }
+
     /**
      * Adds work.
      * @param pairs keys and milliseconds of work by turns
@@ -66,7 +80,7 @@
         }
         const quickFactor = Math.exp(-passedMs / quickMemoryMs);
         for (const [key, load] of this.quick) {
-            if (load * quickFactor < idleLoad) {
+            if (load * quickFactor < negligibleLoad) {
                 this.quick.delete(key);
             }
             else {
@@ -130,7 +144,6 @@
         }
         const ranMs = this.decayedMs - (this.startedMs ?? 0);
         const warmth = Math.max(minWarmth, 1 - Math.exp(-ranMs / slowMemoryMs));
-        let total = 0;
         for (let key = 0; key <= maxKey; key++) {
             this.load[key] = (this.slow[key] as number) / warmth;
         }
@@ -138,8 +151,11 @@
             const certain = quick - surprise * Math.sqrt(quick * this.meanWorkMs / quickMemoryMs);
             this.load[key] = Math.max(this.load[key] as number, certain);
         }
+        const counted = this.load.reduce((sum, load) => sum + load, 0);
+        const uncountedLoad = Math.max(leastUncounted, this.expected - counted) / (maxKey + 1);
+        let total = 0;
         for (let key = 0; key <= maxKey; key++) {
-            total += (this.load[key] as number) + idleLoad;
+            total += (this.load[key] as number) + uncountedLoad;
             this.sums[key + 1] = total;
         }
         this.summed = true;
--- a/src/ownership/ownershipKeeper.ts
+++ b/src/ownership/ownershipKeeper.ts
@@ -7,6 +7,7 @@
 import type { Log } from "../observe/log.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { FenceCounter } from "./fences.js";
+import { FirstPlacement } from "./firstPlacement.js";
 import type { HolderParts } from "./holder.js";
 import { Holder, holdBoundMs, usualHoldMs } from "./holder.js";
 import { KeyLoads } from "./keyLoads.js";
@@ -34,6 +35,9 @@
 /** Slowness that a target is taken to have in its first seconds. */
 const warmUpSlowness = 2;
 
+/** Share of a service's capacity that is expected to be used before anything was counted. */
+const expectedUse = 0.3;
+
 /** A report on a target's slowness counts for this long. */
 const pressureLastsMs = 5_000;
 
@@ -91,6 +95,7 @@
     const holders = new Map<TargetId, { holder: Holder; stop: AbortController }>();
     const loadsByService = new Map<ServiceId, KeyLoads>();
     const pressures = new Map<TargetId, { slowness: number; atMs: number }>();
+    const firstPlacements = new Map<ServiceId, FirstPlacement>();
     const moves = new Set<ActiveMove>();
     const retryAfterMs = new Map<TargetId, number>();
     const noticeChanged = new Signal();
@@ -115,6 +120,12 @@
         return known;
     };
 
+    const mayPlace = (serviceId: ServiceId, nowMs: number): boolean => {
+        const placement = firstPlacements.get(serviceId) ?? new FirstPlacement();
+        firstPlacements.set(serviceId, placement);
+        return placement.isDue(view.targets.ofService(serviceId).length, nowMs);
+    };
+
     const startHolder = (entry: Pick<TargetEntry, "targetId" | "address">, signal: AbortSignal): Holder => {
         const known = holders.get(entry.targetId);
         if (known !== undefined) {
@@ -193,12 +204,16 @@
 
     const plan = (serviceId: ServiceId, nowMs: number): Move[] => {
         const ranges = new OwnerMap(view.ledger.ownerships()).rangesOf(serviceId);
+        if (ranges.length === 0 && !mayPlace(serviceId, nowMs)) {
+            return [];
+        }
         const ids = new Set([...view.targets.ofService(serviceId), ...ranges].map(({ targetId }) => targetId));
+        const targets = [...ids].map((targetId) => plannerTarget(targetId, nowMs));
         const loads = loadsOf(serviceId);
         loads.decay(nowMs);
+        loads.expect(expectedUse * targets.reduce((sum, { standing, capacity }) => standing === "ready" ? sum + capacity : sum, 0));
         return planMoves({
-            targets: [...ids].map((targetId) => plannerTarget(targetId, nowMs)),
-            ranges, loads,
+            targets, ranges, loads,
             moving: [...moves].filter((active) => active.serviceId === serviceId).map(({ move }) => move.range),
         }).filter(({ from }) => from === undefined || nowMs >= (retryAfterMs.get(from) ?? 0));
     };
--- a/test/ownership/planner.spec.ts
+++ b/test/ownership/planner.spec.ts
@@ -116,6 +116,19 @@
         expect(loadOf(loads, apply(quarters, moves), "new")).to.be.above(0.3);
     });
 
+    it("gives targets that register one after the other before the first request their part", () => {
+        const loads = new KeyLoads();
+        loads.expect(0.3 * 6 * 3);
+        let ranges: OwnedRange[] = [owned("a", 0, 32_767), owned("b", 32_768, maxKey)];
+        const names = ["a", "b", "c", "d", "e", "f"];
+        for (let round = 0; round < 4; round++) {
+            ranges = apply(ranges, planMoves({ targets: names.map((name) => target(name)), ranges, loads, moving: [] }));
+        }
+        names.forEach((name) => {
+            expect(loadOf(loads, ranges, name), name).to.be.within(0.4, 1.6);
+        });
+    });
+
     it("never loses or doubles a key, whatever stands and moves", () => {
         const standings: TargetStanding[] = ["ready", "unsure", "leaving", "free"];
         fc.assert(fc.property(
@@ -151,6 +164,15 @@
         expect(loads.of(range(7, 7))).to.be.below(0.2);
     });
 
+    it("takes what is expected beyond what was counted to be spread evenly", () => {
+        const loads = loadsOf([{ key: 10, perSecond: 10, workMs: 100 }]);
+        loads.expect(9);
+        expect(loads.of(range(0, maxKey))).to.be.within(8.9, 9.1);
+        expect(loads.of(range(32_768, maxKey))).to.be.within(3.9, 4.1);
+        loads.expect(0.5);
+        expect(loads.of(range(32_768, maxKey))).to.be.below(0.3);
+    });
+
     it("finds how far a range reaches for some load", () => {
         const loads = loadsOf([{ key: 10, perSecond: 10, workMs: 100 }, { key: 20, perSecond: 10, workMs: 100 }]);
         expect(loads.endOfLoad(0 as Key, 100 as Key, 1.5)).to.equal(19);
