An address used again by a service without keys shows that its former target has ended; no tight loop of refused grants

A failed release to such a target now frees the range at once, and only a higher fence drops the coordinator's authority.

--- a/src/ownership/holder.ts
+++ b/src/ownership/holder.ts
@@ -174,13 +174,18 @@
         opened.value.reset();
         return outcome.match(
             (handover): ReleaseOutcome => ({ kind: "released", handover }),
-            (failed): ReleaseOutcome => ({
-                kind: "failed", failure: failed,
-                heldUntilMs: Math.max(untilMs, this.parts.clock.now().monoMs + holdBoundMs(this.parts.holdMs(this.parts.clock.now()))),
-            }),
+            (failed): ReleaseOutcome => ({ kind: "failed", failure: failed, heldUntilMs: this.heldAfterFailedRelease(untilMs) }),
         );
     }
 
+    private heldAfterFailedRelease(untilMs: number): number {
+        if (this.ended) {
+            return Number.NEGATIVE_INFINITY;
+        }
+        const now = this.parts.clock.now();
+        return Math.max(untilMs, now.monoMs + holdBoundMs(this.parts.holdMs(now)));
+    }
+
     /**
      * Gives up on a range of a target that does not answer: it is not granted any more.
      * @param range the range, within one that is renewed
@@ -205,7 +210,7 @@
             return err(raised.error);
         }
         if (raised.value !== "granted") {
-            this.parts.onOutdated();
+            noteTurnedAway[raised.value](this);
             return err(failure("refused", "grant", this.targetId, raised.value));
         }
         return session.release(range, fence, timeoutMs);
@@ -305,20 +310,27 @@
     private onTurnedAway(lease: Lease, reply: Exclude<GrantReply, "granted">, session: LeaseSession): void {
         this.parts.log.warn("grant turned away", { target: this.targetId, range: lease.range, fence: lease.fence, reply });
         lease.session = undefined;
+        noteTurnedAway[reply](this);
         if (reply === "outdated") {
-            this.parts.onOutdated();
             this.failedInARow += 1;
             return;
         }
-        if (reply === "other-target") {
-            this.ended = true;
-            this.answeredMs = Number.NEGATIVE_INFINITY;
-            this.failedInARow += 1;
-        }
         session.reset();
         this.onFailure(failure("refused", "grant", this.targetId, reply));
     }
 
+    /** The target has seen a higher fence than this term's. */
+    noteOutdated(): void {
+        this.parts.onOutdated();
+    }
+
+    /** Another target has the address, so this one has ended. */
+    noteEnded(): void {
+        this.ended = true;
+        this.answeredMs = Number.NEGATIVE_INFINITY;
+        this.failedInARow += 1;
+    }
+
     private onAnswer(): void {
         this.answeredMs = this.parts.clock.now().monoMs;
         this.failedInARow = 0;
@@ -348,9 +360,12 @@
             return ok(this.session);
         }
         const opened = await this.parts.leases.open(this.targetId, this.address);
-        this.session = opened.unwrapOr(undefined);
-        void this.session?.closed.then(() => {
-            this.poked.fire();
+        const session = opened.unwrapOr(undefined);
+        this.session = session;
+        void session?.closed.then(() => {
+            if (this.session === session) {
+                this.poked.fire();
+            }
         });
         return opened;
     }
@@ -361,6 +376,16 @@
     }
 }
 
+const noteTurnedAway: Record<Exclude<GrantReply, "granted">, (holder: Holder) => void> = {
+    "outdated": (holder) => {
+        holder.noteOutdated();
+    },
+    "other-target": (holder) => {
+        holder.noteEnded();
+    },
+    "rejected": () => undefined,
+};
+
 /** False when the target certainly did not take a grant. */
 function wasTaken(reply: Result<GrantReply, Failure>): boolean {
     return reply.match((answer) => answer === "granted", ({ kind }) => kind !== "unreachable");
--- a/src/ownership/ownershipKeeper.ts
+++ b/src/ownership/ownershipKeeper.ts
@@ -255,7 +255,8 @@
         const timeoutMs = move.reason === "leaving" ? leavingReleaseTimeoutMs : balanceReleaseTimeoutMs;
         const released = await holder?.release(move.range, timeoutMs);
         const releasedMs = clock.now().monoMs;
-        const isFree = released?.kind === "released" || (released?.kind === "failed" && move.reason === "leaving" && await outwait(Math.max(released.heldUntilMs, parts.predecessor.grantsUntilMs)));
+        const isFree = released?.kind === "released"
+            || (released?.kind === "failed" && move.reason === "leaving" && await outwait(heldUntilMs(released.heldUntilMs, holder)));
         const assigned = isFree ? await writer.assign([assignmentOf(serviceId, move.range, move.to)]) : undefined;
         moves.delete(active);
         const handover = released?.kind === "released" ? released.handover : undefined;
@@ -274,6 +275,10 @@
         });
     };
 
+    /** A target that has certainly ended holds nothing, whoever granted it. */
+    const heldUntilMs = (grantedUntilMs: number, holder: Holder | undefined): number =>
+        holder?.hasEnded === true ? Number.NEGATIVE_INFINITY : Math.max(grantedUntilMs, parts.predecessor.grantsUntilMs);
+
     const outwait = async (untilMs: number): Promise<boolean> => {
         const nowMs = clock.now().monoMs;
         if (untilMs > nowMs) {
--- a/test/ownership/holder.spec.ts
+++ b/test/ownership/holder.spec.ts
@@ -16,12 +16,20 @@
     const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number } = { reply: "granted", reachable: true, opened: 0 };
     const session = (): LeaseSession => {
         let open = true;
+        let closeSession: () => void = () => undefined;
         state.opened += 1;
         return {
             get isOpen() {
                 return open;
             },
-            closed: new Promise(() => undefined),
+            closed: new Promise((resolve) => {
+                closeSession = () => {
+                    open = false;
+                    void clock.sleep(1).then(() => {
+                        resolve("closed");
+                    });
+                };
+            }),
             grant: async (grant, timeoutMs) => {
                 grants.push(grant);
                 await clock.sleep(state.reply === "silent" ? timeoutMs : 1);
@@ -32,7 +40,7 @@
                 return ok("token");
             },
             reset: () => {
-                open = false;
+                closeSession();
             },
         };
     };
@@ -121,6 +129,27 @@
         end();
     });
 
+    it("are not offered again and again to a target that turns them away", async () => {
+        const { clock, holder, grants, state, end } = setUp();
+        holder.setRanges([range], []);
+        await clock.advance(1_000);
+        state.reply = "rejected";
+        const before = grants.length;
+        await clock.advance(2_000);
+        expect(grants.length - before).to.be.below(40);
+        end();
+    });
+
+    it("are free at once when another target answers the call that was to take them back", async () => {
+        const { clock, holder, state, end } = setUp();
+        holder.setRanges([range], []);
+        await clock.advance(1_000);
+        state.reply = "other-target";
+        const outcome = await settle(clock, holder.release(range, 500));
+        expect(outcome.kind === "failed" && outcome.heldUntilMs).to.equal(Number.NEGATIVE_INFINITY);
+        end();
+    });
+
     it("are taken back with a fresh fence first, on a connection that is kept ready for it", async () => {
         const { clock, holder, grants, state, end } = setUp();
         holder.setRanges([range], []);
