A host that is told to stop no longer gives up what is at a target in favour of another one

Ruled out: the grace time (5 s were left). The limit is now asked at its time whether it may still be used. The interrupt of an attempt is a module of its own with tests; the case had no test before.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -5,6 +5,8 @@
 import type { ConnectionPool } from "./connectionPool.js";
 import type { TargetDialect } from "./dialect.js";
 import { withoutHeaders, withoutHopByHop } from "./hopByHop.js";
+import type { InterruptReason, Patience } from "./interrupt.js";
+import { createInterrupt } from "./interrupt.js";
 import type { ResponseHead } from "./responseParser.js";
 import { headerOf } from "./responseParser.js";
 import type { Exchange, TargetConnection } from "./targetConnection.js";
@@ -53,17 +55,16 @@
     body: Buffer | undefined;
     /** Time left for the target's answer. */
     budgetMs: number;
-    /** The attempt is given up after this time. */
+    /** The attempt ends after this time. */
     timeoutMs: number;
+    /** When the attempt is given up in favour of another one. */
+    patience: Patience | undefined;
     /** Longest time that a connection may have been idle before it carries this request. */
     maxIdleMs: number;
     /** False when the target finishes the request even if its client leaves. */
     cancelWithClient: boolean;
 }
 
-/** Ends an exchange early. */
-type Interrupt = "timed-out" | "client-left";
-
 /**
  * Sends a request to a target.
  * @param parts what the attempt works with
@@ -71,7 +72,8 @@
  */
 export async function attempt(parts: AttemptParts, request: AttemptRequest): Promise<AttemptEnd> {
     const { call, target } = request;
-    const interrupt = createInterrupt(request.cancelWithClient ? call.left : undefined, request.timeoutMs);
+    const { timeoutMs, patience } = request;
+    const interrupt = createInterrupt({ left: request.cancelWithClient ? call.left : undefined, timeoutMs, patience });
     try {
         const opening = parts.pool.acquire(target.address, request.maxIdleMs);
         const opened = await Promise.race([opening, interrupt.raised]);
@@ -98,7 +100,7 @@
 }
 
 async function converse(
-    parts: AttemptParts, request: AttemptRequest, connection: TargetConnection, raised: Promise<Interrupt>,
+    parts: AttemptParts, request: AttemptRequest, connection: TargetConnection, raised: Promise<InterruptReason>,
 ): Promise<AttemptEnd> {
     const startedMs = parts.clock.now().monoMs;
     const exchange = connection.start({
@@ -122,7 +124,7 @@
 }
 
 async function receive(
-    parts: AttemptParts, { call }: AttemptRequest, exchange: Exchange, head: ResponseHead, raised: Promise<Interrupt>,
+    parts: AttemptParts, { call }: AttemptRequest, exchange: Exchange, head: ResponseHead, raised: Promise<InterruptReason>,
 ): Promise<AttemptEnd> {
     const responseClass = parts.dialect.classify(head);
     if (responseClass === "not-run") {
@@ -234,23 +236,3 @@
     const length = headerOf(head.rawHeaders, "content-length");
     return length === undefined ? undefined : Number(length);
 }
-
-/** Resolves when the client leaves or the time is over. */
-function createInterrupt(left: AbortSignal | undefined, timeoutMs: number): { raised: Promise<Interrupt>; release: () => void } {
-    let release: () => void = () => undefined;
-    const raised = new Promise<Interrupt>((resolve) => {
-        const timer = setTimeout(resolve, Math.max(1, timeoutMs), "timed-out");
-        const onLeft = () => {
-            resolve("client-left");
-        };
-        if (left?.aborted === true) {
-            onLeft();
-        }
-        left?.addEventListener("abort", onLeft, { once: true });
-        release = () => {
-            clearTimeout(timer);
-            left?.removeEventListener("abort", onLeft);
-        };
-    });
-    return { raised, release };
-}
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -81,7 +81,9 @@
 export interface Forwarder {
     /** Serves one request to its end. */
     serve(call: ClientCall): Promise<void>;
-    /** Turns away what has no slot yet, now and from now on: this host stops. */
+    /** This host is going to stop: what is at a target is left there until it is answered. */
+    startLeaving(): void;
+    /** Turns away what has no slot yet, now and from now on. */
     stopWaiting(): void;
 }
 
@@ -94,6 +96,7 @@
     const nowMs = () => clock.now().monoMs;
     const workTimes = new WorkTimes();
     const stopped = new AbortController();
+    let leaving = false;
     setMaxListeners(0, stopped.signal);
 
     const refuse = (call: ClientCall, refusal: Refusal, job?: Job) => {
@@ -264,7 +267,8 @@
             target: placed.target,
             body: job.body,
             budgetMs: remainingMs,
-            timeoutMs: mayRepeat ? patienceMs : remainingMs,
+            timeoutMs: remainingMs,
+            patience: mayRepeat ? { afterMs: patienceMs, mayGiveUp: () => !leaving } : undefined,
             maxIdleMs: job.route.idempotent ? Number.POSITIVE_INFINITY : maxIdleUnrepeatableMs,
             cancelWithClient: job.route.idempotent,
         });
@@ -344,6 +348,9 @@
             countLoad(job);
             await run(job);
         },
+        startLeaving: () => {
+            leaving = true;
+        },
         stopWaiting: () => {
             stopped.abort();
         },
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -82,6 +82,7 @@
             const startedMs = clock.now().monoMs;
             isLeaving = true;
             clients.startClosing();
+            host.resolve(tokens.forwarder).startLeaving();
             log.info("stopping", { pending: clients.pending(), coordinating: node.isCoordinating() });
             void node.handOver();
             const latestMs = startedMs + settings.stopTimeoutMs - stopReserveMs;
--- /dev/null
+++ b/test/forwarding/interrupt.spec.ts
@@ -0,0 +1,34 @@
+import { expect } from "chai";
+import { createInterrupt } from "../../src/forwarding/interrupt.js";
+
+/** Gives what was raised, and after how long. */
+async function raisedOf(terms: Parameters<typeof createInterrupt>[0]): Promise<{ reason: string; afterMs: number }> {
+    const startedMs = performance.now();
+    const interrupt = createInterrupt(terms);
+    const reason = await interrupt.raised;
+    interrupt.release();
+    return { reason, afterMs: performance.now() - startedMs };
+}
+
+describe("interrupt of an attempt", () => {
+    it("comes when patience ends, if the attempt may be given up then", async () => {
+        const { reason, afterMs } = await raisedOf({ left: undefined, timeoutMs: 500, patience: { afterMs: 30, mayGiveUp: () => true } });
+        expect(reason).to.equal("timed-out");
+        expect(afterMs).to.be.below(300);
+    });
+
+    it("waits for the whole timeout when the attempt may not be given up, as on a host that stops", async () => {
+        const { reason, afterMs } = await raisedOf({ left: undefined, timeoutMs: 120, patience: { afterMs: 10, mayGiveUp: () => false } });
+        expect(reason).to.equal("timed-out");
+        expect(afterMs).to.be.above(100);
+    });
+
+    it("comes at once when the client leaves, also when it left before", async () => {
+        const left = new AbortController();
+        setTimeout(() => {
+            left.abort();
+        }, 10);
+        expect((await raisedOf({ left: left.signal, timeoutMs: 500, patience: undefined })).reason).to.equal("client-left");
+        expect((await raisedOf({ left: left.signal, timeoutMs: 500, patience: undefined })).reason).to.equal("client-left");
+    });
+});
