Keys are moved for balance only while the store is well

Now an append that fails or takes over 150 ms, a reading that fails, or a confirmation overdue by 250 ms stops new moves for balance. What is in flight at the moment of the loss still waits; recording before releasing would mend that (open). Test: ledgerWriter.spec, new.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -37,6 +37,9 @@
 /** A host that reported nothing for this long is not at work. */
 const memberSilentMs = 1_200;
 
+/** Keys are not moved for balance when the store has confirmed nothing for this long. */
+const overdueMs = ledgerPeriodMs + 250;
+
 /** Leases are as long as targets allow once the store has confirmed nothing for this long. */
 const storeTroubleMs = 1_000;
 
@@ -94,6 +97,7 @@
     const confirmNow = new Signal();
     let resignedMs: number | undefined;
     let targetsConfirmedAt: Instant | undefined;
+    let isReadingFailing = false;
 
     const isDeposed = () => view.ledger.term?.term !== parts.term;
     const mayAct = (now: Instant) => resignedMs === undefined && !isDeposed() && authority.isHeld(now);
@@ -112,6 +116,7 @@
         view, clock, log, writer, leases: parts.leases,
         fences: new FenceCounter(parts.term),
         mayGrant: mayAct,
+        mayBalance: (now) => mayAct(now) && !isReadingFailing && authority.ageMs(now) < overdueMs && writer.isSound(now.monoMs),
         holdMs: (now) => authority.ageMs(now) > storeTroubleMs ? parts.maxHoldMs : usualHoldMs,
         predecessor: parts.predecessor,
         onOutdated: () => {
@@ -184,6 +189,7 @@
             const askedAt = clock.now();
             const from = view.ledger.upTo;
             const reading = await reader.read("ledger", 0);
+            isReadingFailing = reading.isErr();
             if (reading.isOk() && !isDeposed()) {
                 authority.confirm(askedAt);
                 resumeIfNobodyTookOver(askedAt);
--- a/src/ownership/ledgerWriter.ts
+++ b/src/ownership/ledgerWriter.ts
@@ -18,6 +18,9 @@
 const firstRetryMs = 40;
 const longestRetryMs = 320;
 
+/** An append that takes longer shows that the store is in trouble. */
+const usualAppendMs = 150;
+
 /** What a writer works with. */
 export interface LedgerWriterParts {
     store: StorePort;
@@ -45,6 +48,8 @@
      * A failure of kind `lost` leaves it open; it comes only when this process will never write again.
      */
     assign(assignments: readonly Assignment[]): Promise<Result<void, Failure>>;
+    /** True unless the last append failed, or one has been unanswered for a while. */
+    isSound(nowMs: number): boolean;
 }
 
 /**
@@ -55,6 +60,8 @@
     const { store, reader, view, clock, log } = parts;
     let queue: Job[] = [];
     let working = false;
+    let sentMs: number | undefined;
+    let failed = false;
 
     const work = async () => {
         working = true;
@@ -87,7 +94,10 @@
                 continue;
             }
             const expectedEnd = view.ledger.upTo;
+            sentMs = now.monoMs;
             const outcome = await store.append(records.map(({ key, record }) => encodeLedgerRecord(key, record)), expectedEnd);
+            sentMs = undefined;
+            failed = outcome.isErr();
             if (outcome.isOk() && outcome.value.kind === "appended") {
                 take(records, outcome.value.offset, now);
                 return ok(undefined);
@@ -127,5 +137,6 @@
                 void work();
             }
         }),
+        isSound: (nowMs) => !failed && (sentMs === undefined || nowMs - sentMs < usualAppendMs),
     };
 }
--- a/src/ownership/ownershipKeeper.ts
+++ b/src/ownership/ownershipKeeper.ts
@@ -32,6 +32,9 @@
 /** Pause before a move that failed is planned again. */
 const retryMoveMs = 300;
 
+/** What moved for balance stays where it is for this long, until reports show what that changed. */
+const settleMs = 1_000;
+
 /** Slowness that a target is taken to have in its first seconds. */
 const warmUpSlowness = 2;
 
@@ -58,6 +61,8 @@
     clock: Clock;
     log: Log;
     mayGrant: (now: Instant) => boolean;
+    /** Tells whether keys may be moved for balance now: between release and record nobody has them, so the store must be well. */
+    mayBalance: (now: Instant) => boolean;
     holdMs: (now: Instant) => number;
     predecessor: Predecessor;
     /** Told when a target has seen a higher fence than this term's. */
@@ -98,6 +103,7 @@
     const firstPlacements = new Map<ServiceId, FirstPlacement>();
     const moves = new Set<ActiveMove>();
     const retryAfterMs = new Map<TargetId, number>();
+    let settling: { serviceId: ServiceId; range: KeyRange; untilMs: number }[] = [];
     const noticeChanged = new Signal();
     const poked = new Signal();
 
@@ -212,8 +218,10 @@
         const loads = loadsOf(serviceId);
         loads.decay(nowMs);
         loads.expect(expectedUse * targets.reduce((sum, { standing, capacity }) => standing === "ready" ? sum + capacity : sum, 0));
+        settling = settling.filter(({ untilMs }) => nowMs < untilMs);
         return planMoves({
             targets, ranges, loads,
+            settling: settling.filter((one) => one.serviceId === serviceId).map(({ range }) => range),
             moving: [...moves].filter((active) => active.serviceId === serviceId).map(({ move }) => move.range),
         }).filter(({ from }) => from === undefined || nowMs >= (retryAfterMs.get(from) ?? 0));
     };
@@ -263,7 +271,10 @@
         syncRanges([{ range: move.range, handover }]);
         noticeChanged.fire();
         const done = assigned?.isOk() === true;
-        if (!done) {
+        if (done) {
+            settling.push({ serviceId, range: move.range, untilMs: clock.now().monoMs + settleMs });
+        }
+        else {
             retryAfterMs.set(from, clock.now().monoMs + retryMoveMs);
         }
         parts.onMove(move, done ? "done" : "failed");
@@ -299,7 +310,7 @@
                 void assignFree(serviceId, free);
             }
             for (const move of planned) {
-                if (move.from !== undefined) {
+                if (move.from !== undefined && (move.reason === "leaving" || parts.mayBalance(now))) {
                     void moveAway(serviceId, move, move.from);
                 }
             }
--- a/src/ownership/planner.ts
+++ b/src/ownership/planner.ts
@@ -9,6 +9,7 @@
 import { allKeys } from "../model/names.js";
 import type { KeyLoads } from "./keyLoads.js";
 import type { OwnedRange } from "./ownerMap.js";
+import { withoutRange } from "./ranges.js";
 
 /** What may be done with a target's keys. */
 export type TargetStanding =
@@ -45,6 +46,8 @@
     loads: KeyLoads;
     /** Ranges whose move is under way. */
     moving: readonly KeyRange[];
+    /** Ranges that moved a moment ago; the effect of that is not seen yet, so balance leaves them where they are. */
+    settling: readonly KeyRange[];
 }
 
 /** Only targets above this share of their capacity are relieved; below it work hardly waits. */
@@ -64,7 +67,11 @@
 const hotKeyShare = 0.3;
 
 /** Moves for balance begun at once. */
-const maxBalanceMoves = 4;
+const maxBalanceMoves = 16;
+
+/** A move fills its taker no further than this above the mean of all targets, or to the second where they are idle. */
+const fillAboveMean = 1.15;
+const leastFill = 0.6;
 
 /** Targets that are considered as givers and as takers of a move. */
 const maxGivers = 3;
@@ -173,7 +180,7 @@
 
 function balance(input: PlannerInput, accounts: ReadonlyMap<TargetId, Account>, takers: readonly Account[]): Move[] {
     const moves: Move[] = [];
-    const busy: KeyRange[] = [...input.moving];
+    const busy: KeyRange[] = [...input.moving, ...input.settling];
     const givers = [...accounts.values()].filter(({ target }) => target.standing === "ready");
     const mean = meanFullness(givers);
     while (moves.length < maxBalanceMoves) {
@@ -201,7 +208,7 @@
         .filter((giver) => fullness(giver) > relieveAbove || hasNewcomer);
     const candidates = fullest.flatMap((giver) => emptiest.filter((taker) => taker !== giver).flatMap((taker) => {
         const least = fullness(giver) > relieveAbove ? minGain : isNewcomer(taker, mean) ? minNewcomerGain : Number.POSITIVE_INFINITY;
-        return piecesFor(input, giver, taker, busy)
+        return piecesFor(input, giver, taker, busy, Math.max(leastFill, mean * fillAboveMean))
             .map((range) => toCandidate(range, input.loads.of(range), giver, taker))
             .filter(({ gain }) => gain >= least);
     }));
@@ -224,12 +231,16 @@
     return fullness(account) < mean * newcomerShare;
 }
 
-/** Pieces of the giver's ranges that the taker might get: an end of about the ideal load, or one hot key by itself. */
-function piecesFor(input: PlannerInput, giver: Account, taker: Account, busy: readonly KeyRange[]): KeyRange[] {
-    const own = input.ranges.filter((range) => range.targetId === giver.target.targetId && !overlapsAny(range, busy));
+/**
+ * Pieces of the giver's ranges that the taker might get: an end of about the ideal load, or one hot key by itself. A piece
+ * makes the two equal at most, and leaves room for what others bring, since it cannot be cut again while it moves.
+ */
+function piecesFor(input: PlannerInput, giver: Account, taker: Account, busy: readonly KeyRange[], fillTo: number): KeyRange[] {
+    const own = input.ranges.filter((range) => range.targetId === giver.target.targetId)
+        .flatMap((range) => busy.reduce<readonly KeyRange[]>(withoutRange, [range]));
     const { capacity: from } = giver.target;
     const { capacity: to } = taker.target;
-    const ideal = (giver.load * to - taker.load * from) / (from + to);
+    const ideal = Math.min((giver.load * to - taker.load * from) / (from + to), fillTo * to - taker.load);
     return own.flatMap((range) => [
         ...endsOf(range, input.loads, ideal),
         ...hotKeysOf(range, input.loads, Math.min(from, to) * hotKeyShare),
--- /dev/null
+++ b/test/ownership/ledgerWriter.spec.ts
@@ -0,0 +1,58 @@
+import { expect } from "chai";
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
+import type { Failure } from "../../src/model/failure.js";
+import { failure } from "../../src/model/failure.js";
+import type { Address, KeyRange, Offset, ServiceId, TargetId } from "../../src/model/names.js";
+import { createLedgerWriter } from "../../src/ownership/ledgerWriter.js";
+import type { Assignment } from "../../src/ownership/ownershipDraft.js";
+import { ClusterView } from "../../src/store/clusterView.js";
+import type { AppendOutcome, StorePort } from "../../src/store/storePort.js";
+import { VirtualClock } from "../support/virtualTime.js";
+
+const assignment: Assignment = {
+    serviceId: "s" as ServiceId, range: { from: 0, to: 9 } as KeyRange, targetId: "t" as TargetId, address: "10.0.0.1:1" as Address,
+};
+
+/** A writer over a store whose appends end as a test says. */
+function setUp(append: (sent: number) => Promise<Result<AppendOutcome, Failure>>) {
+    const clock = new VirtualClock();
+    let sent = 0;
+    const store = {
+        append: () => {
+            sent += 1;
+            return append(sent);
+        },
+    } as unknown as StorePort;
+    const writer = createLedgerWriter({
+        store, clock, view: new ClusterView(),
+        reader: { read: () => Promise.resolve(ok({ targets: [], ledger: [] })) },
+        log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+        mayWrite: () => true, isDeposed: () => false, onWritten: () => undefined,
+    });
+    return { clock, writer, isSound: () => writer.isSound(clock.now().monoMs) };
+}
+
+describe("writer of the ledger", () => {
+    it("shows that the store is in trouble as soon as an append takes long or fails, until one is acknowledged", async () => {
+        const outcomes = new Map<number, Result<AppendOutcome, Failure>>([
+            [1, err(failure("lost", "store-append", "store", "no answer"))],
+            [2, ok({ kind: "appended", offset: 0 as Offset })],
+        ]);
+        const { clock, writer, isSound } = setUp(async (sent) => {
+            await clock.sleep(400);
+            return outcomes.get(sent) as Result<AppendOutcome, Failure>;
+        });
+        expect(isSound()).to.equal(true);
+        const assigned = writer.assign([assignment]);
+        await clock.advance(100);
+        expect(isSound()).to.equal(true);
+        await clock.advance(100);
+        expect(isSound()).to.equal(false);
+        await clock.advance(230);
+        expect(isSound()).to.equal(false);
+        await clock.advance(1_000);
+        expect((await assigned).isOk()).to.equal(true);
+        expect(isSound()).to.equal(true);
+    });
+});
