A request for a key without owner is turned away at once when the wait is known to be too long, and after 0.7 s when it is not

The coordinator now says of each range on the move how long it will take where that is more than usual (a lease that must run out, a store in trouble); without word a wait ends after 0.7 s, the longest that a move for balance may take.

--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -16,6 +16,7 @@
 import type { ClusterView } from "../store/clusterView.js";
 import type { AttemptEnd, AttemptParts, HeldAnswer } from "./attempt.js";
 import { attempt } from "./attempt.js";
+import { waitForOwner } from "./ownerWait.js";
 import { nextStep } from "./retryPolicy.js";
 import { WorkTimes } from "./workTimes.js";
 
@@ -29,9 +30,6 @@
 const patienceRatio = 6;
 const minPatienceMs = 400;
 
-/** An owner is looked for again after this time, though nothing was heard. */
-const longestOwnerWaitMs = 250;
-
 /** Pause before a request goes back to a target that turned it away. */
 const pauseMs = 15;
 
@@ -199,15 +197,16 @@
 
     /** Waits while nobody owns the key, as long as the request can still be served afterwards. */
     const awaitOwner = async (job: Job, key: Key): Promise<TargetId | Placement> => {
+        const startedMs = nowMs();
         for (;;) {
             const now = nowMs();
             const status = parts.owners.find(job.service.serviceId, key, now);
             if (status.kind === "owned") {
                 return status.targetId;
             }
-            const freeInMs = status.kind === "silent" ? status.freeInMs : 0;
-            if (now + freeInMs + job.expectedMs > job.deadlineMs) {
-                const retryAfterMs = spread(Math.max(freeInMs, retryAfterUnreachableMs));
+            const step = waitForOwner({ status, waitedMs: now - startedMs, leftMs: job.deadlineMs - job.expectedMs - now });
+            if (step.kind === "refuse") {
+                const retryAfterMs = spread(step.retryAfterMs);
                 return {
                     kind: "refused",
                     refusal: status.kind === "silent"
@@ -215,8 +214,7 @@
                         : { reason: "owner-unknown", retryAfterMs },
                 };
             }
-            const latestMs = job.deadlineMs - job.expectedMs - now;
-            await waitFor(clock, Math.min(latestMs + 1, longestOwnerWaitMs), [parts.owners.changed], job.call.left);
+            await waitFor(clock, step.atMostMs, [parts.owners.changed], job.call.left);
             if (job.call.left.aborted) {
                 return { kind: "client-left" };
             }
--- a/src/ownership/owners.ts
+++ b/src/ownership/owners.ts
@@ -8,6 +8,8 @@
 /** A range whose owner stops taking work for it, since another target gets it. */
 export interface MovingRange extends KeyRange {
     serviceId: ServiceId;
+    /** Least time until it has an owner again, where more than a usual move's; undefined for a move that goes as planned. */
+    freeInMs?: number;
 }
 
 /** A target that does not answer; its keys are free once its lease has certainly ended. */
@@ -27,7 +29,7 @@
 export type OwnerStatus =
     | { kind: "owned"; targetId: TargetId }
     /** No target has it for a moment. */
-    | { kind: "moving" }
+    | { kind: "moving"; freeInMs: number | undefined }
     /** Its owner does not answer. */
     | { kind: "silent"; targetId: TargetId; freeInMs: number }
     /** No target was ever given it, as far as this host knows. */
@@ -94,12 +96,13 @@
             return { kind: "unowned" };
         }
         const { moving, silent } = this.noticeAt(nowMs);
-        if (moving.some((range) => range.serviceId === serviceId && key >= range.from && key <= range.to)) {
-            return { kind: "moving" };
+        const move = moving.find((range) => range.serviceId === serviceId && key >= range.from && key <= range.to);
+        if (move !== undefined) {
+            return { kind: "moving", freeInMs: move.freeInMs === undefined ? undefined : Math.max(0, move.freeInMs - (nowMs - this.noticedMs)) };
         }
         const target = this.view.targets.get(targetId);
         if (target !== undefined && !mayReceive(target, this.drainMs, nowMs)) {
-            return { kind: "moving" };
+            return { kind: "moving", freeInMs: undefined };
         }
         const quiet = silent.find((one) => one.targetId === targetId);
         return quiet === undefined
--- a/src/ownership/ownershipKeeper.ts
+++ b/src/ownership/ownershipKeeper.ts
@@ -35,6 +35,9 @@
 /** What moved for balance stays where it is for this long, until reports show what that changed. */
 const settleMs = 1_000;
 
+/** A store in trouble is taken to be so for at least this long. */
+const storeTroubleMs = 2_500;
+
 /** Slowness that a target is taken to have in its first seconds. */
 const warmUpSlowness = 2;
 
@@ -74,6 +77,8 @@
 interface ActiveMove {
     serviceId: ServiceId;
     move: Move;
+    /** Set while a lease of the former owner must run out. */
+    heldUntilMs?: number;
 }
 
 /** Handles owners until stopped. */
@@ -254,7 +259,7 @@
     };
 
     const moveAway = async (serviceId: ServiceId, move: Move, from: TargetId) => {
-        const active = { serviceId, move };
+        const active: ActiveMove = { serviceId, move };
         moves.add(active);
         noticeChanged.fire();
         const startedMs = clock.now().monoMs;
@@ -264,7 +269,7 @@
         const released = await holder?.release(move.range, timeoutMs);
         const releasedMs = clock.now().monoMs;
         const isFree = released?.kind === "released"
-            || (released?.kind === "failed" && move.reason === "leaving" && await outwait(heldUntilMs(released.heldUntilMs, holder)));
+            || (released?.kind === "failed" && move.reason === "leaving" && await outwait(active, heldUntilMs(released.heldUntilMs, holder)));
         const assigned = isFree ? await writer.assign([assignmentOf(serviceId, move.range, move.to)]) : undefined;
         moves.delete(active);
         const handover = released?.kind === "released" ? released.handover : undefined;
@@ -290,14 +295,24 @@
     const heldUntilMs = (grantedUntilMs: number, holder: Holder | undefined): number =>
         holder?.hasEnded === true ? Number.NEGATIVE_INFINITY : Math.max(grantedUntilMs, parts.predecessor.grantsUntilMs);
 
-    const outwait = async (untilMs: number): Promise<boolean> => {
+    const outwait = async (active: ActiveMove, untilMs: number): Promise<boolean> => {
         const nowMs = clock.now().monoMs;
         if (untilMs > nowMs) {
+            active.heldUntilMs = untilMs;
+            noticeChanged.fire();
             await clock.sleep(untilMs - nowMs);
+            active.heldUntilMs = undefined;
         }
         return true;
     };
 
+    /** Nothing can be recorded while the store is in trouble, and nobody knows for how long. */
+    const movingRange = ({ serviceId, move: { range }, heldUntilMs: untilMs }: ActiveMove, nowMs: number): MovingRange => {
+        const storeMs = writer.isSound(nowMs) ? undefined : storeTroubleMs;
+        const freeInMs = untilMs === undefined ? storeMs : Math.max(storeMs ?? 0, untilMs - nowMs);
+        return { serviceId, from: range.from, to: range.to, ...freeInMs === undefined ? {} : { freeInMs: Math.round(freeInMs) } };
+    };
+
     const planAll = () => {
         const now = clock.now();
         if (!parts.mayGrant(now) || now.monoMs < parts.predecessor.actsUntilMs) {
@@ -338,8 +353,7 @@
             }
         },
         notice: (nowMs) => ({
-            moving: [...moves].filter(({ move }) => move.from !== undefined)
-                .map(({ serviceId, move }): MovingRange => ({ serviceId, from: move.range.from, to: move.range.to })),
+            moving: [...moves].filter(({ move }) => move.from !== undefined).map((active) => movingRange(active, nowMs)),
             silent: [...holders.values()].filter(({ holder }) => holder.isSilent).map(({ holder }) => ({
                 targetId: holder.targetId,
                 freeInMs: holder.hasEnded ? 0 : Math.round(Math.max(0, Math.max(holder.freeAtMs, parts.predecessor.grantsUntilMs) - nowMs)),
