Placing a request is a module of its own; a single unanswered grant is tried again at once

forwarder.ts (380 lines) is split: job.ts, placement.ts; what work a route needs stands in workTimes.ts. No change of behaviour there.

--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -1,14 +1,11 @@
 /** Takes a request from its client to the target that is to serve it, and the answer back. */
 import { setMaxListeners } from "node:events";
-import type { AdmissionClient, SlotDecision } from "../admission/admissionClient.js";
+import type { AdmissionClient } from "../admission/admissionClient.js";
 import type { WorkEnd } from "../admission/admissionQueue.js";
 import type { RetryBudgets } from "../admission/retryBudgets.js";
 import type { ClientCall, Refusal, RefusalReason } from "../entry/clientCall.js";
 import type { LoadMeter } from "../ownership/loadMeter.js";
-import type { DataCentreId, Key, ServiceId, TargetId } from "../model/names.js";
-import type { Route, ServiceConfig } from "../model/routing.js";
-import { linkAborts, waitFor } from "../model/signal.js";
-import type { TargetEntry } from "../model/target.js";
+import type { DataCentreId, ServiceId } from "../model/names.js";
 import type { Clock } from "../model/time.js";
 import type { RequestLog } from "../observe/requestLog.js";
 import type { Owners } from "../ownership/owners.js";
@@ -16,12 +13,11 @@
 import type { ClusterView } from "../store/clusterView.js";
 import type { AttemptEnd, AttemptParts, HeldAnswer } from "./attempt.js";
 import { attempt } from "./attempt.js";
-import { waitForOwner } from "./ownerWait.js";
+import type { Job } from "./job.js";
+import type { Placement } from "./placement.js";
+import { createPlacer, retryAfterUnreachableMs } from "./placement.js";
 import { nextStep } from "./retryPolicy.js";
-import { WorkTimes } from "./workTimes.js";
-
-/** Share of a route's target latency that its work usually takes. */
-const typicalWorkShare = 0.35;
+import { typicalWorkMs, WorkTimes } from "./workTimes.js";
 
 /** Longest time that a connection may have been idle before it carries what must not run twice. */
 const maxIdleUnrepeatableMs = 1_000;
@@ -34,8 +30,6 @@
 const pauseMs = 15;
 
 const retryAfterNotReadyMs = 500;
-const retryAfterUnreachableMs = 250;
-const retryAfterStoppingMs = 50;
 
 /** What a forwarder works with. */
 export interface ForwarderParts extends AttemptParts {
@@ -51,30 +45,6 @@
     random: () => number;
 }
 
-/** A request with all that was decided about it so far. */
-interface Job {
-    call: ClientCall;
-    route: Route;
-    service: ServiceConfig;
-    /** The whole body, or undefined when it is streamed. */
-    body: Buffer | undefined;
-    /** Monotonic times. */
-    receivedMs: number;
-    targetMs: number;
-    deadlineMs: number;
-    sends: number;
-    tried: Set<TargetId>;
-    /** The last attempt's end. */
-    lastEnd: AttemptEnd | undefined;
-    expectedMs: number;
-}
-
-/** A target with a slot for the request, or the answer that the client gets instead. */
-type Placement =
-    | { kind: "placed"; target: TargetEntry; expectedMs: number; leave: (end: WorkEnd) => void }
-    | { kind: "refused"; refusal: Refusal }
-    | { kind: "client-left" };
-
 /** Serves requests. */
 export interface Forwarder {
     /** Serves one request to its end. */
@@ -96,6 +66,8 @@
     const stopped = new AbortController();
     let leaving = false;
     setMaxListeners(0, stopped.signal);
+    const spread = (delayMs: number) => delayMs * (0.9 + parts.random() * 0.4);
+    const placer = createPlacer({ ...parts, workTimes, spread, stopped: stopped.signal });
 
     const refuse = (call: ClientCall, refusal: Refusal, job?: Job) => {
         requestLog.refused(call, refusal, job?.route, job?.tried);
@@ -128,10 +100,10 @@
         }
         const receivedMs = call.receivedAt.monoMs;
         return {
-            call, route, service, body, receivedMs,
+            call, route, service, body,
             targetMs: receivedMs + route.targetLatencyMs,
             deadlineMs: receivedMs + Math.min(call.budgetMs ?? Number.POSITIVE_INFINITY, route.timeoutMs),
-            sends: 0, tried: new Set(), lastEnd: undefined, expectedMs: workMsOf(route),
+            sends: 0, tried: new Set(), expectedMs: workTimes.meanMs(route.routeId, typicalWorkMs(route)),
         };
     };
 
@@ -148,112 +120,6 @@
         return body === "too-long" ? undefined : body;
     };
 
-    const place = async (job: Job): Promise<Placement> => {
-        const { call, service } = job;
-        if (service.sharded && call.key !== undefined) {
-            return placeAtOwner(job, call.key);
-        }
-        const until = linkAborts(call.left, stopped.signal);
-        const decision = await parts.admission.enter({
-            ...slotOf(job), group: { kind: "service", serviceId: service.serviceId }, avoid: [...job.tried], keptNear: undefined,
-        }, until.signal);
-        until.release();
-        return toPlacement(decision);
-    };
-
-    const placeAtOwner = async (job: Job, key: Key): Promise<Placement> => {
-        const { call, service } = job;
-        for (;;) {
-            const owner = await awaitOwner(job, key);
-            if (typeof owner !== "string") {
-                return owner;
-            }
-            const entry = view.targets.get(owner);
-            const moved = new AbortController();
-            const endWatch = watchOwner(service.serviceId, key, owner, moved);
-            const until = linkAborts(call.left, moved.signal, stopped.signal);
-            const decision = await parts.admission.enter({
-                ...slotOf(job), group: { kind: "target", targetId: owner }, avoid: [], keptNear: entry?.dataCentreId,
-            }, until.signal);
-            until.release();
-            endWatch();
-            if (!moved.signal.aborted || call.left.aborted || stopped.signal.aborted) {
-                return toPlacement(decision, owner);
-            }
-            if (decision.kind === "granted") {
-                decision.leave({ kind: "dropped" });
-            }
-        }
-    };
-
-    /** Aborts when the owner of a key changes while its request waits. */
-    const watchOwner = (serviceId: ServiceId, key: Key, owner: TargetId, moved: AbortController): (() => void) =>
-        parts.owners.changed.listen(() => {
-            const status = parts.owners.find(serviceId, key, nowMs());
-            if (status.kind !== "owned" || status.targetId !== owner) {
-                moved.abort();
-            }
-        });
-
-    /** Waits while nobody owns the key, as long as the request can still be served afterwards. */
-    const awaitOwner = async (job: Job, key: Key): Promise<TargetId | Placement> => {
-        const startedMs = nowMs();
-        for (;;) {
-            const now = nowMs();
-            const status = parts.owners.find(job.service.serviceId, key, now);
-            if (status.kind === "owned") {
-                return status.targetId;
-            }
-            const step = waitForOwner({ status, waitedMs: now - startedMs, leftMs: job.deadlineMs - job.expectedMs - now });
-            if (step.kind === "refuse") {
-                const retryAfterMs = spread(step.retryAfterMs);
-                return {
-                    kind: "refused",
-                    refusal: status.kind === "silent"
-                        ? { reason: "owner-silent", retryAfterMs, targetId: status.targetId }
-                        : { reason: "owner-unknown", retryAfterMs },
-                };
-            }
-            await waitFor(clock, step.atMostMs, [parts.owners.changed], job.call.left);
-            if (job.call.left.aborted) {
-                return { kind: "client-left" };
-            }
-            if (stopped.signal.aborted) {
-                return stoppingRefusal();
-            }
-        }
-    };
-
-    const stoppingRefusal = (): Placement =>
-        ({ kind: "refused", refusal: { reason: "stopping", retryAfterMs: spread(retryAfterStoppingMs) } });
-
-    const typicalMsOf = (route: Route) => route.targetLatencyMs * typicalWorkShare;
-
-    const workMsOf = (route: Route) => workTimes.meanMs(route.routeId, typicalMsOf(route));
-
-    const slotOf = ({ route, targetMs, deadlineMs }: Job) => ({
-        priority: route.priority,
-        workMs: workMsOf(route),
-        near: parts.dataCentreId,
-        targetMs, deadlineMs,
-    });
-
-    const toPlacement = (decision: SlotDecision, targetId?: TargetId): Placement => {
-        if (decision.kind === "granted") {
-            const target = view.targets.get(decision.targetId);
-            if (target === undefined) {
-                decision.leave({ kind: "dropped" });
-                return { kind: "refused", refusal: { reason: "no-target", retryAfterMs: spread(retryAfterUnreachableMs) } };
-            }
-            return { kind: "placed", target, expectedMs: decision.expectedMs, leave: decision.leave };
-        }
-        if (decision.reason === "withdrawn") {
-            return stopped.signal.aborted ? stoppingRefusal() : { kind: "client-left" };
-        }
-        const reason: RefusalReason = decision.reason === "overloaded" ? "overloaded" : "no-target";
-        return { kind: "refused", refusal: { reason, retryAfterMs: decision.retryAfterMs, targetId } };
-    };
-
     const send = async (job: Job, placed: Extract<Placement, { kind: "placed" }>): Promise<AttemptEnd> => {
         const remainingMs = job.deadlineMs - nowMs();
         const patienceMs = Math.max(minPatienceMs, placed.expectedMs * patienceRatio);
@@ -271,12 +137,9 @@
             cancelWithClient: job.route.idempotent,
         });
         placed.leave(workEndOf(end));
-        job.lastEnd = end;
         return end;
     };
 
-    const spread = (delayMs: number) => delayMs * (0.9 + parts.random() * 0.4);
-
     const countLoad = ({ service, call, expectedMs }: Job) => {
         if (service.sharded && call.key !== undefined) {
             parts.loads.count(service.serviceId, call.key, expectedMs);
@@ -284,7 +147,7 @@
     };
 
     const deliver = ({ call, route, tried }: Job, answer: HeldAnswer, tookMs: number) => {
-        workTimes.learn(route.routeId, tookMs, typicalMsOf(route));
+        workTimes.learn(route.routeId, tookMs, typicalWorkMs(route));
         requestLog.answered(call, route, tried, answer.head.status, tookMs);
         call.answer(answer.head, answer.body);
     };
@@ -298,7 +161,7 @@
     const run = async (job: Job): Promise<void> => {
         let mayHaveRun = false;
         for (;;) {
-            const placed = await place(job);
+            const placed = await placer.place(job);
             if (placed.kind === "client-left") {
                 requestLog.left(job.call, job.route, job.tried);
                 return;
--- /dev/null
+++ b/src/forwarding/placement.ts
@@ -0,0 +1,157 @@
+/** Finds the target for a request and gets it a slot there. */
+import type { AdmissionClient, SlotDecision } from "../admission/admissionClient.js";
+import type { WorkEnd } from "../admission/admissionQueue.js";
+import type { Refusal, RefusalReason } from "../entry/clientCall.js";
+import type { DataCentreId, Key, ServiceId, TargetId } from "../model/names.js";
+import { linkAborts, waitFor } from "../model/signal.js";
+import type { TargetEntry } from "../model/target.js";
+import type { Clock } from "../model/time.js";
+import type { Owners } from "../ownership/owners.js";
+import type { ClusterView } from "../store/clusterView.js";
+import type { Job } from "./job.js";
+import { waitForOwner } from "./ownerWait.js";
+import type { WorkTimes } from "./workTimes.js";
+import { typicalWorkMs } from "./workTimes.js";
+
+const retryAfterStoppingMs = 50;
+
+/** When to come back after a target could not be reached. */
+export const retryAfterUnreachableMs = 250;
+
+/** A target with a slot for the request, or the answer that the client gets instead. */
+export type Placement =
+    | { kind: "placed"; target: TargetEntry; expectedMs: number; leave: (end: WorkEnd) => void }
+    | { kind: "refused"; refusal: Refusal }
+    | { kind: "client-left" };
+
+/** What a placer works with. */
+export interface PlacerParts {
+    view: ClusterView;
+    owners: Owners;
+    admission: AdmissionClient;
+    workTimes: WorkTimes;
+    clock: Clock;
+    dataCentreId: DataCentreId;
+    /** Spreads a delay by chance. */
+    spread: (delayMs: number) => number;
+    /** Aborted when requests without a slot are to be turned away. */
+    stopped: AbortSignal;
+}
+
+/** Places requests. */
+export interface Placer {
+    /** Waits for a slot at the owner of the request's key, or at any target of a service without keys. */
+    place(job: Job): Promise<Placement>;
+}
+
+/**
+ * Creates the placer.
+ * @param parts what it works with
+ */
+export function createPlacer({ view, owners, admission, workTimes, clock, dataCentreId, spread, stopped }: PlacerParts): Placer {
+    const nowMs = () => clock.now().monoMs;
+
+    const place = async (job: Job): Promise<Placement> => {
+        const { call, service } = job;
+        if (service.sharded && call.key !== undefined) {
+            return placeAtOwner(job, call.key);
+        }
+        const until = linkAborts(call.left, stopped);
+        const decision = await admission.enter({
+            ...slotOf(job), group: { kind: "service", serviceId: service.serviceId }, avoid: [...job.tried], keptNear: undefined,
+        }, until.signal);
+        until.release();
+        return toPlacement(decision);
+    };
+
+    const placeAtOwner = async (job: Job, key: Key): Promise<Placement> => {
+        const { call, service } = job;
+        for (;;) {
+            const owner = await awaitOwner(job, key);
+            if (typeof owner !== "string") {
+                return owner;
+            }
+            const entry = view.targets.get(owner);
+            const moved = new AbortController();
+            const endWatch = watchOwner(service.serviceId, key, owner, moved);
+            const until = linkAborts(call.left, moved.signal, stopped);
+            const decision = await admission.enter({
+                ...slotOf(job), group: { kind: "target", targetId: owner }, avoid: [], keptNear: entry?.dataCentreId,
+            }, until.signal);
+            until.release();
+            endWatch();
+            if (!moved.signal.aborted || call.left.aborted || stopped.aborted) {
+                return toPlacement(decision, owner);
+            }
+            if (decision.kind === "granted") {
+                decision.leave({ kind: "dropped" });
+            }
+        }
+    };
+
+    /** Aborts when the owner of a key changes while its request waits. */
+    const watchOwner = (serviceId: ServiceId, key: Key, owner: TargetId, moved: AbortController): (() => void) =>
+        owners.changed.listen(() => {
+            const status = owners.find(serviceId, key, nowMs());
+            if (status.kind !== "owned" || status.targetId !== owner) {
+                moved.abort();
+            }
+        });
+
+    /** Waits while nobody owns the key, as long as the request can still be served afterwards. */
+    const awaitOwner = async (job: Job, key: Key): Promise<TargetId | Placement> => {
+        const startedMs = nowMs();
+        for (;;) {
+            const now = nowMs();
+            const status = owners.find(job.service.serviceId, key, now);
+            if (status.kind === "owned") {
+                return status.targetId;
+            }
+            const step = waitForOwner({ status, waitedMs: now - startedMs, leftMs: job.deadlineMs - job.expectedMs - now });
+            if (step.kind === "refuse") {
+                const retryAfterMs = spread(step.retryAfterMs);
+                return {
+                    kind: "refused",
+                    refusal: status.kind === "silent"
+                        ? { reason: "owner-silent", retryAfterMs, targetId: status.targetId }
+                        : { reason: "owner-unknown", retryAfterMs },
+                };
+            }
+            await waitFor(clock, step.atMostMs, [owners.changed], job.call.left);
+            if (job.call.left.aborted) {
+                return { kind: "client-left" };
+            }
+            if (stopped.aborted) {
+                return stoppingRefusal();
+            }
+        }
+    };
+
+    const stoppingRefusal = (): Placement =>
+        ({ kind: "refused", refusal: { reason: "stopping", retryAfterMs: spread(retryAfterStoppingMs) } });
+
+    const slotOf = ({ route, targetMs, deadlineMs }: Job) => ({
+        priority: route.priority,
+        workMs: workTimes.meanMs(route.routeId, typicalWorkMs(route)),
+        near: dataCentreId,
+        targetMs, deadlineMs,
+    });
+
+    const toPlacement = (decision: SlotDecision, targetId?: TargetId): Placement => {
+        if (decision.kind === "granted") {
+            const target = view.targets.get(decision.targetId);
+            if (target === undefined) {
+                decision.leave({ kind: "dropped" });
+                return { kind: "refused", refusal: { reason: "no-target", retryAfterMs: spread(retryAfterUnreachableMs) } };
+            }
+            return { kind: "placed", target, expectedMs: decision.expectedMs, leave: decision.leave };
+        }
+        if (decision.reason === "withdrawn") {
+            return stopped.aborted ? stoppingRefusal() : { kind: "client-left" };
+        }
+        const reason: RefusalReason = decision.reason === "overloaded" ? "overloaded" : "no-target";
+        return { kind: "refused", refusal: { reason, retryAfterMs: decision.retryAfterMs, targetId } };
+    };
+
+    return { place };
+}
--- a/src/forwarding/workTimes.ts
+++ b/src/forwarding/workTimes.ts
@@ -1,4 +1,8 @@
 /** How long work of each kind takes on average, over all targets. */
+import type { Route } from "../model/routing.js";
+
+/** Share of a route's target latency that its work usually takes. */
+const typicalWorkShare = 0.35;
 
 /** Weight of the newest observation once there are enough of them. */
 const leastWeight = 0.02;
@@ -38,3 +42,8 @@
         this.means.set(kind, mean);
     }
 }
+
+/** What the work of a route is taken to need before anything was observed, in milliseconds. */
+export function typicalWorkMs(route: Route): number {
+    return route.targetLatencyMs * typicalWorkShare;
+}
--- a/src/ownership/holder.ts
+++ b/src/ownership/holder.ts
@@ -149,8 +149,8 @@
             this.renewing = this.renewDue(signal);
             await this.renewing;
             const nowMs = this.parts.clock.now().monoMs;
-            const next = this.failedInARow > 0 ? nowMs + (this.silent ? silentRetryMs : retryMs) : this.nextDueMs(nowMs);
-            await waitFor(this.parts.clock, Math.max(1, next - nowMs), [this.poked], signal);
+            const pauseMs = this.failedInARow > 0 ? this.pauseAfterFailureMs() : this.nextDueMs(nowMs) - nowMs;
+            await waitFor(this.parts.clock, Math.max(1, pauseMs), [this.poked], signal);
         }
         this.session?.reset();
         this.spare?.reset();
@@ -228,6 +228,14 @@
         return { range, handover, fence: this.parts.fences.next(), session: undefined, dueMs: nowMs, heldUntilMs };
     }
 
+    /** A single failure may be one lost answer, and is tried again at once. */
+    private pauseAfterFailureMs(): number {
+        if (this.silent) {
+            return silentRetryMs;
+        }
+        return this.failedInARow === 1 ? 0 : retryMs;
+    }
+
     private nextDueMs(nowMs: number): number {
         return Math.min(nowMs + renewMs, ...this.leases.map(({ dueMs }) => dueMs));
     }
