A client that left before its request was read is noticed as soon as its connection's end is read

Ruled out: requests that wait in a queue (they are withdrawn). Test red before: clientHttp.spec, with the client in a process of its own and the host's loop held up.

--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -171,9 +171,15 @@
     const dialect = parts.dialects.find((one) => one.claims(path, request.headers)) as ClientDialect;
     const terms = dialect.termsOf(path, request.headers);
     const left = new AbortController();
+    const onLeft = () => {
+        left.abort();
+    };
+    // The runtime closes the response only some turns after it has read the end of the client's connection.
+    request.socket.once("end", onLeft);
     response.once("close", () => {
+        request.socket.off("end", onLeft);
         if (!response.writableFinished) {
-            left.abort();
+            onLeft();
         }
     });
 
--- /dev/null
+++ b/test/entry/clientHttp.spec.ts
@@ -0,0 +1,70 @@
+import { spawn } from "node:child_process";
+import net from "node:net";
+import { once } from "node:events";
+import { expect } from "chai";
+import { platformClientDialect } from "../../platform/dialect.js";
+import { createSystemClock } from "../../src/adapters/systemClock.js";
+import { createClientHttp } from "../../src/entry/clientHttp.js";
+
+const clock = createSystemClock();
+
+/** Holds the event loop up, as on a host without processor time. */
+function holdUp(durationMs: number): void {
+    const untilMs = performance.now() + durationMs;
+    while (performance.now() < untilMs) {
+        // Nothing else runs.
+    }
+}
+
+/** A client in a process of its own: connects, and sends its request and leaves when told to. */
+const clientScript = `
+    const socket = require("node:net").connect(Number(process.argv[1]), "127.0.0.1", () => process.stdout.write("connected"));
+    process.stdin.once("data", (request) => socket.end(request));
+`;
+
+/** Has a client send a request and leave while the host does not read; gives the requests that were served all the same. */
+async function servedAfterLeaving(request: string): Promise<number> {
+    let served = 0;
+    const clients = createClientHttp({
+        dialects: [platformClientDialect], clock,
+        serve: async (call) => {
+            await call.body.collect();
+            if (!call.left.aborted) {
+                served += 1;
+            }
+        },
+        onFault: () => undefined,
+    });
+    const port = await freePort();
+    await clients.listen(`127.0.0.1:${String(port)}`);
+    const client = spawn(process.execPath, ["-e", clientScript, String(port)]);
+    await once(client.stdout, "data");
+    client.stdin.write(request);
+    await new Promise((resolve) => {
+        setImmediate(resolve);
+    });
+    holdUp(200);
+    await clock.sleep(100);
+    clients.close();
+    client.kill();
+    return served;
+}
+
+async function freePort(): Promise<number> {
+    const probe = net.createServer().listen(0, "127.0.0.1");
+    await once(probe, "listening");
+    const { port } = probe.address() as net.AddressInfo;
+    probe.close();
+    await once(probe, "close");
+    return port;
+}
+
+describe("listener for clients", () => {
+    it("does not serve a request whose client left before it was read", async () => {
+        expect(await servedAfterLeaving("GET /a/ HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\n\r\n")).to.equal(0);
+    });
+
+    it("does not serve a request with a body whose client left before it was read", async () => {
+        expect(await servedAfterLeaving("POST /a/ HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\nab")).to.equal(0);
+    });
+});
