Work by key is counted without touching all keys; idle hosts wake less; a store that is away is asked less often

Tests: planner.spec as before; world.spec 'turns every host away', red before (20 calls/s a host, bound 10).

--- a/src/admission/queueKeeper.ts
+++ b/src/admission/queueKeeper.ts
@@ -1,6 +1,7 @@
 /** Keeps the queues that fall to this host, for all hosts. */
 import type { PeerConnection, PeerHandlers } from "../cluster/peerConnection.js";
 import type { TargetId } from "../model/names.js";
+import { Signal, waitFor } from "../model/signal.js";
 import type { KnownTarget } from "../model/target.js";
 import { mayReceive } from "../model/target.js";
 import type { Clock } from "../model/time.js";
@@ -10,8 +11,12 @@
 import type { EnterParams, EnterReply, Group, LeaveParams, WithdrawParams } from "./messages.js";
 import { admissionMethods, groupName } from "./messages.js";
 
+/** Period at which what waits is looked after. */
 const tickMs = 25;
 
+/** The same while nothing waits; slots whose end was never reported are freed this late. */
+const idleTickMs = 250;
+
 /** A queue that nobody used for this long is forgotten. */
 const idleQueueMs = 30_000;
 
@@ -66,6 +71,7 @@
  */
 export function createQueueKeeper({ view, clock, random, drainMs, isSilent }: QueueKeeperParts): QueueKeeper {
     const queues = new Map<string, KeptQueue>();
+    const waitBegan = new Signal();
     const ticketsByPeer = new Map<PeerConnection, Map<Ticket, Group>>();
 
     const queueOf = (group: Group, nowMs: number): KeptQueue => {
@@ -120,6 +126,9 @@
         return new Promise((resolve) => {
             kept.replies.set(params.ticket, resolve);
             deliver(kept, kept.queue.offer(toRequest(params, nowMs), nowMs));
+            if (kept.queue.waitingCount > 0) {
+                waitBegan.fire();
+            }
         });
     };
 
@@ -175,7 +184,8 @@
         }),
         run: async (signal) => {
             while (!signal.aborted) {
-                await clock.sleep(tickMs, signal);
+                const isWaiting = [...queues.values()].some(({ queue, hasLeaving }) => hasLeaving || queue.waitingCount > 0);
+                await (isWaiting ? clock.sleep(tickMs, signal) : waitFor(clock, idleTickMs, [waitBegan], signal));
                 const nowMs = clock.now().monoMs;
                 for (const [name, kept] of queues) {
                     refresh(kept, nowMs);
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -32,7 +32,9 @@
 const ledgerPeriodMs = 650;
 
 const newsPeriodMs = 300;
-const readRetryMs = 100;
+
+/** The term is what must be confirmed soonest after a failure. */
+const confirmRetryMs = 120;
 
 /** A host that reported nothing for this long is not at work. */
 const memberSilentMs = 1_200;
@@ -195,7 +197,7 @@
                 resumeIfNobodyTookOver(askedAt);
                 pushLedger(reading.value.ledger, from);
             }
-            const pauseMs = reading.isOk() ? ledgerPeriodMs - authority.ageMs(clock.now()) : readRetryMs;
+            const pauseMs = reading.isOk() ? ledgerPeriodMs - authority.ageMs(clock.now()) : confirmRetryMs;
             await waitFor(clock, pauseMs, [confirmNow], signal);
         }
     };
@@ -216,7 +218,7 @@
                 targetsConfirmedAt = askedAt;
                 pushTargets(reading.value.targets);
             }
-            await clock.sleep(reading.isOk() ? targetsPeriodMs : readRetryMs, signal);
+            await clock.sleep(targetsPeriodMs, signal);
         }
     };
 
@@ -232,7 +234,7 @@
             const before = view.config?.offset;
             const reading = await reader.read("configuration", configWaitMs);
             if (reading.isErr()) {
-                await clock.sleep(readRetryMs, signal);
+                await clock.sleep(targetsPeriodMs, signal);
             }
             else if (view.config?.offset !== before) {
                 push(newsNow());
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -37,6 +37,9 @@
 const ownReadPeriodMs = 250;
 const retryMs = 80;
 
+/** Up to so many hosts each ask a store that is away at their own period. */
+const fewHosts = 8;
+
 /** Period at which a host that knows other targets than the coordinator asks for all of them. */
 const catchUpPeriodMs = 1_000;
 
@@ -114,9 +117,11 @@
     /** Reads every topic from the store. */
     const readAll = async (): Promise<boolean> => {
         const askedMs = nowMs();
-        const readings = await Promise.all([reader.read("ledger", 0), reader.read("targets", 0), reader.read("configuration", 0)]);
+        // One call shows whether the store answers; each is priced, and all hosts ask while it is away.
+        const ledger = await reader.read("ledger", 0);
+        const others = ledger.isErr() ? [] : await Promise.all([reader.read("targets", 0), reader.read("configuration", 0)]);
         owners.refresh();
-        const whole = readings.every((reading) => reading.isOk());
+        const whole = [ledger, ...others].every((reading) => reading.isOk());
         confirmedMs = whole ? Math.max(confirmedMs, askedMs) : confirmedMs;
         return whole;
     };
@@ -124,13 +129,16 @@
     const knowledgeAgeMs = (atMs: number) =>
         coordinator === undefined ? atMs - confirmedMs : coordinator.storeAgeMs(clock.now());
 
+    /** Pause before a store that did not answer is asked again: all hosts together ask at about the same rate. */
+    const storePauseMs = () => ownReadPeriodMs * Math.max(1, membership.members().length / fewHosts);
+
     /** Reads the store while the coordinator does not keep this host up to date. */
     const keepFresh = async (signal: AbortSignal) => {
+        let pauseMs = ownReadPeriodMs;
         while (!signal.aborted) {
-            await clock.sleep(ownReadPeriodMs, signal);
-            if (coordinator === undefined && knowledgeAgeMs(nowMs()) > staleAfterMs) {
-                await readAll();
-            }
+            await clock.sleep(pauseMs, signal);
+            const isStale = coordinator === undefined && knowledgeAgeMs(nowMs()) > staleAfterMs;
+            pauseMs = isStale && !await readAll() ? storePauseMs() : ownReadPeriodMs;
         }
     };
 
@@ -366,7 +374,7 @@
                 await claim();
                 return;
             }
-            await clock.sleep(Math.min(retryMs, Math.max(1, atMs - nowMs())), signal);
+            await clock.sleep(isRead ? Math.min(retryMs, Math.max(1, atMs - nowMs())) : storePauseMs(), signal);
             if (lost !== undefined && nowMs() > atMs + coordinatorSilentMs) {
                 return;
             }
--- a/src/ownership/keyLoads.ts
+++ b/src/ownership/keyLoads.ts
@@ -17,22 +17,25 @@
 /** Load that all keys together are taken to have at least, besides what was counted, so that idle ranges are spread by their width. */
 const leastUncounted = 0.5;
 
-/** Quick averages below this are forgotten. */
-const negligibleLoad = leastUncounted / (maxKey + 1);
+/** Quick averages below this are forgotten; chance explains what is many times as high. */
+const negligibleLoad = 0.02;
 
 const meanWeight = 0.05;
 
+/** Fading sums are kept as of one moment for so many times their memory, well within what a number can hold. */
+const maxMemories = 20;
+
 /** The averages hold less than their full load until they have run for a while. */
 const minWarmth = 0.15;
 
 /** Load by key of one service, as slots that an average target needs for it. */
 export class KeyLoads {
-    private readonly slow = new Float64Array(maxKey + 1);
-    private readonly quick = new Map<number, number>();
+    private readonly slow = new FadingSum(slowMemoryMs);
+    private readonly quick = new Map<number, { load: number; atMs: number }>();
     private readonly load = new Float64Array(maxKey + 1);
     private readonly sums = new Float64Array(maxKey + 2);
     private startedMs: number | undefined;
-    private decayedMs = 0;
+    private nowMs = 0;
     private meanWorkMs = 0;
     private expected = 0;
     private summed = false;
@@ -58,36 +61,23 @@
             const key = pairs[index] as number;
             const workMs = pairs[index + 1] as number;
             if (key >= 0 && key <= maxKey) {
-                this.slow[key] = (this.slow[key] as number) + workMs / slowMemoryMs;
-                this.quick.set(key, (this.quick.get(key) ?? 0) + workMs / quickMemoryMs);
+                this.slow.add(key, workMs / slowMemoryMs, this.nowMs);
+                this.quick.set(key, { load: this.quickLoad(key) + workMs / quickMemoryMs, atMs: this.nowMs });
                 this.meanWorkMs += (workMs - this.meanWorkMs) * meanWeight;
             }
         }
-        this.summed = false;
     }
 
     /** Lets old load fade. */
     decay(nowMs: number): void {
         this.startedMs ??= nowMs;
-        const passedMs = nowMs - Math.max(this.decayedMs, this.startedMs);
-        this.decayedMs = nowMs;
-        if (passedMs <= 0) {
-            return;
-        }
-        const slowFactor = Math.exp(-passedMs / slowMemoryMs);
-        for (let key = 0; key <= maxKey; key++) {
-            this.slow[key] = (this.slow[key] as number) * slowFactor;
-        }
-        const quickFactor = Math.exp(-passedMs / quickMemoryMs);
-        for (const [key, load] of this.quick) {
-            if (load * quickFactor < negligibleLoad) {
-                this.quick.delete(key);
-            }
-            else {
-                this.quick.set(key, load * quickFactor);
-            }
-        }
-        this.summed = false;
+        this.summed &&= nowMs <= this.nowMs;
+        this.nowMs = Math.max(this.nowMs, nowMs);
+    }
+
+    private quickLoad(key: number): number {
+        const quick = this.quick.get(key);
+        return quick === undefined ? 0 : quick.load * Math.exp((quick.atMs - this.nowMs) / quickMemoryMs);
     }
 
     /** Load of a range. */
@@ -142,22 +132,80 @@
         if (this.summed) {
             return;
         }
-        const ranMs = this.decayedMs - (this.startedMs ?? 0);
-        const warmth = Math.max(minWarmth, 1 - Math.exp(-ranMs / slowMemoryMs));
+        const counted = this.countSlow() + this.countQuick();
+        const uncountedLoad = Math.max(leastUncounted, this.expected - counted) / (maxKey + 1);
+        const { load, sums } = this;
+        let total = 0;
         for (let key = 0; key <= maxKey; key++) {
-            this.load[key] = (this.slow[key] as number) / warmth;
+            total += (load[key] as number) + uncountedLoad;
+            sums[key + 1] = total;
         }
-        for (const [key, quick] of this.quick) {
+        this.summed = true;
+    }
+
+    /** Puts the slow average into `load`; gives its sum. */
+    private countSlow(): number {
+        const ranMs = this.nowMs - (this.startedMs ?? 0);
+        const warmth = Math.max(minWarmth, 1 - Math.exp(-ranMs / slowMemoryMs));
+        return this.slow.copyTo(this.load, 1 / warmth, this.nowMs);
+    }
+
+    /** Raises `load` where the quick average is higher by more than chance; gives what that adds. */
+    private countQuick(): number {
+        let added = 0;
+        for (const key of this.quick.keys()) {
+            const quick = this.quickLoad(key);
+            if (quick < negligibleLoad) {
+                this.quick.delete(key);
+                continue;
+            }
             const certain = quick - surprise * Math.sqrt(quick * this.meanWorkMs / quickMemoryMs);
-            this.load[key] = Math.max(this.load[key] as number, certain);
+            const more = certain - (this.load[key] as number);
+            if (more > 0) {
+                this.load[key] = certain;
+                added += more;
+            }
         }
-        const counted = this.load.reduce((sum, load) => sum + load, 0);
-        const uncountedLoad = Math.max(leastUncounted, this.expected - counted) / (maxKey + 1);
+        return added;
+    }
+}
+
+/**
+ * Sums by key that fade with time. They are kept as of one moment, and what is added later counts for more instead, so that
+ * adding touches single keys only.
+ */
+class FadingSum {
+    private readonly sums = new Float64Array(maxKey + 1);
+    private asOfMs = 0;
+
+    /** @param memoryMs time after which a sum has faded to a third */
+    constructor(private readonly memoryMs: number) {}
+
+    add(key: number, amount: number, nowMs: number): void {
+        if (nowMs - this.asOfMs > this.memoryMs * maxMemories) {
+            this.rebase(nowMs);
+        }
+        this.sums[key] = (this.sums[key] as number) + amount * Math.exp((nowMs - this.asOfMs) / this.memoryMs);
+    }
+
+    /** Copies the sums as of now, times a factor; gives their total. */
+    copyTo(into: Float64Array, factor: number, nowMs: number): number {
+        const { sums } = this;
+        const scale = factor * Math.exp((this.asOfMs - nowMs) / this.memoryMs);
         let total = 0;
         for (let key = 0; key <= maxKey; key++) {
-            total += (this.load[key] as number) + uncountedLoad;
-            this.sums[key + 1] = total;
+            const sum = (sums[key] as number) * scale;
+            into[key] = sum;
+            total += sum;
         }
-        this.summed = true;
+        return total;
+    }
+
+    private rebase(nowMs: number): void {
+        const scale = Math.exp((this.asOfMs - nowMs) / this.memoryMs);
+        for (let key = 0; key <= maxKey; key++) {
+            this.sums[key] = (this.sums[key] as number) * scale;
+        }
+        this.asOfMs = nowMs;
     }
 }
--- a/src/ownership/planner.ts
+++ b/src/ownership/planner.ts
@@ -9,7 +9,7 @@
 import { allKeys } from "../model/names.js";
 import type { KeyLoads } from "./keyLoads.js";
 import type { OwnedRange } from "./ownerMap.js";
-import { withoutRange } from "./ranges.js";
+import { overlaps, withoutRange } from "./ranges.js";
 
 /** What may be done with a target's keys. */
 export type TargetStanding =
@@ -206,12 +206,16 @@
     const hasNewcomer = emptiest.some((taker) => isNewcomer(taker, mean));
     const fullest = [...givers].sort((left, right) => fullness(right) - fullness(left)).slice(0, maxGivers)
         .filter((giver) => fullness(giver) > relieveAbove || hasNewcomer);
-    const candidates = fullest.flatMap((giver) => emptiest.filter((taker) => taker !== giver).flatMap((taker) => {
-        const least = fullness(giver) > relieveAbove ? minGain : isNewcomer(taker, mean) ? minNewcomerGain : Number.POSITIVE_INFINITY;
-        return piecesFor(input, giver, taker, busy, Math.max(leastFill, mean * fillAboveMean))
-            .map((range) => toCandidate(range, input.loads.of(range), giver, taker))
-            .filter(({ gain }) => gain >= least);
-    }));
+    const fillTo = Math.max(leastFill, mean * fillAboveMean);
+    const candidates = fullest.flatMap((giver) => {
+        const pieces = piecesOf(input, giver, emptiest, busy);
+        return emptiest.filter((taker) => taker !== giver).flatMap((taker) => {
+            const least = fullness(giver) > relieveAbove ? minGain : isNewcomer(taker, mean) ? minNewcomerGain : Number.POSITIVE_INFINITY;
+            return piecesFor(pieces, input.loads, idealLoad(giver, taker, fillTo))
+                .map((range) => toCandidate(range, input.loads.of(range), giver, taker))
+                .filter(({ gain }) => gain >= least);
+        });
+    });
     return candidates.reduce<Candidate | undefined>((best, one) => best === undefined || one.gain > best.gain ? one : best, undefined);
 }
 
@@ -231,20 +235,33 @@
     return fullness(account) < mean * newcomerShare;
 }
 
+/** What a giver may give. */
+interface Pieces {
+    /** Its ranges, without what is on the move. */
+    ranges: readonly KeyRange[];
+    hotKeys: readonly KeyRange[];
+}
+
+function piecesOf(input: PlannerInput, giver: Account, takers: readonly Account[], busy: readonly KeyRange[]): Pieces {
+    const ranges = input.ranges.filter((range) => range.targetId === giver.target.targetId)
+        .flatMap((range) => busy.filter((other) => overlaps(range, other)).reduce<readonly KeyRange[]>(withoutRange, [range]));
+    const capacity = takers.reduce((least, { target }) => Math.min(least, target.capacity), giver.target.capacity);
+    return { ranges, hotKeys: ranges.flatMap((range) => hotKeysOf(range, input.loads, capacity * hotKeyShare)) };
+}
+
 /**
- * Pieces of the giver's ranges that the taker might get: an end of about the ideal load, or one hot key by itself. A piece
- * makes the two equal at most, and leaves room for what others bring, since it cannot be cut again while it moves.
+ * Load that a move should take to the taker: it makes the two equal at most, and leaves room for what others bring, since
+ * a piece cannot be cut again while it moves.
  */
-function piecesFor(input: PlannerInput, giver: Account, taker: Account, busy: readonly KeyRange[], fillTo: number): KeyRange[] {
-    const own = input.ranges.filter((range) => range.targetId === giver.target.targetId)
-        .flatMap((range) => busy.reduce<readonly KeyRange[]>(withoutRange, [range]));
+function idealLoad(giver: Account, taker: Account, fillTo: number): number {
     const { capacity: from } = giver.target;
     const { capacity: to } = taker.target;
-    const ideal = Math.min((giver.load * to - taker.load * from) / (from + to), fillTo * to - taker.load);
-    return own.flatMap((range) => [
-        ...endsOf(range, input.loads, ideal),
-        ...hotKeysOf(range, input.loads, Math.min(from, to) * hotKeyShare),
-    ]);
+    return Math.min((giver.load * to - taker.load * from) / (from + to), fillTo * to - taker.load);
+}
+
+/** Pieces that a taker might get: an end of about the ideal load, or one hot key by itself. */
+function piecesFor({ ranges, hotKeys }: Pieces, loads: KeyLoads, ideal: number): KeyRange[] {
+    return [...ranges.flatMap((range) => endsOf(range, loads, ideal)), ...hotKeys];
 }
 
 function endsOf(range: KeyRange, loads: KeyLoads, wanted: number): KeyRange[] {
@@ -284,5 +301,5 @@
 }
 
 function overlapsAny(range: KeyRange, others: readonly KeyRange[]): boolean {
-    return others.some((other) => range.from <= other.to && other.from <= range.to);
+    return others.some((other) => overlaps(range, other));
 }
--- a/test/world/virtualStore.ts
+++ b/test/world/virtualStore.ts
@@ -31,6 +31,8 @@
     readonly refusing = new Set<HostId>();
     readonly cutFrom = new Set<HostId>();
     isDown = false;
+    /** Calls that hosts sent. */
+    calls = 0;
     weather: StoreWeather = { loseAnswer: 0, lateAppend: 0 };
     private readonly topics = new Map<TopicName, Topic>();
 
@@ -57,6 +59,7 @@
                 await process.pass();
                 return err(failure("lost", step, "store", "no answer in time"));
             };
+            this.calls += 1;
             if (this.isDown || this.cutFrom.has(hostId)) {
                 return giveUp();
             }
--- a/test/world/world.spec.ts
+++ b/test/world/world.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { isBad, playRun } from "./runs.js";
+import { World } from "./world.js";
 
 /** Seeds that once showed two owners of a key, with the cause. */
 const onceBad: [seed: number, cause: string][] = [
@@ -34,3 +35,21 @@
         }
     }).timeout(60_000);
 });
+
+describe("a store that turns every host away", () => {
+    const hostCount = 3;
+
+    it("is asked a few times a second by each host, whether one coordinates or not, and taken up again soon", async () => {
+        const world = new World(77);
+        await world.clock.advance(5_000);
+        world.hostIds.forEach((hostId) => world.store.refusing.add(hostId));
+        const before = world.store.calls;
+        await world.clock.advance(8_000);
+        expect((world.store.calls - before) / hostCount / 8).to.be.below(10);
+        world.store.refusing.clear();
+        await world.clock.advance(15_000);
+        expect(world.targets.heldKeys()).to.equal(1);
+        expect(world.targets.violations).to.deep.equal([]);
+        world.stop();
+    });
+});
