--- a/src/ownership/ownershipKeeper.ts
+++ b/src/ownership/ownershipKeeper.ts
@@ -8,7 +8,7 @@
 import type { ClusterView } from "../store/clusterView.js";
 import type { FenceCounter } from "./fences.js";
 import { FirstPlacement } from "./firstPlacement.js";
-import type { HolderParts } from "./holder.js";
+import type { HolderParts, ReleaseOutcome } from "./holder.js";
 import { Holder, holdBoundMs, usualHoldMs } from "./holder.js";
 import { KeyLoads } from "./keyLoads.js";
 import type { LeasePort } from "./leasePort.js";
@@ -29,6 +29,10 @@
 /** A leaving target's work under way is awaited until its lease would have ended anyway. */
 const leavingReleaseTimeoutMs = usualHoldMs;
 
+/** Times that a leaving target is asked to give a range up, and the pause between. */
+const releaseAttempts = 6;
+const retryReleaseMs = 120;
+
 /** Pause before a move that failed is planned again. */
 const retryMoveMs = 300;
 
@@ -265,8 +269,7 @@
         const startedMs = clock.now().monoMs;
         parts.onMove(move, "begun");
         const holder = holders.get(from)?.holder;
-        const timeoutMs = move.reason === "leaving" ? leavingReleaseTimeoutMs : balanceReleaseTimeoutMs;
-        const released = await holder?.release(move.range, timeoutMs);
+        const released = await (move.reason === "leaving" ? releaseForCertain(holder, move.range) : holder?.release(move.range, balanceReleaseTimeoutMs));
         const releasedMs = clock.now().monoMs;
         const isFree = released?.kind === "released"
             || (released?.kind === "failed" && move.reason === "leaving" && await outwait(active, heldUntilMs(released.heldUntilMs, holder)));
@@ -286,11 +289,27 @@
         log.info(done ? "keys moved" : "move given up", {
             service: serviceId, ...describeMove(move), from, handover: handover !== undefined,
             releaseMs: Math.round(releasedMs - startedMs), totalMs: Math.round(clock.now().monoMs - startedMs),
-            ...released?.kind === "failed" ? { why: released.failure.message } : {},
-            ...assigned?.isErr() === true ? { why: assigned.error.message } : {},
+            ...released?.kind === "failed" ? { notReleased: `${released.failure.step}: ${released.failure.message}` } : {},
+            ...assigned?.isErr() === true ? { notRecorded: assigned.error.message } : {},
         });
     };
 
+    /** A full target resets connections; asking again costs less than waiting until its lease has run out. */
+    const releaseForCertain = async (holder: Holder | undefined, range: KeyRange): Promise<ReleaseOutcome | undefined> => {
+        let heldUntilMs = Number.NEGATIVE_INFINITY;
+        for (let attempt = 1; ; attempt++) {
+            const outcome = await holder?.release(range, leavingReleaseTimeoutMs);
+            if (outcome?.kind !== "failed") {
+                return outcome;
+            }
+            heldUntilMs = Math.max(heldUntilMs, outcome.heldUntilMs);
+            if (attempt === releaseAttempts || holder?.isSilent === true || holder?.hasEnded === true) {
+                return { ...outcome, heldUntilMs };
+            }
+            await clock.sleep(retryReleaseMs);
+        }
+    };
+
     /** A target that has certainly ended holds nothing, whoever granted it. */
     const heldUntilMs = (grantedUntilMs: number, holder: Holder | undefined): number =>
         holder?.hasEnded === true ? Number.NEGATIVE_INFINITY : Math.max(grantedUntilMs, parts.predecessor.grantsUntilMs);
--- /dev/null
+++ b/test/ownership/ownershipKeeper.spec.ts
@@ -0,0 +1,95 @@
+import { expect } from "chai";
+import { err, ok } from "neverthrow";
+import { failure } from "../../src/model/failure.js";
+import type { Address, DataCentreId, Key, KeyRange, Offset, ServiceId, TargetId, Term } from "../../src/model/names.js";
+import { maxKey } from "../../src/model/names.js";
+import type { RoutingConfig } from "../../src/model/routing.js";
+import type { TargetEntry } from "../../src/model/target.js";
+import { FenceCounter } from "../../src/ownership/fences.js";
+import { usualHoldMs } from "../../src/ownership/holder.js";
+import { ownershipKeyOf } from "../../src/ownership/ledger.js";
+import type { LeaseSession } from "../../src/ownership/leasePort.js";
+import type { LedgerWriter } from "../../src/ownership/ledgerWriter.js";
+import { draftOwnerships } from "../../src/ownership/ownershipDraft.js";
+import { createOwnershipKeeper } from "../../src/ownership/ownershipKeeper.js";
+import { ClusterView } from "../../src/store/clusterView.js";
+import { VirtualClock } from "../support/virtualTime.js";
+
+const service = "s" as ServiceId;
+const allKeys: KeyRange = { from: 0 as Key, to: maxKey as Key };
+
+function entry(name: string, state: TargetEntry["state"]): TargetEntry {
+    return {
+        targetId: name as TargetId, serviceId: service, address: `${name}:1` as Address, dataCentreId: "a" as DataCentreId,
+        slots: 3, state, bornWallMs: 1, sequence: 1, warmingUp: false,
+    };
+}
+
+/** Keys of `old`, which leaves, beside `new`; the first releases fail as on a full target that resets connections. */
+function setUp(failingReleases: number) {
+    const clock = new VirtualClock();
+    const view = new ClusterView();
+    const config = { services: [{ serviceId: service, sharded: true }], routes: [] } as unknown as RoutingConfig;
+    view.applyConfig(config, 0 as Offset, 1 as Offset);
+    view.applyLedger([{
+        offset: 0 as Offset, key: ownershipKeyOf("old" as TargetId),
+        record: { kind: "ownership", targetId: "old" as TargetId, serviceId: service, address: "old:1" as Address, ranges: [allKeys] },
+    }], 0 as Offset, 1 as Offset);
+    view.applyTargets([
+        { targetId: "old" as TargetId, offset: 0 as Offset, entry: entry("old", "draining") },
+        { targetId: "new" as TargetId, offset: 1 as Offset, entry: entry("new", "ready") },
+    ], 2 as Offset, 0);
+    let releases = 0;
+    const session: LeaseSession = {
+        isOpen: true, closed: new Promise(() => undefined), reset: () => undefined,
+        grant: async () => {
+            await clock.sleep(1);
+            return ok("granted" as const);
+        },
+        release: async () => {
+            await clock.sleep(1);
+            releases += 1;
+            return releases <= failingReleases ? err(failure("lost", "release", "old", "reset by the target")) : ok("token");
+        },
+    };
+    const writer: LedgerWriter = {
+        assign: (assignments) => {
+            const upTo = view.ledger.upTo;
+            const changes = draftOwnerships(view.ledger, assignments).map((draft, index) => ({ ...draft, offset: upTo + index as Offset }));
+            view.applyLedger(changes, upTo, upTo + changes.length as Offset);
+            return Promise.resolve(ok(undefined));
+        },
+        isSound: () => true,
+    };
+    const keeper = createOwnershipKeeper({
+        view, clock, writer, fences: new FenceCounter(1 as Term), leases: { open: () => Promise.resolve(ok(session)) },
+        log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+        mayGrant: () => true, mayBalance: () => true, holdMs: () => usualHoldMs,
+        predecessor: { actsUntilMs: 0, grantsUntilMs: 12_000 },
+        onOutdated: () => undefined, onMove: () => undefined,
+    });
+    const stop = new AbortController();
+    void keeper.run(stop.signal);
+    const ownerOf = () => view.ledger.ownerships().find(({ ranges }) => ranges.length > 0)?.targetId;
+    return { clock, ownerOf, end: () => {
+        stop.abort();
+    } };
+}
+
+describe("keys of a leaving target", () => {
+    it("are asked for again when it resets the connection, rather than waited for until every lease has run out", async () => {
+        const { clock, ownerOf, end } = setUp(3);
+        await clock.advance(1_500);
+        expect(ownerOf()).to.equal("new");
+        end();
+    });
+
+    it("are waited for when it never gives them up", async () => {
+        const { clock, ownerOf, end } = setUp(1_000);
+        await clock.advance(8_000);
+        expect(ownerOf()).to.equal("old");
+        await clock.advance(8_000);
+        expect(ownerOf()).to.equal("new");
+        end();
+    });
+});
