A host that has just started and knows of no targets keeps no queue

It now says that it is not ready, and is passed over like one that does not answer. Test red before: admissionClient.spec.

--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -1,4 +1,5 @@
 /** Asks the host that keeps a queue for a slot, on behalf of a request of this host. */
+import { ok } from "neverthrow";
 import type { Member, Membership } from "../cluster/membership.js";
 import type { PeerLinks } from "../cluster/peerLinks.js";
 import type { DataCentreId, TargetId } from "../model/names.js";
@@ -45,6 +46,9 @@
     enter(request: SlotRequest, signal: AbortSignal): Promise<SlotDecision>;
 }
 
+/** What a queue says. */
+type QueueReply = Exclude<EnterReply, { unready: true }>;
+
 /** What a client works with. */
 export interface AdmissionClientParts {
     keeper: QueueKeeper;
@@ -69,19 +73,18 @@
         ].slice(0, maxKeepers);
     };
 
-    const ask = async (member: Member, params: EnterParams): Promise<EnterReply | undefined> => {
-        if (isSelf(member)) {
-            return keeper.enter(params);
-        }
-        const timeoutMs = params.deadlineLeftMs + replySlackMs;
-        const reply = await links.call<EnterReply>(member.peerAddress, admissionMethods.enter, params, timeoutMs);
-        if (reply.isErr()) {
-            membership.suspect(member.peerAddress, clock.now().monoMs + passOverMs);
-            return undefined;
+    const ask = async (member: Member, params: EnterParams): Promise<QueueReply | undefined> => {
+        const reply = isSelf(member) ? ok(await keeper.enter(params)) : await askPeer(member, params);
+        if (reply.isOk() && !("unready" in reply.value)) {
+            return reply.value;
         }
-        return reply.value;
+        membership.suspect(member.peerAddress, clock.now().monoMs + passOverMs);
+        return undefined;
     };
 
+    const askPeer = (member: Member, params: EnterParams) =>
+        links.call<EnterReply>(member.peerAddress, admissionMethods.enter, params, params.deadlineLeftMs + replySlackMs);
+
     const tell = (member: Member, method: "leave" | "withdraw", params: { group: Group; ticket: Ticket; end?: WorkEnd }) => {
         if (!isSelf(member)) {
             links.notify(member.peerAddress, admissionMethods[method], params);
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -25,7 +25,9 @@
 /** Answer to `EnterParams`. */
 export type EnterReply =
     | { granted: TargetId; expectedMs: number }
-    | { refused: "overloaded" | "no-target"; retryAfterMs: number };
+    | { refused: "overloaded" | "no-target"; retryAfterMs: number }
+    /** The host has just started and knows of no targets yet, so it can keep no queue. */
+    | { unready: true };
 
 /** Gives a slot back. */
 export interface LeaveParams {
--- a/src/admission/queueKeeper.ts
+++ b/src/admission/queueKeeper.ts
@@ -121,6 +121,9 @@
     };
 
     const enter = (params: EnterParams): Promise<EnterReply> => {
+        if (view.targetsUpTo < 0) {
+            return Promise.resolve({ unready: true });
+        }
         const nowMs = clock.now().monoMs;
         const kept = queueOf(params.group, nowMs);
         return new Promise((resolve) => {
--- /dev/null
+++ b/test/admission/admissionClient.spec.ts
@@ -0,0 +1,70 @@
+import { expect } from "chai";
+import { ok } from "neverthrow";
+import { createAdmissionClient } from "../../src/admission/admissionClient.js";
+import type { Ticket } from "../../src/admission/admissionQueue.js";
+import type { EnterReply } from "../../src/admission/messages.js";
+import { createQueueKeeper } from "../../src/admission/queueKeeper.js";
+import type { Member } from "../../src/cluster/membership.js";
+import { Membership } from "../../src/cluster/membership.js";
+import type { PeerLinks } from "../../src/cluster/peerLinks.js";
+import type { Address, DataCentreId, HostId, RunId, ServiceId, TargetId } from "../../src/model/names.js";
+import { ClusterView } from "../../src/store/clusterView.js";
+import { VirtualClock } from "../support/virtualTime.js";
+
+const here = "here" as DataCentreId;
+
+function member(name: string): Member {
+    return { hostId: name as HostId, runId: `${name}-run` as RunId, peerAddress: `${name}:1` as Address, dataCentreId: here, cpuShare: 1 };
+}
+
+/** A host that knows nothing yet among peers that answer as a test says. */
+function setUp(replies: Record<string, EnterReply>) {
+    const clock = new VirtualClock();
+    const membership = new Membership(member("self"));
+    membership.update(Object.keys(replies).map(member));
+    const keeper = createQueueKeeper({
+        view: new ClusterView(), clock, random: () => 0.5, drainMs: 1_000, isSilent: () => false,
+    });
+    const asked: string[] = [];
+    const links = {
+        call: (address: string) => {
+            const name = address.split(":")[0] ?? "";
+            asked.push(name);
+            return Promise.resolve(ok(replies[name]));
+        },
+        notify: () => undefined,
+    } as unknown as PeerLinks;
+    let tickets = 0;
+    const client = createAdmissionClient({
+        keeper, membership, links, clock,
+        nextTicket: () => {
+            tickets += 1;
+            return `t${String(tickets)}` as Ticket;
+        },
+    });
+    const enter = () => client.enter({
+        group: { kind: "service", serviceId: "s" as ServiceId }, priority: 1, workMs: 10, near: here, avoid: [],
+        targetMs: 1_000, deadlineMs: 2_000, keptNear: undefined,
+    }, new AbortController().signal);
+    return { enter, asked };
+}
+
+describe("request for a slot", () => {
+    it("goes on to the next host when one has just started and knows of no targets, this one too", async () => {
+        const { enter, asked } = setUp({
+            fresh: { unready: true }, other: { granted: "k1" as TargetId, expectedMs: 10 },
+        });
+        const first = await enter();
+        expect(first.kind).to.equal("granted");
+        asked.length = 0;
+        const second = await enter();
+        expect(second.kind).to.equal("granted");
+        expect(asked).to.deep.equal(["other"]);
+    });
+
+    it("is turned away when no host keeps a queue", async () => {
+        const { enter } = setUp({ fresh: { unready: true } });
+        const decision = await enter();
+        expect(decision.kind === "refused" && decision.reason).to.equal("no-keeper");
+    });
+});
