A reset connection to the coordinator is opened again instead of starting a succession

Now it connects again at once; only a host that cannot be reached, does not answer or does not coordinate is succeeded, and whoever waits for its turn asks the store once. Ruled out: the coordinator's own knowledge being old. Test red before: world.spec 'connections between hosts that are reset' (term 2 instead of 1).

--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -52,6 +52,20 @@
 /** Ranks of hosts while it is not known which are at work. */
 const unknownRanks = 6;
 
+const connectionClosed = "connection closed";
+
+/** Queues of a coordinator that fell silent are kept elsewhere for this long. */
+const passOverMs = 1_000;
+
+/** How following a coordinator ended. */
+type FollowEnd =
+    /** Another term is in force, or this host stops. */
+    | "superseded"
+    /** The connection ended; the coordinator may be well. */
+    | "closed"
+    /** It cannot be reached, does not answer, or does not coordinate any more. */
+    | "lost";
+
 const noPredecessor: Predecessor = { actsUntilMs: 0, grantsUntilMs: 0 };
 
 /** What a node works with. */
@@ -206,20 +220,20 @@
         }
     };
 
-    /** Follows a coordinator until it is lost. */
-    const follow = async (term: TermRecord, signal: AbortSignal): Promise<void> => {
+    /** Follows a coordinator until the connection ends, or until it is lost. */
+    const follow = async (term: TermRecord, signal: AbortSignal): Promise<FollowEnd> => {
         const connected = await links.connect(term.peerAddress);
         if (connected.isErr()) {
-            return;
+            return "lost";
         }
         const connection = connected.value;
         const reply = await askForNews(connection);
         if (reply.isErr()) {
-            return;
+            return "lost";
         }
         if (!reply.value.accepted) {
             endedRun = reply.value.runId === term.runId ? undefined : term.runId;
-            return;
+            return "lost";
         }
         log.info("following", { coordinator: term.hostId, term: term.term });
         coordinatorConfirmedMs = nowMs();
@@ -227,7 +241,7 @@
         let lostBecause: string | undefined;
         const closed = new Signal();
         void connection.closed.then(() => {
-            lostBecause ??= "connection closed";
+            lostBecause ??= connectionClosed;
             closed.fire();
         });
         while (!signal.aborted && lostBecause === undefined && latestTerm()?.term === term.term) {
@@ -235,14 +249,19 @@
             await waitFor(clock, reportPeriodMs, [closed, termHeard], signal);
             lostBecause ??= nowMs() - connection.lastHeardMs > coordinatorSilentMs ? "silent" : undefined;
             if (isCutOff() && await takeOverFromCutOff(term, connection, signal)) {
-                return;
+                return "superseded";
             }
         }
-        if (lostBecause !== undefined) {
-            log.warn("coordinator lost", { coordinator: term.hostId, term: term.term, why: lostBecause });
-            connection.destroy();
-            membership.suspect(term.peerAddress, nowMs() + 1_000);
+        if (lostBecause === undefined) {
+            return "superseded";
         }
+        log.warn("coordinator lost", { coordinator: term.hostId, term: term.term, why: lostBecause });
+        connection.destroy();
+        if (lostBecause === connectionClosed) {
+            return "closed";
+        }
+        membership.suspect(term.peerAddress, nowMs() + passOverMs);
+        return "lost";
     };
 
     const isCutOff = () => nowMs() - coordinatorConfirmedMs > coordinatorCutOffMs;
@@ -366,7 +385,7 @@
         const rank = lost?.hostId === self.hostId ? 0 : rankOf(others);
         const atMs = claimAtMs({ lostSinceMs, rank, othersKnown: others.length, othersHeard: heard });
         while (!signal.aborted && !leaving) {
-            const isRead = await readAll();
+            const isRead = (await reader.read("ledger", 0)).isOk();
             if (latestTerm()?.term !== lost?.term) {
                 return;
             }
@@ -374,7 +393,8 @@
                 await claim();
                 return;
             }
-            await clock.sleep(isRead ? Math.min(retryMs, Math.max(1, atMs - nowMs())) : storePauseMs(), signal);
+            // Whoever claims the term first makes it known; until this host's turn there is nothing to ask the store for.
+            await waitFor(clock, isRead ? Math.max(1, atMs - nowMs()) : storePauseMs(), [termHeard], signal);
             if (lost !== undefined && nowMs() > atMs + coordinatorSilentMs) {
                 return;
             }
@@ -433,10 +453,9 @@
                     await coordinate(term, signal);
                     continue;
                 }
-                if (term !== undefined && term.hostId !== self.hostId) {
-                    await follow(term, signal);
-                }
-                if (latestTerm()?.term === term?.term) {
+                const isOther = term !== undefined && term.hostId !== self.hostId;
+                const end = isOther ? await follow(term, signal) : "lost";
+                if (end !== "closed" && latestTerm()?.term === term?.term) {
                     await succeed(term, signal);
                 }
                 await clock.sleep(1, signal);
--- a/test/world/world.spec.ts
+++ b/test/world/world.spec.ts
@@ -53,3 +53,25 @@
         world.stop();
     });
 });
+
+describe("connections between hosts that are reset", () => {
+    it("are opened again without another term or a rush on the store", async () => {
+        const world = new World(78);
+        await world.clock.advance(5_000);
+        const termOf = () => [...world.hosts.runs.values()].map(({ view }) => view.ledger.term?.term);
+        const terms = termOf();
+        const before = world.store.calls;
+        await world.clock.advance(2_000);
+        const usualCalls = world.store.calls - before;
+        for (const { connections } of world.hosts.runs.values()) {
+            [...connections].forEach((connection) => {
+                connection.close();
+            });
+        }
+        const beforeReset = world.store.calls;
+        await world.clock.advance(2_000);
+        expect(termOf()).to.deep.equal(terms);
+        expect(world.store.calls - beforeReset).to.be.at.most(usualCalls + 6);
+        world.stop();
+    });
+});
