--- a/test/fleet/fleet.ts
+++ b/test/fleet/fleet.ts
@@ -153,8 +153,12 @@
         return server;
     }
 
-    /** Starts a daemon. */
-    async startHost(name: string): Promise<FleetHost> {
+    /**
+     * Starts a daemon.
+     * @param name of the host
+     * @param storeAddress where it finds the store
+     */
+    async startHost(name: string, storeAddress = this.store.address): Promise<FleetHost> {
         const [peerPort, clientPort, readyPort, adminPort] = await this.takePorts();
         const settingsFile = join(this.folder, `${name}.toml`);
         const logFile = join(this.folder, `${name}.log`);
@@ -163,7 +167,7 @@
             "heartbeat_ms = 300", "bounds = [\"drain_ms=2000\",\"grace_s=6\",\"retry_budget_ratio=0.2\",\"budget_extra_retries=20\"]",
             "[listen]", `front = "${host}:${String(clientPort)}"`, `ready = "${host}:${String(readyPort)}"`,
             "[limits]", "cpu_share = 0.5", "memory_mb = 350", "max_fds = 4100",
-            "[platform]", `address = "${this.store.address}"`,
+            "[platform]", `address = "${storeAddress}"`,
         ].join("\n"));
         const child = spawn(process.execPath, ["target/hornbeam-host.cjs", "--admin-port", String(adminPort)], {
             env: { PATH: process.env["PATH"], [settingsVariable]: settingsFile }, stdio: ["ignore", openSync(logFile, "a"), "inherit"],
