Claims, news, holders and standings are modules of their own; a wait for an owner ends soon after it should

No change of behaviour there: world, cluster and ownership specs as before. Cause of the second (read in the diff): requests for a silent owner's keys waited until their deadline when its lease had ended and nothing could be recorded. The wait now ends 0.7 s beyond what was known at first, and the coordinator says of silent targets too that a store in trouble takes longer. Test: ownerWait.spec 'ends soon after'.

--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -1,18 +1,14 @@
 /** This host among the others: it coordinates, or follows the coordinator, or takes over. */
 import type { QueueKeeper } from "../admission/queueKeeper.js";
-import type { Address, Offset, RunId, Term } from "../model/names.js";
-import { hash } from "../model/rendezvous.js";
+import type { Address } from "../model/names.js";
 import { linkAborts, Signal, waitFor } from "../model/signal.js";
-import type { Clock, Instant } from "../model/time.js";
+import type { Clock } from "../model/time.js";
 import type { Log } from "../observe/log.js";
-import { holdBoundMs } from "../ownership/holder.js";
-import { encodeLedgerRecord, termKey } from "../ownership/ledger.js";
 import type { TermRecord } from "../ownership/ledger.js";
 import type { LeasePort } from "../ownership/leasePort.js";
 import type { LoadMeter } from "../ownership/loadMeter.js";
 import type { Owners } from "../ownership/owners.js";
-import type { OwnershipKeeperParts, Predecessor } from "../ownership/ownershipKeeper.js";
-import { authorityMs } from "../ownership/termAuthority.js";
+import type { OwnershipKeeperParts } from "../ownership/ownershipKeeper.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { StorePort } from "../store/storePort.js";
 import type { TopicReader } from "../store/topicReader.js";
@@ -21,9 +17,11 @@
 import type { Member, Membership } from "./membership.js";
 import type { ConfigurationReply, FollowParams, FollowReply, News, Report, ResignReply } from "./messages.js";
 import { clusterMethods } from "./messages.js";
+import { createNewsIntake } from "./newsIntake.js";
 import type { PeerConnection, PeerHandlers } from "./peerConnection.js";
 import type { PeerLinks } from "./peerLinks.js";
-import { claimAtMs, rankStepMs } from "./succession.js";
+import { claimAtMs, rankAmong, rankStepMs } from "./succession.js";
+import { TermClaims } from "./termClaims.js";
 
 const reportPeriodMs = 300;
 const callTimeoutMs = 500;
@@ -40,18 +38,9 @@
 /** Up to so many hosts each ask a store that is away at their own period. */
 const fewHosts = 8;
 
-/** Period at which a host that knows other targets than the coordinator asks for all of them. */
-const catchUpPeriodMs = 1_000;
-
 /** A host that can read the store takes over from a coordinator that cannot, after this time. */
 const coordinatorCutOffMs = 1_300;
 
-/** A claim counts as taken over from a coordinator that resigned only if it was acknowledged this soon. */
-const resignedClaimMs = 800;
-
-/** Ranks of hosts while it is not known which are at work. */
-const unknownRanks = 6;
-
 const connectionClosed = "connection closed";
 
 /** Queues of a coordinator that fell silent are kept elsewhere for this long. */
@@ -66,8 +55,6 @@
     /** It cannot be reached, does not answer, or does not coordinate any more. */
     | "lost";
 
-const noPredecessor: Predecessor = { actsUntilMs: 0, grantsUntilMs: 0 };
-
 /** What a node works with. */
 export interface NodeParts {
     self: Member;
@@ -103,22 +90,15 @@
  * @param parts what it works with
  */
 export function createNode(parts: NodeParts): ClusterNode {
-    const { self, view, reader, store, membership, owners, links, clock, log } = parts;
+    const { self, view, reader, membership, owners, links, clock, log } = parts;
     let coordinator: Coordinator | undefined;
     let stopCoordinating: AbortController | undefined;
     const termHeard = new Signal();
-    let predecessor = noPredecessor;
-    /** Run of a coordinator that certainly has ended, since another process has its address. */
-    let endedRun: RunId | undefined;
-    let termConfirmedAt: Instant | undefined;
-    let confirmedMs = Number.NEGATIVE_INFINITY;
-    /** The same for what the coordinator knows. */
-    let coordinatorConfirmedMs = Number.NEGATIVE_INFINITY;
+    /** Monotonic time at which this host itself asked the store for what it knows. */
+    let readMs = Number.NEGATIVE_INFINITY;
     let leaving = false;
     /** A later term than the ledger's, as its coordinator made it known. */
     let announced: TermRecord | undefined;
-    let catchingUp = false;
-    let caughtUpMs = Number.NEGATIVE_INFINITY;
 
     const nowMs = () => clock.now().monoMs;
 
@@ -128,6 +108,9 @@
         return announced !== undefined && announced.term > (term?.term ?? 0) ? announced : term;
     };
 
+    const claims = new TermClaims(parts);
+    const intake = createNewsIntake({ ...parts, latestTerm: () => latestTerm()?.term });
+
     /** Reads every topic from the store. */
     const readAll = async (): Promise<boolean> => {
         const askedMs = nowMs();
@@ -136,12 +119,12 @@
         const others = ledger.isErr() ? [] : await Promise.all([reader.read("targets", 0), reader.read("configuration", 0)]);
         owners.refresh();
         const whole = [ledger, ...others].every((reading) => reading.isOk());
-        confirmedMs = whole ? Math.max(confirmedMs, askedMs) : confirmedMs;
+        readMs = whole ? Math.max(readMs, askedMs) : readMs;
         return whole;
     };
 
     const knowledgeAgeMs = (atMs: number) =>
-        coordinator === undefined ? atMs - confirmedMs : coordinator.storeAgeMs(clock.now());
+        coordinator === undefined ? atMs - Math.max(readMs, intake.confirmedMs) : coordinator.storeAgeMs(clock.now());
 
     /** Pause before a store that did not answer is asked again: all hosts together ask at about the same rate. */
     const storePauseMs = () => ownReadPeriodMs * Math.max(1, membership.members().length / fewHosts);
@@ -156,70 +139,6 @@
         }
     };
 
-    const applyNews = (news: News, from: PeerConnection) => {
-        if (news.term < (latestTerm()?.term ?? 0)) {
-            return;
-        }
-        coordinatorConfirmedMs = Math.max(coordinatorConfirmedMs, nowMs() - news.storeAgeMs);
-        confirmedMs = Math.max(confirmedMs, coordinatorConfirmedMs);
-        view.applyTargets(news.targets ?? [], news.targetsUpTo, nowMs());
-        if (news.ledger !== undefined) {
-            view.applyLedger(news.ledger, news.ledgerFrom ?? news.ledgerUpTo, news.ledgerUpTo);
-            owners.refresh();
-        }
-        if (news.notice !== undefined) {
-            owners.setNotice(news.notice, nowMs());
-            view.touchTargets();
-        }
-        if (news.members !== undefined) {
-            membership.update(news.members);
-        }
-        if (news.configOffset > (view.config?.offset ?? -1)) {
-            void fetchConfig(from);
-        }
-        const differs = news.targetsDigest !== view.targets.digest() && nowMs() - caughtUpMs > catchUpPeriodMs;
-        if (news.ledgerUpTo > view.ledger.upTo || differs) {
-            void catchUp(from, differs);
-        }
-    };
-
-    /**
-     * Asks for what is missing. News may overtake the answer to the first question, and hosts that read the store at other
-     * times may have taken other entries for lapsed.
-     */
-    const catchUp = async (from: PeerConnection, allTargets: boolean) => {
-        if (catchingUp) {
-            return;
-        }
-        catchingUp = true;
-        caughtUpMs = allTargets ? nowMs() : caughtUpMs;
-        const reply = await askForNews(from, allTargets);
-        catchingUp = false;
-        if (reply.isOk() && reply.value.accepted) {
-            applyNews(reply.value.news, from);
-        }
-    };
-
-    const askForNews = (from: PeerConnection, allTargets = false) => {
-        const params: FollowParams = {
-            member: self, ledgerUpTo: view.ledger.upTo, targetsFrom: allTargets ? 0 as Offset : view.targetsUpTo,
-        };
-        return from.call<FollowReply>(clusterMethods.follow, params, callTimeoutMs);
-    };
-
-    /** The store is the nearest source of a configuration; the coordinator helps when it cannot be read. */
-    const fetchConfig = async (from: PeerConnection) => {
-        const before = view.config?.offset;
-        await reader.read("configuration", 0);
-        if (view.config?.offset !== before) {
-            return;
-        }
-        const reply = await from.call<ConfigurationReply | undefined>(clusterMethods.configuration, {}, callTimeoutMs);
-        if (reply.isOk() && reply.value !== undefined) {
-            view.applyConfig(reply.value.config, reply.value.offset, view.configUpTo);
-        }
-    };
-
     /** Follows a coordinator until the connection ends, or until it is lost. */
     const follow = async (term: TermRecord, signal: AbortSignal): Promise<FollowEnd> => {
         const connected = await links.connect(term.peerAddress);
@@ -227,17 +146,17 @@
             return "lost";
         }
         const connection = connected.value;
-        const reply = await askForNews(connection);
+        const reply = await intake.ask(connection);
         if (reply.isErr()) {
             return "lost";
         }
         if (!reply.value.accepted) {
-            endedRun = reply.value.runId === term.runId ? undefined : term.runId;
+            claims.noteEnded(reply.value.runId === term.runId ? undefined : term.runId);
             return "lost";
         }
         log.info("following", { coordinator: term.hostId, term: term.term });
-        coordinatorConfirmedMs = nowMs();
-        applyNews(reply.value.news, connection);
+        intake.noteFollowing();
+        intake.apply(reply.value.news, connection);
         let lostBecause: string | undefined;
         const closed = new Signal();
         void connection.closed.then(() => {
@@ -264,12 +183,12 @@
         return "lost";
     };
 
-    const isCutOff = () => nowMs() - coordinatorConfirmedMs > coordinatorCutOffMs;
+    const isCutOff = () => nowMs() - intake.confirmedMs > coordinatorCutOffMs;
 
     /** The coordinator answers but cannot read the store; the first host that can takes over. */
     const takeOverFromCutOff = async (term: TermRecord, connection: PeerConnection, signal: AbortSignal): Promise<boolean> => {
         const others = membership.members().filter(({ hostId }) => hostId !== self.hostId && hostId !== term.hostId);
-        await clock.sleep(rankOf(others) * rankStepMs, signal);
+        await clock.sleep(rankAmong(self, others) * rankStepMs, signal);
         if (leaving || !isCutOff() || !await readAll() || latestTerm()?.term !== term.term) {
             return false;
         }
@@ -283,60 +202,14 @@
         if (reply.isErr() || !reply.value.resigned) {
             return false;
         }
-        return claim({ grantsLastMs: reply.value.grantsLastMs, resignedMs: nowMs() });
-    };
-
-    /**
-     * Claims the next term.
-     * @param resigned what the predecessor said when it resigned; undefined when it was lost
-     */
-    const claim = async (resigned?: { grantsLastMs: number; resignedMs: number }): Promise<boolean> => {
-        const before = view.ledger.term;
-        const record: TermRecord = {
-            kind: "term", term: (before?.term ?? 0) + 1 as Term, hostId: self.hostId, runId: self.runId, peerAddress: self.peerAddress,
-        };
-        const sentAt = clock.now();
-        const outcome = await store.append([encodeLedgerRecord(termKey, record)], view.ledger.upTo);
-        log.info("term claimed", {
-            term: record.term, end: view.ledger.upTo, resigned: resigned !== undefined,
-            outcome: outcome.isOk() ? outcome.value.kind : outcome.error.message,
-        });
-        if (outcome.isErr() || outcome.value.kind === "conflict") {
-            await reader.read("ledger", 0);
-            return false;
-        }
-        predecessor = before === undefined ? noPredecessor : predecessorOf(before, resigned);
-        termConfirmedAt = sentAt;
-        const { offset } = outcome.value;
-        view.applyLedger([{ offset, key: termKey, record }], offset, offset + 1 as Offset);
-        return true;
-    };
-
-    /** Works out what the coordinator before may still do. */
-    const predecessorOf = (before: TermRecord, resigned?: { grantsLastMs: number; resignedMs: number }): Predecessor => {
-        const now = nowMs();
-        if (resigned !== undefined && now - resigned.resignedMs < resignedClaimMs) {
-            return { actsUntilMs: now, grantsUntilMs: now + resigned.grantsLastMs };
-        }
-        return lostPredecessor(before.hostId === self.hostId || before.runId === endedRun);
-    };
-
-    const lostPredecessor = (hasEnded: boolean): Predecessor => {
-        const actsUntilMs = nowMs() + (hasEnded ? 0 : authorityMs);
-        return { actsUntilMs, grantsUntilMs: actsUntilMs + holdBoundMs(parts.maxHoldMs) };
+        return claims.claim({ grantsLastMs: reply.value.grantsLastMs, resignedMs: nowMs() });
     };
 
     const coordinate = async (term: TermRecord, signal: AbortSignal) => {
-        if (termConfirmedAt === undefined) {
-            // The claim was only read, not acknowledged: nothing is known of what happened meanwhile.
-            predecessor = lostPredecessor(false);
-        }
-        const started = createCoordinator({
-            ...parts, term: term.term, confirmedAt: termConfirmedAt ?? clock.now(), predecessor,
-        });
-        termConfirmedAt = undefined;
+        const claimed = claims.take();
+        const started = createCoordinator({ ...parts, ...claimed, term: term.term });
         coordinator = started;
-        log.info("coordinating", { term: term.term, predecessorMs: Math.round(Math.max(0, predecessor.grantsUntilMs - nowMs())) });
+        log.info("coordinating", { term: term.term, predecessorMs: Math.round(Math.max(0, claimed.predecessor.grantsUntilMs - nowMs())) });
         const stop = new AbortController();
         stopCoordinating = stop;
         void reportToSelf(started, stop.signal);
@@ -346,7 +219,7 @@
         until.release();
         stop.abort();
         coordinator = undefined;
-        confirmedMs = nowMs();
+        readMs = nowMs();
         log.info("not coordinating any more", { term: term.term, now: view.ledger.term?.hostId });
     };
 
@@ -382,7 +255,7 @@
         const lostSinceMs = nowMs();
         const others = membership.members().filter(({ hostId }) => hostId !== self.hostId && hostId !== lost?.hostId);
         const heard = await countHeard(others);
-        const rank = lost?.hostId === self.hostId ? 0 : rankOf(others);
+        const rank = lost?.hostId === self.hostId ? 0 : rankAmong(self, others);
         const atMs = claimAtMs({ lostSinceMs, rank, othersKnown: others.length, othersHeard: heard });
         while (!signal.aborted && !leaving) {
             const isRead = (await reader.read("ledger", 0)).isOk();
@@ -390,7 +263,7 @@
                 return;
             }
             if (isRead && nowMs() >= atMs) {
-                await claim();
+                await claims.claim();
                 return;
             }
             // Whoever claims the term first makes it known; until this host's turn there is nothing to ask the store for.
@@ -401,14 +274,6 @@
         }
     };
 
-    const rankOf = (others: readonly Member[]): number => {
-        if (others.length === 0) {
-            return 1 + hash(self.hostId) % unknownRanks;
-        }
-        const weight = ({ cpuShare, hostId }: Member) => cpuShare * 1e9 + hash(hostId) / 0x1_0000_0000;
-        return others.filter((other) => weight(other) > weight(self)).length;
-    };
-
     const countHeard = async (others: readonly Member[]): Promise<number> => {
         const replies = await Promise.all(others.map(({ peerAddress }) => links.call(peerAddress, "probe", {}, callTimeoutMs)));
         return replies.filter((reply) => reply.isOk()).length;
@@ -427,7 +292,7 @@
             [clusterMethods.follow]: (params: FollowParams, from: PeerConnection): FollowReply =>
                 coordinator?.follow(params, from) ?? { accepted: false, runId: self.runId },
             [clusterMethods.news]: (news: News, from: PeerConnection) => {
-                applyNews(news, from);
+                intake.apply(news, from);
             },
             [clusterMethods.report]: (report: Report, from: PeerConnection) => {
                 coordinator?.report(report, from);
--- a/src/cluster/succession.ts
+++ b/src/cluster/succession.ts
@@ -4,6 +4,8 @@
  * Load pattern: a coordinator is lost, and every host notices at about the same time. They claim the term one after the
  * other, so that the store sees one claim and not one from each.
  */
+import { hash } from "../model/rendezvous.js";
+import type { Member } from "./membership.js";
 
 /** Time between the claims of two hosts that follow each other in rank. */
 export const rankStepMs = 120;
@@ -32,3 +34,20 @@
     const isolated = othersHeard * 2 < othersKnown;
     return lostSinceMs + rank * rankStepMs + (isolated ? isolatedMs : 0);
 }
+
+/** Ranks of hosts while it is not known which are at work. */
+const unknownRanks = 6;
+
+/**
+ * Gives a host's rank among those that may take over: hosts with more processor time first.
+ * @param self the host
+ * @param others the other hosts at work, as far as it knows
+ * @returns 0 for the first
+ */
+export function rankAmong(self: Member, others: readonly Member[]): number {
+    if (others.length === 0) {
+        return 1 + hash(self.hostId) % unknownRanks;
+    }
+    const weight = ({ cpuShare, hostId }: Member) => cpuShare * 1e9 + hash(hostId) / 0x1_0000_0000;
+    return others.filter((other) => weight(other) > weight(self)).length;
+}
--- a/src/forwarding/ownerWait.ts
+++ b/src/forwarding/ownerWait.ts
@@ -12,6 +12,8 @@
     status: Exclude<OwnerStatus, { kind: "owned" }>;
     /** Time for which the request has waited for an owner. */
     waitedMs: number;
+    /** Longest time that it may wait, by what was known at first; see `longestWaitMs`. */
+    longestMs: number;
     /** Time left until work on it must begin to be of use. */
     leftMs: number;
 }
@@ -23,7 +25,7 @@
     /** Turn the request away; there may be an owner after this time. */
     | { kind: "refuse"; retryAfterMs: number };
 
-/** Longest wait when nobody says how long it will take; moves that take longer are given up. */
+/** Longest wait beyond what was said, or when nobody says how long it will take; moves that take longer are given up. */
 const longestBlindWaitMs = 700;
 
 /** An owner is looked for again after this time, though nothing was heard. */
@@ -37,11 +39,23 @@
  * Decides what follows while a key has no owner.
  * @param of the situation
  */
-export function waitForOwner({ status, waitedMs, leftMs }: OwnerWaitSituation): OwnerWaitStep {
-    const freeInMs = status.kind === "unowned" ? undefined : status.freeInMs;
-    const isHopeless = leftMs <= 0 || (freeInMs === undefined ? waitedMs >= longestBlindWaitMs : freeInMs > leftMs);
+export function waitForOwner({ status, waitedMs, longestMs, leftMs }: OwnerWaitSituation): OwnerWaitStep {
+    const freeInMs = freeInMsOf(status);
+    const isHopeless = leftMs <= 0 || waitedMs >= longestMs || (freeInMs ?? 0) > leftMs;
     if (isHopeless) {
         return { kind: "refuse", retryAfterMs: Math.max(minRetryAfterMs, freeInMs ?? blindRetryAfterMs) };
     }
     return { kind: "wait", atMostMs: Math.max(1, Math.min(leftMs, lookAgainMs)) };
 }
+
+/**
+ * Gives the longest wait for an owner.
+ * @param status what is known at the beginning of the wait
+ */
+export function longestWaitMs(status: OwnerWaitSituation["status"]): number {
+    return (freeInMsOf(status) ?? 0) + longestBlindWaitMs;
+}
+
+function freeInMsOf(status: OwnerWaitSituation["status"]): number | undefined {
+    return status.kind === "unowned" ? undefined : status.freeInMs;
+}
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -9,7 +9,7 @@
 import type { Owners } from "../ownership/owners.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { Job } from "./job.js";
-import { waitForOwner } from "./ownerWait.js";
+import { longestWaitMs, waitForOwner } from "./ownerWait.js";
 import type { WorkTimes } from "./workTimes.js";
 import { typicalWorkMs } from "./workTimes.js";
 
@@ -101,13 +101,16 @@
     /** Waits while nobody owns the key, as long as the request can still be served afterwards. */
     const awaitOwner = async (job: Job, key: Key): Promise<TargetId | Placement> => {
         const startedMs = nowMs();
+        let longestMs: number | undefined;
         for (;;) {
             const now = nowMs();
             const status = owners.find(job.service.serviceId, key, now);
             if (status.kind === "owned") {
                 return status.targetId;
             }
-            const step = waitForOwner({ status, waitedMs: now - startedMs, leftMs: job.deadlineMs - job.expectedMs - now });
+            longestMs ??= longestWaitMs(status);
+            const leftMs = job.deadlineMs - job.expectedMs - now;
+            const step = waitForOwner({ status, waitedMs: now - startedMs, longestMs, leftMs });
             if (step.kind === "refuse") {
                 const retryAfterMs = spread(step.retryAfterMs);
                 return {
--- a/src/ownership/ownershipKeeper.ts
+++ b/src/ownership/ownershipKeeper.ts
@@ -1,15 +1,16 @@
 /** The coordinator's work on owners: grants what the ledger says, moves keys, takes the keys of lost targets back. */
 import type { TargetPressure } from "../admission/queueKeeper.js";
 import type { Address, KeyRange, ServiceId, TargetId } from "../model/names.js";
-import { linkAborts, Signal, waitFor } from "../model/signal.js";
-import type { TargetEntry } from "../model/target.js";
+import { Signal, waitFor } from "../model/signal.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { FenceCounter } from "./fences.js";
 import { FirstPlacement } from "./firstPlacement.js";
-import type { HolderParts, ReleaseOutcome } from "./holder.js";
-import { Holder, holdBoundMs, usualHoldMs } from "./holder.js";
+import type { Holder, HolderParts, ReleaseOutcome } from "./holder.js";
+import { holdBoundMs, usualHoldMs } from "./holder.js";
+import type { HandedOver } from "./holderSet.js";
+import { createHolderSet } from "./holderSet.js";
 import { KeyLoads } from "./keyLoads.js";
 import type { LeasePort } from "./leasePort.js";
 import type { KeyLoads as ReportedLoads } from "./loadMeter.js";
@@ -17,9 +18,10 @@
 import { OwnerMap } from "./ownerMap.js";
 import type { Assignment } from "./ownershipDraft.js";
 import type { MovingRange, OwnershipNotice } from "./owners.js";
-import type { Move, PlannerTarget, TargetStanding } from "./planner.js";
+import type { Move } from "./planner.js";
 import { planMoves } from "./planner.js";
-import { contains, isSameRange, overlaps, withoutRange } from "./ranges.js";
+import { contains, overlaps } from "./ranges.js";
+import { TargetStandings } from "./targetStandings.js";
 
 const planMs = 150;
 
@@ -42,15 +44,9 @@
 /** A store in trouble is taken to be so for at least this long. */
 const storeTroubleMs = 2_500;
 
-/** Slowness that a target is taken to have in its first seconds. */
-const warmUpSlowness = 2;
-
 /** Share of a service's capacity that is expected to be used before anything was counted. */
 const expectedUse = 0.3;
 
-/** A report on a target's slowness counts for this long. */
-const pressureLastsMs = 5_000;
-
 /** What an earlier coordinator may still do, by this host's monotonic clock. */
 export interface Predecessor {
     /** Until then it may send grants; a target that restarts meanwhile has forgotten its fences and would take them. */
@@ -106,9 +102,7 @@
  */
 export function createOwnershipKeeper(parts: OwnershipKeeperParts): OwnershipKeeper {
     const { view, clock, log, writer } = parts;
-    const holders = new Map<TargetId, { holder: Holder; stop: AbortController }>();
     const loadsByService = new Map<ServiceId, KeyLoads>();
-    const pressures = new Map<TargetId, { slowness: number; atMs: number }>();
     const firstPlacements = new Map<ServiceId, FirstPlacement>();
     const moves = new Set<ActiveMove>();
     const retryAfterMs = new Map<TargetId, number>();
@@ -116,15 +110,23 @@
     const noticeChanged = new Signal();
     const poked = new Signal();
 
+    const movingOf = (serviceId: ServiceId): KeyRange[] =>
+        [...moves].filter((active) => active.serviceId === serviceId).map(({ move }) => move.range);
+
     const holderParts: HolderParts = {
         leases: parts.leases, fences: parts.fences, clock, log,
         mayGrant: parts.mayGrant, holdMs: parts.holdMs, onOutdated: parts.onOutdated,
         isRecorded: (targetId, range) => {
             const record = view.ledger.ownershipOf(targetId);
             return record?.ranges.some((owned) => contains(owned, range)) === true
-                && ![...moves].some(({ serviceId, move }) => serviceId === record.serviceId && overlaps(move.range, range));
+                && !movingOf(record.serviceId).some((moving) => overlaps(moving, range));
         },
     };
+    const holders = createHolderSet(view, holderParts, () => {
+        noticeChanged.fire();
+        poked.fire();
+    });
+    const standings = new TargetStandings(view, holders, parts.predecessor.grantsUntilMs);
 
     const shardedServices = (): ServiceId[] =>
         [...view.config?.services.values() ?? []].filter(({ sharded }) => sharded).map(({ serviceId }) => serviceId);
@@ -141,80 +143,9 @@
         return placement.isDue(view.targets.ofService(serviceId).length, nowMs);
     };
 
-    const startHolder = (entry: Pick<TargetEntry, "targetId" | "address">, signal: AbortSignal): Holder => {
-        const known = holders.get(entry.targetId);
-        if (known !== undefined) {
-            known.holder.moveTo(entry.address);
-            return known.holder;
-        }
-        const holder = new Holder(entry.targetId, entry.address, holderParts);
-        const stop = new AbortController();
-        holders.set(entry.targetId, { holder, stop });
-        const until = linkAborts(signal, stop.signal);
-        void holder.run(until.signal).then(until.release);
-        holder.changed.listen(() => {
-            noticeChanged.fire();
-            poked.fire();
-        });
-        return holder;
-    };
-
-    /** Every target of a sharded service has a holder, so that it is known to answer before it is given keys. */
-    const syncHolders = (signal: AbortSignal) => {
-        const wanted = new Set<TargetId>();
-        for (const serviceId of shardedServices()) {
-            for (const entry of view.targets.ofService(serviceId)) {
-                wanted.add(entry.targetId);
-                startHolder(entry, signal);
-            }
-        }
-        for (const record of view.ledger.ownerships().filter(({ targetId }) => view.targets.get(targetId) === undefined)) {
-            wanted.add(record.targetId);
-            startHolder(record, signal);
-        }
-        for (const [targetId, { holder, stop }] of holders) {
-            if (!wanted.has(targetId) && holder.ranges.length === 0) {
-                stop.abort();
-                holders.delete(targetId);
-            }
-        }
-    };
-
     /** Grants what the ledger says, but for what is on the move. */
-    const syncRanges = (handovers: readonly { range: KeyRange; handover: string | undefined }[] = []) => {
-        const owned = new Map(view.ledger.ownerships().map((record) => [record.targetId, record]));
-        for (const [targetId, { holder }] of holders) {
-            const record = owned.get(targetId);
-            const away = [...moves].filter(({ serviceId }) => serviceId === record?.serviceId).map(({ move }) => move.range);
-            const ranges = away.reduce<readonly KeyRange[]>(withoutRange, record?.ranges ?? []);
-            if (!isSameSet(ranges, holder.ranges)) {
-                holder.setRanges(ranges, handovers);
-            }
-        }
-    };
-
-    const standingOf = (targetId: TargetId, nowMs: number): TargetStanding => {
-        const entry = view.targets.get(targetId);
-        const holder = holders.get(targetId)?.holder;
-        if (holder === undefined) {
-            return nowMs > parts.predecessor.grantsUntilMs ? "free" : "unsure";
-        }
-        if (holder.isSilent) {
-            return holder.hasEnded || nowMs > Math.max(holder.freeAtMs, parts.predecessor.grantsUntilMs) ? "free" : "unsure";
-        }
-        if (entry === undefined || entry.state !== "ready" || view.ledger.drained().includes(targetId)) {
-            return "leaving";
-        }
-        return holder.isConnected ? "ready" : "unsure";
-    };
-
-    const plannerTarget = (targetId: TargetId, nowMs: number): PlannerTarget => {
-        const entry = view.targets.get(targetId);
-        const pressure = pressures.get(targetId);
-        const slowness = pressure !== undefined && nowMs - pressure.atMs < pressureLastsMs
-            ? pressure.slowness
-            : entry?.warmingUp === true ? warmUpSlowness : 1;
-        return { targetId, standing: standingOf(targetId, nowMs), capacity: (entry?.slots ?? 1) / slowness };
+    const syncRanges = (handedOver: readonly HandedOver[] = []) => {
+        holders.syncRanges(movingOf, handedOver);
     };
 
     const plan = (serviceId: ServiceId, nowMs: number): Move[] => {
@@ -223,7 +154,7 @@
             return [];
         }
         const ids = new Set([...view.targets.ofService(serviceId), ...ranges].map(({ targetId }) => targetId));
-        const targets = [...ids].map((targetId) => plannerTarget(targetId, nowMs));
+        const targets = [...ids].map((targetId) => standings.forPlanner(targetId, nowMs));
         const loads = loadsOf(serviceId);
         loads.decay(nowMs);
         loads.expect(expectedUse * targets.reduce((sum, { standing, capacity }) => standing === "ready" ? sum + capacity : sum, 0));
@@ -231,7 +162,7 @@
         return planMoves({
             targets, ranges, loads,
             settling: settling.filter((one) => one.serviceId === serviceId).map(({ range }) => range),
-            moving: [...moves].filter((active) => active.serviceId === serviceId).map(({ move }) => move.range),
+            moving: movingOf(serviceId),
         }).filter(({ from }) => from === undefined || nowMs >= (retryAfterMs.get(from) ?? 0));
     };
 
@@ -257,7 +188,7 @@
     /** A silent target that comes back just now must not be granted a range that is about to go to another. */
     const abandonOwner = async (serviceId: ServiceId, range: KeyRange): Promise<number> => {
         const owner = new OwnerMap(view.ledger.ownerships()).ownerOf(serviceId, range.from);
-        const holder = owner === undefined ? undefined : holders.get(owner)?.holder;
+        const holder = owner === undefined ? undefined : holders.get(owner);
         const freeAtMs = await holder?.abandon(range) ?? Number.NEGATIVE_INFINITY;
         return owner === undefined || holder?.hasEnded === true ? freeAtMs : Math.max(freeAtMs, parts.predecessor.grantsUntilMs);
     };
@@ -268,7 +199,7 @@
         noticeChanged.fire();
         const startedMs = clock.now().monoMs;
         parts.onMove(move, "begun");
-        const holder = holders.get(from)?.holder;
+        const holder = holders.get(from);
         const released = await (move.reason === "leaving" ? releaseForCertain(holder, move.range) : holder?.release(move.range, balanceReleaseTimeoutMs));
         const releasedMs = clock.now().monoMs;
         const isFree = released?.kind === "released"
@@ -294,6 +225,12 @@
         });
     };
 
+    /** Time until the keys of a silent target can go to others. */
+    const freeInMs = (holder: Holder, nowMs: number): number => {
+        const heldMs = holder.hasEnded ? 0 : Math.max(0, Math.max(holder.freeAtMs, parts.predecessor.grantsUntilMs) - nowMs);
+        return writer.isSound(nowMs) ? heldMs : Math.max(heldMs, storeTroubleMs);
+    };
+
     /** A full target resets connections; asking again costs less than waiting until its lease has run out. */
     const releaseForCertain = async (holder: Holder | undefined, range: KeyRange): Promise<ReleaseOutcome | undefined> => {
         let heldUntilMs = Number.NEGATIVE_INFINITY;
@@ -355,7 +292,7 @@
         noticeChanged,
         run: async (signal) => {
             while (!signal.aborted) {
-                syncHolders(signal);
+                holders.syncTargets(shardedServices(), signal);
                 syncRanges();
                 planAll();
                 await waitFor(clock, planMs, [poked, view.targetsChanged], signal);
@@ -367,24 +304,20 @@
             }
         },
         addPressures: (reported, nowMs) => {
-            for (const { targetId, slowness } of reported) {
-                pressures.set(targetId, { slowness, atMs: nowMs });
-            }
+            standings.addPressures(reported, nowMs);
         },
         notice: (nowMs) => ({
             moving: [...moves].filter(({ move }) => move.from !== undefined).map((active) => movingRange(active, nowMs)),
-            silent: [...holders.values()].filter(({ holder }) => holder.isSilent).map(({ holder }) => ({
-                targetId: holder.targetId,
-                freeInMs: holder.hasEnded ? 0 : Math.round(Math.max(0, Math.max(holder.freeAtMs, parts.predecessor.grantsUntilMs) - nowMs)),
-            })),
+            silent: holders.all().filter(({ isSilent }) => isSilent)
+                .map((holder) => ({ targetId: holder.targetId, freeInMs: Math.round(freeInMs(holder, nowMs)) })),
         }),
         grantsLastMs: (nowMs) => {
-            const latestMs = Math.max(parts.predecessor.grantsUntilMs, ...[...holders.values()].map(({ holder }) => holder.freeAtMs));
+            const latestMs = Math.max(parts.predecessor.grantsUntilMs, ...holders.all().map(({ freeAtMs }) => freeAtMs));
             return Math.max(0, latestMs - nowMs) + holdBoundMs(0);
         },
         describe: (nowMs) => ({
-            targets: [...holders.values()].map(({ holder }) => ({
-                targetId: holder.targetId, standing: standingOf(holder.targetId, nowMs), ranges: holder.ranges,
+            targets: holders.all().map((holder) => ({
+                targetId: holder.targetId, standing: standings.of(holder.targetId, nowMs), ranges: holder.ranges,
                 freeInMs: Math.round(holder.freeAtMs - nowMs),
             })),
             moves: [...moves].map(({ serviceId, move }) => ({ serviceId, ...describeMove(move) })),
@@ -392,10 +325,6 @@
     };
 }
 
-function isSameSet(left: readonly KeyRange[], right: readonly KeyRange[]): boolean {
-    return left.length === right.length && left.every((range) => right.some((other) => isSameRange(range, other)));
-}
-
 function describeMove({ range, from, to, reason }: Move): object {
     return { keys: `${String(range.from)}-${String(range.to)}`, from, to, reason };
 }
--- a/test/forwarding/ownerWait.spec.ts
+++ b/test/forwarding/ownerWait.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { waitForOwner } from "../../src/forwarding/ownerWait.js";
+import { longestWaitMs, waitForOwner } from "../../src/forwarding/ownerWait.js";
 import type { TargetId } from "../../src/model/names.js";
 
 const target = "t" as TargetId;
@@ -7,7 +7,7 @@
 /** Waits as a request would, while the status stays; gives how long it waited and when it may come back. */
 function heldFor(status: Parameters<typeof waitForOwner>[0]["status"], budgetMs: number): { waitedMs: number; retryAfterMs: number } {
     for (let waitedMs = 0; ; waitedMs += 50) {
-        const step = waitForOwner({ status, waitedMs, leftMs: budgetMs - waitedMs });
+        const step = waitForOwner({ status, waitedMs, longestMs: longestWaitMs(status), leftMs: budgetMs - waitedMs });
         if (step.kind === "refuse") {
             return { waitedMs, retryAfterMs: step.retryAfterMs };
         }
@@ -30,6 +30,12 @@
     });
 
     it("goes on while there will be an owner in time", () => {
-        expect(waitForOwner({ status: { kind: "silent", targetId: target, freeInMs: 900 }, waitedMs: 800, leftMs: 1_000 }).kind).to.equal("wait");
+        const first = { kind: "silent", targetId: target, freeInMs: 1_700 } as const;
+        const now = { ...first, freeInMs: 900 };
+        expect(waitForOwner({ status: now, waitedMs: 800, longestMs: longestWaitMs(first), leftMs: 1_000 }).kind).to.equal("wait");
+    });
+
+    it("ends soon after the time at which a silent owner's keys should have been free, as while nothing can be recorded", () => {
+        expect(heldFor({ kind: "silent", targetId: target, freeInMs: 0 }, 4_000).waitedMs).to.equal(700);
     });
 });
