A failed append stops moves for balance for a second, not until the next one succeeds

Cause (read in the diff): after one refused append the writer called the store unwell until another append succeeded; but with moves for balance stopped none came, so that hot keys would have stayed where they were until a target left. Test red before: ledgerWriter.spec 'takes the store for well again'.

--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -114,7 +114,7 @@
     /** Reads every topic from the store. */
     const readAll = async (): Promise<boolean> => {
         const askedMs = nowMs();
-        // One call shows whether the store answers; each is priced, and all hosts ask while it is away.
+        // One call shows whether the store answers; all hosts ask while it is away.
         const ledger = await reader.read("ledger", 0);
         const others = ledger.isErr() ? [] : await Promise.all([reader.read("targets", 0), reader.read("configuration", 0)]);
         owners.refresh();
--- a/src/ownership/ledgerWriter.ts
+++ b/src/ownership/ledgerWriter.ts
@@ -21,6 +21,9 @@
 /** An append that takes longer shows that the store is in trouble. */
 const usualAppendMs = 150;
 
+/** A failed append shows trouble for this long; later ones are tried again. */
+const troubleLastsMs = 1_000;
+
 /** What a writer works with. */
 export interface LedgerWriterParts {
     store: StorePort;
@@ -48,7 +51,7 @@
      * A failure of kind `lost` leaves it open; it comes only when this process will never write again.
      */
     assign(assignments: readonly Assignment[]): Promise<Result<void, Failure>>;
-    /** True unless the last append failed, or one has been unanswered for a while. */
+    /** True unless an append failed a moment ago, or one has been unanswered for a while. */
     isSound(nowMs: number): boolean;
 }
 
@@ -61,7 +64,7 @@
     let queue: Job[] = [];
     let working = false;
     let sentMs: number | undefined;
-    let failed = false;
+    let failedMs = Number.NEGATIVE_INFINITY;
 
     const work = async () => {
         working = true;
@@ -97,7 +100,7 @@
             sentMs = now.monoMs;
             const outcome = await store.append(records.map(({ key, record }) => encodeLedgerRecord(key, record)), expectedEnd);
             sentMs = undefined;
-            failed = outcome.isErr();
+            failedMs = outcome.isErr() ? clock.now().monoMs : Number.NEGATIVE_INFINITY;
             if (outcome.isOk() && outcome.value.kind === "appended") {
                 take(records, outcome.value.offset, now);
                 return ok(undefined);
@@ -137,6 +140,6 @@
                 void work();
             }
         }),
-        isSound: (nowMs) => !failed && (sentMs === undefined || nowMs - sentMs < usualAppendMs),
+        isSound: (nowMs) => nowMs - failedMs > troubleLastsMs && (sentMs === undefined || nowMs - sentMs < usualAppendMs),
     };
 }
--- a/test/ownership/ledgerWriter.spec.ts
+++ b/test/ownership/ledgerWriter.spec.ts
@@ -55,4 +55,12 @@
         expect((await assigned).isOk()).to.equal(true);
         expect(isSound()).to.equal(true);
     });
+
+    it("takes the store for well again some time after a refused append, though none follows", async () => {
+        const { clock, writer, isSound } = setUp(() => Promise.resolve(err(failure("refused", "store-append", "store", "status 503"))));
+        expect((await writer.assign([assignment])).isErr()).to.equal(true);
+        expect(isSound()).to.equal(false);
+        await clock.advance(1_500);
+        expect(isSound()).to.equal(true);
+    });
 });
