A leaving target is asked again for a second at most

Cause (read in the diff): six attempts at a release whose work under way does not end in time would each put the end of the target's lease off, up to 14 s. Tests red before: ownershipKeeper.spec 'are not asked for again'.

--- a/src/ownership/ownershipKeeper.ts
+++ b/src/ownership/ownershipKeeper.ts
@@ -31,8 +31,8 @@
 /** A leaving target's work under way is awaited until its lease would have ended anyway. */
 const leavingReleaseTimeoutMs = usualHoldMs;
 
-/** Times that a leaving target is asked to give a range up, and the pause between. */
-const releaseAttempts = 6;
+/** A leaving target is asked again for so long, with this pause; each time puts the end of its lease off. */
+const retryReleaseForMs = 1_000;
 const retryReleaseMs = 120;
 
 /** Pause before a move that failed is planned again. */
@@ -233,14 +233,15 @@
 
     /** A full target resets connections; asking again costs less than waiting until its lease has run out. */
     const releaseForCertain = async (holder: Holder | undefined, range: KeyRange): Promise<ReleaseOutcome | undefined> => {
+        const latestMs = clock.now().monoMs + retryReleaseForMs;
         let heldUntilMs = Number.NEGATIVE_INFINITY;
-        for (let attempt = 1; ; attempt++) {
+        for (;;) {
             const outcome = await holder?.release(range, leavingReleaseTimeoutMs);
             if (outcome?.kind !== "failed") {
                 return outcome;
             }
             heldUntilMs = Math.max(heldUntilMs, outcome.heldUntilMs);
-            if (attempt === releaseAttempts || holder?.isSilent === true || holder?.hasEnded === true) {
+            if (clock.now().monoMs > latestMs || holder?.isSilent === true || holder?.hasEnded === true) {
                 return { ...outcome, heldUntilMs };
             }
             await clock.sleep(retryReleaseMs);
--- a/test/ownership/ownershipKeeper.spec.ts
+++ b/test/ownership/ownershipKeeper.spec.ts
@@ -25,8 +25,8 @@
     };
 }
 
-/** Keys of `old`, which leaves, beside `new`; the first releases fail as on a full target that resets connections. */
-function setUp(failingReleases: number) {
+/** Keys of `old`, which leaves, beside `new`; the first releases fail, at once as on a full target that resets connections, or later. */
+function setUp(failingReleases: number, failAfterMs = 1) {
     const clock = new VirtualClock();
     const view = new ClusterView();
     const config = { services: [{ serviceId: service, sharded: true }], routes: [] } as unknown as RoutingConfig;
@@ -39,17 +39,18 @@
         { targetId: "old" as TargetId, offset: 0 as Offset, entry: entry("old", "draining") },
         { targetId: "new" as TargetId, offset: 1 as Offset, entry: entry("new", "ready") },
     ], 2 as Offset, 0);
-    let releases = 0;
+    const released: string[] = [];
     const session: LeaseSession = {
         isOpen: true, closed: new Promise(() => undefined), reset: () => undefined,
         grant: async () => {
             await clock.sleep(1);
             return ok("granted" as const);
         },
-        release: async () => {
-            await clock.sleep(1);
-            releases += 1;
-            return releases <= failingReleases ? err(failure("lost", "release", "old", "reset by the target")) : ok("token");
+        release: async ({ from, to }) => {
+            released.push(`${String(from)}-${String(to)}`);
+            const fails = released.length <= failingReleases;
+            await clock.sleep(fails ? failAfterMs : 1);
+            return fails ? err(failure("lost", "release", "old", "reset by the target")) : ok("token");
         },
     };
     const writer: LedgerWriter = {
@@ -71,7 +72,7 @@
     const stop = new AbortController();
     void keeper.run(stop.signal);
     const ownerOf = () => view.ledger.ownerships().find(({ ranges }) => ranges.length > 0)?.targetId;
-    return { clock, ownerOf, end: () => {
+    return { clock, ownerOf, released, end: () => {
         stop.abort();
     } };
 }
@@ -84,6 +85,14 @@
         end();
     });
 
+    it("are not asked for again when its work under way has not ended in time, since each time would put the end of its lease off", async () => {
+        const { clock, released, end } = setUp(1_000, 2_300);
+        await clock.advance(8_000);
+        expect(released).to.not.have.length(0);
+        expect(new Set(released).size).to.equal(released.length);
+        end();
+    });
+
     it("are waited for when it never gives them up", async () => {
         const { clock, ownerOf, end } = setUp(1_000);
         await clock.advance(8_000);
