A late request is given up only once its repeat has a place; late ends count against a target

Now the place is looked for while the attempt runs (standby.ts); without slot or budget it runs on. The owner of a key is asked again in the same slot. Found beside it by the new tests: an answer that was already being passed on was broken off by the same limit; a target's own 500 was replaced by a 504 when its repeat found no slot. A target that was slow is used again within seconds, as its slowness fades while it is idle. Tests, red before: forwarder.spec (5 of 6), admissionQueue.spec 'hardly sends anything', and 'uses a target again' without the fading.

--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -5,10 +5,11 @@
 import type { DataCentreId, TargetId } from "../model/names.js";
 import { rankCandidates } from "../model/rendezvous.js";
 import type { Clock } from "../model/time.js";
-import type { Ticket, WorkEnd } from "./admissionQueue.js";
+import type { Ticket } from "./admissionQueue.js";
 import type { EnterParams, EnterReply, Group } from "./messages.js";
 import { admissionMethods, groupName } from "./messages.js";
 import type { QueueKeeper } from "./queueKeeper.js";
+import type { WorkEnd } from "./targetRecord.js";
 
 /** A host that did not answer is passed over for this long. */
 const passOverMs = 1_500;
--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -8,6 +8,8 @@
  * answered before its deadline is turned away at once.
  */
 import type { Branded, DataCentreId, TargetId } from "../model/names.js";
+import type { QueueTarget, Running, TargetRecord, WorkEnd } from "./targetRecord.js";
+import { fadeSlowness, hasFreeSlot, learnFromEnd, maxSlowness, newTargetRecord, quickest } from "./targetRecord.js";
 
 /** Names one request at the queue. */
 export type Ticket = Branded<string, "Ticket">;
@@ -30,16 +32,6 @@
     avoid: ReadonlySet<TargetId>;
 }
 
-/** A target as the queue sees it. */
-export interface QueueTarget {
-    targetId: TargetId;
-    dataCentreId: DataCentreId;
-    slots: number;
-    /** False while no new work may go there. */
-    open: boolean;
-    warmingUp: boolean;
-}
-
 /** What the queue decided about a request. */
 export type AdmissionVerdict =
     | { kind: "granted"; ticket: Ticket; targetId: TargetId; expectedMs: number }
@@ -48,30 +40,6 @@
 /** Why a queue turns a request away. */
 export type RefusalOfQueue = "overloaded" | "no-target";
 
-/** How a request ended at its target. */
-export type WorkEnd =
-    /** Answered after so long. */
-    | { kind: "answered"; tookMs: number }
-    /** The target turned it away without running it. */
-    | { kind: "turned-away" }
-    /** No connection could be opened. */
-    | { kind: "unreachable" }
-    /** Sent, and no answer came. */
-    | { kind: "lost" }
-    /** The client left, or the request was never sent. */
-    | { kind: "dropped" };
-
-/** Weight of the newest observation of a target's speed. */
-const speedWeight = 0.12;
-
-/** Bounds of how much slower or faster than usual a target counts. */
-const minSlowness = 0.25;
-const maxSlowness = 20;
-
-/** Time for which a target that could not be reached, or turned work away, gets no more. */
-const pauseAfterUnreachableMs = 300;
-const pauseAfterTurnedAwayMs = 15;
-
 const minRetryAfterMs = 50;
 
 /** Time after which an arrival counts only by a third. */
@@ -84,29 +52,9 @@
 /** A slot counts as free again this long after the deadline of a request whose end was never reported. */
 const unreportedGraceMs = 1_000;
 
-/** Slowness of a target in its first seconds. */
-const warmUpSlowness = 2;
-
 /** A request goes elsewhere when less than this share of its time is left besides the work. */
 const nearPatienceShare = 0.35;
 
-interface Running {
-    targetId: TargetId;
-    startedMs: number;
-    giveUpMs: number;
-    workMs: number;
-}
-
-interface TargetRecord {
-    target: QueueTarget;
-    running: number;
-    /** Time that work takes here over the time that it takes on average. */
-    slowness: number;
-    /** Answers that the slowness was learned from. */
-    answers: number;
-    pausedUntilMs: number;
-}
-
 /** Queue in front of a group of targets. */
 export class AdmissionQueue {
     private readonly targets = new Map<TargetId, TargetRecord>();
@@ -114,6 +62,7 @@
     private waiting: AdmissionRequest[] = [];
     private offered = 0;
     private offeredMs = 0;
+    private tickedMs = 0;
 
     /** @param random uniform in [0, 1), spreads the times to come back */
     constructor(private readonly random: () => number) {}
@@ -148,7 +97,7 @@
         for (const target of targets) {
             const known = this.targets.get(target.targetId);
             this.targets.set(target.targetId, known === undefined
-                ? this.newRecord(target)
+                ? newTargetRecord(target, this.countRunning(target.targetId), nowMs)
                 : { ...known, target });
         }
         return this.dispatch(nowMs);
@@ -201,17 +150,21 @@
         const record = this.targets.get(ended.targetId);
         if (record !== undefined) {
             record.running -= 1;
-            learnByEnd[end.kind](this, record, ended, end as never, nowMs);
+            learnFromEnd(record, ended, end, nowMs);
         }
         return this.dispatch(nowMs);
     }
 
     /**
-     * Turns away what has become too late, and frees slots whose end was never reported.
+     * Turns away what has become too late, forgets how slow unused targets were, and frees slots whose end was never reported.
      * @param nowMs now
      * @returns verdicts
      */
     tick(nowMs: number): AdmissionVerdict[] {
+        for (const record of this.targets.values()) {
+            fadeSlowness(record, nowMs - this.tickedMs, nowMs);
+        }
+        this.tickedMs = nowMs;
         const unreported = [...this.running].filter(([, { giveUpMs }]) => nowMs > giveUpMs);
         const verdicts = unreported.flatMap(([ticket]) => this.finish(ticket, { kind: "lost" }, nowMs));
         const open = [...this.targets.values()].filter((record) => record.target.open);
@@ -222,13 +175,6 @@
         return [...verdicts, ...this.dispatch(nowMs)];
     }
 
-    /** Learns from an answer how slow the target is. */
-    learnAnswer(record: TargetRecord, workMs: number, tookMs: number): void {
-        record.answers += 1;
-        const weight = Math.max(speedWeight, 1 / (record.answers + 1));
-        record.slowness = clamp(record.slowness + weight * (tookMs / Math.max(1, workMs) - record.slowness), minSlowness, maxSlowness);
-    }
-
     private dispatch(nowMs: number): AdmissionVerdict[] {
         const verdicts: AdmissionVerdict[] = [];
         while (this.waiting.length > 0) {
@@ -347,13 +293,6 @@
         return request.workMs * slowness;
     }
 
-    private newRecord(target: QueueTarget): TargetRecord {
-        return {
-            target, running: this.countRunning(target.targetId), slowness: target.warmingUp ? warmUpSlowness : 1, answers: 0,
-            pausedUntilMs: 0,
-        };
-    }
-
     private countRunning(targetId: TargetId): number {
         return [...this.running.values()].filter((running) => running.targetId === targetId).length;
     }
@@ -363,39 +302,6 @@
     }
 }
 
-type Learn<Kind extends WorkEnd["kind"]> = (
-    queue: AdmissionQueue, record: TargetRecord, ended: Running, end: Extract<WorkEnd, { kind: Kind }>, nowMs: number,
-) => void;
-
-const learnByEnd: { [Kind in WorkEnd["kind"]]: Learn<Kind> } = {
-    "answered": (queue, record, ended, end) => {
-        queue.learnAnswer(record, ended.workMs, end.tookMs);
-    },
-    "turned-away": (_queue, record, _ended, _end, nowMs) => {
-        record.pausedUntilMs = nowMs + pauseAfterTurnedAwayMs;
-    },
-    "unreachable": (_queue, record, _ended, _end, nowMs) => {
-        record.pausedUntilMs = nowMs + pauseAfterUnreachableMs;
-    },
-    "lost": () => undefined,
-    "dropped": () => undefined,
-};
-
-function hasFreeSlot(record: TargetRecord, nowMs: number): boolean {
-    return record.target.open && record.running < record.target.slots && nowMs >= record.pausedUntilMs;
-}
-
-/** The target that is expected to be done first. */
-function quickest(records: readonly TargetRecord[]): TargetRecord | undefined {
-    const costOf = ({ target, slowness, running }: TargetRecord) => slowness * (1 + running / target.slots);
-    return records.reduce<TargetRecord | undefined>(
-        (best, record) => best === undefined || costOf(record) < costOf(best) ? record : best, undefined);
-}
-
 function workOf(requests: readonly AdmissionRequest[]): number {
     return requests.reduce((sum, { workMs }) => sum + workMs, 0);
 }
-
-function clamp(value: number, least: number, most: number): number {
-    return Math.min(most, Math.max(least, value));
-}
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between a host that has a request and the host that keeps the queue for it. */
 import type { DataCentreId, ServiceId, TargetId } from "../model/names.js";
-import type { Ticket, WorkEnd } from "./admissionQueue.js";
+import type { Ticket } from "./admissionQueue.js";
+import type { WorkEnd } from "./targetRecord.js";
 
 /** The targets that share a queue: one that owns keys, or all of a service without keys. */
 export type Group =
--- a/src/admission/queueKeeper.ts
+++ b/src/admission/queueKeeper.ts
@@ -6,10 +6,11 @@
 import { mayReceive } from "../model/target.js";
 import type { Clock } from "../model/time.js";
 import type { ClusterView } from "../store/clusterView.js";
-import type { AdmissionRequest, AdmissionVerdict, QueueTarget, Ticket } from "./admissionQueue.js";
+import type { AdmissionRequest, AdmissionVerdict, Ticket } from "./admissionQueue.js";
 import { AdmissionQueue } from "./admissionQueue.js";
 import type { EnterParams, EnterReply, Group, LeaveParams, WithdrawParams } from "./messages.js";
 import { admissionMethods, groupName } from "./messages.js";
+import type { QueueTarget } from "./targetRecord.js";
 
 /** Period at which what waits is looked after. */
 const tickMs = 25;
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -5,7 +5,7 @@
 import type { ConnectionPool } from "./connectionPool.js";
 import type { TargetDialect } from "./dialect.js";
 import { withoutHeaders, withoutHopByHop } from "./hopByHop.js";
-import type { InterruptReason, Patience } from "./interrupt.js";
+import type { Interrupt, InterruptReason, Patience } from "./interrupt.js";
 import { createInterrupt } from "./interrupt.js";
 import type { ResponseHead } from "./responseParser.js";
 import { headerOf } from "./responseParser.js";
@@ -36,6 +36,8 @@
     | { kind: "lost"; why: string }
     /** No answer in time. */
     | { kind: "timed-out" }
+    /** Ended while it waited for its answer, since another attempt has a place. */
+    | { kind: "given-up"; wasSent: boolean }
     /** The body of the request could not be read whole. */
     | { kind: "body-broken" }
     | { kind: "client-left" };
@@ -81,15 +83,15 @@
             void opening.then((late) => late.map((connection) => {
                 parts.pool.release(target.address, connection);
             }));
-            return opened === "client-left" ? { kind: opened } : { kind: "unreachable", why: "no connection in time" };
+            return endBeforeSending[opened];
         }
         if (opened.isErr()) {
             return { kind: "unreachable", why: opened.error.message };
         }
         const connection = opened.value;
-        const end = await converse(parts, request, connection, interrupt.raised);
+        const end = await converse(parts, request, connection, interrupt);
         parts.pool.release(target.address, connection);
-        if (end.kind === "timed-out") {
+        if (end.kind === "timed-out" || end.kind === "given-up") {
             parts.pool.dropIdle(target.address);
         }
         return end;
@@ -99,8 +101,21 @@
     }
 }
 
+const endBeforeSending: { [Reason in InterruptReason]: AttemptEnd } = {
+    "client-left": { kind: "client-left" },
+    "timed-out": { kind: "unreachable", why: "no connection in time" },
+    "given-up": { kind: "given-up", wasSent: false },
+};
+
+const endAfterSending: { [Reason in InterruptReason | "body-broken"]: AttemptEnd } = {
+    "client-left": { kind: "client-left" },
+    "timed-out": { kind: "timed-out" },
+    "given-up": { kind: "given-up", wasSent: true },
+    "body-broken": { kind: "body-broken" },
+};
+
 async function converse(
-    parts: AttemptParts, request: AttemptRequest, connection: TargetConnection, raised: Promise<InterruptReason>,
+    parts: AttemptParts, request: AttemptRequest, connection: TargetConnection, interrupt: Interrupt,
 ): Promise<AttemptEnd> {
     const startedMs = parts.clock.now().monoMs;
     const exchange = connection.start({
@@ -111,24 +126,24 @@
         isAnswer: (head) => parts.dialect.isAnswerTo(head, request.call.requestId),
     });
     const upload = request.body === undefined ? sendBody(request.call, exchange) : Promise.resolve("sent" as const);
-    const head = await Promise.race([exchange.head(), raised, upload.then((sent) => sent === "sent" ? new Promise<never>(() => undefined) : sent)]);
+    const head = await Promise.race([exchange.head(), interrupt.raised, upload.then((sent) => sent === "sent" ? new Promise<never>(() => undefined) : sent)]);
     if (typeof head === "string") {
-        return { kind: head };
+        return endAfterSending[head];
     }
     if (head.isErr()) {
         return { kind: "lost", why: head.error.message };
     }
-    const end = await receive(parts, request, exchange, head.value, raised);
+    const end = await receive(parts, request, exchange, head.value, interrupt);
     const tookMs = parts.clock.now().monoMs - startedMs;
     return "tookMs" in end ? { ...end, tookMs } : end;
 }
 
 async function receive(
-    parts: AttemptParts, { call }: AttemptRequest, exchange: Exchange, head: ResponseHead, raised: Promise<InterruptReason>,
+    parts: AttemptParts, { call }: AttemptRequest, exchange: Exchange, head: ResponseHead, interrupt: Interrupt,
 ): Promise<AttemptEnd> {
     const responseClass = parts.dialect.classify(head);
     if (responseClass === "not-run") {
-        await Promise.race([drain(exchange), raised]);
+        await Promise.race([drain(exchange), interrupt.raised]);
         return { kind: "turned-away", status: head.status };
     }
     if (responseClass === "unproven" && head.status < 300) {
@@ -138,9 +153,9 @@
     let heldBytes = 0;
     let passing = false;
     for (;;) {
-        const piece = await Promise.race([exchange.read(), raised]);
+        const piece = await Promise.race([exchange.read(), interrupt.raised]);
         if (typeof piece === "string") {
-            return passing ? breakOff(call) : { kind: piece };
+            return passing ? breakOff(call) : endAfterSending[piece];
         }
         if (piece.isErr()) {
             return passing ? breakOff(call) : { kind: "lost", why: piece.error.message };
@@ -156,6 +171,7 @@
         heldBytes += piece.value.length;
         if (heldBytes > maxHeldBytes) {
             passing = true;
+            interrupt.commit();
             call.beginAnswer(answerHeadOf(head, lengthOf(head)));
             await call.writeAnswer(Buffer.concat(held));
         }
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -1,7 +1,7 @@
 /** Takes a request from its client to the target that is to serve it, and the answer back. */
 import { setMaxListeners } from "node:events";
 import type { AdmissionClient } from "../admission/admissionClient.js";
-import type { WorkEnd } from "../admission/admissionQueue.js";
+import type { WorkEnd } from "../admission/targetRecord.js";
 import type { RetryBudgets } from "../admission/retryBudgets.js";
 import type { ClientCall, Refusal, RefusalReason } from "../entry/clientCall.js";
 import type { LoadMeter } from "../ownership/loadMeter.js";
@@ -11,12 +11,15 @@
 import type { Owners } from "../ownership/owners.js";
 import type { Splitter } from "../routing/splitter.js";
 import type { ClusterView } from "../store/clusterView.js";
-import type { AttemptEnd, AttemptParts, HeldAnswer } from "./attempt.js";
+import type { AttemptEnd, AttemptParts } from "./attempt.js";
 import { attempt } from "./attempt.js";
 import type { Job } from "./job.js";
-import type { Placement } from "./placement.js";
+import type { Placed } from "./placement.js";
 import { createPlacer, retryAfterUnreachableMs } from "./placement.js";
+import type { RepeatTerms } from "./retryPolicy.js";
 import { nextStep } from "./retryPolicy.js";
+import type { Standby } from "./standby.js";
+import { createStandby } from "./standby.js";
 import { typicalWorkMs, WorkTimes } from "./workTimes.js";
 
 /** Longest time that a connection may have been idle before it carries what must not run twice. */
@@ -120,24 +123,41 @@
         return body === "too-long" ? undefined : body;
     };
 
-    const send = async (job: Job, placed: Extract<Placement, { kind: "placed" }>): Promise<AttemptEnd> => {
+    const repeatTerms = (job: Job, expectedMs: number): RepeatTerms => ({
+        repeatable: job.body !== undefined, sends: job.sends,
+        mayTryAnother: job.service.sharded || job.tried.size < job.route.maxAttempts,
+        remainingMs: job.deadlineMs - nowMs(), expectedMs,
+        takeRetry: () => parts.retries.take(job.service.serviceId),
+    });
+
+    const send = async (job: Job, placed: Placed, standby: Standby): Promise<AttemptEnd> => {
         const remainingMs = job.deadlineMs - nowMs();
         const patienceMs = Math.max(minPatienceMs, placed.expectedMs * patienceRatio);
         const mayRepeat = job.route.idempotent && job.body !== undefined && patienceMs + placed.expectedMs < remainingMs;
         job.tried.add(placed.target.targetId);
         job.sends += 1;
-        const end = await attempt(parts, {
+        return attempt(parts, {
             call: job.call,
             target: placed.target,
             body: job.body,
             budgetMs: remainingMs,
             timeoutMs: remainingMs,
-            patience: mayRepeat ? { afterMs: patienceMs, mayGiveUp: () => !leaving } : undefined,
+            patience: mayRepeat ? { afterMs: patienceMs, mayGiveUp: () => standby.secure() } : undefined,
             maxIdleMs: job.route.idempotent ? Number.POSITIVE_INFINITY : maxIdleUnrepeatableMs,
             cancelWithClient: job.route.idempotent,
         });
-        placed.leave(workEndOf(end));
-        return end;
+    };
+
+    /** Sends a request once; `repeatAt` is the place that its attempt was given up for. */
+    const sendOnce = async (job: Job, placed: Placed): Promise<{ end: AttemptEnd; repeatAt: Placed | undefined }> => {
+        const standby = createStandby({ placer, termsOf: repeatTerms, isLeaving: () => leaving }, job, placed);
+        const startedMs = nowMs();
+        const end = await send(job, placed, standby);
+        const repeatAt = standby.close(end.kind === "given-up");
+        if (repeatAt !== placed) {
+            placed.leave(workEndOf(end, nowMs() - startedMs));
+        }
+        return { end, repeatAt };
     };
 
     const countLoad = ({ service, call, expectedMs }: Job) => {
@@ -146,43 +166,51 @@
         }
     };
 
-    const deliver = ({ call, route, tried }: Job, answer: HeldAnswer, tookMs: number) => {
+    const deliver = ({ call, route, tried }: Job, { answer, tookMs }: Answered) => {
         workTimes.learn(route.routeId, tookMs, typicalWorkMs(route));
         requestLog.answered(call, route, tried, answer.head.status, tookMs);
         call.answer(answer.head, answer.body);
     };
 
-    /** Ends a request that was sent at least once, or could not be sent, without an answer of a target. */
-    const giveUp = (job: Job, end: AttemptEnd, mayHaveRun: boolean) => {
-        const reason = mayHaveRun ? reasonIfRun(end) : reasonIfNotRun(end);
-        refuse(job.call, { reason, retryAfterMs: mayHaveRun ? undefined : spread(retryAfterUnreachableMs) }, job);
+    /**
+     * Ends a request that no target is asked any more. A failure that a target answered is better than one of this host's own.
+     * @param job the request
+     * @param ran the last attempt that may have run
+     * @param ifNotRun what the client is told when none did
+     */
+    const giveUp = (job: Job, ran: AttemptEnd | undefined, ifNotRun: Refusal) => {
+        if (ran?.kind === "answered") {
+            deliver(job, ran);
+            return;
+        }
+        refuse(job.call, ran === undefined ? ifNotRun : { reason: reasonIfRun(ran), retryAfterMs: undefined }, job);
     };
 
     const run = async (job: Job): Promise<void> => {
-        let mayHaveRun = false;
+        let ran: AttemptEnd | undefined;
+        let reserved: Placed | undefined;
         for (;;) {
-            const placed = await placer.place(job);
+            const placed = reserved ?? await placer.place(job, job.call.left);
             if (placed.kind === "client-left") {
                 requestLog.left(job.call, job.route, job.tried);
                 return;
             }
             if (placed.kind === "refused") {
-                refuse(job.call, mayHaveRun ? { reason: "timed-out", retryAfterMs: undefined } : placed.refusal, job);
+                giveUp(job, ran, placed.refusal);
                 return;
             }
             job.expectedMs = placed.expectedMs;
-            const end = await send(job, placed);
-            mayHaveRun ||= end.kind === "lost" || end.kind === "timed-out" || end.kind === "answered";
-            const next = nextStep({
-                end, idempotent: job.route.idempotent, repeatable: job.body !== undefined, sends: job.sends,
-                mayTryAnother: job.service.sharded || job.tried.size < job.route.maxAttempts,
-                remainingMs: job.deadlineMs - nowMs(), expectedMs: job.expectedMs,
-                takeRetry: () => parts.retries.take(job.service.serviceId),
-            });
-            switch (next) {
+            const { end, repeatAt } = await sendOnce(job, placed);
+            ran = mayHaveRun(end) ? betterOf(ran, end) : ran;
+            reserved = repeatAt;
+            if (reserved !== undefined) {
+                requestLog.retried(job.call, job.route, placed.target.targetId, end);
+                continue;
+            }
+            switch (nextStep({ ...repeatTerms(job, job.expectedMs), end, idempotent: job.route.idempotent })) {
                 case "deliver":
                     if (end.kind === "answered") {
-                        deliver(job, end.answer, end.tookMs);
+                        deliver(job, end);
                     }
                     return;
                 case "none":
@@ -190,7 +218,7 @@
                     return;
                 case "refuse":
                 case "fail":
-                    giveUp(job, end, mayHaveRun);
+                    giveUp(job, ran, { reason: reasonIfNotRun(end), retryAfterMs: spread(retryAfterUnreachableMs) });
                     return;
                 case "retry":
                     requestLog.retried(job.call, job.route, placed.target.targetId, end);
@@ -218,24 +246,36 @@
     };
 }
 
-const workEndByKind: { [Kind in AttemptEnd["kind"]]: (end: Extract<AttemptEnd, { kind: Kind }>) => WorkEnd } = {
+type Answered = Extract<AttemptEnd, { kind: "answered" }>;
+
+function mayHaveRun(end: AttemptEnd): boolean {
+    return end.kind === "lost" || end.kind === "timed-out" || end.kind === "answered" || (end.kind === "given-up" && end.wasSent);
+}
+
+/** Of two attempts that may have run, the one that says more about the request. */
+function betterOf(before: AttemptEnd | undefined, end: AttemptEnd): AttemptEnd {
+    return before?.kind === "answered" && end.kind !== "answered" ? before : end;
+}
+
+const workEndByKind: { [Kind in AttemptEnd["kind"]]: (end: Extract<AttemptEnd, { kind: Kind }>, tookMs: number) => WorkEnd } = {
     "answered": ({ tookMs }) => ({ kind: "answered", tookMs }),
     "streamed": ({ tookMs }) => ({ kind: "answered", tookMs }),
     "broken-off": () => ({ kind: "lost" }),
     "turned-away": () => ({ kind: "turned-away" }),
     "unreachable": () => ({ kind: "unreachable" }),
     "lost": () => ({ kind: "lost" }),
-    "timed-out": () => ({ kind: "lost" }),
+    "timed-out": (_end, tookMs) => ({ kind: "late", afterMs: tookMs }),
+    "given-up": (_end, tookMs) => ({ kind: "late", afterMs: tookMs }),
     "body-broken": () => ({ kind: "dropped" }),
     "client-left": () => ({ kind: "dropped" }),
 };
 
-function workEndOf(end: AttemptEnd): WorkEnd {
-    return (workEndByKind[end.kind] as (of: AttemptEnd) => WorkEnd)(end);
+function workEndOf(end: AttemptEnd, tookMs: number): WorkEnd {
+    return (workEndByKind[end.kind] as (of: AttemptEnd, tookMs: number) => WorkEnd)(end, tookMs);
 }
 
 function reasonIfRun(end: AttemptEnd): RefusalReason {
-    return end.kind === "timed-out" ? "timed-out" : "lost";
+    return end.kind === "lost" ? "lost" : "timed-out";
 }
 
 function reasonIfNotRun(end: AttemptEnd): RefusalReason {
--- a/src/forwarding/interrupt.ts
+++ b/src/forwarding/interrupt.ts
@@ -1,14 +1,14 @@
 /** Ends an attempt early: its client has left, its time is over, or the router would rather ask another target. */
 
 /** Why an attempt ends early. */
-export type InterruptReason = "timed-out" | "client-left";
+export type InterruptReason = "timed-out" | "client-left" | "given-up";
 
 /** When an attempt is given up in favour of another one. */
 export interface Patience {
     /** Time after which the answer is late beyond what is usual. */
     afterMs: number;
-    /** Asked at that time; when it says no, the attempt runs on to its timeout. */
-    mayGiveUp: () => boolean;
+    /** Asked at that time; unless it says yes, the attempt runs on to its timeout. */
+    mayGiveUp: () => Promise<boolean>;
 }
 
 /** Bounds of an attempt. */
@@ -23,6 +23,8 @@
 /** Resolves `raised` when an attempt must end. */
 export interface Interrupt {
     readonly raised: Promise<InterruptReason>;
+    /** From now on the attempt is not given up for another one. */
+    commit(): void;
     release(): void;
 }
 
@@ -32,12 +34,16 @@
  */
 export function createInterrupt({ left, timeoutMs, patience }: InterruptTerms): Interrupt {
     let release: () => void = () => undefined;
+    let committed = false;
     const raised = new Promise<InterruptReason>((resolve) => {
         const timer = setTimeout(resolve, Math.max(1, timeoutMs), "timed-out");
-        const patienceTimer = patience === undefined ? undefined : setTimeout(() => {
-            if (patience.mayGiveUp()) {
-                resolve("timed-out");
+        const askPatience = async ({ mayGiveUp }: Patience) => {
+            if (!committed && await mayGiveUp() && !committed) {
+                resolve("given-up");
             }
+        };
+        const patienceTimer = patience === undefined ? undefined : setTimeout(() => {
+            void askPatience(patience);
         }, Math.max(1, patience.afterMs));
         const onLeft = () => {
             resolve("client-left");
@@ -54,6 +60,9 @@
     });
     return {
         raised,
+        commit: () => {
+            committed = true;
+        },
         release: () => {
             release();
         },
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -1,6 +1,6 @@
 /** Finds the target for a request and gets it a slot there. */
 import type { AdmissionClient, SlotDecision } from "../admission/admissionClient.js";
-import type { WorkEnd } from "../admission/admissionQueue.js";
+import type { WorkEnd } from "../admission/targetRecord.js";
 import type { Refusal, RefusalReason } from "../entry/clientCall.js";
 import type { DataCentreId, Key, ServiceId, TargetId } from "../model/names.js";
 import { linkAborts, waitFor } from "../model/signal.js";
@@ -18,9 +18,18 @@
 /** When to come back after a target could not be reached. */
 export const retryAfterUnreachableMs = 250;
 
-/** A target with a slot for the request, or the answer that the client gets instead. */
+/** A target with a slot for the request. */
+export interface Placed {
+    kind: "placed";
+    target: TargetEntry;
+    expectedMs: number;
+    /** Gives the slot back. */
+    leave: (end: WorkEnd) => void;
+}
+
+/** A place for the request, or the answer that the client gets instead. */
 export type Placement =
-    | { kind: "placed"; target: TargetEntry; expectedMs: number; leave: (end: WorkEnd) => void }
+    | Placed
     | { kind: "refused"; refusal: Refusal }
     | { kind: "client-left" };
 
@@ -40,8 +49,14 @@
 
 /** Places requests. */
 export interface Placer {
-    /** Waits for a slot at the owner of the request's key, or at any target of a service without keys. */
-    place(job: Job): Promise<Placement>;
+    /**
+     * Waits for a slot at the owner of the request's key, or at any target of a service without keys.
+     * @param job the request
+     * @param left aborted when the slot is of no more use
+     */
+    place(job: Job, left: AbortSignal): Promise<Placement>;
+    /** Tells whether a target still owns the key of a request. */
+    isOwner(job: Job, targetId: TargetId): boolean;
 }
 
 /**
@@ -51,12 +66,12 @@
 export function createPlacer({ view, owners, admission, workTimes, clock, dataCentreId, spread, stopped }: PlacerParts): Placer {
     const nowMs = () => clock.now().monoMs;
 
-    const place = async (job: Job): Promise<Placement> => {
+    const place = async (job: Job, left: AbortSignal): Promise<Placement> => {
         const { call, service } = job;
         if (service.sharded && call.key !== undefined) {
-            return placeAtOwner(job, call.key);
+            return placeAtOwner(job, call.key, left);
         }
-        const until = linkAborts(call.left, stopped);
+        const until = linkAborts(left, stopped);
         const decision = await admission.enter({
             ...slotOf(job), group: { kind: "service", serviceId: service.serviceId }, avoid: [...job.tried], keptNear: undefined,
         }, until.signal);
@@ -64,23 +79,23 @@
         return toPlacement(decision);
     };
 
-    const placeAtOwner = async (job: Job, key: Key): Promise<Placement> => {
-        const { call, service } = job;
+    const placeAtOwner = async (job: Job, key: Key, left: AbortSignal): Promise<Placement> => {
+        const { service } = job;
         for (;;) {
-            const owner = await awaitOwner(job, key);
+            const owner = await awaitOwner(job, key, left);
             if (typeof owner !== "string") {
                 return owner;
             }
             const entry = view.targets.get(owner);
             const moved = new AbortController();
             const endWatch = watchOwner(service.serviceId, key, owner, moved);
-            const until = linkAborts(call.left, moved.signal, stopped);
+            const until = linkAborts(left, moved.signal, stopped);
             const decision = await admission.enter({
                 ...slotOf(job), group: { kind: "target", targetId: owner }, avoid: [], keptNear: entry?.dataCentreId,
             }, until.signal);
             until.release();
             endWatch();
-            if (!moved.signal.aborted || call.left.aborted || stopped.aborted) {
+            if (!moved.signal.aborted || left.aborted || stopped.aborted) {
                 return toPlacement(decision, owner);
             }
             if (decision.kind === "granted") {
@@ -99,7 +114,7 @@
         });
 
     /** Waits while nobody owns the key, as long as the request can still be served afterwards. */
-    const awaitOwner = async (job: Job, key: Key): Promise<TargetId | Placement> => {
+    const awaitOwner = async (job: Job, key: Key, left: AbortSignal): Promise<TargetId | Placement> => {
         const startedMs = nowMs();
         let longestMs: number | undefined;
         for (;;) {
@@ -120,8 +135,8 @@
                         : { reason: "owner-unknown", retryAfterMs },
                 };
             }
-            await waitFor(clock, step.atMostMs, [owners.changed], job.call.left);
-            if (job.call.left.aborted) {
+            await waitFor(clock, step.atMostMs, [owners.changed], left);
+            if (left.aborted) {
                 return { kind: "client-left" };
             }
             if (stopped.aborted) {
@@ -156,5 +171,10 @@
         return { kind: "refused", refusal: { reason, retryAfterMs: decision.retryAfterMs, targetId } };
     };
 
-    return { place };
+    const isOwner = ({ call, service }: Job, targetId: TargetId): boolean => {
+        const status = service.sharded && call.key !== undefined ? owners.find(service.serviceId, call.key, nowMs()) : undefined;
+        return status?.kind === "owned" && status.targetId === targetId;
+    };
+
+    return { place, isOwner };
 }
--- a/src/forwarding/retryPolicy.ts
+++ b/src/forwarding/retryPolicy.ts
@@ -7,11 +7,8 @@
  */
 import type { AttemptEnd } from "./attempt.js";
 
-/** What is known when an attempt has ended. */
-export interface RetrySituation {
-    end: AttemptEnd;
-    /** True when the request may run more than once. */
-    idempotent: boolean;
+/** What decides whether a request may be sent again. */
+export interface RepeatTerms {
     /** True when the body was kept, so that it can be sent again. */
     repeatable: boolean;
     /** Times that the request was sent. */
@@ -26,6 +23,13 @@
     takeRetry: () => boolean;
 }
 
+/** What is known when an attempt has ended. */
+export interface RetrySituation extends RepeatTerms {
+    end: AttemptEnd;
+    /** True when the request may run more than once. */
+    idempotent: boolean;
+}
+
 /** What follows. */
 export type NextStep = "deliver" | "retry" | "refuse" | "fail" | "none";
 
@@ -44,6 +48,7 @@
     "turned-away": (of) => canRepeat(of) ? "retry" : "refuse",
     "unreachable": (of) => of.remainingMs > of.expectedMs && of.repeatable ? "retry" : "refuse",
     "lost": (of) => of.idempotent && canRepeat(of) ? "retry" : "fail",
+    "given-up": (of) => of.idempotent && canRepeat(of) ? "retry" : "fail",
     "timed-out": (of) => of.idempotent && canRepeat(of) ? "retry" : "fail",
     "body-broken": () => "refuse",
     "client-left": () => "none",
@@ -57,6 +62,10 @@
     return (nextByEnd[of.end.kind] as Rule<AttemptEnd["kind"]>)(of, of.end);
 }
 
-function canRepeat({ repeatable, sends, mayTryAnother, remainingMs, expectedMs, takeRetry }: RetrySituation): boolean {
+/**
+ * Decides whether a request is sent again, and takes the repeat out of the budget if so.
+ * @param of what decides it
+ */
+export function canRepeat({ repeatable, sends, mayTryAnother, remainingMs, expectedMs, takeRetry }: RepeatTerms): boolean {
     return repeatable && mayTryAnother && sends < maxSends && remainingMs > expectedMs && takeRetry();
 }
--- a/test/admission/admissionQueue.spec.ts
+++ b/test/admission/admissionQueue.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
-import type { AdmissionRequest, AdmissionVerdict, QueueTarget, Ticket } from "../../src/admission/admissionQueue.js";
+import type { AdmissionRequest, AdmissionVerdict, Ticket } from "../../src/admission/admissionQueue.js";
 import { AdmissionQueue } from "../../src/admission/admissionQueue.js";
+import type { QueueTarget, WorkEnd } from "../../src/admission/targetRecord.js";
 import type { DataCentreId, TargetId } from "../../src/model/names.js";
 
 const here = "here" as DataCentreId;
@@ -117,6 +118,47 @@
         expect(texts(queue.offer(request("z"), 0))).to.deep.equal(["z to quick"]);
     });
 
+    /** Share of the requests, by second, that go to one of three targets; `workMs` says how long it takes, the others 100 ms. */
+    function sharesOf(name: string, workMs: (nowMs: number) => number): number[] {
+        const queue = queueOf(target("t1"), target("t2"), target(name));
+        const grants: { atMs: number; targetId: string }[] = [];
+        const ends: { ticket: Ticket; atMs: number; end: WorkEnd }[] = [];
+        const patienceMs = 400;
+        const take = (verdicts: readonly AdmissionVerdict[], nowMs: number) => {
+            for (const { ticket, targetId } of verdicts.filter((verdict) => verdict.kind === "granted")) {
+                grants.push({ atMs: nowMs, targetId });
+                const tookMs = targetId === name ? workMs(nowMs) : 100;
+                ends.push(tookMs > patienceMs
+                    ? { ticket, atMs: nowMs + patienceMs, end: { kind: "late", afterMs: patienceMs } }
+                    : { ticket, atMs: nowMs + tookMs, end: { kind: "answered", tookMs } });
+            }
+        };
+        for (let nowMs = 0; nowMs < 10_000; nowMs += 10) {
+            if (nowMs % 40 === 0) {
+                const offered = request(String(nowMs), { arrivedMs: nowMs, targetMs: nowMs + 300, deadlineMs: nowMs + 1_000 });
+                take(queue.offer(offered, nowMs), nowMs);
+            }
+            for (const { ticket, end } of ends.filter(({ atMs }) => atMs === nowMs)) {
+                take(queue.finish(ticket, end, nowMs), nowMs);
+            }
+            take(queue.tick(nowMs), nowMs);
+        }
+        return Array.from({ length: 10 }, (_, second) => {
+            const then = grants.filter(({ atMs }) => Math.floor(atMs / 1_000) === second);
+            return then.filter(({ targetId }) => targetId === name).length / then.length;
+        });
+    }
+
+    it("hardly sends anything to a target that has fallen silent while others have free slots", () => {
+        const shares = sharesOf("silent", () => Number.POSITIVE_INFINITY).slice(2);
+        expect(shares.reduce((sum, share) => sum + share, 0) / shares.length).to.be.below(0.05);
+    });
+
+    it("uses a target again within seconds when it is no longer slow", () => {
+        const shares = sharesOf("once slow", (nowMs) => nowMs < 2_000 ? 600 : 100);
+        expect(shares.slice(7).every((share) => share > 0.2)).to.equal(true);
+    });
+
     it("waits for a target nearby while that can be in time, and then goes elsewhere", () => {
         const queue = queueOf(target("near", { slots: 1 }), target("far", { dataCentreId: there }));
         expect(texts(queue.offer(request("a"), 0))).to.deep.equal(["a to near"]);
--- /dev/null
+++ b/test/forwarding/forwarder.spec.ts
@@ -0,0 +1,245 @@
+import { once } from "node:events";
+import net from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import type { SlotDecision } from "../../src/admission/admissionClient.js";
+import type { WorkEnd } from "../../src/admission/targetRecord.js";
+import type { AnswerHead, ClientCall, Refusal } from "../../src/entry/clientCall.js";
+import { createConnectionPool } from "../../src/forwarding/connectionPool.js";
+import type { Forwarder, ForwarderParts } from "../../src/forwarding/forwarder.js";
+import { createForwarder } from "../../src/forwarding/forwarder.js";
+import { headerOf } from "../../src/forwarding/responseParser.js";
+import { createSystemClock } from "../../src/adapters/systemClock.js";
+import type { Address, DataCentreId, Key, Offset, RequestId, RouteId, ServiceId, TargetId } from "../../src/model/names.js";
+import { Signal } from "../../src/model/signal.js";
+import type { RoutingConfig } from "../../src/model/routing.js";
+import { Splitter } from "../../src/routing/splitter.js";
+import { ClusterView } from "../../src/store/clusterView.js";
+
+const systemClock = createSystemClock();
+const dataCentreId = "dc-1" as DataCentreId;
+const keyed = "keyed" as ServiceId;
+const plain = "plain" as ServiceId;
+const leaseOwner = "t-1" as TargetId;
+
+/** What a target does with the requests that it gets, in turn; the last one counts for all further ones. */
+type Reaction = { afterMs: number; status?: number; pieces?: readonly { afterMs: number; bytes: number }[] };
+
+interface ScriptedTarget {
+    targetId: TargetId;
+    address: Address;
+    /** Requests that reached it, and when each one's connection was closed before its answer. */
+    arrivedMs: number[];
+    cutMs: number[];
+    stop(): void;
+}
+
+async function startTarget(targetId: string, reactions: readonly Reaction[]): Promise<ScriptedTarget> {
+    const arrivedMs: number[] = [];
+    const cutMs: number[] = [];
+    const sockets = new Set<net.Socket>();
+    const server = net.createServer((socket) => {
+        sockets.add(socket);
+        let pending = 0;
+        socket.on("error", () => undefined);
+        socket.on("close", () => {
+            sockets.delete(socket);
+            if (pending > 0) {
+                cutMs.push(performance.now());
+            }
+        });
+        socket.on("data", () => {
+            const reaction = reactions[Math.min(arrivedMs.length, reactions.length - 1)] as Reaction;
+            arrivedMs.push(performance.now());
+            pending += 1;
+            void answer(socket, reaction).then(() => {
+                pending -= 1;
+            });
+        });
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as net.AddressInfo;
+    return {
+        targetId: targetId as TargetId, address: `127.0.0.1:${String(port)}` as Address, arrivedMs, cutMs,
+        stop: () => {
+            server.close();
+            sockets.forEach((socket) => socket.destroy());
+        },
+    };
+}
+
+async function answer(socket: net.Socket, { afterMs, status = 200, pieces = [{ afterMs: 0, bytes: 2 }] }: Reaction): Promise<void> {
+    await sleep(afterMs);
+    const bytes = pieces.reduce((sum, piece) => sum + piece.bytes, 0);
+    socket.write(`HTTP/1.1 ${String(status)} Some\r\nContent-Length: ${String(bytes)}\r\n\r\n`);
+    for (const piece of pieces) {
+        await sleep(piece.afterMs);
+        socket.write(Buffer.alloc(piece.bytes, "x"));
+    }
+}
+
+const config: RoutingConfig = {
+    version: 1,
+    routes: [keyed, plain].map((serviceId) => ({
+        routeId: serviceId as string as RouteId, hostName: "h", pathPrefix: `/${serviceId}/`, idempotent: true, timeoutMs: 2_500,
+        targetLatencyMs: 100, priority: 1, maxAttempts: 2, backends: [{ serviceId, weight: 1 }],
+    })),
+    services: [keyed, plain].map((serviceId) => ({
+        serviceId, healthPath: "/", maxConnections: 10, sharded: serviceId === keyed, warmUpMs: 0,
+    })),
+    limits: { maxHeaderBytes: 10_000, maxBodyBytes: 10_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
+};
+
+/** The queue as a test wants it: slots that are given one by one, then refusals. */
+interface ScriptedQueue {
+    grants: (TargetId | "refused")[];
+    ends: WorkEnd[];
+    asked: number;
+}
+
+function createRig(targets: readonly ScriptedTarget[], queue: ScriptedQueue, change: Partial<ForwarderParts> = {}): Forwarder {
+    const view = new ClusterView();
+    view.applyConfig(config, 1 as Offset, 1 as Offset);
+    view.applyTargets(targets.map(({ targetId, address }, index) => ({
+        targetId, offset: index as Offset,
+        entry: {
+            targetId, address, serviceId: plain, dataCentreId, slots: 4, state: "ready" as const, bornWallMs: 1, sequence: 1, warmingUp: false,
+        },
+    })), 9 as Offset, 0);
+    const enter = (): Promise<SlotDecision> => {
+        queue.asked += 1;
+        const grant = queue.grants.shift() ?? "refused";
+        return Promise.resolve(grant === "refused"
+            ? { kind: "refused", reason: "overloaded", retryAfterMs: 100 }
+            : { kind: "granted", targetId: grant, expectedMs: 20, leave: (end) => {
+                queue.ends.push(end);
+            } });
+    };
+    return createForwarder({
+        view,
+        pool: createConnectionPool(systemClock, () => undefined),
+        dialect: {
+            ownHeaders: new Set(), headersFor: () => [], isAnswerTo: () => true,
+            classify: (head) => headerOf(head.rawHeaders, "not-run") === undefined ? "answer" : "not-run",
+        },
+        clock: systemClock,
+        owners: { changed: new Signal(), find: () => ({ kind: "owned", targetId: leaseOwner }) } as unknown as ForwarderParts["owners"],
+        admission: { enter },
+        splitter: new Splitter(),
+        retries: { onRequest: () => undefined, take: () => true },
+        loads: { count: () => undefined } as unknown as ForwarderParts["loads"],
+        requestLog: { answered: () => undefined, refused: () => undefined, retried: () => undefined, left: () => undefined },
+        dataCentreId,
+        random: () => 0.5,
+        ...change,
+    });
+}
+
+/** What a client got in the end. */
+interface Received {
+    status?: number;
+    refusal?: Refusal;
+    bytes: number;
+    brokenOff: boolean;
+}
+
+function createCall(serviceId: ServiceId, received: Received, left = new AbortController().signal): ClientCall {
+    const begin = ({ status }: AnswerHead) => {
+        received.status = status;
+    };
+    return {
+        requestId: "r-1" as RequestId, method: "GET", path: `/${serviceId}/a`, hostName: "h", key: serviceId === keyed ? 7 as Key : undefined,
+        budgetMs: 2_000, receivedAt: systemClock.now(), forwardHeaders: [],
+        body: { collect: () => Promise.resolve(Buffer.alloc(0)), next: () => Promise.resolve(undefined), declaredBytes: 0 },
+        left,
+        refuse: (refusal) => {
+            received.refusal = refusal;
+        },
+        answer: (head, body) => {
+            begin(head);
+            received.bytes += body.length;
+        },
+        beginAnswer: begin,
+        writeAnswer: (piece) => {
+            received.bytes += piece.length;
+            return Promise.resolve();
+        },
+        finishAnswer: () => undefined,
+        breakOff: () => {
+            received.brokenOff = true;
+        },
+    };
+}
+
+describe("a request whose answer is late", () => {
+    const running: ScriptedTarget[] = [];
+    const target = async (targetId: string, ...reactions: readonly Reaction[]): Promise<ScriptedTarget> => {
+        const started = await startTarget(targetId, reactions);
+        running.push(started);
+        return started;
+    };
+    const serve = async (forwarder: Forwarder, serviceId: ServiceId): Promise<Received> => {
+        const received: Received = { bytes: 0, brokenOff: false };
+        await forwarder.serve(createCall(serviceId, received));
+        return received;
+    };
+
+    afterEach(() => {
+        running.splice(0).forEach(({ stop }) => {
+            stop();
+        });
+    });
+
+    it("stays at its target when there is no slot to repeat it", async () => {
+        const slow = await target("t-1", { afterMs: 700 });
+        const queue: ScriptedQueue = { grants: [slow.targetId, "refused"], ends: [], asked: 0 };
+        const received = await serve(createRig([slow], queue), plain);
+        expect(received).to.deep.equal({ status: 200, bytes: 2, brokenOff: false });
+        expect(slow.cutMs).to.deep.equal([]);
+    });
+
+    it("stays at its target when the retry budget is spent, and gives the slot for the repeat back", async () => {
+        const slow = await target("t-1", { afterMs: 700 });
+        const other = await target("t-2", { afterMs: 1 });
+        const queue: ScriptedQueue = { grants: [slow.targetId, other.targetId], ends: [], asked: 0 };
+        const retries = { onRequest: () => undefined, take: () => false };
+        const received = await serve(createRig([slow, other], queue, { retries }), plain);
+        expect(received.status).to.equal(200);
+        expect(other.arrivedMs).to.deep.equal([]);
+        expect(queue.ends.map(({ kind }) => kind).sort()).to.deep.equal(["answered", "dropped"].slice(0, queue.ends.length));
+    });
+
+    it("is given up only once another target has a slot for it", async () => {
+        const silent = await target("t-1", { afterMs: 2_400 });
+        const other = await target("t-2", { afterMs: 1 });
+        const queue: ScriptedQueue = { grants: [silent.targetId, other.targetId], ends: [], asked: 0 };
+        const received = await serve(createRig([silent, other], queue), plain);
+        expect(received).to.deep.equal({ status: 200, bytes: 2, brokenOff: false });
+        expect(other.arrivedMs).to.have.length(1);
+        expect(queue.ends.map(({ kind }) => kind)).to.deep.equal(["late", "answered"]);
+    });
+
+    it("keeps its slot when the owner of its key is asked again", async () => {
+        const owner = await target("t-1", { afterMs: 2_400 }, { afterMs: 1 });
+        const queue: ScriptedQueue = { grants: [owner.targetId, "refused"], ends: [], asked: 0 };
+        const received = await serve(createRig([owner], queue), keyed);
+        expect(received).to.deep.equal({ status: 200, bytes: 2, brokenOff: false });
+        expect(owner.arrivedMs).to.have.length(2);
+        expect(queue).to.deep.include({ asked: 1, ends: [{ kind: "answered", tookMs: (queue.ends[0] as { tookMs: number }).tookMs }] });
+    });
+
+    it("is not broken off once the client has a part of the answer", async () => {
+        const bulk = await target("t-1", { afterMs: 1, pieces: [{ afterMs: 0, bytes: 300_000 }, { afterMs: 600, bytes: 10 }] });
+        const queue: ScriptedQueue = { grants: [bulk.targetId, bulk.targetId], ends: [], asked: 0 };
+        const received = await serve(createRig([bulk], queue), plain);
+        expect(received).to.deep.equal({ status: 200, bytes: 300_010, brokenOff: false });
+    });
+
+    it("gets the failure that a target answered when there is no slot to ask another one", async () => {
+        const failing = await target("t-1", { afterMs: 1, status: 500 });
+        const queue: ScriptedQueue = { grants: [failing.targetId, "refused"], ends: [], asked: 0 };
+        const received = await serve(createRig([failing], queue), plain);
+        expect(received).to.deep.equal({ status: 500, bytes: 2, brokenOff: false });
+    });
+});
--- a/test/forwarding/interrupt.spec.ts
+++ b/test/forwarding/interrupt.spec.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { createInterrupt } from "../../src/forwarding/interrupt.js";
 
@@ -10,19 +11,33 @@
     return { reason, afterMs: performance.now() - startedMs };
 }
 
+const agree = () => Promise.resolve(true);
+const object = () => Promise.resolve(false);
+
 describe("interrupt of an attempt", () => {
     it("comes when patience ends, if the attempt may be given up then", async () => {
-        const { reason, afterMs } = await raisedOf({ left: undefined, timeoutMs: 500, patience: { afterMs: 30, mayGiveUp: () => true } });
-        expect(reason).to.equal("timed-out");
+        const { reason, afterMs } = await raisedOf({ left: undefined, timeoutMs: 500, patience: { afterMs: 30, mayGiveUp: agree } });
+        expect(reason).to.equal("given-up");
         expect(afterMs).to.be.below(300);
     });
 
     it("waits for the whole timeout when the attempt may not be given up, as on a host that stops", async () => {
-        const { reason, afterMs } = await raisedOf({ left: undefined, timeoutMs: 120, patience: { afterMs: 10, mayGiveUp: () => false } });
+        const { reason, afterMs } = await raisedOf({ left: undefined, timeoutMs: 120, patience: { afterMs: 10, mayGiveUp: object } });
         expect(reason).to.equal("timed-out");
         expect(afterMs).to.be.above(100);
     });
 
+    it("does not come for patience once the attempt is committed, however late the consent", async () => {
+        const interrupt = createInterrupt({
+            left: undefined, timeoutMs: 120, patience: { afterMs: 10, mayGiveUp: () => sleep(30).then(() => true) },
+        });
+        setTimeout(() => {
+            interrupt.commit();
+        }, 20);
+        expect(await interrupt.raised).to.equal("timed-out");
+        interrupt.release();
+    });
+
     it("comes at once when the client leaves, also when it left before", async () => {
         const left = new AbortController();
         setTimeout(() => {
