--- a/src/ownership/holder.ts
+++ b/src/ownership/holder.ts
@@ -1,6 +1,6 @@
 /** The leases of one target: one task renews them, and gives ranges up when they move. */
 import type { Result } from "neverthrow";
-import { err, ok } from "neverthrow";
+import { err } from "neverthrow";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Address, Fence, KeyRange, TargetId } from "../model/names.js";
@@ -8,7 +8,9 @@
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import type { FenceCounter } from "./fences.js";
+import { HolderSessions } from "./holderSessions.js";
 import type { GrantReply, LeasePort, LeaseSession } from "./leasePort.js";
+import { Liveness } from "./liveness.js";
 import { contains, isSameRange, withoutRange } from "./ranges.js";
 
 /** Period of renewals. */
@@ -18,11 +20,9 @@
 export const usualHoldMs = 2_300;
 
 const grantTimeoutMs = 300;
-const retryMs = 60;
-const silentRetryMs = 250;
 
-/** A target counts as silent when it has answered nothing for this long. */
-const silentAfterMs = 700;
+/** The grant that opens a move may go over a new connection, for which a full target takes its time. */
+const raiseTimeoutMs = 600;
 
 /** A target's clock may run slow by 2 %. */
 const clockRateBound = 1.02;
@@ -62,6 +62,12 @@
     heldUntilMs: number;
 }
 
+/** A range and what its last holder gave for the next one. */
+export interface HandedOver {
+    range: KeyRange;
+    handover: string | undefined;
+}
+
 /** What became of the attempt to take a range back. */
 export type ReleaseOutcome =
     | { kind: "released"; handover: string | undefined }
@@ -74,35 +80,33 @@
     readonly changed = new Signal();
     private readonly poked = new Signal();
     private leases: Lease[] = [];
-    private session: LeaseSession | undefined;
-    private answeredMs: number;
-    private failedInARow = 0;
+    private readonly sessions: HolderSessions;
+    private readonly liveness: Liveness;
     private heldUntilMs = Number.NEGATIVE_INFINITY;
     private renewing: Promise<void> = Promise.resolve();
     private resumeSent = false;
-    private silent = false;
     private ended = false;
-    /** Kept for the next move. */
-    private spare: LeaseSession | undefined;
-    private opening = false;
 
     /**
      * @param targetId the target
      * @param address where it listens
      * @param parts what the holder works with
      */
-    constructor(readonly targetId: TargetId, private address: Address, private readonly parts: HolderParts) {
-        this.answeredMs = parts.clock.now().monoMs;
+    constructor(readonly targetId: TargetId, address: Address, private readonly parts: HolderParts) {
+        this.liveness = new Liveness(parts.clock.now().monoMs);
+        this.sessions = new HolderSessions(targetId, address, parts.leases, () => {
+            this.poked.fire();
+        });
     }
 
     /** True while the target does not answer. */
     get isSilent(): boolean {
-        return this.silent;
+        return this.liveness.isSilent;
     }
 
     /** True when a connection to the target is open. */
     get isConnected(): boolean {
-        return this.session?.isOpen === true && !this.silent;
+        return this.sessions.isOpen && !this.isSilent;
     }
 
     /** True when the target has certainly ended; nothing that anyone granted to it counts any more. */
@@ -122,10 +126,8 @@
 
     /** Notes a new address. */
     moveTo(address: Address): void {
-        if (address !== this.address) {
-            this.address = address;
+        if (this.sessions.moveTo(address)) {
             this.ended = false;
-            this.session?.reset();
         }
     }
 
@@ -134,7 +136,7 @@
      * @param ranges the ranges
      * @param handovers what their last holders gave, for ranges that are new here
      */
-    setRanges(ranges: readonly KeyRange[], handovers: readonly { range: KeyRange; handover: string | undefined }[]): void {
+    setRanges(ranges: readonly KeyRange[], handovers: readonly HandedOver[]): void {
         const nowMs = this.parts.clock.now().monoMs;
         this.noteHeld();
         const kept = this.leases.filter((lease) => ranges.some((range) => isSameRange(range, lease.range)));
@@ -149,11 +151,10 @@
             this.renewing = this.renewDue(signal);
             await this.renewing;
             const nowMs = this.parts.clock.now().monoMs;
-            const pauseMs = this.failedInARow > 0 ? this.pauseAfterFailureMs() : this.nextDueMs(nowMs) - nowMs;
+            const pauseMs = this.liveness.isFailing ? this.liveness.pauseMs() : this.nextDueMs(nowMs) - nowMs;
             await waitFor(this.parts.clock, Math.max(1, pauseMs), [this.poked], signal);
         }
-        this.session?.reset();
-        this.spare?.reset();
+        this.sessions.close();
     }
 
     /**
@@ -166,7 +167,7 @@
         this.cutOut(range);
         await this.renewing;
         const untilMs = covering?.heldUntilMs ?? Number.NEGATIVE_INFINITY;
-        const opened = await this.takeSpare();
+        const opened = await this.sessions.forMove();
         if (opened.isErr()) {
             return { kind: "failed", heldUntilMs: untilMs, failure: opened.error };
         }
@@ -205,7 +206,7 @@
             return err(failure("refused", "release", this.targetId, "the term is not confirmed"));
         }
         const fence = this.parts.fences.next();
-        const raised = await session.grant({ range, fence, holdMs: this.parts.holdMs(now), handover: undefined }, grantTimeoutMs);
+        const raised = await session.grant({ range, fence, holdMs: this.parts.holdMs(now), handover: undefined }, raiseTimeoutMs);
         if (raised.isErr()) {
             return err(raised.error);
         }
@@ -228,14 +229,6 @@
         return { range, handover, fence: this.parts.fences.next(), session: undefined, dueMs: nowMs, heldUntilMs };
     }
 
-    /** A single failure may be one lost answer, and is tried again at once. */
-    private pauseAfterFailureMs(): number {
-        if (this.silent) {
-            return silentRetryMs;
-        }
-        return this.failedInARow === 1 ? 0 : retryMs;
-    }
-
     private nextDueMs(nowMs: number): number {
         return Math.min(nowMs + renewMs, ...this.leases.map(({ dueMs }) => dueMs));
     }
@@ -244,12 +237,12 @@
         if (!this.parts.mayGrant(this.parts.clock.now()) || signal.aborted) {
             return;
         }
-        const session = await this.openSession();
+        const session = await this.sessions.forRenewals();
         if (session.isErr()) {
             this.onFailure(session.error);
             return;
         }
-        if (this.silent && this.leases.length === 0) {
+        if (this.isSilent && this.leases.length === 0) {
             this.onAnswer();
         }
         for (const lease of [...this.leases].sort((left, right) => left.dueMs - right.dueMs)) {
@@ -257,29 +250,15 @@
                 return;
             }
         }
-        void this.openSpare();
-    }
-
-    /** A full target takes its time over new connections; moves must not wait for that, so one is kept for them. */
-    private async openSpare(): Promise<void> {
-        if (this.opening || this.spare?.isOpen === true || this.leases.length === 0) {
-            return;
+        if (this.leases.length > 0) {
+            void this.sessions.prepareMove();
         }
-        this.opening = true;
-        this.spare = (await this.parts.leases.open(this.targetId, this.address)).unwrapOr(undefined);
-        this.opening = false;
-    }
-
-    private async takeSpare(): Promise<Result<LeaseSession, Failure>> {
-        const { spare } = this;
-        this.spare = undefined;
-        return spare?.isOpen === true ? ok(spare) : this.parts.leases.open(this.targetId, this.address);
     }
 
     /** A silent target is granted its ranges once more when it can be connected to; each grant puts the end of the wait off. */
     private isDue(lease: Lease): boolean {
         const nowMs = this.parts.clock.now().monoMs;
-        if (this.silent && this.resumeSent && nowMs < this.freeAtMs) {
+        if (this.isSilent && this.resumeSent && nowMs < this.freeAtMs) {
             return false;
         }
         return this.leases.includes(lease) && lease.dueMs <= nowMs && this.parts.isRecorded(this.targetId, lease.range);
@@ -294,7 +273,7 @@
             lease.session = session;
             lease.fence = this.parts.fences.next();
         }
-        this.resumeSent = this.silent;
+        this.resumeSent = this.isSilent;
         const holdMs = this.parts.holdMs(now);
         const heldBeforeMs = lease.heldUntilMs;
         lease.heldUntilMs = Math.max(heldBeforeMs, now.monoMs + grantTimeoutMs + holdBoundMs(holdMs));
@@ -320,7 +299,7 @@
         lease.session = undefined;
         noteTurnedAway[reply](this);
         if (reply === "outdated") {
-            this.failedInARow += 1;
+            this.liveness.noteSetback();
             return;
         }
         session.reset();
@@ -335,49 +314,28 @@
     /** Another target has the address, so this one has ended. */
     noteEnded(): void {
         this.ended = true;
-        this.answeredMs = Number.NEGATIVE_INFINITY;
-        this.failedInARow += 1;
+        this.liveness.noteEnd();
     }
 
     private onAnswer(): void {
-        this.answeredMs = this.parts.clock.now().monoMs;
-        this.failedInARow = 0;
         this.resumeSent = false;
         this.ended = false;
-        if (this.silent) {
-            this.silent = false;
+        if (this.liveness.noteAnswer(this.parts.clock.now().monoMs)) {
             this.parts.log.info("target answers again", { target: this.targetId });
             this.changed.fire();
         }
     }
 
     private onFailure(failed: Failure): void {
-        this.failedInARow += 1;
-        this.session?.reset();
-        this.session = undefined;
-        const quietMs = this.parts.clock.now().monoMs - this.answeredMs;
-        if (!this.silent && this.failedInARow >= 2 && (failed.refused === true || quietMs > silentAfterMs)) {
-            this.silent = true;
+        this.sessions.resetRenewals();
+        const nowMs = this.parts.clock.now().monoMs;
+        if (this.liveness.noteFailure(failed, nowMs)) {
+            const quietMs = this.liveness.quietMs(nowMs);
             this.parts.log.warn("target silent", { target: this.targetId, quietMs: Math.round(quietMs), step: failed.step, why: failed.message });
             this.changed.fire();
         }
     }
 
-    private async openSession(): Promise<Result<LeaseSession, Failure>> {
-        if (this.session?.isOpen === true) {
-            return ok(this.session);
-        }
-        const opened = await this.parts.leases.open(this.targetId, this.address);
-        const session = opened.unwrapOr(undefined);
-        this.session = session;
-        void session?.closed.then(() => {
-            if (this.session === session) {
-                this.poked.fire();
-            }
-        });
-        return opened;
-    }
-
     /** Leases that are dropped may still be held for a while. */
     private noteHeld(): void {
         this.heldUntilMs = this.freeAtMs;
@@ -399,6 +357,6 @@
     return reply.match((answer) => answer === "granted", ({ kind }) => kind !== "unreachable");
 }
 
-function handoverFor(range: KeyRange, handovers: readonly { range: KeyRange; handover: string | undefined }[]): string | undefined {
+function handoverFor(range: KeyRange, handovers: readonly HandedOver[]): string | undefined {
     return handovers.find((given) => contains(range, given.range))?.handover;
 }
--- a/src/ownership/holderSet.ts
+++ b/src/ownership/holderSet.ts
@@ -3,16 +3,10 @@
 import { linkAborts } from "../model/signal.js";
 import type { TargetEntry } from "../model/target.js";
 import type { ClusterView } from "../store/clusterView.js";
-import type { HolderParts } from "./holder.js";
+import type { HandedOver, HolderParts } from "./holder.js";
 import { Holder } from "./holder.js";
 import { isSameRange, withoutRange } from "./ranges.js";
 
-/** A range and what its last holder gave for the next one. */
-export interface HandedOver {
-    range: KeyRange;
-    handover: string | undefined;
-}
-
 /** Holders by target. */
 export interface HolderSet {
     get(targetId: TargetId): Holder | undefined;
