A slot at a target that the sender knows to leave is not used

It now gives the slot back and asks again, three times at most. Tests, red before: forwarder.spec, the first two.

--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -45,6 +45,8 @@
     requestLog: RequestLog;
     clock: Clock;
     dataCentreId: DataCentreId;
+    /** Time after which a leaving target gets nothing new. */
+    drainMs: number;
     random: () => number;
 }
 
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -5,6 +5,7 @@
 import type { DataCentreId, Key, ServiceId, TargetId } from "../model/names.js";
 import { linkAborts, waitFor } from "../model/signal.js";
 import type { TargetEntry } from "../model/target.js";
+import { mayReceive } from "../model/target.js";
 import type { Clock } from "../model/time.js";
 import type { Owners } from "../ownership/owners.js";
 import type { ClusterView } from "../store/clusterView.js";
@@ -15,6 +16,9 @@
 
 const retryAfterStoppingMs = 50;
 
+/** Times that the queue is asked when it offers targets that this host knows to leave. */
+const maxAskedForTarget = 3;
+
 /** When to come back after a target could not be reached. */
 export const retryAfterUnreachableMs = 250;
 
@@ -41,6 +45,8 @@
     workTimes: WorkTimes;
     clock: Clock;
     dataCentreId: DataCentreId;
+    /** Time after which a leaving target gets nothing new. */
+    drainMs: number;
     /** Spreads a delay by chance. */
     spread: (delayMs: number) => number;
     /** Aborted when requests without a slot are to be turned away. */
@@ -63,20 +69,36 @@
  * Creates the placer.
  * @param parts what it works with
  */
-export function createPlacer({ view, owners, admission, workTimes, clock, dataCentreId, spread, stopped }: PlacerParts): Placer {
+export function createPlacer({ view, owners, admission, workTimes, clock, dataCentreId, drainMs, spread, stopped }: PlacerParts): Placer {
     const nowMs = () => clock.now().monoMs;
 
     const place = async (job: Job, left: AbortSignal): Promise<Placement> => {
         const { call, service } = job;
-        if (service.sharded && call.key !== undefined) {
-            return placeAtOwner(job, call.key, left);
+        return service.sharded && call.key !== undefined ? placeAtOwner(job, call.key, left) : placeAnywhere(job, left);
+    };
+
+    const placeAnywhere = async (job: Job, left: AbortSignal): Promise<Placement> => {
+        const { serviceId } = job.service;
+        const avoid = new Set(job.tried);
+        for (let asked = 0; asked < maxAskedForTarget; asked++) {
+            const until = linkAborts(left, stopped);
+            const decision = await admission.enter({
+                ...slotOf(job), group: { kind: "service", serviceId }, avoid: [...avoid], keptNear: undefined,
+            }, until.signal);
+            until.release();
+            if (decision.kind === "refused" || !isLeaving(decision.targetId)) {
+                return toPlacement(decision);
+            }
+            decision.leave({ kind: "dropped" });
+            avoid.add(decision.targetId);
         }
-        const until = linkAborts(left, stopped);
-        const decision = await admission.enter({
-            ...slotOf(job), group: { kind: "service", serviceId: service.serviceId }, avoid: [...job.tried], keptNear: undefined,
-        }, until.signal);
-        until.release();
-        return toPlacement(decision);
+        return noTarget();
+    };
+
+    /** The host that keeps the queue may not know yet that a target leaves. */
+    const isLeaving = (targetId: TargetId): boolean => {
+        const target = view.targets.get(targetId);
+        return target !== undefined && !mayReceive(target, drainMs, nowMs());
     };
 
     const placeAtOwner = async (job: Job, key: Key, left: AbortSignal): Promise<Placement> => {
@@ -95,7 +117,8 @@
             }, until.signal);
             until.release();
             endWatch();
-            if (!moved.signal.aborted || left.aborted || stopped.aborted) {
+            const isOver = left.aborted || stopped.aborted;
+            if (isOver || (!moved.signal.aborted && !isLeaving(owner))) {
                 return toPlacement(decision, owner);
             }
             if (decision.kind === "granted") {
@@ -148,6 +171,8 @@
     const stoppingRefusal = (): Placement =>
         ({ kind: "refused", refusal: { reason: "stopping", retryAfterMs: spread(retryAfterStoppingMs) } });
 
+    const noTarget = (): Placement => ({ kind: "refused", refusal: { reason: "no-target", retryAfterMs: spread(retryAfterUnreachableMs) } });
+
     const slotOf = ({ route, targetMs, deadlineMs }: Job) => ({
         priority: route.priority,
         workMs: workTimes.meanMs(route.routeId, typicalWorkMs(route)),
@@ -160,7 +185,7 @@
             const target = view.targets.get(decision.targetId);
             if (target === undefined) {
                 decision.leave({ kind: "dropped" });
-                return { kind: "refused", refusal: { reason: "no-target", retryAfterMs: spread(retryAfterUnreachableMs) } };
+                return noTarget();
             }
             return { kind: "placed", target, expectedMs: decision.expectedMs, leave: decision.leave };
         }
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -136,7 +136,7 @@
         pool: from.resolve(tokens.pool),
         dialect: from.resolve(tokens.targetDialect),
         clock: from.resolve(tokens.clock),
-        dataCentreId: settings.dataCentreId,
+        dataCentreId: settings.dataCentreId, drainMs,
         random: from.resolve(tokens.random),
     }));
     provide(tokens.clients, (from) => {
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -98,7 +98,9 @@
     asked: number;
 }
 
-function createRig(targets: readonly ScriptedTarget[], queue: ScriptedQueue, change: Partial<ForwarderParts> = {}): Forwarder {
+function createRig(
+    targets: readonly ScriptedTarget[], queue: ScriptedQueue, change: Partial<ForwarderParts> = {}, leaving: readonly TargetId[] = [],
+): Forwarder {
     const view = new ClusterView();
     view.applyConfig(config, 1 as Offset, 1 as Offset);
     view.applyTargets(targets.map(({ targetId, address }, index) => ({
@@ -107,6 +109,7 @@
             targetId, address, serviceId: plain, dataCentreId, slots: 4, state: "ready" as const, bornWallMs: 1, sequence: 1, warmingUp: false,
         },
     })), 9 as Offset, 0);
+    view.applyTargets(leaving.map((targetId) => ({ targetId, offset: 10 as Offset, entry: undefined })), 11 as Offset, 0);
     const enter = (): Promise<SlotDecision> => {
         queue.asked += 1;
         const grant = queue.grants.shift() ?? "refused";
@@ -130,7 +133,7 @@
         retries: { onRequest: () => undefined, take: () => true },
         loads: { count: () => undefined } as unknown as ForwarderParts["loads"],
         requestLog: { answered: () => undefined, refused: () => undefined, retried: () => undefined, left: () => undefined },
-        dataCentreId,
+        dataCentreId, drainMs: 100,
         random: () => 0.5,
         ...change,
     });
@@ -172,7 +175,7 @@
     };
 }
 
-describe("a request whose answer is late", () => {
+describe("forwarding", () => {
     const running: ScriptedTarget[] = [];
     const target = async (targetId: string, ...reactions: readonly Reaction[]): Promise<ScriptedTarget> => {
         const started = await startTarget(targetId, reactions);
@@ -191,7 +194,26 @@
         });
     });
 
-    it("stays at its target when there is no slot to repeat it", async () => {
+    it("never uses a slot at a target that this host knows to leave, though the queue's host does not know it yet", async () => {
+        const left = await target("t-1", { afterMs: 1 });
+        const other = await target("t-2", { afterMs: 1 });
+        const queue: ScriptedQueue = { grants: [left.targetId, other.targetId], ends: [], asked: 0 };
+        const received = await serve(createRig([left, other], queue, {}, [left.targetId]), plain);
+        expect(received).to.deep.equal({ status: 200, bytes: 2, brokenOff: false });
+        expect(left.arrivedMs).to.deep.equal([]);
+        expect(queue.ends.map(({ kind }) => kind)).to.deep.equal(["dropped", "answered"]);
+    });
+
+    it("turns a request away when the queue's host knows of no other target than one that leaves", async () => {
+        const left = await target("t-1", { afterMs: 1 });
+        const queue: ScriptedQueue = { grants: Array.from({ length: 9 }, () => left.targetId), ends: [], asked: 0 };
+        const received = await serve(createRig([left], queue, {}, [left.targetId]), plain);
+        expect(received.refusal?.reason).to.equal("no-target");
+        expect(left.arrivedMs).to.deep.equal([]);
+        expect(queue.asked).to.be.below(5);
+    });
+
+    it("leaves a late request at its target when there is no slot to repeat it", async () => {
         const slow = await target("t-1", { afterMs: 700 });
         const queue: ScriptedQueue = { grants: [slow.targetId, "refused"], ends: [], asked: 0 };
         const received = await serve(createRig([slow], queue), plain);
@@ -199,7 +221,7 @@
         expect(slow.cutMs).to.deep.equal([]);
     });
 
-    it("stays at its target when the retry budget is spent, and gives the slot for the repeat back", async () => {
+    it("leaves a late request at its target when the retry budget is spent, and gives the slot for the repeat back", async () => {
         const slow = await target("t-1", { afterMs: 700 });
         const other = await target("t-2", { afterMs: 1 });
         const queue: ScriptedQueue = { grants: [slow.targetId, other.targetId], ends: [], asked: 0 };
@@ -210,7 +232,7 @@
         expect(queue.ends.map(({ kind }) => kind).sort()).to.deep.equal(["answered", "dropped"].slice(0, queue.ends.length));
     });
 
-    it("is given up only once another target has a slot for it", async () => {
+    it("gives a late attempt up only once another target has a slot", async () => {
         const silent = await target("t-1", { afterMs: 2_400 });
         const other = await target("t-2", { afterMs: 1 });
         const queue: ScriptedQueue = { grants: [silent.targetId, other.targetId], ends: [], asked: 0 };
@@ -220,7 +242,7 @@
         expect(queue.ends.map(({ kind }) => kind)).to.deep.equal(["late", "answered"]);
     });
 
-    it("keeps its slot when the owner of its key is asked again", async () => {
+    it("asks the owner of a key again in the same slot", async () => {
         const owner = await target("t-1", { afterMs: 2_400 }, { afterMs: 1 });
         const queue: ScriptedQueue = { grants: [owner.targetId, "refused"], ends: [], asked: 0 };
         const received = await serve(createRig([owner], queue), keyed);
@@ -229,14 +251,14 @@
         expect(queue).to.deep.include({ asked: 1, ends: [{ kind: "answered", tookMs: (queue.ends[0] as { tookMs: number }).tookMs }] });
     });
 
-    it("is not broken off once the client has a part of the answer", async () => {
+    it("breaks no late answer off once the client has a part of it", async () => {
         const bulk = await target("t-1", { afterMs: 1, pieces: [{ afterMs: 0, bytes: 300_000 }, { afterMs: 600, bytes: 10 }] });
         const queue: ScriptedQueue = { grants: [bulk.targetId, bulk.targetId], ends: [], asked: 0 };
         const received = await serve(createRig([bulk], queue), plain);
         expect(received).to.deep.equal({ status: 200, bytes: 300_010, brokenOff: false });
     });
 
-    it("gets the failure that a target answered when there is no slot to ask another one", async () => {
+    it("delivers the failure that a target answered when there is no slot to ask another one", async () => {
         const failing = await target("t-1", { afterMs: 1, status: 500 });
         const queue: ScriptedQueue = { grants: [failing.targetId, "refused"], ends: [], asked: 0 };
         const received = await serve(createRig([failing], queue), plain);
