A range that moves for balance goes back to its owner when the store falls away before its record is sent

Now what has not been sent is refused once an append has had no answer for 150 ms, and the old owner is granted the range again with its own handover. Moves away from leaving targets wait as before (a slow store would make them go one by one). Only what is in the one append under way can still be without an owner. Test, red before: ledgerWriter.spec 'refuses what can be left undone'.

--- a/src/ownership/ledgerWriter.ts
+++ b/src/ownership/ledgerWriter.ts
@@ -24,6 +24,8 @@
 /** A failed append shows trouble for this long; later ones are tried again. */
 const troubleLastsMs = 1_000;
 
+const storeInTrouble = failure("refused", "store-append", "ledger", "the store is in trouble");
+
 /** What a writer works with. */
 export interface LedgerWriterParts {
     store: StorePort;
@@ -39,8 +41,12 @@
     onWritten: (changes: readonly LedgerChange[], from: Offset, upTo: Offset, sentAt: Instant) => void;
 }
 
+/** What becomes of an append that has not been sent when the store is in trouble. */
+export type InTrouble = "wait" | "or-refuse";
+
 interface Job {
     assignments: readonly Assignment[];
+    inTrouble: InTrouble;
     settle: (result: Result<void, Failure>) => void;
 }
 
@@ -49,8 +55,10 @@
     /**
      * Gives ranges to targets. Resolves when that is in force, or when it certainly is not and never will be.
      * A failure of kind `lost` leaves it open; it comes only when this process will never write again.
+     * @param assignments who gets which range
+     * @param inTrouble whether it is refused when the store is in trouble
      */
-    assign(assignments: readonly Assignment[]): Promise<Result<void, Failure>>;
+    assign(assignments: readonly Assignment[], inTrouble: InTrouble): Promise<Result<void, Failure>>;
     /** True unless an append failed a moment ago, or one has been unanswered for a while. */
     isSound(nowMs: number): boolean;
 }
@@ -79,6 +87,37 @@
         working = false;
     };
 
+    /** Refuses what has not been sent and can be left undone. */
+    const refuseWaiting = () => {
+        const refused = queue.filter(({ inTrouble }) => inTrouble === "or-refuse");
+        queue = queue.filter(({ inTrouble }) => inTrouble === "wait");
+        refused.forEach(({ settle }) => {
+            settle(err(storeInTrouble));
+        });
+    };
+
+    /** Watches an append until it is answered. */
+    const watch = async (answered: AbortSignal) => {
+        await clock.sleep(usualAppendMs, answered);
+        if (!answered.aborted) {
+            refuseWaiting();
+        }
+    };
+
+    const appendOnce = async (records: readonly DraftedRecord[], expectedEnd: Offset, nowMs: number) => {
+        const answered = new AbortController();
+        sentMs = nowMs;
+        void watch(answered.signal);
+        const outcome = await store.append(records.map(({ key, record }) => encodeLedgerRecord(key, record)), expectedEnd);
+        answered.abort();
+        sentMs = undefined;
+        failedMs = outcome.isErr() ? clock.now().monoMs : Number.NEGATIVE_INFINITY;
+        return outcome;
+    };
+
+    const isSound = (nowMs: number): boolean =>
+        nowMs - failedMs > troubleLastsMs && (sentMs === undefined || nowMs - sentMs < usualAppendMs);
+
     /** An append without an answer may take effect later; appending again at the same end makes one of the two fail. */
     const appendUntilKnown = async (assignments: readonly Assignment[]): Promise<Result<void, Failure>> => {
         let uncertainFrom: Offset | undefined;
@@ -97,15 +136,13 @@
                 continue;
             }
             const expectedEnd = view.ledger.upTo;
-            sentMs = now.monoMs;
-            const outcome = await store.append(records.map(({ key, record }) => encodeLedgerRecord(key, record)), expectedEnd);
-            sentMs = undefined;
-            failedMs = outcome.isErr() ? clock.now().monoMs : Number.NEGATIVE_INFINITY;
+            const outcome = await appendOnce(records, expectedEnd, now.monoMs);
             if (outcome.isOk() && outcome.value.kind === "appended") {
                 take(records, outcome.value.offset, now);
                 return ok(undefined);
             }
             if (outcome.isErr()) {
+                refuseWaiting();
                 log.warn("append failed", { kind: outcome.error.kind, why: outcome.error.message, end: expectedEnd });
                 uncertainFrom ??= outcome.error.kind === "lost" ? expectedEnd : undefined;
                 if (uncertainFrom === undefined) {
@@ -134,12 +171,16 @@
     });
 
     return {
-        assign: (assignments) => new Promise((settle) => {
-            queue.push({ assignments, settle });
+        assign: (assignments, inTrouble) => new Promise((settle) => {
+            if (inTrouble === "or-refuse" && !isSound(clock.now().monoMs)) {
+                settle(err(storeInTrouble));
+                return;
+            }
+            queue.push({ assignments, inTrouble, settle });
             if (!working) {
                 void work();
             }
         }),
-        isSound: (nowMs) => nowMs - failedMs > troubleLastsMs && (sentMs === undefined || nowMs - sentMs < usualAppendMs),
+        isSound,
     };
 }
--- a/src/ownership/ownershipKeeper.ts
+++ b/src/ownership/ownershipKeeper.ts
@@ -174,7 +174,7 @@
         active.forEach((one) => moves.add(one));
         const freeAtMs = await Promise.all(planned.map(({ range }) => abandonOwner(serviceId, range)));
         const free = planned.filter((_move, index) => clock.now().monoMs > (freeAtMs[index] ?? 0));
-        const result = await writer.assign(free.map(({ range, to }) => assignmentOf(serviceId, range, to)));
+        const result = await writer.assign(free.map(({ range, to }) => assignmentOf(serviceId, range, to)), "wait");
         active.forEach((one) => moves.delete(one));
         log.info("keys given out", { service: serviceId, moves: free.map(describeMove), ...result.isErr() ? { why: result.error.message } : {} });
         free.forEach((move) => {
@@ -192,6 +192,10 @@
         return owner === undefined || holder?.hasEnded === true ? freeAtMs : Math.max(freeAtMs, parts.predecessor.grantsUntilMs);
     };
 
+    /** A range that is only moved for balance goes back to its owner when the store falls away before the record is sent. */
+    const record = (serviceId: ServiceId, move: Move) =>
+        writer.assign([assignmentOf(serviceId, move.range, move.to)], move.reason === "leaving" ? "wait" : "or-refuse");
+
     const moveAway = async (serviceId: ServiceId, move: Move, from: TargetId) => {
         const active: ActiveMove = { serviceId, move };
         moves.add(active);
@@ -203,7 +207,7 @@
         const releasedMs = clock.now().monoMs;
         const isFree = released?.kind === "released"
             || (released?.kind === "failed" && move.reason === "leaving" && await outwait(active, heldUntilMs(released.heldUntilMs, holder)));
-        const assigned = isFree ? await writer.assign([assignmentOf(serviceId, move.range, move.to)]) : undefined;
+        const assigned = isFree ? await record(serviceId, move) : undefined;
         moves.delete(active);
         const handover = released?.kind === "released" ? released.handover : undefined;
         syncRanges([{ range: move.range, handover }]);
--- a/test/ownership/ledgerWriter.spec.ts
+++ b/test/ownership/ledgerWriter.spec.ts
@@ -44,7 +44,7 @@
             return outcomes.get(sent) as Result<AppendOutcome, Failure>;
         });
         expect(isSound()).to.equal(true);
-        const assigned = writer.assign([assignment]);
+        const assigned = writer.assign([assignment], "wait");
         await clock.advance(100);
         expect(isSound()).to.equal(true);
         await clock.advance(100);
@@ -56,9 +56,29 @@
         expect(isSound()).to.equal(true);
     });
 
+    it("refuses what can be left undone once an append has no answer, unless it was sent", async () => {
+        const { clock, writer } = setUp(async (sent) => {
+            await clock.sleep(sent === 1 ? 400 : 5);
+            return ok({ kind: "appended", offset: sent as Offset });
+        });
+        const outcomes: string[] = [];
+        const note = (name: string, assigned: Promise<Result<void, Failure>>) => {
+            void assigned.then((result) => outcomes.push(`${name} ${result.isOk() ? "done" : result.error.kind} ${String(clock.now().monoMs - startMs)}`));
+        };
+        const startMs = clock.now().monoMs;
+        note("sent", writer.assign([assignment], "or-refuse"));
+        await clock.advance(10);
+        note("behind", writer.assign([assignment], "or-refuse"));
+        note("needed", writer.assign([assignment], "wait"));
+        await clock.advance(200);
+        note("later", writer.assign([assignment], "or-refuse"));
+        await clock.advance(1_000);
+        expect(outcomes).to.deep.equal(["behind refused 150", "later refused 210", "sent done 400", "needed done 405"]);
+    });
+
     it("takes the store for well again some time after a refused append, though none follows", async () => {
         const { clock, writer, isSound } = setUp(() => Promise.resolve(err(failure("refused", "store-append", "store", "status 503"))));
-        expect((await writer.assign([assignment])).isErr()).to.equal(true);
+        expect((await writer.assign([assignment], "wait")).isErr()).to.equal(true);
         expect(isSound()).to.equal(false);
         await clock.advance(1_500);
         expect(isSound()).to.equal(true);
