A target that has ended is not taken to be back because something listens at its address

A grant answered 421 proved the end, but as soon as a connection opened and no range was left, the holder counted the target as answering again; the planner then gave the newcomer keys, also live ones, which came back by the next 421: 30 times 'target answers again' and 65 grants turned away in 2 s, until the directory's entries went. An ended target is now not called for 5 s unless its address or the start of its process changes. Ruled out: stale entries of the directory (they were as the store had them). Test, red before: holder.spec 'are not offered to a target that has ended'.

--- a/src/ownership/holder.ts
+++ b/src/ownership/holder.ts
@@ -35,6 +35,9 @@
     return holdMs * clockRateBound + flightMs;
 }
 
+/** A target that has ended is not called for this long, unless it is registered anew; its entry in the directory goes meanwhile. */
+const endLastsMs = 5_000;
+
 /** What a holder works with. */
 export interface HolderParts {
     leases: LeasePort;
@@ -85,7 +88,8 @@
     private heldUntilMs = Number.NEGATIVE_INFINITY;
     private renewing: Promise<void> = Promise.resolve();
     private resumeSent = false;
-    private ended = false;
+    private endedMs = Number.NEGATIVE_INFINITY;
+    private bornWallMs: number | undefined;
 
     /**
      * @param targetId the target
@@ -111,12 +115,12 @@
 
     /** True when the target has certainly ended; nothing that anyone granted to it counts any more. */
     get hasEnded(): boolean {
-        return this.ended;
+        return this.parts.clock.now().monoMs < this.endedMs + endLastsMs;
     }
 
     /** Monotonic time after which the target holds nothing that this holder granted. */
     get freeAtMs(): number {
-        return this.ended ? Number.NEGATIVE_INFINITY : Math.max(this.heldUntilMs, ...this.leases.map((lease) => lease.heldUntilMs));
+        return this.hasEnded ? Number.NEGATIVE_INFINITY : Math.max(this.heldUntilMs, ...this.leases.map((lease) => lease.heldUntilMs));
     }
 
     /** Ranges that are renewed. */
@@ -124,10 +128,18 @@
         return this.leases.map(({ range }) => range);
     }
 
-    /** Notes a new address. */
-    moveTo(address: Address): void {
-        if (this.sessions.moveTo(address)) {
-            this.ended = false;
+    /**
+     * Notes where the target is registered.
+     * @param address where it listens
+     * @param bornWallMs start of its process, or undefined when it is not registered
+     */
+    moveTo({ address, bornWallMs }: { address: Address; bornWallMs?: number }): void {
+        const hasMoved = this.sessions.moveTo(address);
+        const hasRestarted = bornWallMs !== undefined && this.bornWallMs !== undefined && bornWallMs !== this.bornWallMs;
+        this.bornWallMs = bornWallMs ?? this.bornWallMs;
+        if ((hasMoved || hasRestarted) && this.hasEnded) {
+            this.endedMs = Number.NEGATIVE_INFINITY;
+            this.poked.fire();
         }
     }
 
@@ -180,7 +192,7 @@
     }
 
     private heldAfterFailedRelease(untilMs: number): number {
-        if (this.ended) {
+        if (this.hasEnded) {
             return Number.NEGATIVE_INFINITY;
         }
         const now = this.parts.clock.now();
@@ -196,7 +208,7 @@
         const covering = this.leases.find((lease) => contains(lease.range, range));
         this.cutOut(range);
         await this.renewing;
-        return this.ended ? Number.NEGATIVE_INFINITY : Math.max(this.heldUntilMs, covering?.heldUntilMs ?? Number.NEGATIVE_INFINITY);
+        return this.hasEnded ? Number.NEGATIVE_INFINITY : Math.max(this.heldUntilMs, covering?.heldUntilMs ?? Number.NEGATIVE_INFINITY);
     }
 
     /** A fresh fence comes first: once it is accepted, no renewal that is still on its way can bring the lease back. */
@@ -234,7 +246,7 @@
     }
 
     private async renewDue(signal: AbortSignal): Promise<void> {
-        if (!this.parts.mayGrant(this.parts.clock.now()) || signal.aborted) {
+        if (!this.parts.mayGrant(this.parts.clock.now()) || signal.aborted || this.hasEnded) {
             return;
         }
         const session = await this.sessions.forRenewals();
@@ -313,13 +325,13 @@
 
     /** Another target has the address, so this one has ended. */
     noteEnded(): void {
-        this.ended = true;
+        this.endedMs = this.parts.clock.now().monoMs;
         this.liveness.noteEnd();
+        this.onFailure(failure("refused", "grant", this.targetId, "another target has the address"));
     }
 
     private onAnswer(): void {
         this.resumeSent = false;
-        this.ended = false;
         if (this.liveness.noteAnswer(this.parts.clock.now().monoMs)) {
             this.parts.log.info("target answers again", { target: this.targetId });
             this.changed.fire();
--- a/src/ownership/holderSet.ts
+++ b/src/ownership/holderSet.ts
@@ -35,13 +35,15 @@
 export function createHolderSet(view: ClusterView, parts: HolderParts, onChange: () => void): HolderSet {
     const holders = new Map<TargetId, { holder: Holder; stop: AbortController }>();
 
-    const start = ({ targetId, address }: Pick<TargetEntry, "targetId" | "address">, signal: AbortSignal) => {
+    const start = (target: Pick<TargetEntry, "targetId" | "address"> & Partial<TargetEntry>, signal: AbortSignal) => {
+        const { targetId, address } = target;
         const known = holders.get(targetId);
         if (known !== undefined) {
-            known.holder.moveTo(address);
+            known.holder.moveTo(target);
             return;
         }
         const holder = new Holder(targetId, address, parts);
+        holder.moveTo(target);
         const stop = new AbortController();
         holders.set(targetId, { holder, stop });
         const until = linkAborts(signal, stop.signal);
--- a/test/ownership/holder.spec.ts
+++ b/test/ownership/holder.spec.ts
@@ -129,6 +129,30 @@
         end();
     });
 
+    it("are not offered to a target that has ended, though something listens at its address, until it is registered anew", async () => {
+        for (const registered of [{ address: "10.0.0.2:80" as Address, bornWallMs: 1 }, { address: "10.0.0.1:80" as Address, bornWallMs: 2 }]) {
+            const { clock, holder, grants, state, end } = setUp();
+            holder.moveTo({ address: "10.0.0.1:80" as Address, bornWallMs: 1 });
+            holder.setRanges([range], []);
+            await clock.advance(1_000);
+            state.reply = "other-target";
+            await clock.advance(1_500);
+            holder.setRanges([], []);
+            const before = grants.length;
+            let answeredAgain = false;
+            holder.changed.listen(() => {
+                answeredAgain ||= !holder.isSilent;
+            });
+            await clock.advance(3_000);
+            expect([answeredAgain, holder.isConnected, grants.length - before]).to.deep.equal([false, false, 0]);
+            state.reply = "granted";
+            holder.moveTo(registered);
+            await clock.advance(500);
+            expect([holder.isSilent, holder.isConnected, holder.hasEnded]).to.deep.equal([false, true, false]);
+            end();
+        }
+    });
+
     it("are not offered again and again to a target that turns them away", async () => {
         const { clock, holder, grants, state, end } = setUp();
         holder.setRanges([range], []);
