--- a/src/ownership/holder.ts
+++ b/src/ownership/holder.ts
@@ -11,6 +11,7 @@
 import { HolderSessions } from "./holderSessions.js";
 import type { GrantReply, LeasePort, LeaseSession } from "./leasePort.js";
 import { Liveness } from "./liveness.js";
+import { PastHolds } from "./pastHolds.js";
 import { contains, isSameRange, withoutRange } from "./ranges.js";
 
 /** Period of renewals. */
@@ -85,7 +86,8 @@
     private leases: Lease[] = [];
     private readonly sessions: HolderSessions;
     private readonly liveness: Liveness;
-    private heldUntilMs = Number.NEGATIVE_INFINITY;
+    /** Holds of ranges that leases were given up for; a lease that begins later counts from them. */
+    private readonly pastHolds = new PastHolds();
     private renewing: Promise<void> = Promise.resolve();
     private resumeSent = false;
     private endedMs = Number.NEGATIVE_INFINITY;
@@ -120,7 +122,7 @@
 
     /** Monotonic time after which the target holds nothing that this holder granted. */
     get freeAtMs(): number {
-        return this.hasEnded ? Number.NEGATIVE_INFINITY : Math.max(this.heldUntilMs, ...this.leases.map((lease) => lease.heldUntilMs));
+        return this.hasEnded ? Number.NEGATIVE_INFINITY : Math.max(this.pastHolds.lastMs, ...this.leases.map((lease) => lease.heldUntilMs));
     }
 
     /** Ranges that are renewed. */
@@ -150,8 +152,10 @@
      */
     setRanges(ranges: readonly KeyRange[], handovers: readonly HandedOver[]): void {
         const nowMs = this.parts.clock.now().monoMs;
-        this.noteHeld();
         const kept = this.leases.filter((lease) => ranges.some((range) => isSameRange(range, lease.range)));
+        this.leases.filter((lease) => !kept.includes(lease)).forEach((lease) => {
+            this.pastHolds.add(lease.range, lease.heldUntilMs, nowMs);
+        });
         const added = ranges.filter((range) => !kept.some((lease) => isSameRange(range, lease.range)));
         this.leases = [...kept, ...added.map((range) => this.newLease(range, handoverFor(range, handovers), nowMs))];
         this.poked.fire();
@@ -175,28 +179,26 @@
      * @param timeoutMs how long to wait for the work under way
      */
     async release(range: KeyRange, timeoutMs: number): Promise<ReleaseOutcome> {
-        const covering = this.leases.find((lease) => contains(lease.range, range));
         this.cutOut(range);
         await this.renewing;
-        const untilMs = covering?.heldUntilMs ?? Number.NEGATIVE_INFINITY;
         const opened = await this.sessions.forMove();
         if (opened.isErr()) {
-            return { kind: "failed", heldUntilMs: untilMs, failure: opened.error };
+            return { kind: "failed", heldUntilMs: this.heldUntilMs(range), failure: opened.error };
         }
         const outcome = await this.raiseAndRelease(opened.value, range, timeoutMs);
         opened.value.reset();
-        return outcome.match(
-            (handover): ReleaseOutcome => ({ kind: "released", handover }),
-            (failed): ReleaseOutcome => ({ kind: "failed", failure: failed, heldUntilMs: this.heldAfterFailedRelease(untilMs) }),
-        );
-    }
-
-    private heldAfterFailedRelease(untilMs: number): number {
-        if (this.hasEnded) {
-            return Number.NEGATIVE_INFINITY;
+        if (outcome.isOk()) {
+            this.pastHolds.end(range);
+            return { kind: "released", handover: outcome.value };
         }
         const now = this.parts.clock.now();
-        return Math.max(untilMs, now.monoMs + holdBoundMs(this.parts.holdMs(now)));
+        this.pastHolds.add(range, now.monoMs + holdBoundMs(this.parts.holdMs(now)), now.monoMs);
+        return { kind: "failed", heldUntilMs: this.heldUntilMs(range), failure: outcome.error };
+    }
+
+    /** When a range that is not renewed any more is certainly free. */
+    private heldUntilMs(range: KeyRange): number {
+        return this.hasEnded ? Number.NEGATIVE_INFINITY : this.pastHolds.untilMs(range);
     }
 
     /**
@@ -205,10 +207,9 @@
      * @returns monotonic time after which the target certainly does not hold it
      */
     async abandon(range: KeyRange): Promise<number> {
-        const covering = this.leases.find((lease) => contains(lease.range, range));
         this.cutOut(range);
         await this.renewing;
-        return this.hasEnded ? Number.NEGATIVE_INFINITY : Math.max(this.heldUntilMs, covering?.heldUntilMs ?? Number.NEGATIVE_INFINITY);
+        return this.heldUntilMs(range);
     }
 
     /** A fresh fence comes first: once it is accepted, no renewal that is still on its way can bring the lease back. */
@@ -231,13 +232,18 @@
 
     private cutOut(range: KeyRange): void {
         const nowMs = this.parts.clock.now().monoMs;
-        this.leases = this.leases.flatMap((lease) => contains(lease.range, range)
-            ? withoutRange([lease.range], range).map((rest) => this.newLease(rest, undefined, nowMs, lease.heldUntilMs))
-            : [lease]);
+        this.leases = this.leases.flatMap((lease) => {
+            if (!contains(lease.range, range)) {
+                return [lease];
+            }
+            this.pastHolds.add(lease.range, lease.heldUntilMs, nowMs);
+            return withoutRange([lease.range], range).map((rest) => this.newLease(rest, undefined, nowMs));
+        });
         this.poked.fire();
     }
 
-    private newLease(range: KeyRange, handover: string | undefined, nowMs: number, heldUntilMs = Number.NEGATIVE_INFINITY): Lease {
+    private newLease(range: KeyRange, handover: string | undefined, nowMs: number): Lease {
+        const heldUntilMs = this.pastHolds.untilMs(range);
         return { range, handover, fence: this.parts.fences.next(), session: undefined, dueMs: nowMs, heldUntilMs };
     }
 
@@ -292,6 +298,9 @@
         const reply = await session.grant({ range: lease.range, fence: lease.fence, holdMs, handover: lease.handover }, grantTimeoutMs);
         const answeredMs = this.parts.clock.now().monoMs;
         lease.heldUntilMs = wasTaken(reply) ? Math.max(lease.heldUntilMs, answeredMs + holdBoundMs(holdMs)) : heldBeforeMs;
+        if (!this.leases.includes(lease)) {
+            this.pastHolds.add(lease.range, lease.heldUntilMs, answeredMs);
+        }
         if (reply.isErr()) {
             this.onFailure(reply.error);
             return false;
@@ -347,11 +356,6 @@
             this.changed.fire();
         }
     }
-
-    /** Leases that are dropped may still be held for a while. */
-    private noteHeld(): void {
-        this.heldUntilMs = this.freeAtMs;
-    }
 }
 
 const noteTurnedAway: Record<Exclude<GrantReply, "granted">, (holder: Holder) => void> = {
--- a/test/ownership/holder.spec.ts
+++ b/test/ownership/holder.spec.ts
@@ -13,7 +13,8 @@
 function setUp() {
     const clock = new VirtualClock();
     const grants: Grant[] = [];
-    const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number } = { reply: "granted", reachable: true, opened: 0 };
+    const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number; holdMs: number } =
+        { reply: "granted", reachable: true, opened: 0, holdMs: usualHoldMs };
     const session = (): LeaseSession => {
         let open = true;
         let closeSession: () => void = () => undefined;
@@ -53,7 +54,7 @@
         },
         fences: new FenceCounter(1 as Term), clock,
         log: { info: () => undefined, warn: () => undefined, error: () => undefined },
-        mayGrant: () => true, isRecorded: () => true, holdMs: () => usualHoldMs, onOutdated: () => undefined,
+        mayGrant: () => true, isRecorded: () => true, holdMs: () => state.holdMs, onOutdated: () => undefined,
     });
     const stop = new AbortController();
     void holder.run(stop.signal);
@@ -164,6 +165,28 @@
         end();
     });
 
+    it("are waited for as long as any grant of them may count, though a move was given up in between", async () => {
+        const longHoldMs = 10_000;
+        for (const moved of [range, { from: 10, to: 19 } as KeyRange]) {
+            const { clock, holder, state, end } = setUp();
+            state.holdMs = longHoldMs;
+            holder.setRanges([range], []);
+            await clock.advance(100);
+            const longUntilMs = clock.now().monoMs + longHoldMs - 100;
+            state.holdMs = usualHoldMs;
+            state.reply = "silent";
+            await settle(clock, holder.release(moved, 500), 700);
+            state.reply = "granted";
+            holder.setRanges([range], []);
+            await clock.advance(1_000);
+            state.reply = "silent";
+            const outcome = await settle(clock, holder.release(moved, 500), 1_000);
+            expect(outcome.kind === "failed" && outcome.heldUntilMs).to.be.above(longUntilMs);
+            expect(holder.freeAtMs).to.be.above(longUntilMs);
+            end();
+        }
+    });
+
     it("are free at once when another target answers the call that was to take them back", async () => {
         const { clock, holder, state, end } = setUp();
         holder.setRanges([range], []);
@@ -192,7 +215,7 @@
     });
 });
 
-async function settle<T>(clock: VirtualClock, promise: Promise<T>): Promise<T> {
-    await clock.advance(50);
+async function settle<T>(clock: VirtualClock, promise: Promise<T>, durationMs = 50): Promise<T> {
+    await clock.advance(durationMs);
     return promise;
 }
--- a/test/world/world.spec.ts
+++ b/test/world/world.spec.ts
@@ -14,6 +14,7 @@
     [9_297, "news of a target that came back looked older than what a host had read itself"],
     [857, "a removal was forgotten since an entry from before it had been read in the same go"],
     [1_248, "the same as 1236, with grants that were sent before the ledger had been compared"],
+    [81_042, "a range that was restored after a move was given up forgot that an earlier grant of it lasted longer"],
 ];
 
 /** Fresh runs beside them. */
