Keys of a draining target are released on another connection when it has closed the first

A draining server answers with 'Connection: close' (PROTOCOL, Servers), so the connection on which the fence was raised could never carry the release. Ruled out: a full target that resets (raises were all taken). Test, red before: holder.spec 'are taken back from a target that closes'.

--- a/src/ownership/holder.ts
+++ b/src/ownership/holder.ts
@@ -227,7 +227,18 @@
             noteTurnedAway[raised.value](this);
             return err(failure("refused", "grant", this.targetId, raised.value));
         }
-        return session.release(range, fence, timeoutMs);
+        return session.isOpen ? session.release(range, fence, timeoutMs) : this.releaseElsewhere(range, fence, timeoutMs);
+    }
+
+    /** A target that drains closes its connections after each answer. */
+    private async releaseElsewhere(range: KeyRange, fence: Fence, timeoutMs: number): Promise<Result<string | undefined, Failure>> {
+        const opened = await this.sessions.forMove();
+        if (opened.isErr()) {
+            return err(opened.error);
+        }
+        const released = await opened.value.release(range, fence, timeoutMs);
+        opened.value.reset();
+        return released;
     }
 
     private cutOut(range: KeyRange): void {
--- a/test/ownership/holder.spec.ts
+++ b/test/ownership/holder.spec.ts
@@ -13,8 +13,8 @@
 function setUp() {
     const clock = new VirtualClock();
     const grants: Grant[] = [];
-    const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number; holdMs: number } =
-        { reply: "granted", reachable: true, opened: 0, holdMs: usualHoldMs };
+    const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number; holdMs: number; closes: boolean } =
+        { reply: "granted", reachable: true, opened: 0, holdMs: usualHoldMs, closes: false };
     const session = (): LeaseSession => {
         let open = true;
         let closeSession: () => void = () => undefined;
@@ -34,11 +34,12 @@
             grant: async (grant, timeoutMs) => {
                 grants.push(grant);
                 await clock.sleep(state.reply === "silent" ? timeoutMs : 1);
+                open &&= !state.closes;
                 return state.reply === "silent" ? err(failure("lost", "grant", "t", "no answer in time")) : ok(state.reply);
             },
             release: async () => {
                 await clock.sleep(1);
-                return ok("token");
+                return open ? ok("token") : err(failure("unreachable", "release", "t", "the connection is closed"));
             },
             reset: () => {
                 closeSession();
@@ -165,6 +166,15 @@
         end();
     });
 
+    it("are taken back from a target that closes its connections after each answer, as one that drains", async () => {
+        const { clock, holder, state, end } = setUp();
+        holder.setRanges([range], []);
+        await clock.advance(1_000);
+        state.closes = true;
+        expect(await settle(clock, holder.release(range, 500))).to.deep.equal({ kind: "released", handover: "token" });
+        end();
+    });
+
     it("are waited for as long as any grant of them may count, though a move was given up in between", async () => {
         const longHoldMs = 10_000;
         for (const moved of [range, { from: 10, to: 19 } as KeyRange]) {
