An append without an answer counts as done as soon as the ledger shows it

It is looked at every 250 ms now, and what was read back is told to the other hosts at once (before, they heard of it with the next news). Ruled out: a shorter time limit for appends (a slow store answers in 400 to 600 ms, and each would count as failed). Test, red before: ledgerWriter.spec 'takes an append for done'.

--- a/src/ownership/ledgerWriter.ts
+++ b/src/ownership/ledgerWriter.ts
@@ -7,7 +7,7 @@
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import type { ClusterView } from "../store/clusterView.js";
-import type { StorePort } from "../store/storePort.js";
+import type { AppendOutcome, StorePort } from "../store/storePort.js";
 import type { TopicReader } from "../store/topicReader.js";
 import type { LedgerChange } from "./ledger.js";
 import { encodeLedgerRecord } from "./ledger.js";
@@ -21,6 +21,9 @@
 /** An append that takes longer shows that the store is in trouble. */
 const usualAppendMs = 150;
 
+/** An append without an answer may have taken effect; the ledger is looked at this often. */
+const lookMs = 250;
+
 /** A failed append shows trouble for this long; later ones are tried again. */
 const troubleLastsMs = 1_000;
 
@@ -44,6 +47,8 @@
 /** What becomes of an append that has not been sent when the store is in trouble. */
 export type InTrouble = "wait" | "or-refuse";
 
+type AppendResult = Result<AppendOutcome, Failure> | "seen";
+
 interface Job {
     assignments: readonly Assignment[];
     inTrouble: InTrouble;
@@ -71,7 +76,7 @@
     const { store, reader, view, clock, log } = parts;
     let queue: Job[] = [];
     let working = false;
-    let sentMs: number | undefined;
+    let underWay: { sentMs: number } | undefined;
     let failedMs = Number.NEGATIVE_INFINITY;
 
     const work = async () => {
@@ -104,32 +109,50 @@
         }
     };
 
-    const appendOnce = async (records: readonly DraftedRecord[], expectedEnd: Offset, nowMs: number) => {
-        const answered = new AbortController();
-        sentMs = nowMs;
-        void watch(answered.signal);
-        const outcome = await store.append(records.map(({ key, record }) => encodeLedgerRecord(key, record)), expectedEnd);
-        answered.abort();
-        sentMs = undefined;
-        failedMs = outcome.isErr() ? clock.now().monoMs : Number.NEGATIVE_INFINITY;
+    /** Ends when the append is answered, or when the ledger shows that it took effect. */
+    const appendOnce = async (records: readonly DraftedRecord[], expectedEnd: Offset, nowMs: number): Promise<AppendResult> => {
+        const known = new AbortController();
+        underWay = { sentMs: nowMs };
+        void watch(known.signal);
+        const outcome = await Promise.race([
+            store.append(records.map(({ key, record }) => encodeLedgerRecord(key, record)), expectedEnd),
+            seenInLedger(records, expectedEnd, known.signal),
+        ]);
+        known.abort();
+        underWay = undefined;
+        failedMs = outcome === "seen" || outcome.isErr() ? clock.now().monoMs : Number.NEGATIVE_INFINITY;
         return outcome;
     };
 
+    /** Resolves when the ledger shows an append that has no answer; otherwise it never does. */
+    const seenInLedger = (records: readonly DraftedRecord[], from: Offset, known: AbortSignal): Promise<"seen"> => new Promise((resolve) => {
+        const look = async () => {
+            while (!known.aborted) {
+                await clock.sleep(lookMs, known);
+                if (!known.aborted && (await reader.read("ledger", 0)).isOk() && isInForce(records, from)) {
+                    resolve("seen");
+                    return;
+                }
+            }
+        };
+        void look();
+    });
+
     const isSound = (nowMs: number): boolean =>
-        nowMs - failedMs > troubleLastsMs && (sentMs === undefined || nowMs - sentMs < usualAppendMs);
+        nowMs - failedMs > troubleLastsMs && (underWay === undefined || nowMs - underWay.sentMs < usualAppendMs);
 
     /** An append without an answer may take effect later; appending again at the same end makes one of the two fail. */
     const appendUntilKnown = async (assignments: readonly Assignment[]): Promise<Result<void, Failure>> => {
-        let uncertainFrom: Offset | undefined;
+        let uncertain: { from: Offset; sentAt: Instant } | undefined;
         let retryMs = firstRetryMs;
         for (;;) {
             const now = clock.now();
             const records = draftOwnerships(view.ledger, assignments);
             if (parts.isDeposed()) {
-                return err(failure(uncertainFrom === undefined ? "refused" : "lost", "store-append", "ledger", "another term is in force"));
+                return err(failure(uncertain === undefined ? "refused" : "lost", "store-append", "ledger", "another term is in force"));
             }
             if (!parts.mayWrite(now)) {
-                if (uncertainFrom === undefined) {
+                if (uncertain === undefined) {
                     return err(failure("refused", "store-append", "ledger", "the term is not confirmed"));
                 }
                 await clock.sleep(retryMs);
@@ -137,6 +160,11 @@
             }
             const expectedEnd = view.ledger.upTo;
             const outcome = await appendOnce(records, expectedEnd, now.monoMs);
+            if (outcome === "seen") {
+                log.info("append without an answer in force", { end: expectedEnd, afterMs: Math.round(clock.now().monoMs - now.monoMs) });
+                announce(expectedEnd, now);
+                return ok(undefined);
+            }
             if (outcome.isOk() && outcome.value.kind === "appended") {
                 take(records, outcome.value.offset, now);
                 return ok(undefined);
@@ -144,15 +172,16 @@
             if (outcome.isErr()) {
                 refuseWaiting();
                 log.warn("append failed", { kind: outcome.error.kind, why: outcome.error.message, end: expectedEnd });
-                uncertainFrom ??= outcome.error.kind === "lost" ? expectedEnd : undefined;
-                if (uncertainFrom === undefined) {
+                uncertain ??= outcome.error.kind === "lost" ? { from: expectedEnd, sentAt: now } : undefined;
+                if (uncertain === undefined) {
                     return err(outcome.error);
                 }
                 await clock.sleep(retryMs);
                 retryMs = Math.min(longestRetryMs, retryMs * 2);
             }
             await reader.read("ledger", 0);
-            if (uncertainFrom !== undefined && isInForce(records, uncertainFrom)) {
+            if (uncertain !== undefined && isInForce(records, uncertain.from)) {
+                announce(uncertain.from, uncertain.sentAt);
                 return ok(undefined);
             }
         }
@@ -165,6 +194,11 @@
         parts.onWritten(changes, offset, upTo, sentAt);
     };
 
+    /** Tells of an append that was read back, with all that was read behind it. */
+    const announce = (from: Offset, sentAt: Instant) => {
+        parts.onWritten(view.ledger.all().filter(({ offset }) => offset >= from), from, view.ledger.upTo, sentAt);
+    };
+
     const isInForce = (records: readonly DraftedRecord[], from: Offset): boolean => records.every(({ key, record }) => {
         const change = view.ledger.get(key);
         return change !== undefined && change.offset >= from && JSON.stringify(change.record) === JSON.stringify(record);
--- a/test/ownership/ledgerWriter.spec.ts
+++ b/test/ownership/ledgerWriter.spec.ts
@@ -4,10 +4,11 @@
 import type { Failure } from "../../src/model/failure.js";
 import { failure } from "../../src/model/failure.js";
 import type { Address, KeyRange, Offset, ServiceId, TargetId } from "../../src/model/names.js";
+import { decodeLedgerRecord } from "../../src/ownership/ledger.js";
 import { createLedgerWriter } from "../../src/ownership/ledgerWriter.js";
 import type { Assignment } from "../../src/ownership/ownershipDraft.js";
 import { ClusterView } from "../../src/store/clusterView.js";
-import type { AppendOutcome, StorePort } from "../../src/store/storePort.js";
+import type { AppendOutcome, NewRecord, StorePort } from "../../src/store/storePort.js";
 import { VirtualClock } from "../support/virtualTime.js";
 
 const assignment: Assignment = {
@@ -76,6 +77,43 @@
         expect(outcomes).to.deep.equal(["behind refused 150", "later refused 210", "sent done 400", "needed done 405"]);
     });
 
+    it("takes an append for done as soon as the ledger shows it, though its answer is lost, and tells the hosts", async () => {
+        const clock = new VirtualClock();
+        const view = new ClusterView();
+        const written: string[] = [];
+        let appended: readonly NewRecord[] = [];
+        const store = {
+            append: async (records: readonly NewRecord[]) => {
+                appended = records;
+                await clock.sleep(1_200);
+                return err(failure("lost", "store-append", "store", "no answer"));
+            },
+        } as unknown as StorePort;
+        const read = async () => {
+            await clock.sleep(5);
+            const changes = appended.map(({ key, value }, index) =>
+                decodeLedgerRecord({ key, value, offset: index as Offset })._unsafeUnwrap());
+            view.applyLedger(changes, 0 as Offset, changes.length as Offset);
+            return ok({ targets: [], ledger: changes });
+        };
+        const writer = createLedgerWriter({
+            store, clock, view, reader: { read },
+            log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+            mayWrite: () => true, isDeposed: () => false,
+            onWritten: (changes, from, upTo) => {
+                written.push(`${changes.map(({ key }) => key).join()} ${String(from)} ${String(upTo)}`);
+            },
+        });
+        let doneMs: number | undefined;
+        const startMs = clock.now().monoMs;
+        void writer.assign([assignment], "wait").then((result) => {
+            doneMs = result.isOk() ? clock.now().monoMs - startMs : undefined;
+        });
+        await clock.advance(2_000);
+        expect(doneMs).to.be.below(400);
+        expect(written).to.deep.equal(["ownership/t 0 1"]);
+    });
+
     it("takes the store for well again some time after a refused append, though none follows", async () => {
         const { clock, writer, isSound } = setUp(() => Promise.resolve(err(failure("refused", "store-append", "store", "status 503"))));
         expect((await writer.assign([assignment], "wait")).isErr()).to.equal(true);
