--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -9,7 +9,7 @@
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import { FenceCounter } from "../ownership/fences.js";
-import { usualHoldMs } from "../ownership/holder.js";
+import { usualHoldMs } from "../ownership/leaseTerms.js";
 import type { LeasePort } from "../ownership/leasePort.js";
 import type { LedgerChange } from "../ownership/ledger.js";
 import { createLedgerWriter } from "../ownership/ledgerWriter.js";
--- a/src/cluster/termClaims.ts
+++ b/src/cluster/termClaims.ts
@@ -2,7 +2,7 @@
 import type { Offset, RunId, Term } from "../model/names.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
-import { holdBoundMs } from "../ownership/holder.js";
+import { holdBoundMs } from "../ownership/leaseTerms.js";
 import type { TermRecord } from "../ownership/ledger.js";
 import { encodeLedgerRecord, termKey } from "../ownership/ledger.js";
 import type { Predecessor } from "../ownership/ownershipKeeper.js";
--- a/src/ownership/holder.ts
+++ b/src/ownership/holder.ts
@@ -1,6 +1,5 @@
 /** The leases of one target: one task renews them, and gives ranges up when they move. */
 import type { Result } from "neverthrow";
-import { err } from "neverthrow";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Address, Fence, KeyRange, TargetId } from "../model/names.js";
@@ -9,33 +8,15 @@
 import type { Log } from "../observe/log.js";
 import type { FenceCounter } from "./fences.js";
 import { HolderSessions } from "./holderSessions.js";
+import { holdBoundMs, renewMs } from "./leaseTerms.js";
 import type { GrantReply, LeasePort, LeaseSession } from "./leasePort.js";
 import { Liveness } from "./liveness.js";
 import { PastHolds } from "./pastHolds.js";
 import { contains, isSameRange, withoutRange } from "./ranges.js";
-
-/** Period of renewals. */
-export const renewMs = 700;
-
-/** Lease while the store answers: short, so that the keys of a lost target are soon free. */
-export const usualHoldMs = 2_300;
+import { takeBack } from "./takeBack.js";
 
 const grantTimeoutMs = 300;
 
-/** The grant that opens a move may go over a new connection, for which a full target takes its time. */
-const raiseTimeoutMs = 600;
-
-/** A target's clock may run slow by 2 %. */
-const clockRateBound = 1.02;
-
-/** Covers the way of a grant that is delivered after its connection was reset. */
-const flightMs = 100;
-
-/** Longest time from the sending of a grant to the end of its lease, when its arrival is certain to be soon. */
-export function holdBoundMs(holdMs: number): number {
-    return holdMs * clockRateBound + flightMs;
-}
-
 /** A target that has ended is not called for this long, unless it is registered anew; its entry in the directory goes meanwhile. */
 const endLastsMs = 5_000;
 
@@ -181,19 +162,20 @@
     async release(range: KeyRange, timeoutMs: number): Promise<ReleaseOutcome> {
         this.cutOut(range);
         await this.renewing;
-        const opened = await this.sessions.forMove();
-        if (opened.isErr()) {
-            return { kind: "failed", heldUntilMs: this.heldUntilMs(range), failure: opened.error };
-        }
-        const outcome = await this.raiseAndRelease(opened.value, range, timeoutMs);
-        opened.value.reset();
-        if (outcome.isOk()) {
+        const end = await takeBack({ ...this.parts, targetId: this.targetId, sessions: this.sessions }, range, timeoutMs);
+        if (end.kind === "released") {
             this.pastHolds.end(range);
-            return { kind: "released", handover: outcome.value };
+            return end;
         }
-        const now = this.parts.clock.now();
-        this.pastHolds.add(range, now.monoMs + holdBoundMs(this.parts.holdMs(now)), now.monoMs);
-        return { kind: "failed", heldUntilMs: this.heldUntilMs(range), failure: outcome.error };
+        if (end.kind === "turned-away") {
+            noteTurnedAway[end.reply](this);
+        }
+        if (end.kind !== "unsent") {
+            const now = this.parts.clock.now();
+            this.pastHolds.add(range, now.monoMs + holdBoundMs(this.parts.holdMs(now)), now.monoMs);
+        }
+        const failed = end.kind === "turned-away" ? failure("refused", "grant", this.targetId, end.reply) : end.failure;
+        return { kind: "failed", heldUntilMs: this.heldUntilMs(range), failure: failed };
     }
 
     /** When a range that is not renewed any more is certainly free. */
@@ -212,35 +194,6 @@
         return this.heldUntilMs(range);
     }
 
-    /** A fresh fence comes first: once it is accepted, no renewal that is still on its way can bring the lease back. */
-    private async raiseAndRelease(session: LeaseSession, range: KeyRange, timeoutMs: number): Promise<Result<string | undefined, Failure>> {
-        const now = this.parts.clock.now();
-        if (!this.parts.mayGrant(now)) {
-            return err(failure("refused", "release", this.targetId, "the term is not confirmed"));
-        }
-        const fence = this.parts.fences.next();
-        const raised = await session.grant({ range, fence, holdMs: this.parts.holdMs(now), handover: undefined }, raiseTimeoutMs);
-        if (raised.isErr()) {
-            return err(raised.error);
-        }
-        if (raised.value !== "granted") {
-            noteTurnedAway[raised.value](this);
-            return err(failure("refused", "grant", this.targetId, raised.value));
-        }
-        return session.isOpen ? session.release(range, fence, timeoutMs) : this.releaseElsewhere(range, fence, timeoutMs);
-    }
-
-    /** A target that drains closes its connections after each answer. */
-    private async releaseElsewhere(range: KeyRange, fence: Fence, timeoutMs: number): Promise<Result<string | undefined, Failure>> {
-        const opened = await this.sessions.forMove();
-        if (opened.isErr()) {
-            return err(opened.error);
-        }
-        const released = await opened.value.release(range, fence, timeoutMs);
-        opened.value.reset();
-        return released;
-    }
-
     private cutOut(range: KeyRange): void {
         const nowMs = this.parts.clock.now().monoMs;
         this.leases = this.leases.flatMap((lease) => {
--- a/test/fleet/path.spec.ts
+++ b/test/fleet/path.spec.ts
@@ -10,6 +10,9 @@
 /** Bound of a configuration's taking hold and of a drain, as the platform states them. */
 const boundMs = 2_000;
 
+/** Time within which the keys of a server that leaves in order are to be served elsewhere. */
+const movedMs = 1_000;
+
 /** Sends requests one after the other for a while, from several clients at once, and gives every answer. */
 async function load(
     hosts: readonly FleetHost[], durationMs: number, prefix: string, path = paths.read, method = "GET",
@@ -134,6 +137,9 @@
         await sleep(300);
         leaving.drain();
         const drainedMs = performance.now();
+        const keys = Array.from({ length: 64 }, (_, index) => index * 1_024);
+        await fleet.until("others hold its keys", () =>
+            Promise.resolve(!keys.some((key) => leaving.holds(key)) && keys.every((key) => fleet.holders(key).length === 1)), movedMs);
         const answers = await loading;
         expect(statuses(answers)).to.deep.equal({ 200: answers.length });
         expect(leaving.runs.filter(({ beganMs }) => beganMs > drainedMs + boundMs)).to.have.length(0);
--- a/test/ownership/holder.spec.ts
+++ b/test/ownership/holder.spec.ts
@@ -3,8 +3,9 @@
 import { failure } from "../../src/model/failure.js";
 import type { Address, KeyRange, TargetId, Term } from "../../src/model/names.js";
 import { FenceCounter } from "../../src/ownership/fences.js";
-import { Holder, holdBoundMs, usualHoldMs } from "../../src/ownership/holder.js";
+import { Holder } from "../../src/ownership/holder.js";
 import type { Grant, GrantReply, LeaseSession } from "../../src/ownership/leasePort.js";
+import { holdBoundMs, usualHoldMs } from "../../src/ownership/leaseTerms.js";
 import { VirtualClock } from "../support/virtualTime.js";
 
 const range = { from: 0, to: 99 } as KeyRange;
--- a/test/ownership/ownershipKeeper.spec.ts
+++ b/test/ownership/ownershipKeeper.spec.ts
@@ -6,7 +6,7 @@
 import type { RoutingConfig } from "../../src/model/routing.js";
 import type { TargetEntry } from "../../src/model/target.js";
 import { FenceCounter } from "../../src/ownership/fences.js";
-import { usualHoldMs } from "../../src/ownership/holder.js";
+import { usualHoldMs } from "../../src/ownership/leaseTerms.js";
 import { ownershipKeyOf } from "../../src/ownership/ledger.js";
 import type { LeaseSession } from "../../src/ownership/leasePort.js";
 import type { LedgerWriter } from "../../src/ownership/ledgerWriter.js";
