--- a/test/store/topicReader.spec.ts
+++ b/test/store/topicReader.spec.ts
@@ -39,6 +39,17 @@
     return { clock, store, view, read, stateOf: () => view.targets.get("t" as TargetId)?.state };
 }
 
+/** Has a target's entry go while the store is away. */
+async function lapseWhileAway({ store, read }: Pick<ReturnType<typeof setUp>, "store" | "read">): Promise<void> {
+    store.put("targets", "t", entry(1));
+    await read();
+    store.isDown = true;
+    store.put("targets", "t", undefined);
+    await read();
+    store.isDown = false;
+    await read();
+}
+
 describe("reader of the store's topics", () => {
     it("takes a removal at once while the store is well", async () => {
         const { store, read, stateOf } = setUp();
@@ -51,13 +62,7 @@
 
     it("puts a removal off that came while the store was away, and takes it when the target has not come back in time", async () => {
         const { clock, store, read, stateOf } = setUp();
-        store.put("targets", "t", entry(1));
-        await read();
-        store.isDown = true;
-        store.put("targets", "t", undefined);
-        await read();
-        store.isDown = false;
-        await read();
+        await lapseWhileAway({ store, read });
         expect(stateOf()).to.equal("ready");
         await clock.advance(2_300);
         await read();
@@ -66,13 +71,7 @@
 
     it("forgets such a removal when the target comes back in time, and passes its entry on", async () => {
         const { clock, store, read, stateOf } = setUp();
-        store.put("targets", "t", entry(1));
-        await read();
-        store.isDown = true;
-        store.put("targets", "t", undefined);
-        await read();
-        store.isDown = false;
-        await read();
+        await lapseWhileAway({ store, read });
         store.put("targets", "t", entry(2));
         const returned = await read();
         expect(returned._unsafeUnwrap().targets.map(({ entry: of }) => of?.sequence)).to.deep.equal([2]);
