Hosts hear who came and went, not the whole list at each change

Cause: at each change of one host the coordinator sent every host the whole list, 5,346 bytes to each of 79 hosts (by msgpackr, as on the wire); a rolling restart of 79 hosts makes 158 changes, 67 MB. A change costs each host 70 bytes now when one comes and 14 when one goes (memberList.ts): the list's states are numbered per term, each news names the number, and a host that is behind asks. Ruled out: sending the list less often (a host that is gone would be asked for slots meanwhile).

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -3,6 +3,8 @@
 import type { PeerConnection } from "./peerConnection.js";
 import type { FollowParams, FollowReply, News, Report, ResignReply } from "./messages.js";
 import { clusterMethods } from "./messages.js";
+import type { MemberState } from "./memberList.js";
+import { MemberList } from "./memberList.js";
 import type { Member, Membership } from "./membership.js";
 import type { Offset, Term } from "../model/names.js";
 import { linkAborts, Signal, waitFor } from "../model/signal.js";
@@ -96,6 +98,7 @@
     const authority = new TermAuthority();
     authority.confirm(parts.confirmedAt);
     const followers = new Map<PeerConnection, Follower>();
+    const memberList = new MemberList();
     const confirmNow = new Signal();
     let resignedMs: number | undefined;
     let targetsConfirmedAt: Instant | undefined;
@@ -136,6 +139,7 @@
         targetsUpTo: view.targetsUpTo,
         targetsDigest: view.targets.digest(),
         ledgerUpTo: view.ledger.upTo,
+        membersVersion: memberList.version,
         ...more,
     });
 
@@ -163,10 +167,16 @@
     ];
 
     const updateMembers = () => {
-        membership.update(membersNow());
-        push(newsNow({ members: membersNow() }));
+        const members = memberList.replace(membersNow());
+        if (members !== undefined) {
+            membership.update(memberList.members);
+            push(newsNow({ members }));
+        }
     };
 
+    const knowsMembers = (known: MemberState | undefined): boolean =>
+        known?.term === parts.term && known.version === memberList.version;
+
     const addFollower = (member: Member, connection: PeerConnection) => {
         followers.set(connection, { member, connection, heardMs: clock.now().monoMs, leaving: false });
         void connection.closed.then(() => {
@@ -280,7 +290,7 @@
                 targets: view.targets.changesSince(params.targetsFrom),
                 ledger: view.ledger.all().filter(({ offset }) => offset >= params.ledgerUpTo),
                 ledgerFrom: params.ledgerUpTo,
-                members: membersNow(),
+                ...knowsMembers(params.members) ? {} : { members: memberList.whole() },
                 notice: keeper.notice(clock.now().monoMs),
             }) };
         },
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -6,6 +6,7 @@
 import type { KeyLoads } from "../ownership/loadMeter.js";
 import type { OwnershipNotice } from "../ownership/owners.js";
 import type { TargetChange } from "../store/targetDirectory.js";
+import type { MemberNews, MemberState } from "./memberList.js";
 import type { Member } from "./membership.js";
 
 /** Methods that hosts offer each other. */
@@ -32,6 +33,8 @@
     ledgerUpTo: Offset;
     /** Changes of targets are wanted from here on; 0 for all. */
     targetsFrom: Offset;
+    /** What is known of a coordinator's list of hosts. */
+    members?: MemberState;
 }
 
 /** Answer to `FollowParams`. */
@@ -56,7 +59,9 @@
     ledgerFrom?: Offset;
     ledger?: readonly LedgerChange[];
     notice?: OwnershipNotice;
-    members?: readonly Member[];
+    /** State of the coordinator's list of hosts at work. */
+    membersVersion: number;
+    members?: MemberNews;
 }
 
 /** What a host tells the coordinator now and then; it also shows that the host is at work. */
--- a/src/cluster/newsIntake.ts
+++ b/src/cluster/newsIntake.ts
@@ -6,6 +6,7 @@
 import type { Owners } from "../ownership/owners.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { TopicReader } from "../store/topicReader.js";
+import { MemberCopy } from "./memberList.js";
 import type { Membership } from "./membership.js";
 import type { ConfigurationReply, FollowParams, FollowReply, News } from "./messages.js";
 import { clusterMethods } from "./messages.js";
@@ -47,6 +48,7 @@
     let confirmedMs = Number.NEGATIVE_INFINITY;
     let catchingUp = false;
     let caughtUpMs = Number.NEGATIVE_INFINITY;
+    const memberCopy = new MemberCopy();
     const nowMs = () => clock.now().monoMs;
 
     const apply = (news: News, from: PeerConnection) => {
@@ -63,14 +65,15 @@
             owners.setNotice(news.notice, nowMs());
             view.touchTargets();
         }
-        if (news.members !== undefined) {
-            membership.update(news.members);
+        const members = news.members === undefined ? undefined : memberCopy.take(news.term, news.membersVersion, news.members);
+        if (members !== undefined) {
+            membership.update(members);
         }
         if (news.configOffset > (view.config?.offset ?? -1)) {
             void fetchConfig(from);
         }
         const differs = news.targetsDigest !== view.targets.digest() && nowMs() - caughtUpMs > catchUpPeriodMs;
-        if (news.ledgerUpTo > view.ledger.upTo || differs) {
+        if (news.ledgerUpTo > view.ledger.upTo || differs || memberCopy.isBehind(news.term, news.membersVersion)) {
             void catchUp(from, differs);
         }
     };
@@ -95,6 +98,7 @@
     const ask = (from: PeerConnection, allTargets = false) => {
         const params: FollowParams = {
             member: membership.self, ledgerUpTo: view.ledger.upTo, targetsFrom: allTargets ? 0 as Offset : view.targetsUpTo,
+            members: memberCopy.state,
         };
         return from.call<FollowReply>(clusterMethods.follow, params, callTimeoutMs);
     };
--- a/test/world/runs.ts
+++ b/test/world/runs.ts
@@ -16,7 +16,7 @@
     /** Share of the keys held before the troubles, and after they were healed. */
     heldBefore: number;
     heldAfter: number;
-    /** Hosts that in the end know other owners or targets than the first host. */
+    /** Hosts that in the end know other owners, targets or hosts than the first host. */
     disagreeing: string[];
     steps: string[];
     lines: string[];
@@ -49,12 +49,13 @@
 }
 
 function disagreeingHosts(world: World): string[] {
-    const knowledge = [...world.hosts.runs].map(([hostId, { view }]) => ({
+    const knowledge = [...world.hosts.runs].map(([hostId, { view, membership }]) => ({
         hostId,
         text: JSON.stringify([
             view.ledger.term,
             view.ledger.ownerships().sort((left, right) => left.targetId < right.targetId ? -1 : 1),
             world.targets.all().map(({ targetId }) => view.targets.get(targetId)?.state),
+            membership.members().map(({ runId }) => runId),
         ]),
     }));
     return knowledge.filter(({ text }) => text !== knowledge[0]?.text).map(({ hostId }) => hostId);
--- a/test/world/virtualHosts.ts
+++ b/test/world/virtualHosts.ts
@@ -29,6 +29,7 @@
     node: ClusterNode;
     view: ClusterView;
     loads: LoadMeter;
+    membership: Membership;
     handlers: PeerHandlers;
     stop: AbortController;
     connections: Set<VirtualConnection>;
@@ -82,15 +83,16 @@
         const log = this.logOf(hostId);
         const store = this.store.portFor(hostId, process);
         const loads = new LoadMeter();
+        const membership = new Membership(self);
         const run: HostRun = {
-            process, view, loads, handlers: {}, stop: new AbortController(), connections: new Set(),
+            process, view, loads, membership, handlers: {}, stop: new AbortController(), connections: new Set(),
             node: undefined as unknown as ClusterNode,
         };
         const reader = createTopicReader({ store, decoders, view, clock: process.clock, log });
         run.node = createNode({
             self, view, store, reader, owners, loads, log,
             maxHoldMs: 10_000,
-            membership: new Membership(self),
+            membership,
             links: this.linksFor(hostId, run),
             leases: this.targets.portFor(hostId, process),
             queues: { pressures: () => [] } as unknown as QueueKeeper,
