A queue looks for its next request in one pass instead of sorting all that wait

Cause: each end of a request sorted everything that waits. The order is the same: inOrder.spec holds it against a stable sort.

--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -7,6 +7,7 @@
  * still be answered in its target latency goes before what cannot, more urgent before less urgent, and what cannot be
  * answered before its deadline is turned away at once.
  */
+import { inOrder } from "../model/inOrder.js";
 import type { Branded, DataCentreId, TargetId } from "../model/names.js";
 import type { QueueTarget, Running, TargetRecord, WorkEnd } from "./targetRecord.js";
 import { fadeSlowness, hasFreeSlot, learnFromEnd, maxSlowness, newTargetRecord, quickest } from "./targetRecord.js";
@@ -204,8 +205,7 @@
         if (free.length === 0) {
             return undefined;
         }
-        const inOrder = [...this.waiting].sort((left, right) => this.compare(left, right, nowMs));
-        for (const request of inOrder) {
+        for (const request of inOrder(this.waiting, (left, right) => this.compare(left, right, nowMs))) {
             const record = this.bestTarget(request, free, nowMs);
             if (record !== undefined) {
                 return { request, record };
--- /dev/null
+++ b/test/model/inOrder.spec.ts
@@ -0,0 +1,24 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { inOrder } from "../../src/model/inOrder.js";
+
+describe("items in order", () => {
+    it("come as a stable sort has them", () => {
+        const item = fc.record({ rank: fc.integer({ min: 0, max: 5 }), name: fc.string() });
+        fc.assert(fc.property(fc.array(item, { maxLength: 20 }), (items) => {
+            const compare = (left: { rank: number }, right: { rank: number }) => left.rank - right.rank;
+            expect([...inOrder(items, compare)]).to.deep.equal([...items].sort(compare));
+        }));
+    });
+
+    it("cost one look at each when only the first is taken", () => {
+        let compared = 0;
+        const items = Array.from({ length: 1_000 }, (_, index) => (index * 7_919) % 1_000);
+        const [first] = inOrder(items, (left, right) => {
+            compared += 1;
+            return left - right;
+        });
+        expect(first).to.equal(0);
+        expect(compared).to.be.below(items.length);
+    });
+});
