--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -20,6 +20,7 @@
 import { createNewsIntake } from "./newsIntake.js";
 import type { PeerConnection, PeerHandlers } from "./peerConnection.js";
 import type { PeerLinks } from "./peerLinks.js";
+import type { FollowEnd } from "./succession.js";
 import { claimAtMs, rankAmong, rankStepMs } from "./succession.js";
 import { TermClaims } from "./termClaims.js";
 
@@ -46,15 +47,6 @@
 /** Queues of a coordinator that fell silent are kept elsewhere for this long. */
 const passOverMs = 1_000;
 
-/** How following a coordinator ended. */
-type FollowEnd =
-    /** Another term is in force, or this host stops. */
-    | "superseded"
-    /** The connection ended; the coordinator may be well. */
-    | "closed"
-    /** It cannot be reached, does not answer, or does not coordinate any more. */
-    | "lost";
-
 /** What a node works with. */
 export interface NodeParts {
     self: Member;
--- a/src/cluster/succession.ts
+++ b/src/cluster/succession.ts
@@ -7,6 +7,15 @@
 import { hash } from "../model/rendezvous.js";
 import type { Member } from "./membership.js";
 
+/** How following a coordinator ended. */
+export type FollowEnd =
+    /** Another term is in force, or this host stops. */
+    | "superseded"
+    /** The connection ended; the coordinator may be well. */
+    | "closed"
+    /** It cannot be reached, does not answer, or does not coordinate any more. */
+    | "lost";
+
 /** Time between the claims of two hosts that follow each other in rank. */
 export const rankStepMs = 120;
 
--- a/test/fleet/fleet.ts
+++ b/test/fleet/fleet.ts
@@ -12,6 +12,7 @@
 import { startServer } from "../../platform/standins/serverStandIn.js";
 import type { StoreStandIn } from "../../platform/standins/storeStandIn.js";
 import { startStore } from "../../platform/standins/storeStandIn.js";
+import { createSystemClock } from "../../src/adapters/systemClock.js";
 
 const host = "127.0.0.1";
 const portsPerHost = 6;
@@ -147,7 +148,7 @@
     async addServer(options: Partial<ServerOptions> & { id: string; service: string; sharded: boolean }): Promise<ServerStandIn> {
         const server = await startServer({
             zone: "here", host, port: 0, slots: 3, workMs: 15, heartbeatMs: 300, directory: this.store, random: Math.random,
-            nowMs: () => performance.now(), ...options,
+            clock: createSystemClock(), ...options,
         });
         this.servers.push(server);
         return server;
--- a/test/platform/leases.spec.ts
+++ b/test/platform/leases.spec.ts
@@ -1,11 +1,12 @@
 import { expect } from "chai";
 import { createLeases } from "../../platform/leases.js";
 import { startServer } from "../../platform/standins/serverStandIn.js";
+import { createSystemClock } from "../../src/adapters/systemClock.js";
 import type { Address, Fence, KeyRange, TargetId } from "../../src/model/names.js";
 import type { Grant } from "../../src/ownership/leasePort.js";
 
 const options = {
-    host: "127.0.0.1", port: 0, zone: "a", slots: 2, workMs: 1, heartbeatMs: 1_000, random: () => 0.5, nowMs: () => performance.now(),
+    host: "127.0.0.1", port: 0, zone: "a", slots: 2, workMs: 1, heartbeatMs: 1_000, random: () => 0.5, clock: createSystemClock(),
     directory: { put: () => undefined },
 };
 
