The end of a target proves nothing against grants that an earlier coordinator may still send

Cause (world, two owners): another target answered at t2's address, so this term's coordinator took t2 for ended and did not call it for 5 s. A coordinator that was deposed but still acted granted t2's keys to a process that came back under t2's id. The old proof then freed the same keys for another target. Change: the proof counts only if it was seen when no earlier coordinator could act any more; until then keys wait as for a silent target, and the target is called once more when that time is over, if keys are recorded there. A target that takes a grant then is no longer ended.

--- a/src/ownership/holder.ts
+++ b/src/ownership/holder.ts
@@ -34,6 +34,8 @@
     holdMs: (now: Instant) => number;
     /** Told when the target has seen a higher fence. */
     onOutdated: () => void;
+    /** Monotonic time until which an earlier coordinator may still send grants. */
+    predecessorActsUntilMs: number;
 }
 
 interface Lease {
@@ -96,14 +98,22 @@
         return this.sessions.isOpen && !this.isSilent;
     }
 
-    /** True when the target has certainly ended; nothing that anyone granted to it counts any more. */
+    /** True when the process that was last known as the target has certainly ended a moment ago. */
     get hasEnded(): boolean {
         return this.parts.clock.now().monoMs < this.endedMs + endLastsMs;
     }
 
+    /**
+     * True when nothing that anyone granted to the target counts any more. While an earlier coordinator acts, it may grant to a
+     * process that comes back under the target's id after the end was seen, so the end must be seen once more when it cannot.
+     */
+    get isCertainlyFree(): boolean {
+        return this.hasEnded && this.endedMs >= this.parts.predecessorActsUntilMs;
+    }
+
     /** Monotonic time after which the target holds nothing that this holder granted. */
     get freeAtMs(): number {
-        return this.hasEnded ? Number.NEGATIVE_INFINITY : Math.max(this.pastHolds.lastMs, ...this.leases.map((lease) => lease.heldUntilMs));
+        return this.isCertainlyFree ? Number.NEGATIVE_INFINITY : Math.max(this.pastHolds.lastMs, ...this.leases.map((lease) => lease.heldUntilMs));
     }
 
     /** Ranges that are renewed. */
@@ -180,7 +190,7 @@
 
     /** When a range that is not renewed any more is certainly free. */
     private heldUntilMs(range: KeyRange): number {
-        return this.hasEnded ? Number.NEGATIVE_INFINITY : this.pastHolds.untilMs(range);
+        return this.isCertainlyFree ? Number.NEGATIVE_INFINITY : this.pastHolds.untilMs(range);
     }
 
     /**
@@ -216,7 +226,8 @@
     }
 
     private async renewDue(signal: AbortSignal): Promise<void> {
-        if (!this.parts.mayGrant(this.parts.clock.now()) || signal.aborted || this.hasEnded) {
+        const now = this.parts.clock.now();
+        if (!this.parts.mayGrant(now) || signal.aborted || (this.hasEnded && !this.mustConfirmEnd(now.monoMs))) {
             return;
         }
         const session = await this.sessions.forRenewals();
@@ -237,10 +248,15 @@
         }
     }
 
+    /** The keys of a target that has ended wait for a proof that is no older than the last grant of an earlier coordinator. */
+    private mustConfirmEnd(nowMs: number): boolean {
+        return this.leases.length > 0 && !this.isCertainlyFree && nowMs >= this.parts.predecessorActsUntilMs;
+    }
+
     /** A silent target is granted its ranges once more when it can be connected to; each grant puts the end of the wait off. */
     private isDue(lease: Lease): boolean {
         const nowMs = this.parts.clock.now().monoMs;
-        if (this.isSilent && this.resumeSent && nowMs < this.freeAtMs) {
+        if (this.isSilent && this.resumeSent && !this.hasEnded && nowMs < this.freeAtMs) {
             return false;
         }
         return this.leases.includes(lease) && lease.dueMs <= nowMs && this.parts.isRecorded(this.targetId, lease.range);
@@ -275,6 +291,7 @@
         }
         lease.handover = undefined;
         lease.dueMs = now.monoMs + renewMs;
+        this.endedMs = Number.NEGATIVE_INFINITY;
         this.onAnswer();
         return true;
     }
--- a/src/ownership/ownershipKeeper.ts
+++ b/src/ownership/ownershipKeeper.ts
@@ -115,6 +115,7 @@
     const holderParts: HolderParts = {
         leases: parts.leases, fences: parts.fences, clock, log,
         mayGrant: parts.mayGrant, holdMs: parts.holdMs, onOutdated: parts.onOutdated,
+        predecessorActsUntilMs: parts.predecessor.actsUntilMs,
         isRecorded: (targetId, range) => {
             const record = view.ledger.ownershipOf(targetId);
             return record?.ranges.some((owned) => contains(owned, range)) === true
@@ -189,7 +190,7 @@
         const owner = new OwnerMap(view.ledger.ownerships()).ownerOf(serviceId, range.from);
         const holder = owner === undefined ? undefined : holders.get(owner);
         const freeAtMs = await holder?.abandon(range) ?? Number.NEGATIVE_INFINITY;
-        return owner === undefined || holder?.hasEnded === true ? freeAtMs : Math.max(freeAtMs, parts.predecessor.grantsUntilMs);
+        return owner === undefined || holder?.isCertainlyFree === true ? freeAtMs : Math.max(freeAtMs, parts.predecessor.grantsUntilMs);
     };
 
     /** A range that is only moved for balance goes back to its owner when the store falls away before the record is sent. */
@@ -230,7 +231,7 @@
 
     /** Time until the keys of a silent target can go to others. */
     const freeInMs = (holder: Holder, nowMs: number): number => {
-        const heldMs = holder.hasEnded ? 0 : Math.max(0, Math.max(holder.freeAtMs, parts.predecessor.grantsUntilMs) - nowMs);
+        const heldMs = holder.isCertainlyFree ? 0 : Math.max(0, Math.max(holder.freeAtMs, parts.predecessor.grantsUntilMs) - nowMs);
         return writer.isSound(nowMs) ? heldMs : Math.max(heldMs, storeTroubleMs);
     };
 
@@ -253,7 +254,7 @@
 
     /** A target that has certainly ended holds nothing, whoever granted it. */
     const heldUntilMs = (grantedUntilMs: number, holder: Holder | undefined): number =>
-        holder?.hasEnded === true ? Number.NEGATIVE_INFINITY : Math.max(grantedUntilMs, parts.predecessor.grantsUntilMs);
+        holder?.isCertainlyFree === true ? Number.NEGATIVE_INFINITY : Math.max(grantedUntilMs, parts.predecessor.grantsUntilMs);
 
     const outwait = async (active: ActiveMove, untilMs: number): Promise<boolean> => {
         const nowMs = clock.now().monoMs;
--- a/src/ownership/targetStandings.ts
+++ b/src/ownership/targetStandings.ts
@@ -36,7 +36,7 @@
             return nowMs > this.earlierGrantsUntilMs ? "free" : "unsure";
         }
         if (holder.isSilent) {
-            return holder.hasEnded || nowMs > Math.max(holder.freeAtMs, this.earlierGrantsUntilMs) ? "free" : "unsure";
+            return holder.isCertainlyFree || nowMs > Math.max(holder.freeAtMs, this.earlierGrantsUntilMs) ? "free" : "unsure";
         }
         if (this.isLeaving(targetId)) {
             return "leaving";
--- a/test/ownership/holder.spec.ts
+++ b/test/ownership/holder.spec.ts
@@ -11,7 +11,7 @@
 const range = { from: 0, to: 99 } as KeyRange;
 
 /** A target that answers as a test says, and what it was sent. */
-function setUp() {
+function setUp(predecessorActsForMs = 0) {
     const clock = new VirtualClock();
     const grants: Grant[] = [];
     const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number; holdMs: number; closes: boolean } =
@@ -57,6 +57,7 @@
         fences: new FenceCounter(1 as Term), clock,
         log: { info: () => undefined, warn: () => undefined, error: () => undefined },
         mayGrant: () => true, isRecorded: () => true, holdMs: () => state.holdMs, onOutdated: () => undefined,
+        predecessorActsUntilMs: clock.now().monoMs + predecessorActsForMs,
     });
     const stop = new AbortController();
     void holder.run(stop.signal);
@@ -132,6 +133,33 @@
         end();
     });
 
+    it("of a target that ended while an earlier coordinator could grant are free once its end is seen again afterwards", async () => {
+        const { clock, holder, grants, state, end } = setUp(3_000);
+        holder.setRanges([range], []);
+        await clock.advance(1_000);
+        state.reply = "other-target";
+        await clock.advance(1_500);
+        expect([holder.hasEnded, holder.isCertainlyFree]).to.deep.equal([true, false]);
+        expect(holder.freeAtMs).to.be.above(clock.now().monoMs);
+        const before = grants.length;
+        await clock.advance(1_000);
+        expect([holder.hasEnded, holder.isCertainlyFree, grants.length - before]).to.deep.equal([true, true, 1]);
+        expect(holder.freeAtMs).to.be.below(clock.now().monoMs);
+        end();
+    });
+
+    it("stay with a target that came back at its address after its end was seen", async () => {
+        const { clock, holder, state, end } = setUp(3_000);
+        holder.setRanges([range], []);
+        await clock.advance(1_000);
+        state.reply = "other-target";
+        await clock.advance(1_500);
+        state.reply = "granted";
+        await clock.advance(1_500);
+        expect([holder.isSilent, holder.hasEnded]).to.deep.equal([false, false]);
+        end();
+    });
+
     it("are not offered to a target that has ended, though something listens at its address, until it is registered anew", async () => {
         for (const registered of [{ address: "10.0.0.2:80" as Address, bornWallMs: 1 }, { address: "10.0.0.1:80" as Address, bornWallMs: 2 }]) {
             const { clock, holder, grants, state, end } = setUp();
--- a/test/world/world.spec.ts
+++ b/test/world/world.spec.ts
@@ -15,6 +15,7 @@
     [857, "a removal was forgotten since an entry from before it had been read in the same go"],
     [1_248, "the same as 1236, with grants that were sent before the ledger had been compared"],
     [81_042, "a range that was restored after a move was given up forgot that an earlier grant of it lasted longer"],
+    [520_134, "the end of a target's process was taken for proof against a grant that a deposed coordinator sent to its successor later"],
 ];
 
 /** Fresh runs beside them. */
