--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -5,7 +5,7 @@
 import type { DataCentreId, TargetId } from "../model/names.js";
 import { rankCandidates } from "../model/rendezvous.js";
 import type { Clock } from "../model/time.js";
-import type { Ticket } from "./admissionQueue.js";
+import type { RefusalOfQueue, Ticket } from "./admissionQueue.js";
 import type { EnterParams, EnterReply, Group } from "./messages.js";
 import { admissionMethods, groupName } from "./messages.js";
 import type { QueueKeeper } from "./queueKeeper.js";
@@ -35,7 +35,7 @@
 /** A slot at a target, or why there is none. */
 export type SlotDecision =
     | { kind: "granted"; targetId: TargetId; expectedMs: number; leave: (end: WorkEnd) => void }
-    | { kind: "refused"; reason: "overloaded" | "no-target" | "no-keeper" | "withdrawn"; retryAfterMs: number };
+    | { kind: "refused"; reason: RefusalOfQueue | "no-keeper" | "withdrawn"; retryAfterMs: number };
 
 /** Gets slots. */
 export interface AdmissionClient {
@@ -75,7 +75,7 @@
     };
 
     const ask = async (member: Member, params: EnterParams): Promise<QueueReply | undefined> => {
-        const reply = isSelf(member) ? ok(await keeper.enter(params)) : await askPeer(member, params);
+        const reply = isSelf(member) ? ok(await keeper.enter(params, membership.self.hostId)) : await askPeer(member, params);
         if (reply.isOk() && !("unready" in reply.value)) {
             return reply.value;
         }
--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -10,7 +10,7 @@
 import { inOrder } from "../model/inOrder.js";
 import type { Branded, DataCentreId, TargetId } from "../model/names.js";
 import type { QueueTarget, Running, TargetRecord, WorkEnd } from "./targetRecord.js";
-import { fadeSlowness, hasFreeSlot, learnFromEnd, maxSlowness, newTargetRecord, quickest } from "./targetRecord.js";
+import { closedForMs, fadeSlowness, hasFreeSlot, learnFromEnd, maxSlowness, newTargetRecord, quickest } from "./targetRecord.js";
 
 /** Names one request at the queue. */
 export type Ticket = Branded<string, "Ticket">;
@@ -18,6 +18,8 @@
 /** A request that asks for a slot. Times are monotonic milliseconds of the queue's host. */
 export interface AdmissionRequest {
     ticket: Ticket;
+    /** Host that would send the request. */
+    sender: string;
     /** 0 is the most urgent. */
     priority: number;
     /** Time that the work takes at an average target. */
@@ -39,7 +41,10 @@
     | { kind: "refused"; ticket: Ticket; reason: RefusalOfQueue; retryAfterMs: number };
 
 /** Why a queue turns a request away. */
-export type RefusalOfQueue = "overloaded" | "no-target";
+export type RefusalOfQueue =
+    | "overloaded" | "no-target"
+    /** Every target wants nothing from the host for a while. */
+    | "paused";
 
 const minRetryAfterMs = 50;
 
@@ -116,6 +121,10 @@
         if (open.length === 0) {
             return [this.refuse(request, "no-target", request.workMs)];
         }
+        const closedMs = Math.min(...open.map((record) => closedForMs(record, request.sender, nowMs)));
+        if (closedMs > 0) {
+            return [this.refuse(request, "paused", closedMs)];
+        }
         const waitMs = this.expectedWaitMs(request, open, nowMs);
         if (nowMs + waitMs + this.shortestWorkMs(request, open) > request.deadlineMs) {
             return [this.refuse(request, "overloaded", waitMs)];
@@ -192,7 +201,8 @@
     private grant(request: AdmissionRequest, record: TargetRecord, nowMs: number): AdmissionVerdict {
         record.running += 1;
         this.running.set(request.ticket, {
-            targetId: record.target.targetId, startedMs: nowMs, giveUpMs: request.deadlineMs + unreportedGraceMs, workMs: request.workMs,
+            targetId: record.target.targetId, sender: request.sender, workMs: request.workMs,
+            startedMs: nowMs, giveUpMs: request.deadlineMs + unreportedGraceMs,
         });
         return {
             kind: "granted", ticket: request.ticket, targetId: record.target.targetId, expectedMs: request.workMs * record.slowness,
@@ -218,7 +228,8 @@
      * Chooses a target with a free slot. Bytes between data centres are dear, so a request waits for a target nearby as
      * long as it can still be in time there.
      */
-    private bestTarget(request: AdmissionRequest, free: readonly TargetRecord[], nowMs: number): TargetRecord | undefined {
+    private bestTarget(request: AdmissionRequest, allFree: readonly TargetRecord[], nowMs: number): TargetRecord | undefined {
+        const free = allFree.filter((record) => closedForMs(record, request.sender, nowMs) === 0);
         const untried = free.filter(({ target }) => !request.avoid.has(target.targetId));
         const usable = untried.length > 0 ? untried : free;
         const near = usable.filter(({ target }) => target.dataCentreId === request.near);
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -1,6 +1,6 @@
 /** Messages between a host that has a request and the host that keeps the queue for it. */
 import type { DataCentreId, ServiceId, TargetId } from "../model/names.js";
-import type { Ticket } from "./admissionQueue.js";
+import type { RefusalOfQueue, Ticket } from "./admissionQueue.js";
 import type { WorkEnd } from "./targetRecord.js";
 
 /** The targets that share a queue: one that owns keys, or all of a service without keys. */
@@ -26,7 +26,7 @@
 /** Answer to `EnterParams`. */
 export type EnterReply =
     | { granted: TargetId; expectedMs: number }
-    | { refused: "overloaded" | "no-target"; retryAfterMs: number }
+    | { refused: RefusalOfQueue; retryAfterMs: number }
     /** The host has just started and knows of no targets yet, so it can keep no queue. */
     | { unready: true };
 
--- a/src/admission/queueKeeper.ts
+++ b/src/admission/queueKeeper.ts
@@ -55,7 +55,12 @@
 
 /** Queues kept by this host. */
 export interface QueueKeeper {
-    enter(params: EnterParams): Promise<EnterReply>;
+    /**
+     * Asks for a slot.
+     * @param params what it is for
+     * @param sender names the host that would send the request
+     */
+    enter(params: EnterParams, sender: string): Promise<EnterReply>;
     leave(params: LeaveParams): void;
     withdraw(params: WithdrawParams): void;
     /** What other hosts may call. */
@@ -121,7 +126,7 @@
         }
     };
 
-    const enter = (params: EnterParams): Promise<EnterReply> => {
+    const enter = (params: EnterParams, sender: string): Promise<EnterReply> => {
         if (view.targetsUpTo < 0) {
             return Promise.resolve({ unready: true });
         }
@@ -129,7 +134,7 @@
         const kept = queueOf(params.group, nowMs);
         return new Promise((resolve) => {
             kept.replies.set(params.ticket, resolve);
-            deliver(kept, kept.queue.offer(toRequest(params, nowMs), nowMs));
+            deliver(kept, kept.queue.offer(toRequest(params, sender, nowMs), nowMs));
             if (kept.queue.waitingCount > 0) {
                 waitBegan.fire();
             }
@@ -175,7 +180,7 @@
         handlers: () => ({
             [admissionMethods.enter]: (params: EnterParams, from: PeerConnection) => {
                 ticketsOf(from).set(params.ticket, params.group);
-                return enter(params);
+                return enter(params, from.address);
             },
             [admissionMethods.leave]: (params: LeaveParams, from: PeerConnection) => {
                 ticketsOf(from).delete(params.ticket);
@@ -210,10 +215,10 @@
     return Math.round(ratio * 100) / 100;
 }
 
-function toRequest(params: EnterParams, nowMs: number): AdmissionRequest {
+function toRequest(params: EnterParams, sender: string, nowMs: number): AdmissionRequest {
     const { ticket, priority, workMs, near } = params;
     return {
-        ticket, priority, workMs, near,
+        ticket, sender, priority, workMs, near,
         arrivedMs: nowMs,
         targetMs: nowMs + params.targetLeftMs,
         deadlineMs: nowMs + params.deadlineLeftMs,
--- a/src/admission/targetRecord.ts
+++ b/src/admission/targetRecord.ts
@@ -16,7 +16,7 @@
     /** Answered after so long. */
     | { kind: "answered"; tookMs: number }
     /** The target turned it away without running it. */
-    | { kind: "turned-away" }
+    | { kind: "turned-away"; pauseMs?: number }
     /** No connection could be opened. */
     | { kind: "unreachable" }
     /** Sent, and its answer broke off or never came. */
@@ -29,6 +29,8 @@
 /** A request at a target. Times are monotonic milliseconds of the queue's host. */
 export interface Running {
     targetId: TargetId;
+    /** Host that sent it. */
+    sender: string;
     startedMs: number;
     giveUpMs: number;
     workMs: number;
@@ -44,6 +46,8 @@
     answers: number;
     observedMs: number;
     pausedUntilMs: number;
+    /** Hosts from which the target wants nothing until then; undefined while there are none. */
+    closedUntilMs: Map<string, number> | undefined;
 }
 
 /** Weight of the newest observation of a target's speed. */
@@ -71,7 +75,8 @@
  * @param nowMs now
  */
 export function newTargetRecord(target: QueueTarget, running: number, nowMs: number): TargetRecord {
-    return { target, running, slowness: target.warmingUp ? warmUpSlowness : 1, answers: 0, observedMs: nowMs, pausedUntilMs: 0 };
+    const slowness = target.warmingUp ? warmUpSlowness : 1;
+    return { target, running, slowness, answers: 0, observedMs: nowMs, pausedUntilMs: 0, closedUntilMs: undefined };
 }
 
 type Learn<Kind extends WorkEnd["kind"]> = (
@@ -85,8 +90,12 @@
     "late": (record, { workMs }, { afterMs }, nowMs) => {
         observe(record, Math.max(record.slowness, afterMs / Math.max(1, workMs)), nowMs);
     },
-    "turned-away": (record, _ended, _end, nowMs) => {
+    "turned-away": (record, { sender }, { pauseMs }, nowMs) => {
         record.pausedUntilMs = nowMs + pauseAfterTurnedAwayMs;
+        if (pauseMs !== undefined) {
+            record.closedUntilMs ??= new Map();
+            record.closedUntilMs.set(sender, nowMs + pauseMs);
+        }
     },
     "unreachable": (record, _ended, _end, nowMs) => {
         record.pausedUntilMs = nowMs + pauseAfterUnreachableMs;
@@ -130,6 +139,11 @@
     return target.open && running < target.slots && nowMs >= pausedUntilMs;
 }
 
+/** Time for which a target still wants nothing from a host; 0 when it does. */
+export function closedForMs({ closedUntilMs }: TargetRecord, sender: string, nowMs: number): number {
+    return Math.max(0, (closedUntilMs?.get(sender) ?? 0) - nowMs);
+}
+
 /** Finds the target that is expected to be done first. */
 export function quickest(records: readonly TargetRecord[]): TargetRecord | undefined {
     const costOf = ({ target, slowness, running }: TargetRecord) => slowness * (1 + running / target.slots);
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -7,8 +7,9 @@
 import type { MemberState } from "./memberList.js";
 import { MemberList } from "./memberList.js";
 import type { Member, Membership } from "./membership.js";
-import type { Offset, Term } from "../model/names.js";
+import type { Offset, TargetId, Term } from "../model/names.js";
 import { linkAborts, Signal, waitFor } from "../model/signal.js";
+import type { LeavingTarget } from "../model/target.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import { FenceCounter } from "../ownership/fences.js";
@@ -98,6 +99,8 @@
     const followers = new Map<PeerConnection, Follower>();
     const memberList = new MemberList();
     const confirmNow = new Signal();
+    /** Start of the process of each target that all hosts were told to leave. */
+    const leavingSpread = new Map<TargetId, number>();
     let resignedMs: number | undefined;
     let targetsConfirmedAt: Instant | undefined;
     let isReadingFailing = false;
@@ -159,6 +162,21 @@
         }
     };
 
+    /** All hosts hear of a target that leaves, the one that saw it too: that ends its reports. */
+    const spreadLeaving = (leaving: readonly LeavingTarget[], from: PeerConnection | undefined) => {
+        view.hearOfLeaving(leaving, clock.now().monoMs);
+        view.leavingReports.confirm(leaving);
+        const fresh = leaving.filter(({ targetId, bornWallMs }) => leavingSpread.get(targetId) !== bornWallMs);
+        fresh.forEach(({ targetId, bornWallMs }) => leavingSpread.set(targetId, bornWallMs));
+        if (fresh.length > 0) {
+            log.info("targets say that they leave", { targets: fresh.map(({ targetId }) => targetId) });
+            push(newsNow({ leavingTargets: fresh }));
+        }
+        if (leaving.length > fresh.length) {
+            from?.notify(clusterMethods.news, newsNow({ leavingTargets: leaving }));
+        }
+    };
+
     const membersNow = (): Member[] => [
         ...membership.isLeaving ? [] : [membership.self],
         ...[...followers.values()].filter(({ leaving }) => !leaving).map(({ member }) => member),
@@ -278,10 +296,11 @@
                 ledger: view.ledger.all().filter(({ offset }) => offset >= params.ledgerUpTo),
                 ledgerFrom: params.ledgerUpTo,
                 ...knowsMembers(params.members) ? {} : { members: memberList.whole() },
+                leavingTargets: view.targets.leaving(),
                 notice: keeper.notice(clock.now().monoMs),
             }) };
         },
-        report: ({ loads, pressures, leaving }, from) => {
+        report: ({ loads, pressures, leavingTargets, leaving }, from) => {
             const nowMs = clock.now().monoMs;
             const follower = from === undefined ? undefined : followers.get(from);
             if (follower !== undefined) {
@@ -291,6 +310,7 @@
                     updateMembers();
                 }
             }
+            spreadLeaving(leavingTargets ?? [], from);
             keeper.addLoads(loads, nowMs);
             keeper.addPressures(pressures, nowMs);
         },
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between the coordinator and the other hosts. */
 import type { TargetPressure } from "../admission/queueKeeper.js";
 import type { Offset, RunId, Term } from "../model/names.js";
+import type { LeavingTarget } from "../model/target.js";
 import type { RoutingConfig } from "../model/routing.js";
 import type { LedgerChange } from "../ownership/ledger.js";
 import type { KeyLoads } from "../ownership/loadMeter.js";
@@ -59,6 +60,8 @@
     ledgerFrom?: Offset;
     ledger?: readonly LedgerChange[];
     notice?: OwnershipNotice;
+    /** Processes of targets that some host saw leave. */
+    leavingTargets?: readonly LeavingTarget[];
     /** State of the coordinator's list of hosts at work. */
     membersVersion: number;
     members?: MemberNews;
@@ -68,6 +71,8 @@
 export interface Report {
     loads: readonly KeyLoads[];
     pressures: readonly TargetPressure[];
+    /** Processes of targets that the host saw leave; repeated until the coordinator makes them known. */
+    leavingTargets?: readonly LeavingTarget[];
     /** True once the host has begun to leave; it gets no more duties. */
     leaving: boolean;
 }
--- a/src/cluster/newsIntake.ts
+++ b/src/cluster/newsIntake.ts
@@ -57,6 +57,10 @@
         }
         confirmedMs = Math.max(confirmedMs, nowMs() - news.storeAgeMs);
         view.applyTargets(news.targets ?? [], news.targetsUpTo, nowMs());
+        if (news.leavingTargets !== undefined) {
+            view.hearOfLeaving(news.leavingTargets, nowMs());
+            view.leavingReports.confirm(news.leavingTargets);
+        }
         if (news.ledger !== undefined) {
             view.applyLedger(news.ledger, news.ledgerFrom ?? news.ledgerUpTo, news.ledgerUpTo);
             owners.refresh();
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -157,7 +157,7 @@
         });
         while (!signal.aborted && lostBecause === undefined && latestTerm()?.term === term.term) {
             connection.notify(clusterMethods.report, reportNow());
-            await waitFor(clock, reportPeriodMs, [closed, termHeard], signal);
+            await waitFor(clock, reportPeriodMs, [closed, termHeard, view.leavingSeen], signal);
             lostBecause ??= nowMs() - connection.lastHeardMs > coordinatorSilentMs ? "silent" : undefined;
             if (isCutOff() && await takeOverFromCutOff(term, connection, signal)) {
                 return "superseded";
@@ -215,12 +215,18 @@
         log.info("not coordinating any more", { term: term.term, now: view.ledger.term?.hostId });
     };
 
-    const reportNow = (): Report => ({ loads: parts.loads.take(), pressures: parts.queues.pressures(), leaving: membership.isLeaving });
+    const reportNow = (): Report => {
+        const leavingTargets = view.leavingReports.unconfirmed();
+        return {
+            loads: parts.loads.take(), pressures: parts.queues.pressures(), leaving: membership.isLeaving,
+            ...leavingTargets.length > 0 ? { leavingTargets } : {},
+        };
+    };
 
     const reportToSelf = async (to: Coordinator, signal: AbortSignal) => {
         while (!signal.aborted) {
             to.report(reportNow(), undefined);
-            await clock.sleep(reportPeriodMs, signal);
+            await waitFor(clock, reportPeriodMs, [view.leavingSeen], signal);
         }
     };
 
--- a/src/control/explain.ts
+++ b/src/control/explain.ts
@@ -31,6 +31,7 @@
     "not-ready": "The host had no configuration yet.",
     "no-target": "No target of the service could take work.",
     "owner-unknown": "The key was on the move or had no owner, for longer than the request could wait.",
+    "target-paused": "The target, or every target of the service, had asked this host to send nothing for a while.",
     "owner-silent": "The key's owner did not answer, and its lease had to end before another could have the key.",
     "overloaded": "All slots were taken, and the request could not have been answered in time.",
     "rejected": "The target turned the request away without running it, and no other attempt was possible.",
--- a/src/entry/clientCall.ts
+++ b/src/entry/clientCall.ts
@@ -7,7 +7,7 @@
     /** The request itself is at fault. */
     | "no-route" | "body-too-large" | "body-late" | "no-key"
     /** It did not run and never will. */
-    | "not-ready" | "no-target" | "owner-unknown" | "owner-silent" | "overloaded" | "too-late" | "rejected" | "unreachable" | "stopping"
+    | "not-ready" | "no-target" | "owner-unknown" | "owner-silent" | "target-paused" | "overloaded" | "too-late" | "rejected" | "unreachable" | "stopping"
     /** It may have run. */
     | "timed-out" | "lost";
 
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -28,6 +28,7 @@
     "no-target": 503,
     "owner-unknown": 503,
     "owner-silent": 503,
+    "target-paused": 503,
     "overloaded": 503,
     "too-late": 503,
     "rejected": 503,
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -3,7 +3,7 @@
 import type { TargetEntry } from "../model/target.js";
 import type { Clock } from "../model/time.js";
 import type { ConnectionPool } from "./connectionPool.js";
-import type { TargetDialect } from "./dialect.js";
+import type { TargetDialect, TargetNotice } from "./dialect.js";
 import { withoutHeaders, withoutHopByHop } from "./hopByHop.js";
 import type { Interrupt, InterruptReason, Patience } from "./interrupt.js";
 import { createInterrupt } from "./interrupt.js";
@@ -14,6 +14,12 @@
 /** An answer up to this size reaches the client only once it is whole, so that a broken one can be asked for again. */
 const maxHeldBytes = 262_144;
 
+/** Most of a rejection's body that is read. */
+const maxDrainedBytes = 65_536;
+
+/** An answer without a length that is longer than this is taken for one without an end. */
+const maxUnsizedBytes = 67_108_864;
+
 /** An answer of a target that is whole and not yet sent. */
 export interface HeldAnswer {
     head: AnswerHead;
@@ -29,7 +35,7 @@
     /** It broke off after the client had got a part of it; the client's connection was ended. */
     | { kind: "broken-off" }
     /** The target turned the request away without running it. */
-    | { kind: "turned-away"; status: number }
+    | { kind: "turned-away"; status: number; pauseMs?: number }
     /** Nothing was sent. */
     | { kind: "unreachable"; why: string }
     /** Sent, and no whole answer came. */
@@ -47,6 +53,8 @@
     pool: ConnectionPool;
     dialect: TargetDialect;
     clock: Clock;
+    /** Told what a target says about itself. */
+    onNotice: (target: TargetEntry, notice: TargetNotice) => void;
 }
 
 /** One attempt. */
@@ -133,6 +141,7 @@
     if (head.isErr()) {
         return { kind: "lost", why: head.error.message };
     }
+    parts.onNotice(request.target, parts.dialect.noticeOf(head.value));
     const end = await receive(parts, request, exchange, head.value, interrupt);
     const tookMs = parts.clock.now().monoMs - startedMs;
     return "tookMs" in end ? { ...end, tookMs } : end;
@@ -144,7 +153,7 @@
     const responseClass = parts.dialect.classify(head);
     if (responseClass === "not-run") {
         await Promise.race([drain(exchange), interrupt.raised]);
-        return { kind: "turned-away", status: head.status };
+        return { kind: "turned-away", status: head.status, pauseMs: parts.dialect.noticeOf(head).pauseMs };
     }
     if (responseClass === "unproven" && head.status < 300) {
         return { kind: "lost", why: "the answer bears no signature" };
@@ -152,6 +161,8 @@
     const held: Buffer[] = [];
     let heldBytes = 0;
     let passing = false;
+    let receivedBytes = 0;
+    const maxBytes = lengthOf(head) ?? maxUnsizedBytes;
     for (;;) {
         const piece = await Promise.race([exchange.read(), interrupt.raised]);
         if (typeof piece === "string") {
@@ -163,6 +174,10 @@
         if (piece.value === undefined) {
             return finish(call, head, held, passing);
         }
+        receivedBytes += piece.value.length;
+        if (receivedBytes > maxBytes) {
+            return passing ? breakOff(call) : { kind: "lost", why: "the answer does not end" };
+        }
         if (passing) {
             await call.writeAnswer(piece.value);
             continue;
@@ -193,12 +208,14 @@
     return { kind: "broken-off" };
 }
 
+/** Reads the body of a rejection, so that the connection can be used again; one that goes on is left unread. */
 async function drain(exchange: Exchange): Promise<void> {
-    for (;;) {
+    for (let readBytes = 0; readBytes < maxDrainedBytes;) {
         const piece = await exchange.read();
         if (piece.isErr() || piece.value === undefined) {
             return;
         }
+        readBytes += piece.value.length;
     }
 }
 
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -38,6 +38,14 @@
     /** Neither; the request may have run. */
     | "unproven";
 
+/** What a target says about itself in a response. */
+export interface TargetNotice {
+    /** It is going to stop. */
+    isLeaving: boolean;
+    /** It wants nothing more from this host for so long; undefined when it does not say so. */
+    pauseMs: number | undefined;
+}
+
 /** A request as a target is told of it. */
 export interface TargetTerms {
     requestId: RequestId | undefined;
@@ -57,4 +65,6 @@
     /** Tells whether a response belongs to a request. */
     isAnswerTo(head: ResponseHead, requestId: RequestId | undefined): boolean;
     classify(head: ResponseHead): ResponseClass;
+    /** Reads what a response says about its target. */
+    noticeOf(head: ResponseHead): TargetNotice;
 }
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -9,10 +9,12 @@
 import type { Clock } from "../model/time.js";
 import type { RequestLog } from "../observe/requestLog.js";
 import type { Owners } from "../ownership/owners.js";
+import type { TargetEntry } from "../model/target.js";
 import type { Splitter } from "../routing/splitter.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { AttemptEnd, AttemptParts } from "./attempt.js";
 import { attempt } from "./attempt.js";
+import type { TargetNotice } from "./dialect.js";
 import type { Job } from "./job.js";
 import type { Placed } from "./placement.js";
 import { createPlacer, retryAfterUnreachableMs } from "./placement.js";
@@ -20,6 +22,7 @@
 import { nextStep } from "./retryPolicy.js";
 import type { Standby } from "./standby.js";
 import { createStandby } from "./standby.js";
+import { TargetPauses } from "./targetPauses.js";
 import { typicalWorkMs, WorkTimes } from "./workTimes.js";
 
 /** Longest time that a connection may have been idle before it carries what must not run twice. */
@@ -35,7 +38,7 @@
 const retryAfterNotReadyMs = 500;
 
 /** What a forwarder works with. */
-export interface ForwarderParts extends AttemptParts {
+export interface ForwarderParts extends Omit<AttemptParts, "onNotice"> {
     view: ClusterView;
     owners: Owners;
     admission: AdmissionClient;
@@ -72,7 +75,18 @@
     let leaving = false;
     setMaxListeners(0, stopped.signal);
     const spread = (delayMs: number) => delayMs * (0.9 + parts.random() * 0.4);
-    const placer = createPlacer({ ...parts, workTimes, spread, stopped: stopped.signal });
+    const pauses = new TargetPauses();
+    const placer = createPlacer({ ...parts, workTimes, pauses, spread, stopped: stopped.signal });
+
+    const onNotice = ({ targetId, bornWallMs }: TargetEntry, { isLeaving, pauseMs }: TargetNotice) => {
+        if (isLeaving && view.seeLeaving({ targetId, bornWallMs }, nowMs())) {
+            requestLog.targetLeaves(targetId);
+        }
+        if (pauseMs !== undefined) {
+            pauses.pause({ targetId, bornWallMs }, pauseMs, nowMs());
+            requestLog.targetPauses(targetId, pauseMs);
+        }
+    };
 
     const refuse = (call: ClientCall, refusal: Refusal, job?: Job) => {
         requestLog.refused(call, refusal, job?.route, job?.tried);
@@ -138,7 +152,7 @@
         const mayRepeat = job.route.idempotent && job.body !== undefined && patienceMs + placed.expectedMs < remainingMs;
         job.tried.add(placed.target.targetId);
         job.sends += 1;
-        return attempt(parts, {
+        return attempt({ ...parts, onNotice }, {
             call: job.call,
             target: placed.target,
             body: job.body,
@@ -263,7 +277,7 @@
     "answered": ({ tookMs }) => ({ kind: "answered", tookMs }),
     "streamed": ({ tookMs }) => ({ kind: "answered", tookMs }),
     "broken-off": () => ({ kind: "lost" }),
-    "turned-away": () => ({ kind: "turned-away" }),
+    "turned-away": ({ pauseMs }) => ({ kind: "turned-away", ...pauseMs === undefined ? {} : { pauseMs: Math.round(pauseMs) } }),
     "unreachable": () => ({ kind: "unreachable" }),
     "lost": () => ({ kind: "lost" }),
     "timed-out": (_end, tookMs) => ({ kind: "late", afterMs: tookMs }),
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -11,12 +11,16 @@
 import type { ClusterView } from "../store/clusterView.js";
 import type { Job } from "./job.js";
 import { longestWaitMs, waitForOwner } from "./ownerWait.js";
+import type { TargetPauses } from "./targetPauses.js";
 import type { WorkTimes } from "./workTimes.js";
 import { typicalWorkMs } from "./workTimes.js";
 
 const retryAfterStoppingMs = 50;
 
-/** Times that the queue is asked when it offers targets that this host knows to leave. */
+/** When to come back, at most, after a target wants nothing from this host. */
+const retryAfterPausedMs = 300;
+
+/** Times that the queue is asked when it offers targets that this host knows not to take its requests. */
 const maxAskedForTarget = 3;
 
 /** When to come back after a target could not be reached. */
@@ -47,6 +51,8 @@
     dataCentreId: DataCentreId;
     /** Time after which a leaving target gets nothing new. */
     drainMs: number;
+    /** Pauses that targets asked this host for. */
+    pauses: TargetPauses;
     /** Spreads a delay by chance. */
     spread: (delayMs: number) => number;
     /** Aborted when requests without a slot are to be turned away. */
@@ -69,7 +75,9 @@
  * Creates the placer.
  * @param parts what it works with
  */
-export function createPlacer({ view, owners, admission, workTimes, clock, dataCentreId, drainMs, spread, stopped }: PlacerParts): Placer {
+export function createPlacer(
+    { view, owners, admission, workTimes, clock, dataCentreId, drainMs, pauses, spread, stopped }: PlacerParts,
+): Placer {
     const nowMs = () => clock.now().monoMs;
 
     const place = async (job: Job, left: AbortSignal): Promise<Placement> => {
@@ -86,7 +94,7 @@
                 ...slotOf(job), group: { kind: "service", serviceId }, avoid: [...avoid], keptNear: undefined,
             }, until.signal);
             until.release();
-            if (decision.kind === "refused" || !isLeaving(decision.targetId)) {
+            if (decision.kind === "refused" || !isClosed(decision.targetId)) {
                 return toPlacement(decision);
             }
             decision.leave({ kind: "dropped" });
@@ -95,12 +103,18 @@
         return noTarget();
     };
 
-    /** The host that keeps the queue may not know yet that a target leaves. */
-    const isLeaving = (targetId: TargetId): boolean => {
+    /** The host that keeps the queue may not know yet that a target leaves, or wants nothing from this host. */
+    const isClosed = (targetId: TargetId): boolean => {
         const target = view.targets.get(targetId);
-        return target !== undefined && !mayReceive(target, drainMs, nowMs());
+        return target !== undefined && (!mayReceive(target, drainMs, nowMs()) || pauses.leftMs(target, nowMs()) > 0);
     };
 
+    /** Other hosts may still reach a target that wants nothing from this one, and a client's next attempt reaches another host. */
+    const pausedRefusal = (targetId: TargetId | undefined, leftMs: number): Placement => ({
+        kind: "refused",
+        refusal: { reason: "target-paused", retryAfterMs: spread(Math.min(leftMs, retryAfterPausedMs)), targetId },
+    });
+
     const placeAtOwner = async (job: Job, key: Key, left: AbortSignal): Promise<Placement> => {
         const { service } = job;
         for (;;) {
@@ -109,6 +123,10 @@
                 return owner;
             }
             const entry = view.targets.get(owner);
+            const pausedMs = entry === undefined ? 0 : pauses.leftMs(entry, nowMs());
+            if (pausedMs > 0) {
+                return pausedRefusal(owner, pausedMs);
+            }
             const moved = new AbortController();
             const endWatch = watchOwner(service.serviceId, key, owner, moved);
             const until = linkAborts(left, moved.signal, stopped);
@@ -118,7 +136,7 @@
             until.release();
             endWatch();
             const isOver = left.aborted || stopped.aborted;
-            if (isOver || (!moved.signal.aborted && !isLeaving(owner))) {
+            if (isOver || (!moved.signal.aborted && !isClosed(owner))) {
                 return toPlacement(decision, owner);
             }
             if (decision.kind === "granted") {
@@ -192,6 +210,9 @@
         if (decision.reason === "withdrawn") {
             return stopped.aborted ? stoppingRefusal() : { kind: "client-left" };
         }
+        if (decision.reason === "paused") {
+            return pausedRefusal(targetId, decision.retryAfterMs);
+        }
         const reason: RefusalReason = decision.reason === "overloaded" ? "overloaded" : "no-target";
         return { kind: "refused", refusal: { reason, retryAfterMs: decision.retryAfterMs, targetId } };
     };
--- a/src/forwarding/responseParser.ts
+++ b/src/forwarding/responseParser.ts
@@ -24,6 +24,8 @@
 export class ResponseSyntaxError extends Error {}
 
 const maxHeadBytes = 65_536;
+const maxInterimResponses = 16;
+const maxTrailers = 100;
 const maxChunkLineBytes = 256;
 const headEnd = Buffer.from("\r\n\r\n");
 const lineEnd = Buffer.from("\r\n");
@@ -40,6 +42,8 @@
     private pending: Buffer = Buffer.alloc(0);
     private bodyLeftBytes = 0;
     private bodiless = false;
+    private interimResponses = 0;
+    private trailers = 0;
 
     /** @param events receives what was parsed */
     constructor(private readonly events: ResponseEvents) {}
@@ -110,8 +114,14 @@
 
     private startResponse(code: number, reasonPhrase: string, isHttp11: boolean, rawHeaders: string[]): void {
         if (code < 200) {
+            this.interimResponses += 1;
+            if (this.interimResponses > maxInterimResponses) {
+                throw new ResponseSyntaxError("interim responses do not end");
+            }
             return;
         }
+        this.interimResponses = 0;
+        this.trailers = 0;
         const framing = framingOf(rawHeaders, isHttp11);
         const empty = this.bodiless || code === 204 || code === 304 || framing.lengthBytes === 0;
         const untilClose = !empty && framing.lengthBytes === undefined && !framing.chunked;
@@ -184,6 +194,10 @@
             return true;
         }
         parseHeaderLine(line);
+        this.trailers += 1;
+        if (this.trailers > maxTrailers) {
+            throw new ResponseSyntaxError("the trailers do not end");
+        }
         return true;
     }
 
--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -11,6 +11,10 @@
 /** Body bytes held for a slow reader before the target is slowed down. */
 const maxBufferedBytes = 262_144;
 
+/** What is read of responses to other requests while one waits for its own; a connection with more is of no use. */
+const maxSkippedBytes = 262_144;
+const maxSkippedResponses = 16;
+
 /** A request as it is written to the wire. */
 export interface OutgoingRequest {
     method: string;
@@ -93,6 +97,7 @@
     let keepAliveMs: number | undefined;
     let reason = "closed by the target";
     let skipping = false;
+    let skippedBytes = 0;
 
     const parser = new ResponseParser({
         onHead: (head) => {
@@ -107,6 +112,11 @@
         onBody: (chunk) => {
             if (!skipping) {
                 current?.onBody(chunk);
+                return;
+            }
+            skippedBytes += chunk.length;
+            if (skippedBytes > maxSkippedBytes) {
+                end("a response that nobody waits for does not end");
             }
         },
         onEnd: () => {
@@ -124,6 +134,9 @@
             return;
         }
         current.skipped += 1;
+        if (current.skipped > maxSkippedResponses) {
+            end("responses that nobody waits for do not end");
+        }
     };
 
     const onAnswered = () => {
@@ -205,6 +218,7 @@
         start: (request) => {
             const state = new ExchangeState(request, socket);
             current = state;
+            skippedBytes = 0;
             parser.expectBodiless(request.method === "HEAD");
             if (socket.destroyed) {
                 state.onBroken(failure("unreachable", "forward", address, reason));
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -129,7 +129,7 @@
         view: from.resolve(tokens.view),
         owners: from.resolve(tokens.owners),
         admission: from.resolve(tokens.admission),
-        splitter: new Splitter(),
+        splitter: new Splitter(from.resolve(tokens.random)),
         retries: from.resolve(tokens.retries),
         loads: from.resolve(tokens.loads),
         requestLog: from.resolve(tokens.requestLog),
--- a/src/model/target.ts
+++ b/src/model/target.ts
@@ -21,8 +21,17 @@
     warmingUp: boolean;
 }
 
-/** An entry with what this host notes about it. */
+/** A process of a target that has said in an answer that it leaves. */
+export interface LeavingTarget {
+    targetId: TargetId;
+    /** Tells the process from a later one of the same target. */
+    bornWallMs: number;
+}
+
+/** An entry with what this host notes about it; its `state` also counts what the target says in its answers. */
 export interface KnownTarget extends TargetEntry {
+    /** State in the directory, which may lag behind. */
+    registeredState: TargetState;
     /** Monotonic time at which this host learned that the target leaves; undefined while it stays. */
     leavingSinceMs: number | undefined;
 }
--- a/src/observe/requestLog.ts
+++ b/src/observe/requestLog.ts
@@ -10,4 +10,8 @@
     refused(call: ClientCall, refusal: Refusal, route: Route | undefined, tried: ReadonlySet<TargetId> | undefined): void;
     retried(call: ClientCall, route: Route, targetId: TargetId, end: AttemptEnd): void;
     left(call: ClientCall, route: Route, tried: ReadonlySet<TargetId>): void;
+    /** A target said in an answer that it leaves. */
+    targetLeaves(targetId: TargetId): void;
+    /** A target asked this host to send nothing for a while. */
+    targetPauses(targetId: TargetId, pauseMs: number): void;
 }
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -52,6 +52,12 @@
             metrics.requests.inc({ route: route.routeId, outcome: "left", reason: "" });
             log.info("client left", { ...basics(call), route: route.routeId, targets: [...tried] });
         },
+        targetLeaves: (targetId) => {
+            log.info("target says that it leaves", { target: targetId });
+        },
+        targetPauses: (targetId, pauseMs) => {
+            log.info("target asks for a pause", { target: targetId, pauseMs });
+        },
     };
 }
 
--- a/src/ownership/holder.ts
+++ b/src/ownership/holder.ts
@@ -4,6 +4,7 @@
 import { failure } from "../model/failure.js";
 import type { Address, Fence, KeyRange, TargetId } from "../model/names.js";
 import { Signal, waitFor } from "../model/signal.js";
+import type { LeavingTarget } from "../model/target.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import type { FenceCounter } from "./fences.js";
@@ -34,6 +35,8 @@
     holdMs: (now: Instant) => number;
     /** Told when the target has seen a higher fence. */
     onOutdated: () => void;
+    /** Told when a process of the target has said that it leaves. */
+    onLeaving: (leaving: LeavingTarget) => void;
     /** Monotonic time until which an earlier coordinator may still send grants. */
     predecessorActsUntilMs: number;
 }
@@ -113,7 +116,9 @@
 
     /** Monotonic time after which the target holds nothing that this holder granted. */
     get freeAtMs(): number {
-        return this.isCertainlyFree ? Number.NEGATIVE_INFINITY : Math.max(this.pastHolds.lastMs, ...this.leases.map((lease) => lease.heldUntilMs));
+        return this.isCertainlyFree
+            ? Number.NEGATIVE_INFINITY
+            : Math.max(this.pastHolds.lastMs, ...this.leases.map((lease) => lease.heldUntilMs));
     }
 
     /** Ranges that are renewed. */
@@ -277,6 +282,7 @@
         lease.heldUntilMs = Math.max(heldBeforeMs, now.monoMs + grantTimeoutMs + holdBoundMs(holdMs));
         const reply = await session.grant({ range: lease.range, fence: lease.fence, holdMs, handover: lease.handover }, grantTimeoutMs);
         const answeredMs = this.parts.clock.now().monoMs;
+        this.noteIfLeaving(session);
         lease.heldUntilMs = wasTaken(reply) ? Math.max(lease.heldUntilMs, answeredMs + holdBoundMs(holdMs)) : heldBeforeMs;
         if (!this.leases.includes(lease)) {
             this.pastHolds.add(lease.range, lease.heldUntilMs, answeredMs);
@@ -296,6 +302,12 @@
         return true;
     }
 
+    private noteIfLeaving(session: LeaseSession): void {
+        if (session.isLeaving && this.bornWallMs !== undefined) {
+            this.parts.onLeaving({ targetId: this.targetId, bornWallMs: this.bornWallMs });
+        }
+    }
+
     private onTurnedAway(lease: Lease, reply: Exclude<GrantReply, "granted">, session: LeaseSession): void {
         this.parts.log.warn("grant turned away", { target: this.targetId, range: lease.range, fence: lease.fence, reply });
         lease.session = undefined;
--- a/src/ownership/leasePort.ts
+++ b/src/ownership/leasePort.ts
@@ -30,6 +30,8 @@
 export interface LeaseSession {
     readonly isOpen: boolean;
     readonly closed: Promise<string>;
+    /** True once the target has said in an answer that it leaves. */
+    readonly isLeaving: boolean;
     grant(grant: Grant, timeoutMs: number): Promise<Result<GrantReply, Failure>>;
     /**
      * Takes keys back. The target stops new work on them at once, and answers when the work under way has ended.
--- a/src/ownership/ownershipKeeper.ts
+++ b/src/ownership/ownershipKeeper.ts
@@ -115,6 +115,9 @@
     const holderParts: HolderParts = {
         leases: parts.leases, fences: parts.fences, clock, log,
         mayGrant: parts.mayGrant, holdMs: parts.holdMs, onOutdated: parts.onOutdated,
+        onLeaving: (leaving) => {
+            view.seeLeaving(leaving, clock.now().monoMs);
+        },
         predecessorActsUntilMs: parts.predecessor.actsUntilMs,
         isRecorded: (targetId, range) => {
             const record = view.ledger.ownershipOf(targetId);
--- a/src/store/clusterView.ts
+++ b/src/store/clusterView.ts
@@ -6,6 +6,8 @@
 import { Signal } from "../model/signal.js";
 import type { LedgerChange } from "../ownership/ledger.js";
 import { Ledger } from "../ownership/ledger.js";
+import type { LeavingTarget } from "../model/target.js";
+import { LeavingReports } from "./leavingReports.js";
 import type { TargetChange } from "./targetDirectory.js";
 import { TargetDirectory } from "./targetDirectory.js";
 
@@ -29,6 +31,10 @@
     readonly targetsChanged = new Signal();
     /** Fires when the ledger changes. */
     readonly ledgerChanged = new Signal();
+    /** What this host saw of targets that leave and is to tell the coordinator. */
+    readonly leavingReports = new LeavingReports();
+    /** Fires when this host sees that a target leaves. */
+    readonly leavingSeen = new Signal();
     private inForce: ConfigInForce | undefined;
     private ownInForce: ConfigInForce | undefined;
     private configReadUpTo = noOffset;
@@ -105,6 +111,33 @@
         return effective;
     }
 
+    /**
+     * Takes in that a target says in an answer to this host that it leaves.
+     * @param leaving the process that said so
+     * @param nowMs now
+     * @returns whether this host did not know it
+     */
+    seeLeaving(leaving: LeavingTarget, nowMs: number): boolean {
+        if (!this.targets.noteLeaving(leaving, nowMs)) {
+            return false;
+        }
+        this.leavingReports.add(leaving);
+        this.touchTargets();
+        this.leavingSeen.fire();
+        return true;
+    }
+
+    /**
+     * Takes in what another host saw of targets that leave.
+     * @param leaving the processes
+     * @param nowMs now
+     */
+    hearOfLeaving(leaving: readonly LeavingTarget[], nowMs: number): void {
+        if (leaving.filter((one) => this.targets.noteLeaving(one, nowMs)).length > 0) {
+            this.touchTargets();
+        }
+    }
+
     /** Notes that targets must be looked at anew, since something about them changed that their entries do not say. */
     touchTargets(): void {
         this.changesOfTargets += 1;
--- a/src/store/targetDirectory.ts
+++ b/src/store/targetDirectory.ts
@@ -1,6 +1,6 @@
 /** Folds the service directory: which targets exist, and in which state. */
 import type { Offset, ServiceId, TargetId } from "../model/names.js";
-import type { KnownTarget, TargetEntry } from "../model/target.js";
+import type { KnownTarget, LeavingTarget, TargetEntry } from "../model/target.js";
 import { hash } from "../model/rendezvous.js";
 import { isSameEntry } from "../model/target.js";
 
@@ -26,6 +26,8 @@
 export class TargetDirectory {
     private readonly known = new Map<TargetId, KnownTarget>();
     private readonly seen = new Map<TargetId, Seen>();
+    /** Start of the last process of each target that said in an answer that it leaves. */
+    private readonly leavingBornWallMs = new Map<TargetId, number>();
     private lastDigest: number | undefined;
     private byService: ReadonlyMap<ServiceId, readonly KnownTarget[]> | undefined;
 
@@ -49,7 +51,7 @@
     changesSince(offset: Offset): TargetChange[] {
         return [...this.seen].filter(([, seen]) => seen.offset >= offset).map(([targetId, seen]) => {
             const target = this.known.get(targetId);
-            const entry = target === undefined || target.state === "gone" ? undefined : { ...target, sequence: seen.sequence };
+            const entry = target === undefined || target.state === "gone" ? undefined : { ...entryOf(target), sequence: seen.sequence };
             return { targetId, offset: seen.offset, entry };
         });
     }
@@ -57,8 +59,8 @@
     /** A number that is the same on hosts that know the same targets in the same states. */
     digest(): number {
         this.lastDigest ??= hash([...this.known.values()].filter(({ state }) => state !== "gone")
-            .map(({ targetId, address, state, slots, bornWallMs, warmingUp }) =>
-                [targetId, address, state, slots, bornWallMs, warmingUp].join()).sort().join(";"));
+            .map(({ targetId, address, registeredState, slots, bornWallMs, warmingUp }) =>
+                [targetId, address, registeredState, slots, bornWallMs, warmingUp].join()).sort().join(";"));
         return this.lastDigest;
     }
 
@@ -98,29 +100,65 @@
         return (this.seen.get(targetId)?.offset ?? -1) > offset;
     }
 
+    /**
+     * Notes that a process of a target leaves, by its own word. Its entry says so later, or never.
+     * @param leaving the process
+     * @param nowMs now
+     * @returns false when that was known, or another process of the target is registered
+     */
+    noteLeaving({ targetId, bornWallMs }: LeavingTarget, nowMs: number): boolean {
+        const target = this.known.get(targetId);
+        if (target?.bornWallMs !== bornWallMs || this.leavingBornWallMs.get(targetId) === bornWallMs) {
+            return false;
+        }
+        this.leavingBornWallMs.set(targetId, bornWallMs);
+        this.keep(entryOf(target), nowMs);
+        return true;
+    }
+
+    /** Lists the registered processes that said that they leave. */
+    leaving(): LeavingTarget[] {
+        return [...this.leavingBornWallMs].filter(([targetId, bornWallMs]) => this.known.get(targetId)?.bornWallMs === bornWallMs)
+            .map(([targetId, bornWallMs]) => ({ targetId, bornWallMs }));
+    }
+
     private put({ targetId, entry }: TargetChange, nowMs: number): boolean {
-        const before = this.known.get(targetId);
+        const known = this.known.get(targetId);
+        const before = known === undefined ? undefined : entryOf(known);
         const next = entry ?? (before === undefined ? undefined : { ...before, state: "gone" as const });
         if (next === undefined || (before !== undefined && isSameEntry(before, next))) {
             return false;
         }
-        const leavingSinceMs = next.state === "ready" ? undefined : before?.leavingSinceMs ?? nowMs;
-        this.known.set(targetId, { ...next, leavingSinceMs });
+        this.keep(next, nowMs);
         this.forgetGone(nowMs);
+        return true;
+    }
+
+    private keep(entry: TargetEntry, nowMs: number): void {
+        const { targetId } = entry;
+        const saysLeaving = this.leavingBornWallMs.get(targetId) === entry.bornWallMs;
+        const state = entry.state === "ready" && saysLeaving ? "draining" : entry.state;
+        const leavingSinceMs = state === "ready" ? undefined : this.known.get(targetId)?.leavingSinceMs ?? nowMs;
+        this.known.set(targetId, { ...entry, state, registeredState: entry.state, leavingSinceMs });
         this.byService = undefined;
         this.lastDigest = undefined;
-        return true;
     }
 
     private forgetGone(nowMs: number): void {
         for (const [targetId, { state, leavingSinceMs }] of this.known) {
             if (state === "gone" && nowMs - (leavingSinceMs ?? nowMs) > rememberGoneMs) {
                 this.known.delete(targetId);
+                this.leavingBornWallMs.delete(targetId);
             }
         }
     }
 }
 
+/** The entry as it stands in the directory. */
+function entryOf({ registeredState, ...target }: KnownTarget): TargetEntry {
+    return { ...target, state: registeredState };
+}
+
 /** True for an entry of an earlier process, or one that a later entry of the same process followed. */
 function isOutdated(entry: TargetEntry | undefined, seen: Seen): boolean {
     if (entry === undefined) {
--- a/test/admission/admissionQueue.spec.ts
+++ b/test/admission/admissionQueue.spec.ts
@@ -13,7 +13,7 @@
 
 function request(name: string, change: Partial<AdmissionRequest> = {}): AdmissionRequest {
     return {
-        ticket: name as Ticket, priority: 2, workMs: 100, arrivedMs: 0, targetMs: 300, deadlineMs: 1_000, near: here, avoid: new Set(),
+        ticket: name as Ticket, sender: "host-1", priority: 2, workMs: 100, arrivedMs: 0, targetMs: 300, deadlineMs: 1_000, near: here, avoid: new Set(),
         ...change,
     };
 }
@@ -184,4 +184,30 @@
         queue.setTargets([target("t1", { open: false })], 1_600);
         expect(texts(queue.offer(request("b", { deadlineMs: 9_000 }), 1_600))).to.deep.equal(["b no-target"]);
     });
+
+    it("keeps a host away from a target that wants nothing from it, while other hosts use it", () => {
+        const queue = queueOf(target("t1"), target("t2"));
+        const [granted] = queue.offer(request("a"), 0);
+        const closed = granted?.kind === "granted" ? granted.targetId : "";
+        const open = closed === "t1" ? "t2" : "t1";
+        queue.finish("a" as Ticket, { kind: "turned-away", pauseMs: 900 }, 10);
+        const ofHost1 = ["b", "c", "d"].flatMap((name) => queue.offer(request(name, { deadlineMs: 3_000 }), 100));
+        expect(texts(ofHost1)).to.deep.equal([`b to ${open}`, `c to ${open}`]);
+        const ofHost2 = ["e", "f"].flatMap((name) => queue.offer(request(name, { sender: "host-2" }), 100));
+        expect(texts(ofHost2)).to.deep.equal([`e to ${closed}`, `f to ${closed}`]);
+        queue.finish("e" as Ticket, { kind: "answered", tookMs: 100 }, 200);
+        expect(texts(queue.tick(900))).to.deep.equal([]);
+        expect(texts(queue.tick(920))).to.deep.equal([`d to ${closed}`]);
+    });
+
+    it("turns a request away at once when every target wants nothing from its host, with the time that is left", () => {
+        const queue = queueOf(target("t1"));
+        queue.offer(request("a"), 0);
+        queue.finish("a" as Ticket, { kind: "turned-away", pauseMs: 600 }, 0);
+        const [verdict] = queue.offer(request("b"), 100);
+        expect(verdict).to.include({ kind: "refused", reason: "paused" });
+        expect(verdict?.kind === "refused" ? verdict.retryAfterMs : 0).to.be.closeTo(500, 130);
+        expect(texts(queue.offer(request("c", { sender: "host-2" }), 100))).to.deep.equal(["c to t1"]);
+        expect(texts(queue.offer(request("d"), 700))).to.deep.equal(["d to t1"]);
+    });
 });
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -23,7 +23,7 @@
 const leaseOwner = "t-1" as TargetId;
 
 /** What a target does with the requests that it gets, in turn; the last one counts for all further ones. */
-type Reaction = { afterMs: number; status?: number; pieces?: readonly { afterMs: number; bytes: number }[] };
+type Reaction = { afterMs: number; status?: number; headers?: string; pieces?: readonly { afterMs: number; bytes: number }[] };
 
 interface ScriptedTarget {
     targetId: TargetId;
@@ -69,10 +69,10 @@
     };
 }
 
-async function answer(socket: net.Socket, { afterMs, status = 200, pieces = [{ afterMs: 0, bytes: 2 }] }: Reaction): Promise<void> {
+async function answer(socket: net.Socket, { afterMs, status = 200, headers = "", pieces = [{ afterMs: 0, bytes: 2 }] }: Reaction): Promise<void> {
     await sleep(afterMs);
     const bytes = pieces.reduce((sum, piece) => sum + piece.bytes, 0);
-    socket.write(`HTTP/1.1 ${String(status)} Some\r\nContent-Length: ${String(bytes)}\r\n\r\n`);
+    socket.write(`HTTP/1.1 ${String(status)} Some\r\n${headers}Content-Length: ${String(bytes)}\r\n\r\n`);
     for (const piece of pieces) {
         await sleep(piece.afterMs);
         socket.write(Buffer.alloc(piece.bytes, "x"));
@@ -125,14 +125,21 @@
         dialect: {
             ownHeaders: new Set(), headersFor: () => [], isAnswerTo: () => true,
             classify: (head) => headerOf(head.rawHeaders, "not-run") === undefined ? "answer" : "not-run",
+            noticeOf: (head) => {
+                const pause = headerOf(head.rawHeaders, "pause");
+                return {
+                    isLeaving: headerOf(head.rawHeaders, "leaving") !== undefined, pauseMs: pause === undefined ? undefined : Number(pause),
+                };
+            },
         },
         clock: systemClock,
         owners: { changed: new Signal(), find: () => ({ kind: "owned", targetId: leaseOwner }) } as unknown as ForwarderParts["owners"],
         admission: { enter },
-        splitter: new Splitter(),
+        splitter: new Splitter(() => 0),
         retries: { onRequest: () => undefined, take: () => true },
         loads: { count: () => undefined } as unknown as ForwarderParts["loads"],
-        requestLog: { answered: () => undefined, refused: () => undefined, retried: () => undefined, left: () => undefined },
+        requestLog: { answered: () => undefined, refused: () => undefined, retried: () => undefined, left: () => undefined,
+            targetLeaves: () => undefined, targetPauses: () => undefined },
         dataCentreId, drainMs: 100,
         random: () => 0.5,
         ...change,
@@ -213,6 +220,53 @@
         expect(queue.asked).to.be.below(5);
     });
 
+    it("sends nothing to a key's owner that asked this host for a pause, and turns its requests away at once", async () => {
+        const full = await target("t-1", { afterMs: 1, status: 503, headers: "not-run: 1\r\npause: 800\r\n" });
+        const queue: ScriptedQueue = { grants: Array.from({ length: 9 }, () => full.targetId), ends: [], asked: 0 };
+        const forwarder = createRig([full], queue);
+        const first = await serve(forwarder, keyed);
+        const startedMs = performance.now();
+        const second = await serve(forwarder, keyed);
+        expect([first.refusal?.reason, second.refusal?.reason]).to.deep.equal(["target-paused", "target-paused"]);
+        expect(performance.now() - startedMs).to.be.below(50);
+        expect(second.refusal?.retryAfterMs).to.be.within(50, 800);
+        expect(full.arrivedMs).to.have.length(1);
+        expect(queue.ends).to.deep.equal([{ kind: "turned-away", pauseMs: 800 }]);
+    });
+
+    it("gives back a slot at a target that asked this host for a pause, and goes to another", async () => {
+        const full = await target("t-1", { afterMs: 1, status: 503, headers: "not-run: 1\r\npause: 800\r\n" });
+        const other = await target("t-2", { afterMs: 1 });
+        const queue: ScriptedQueue = { grants: [full.targetId, other.targetId, full.targetId, other.targetId], ends: [], asked: 0 };
+        const forwarder = createRig([full, other], queue);
+        expect((await serve(forwarder, plain)).status).to.equal(200);
+        expect((await serve(forwarder, plain)).status).to.equal(200);
+        expect([full.arrivedMs.length, other.arrivedMs.length]).to.deep.equal([1, 2]);
+    });
+
+    it("sends nothing new to a target that says in an answer that it leaves, once its time is over", async () => {
+        const leaving = await target("t-1", { afterMs: 1, headers: "leaving: 1\r\n" });
+        const other = await target("t-2", { afterMs: 1 });
+        const queue: ScriptedQueue = { grants: [leaving.targetId, leaving.targetId, leaving.targetId, other.targetId], ends: [], asked: 0 };
+        const forwarder = createRig([leaving, other], queue);
+        await serve(forwarder, plain);
+        await serve(forwarder, plain);
+        await sleep(120);
+        await serve(forwarder, plain);
+        expect([leaving.arrivedMs.length, other.arrivedMs.length]).to.deep.equal([2, 1]);
+    });
+
+    it("ends a rejection without end at once, and the client is told that nothing ran", async () => {
+        const endless = await target("t-1", {
+            afterMs: 1, status: 503, headers: "not-run: 1\r\n", pieces: [{ afterMs: 0, bytes: 90_000 }, { afterMs: 5_000, bytes: 1 }],
+        });
+        const queue: ScriptedQueue = { grants: [endless.targetId, "refused"], ends: [], asked: 0 };
+        const startedMs = performance.now();
+        const received = await serve(createRig([endless], queue), plain);
+        expect(received.refusal?.reason).to.equal("overloaded");
+        expect(performance.now() - startedMs).to.be.below(500);
+    });
+
     it("leaves a late request at its target when there is no slot to repeat it", async () => {
         const slow = await target("t-1", { afterMs: 700 });
         const queue: ScriptedQueue = { grants: [slow.targetId, "refused"], ends: [], asked: 0 };
--- a/test/forwarding/targetConnection.spec.ts
+++ b/test/forwarding/targetConnection.spec.ts
@@ -135,4 +135,41 @@
         const opened = await connectToTarget(target.address, connectTimeoutMs);
         expect(opened._unsafeUnwrapErr().kind).to.equal("unreachable");
     });
+
+    it("ends when a response to another request does not end", async () => {
+        const target = await startTarget((socket) => {
+            socket.write("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n");
+            const more = setInterval(() => {
+                socket.write(`8000\r\n${"x".repeat(0x8000)}\r\n`);
+            }, 1);
+            socket.on("close", () => {
+                clearInterval(more);
+            });
+        });
+        const connection = await open(target.address);
+        expect(await read(start(connection, "mine"))).to.match(/does not end/);
+        expect(connection.reusable).to.equal(false);
+        target.stop();
+    });
+
+    for (const [what, bytes, why] of [
+        ["a head", "HTTP/1.1 200 OK\r\n" + "X: y\r\n".repeat(500), /too long/],
+        ["interim responses", "HTTP/1.1 100 Continue\r\n\r\n", /do not end/],
+        ["trailers", "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", /malformed|do not end/],
+    ] as const) {
+        it(`ends when ${what} does not end`, async () => {
+            const target = await startTarget((socket) => {
+                socket.write(bytes);
+                const more = setInterval(() => {
+                    socket.write(what === "trailers" ? "X: y\r\n".repeat(50) : bytes.replace("HTTP/1.1 200 OK\r\n", ""));
+                }, 1);
+                socket.on("close", () => {
+                    clearInterval(more);
+                });
+            });
+            const connection = await open(target.address);
+            expect(await read(start(connection, "mine"))).to.match(why);
+            target.stop();
+        });
+    }
 });
--- a/test/ownership/holder.spec.ts
+++ b/test/ownership/holder.spec.ts
@@ -6,6 +6,7 @@
 import { Holder } from "../../src/ownership/holder.js";
 import type { Grant, GrantReply, LeaseSession } from "../../src/ownership/leasePort.js";
 import { holdBoundMs, usualHoldMs } from "../../src/ownership/leaseTerms.js";
+import type { LeavingTarget } from "../../src/model/target.js";
 import { VirtualClock } from "../support/virtualTime.js";
 
 const range = { from: 0, to: 99 } as KeyRange;
@@ -14,8 +15,9 @@
 function setUp(predecessorActsForMs = 0) {
     const clock = new VirtualClock();
     const grants: Grant[] = [];
-    const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number; holdMs: number; closes: boolean } =
-        { reply: "granted", reachable: true, opened: 0, holdMs: usualHoldMs, closes: false };
+    const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number; holdMs: number; closes: boolean; leaving: boolean } =
+        { reply: "granted", reachable: true, opened: 0, holdMs: usualHoldMs, closes: false, leaving: false };
+    const left: LeavingTarget[] = [];
     const session = (): LeaseSession => {
         let open = true;
         let closeSession: () => void = () => undefined;
@@ -24,6 +26,9 @@
             get isOpen() {
                 return open;
             },
+            get isLeaving() {
+                return state.leaving;
+            },
             closed: new Promise((resolve) => {
                 closeSession = () => {
                     open = false;
@@ -57,6 +62,9 @@
         fences: new FenceCounter(1 as Term), clock,
         log: { info: () => undefined, warn: () => undefined, error: () => undefined },
         mayGrant: () => true, isRecorded: () => true, holdMs: () => state.holdMs, onOutdated: () => undefined,
+        onLeaving: (leaving) => {
+            left.push(leaving);
+        },
         predecessorActsUntilMs: clock.now().monoMs + predecessorActsForMs,
     });
     const stop = new AbortController();
@@ -64,7 +72,7 @@
     const end = () => {
         stop.abort();
     };
-    return { clock, holder, grants, state, end };
+    return { clock, holder, grants, state, left, end };
 }
 
 describe("leases of a target", () => {
@@ -184,6 +192,18 @@
         }
     });
 
+    it("tell of a target that says in its answers that it leaves, and of which process of it", async () => {
+        const { clock, holder, state, left, end } = setUp();
+        holder.moveTo({ address: "10.0.0.1:80" as Address, bornWallMs: 7 });
+        holder.setRanges([range], []);
+        await clock.advance(100);
+        expect(left).to.deep.equal([]);
+        state.leaving = true;
+        await clock.advance(2_000);
+        expect(left[0]).to.deep.equal({ targetId: "t", bornWallMs: 7 });
+        end();
+    });
+
     it("are not offered again and again to a target that turns them away", async () => {
         const { clock, holder, grants, state, end } = setUp();
         holder.setRanges([range], []);
--- a/test/ownership/ownershipKeeper.spec.ts
+++ b/test/ownership/ownershipKeeper.spec.ts
@@ -41,7 +41,7 @@
     ], 2 as Offset, 0);
     const released: string[] = [];
     const session: LeaseSession = {
-        isOpen: true, closed: new Promise(() => undefined), reset: () => undefined,
+        isOpen: true, isLeaving: false, closed: new Promise(() => undefined), reset: () => undefined,
         grant: async () => {
             await clock.sleep(1);
             return ok("granted" as const);
--- a/test/platform/decoders.spec.ts
+++ b/test/platform/decoders.spec.ts
@@ -70,6 +70,19 @@
         expect(platformTargetDialect.classify(head())).to.equal("unproven");
     });
 
+    it("say that a target leaves, or wants nothing from this host for a while, and nothing else counts as such", () => {
+        const noticeOf = (status: number, ...rawHeaders: string[]) =>
+            platformTargetDialect.noticeOf({ status, reasonPhrase: "", rawHeaders, persistent: true });
+        expect(noticeOf(200, "Server-Leaving", "1")).to.deep.equal({ isLeaving: true, pauseMs: undefined });
+        expect(noticeOf(503, "Server-Leaving", "1", "Retry-After", "2")).to.deep.equal({ isLeaving: true, pauseMs: 2_000 });
+        expect(noticeOf(503, "Retry-After", "0.25")).to.deep.equal({ isLeaving: false, pauseMs: 250 });
+        expect(noticeOf(503, "Retry-After", "999999999").pauseMs).to.equal(600_000);
+        const unread = ["-1", "1e3", "", "soon", "Wed, 21 Oct 2015 07:28:00 GMT", "1.", "9999999999"];
+        expect(unread.map((text) => noticeOf(503, "Retry-After", text).pauseMs)).to.deep.equal(unread.map(() => undefined));
+        expect(noticeOf(429, "Retry-After", "2").pauseMs).to.equal(undefined);
+        expect(noticeOf(200, "Server-Leaving", "0").isLeaving).to.equal(false);
+    });
+
     it("match answers by id; one without an id counts only if it says that nothing ran", () => {
         const id = "r1" as RequestId;
         expect(platformTargetDialect.isAnswerTo(head("Request-Id", "r1"), id)).to.equal(true);
--- a/test/platform/leases.spec.ts
+++ b/test/platform/leases.spec.ts
@@ -1,3 +1,5 @@
+import { once } from "node:events";
+import net from "node:net";
 import { expect } from "chai";
 import { createLeases } from "../../platform/leases.js";
 import { startServer } from "../../platform/standins/serverStandIn.js";
@@ -38,4 +40,26 @@
     it("show a target of a service without keys, which takes the grant for a request without an id", async () => {
         expect(await grantAt("k1", { id: "p1", sharded: false })).to.equal("other-target");
     });
+
+    it("are given up in time when the answer does not end", async () => {
+        const server = net.createServer((socket) => {
+            socket.on("error", () => undefined);
+            socket.on("data", () => {
+                socket.write("HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+                const more = setInterval(() => {
+                    socket.write("4\r\nabcd\r\n");
+                }, 1);
+                socket.on("close", () => {
+                    clearInterval(more);
+                });
+            });
+        });
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        const address = `127.0.0.1:${String((server.address() as net.AddressInfo).port)}` as Address;
+        const session = (await createLeases(() => undefined).open("k1" as TargetId, address))._unsafeUnwrap();
+        const reply = await session.grant(grant, 200);
+        expect(reply._unsafeUnwrapErr().kind).to.equal("lost");
+        server.close();
+    });
 });
--- a/test/routing/routing.spec.ts
+++ b/test/routing/routing.spec.ts
@@ -4,6 +4,7 @@
 import type { Route, RoutingConfig } from "../../src/model/routing.js";
 import { anyHost, createRouteTable } from "../../src/routing/routeTable.js";
 import { Splitter } from "../../src/routing/splitter.js";
+import { Random } from "../support/random.js";
 
 function route(name: string, pathPrefix: string, weights: Record<string, number> = { main: 1 }): Route {
     return {
@@ -53,8 +54,8 @@
 describe("weights of a route", () => {
     it("are kept in any run of requests, to within one request for each backend", () => {
         fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 50 }), { minLength: 2, maxLength: 4 }), fc.integer({ min: 1, max: 300 }),
-            (weights, requests) => {
-                const splitter = new Splitter();
+            fc.double({ min: 0, max: 0.999, noNaN: true }), (weights, requests, begin) => {
+                const splitter = new Splitter(() => begin);
                 const split = route("split", "/", Object.fromEntries(weights.map((weight, index) => [`s${String(index)}`, weight])));
                 const counts = new Map<string, number>();
                 for (let sent = 0; sent < requests; sent++) {
@@ -69,13 +70,24 @@
     });
 
     it("follow a configuration that changes them", () => {
-        const splitter = new Splitter();
+        const splitter = new Splitter(() => 0);
         splitter.choose(route("split", "/", { old: 9, young: 1 }));
         const chosen = Array.from({ length: 20 }, () => splitter.choose(route("split", "/", { old: 0, young: 1 })));
         expect(new Set(chosen)).to.deep.equal(new Set(["young"]));
     });
 
     it("leave a route without any weight unserved", () => {
-        expect(new Splitter().choose(route("split", "/", { old: 0, young: 0 }))).to.equal(undefined);
+        expect(new Splitter(() => 0).choose(route("split", "/", { old: 0, young: 0 }))).to.equal(undefined);
     });
+
+    for (const hosts of [11, 70, 195]) {
+        it(`are kept over ${String(hosts)} hosts that see three requests each`, () => {
+            const random = new Random(hosts);
+            const split = route("split", "/", { old: 70, young: 30 });
+            const splitters = Array.from({ length: hosts }, () => new Splitter(() => random.unit()));
+            const chosen = [0, 1, 2].flatMap(() => splitters.map((splitter) => splitter.choose(split)));
+            const share = chosen.filter((serviceId) => serviceId === "old").length / chosen.length;
+            expect(share).to.be.closeTo(0.7, 0.1);
+        });
+    }
 });
--- a/test/store/targetDirectory.spec.ts
+++ b/test/store/targetDirectory.spec.ts
@@ -73,4 +73,29 @@
         apply(directory, 4, undefined);
         expect(directory.changesSince(4 as Offset)).to.deep.equal([{ targetId, offset: 4, entry: undefined }]);
     });
+
+    it("takes a target for leaving by its own word, though its entry says ready, until another process of it registers", () => {
+        const directory = new TargetDirectory();
+        apply(directory, 1, { sequence: 1 });
+        const digest = directory.digest();
+        expect(directory.noteLeaving({ targetId, bornWallMs: 1_000 }, 5_000)).to.equal(true);
+        expect(directory.noteLeaving({ targetId, bornWallMs: 1_000 }, 5_100)).to.equal(false);
+        apply(directory, 2, { sequence: 2, warmingUp: true });
+        const leaving = directory.get(targetId);
+        expect(leaving).to.include({ state: "draining", registeredState: "ready", leavingSinceMs: 5_000 });
+        expect(leaving === undefined || mayReceive(leaving, 1_000, 6_000)).to.equal(false);
+        apply(directory, 3, { sequence: 3 });
+        expect(directory.digest()).to.equal(digest);
+        expect(directory.changesSince(0 as Offset).map(({ entry: of }) => of?.state)).to.deep.equal(["ready"]);
+        apply(directory, 4, { bornWallMs: 2_000, sequence: 1 });
+        expect(directory.get(targetId)).to.include({ state: "ready", leavingSinceMs: undefined });
+        expect(directory.leaving()).to.deep.equal([]);
+    });
+
+    it("ignores the word of an earlier process", () => {
+        const directory = new TargetDirectory();
+        apply(directory, 1, { bornWallMs: 2_000 });
+        expect(directory.noteLeaving({ targetId, bornWallMs: 1_000 }, 0)).to.equal(false);
+        expect(directory.get(targetId)?.state).to.equal("ready");
+    });
 });
--- a/test/world/virtualTargets.ts
+++ b/test/world/virtualTargets.ts
@@ -191,6 +191,7 @@
                 return open && isSame();
             },
             closed,
+            isLeaving: false,
             grant: (grant, timeoutMs) => carry<GrantReply>("grant", timeoutMs, () => this.take(target, grant)),
             release: async (range, fence, timeoutMs) => {
                 const released = await carry<{ handover: string }>("release", timeoutMs, () => this.release(target, range, fence));
@@ -261,6 +262,7 @@
 function createForeignSession(): LeaseSession {
     return {
         isOpen: true,
+        isLeaving: false,
         closed: new Promise(() => undefined),
         grant: () => Promise.resolve(ok("other-target" as const)),
         release: () => Promise.resolve(err(failure("refused", "release", "other", "status 421"))),
