First placement waits for hundreds of targets; only empty targets count as newcomers; more moves a plan with more targets

At 314 targets a hot run of 200 keys needs about 200 moves; 16 a plan left the fullest target at 24 times its capacity after seven plans (planner.spec). Ruled out: a higher cost of moving keys (it would hold hot keys back too). Before: planner.spec 2 new tests red (fullest 24.0; moves to a target with cold keys), firstPlacement 2 of 5 by type. After: 258 passing.

--- a/src/ownership/keyLoads.ts
+++ b/src/ownership/keyLoads.ts
@@ -38,6 +38,7 @@
     private nowMs = 0;
     private meanWorkMs = 0;
     private expected = 0;
+    private counted = false;
     private summed = false;
 
     /**
@@ -57,6 +58,7 @@
      */
     add(pairs: readonly number[], nowMs: number): void {
         this.decay(nowMs);
+        this.counted ||= pairs.length > 0;
         for (let index = 0; index + 1 < pairs.length; index += 2) {
             const key = pairs[index] as number;
             const workMs = pairs[index + 1] as number;
@@ -68,6 +70,11 @@
         }
     }
 
+    /** True once any work was counted. */
+    get hasCounted(): boolean {
+        return this.counted;
+    }
+
     /** Lets old load fade. */
     decay(nowMs: number): void {
         this.startedMs ??= nowMs;
--- a/src/ownership/ownershipKeeper.ts
+++ b/src/ownership/ownershipKeeper.ts
@@ -143,7 +143,7 @@
     const mayPlace = (serviceId: ServiceId, nowMs: number): boolean => {
         const placement = firstPlacements.get(serviceId) ?? new FirstPlacement();
         firstPlacements.set(serviceId, placement);
-        return placement.isDue(view.targets.ofService(serviceId).length, nowMs);
+        return placement.isDue(view.targets.ofService(serviceId).length, loadsOf(serviceId).hasCounted, nowMs);
     };
 
     /** Grants what the ledger says, but for what is on the move. */
@@ -166,6 +166,7 @@
             targets, ranges, loads,
             settling: settling.filter((one) => one.serviceId === serviceId).map(({ range }) => range),
             moving: movingOf(serviceId),
+            awaiting: new Set([...moves].filter((active) => active.serviceId === serviceId).map(({ move }) => move.to)),
         }).filter(({ from }) => from === undefined || nowMs >= (retryAfterMs.get(from) ?? 0));
     };
 
--- a/src/ownership/planner.ts
+++ b/src/ownership/planner.ts
@@ -46,6 +46,8 @@
     loads: KeyLoads;
     /** Ranges whose move is under way. */
     moving: readonly KeyRange[];
+    /** Targets that they move to. */
+    awaiting: ReadonlySet<TargetId>;
     /** Ranges that moved a moment ago; the effect of that is not seen yet, so balance leaves them where they are. */
     settling: readonly KeyRange[];
 }
@@ -56,7 +58,7 @@
 /** Least improvement that is worth a move, in the unit of `strain`. */
 const minGain = 0.35;
 
-/** A target below this share of the mean load gets keys of the fullest one, whether that one needs relief or not. */
+/** A target without keys gets some of the fullest one's, whether that one needs relief or not, up to this share of the mean load. */
 const newcomerShare = 0.15;
 const minNewcomerGain = 0.02;
 
@@ -66,8 +68,9 @@
 /** A key with at least this share of a target's capacity is looked at by itself. */
 const hotKeyShare = 0.3;
 
-/** Moves for balance begun at once. */
-const maxBalanceMoves = 16;
+/** Moves for balance begun at once: this many, or one for so many targets. */
+const minBalanceMoves = 16;
+const targetsPerMove = 6;
 
 /** A move fills its taker no further than this above the mean of all targets, or to the second where they are idle. */
 const fillAboveMean = 1.15;
@@ -86,6 +89,8 @@
 interface Account {
     target: PlannerTarget;
     load: number;
+    /** True while the target owns no keys and none are on their way to it. */
+    isEmpty: boolean;
 }
 
 /**
@@ -106,12 +111,14 @@
     return [...placed, ...placed.length > 0 ? [] : balance(input, accounts, takers)];
 }
 
-function openAccounts({ targets, ranges, loads }: PlannerInput): Map<TargetId, Account> {
-    const accounts = new Map<TargetId, Account>(targets.map((target) => [target.targetId, { target, load: 0 }]));
+function openAccounts({ targets, ranges, loads, awaiting }: PlannerInput): Map<TargetId, Account> {
+    const accounts = new Map<TargetId, Account>(
+        targets.map((target) => [target.targetId, { target, load: 0, isEmpty: !awaiting.has(target.targetId) }]));
     for (const range of ranges) {
         const account = accounts.get(range.targetId);
         if (account !== undefined) {
             account.load += loads.of(range);
+            account.isEmpty = false;
         }
     }
     return accounts;
@@ -183,7 +190,8 @@
     const busy: KeyRange[] = [...input.moving, ...input.settling];
     const givers = [...accounts.values()].filter(({ target }) => target.standing === "ready");
     const mean = meanFullness(givers);
-    while (moves.length < maxBalanceMoves) {
+    const maxMoves = Math.max(minBalanceMoves, Math.ceil(givers.length / targetsPerMove));
+    while (moves.length < maxMoves) {
         const best = bestCandidate(input, givers, takers, busy, mean);
         if (best === undefined) {
             break;
@@ -232,7 +240,7 @@
 }
 
 function isNewcomer(account: Account, mean: number): boolean {
-    return fullness(account) < mean * newcomerShare;
+    return account.isEmpty && fullness(account) < mean * newcomerShare;
 }
 
 /** What a giver may give. */
