--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -66,8 +66,15 @@
 export function createAdmissionClient({ keeper, membership, links, clock, nextTicket }: AdmissionClientParts): AdmissionClient {
     const isSelf = (member: Member) => member.hostId === membership.self.hostId;
 
+    /**
+     * Hosts that may keep a queue, the one that should first. The queue of a whole service is asked by all hosts for every request,
+     * more than a small host can answer, so hosts with more processor time go first there.
+     */
     const candidatesFor = ({ group, keptNear }: SlotRequest, nowMs: number): Member[] => {
         const ranked = rankCandidates(groupName(group), membership.reachable(nowMs), ({ hostId }) => hostId);
+        if (group.kind === "service") {
+            ranked.sort((left, right) => right.cpuShare - left.cpuShare);
+        }
         return [
             ...ranked.filter(({ dataCentreId }) => dataCentreId === keptNear),
             ...ranked.filter(({ dataCentreId }) => dataCentreId !== keptNear),
--- a/test/admission/admissionClient.spec.ts
+++ b/test/admission/admissionClient.spec.ts
@@ -2,7 +2,7 @@
 import { ok } from "neverthrow";
 import { createAdmissionClient } from "../../src/admission/admissionClient.js";
 import type { Ticket } from "../../src/admission/admissionQueue.js";
-import type { EnterReply } from "../../src/admission/messages.js";
+import type { EnterReply, Group } from "../../src/admission/messages.js";
 import { createQueueKeeper } from "../../src/admission/queueKeeper.js";
 import type { Member } from "../../src/cluster/membership.js";
 import { Membership } from "../../src/cluster/membership.js";
@@ -13,15 +13,15 @@
 
 const here = "here" as DataCentreId;
 
-function member(name: string): Member {
-    return { hostId: name as HostId, runId: `${name}-run` as RunId, peerAddress: `${name}:1` as Address, dataCentreId: here, cpuShare: 1 };
+function member(name: string, cpuShare = 1): Member {
+    return { hostId: name as HostId, runId: `${name}-run` as RunId, peerAddress: `${name}:1` as Address, dataCentreId: here, cpuShare };
 }
 
 /** A host that knows nothing yet among peers that answer as a test says. */
-function setUp(replies: Record<string, EnterReply>) {
+function setUp(replies: Record<string, EnterReply>, cpuShareOf: (name: string) => number = () => 1) {
     const clock = new VirtualClock();
     const membership = new Membership(member("self"));
-    membership.update(Object.keys(replies).map(member));
+    membership.update(Object.keys(replies).map((name) => member(name, cpuShareOf(name))));
     const keeper = createQueueKeeper({
         view: new ClusterView(), clock, random: () => 0.5, drainMs: 1_000, isSilent: () => false,
     });
@@ -42,8 +42,8 @@
             return `t${String(tickets)}` as Ticket;
         },
     });
-    const enter = () => client.enter({
-        group: { kind: "service", serviceId: "s" as ServiceId }, priority: 1, workMs: 10, near: here, avoid: [],
+    const enter = (group: Group = { kind: "service", serviceId: "s" as ServiceId }) => client.enter({
+        group, priority: 1, workMs: 10, near: here, avoid: [],
         targetMs: 1_000, deadlineMs: 2_000, keptNear: undefined,
     }, new AbortController().signal);
     return { enter, asked };
@@ -62,6 +62,21 @@
         expect(asked).to.deep.equal(["other"]);
     });
 
+    it("for a whole service goes to a host with more processor time, for one target to any", async () => {
+        const names = Array.from({ length: 20 }, (_, index) => `host-${String(index)}`);
+        const replies = Object.fromEntries(names.map((name) => [name, { granted: "k1" as TargetId, expectedMs: 10 }]));
+        const { enter, asked } = setUp(replies, (name) => name === "host-7" || name === "host-12" ? 3 : 1);
+        for (let index = 0; index < 20; index++) {
+            await enter({ kind: "service", serviceId: `s${String(index)}` as ServiceId });
+        }
+        expect(new Set(asked)).to.deep.equal(new Set(["host-7", "host-12"]));
+        asked.length = 0;
+        for (let index = 0; index < 20; index++) {
+            await enter({ kind: "target", targetId: `k${String(index)}` as TargetId });
+        }
+        expect(new Set(asked).size).to.be.above(5);
+    });
+
     it("is turned away when no host keeps a queue", async () => {
         const { enter } = setUp({ fresh: { unready: true } });
         const decision = await enter();
