Taken back: slow targets that count for less while there is room

Conclusion: a target that is slow is slow for each single request; less load does not make its answers come in time, and its keys' moves stall others. What would help is to keep slow targets out while there is room for all keys elsewhere; not tried.

--- a/src/ownership/owners.ts
+++ b/src/ownership/owners.ts
@@ -42,7 +42,8 @@
 export class Owners {
     /** Fires when any key's status may have changed. */
     readonly changed = new Signal();
-    private map = new OwnerMap([]);
+    /** Undefined from a change of the ledger until an owner is looked for: in a rush of moves most changes are never looked at. */
+    private map: OwnerMap | undefined;
     private notice: OwnershipNotice = { moving: [], silent: [] };
     private noticedMs = Number.NEGATIVE_INFINITY;
 
@@ -54,7 +55,7 @@
 
     /** Takes the ledger over; called whenever it has changed. */
     refresh(): void {
-        this.map = new OwnerMap(this.view.ledger.ownerships());
+        this.map = undefined;
         this.changed.fire();
     }
 
@@ -81,6 +82,7 @@
 
     /** Owners according to the ledger. */
     get owners(): OwnerMap {
+        this.map ??= new OwnerMap(this.view.ledger.ownerships());
         return this.map;
     }
 
@@ -91,7 +93,7 @@
      * @param nowMs now
      */
     find(serviceId: ServiceId, key: Key, nowMs: number): OwnerStatus {
-        const targetId = this.map.ownerOf(serviceId, key);
+        const targetId = this.owners.ownerOf(serviceId, key);
         if (targetId === undefined) {
             return { kind: "unowned" };
         }
--- a/src/ownership/ownershipKeeper.ts
+++ b/src/ownership/ownershipKeeper.ts
@@ -1,7 +1,6 @@
 /** The coordinator's work on owners: grants what the ledger says, moves keys, takes the keys of lost targets back. */
 import type { TargetPressure } from "../admission/queueKeeper.js";
 import type { Address, KeyRange, ServiceId, TargetId } from "../model/names.js";
-import { allKeys } from "../model/names.js";
 import { Signal, waitFor } from "../model/signal.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
@@ -157,14 +156,14 @@
         if (ranges.length === 0 && !mayPlace(serviceId, nowMs)) {
             return [];
         }
-        const ids = [...new Set([...view.targets.ofService(serviceId), ...ranges].map(({ targetId }) => targetId))];
+        const ids = new Set([...view.targets.ofService(serviceId), ...ranges].map(({ targetId }) => targetId));
+        const targets = [...ids].map((targetId) => standings.forPlanner(targetId, nowMs));
         const loads = loadsOf(serviceId);
         loads.decay(nowMs);
-        loads.expect(expectedUse * standings.roomOf(ids, nowMs));
+        loads.expect(expectedUse * targets.reduce((sum, { standing, capacity }) => standing === "ready" ? sum + capacity : sum, 0));
         settling = settling.filter(({ untilMs }) => nowMs < untilMs);
         return planMoves({
-            ranges, loads,
-            targets: standings.forPlanner(ids, loads.of(allKeys), nowMs),
+            targets, ranges, loads,
             settling: settling.filter((one) => one.serviceId === serviceId).map(({ range }) => range),
             moving: movingOf(serviceId),
             awaiting: new Set([...moves].filter((active) => active.serviceId === serviceId).map(({ move }) => move.to)),
--- a/src/ownership/targetStandings.ts
+++ b/src/ownership/targetStandings.ts
@@ -8,9 +8,6 @@
 /** Slowness that a target is taken to have in its first seconds. */
 const warmUpSlowness = 2;
 
-/** From this share of its capacity on a service needs all of its slow targets' slots. */
-const fullShare = 0.8;
-
 /** A report on a target's slowness counts for this long. */
 const pressureLastsMs = 5_000;
 
@@ -47,32 +44,10 @@
         return holder.isConnected ? "ready" : "unsure";
     }
 
-    /**
-     * Describes the targets of a service for the planner.
-     *
-     * Load pattern: a service whose targets differ in speed. While there is room, every request at a slow target is answered later
-     * than it would be elsewhere, so slow targets count for less than the work they can do. The nearer the service is to
-     * its limit, the more they count for just that, since the fast ones alone could not do the work.
-     * @param targetIds the targets
-     * @param load work that the service has, in slots of an average target
-     * @param nowMs now
-     */
-    forPlanner(targetIds: readonly TargetId[], load: number, nowMs: number): PlannerTarget[] {
-        const use = load / Math.max(1, this.roomOf(targetIds, nowMs));
-        const exponent = 1 + Math.max(0, 1 - use / fullShare);
-        return targetIds.map((targetId) => ({
-            targetId, standing: this.of(targetId, nowMs), capacity: this.slotsOf(targetId) / this.slownessOf(targetId, nowMs) ** exponent,
-        }));
-    }
-
-    /** Work that the targets which take keys can do at once, in slots of an average target. */
-    roomOf(targetIds: readonly TargetId[], nowMs: number): number {
-        return targetIds.filter((targetId) => this.of(targetId, nowMs) === "ready")
-            .reduce((sum, targetId) => sum + this.slotsOf(targetId) / this.slownessOf(targetId, nowMs), 0);
-    }
-
-    private slotsOf(targetId: TargetId): number {
-        return this.view.targets.get(targetId)?.slots ?? 1;
+    /** Describes a target for the planner. */
+    forPlanner(targetId: TargetId, nowMs: number): PlannerTarget {
+        const slots = this.view.targets.get(targetId)?.slots ?? 1;
+        return { targetId, standing: this.of(targetId, nowMs), capacity: slots / this.slownessOf(targetId, nowMs) };
     }
 
     private isLeaving(targetId: TargetId): boolean {
