--- a/src/store/targetDirectory.ts
+++ b/src/store/targetDirectory.ts
@@ -28,7 +28,9 @@
     private readonly seen = new Map<TargetId, Seen>();
     /** Start of the last process of each target that said in an answer that it leaves. */
     private readonly leavingBornWallMs = new Map<TargetId, number>();
-    private lastDigest: number | undefined;
+    /** Targets that are remembered though they left. */
+    private readonly gone = new Set<TargetId>();
+    private digestOfAll = 0;
     private byService: ReadonlyMap<ServiceId, readonly KnownTarget[]> | undefined;
 
     /** Every target, those that left a moment ago too. */
@@ -58,10 +60,7 @@
 
     /** A number that is the same on hosts that know the same targets in the same states. */
     digest(): number {
-        this.lastDigest ??= hash([...this.known.values()].filter(({ state }) => state !== "gone")
-            .map(({ targetId, address, registeredState, slots, bornWallMs, warmingUp }) =>
-                [targetId, address, registeredState, slots, bornWallMs, warmingUp].join()).sort().join(";"));
-        return this.lastDigest;
+        return this.digestOfAll;
     }
 
     /**
@@ -139,14 +138,21 @@
         const saysLeaving = this.leavingBornWallMs.get(targetId) === entry.bornWallMs;
         const state = entry.state === "ready" && saysLeaving ? "draining" : entry.state;
         const leavingSinceMs = state === "ready" ? undefined : this.known.get(targetId)?.leavingSinceMs ?? nowMs;
+        this.digestOfAll ^= digestOf(this.known.get(targetId)) ^ digestOf({ ...entry, registeredState: entry.state });
         this.known.set(targetId, { ...entry, state, registeredState: entry.state, leavingSinceMs });
+        if (entry.state === "gone") {
+            this.gone.add(targetId);
+        }
+        else {
+            this.gone.delete(targetId);
+        }
         this.byService = undefined;
-        this.lastDigest = undefined;
     }
 
     private forgetGone(nowMs: number): void {
-        for (const [targetId, { state, leavingSinceMs }] of this.known) {
-            if (state === "gone" && nowMs - (leavingSinceMs ?? nowMs) > rememberGoneMs) {
+        for (const targetId of this.gone) {
+            if (nowMs - (this.known.get(targetId)?.leavingSinceMs ?? nowMs) > rememberGoneMs) {
+                this.gone.delete(targetId);
                 this.known.delete(targetId);
                 this.leavingBornWallMs.delete(targetId);
             }
@@ -154,6 +160,15 @@
     }
 }
 
+/** Digest of one target; those of all are combined so that each change costs no more than the target that changed. */
+function digestOf(target: Omit<KnownTarget, "state" | "leavingSinceMs"> | undefined): number {
+    if (target === undefined || target.registeredState === "gone") {
+        return 0;
+    }
+    const { targetId, address, registeredState, slots, bornWallMs, warmingUp } = target;
+    return hash([targetId, address, registeredState, slots, bornWallMs, warmingUp].join());
+}
+
 /** The entry as it stands in the directory. */
 function entryOf({ registeredState, ...target }: KnownTarget): TargetEntry {
     return { ...target, state: registeredState };
--- a/test/store/targetDirectory.spec.ts
+++ b/test/store/targetDirectory.spec.ts
@@ -98,4 +98,25 @@
         expect(directory.noteLeaving({ targetId, bornWallMs: 1_000 }, 0)).to.equal(false);
         expect(directory.get(targetId)?.state).to.equal("ready");
     });
+
+    it("has the same digest as one that learned the same in another order, and in a time that does not grow with all targets", () => {
+        const names = Array.from({ length: 3_000 }, (_, index) => `t-${String(index)}` as TargetId);
+        const fill = (directory: TargetDirectory, ids: readonly TargetId[]) => {
+            ids.forEach((id, index) => directory.apply({ targetId: id, offset: index as Offset, entry: entry({ targetId: id }) }, 0));
+            return directory;
+        };
+        const left = fill(new TargetDirectory(), names);
+        const right = fill(new TargetDirectory(), [...names].reverse());
+        expect(left.digest()).to.equal(right.digest());
+        const startedMs = performance.now();
+        for (let sequence = 2; sequence < 502; sequence++) {
+            const change = entry({ targetId: names[0], sequence, warmingUp: sequence % 2 === 0 });
+            left.apply({ targetId: names[0] as TargetId, offset: 5_000 + sequence as Offset, entry: change }, 0);
+            left.digest();
+        }
+        expect((performance.now() - startedMs) / 500).to.be.below(1);
+        expect(left.digest()).to.equal(right.digest());
+        left.apply({ targetId: names[1] as TargetId, offset: 9_000 as Offset, entry: undefined }, 0);
+        expect(left.digest()).to.not.equal(right.digest());
+    });
 });
