--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -172,9 +172,10 @@
     drainServer(): void {
         const server = this.random.pick(this.fleet.servers);
         const service = server.id.startsWith(keyedService) ? keyedService : plainService;
-        this.during(`drain ${server.id}`, async () => {
+        const leave = this.random.pick(["drain", "leaveByHeader"] as const);
+        this.during(`${leave} ${server.id}`, async () => {
             await this.addServer(service);
-            server.drain();
+            server[leave]();
             await sleep(5_000);
             if (this.fleet.servers.includes(server)) {
                 this.fleet.servers.splice(this.fleet.servers.indexOf(server), 1);
@@ -188,7 +189,7 @@
     spoilServer(): void {
         const server = this.random.pick(this.fleet.servers);
         const faults = this.random.pick([
-            { shedShare: 0.5 }, { loseAnswerShare: 0.3 }, { extraAnswerShare: 0.3 }, { cutAnswerShare: 0.3 }, { slowness: 8 },
+            { shedShare: 0.5 }, { shedShare: 0.5, retryAfterSeconds: 0.7 }, { loseAnswerShare: 0.3 }, { extraAnswerShare: 0.3 }, { cutAnswerShare: 0.3 }, { slowness: 8 },
         ]);
         this.during(`${server.id} ${JSON.stringify(faults)}`, async () => {
             server.faults = { ...noServerFaults, ...faults };
