--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -5,7 +5,7 @@
 import type { DataCentreId, TargetId } from "../model/names.js";
 import { rankCandidates } from "../model/rendezvous.js";
 import type { Clock } from "../model/time.js";
-import type { Ticket } from "./admissionQueue.js";
+import type { RefusalOfQueue, Ticket } from "./admissionQueue.js";
 import type { EnterParams, EnterReply, Group } from "./messages.js";
 import { admissionMethods, groupName } from "./messages.js";
 import type { QueueKeeper } from "./queueKeeper.js";
@@ -35,7 +35,7 @@
 /** A slot at a target, or why there is none. */
 export type SlotDecision =
     | { kind: "granted"; targetId: TargetId; expectedMs: number; leave: (end: WorkEnd) => void }
-    | { kind: "refused"; reason: "overloaded" | "no-target" | "no-keeper" | "withdrawn"; retryAfterMs: number };
+    | { kind: "refused"; reason: RefusalOfQueue | "no-keeper" | "withdrawn"; retryAfterMs: number };
 
 /** Gets slots. */
 export interface AdmissionClient {
@@ -66,8 +66,15 @@
 export function createAdmissionClient({ keeper, membership, links, clock, nextTicket }: AdmissionClientParts): AdmissionClient {
     const isSelf = (member: Member) => member.hostId === membership.self.hostId;
 
+    /**
+     * Hosts that may keep a queue, the one that should first. The queue of a whole service is asked by all hosts for every request,
+     * more than a small host can answer, so hosts with more processor time go first there.
+     */
     const candidatesFor = ({ group, keptNear }: SlotRequest, nowMs: number): Member[] => {
         const ranked = rankCandidates(groupName(group), membership.reachable(nowMs), ({ hostId }) => hostId);
+        if (group.kind === "service") {
+            ranked.sort((left, right) => right.cpuShare - left.cpuShare);
+        }
         return [
             ...ranked.filter(({ dataCentreId }) => dataCentreId === keptNear),
             ...ranked.filter(({ dataCentreId }) => dataCentreId !== keptNear),
@@ -75,7 +82,7 @@
     };
 
     const ask = async (member: Member, params: EnterParams): Promise<QueueReply | undefined> => {
-        const reply = isSelf(member) ? ok(await keeper.enter(params)) : await askPeer(member, params);
+        const reply = isSelf(member) ? ok(await keeper.enter(params, membership.self.hostId)) : await askPeer(member, params);
         if (reply.isOk() && !("unready" in reply.value)) {
             return reply.value;
         }
--- a/test/ownership/holder.spec.ts
+++ b/test/ownership/holder.spec.ts
@@ -6,16 +6,18 @@
 import { Holder } from "../../src/ownership/holder.js";
 import type { Grant, GrantReply, LeaseSession } from "../../src/ownership/leasePort.js";
 import { holdBoundMs, usualHoldMs } from "../../src/ownership/leaseTerms.js";
+import type { LeavingTarget } from "../../src/model/target.js";
 import { VirtualClock } from "../support/virtualTime.js";
 
 const range = { from: 0, to: 99 } as KeyRange;
 
 /** A target that answers as a test says, and what it was sent. */
-function setUp() {
+function setUp(predecessorActsForMs = 0) {
     const clock = new VirtualClock();
     const grants: Grant[] = [];
-    const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number; holdMs: number; closes: boolean } =
-        { reply: "granted", reachable: true, opened: 0, holdMs: usualHoldMs, closes: false };
+    const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number; holdMs: number; closes: boolean; leaving: boolean } =
+        { reply: "granted", reachable: true, opened: 0, holdMs: usualHoldMs, closes: false, leaving: false };
+    const left: LeavingTarget[] = [];
     const session = (): LeaseSession => {
         let open = true;
         let closeSession: () => void = () => undefined;
@@ -24,6 +26,9 @@
             get isOpen() {
                 return open;
             },
+            get isLeaving() {
+                return state.leaving;
+            },
             closed: new Promise((resolve) => {
                 closeSession = () => {
                     open = false;
@@ -57,13 +62,17 @@
         fences: new FenceCounter(1 as Term), clock,
         log: { info: () => undefined, warn: () => undefined, error: () => undefined },
         mayGrant: () => true, isRecorded: () => true, holdMs: () => state.holdMs, onOutdated: () => undefined,
+        onLeaving: (leaving) => {
+            left.push(leaving);
+        },
+        predecessorActsUntilMs: clock.now().monoMs + predecessorActsForMs,
     });
     const stop = new AbortController();
     void holder.run(stop.signal);
     const end = () => {
         stop.abort();
     };
-    return { clock, holder, grants, state, end };
+    return { clock, holder, grants, state, left, end };
 }
 
 describe("leases of a target", () => {
@@ -132,6 +141,33 @@
         end();
     });
 
+    it("of a target that ended while an earlier coordinator could grant are free once its end is seen again afterwards", async () => {
+        const { clock, holder, grants, state, end } = setUp(3_000);
+        holder.setRanges([range], []);
+        await clock.advance(1_000);
+        state.reply = "other-target";
+        await clock.advance(1_500);
+        expect([holder.hasEnded, holder.isCertainlyFree]).to.deep.equal([true, false]);
+        expect(holder.freeAtMs).to.be.above(clock.now().monoMs);
+        const before = grants.length;
+        await clock.advance(1_000);
+        expect([holder.hasEnded, holder.isCertainlyFree, grants.length - before]).to.deep.equal([true, true, 1]);
+        expect(holder.freeAtMs).to.be.below(clock.now().monoMs);
+        end();
+    });
+
+    it("stay with a target that came back at its address after its end was seen", async () => {
+        const { clock, holder, state, end } = setUp(3_000);
+        holder.setRanges([range], []);
+        await clock.advance(1_000);
+        state.reply = "other-target";
+        await clock.advance(1_500);
+        state.reply = "granted";
+        await clock.advance(1_500);
+        expect([holder.isSilent, holder.hasEnded]).to.deep.equal([false, false]);
+        end();
+    });
+
     it("are not offered to a target that has ended, though something listens at its address, until it is registered anew", async () => {
         for (const registered of [{ address: "10.0.0.2:80" as Address, bornWallMs: 1 }, { address: "10.0.0.1:80" as Address, bornWallMs: 2 }]) {
             const { clock, holder, grants, state, end } = setUp();
@@ -156,6 +192,18 @@
         }
     });
 
+    it("tell of a target that says in its answers that it leaves, and of which process of it", async () => {
+        const { clock, holder, state, left, end } = setUp();
+        holder.moveTo({ address: "10.0.0.1:80" as Address, bornWallMs: 7 });
+        holder.setRanges([range], []);
+        await clock.advance(100);
+        expect(left).to.deep.equal([]);
+        state.leaving = true;
+        await clock.advance(2_000);
+        expect(left[0]).to.deep.equal({ targetId: "t", bornWallMs: 7 });
+        end();
+    });
+
     it("are not offered again and again to a target that turns them away", async () => {
         const { clock, holder, grants, state, end } = setUp();
         holder.setRanges([range], []);
