--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -189,7 +189,8 @@
     spoilServer(): void {
         const server = this.random.pick(this.fleet.servers);
         const faults = this.random.pick([
-            { shedShare: 0.5 }, { shedShare: 0.5, retryAfterSeconds: 0.7 }, { loseAnswerShare: 0.3 }, { extraAnswerShare: 0.3 }, { cutAnswerShare: 0.3 }, { slowness: 8 },
+            { shedShare: 0.5 }, { shedShare: 0.5, retryAfterSeconds: 0.7 }, { loseAnswerShare: 0.3 }, { extraAnswerShare: 0.3 },
+            { cutAnswerShare: 0.3 }, { slowness: 8 },
         ]);
         this.during(`${server.id} ${JSON.stringify(faults)}`, async () => {
             server.faults = { ...noServerFaults, ...faults };
