--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -43,7 +43,7 @@
 /** Why a queue turns a request away. */
 export type RefusalOfQueue =
     | "overloaded" | "no-target"
-    /** Every target wants nothing from the host for a while. */
+    /** Every target has the host back off for a while. */
     | "paused";
 
 const minRetryAfterMs = 50;
--- a/src/admission/targetRecord.ts
+++ b/src/admission/targetRecord.ts
@@ -46,7 +46,7 @@
     answers: number;
     observedMs: number;
     pausedUntilMs: number;
-    /** Hosts from which the target wants nothing until then; undefined while there are none. */
+    /** Hosts that the target has back off, and until when; undefined while there are none. */
     closedUntilMs: Map<string, number> | undefined;
 }
 
@@ -139,7 +139,7 @@
     return target.open && running < target.slots && nowMs >= pausedUntilMs;
 }
 
-/** Time for which a target still wants nothing from a host; 0 when it does. */
+/** Time for which a host still has to back off from a target; 0 when it need not. */
 export function closedForMs({ closedUntilMs }: TargetRecord, sender: string, nowMs: number): number {
     return Math.max(0, (closedUntilMs?.get(sender) ?? 0) - nowMs);
 }
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -42,7 +42,7 @@
 export interface TargetNotice {
     /** It is going to stop. */
     isLeaving: boolean;
-    /** It wants nothing more from this host for so long; undefined when it does not say so. */
+    /** It has this host back off for so long; undefined when it does not say so. */
     pauseMs: number | undefined;
 }
 
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -33,7 +33,7 @@
 const minPatienceMs = 400;
 
 /** Pause before a request goes back to a target that turned it away. */
-const pauseMs = 15;
+const repeatPauseMs = 15;
 
 const retryAfterNotReadyMs = 500;
 
@@ -238,7 +238,7 @@
                     return;
                 case "retry":
                     requestLog.retried(job.call, job.route, placed.target.targetId, end);
-                    await clock.sleep(pauseMs, job.call.left);
+                    await clock.sleep(repeatPauseMs, job.call.left);
             }
         }
     };
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -17,7 +17,7 @@
 
 const retryAfterStoppingMs = 50;
 
-/** When to come back, at most, after a target wants nothing from this host. */
+/** When to come back, at most, while a target has this host back off. */
 const retryAfterPausedMs = 300;
 
 /** Times that the queue is asked when it offers targets that this host knows not to take its requests. */
@@ -103,13 +103,13 @@
         return noTarget();
     };
 
-    /** The host that keeps the queue may not know yet that a target leaves, or wants nothing from this host. */
+    /** The host that keeps the queue may not know yet that a target leaves, or that it had this host back off. */
     const isClosed = (targetId: TargetId): boolean => {
         const target = view.targets.get(targetId);
         return target !== undefined && (!mayReceive(target, drainMs, nowMs()) || pauses.leftMs(target, nowMs()) > 0);
     };
 
-    /** Other hosts may still reach a target that wants nothing from this one, and a client's next attempt reaches another host. */
+    /** Other hosts may still send to a target that has this one back off, and a client's next attempt reaches another host. */
     const pausedRefusal = (targetId: TargetId | undefined, leftMs: number): Placement => ({
         kind: "refused",
         refusal: { reason: "target-paused", retryAfterMs: spread(Math.min(leftMs, retryAfterPausedMs)), targetId },
--- a/src/forwarding/targetPauses.ts
+++ b/src/forwarding/targetPauses.ts
@@ -1,5 +1,5 @@
 /**
- * Remembers which targets want nothing from this host for a while.
+ * Remembers which targets asked this host to back off, and until when.
  *
  * Load pattern: a target that sheds load tells single hosts to keep away. A host that asks on loads it further, and its clients
  * wait for answers that it will not get.
@@ -26,7 +26,7 @@
         this.pauses.set(targetId, { bornWallMs, untilMs });
     }
 
-    /** Time left of the pause of a target; 0 when it wants requests. */
+    /** Time left of the pause of a target; 0 when there is none. */
     leftMs({ targetId, bornWallMs }: TargetProcess, nowMs: number): number {
         const pause = this.pauses.get(targetId);
         return pause?.bornWallMs === bornWallMs ? Math.max(0, pause.untilMs - nowMs) : 0;
--- a/test/admission/admissionQueue.spec.ts
+++ b/test/admission/admissionQueue.spec.ts
@@ -185,7 +185,7 @@
         expect(texts(queue.offer(request("b", { deadlineMs: 9_000 }), 1_600))).to.deep.equal(["b no-target"]);
     });
 
-    it("keeps a host away from a target that wants nothing from it, while other hosts use it", () => {
+    it("keeps a host away from a target that has it back off, while other hosts use it", () => {
         const queue = queueOf(target("t1"), target("t2"));
         const [granted] = queue.offer(request("a"), 0);
         const closed = granted?.kind === "granted" ? granted.targetId : "";
@@ -200,7 +200,7 @@
         expect(texts(queue.tick(920))).to.deep.equal([`d to ${closed}`]);
     });
 
-    it("turns a request away at once when every target wants nothing from its host, with the time that is left", () => {
+    it("turns a request away at once when every target has its host back off, with the time that is left", () => {
         const queue = queueOf(target("t1"));
         queue.offer(request("a"), 0);
         queue.finish("a" as Ticket, { kind: "turned-away", pauseMs: 600 }, 0);
--- a/test/platform/decoders.spec.ts
+++ b/test/platform/decoders.spec.ts
@@ -70,7 +70,7 @@
         expect(platformTargetDialect.classify(head())).to.equal("unproven");
     });
 
-    it("say that a target leaves, or wants nothing from this host for a while, and nothing else counts as such", () => {
+    it("say that a target leaves, or has this host back off, and nothing else counts as such", () => {
         const noticeOf = (status: number, ...rawHeaders: string[]) =>
             platformTargetDialect.noticeOf({ status, reasonPhrase: "", rawHeaders, persistent: true });
         expect(noticeOf(200, "Server-Leaving", "1")).to.deep.equal({ isLeaving: true, pauseMs: undefined });
