--- a/test/ownership/planner.spec.ts
+++ b/test/ownership/planner.spec.ts
@@ -98,35 +98,27 @@
         });
     });
 
-    it("spreads a hot run of neighbouring keys over dozens of targets within a second", () => {
-        const names = Array.from({ length: 60 }, (_, index) => `t${String(index)}`);
-        const width = 65_536 / names.length;
-        const cold = Array.from({ length: 600 }, (_, index) => ({ key: index * 109 + 3, perSecond: 0.6, workMs: 150 }));
-        const hot = Array.from({ length: 200 }, (_, index) => ({ key: 5_000 + index, perSecond: 2.2, workMs: 150 }));
-        const loads = loadsOf([...cold, ...hot]);
-        const targets = names.map((name) => target(name));
-        let ranges = names.map((name, index) => owned(name, Math.ceil(index * width), Math.ceil((index + 1) * width) - 1));
-        for (let round = 0; round < 7; round++) {
-            ranges = apply(ranges, planMoves({ targets, ranges, loads, ...still }));
-        }
-        const fullest = Math.max(...names.map((name) => loadOf(loads, ranges, name) / 3));
-        expect(fullest).to.be.below(1);
-    });
-
-    it("spreads a hot run of neighbouring keys over a hundred targets of three hundred within a second", () => {
-        const names = Array.from({ length: 314 }, (_, index) => `t${String(index)}`);
-        const width = 65_536 / names.length;
-        const cold = Array.from({ length: 3_000 }, (_, index) => ({ key: index * 21 + 3, perSecond: 0.3, workMs: 400 }));
-        const hot = Array.from({ length: 200 }, (_, index) => ({ key: 5_000 + index, perSecond: 2.7, workMs: 400 }));
-        const loads = loadsOf([...cold, ...hot]);
-        const targets = names.map((name) => target(name));
-        let ranges = names.map((name, index) => owned(name, Math.ceil(index * width), Math.ceil((index + 1) * width) - 1));
-        for (let round = 0; round < 7; round++) {
-            ranges = apply(ranges, planMoves({ targets, ranges, loads, ...still }));
-        }
-        const fullest = Math.max(...names.map((name) => loadOf(loads, ranges, name) / 3));
-        expect(fullest).to.be.below(1);
-    });
+    for (const { targetCount, cold, perSecondCold, perSecondHot, workMs } of [
+        { targetCount: 60, cold: 600, perSecondCold: 0.6, perSecondHot: 2.2, workMs: 150 },
+        { targetCount: 314, cold: 3_000, perSecondCold: 0.3, perSecondHot: 2.7, workMs: 400 },
+    ]) {
+        it(`spreads a hot run of neighbouring keys over ${String(targetCount)} targets within a second`, () => {
+            const names = Array.from({ length: targetCount }, (_, index) => `t${String(index)}`);
+            const width = 65_536 / names.length;
+            const spacing = Math.floor(65_536 / cold);
+            const loads = loadsOf([
+                ...Array.from({ length: cold }, (_, index) => ({ key: index * spacing + 3, perSecond: perSecondCold, workMs })),
+                ...Array.from({ length: 200 }, (_, index) => ({ key: 5_000 + index, perSecond: perSecondHot, workMs })),
+            ]);
+            const targets = names.map((name) => target(name));
+            let ranges = names.map((name, index) => owned(name, Math.ceil(index * width), Math.ceil((index + 1) * width) - 1));
+            for (let round = 0; round < 7; round++) {
+                ranges = apply(ranges, planMoves({ targets, ranges, loads, ...still }));
+            }
+            const fullest = Math.max(...names.map((name) => loadOf(loads, ranges, name) / 3));
+            expect(fullest).to.be.below(1);
+        });
+    }
 
     it("takes nothing from a target that is not full for one whose keys are cold", () => {
         const cold = { key: 50_000, perSecond: 0.2, workMs: 100 };
