--- a/src/cluster/peerConnection.ts
+++ b/src/cluster/peerConnection.ts
@@ -3,13 +3,13 @@
  * JSON text, since bytes between data centres are dear.
  */
 import net from "node:net";
-import { JSONRPCClient, JSONRPCServer, JSONRPCServerAndClient } from "json-rpc-2.0";
 import { Packr, Unpackr } from "msgpackr";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Clock } from "../model/time.js";
+import { RpcSession } from "./rpcSession.js";
 
 const connectTimeoutMs = 300;
 const lengthBytes = 4;
@@ -92,37 +92,35 @@
 
 function attach(socket: net.Socket, address: string, handlers: PeerHandlers, clock: Clock): PeerConnection {
     let lastHeardMs = clock.now().monoMs;
-    let outstanding = 0;
-    const send = createFrameWriter(socket);
-    const rpc = new JSONRPCServerAndClient(
-        new JSONRPCServer({ errorListener: () => undefined }),
-        new JSONRPCClient((message: unknown) => {
-            send(message);
-        }),
-        { errorListener: () => undefined },
-    );
+    let isWatched = false;
+    const rpc = new RpcSession(createFrameWriter(socket));
 
     const closed = new Promise<void>((resolve) => {
         socket.on("close", () => {
-            rpc.rejectAllPendingRequests("the connection closed");
+            rpc.end("the connection closed");
             resolve();
         });
     });
     socket.on("error", () => socket.destroy());
     onFrames(socket, (message) => {
         lastHeardMs = clock.now().monoMs;
-        void rpc.receiveAndSend(message);
+        rpc.receive(message);
     });
 
+    /** Ends the connection when nothing is heard while calls wait. */
     const watch = async () => {
-        while (outstanding > 0 && !socket.destroyed) {
+        isWatched = true;
+        while (rpc.pendingCount > 0 && !socket.destroyed) {
             await clock.sleep(probeMs);
-            if (clock.now().monoMs - lastHeardMs > silentAfterMs) {
+            if (rpc.pendingCount > 0 && clock.now().monoMs - lastHeardMs > silentAfterMs) {
                 socket.destroy();
-                return;
+                break;
+            }
+            if (rpc.pendingCount > 0 && clock.now().monoMs - lastHeardMs >= probeMs) {
+                rpc.request(probeMethod, {}, silentAfterMs).then(undefined, () => undefined);
             }
-            rpc.request(probeMethod, {}).then(undefined, () => undefined);
         }
+        isWatched = false;
     };
 
     const connection: PeerConnection = {
@@ -135,22 +133,19 @@
         },
         closed,
         call: async <T>(method: string, params: object, timeoutMs: number) => {
-            if (outstanding === 0) {
+            if (rpc.pendingCount === 0) {
                 lastHeardMs = clock.now().monoMs;
             }
-            outstanding += 1;
-            if (outstanding === 1) {
+            const reply = rpc.request(method, params, Math.max(1, Math.ceil(timeoutMs)));
+            if (!isWatched) {
                 void watch();
             }
             try {
-                return ok(await rpc.timeout(Math.max(1, Math.ceil(timeoutMs))).request(method, params) as T);
+                return ok(await reply as T);
             }
             catch (error) {
                 return err(failure("lost", "peer-call", address, `${method}: ${error instanceof Error ? error.message : String(error)}`));
             }
-            finally {
-                outstanding -= 1;
-            }
         },
         notify: (method, params) => {
             if (!socket.destroyed) {
@@ -160,9 +155,9 @@
         destroy: () => socket.destroy(),
     };
 
-    rpc.addMethod(probeMethod, () => true);
+    rpc.offer(probeMethod, () => true);
     for (const [method, handle] of Object.entries(handlers)) {
-        rpc.addMethod(method, (params: unknown) => handle(params as never, connection));
+        rpc.offer(method, (params) => handle(params as never, connection));
     }
     return connection;
 }
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -6,6 +6,7 @@
 import type { ClientDialect } from "../forwarding/dialect.js";
 import { withoutHopByHop } from "../forwarding/hopByHop.js";
 import type { ClientLimits } from "../model/routing.js";
+import { abortReason } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import type { AnswerHead, ClientCall, Refusal, RefusalReason } from "./clientCall.js";
 import { createRequestBody } from "./requestBody.js";
@@ -173,7 +174,7 @@
     const terms = dialect.termsOf(path, request.headers);
     const left = new AbortController();
     const onLeft = () => {
-        left.abort();
+        left.abort(abortReason);
     };
     // The runtime closes the response only some turns after it has read the end of the client's connection.
     request.socket.once("end", onLeft);
--- a/src/forwarding/hopByHop.ts
+++ b/src/forwarding/hopByHop.ts
@@ -12,7 +12,8 @@
  * @returns names and values by turns
  */
 export function withoutHopByHop(rawHeaders: readonly string[], others: ReadonlySet<string>): string[] {
-    return withoutHeaders(rawHeaders, new Set([...hopByHop, ...others, ...namedByConnection(rawHeaders)]));
+    const named = namedByConnection(rawHeaders);
+    return keepHeaders(rawHeaders, (name) => !hopByHop.has(name) && !others.has(name) && named?.has(name) !== true);
 }
 
 /**
@@ -21,21 +22,29 @@
  * @param removed names in lower case
  */
 export function withoutHeaders(rawHeaders: readonly string[], removed: ReadonlySet<string>): string[] {
+    return keepHeaders(rawHeaders, (name) => !removed.has(name));
+}
+
+/** @param isKept told the name of each header in lower case */
+function keepHeaders(rawHeaders: readonly string[], isKept: (name: string) => boolean): string[] {
     const kept: string[] = [];
     for (let index = 0; index < rawHeaders.length; index += 2) {
-        if (!removed.has((rawHeaders[index] as string).toLowerCase())) {
+        if (isKept((rawHeaders[index] as string).toLowerCase())) {
             kept.push(rawHeaders[index] as string, rawHeaders[index + 1] as string);
         }
     }
     return kept;
 }
 
-/** A Connection header may name further headers that concern that connection only. */
-function namedByConnection(rawHeaders: readonly string[]): Set<string> {
-    const named = new Set<string>();
+/** A Connection header may name further headers that concern that connection only; undefined without such a header. */
+function namedByConnection(rawHeaders: readonly string[]): Set<string> | undefined {
+    let named: Set<string> | undefined;
     for (let index = 0; index < rawHeaders.length; index += 2) {
         if ((rawHeaders[index] as string).toLowerCase() === "connection") {
-            (rawHeaders[index + 1] as string).split(",").forEach((name) => named.add(name.trim().toLowerCase()));
+            for (const name of (rawHeaders[index + 1] as string).split(",")) {
+                named ??= new Set();
+                named.add(name.trim().toLowerCase());
+            }
         }
     }
     return named;
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -127,16 +127,19 @@
             if (pausedMs > 0) {
                 return pausedRefusal(owner, pausedMs);
             }
-            const moved = new AbortController();
-            const endWatch = watchOwner(service.serviceId, key, owner, moved);
-            const until = linkAborts(left, moved.signal, stopped);
+            let hasMoved = false;
+            const until = linkAborts(left, stopped);
+            const endWatch = watchOwner(service.serviceId, key, owner, () => {
+                hasMoved = true;
+                until.abort();
+            });
             const decision = await admission.enter({
                 ...slotOf(job), group: { kind: "target", targetId: owner }, avoid: [], keptNear: entry?.dataCentreId,
             }, until.signal);
             until.release();
             endWatch();
             const isOver = left.aborted || stopped.aborted;
-            if (isOver || (!moved.signal.aborted && !isClosed(owner))) {
+            if (isOver || (!hasMoved && !isClosed(owner))) {
                 return toPlacement(decision, owner);
             }
             if (decision.kind === "granted") {
@@ -145,12 +148,12 @@
         }
     };
 
-    /** Aborts when the owner of a key changes while its request waits. */
-    const watchOwner = (serviceId: ServiceId, key: Key, owner: TargetId, moved: AbortController): (() => void) =>
+    /** Calls `onMoved` when the owner of a key changes while its request waits. */
+    const watchOwner = (serviceId: ServiceId, key: Key, owner: TargetId, onMoved: () => void): (() => void) =>
         owners.changed.listen(() => {
             const status = owners.find(serviceId, key, nowMs());
             if (status.kind !== "owned" || status.targetId !== owner) {
-                moved.abort();
+                onMoved();
             }
         });
 
--- a/src/forwarding/standby.ts
+++ b/src/forwarding/standby.ts
@@ -4,6 +4,7 @@
  * Load pattern: a target that has become slow or silent while the others are nearly full. An attempt that is given up before
  * its repeat has a slot leaves the client with nothing if none is free; so it runs on until there is one.
  */
+import { abortReason } from "../model/signal.js";
 import type { Job } from "./job.js";
 import type { Placed, Placer } from "./placement.js";
 import type { RepeatTerms } from "./retryPolicy.js";
@@ -37,7 +38,7 @@
  * @param current the place of the attempt that runs; the owner of a key is asked again in the same slot
  */
 export function createStandby({ placer, termsOf, isLeaving }: StandbyParts, job: Job, current: Placed): Standby {
-    const closed = new AbortController();
+    let search: AbortController | undefined;
     let found: Placed | undefined;
 
     const giveBack = (place: Placed) => {
@@ -51,11 +52,12 @@
             if (isLeaving()) {
                 return false;
             }
-            const place = placer.isOwner(job, current.target.targetId) ? current : await placer.place(job, closed.signal);
+            const { signal } = search = new AbortController();
+            const place = placer.isOwner(job, current.target.targetId) ? current : await placer.place(job, signal);
             if (place.kind !== "placed") {
                 return false;
             }
-            if (closed.signal.aborted || isLeaving() || !canRepeat(termsOf(job, place.expectedMs))) {
+            if (signal.aborted || isLeaving() || !canRepeat(termsOf(job, place.expectedMs))) {
                 giveBack(place);
                 return false;
             }
@@ -63,7 +65,7 @@
             return true;
         },
         close: (isUsed) => {
-            closed.abort();
+            search?.abort(abortReason);
             if (found !== undefined && !isUsed) {
                 giveBack(found);
             }
--- a/src/model/signal.ts
+++ b/src/model/signal.ts
@@ -1,6 +1,9 @@
 /** Waiting for changes, times and aborts. Nothing stays behind when a wait ends, however long its sources live. */
 import type { Clock } from "./time.js";
 
+/** Reason of aborts that nobody reads the reason of; without one the runtime creates an exception with its stack each time. */
+export const abortReason = "aborted";
+
 /** Tells listeners that something has changed. */
 export class Signal {
     private readonly listeners = new Set<() => void>();
@@ -35,7 +38,7 @@
 export async function waitFor(clock: Clock, durationMs: number, signals: readonly Signal[], abort?: AbortSignal): Promise<void> {
     const wake = new AbortController();
     const end = () => {
-        wake.abort();
+        wake.abort(abortReason);
     };
     const endings = signals.map((signal) => signal.listen(end));
     const linked = abort === undefined ? undefined : linkAborts(abort, wake.signal);
@@ -49,6 +52,8 @@
 /** An abort signal that follows others. */
 export interface LinkedAbort {
     readonly signal: AbortSignal;
+    /** Aborts by itself. */
+    abort(): void;
     /** Stops following; must be called when the signal is of no more use. */
     release(): void;
 }
@@ -61,7 +66,7 @@
 export function linkAborts(...sources: readonly AbortSignal[]): LinkedAbort {
     const controller = new AbortController();
     const onAbort = () => {
-        controller.abort();
+        controller.abort(abortReason);
     };
     for (const source of sources) {
         if (source.aborted) {
@@ -71,6 +76,7 @@
     }
     return {
         signal: controller.signal,
+        abort: onAbort,
         release: () => {
             for (const source of sources) {
                 source.removeEventListener("abort", onAbort);
