Callers that come back go behind those that can still be in time; a start loads less

Load: one key with several times the work of its owner.

Change: a caller's age is estimated from its deadline, which is shorter than usual when it comes back (CallerAges); the queue counts as late what will probably be late by the spread of work seen, turns away what waits behind what can be in time as soon as it is hopeless.

--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -3,12 +3,14 @@
  * for all hosts, so that the slots of its targets are counted exactly.
  *
  * Load pattern: more work than slots for some seconds (hot keys, a burst, slow targets). Sending everything would make
- * every answer late and overfill targets that then never answer. So a target gets no more than it has slots; what can
- * still be answered in its target latency goes before what cannot, more urgent before less urgent, and what cannot be
- * answered before its deadline is turned away at once.
+ * every answer late and overfill targets that then never answer. So a target gets no more than it has slots; what will most
+ * likely be answered in its target latency goes before what will not, more urgent before less urgent, and what cannot be
+ * answered before its deadline is turned away at once. Work differs in length from request to request: if requests were sent
+ * as late as an average one still ends in time, under lasting overload half of the slots' work would be late.
  */
 import { inOrder } from "../model/inOrder.js";
 import type { Branded, DataCentreId, TargetId } from "../model/names.js";
+import { WorkSpread } from "./workSpread.js";
 import type { QueueTarget, Running, TargetRecord, WorkEnd } from "./targetRecord.js";
 import { closedForMs, fadeSlowness, hasFreeSlot, learnFromEnd, maxSlowness, newTargetRecord, quickest } from "./targetRecord.js";
 
@@ -58,6 +60,9 @@
 /** A slot counts as free again this long after the deadline of a request whose end was never reported. */
 const unreportedGraceMs = 1_000;
 
+/** Of its target latency a request may always spend the rest of this share waiting before it counts as probably late. */
+const mostWorkShare = 0.75;
+
 /** A request goes elsewhere when less than this share of its time is left besides the work. */
 const nearPatienceShare = 0.35;
 
@@ -69,6 +74,9 @@
     private offered = 0;
     private offeredMs = 0;
     private tickedMs = 0;
+    private readonly spread = new WorkSpread();
+    /** Slowness of the quickest open target. */
+    private leastSlowness = 1;
 
     /** @param random uniform in [0, 1), spreads the times to come back */
     constructor(private readonly random: () => number) {}
@@ -106,6 +114,7 @@
                 ? newTargetRecord(target, this.countRunning(target.targetId), nowMs)
                 : { ...known, target });
         }
+        this.noteSlowness();
         return this.dispatch(nowMs);
     }
 
@@ -125,8 +134,8 @@
         if (closedMs > 0) {
             return [this.refuse(request, "paused", closedMs)];
         }
-        const waitMs = this.expectedWaitMs(request, open, nowMs);
-        if (nowMs + waitMs + this.shortestWorkMs(request, open) > request.deadlineMs) {
+        const waitMs = open.some((record) => hasFreeSlot(record, nowMs)) ? 0 : this.expectedWaitMs(request, nowMs);
+        if (nowMs + waitMs + this.shortestWorkMs(request) > request.deadlineMs) {
             return [this.refuse(request, "overloaded", waitMs)];
         }
         this.waiting.push(request);
@@ -160,7 +169,11 @@
         const record = this.targets.get(ended.targetId);
         if (record !== undefined) {
             record.running -= 1;
+            if (end.kind === "answered") {
+                this.spread.learn(end.tookMs / Math.max(1, ended.workMs * record.slowness));
+            }
             learnFromEnd(record, ended, end, nowMs);
+            this.noteSlowness();
         }
         return this.dispatch(nowMs);
     }
@@ -177,12 +190,29 @@
         this.tickedMs = nowMs;
         const unreported = [...this.running].filter(([, { giveUpMs }]) => nowMs > giveUpMs);
         const verdicts = unreported.flatMap(([ticket]) => this.finish(ticket, { kind: "lost" }, nowMs));
-        const open = [...this.targets.values()].filter((record) => record.target.open);
-        const isLate = (request: AdmissionRequest) => nowMs + this.shortestWorkMs(request, open) > request.deadlineMs;
-        const late = this.waiting.filter(isLate);
-        this.waiting = this.waiting.filter((request) => !isLate(request));
-        verdicts.push(...late.map((request) => this.refuse(request, "overloaded", request.workMs)));
-        return [...verdicts, ...this.dispatch(nowMs)];
+        this.noteSlowness();
+        verdicts.push(...this.dispatch(nowMs));
+        return [...verdicts, ...this.refuseHopeless(nowMs)];
+    }
+
+    /** Turns away what will not be answered before its deadline, by what goes before it. */
+    private refuseHopeless(nowMs: number): AdmissionVerdict[] {
+        const slots = this.openSlots();
+        const spareShare = this.spareShare(slots, nowMs);
+        const refused: AdmissionVerdict[] = [];
+        const kept: AdmissionRequest[] = [];
+        let workBeforeMs = this.runningWorkMs(nowMs);
+        for (const request of this.waiting.sort((left, right) => this.compare(left, right, nowMs))) {
+            const waitMs = this.isPastTarget(request, nowMs) ? workBeforeMs / slots / spareShare : 0;
+            if (nowMs + waitMs + this.shortestWorkMs(request) > request.deadlineMs) {
+                refused.push(this.refuse(request, "overloaded", Math.max(request.workMs, waitMs)));
+                continue;
+            }
+            kept.push(request);
+            workBeforeMs += request.workMs;
+        }
+        this.waiting = kept;
+        return refused;
     }
 
     private dispatch(nowMs: number): AdmissionVerdict[] {
@@ -258,26 +288,39 @@
         return left.priority - right.priority || left.targetMs - right.targetMs;
     }
 
+    /** Tells whether a request will probably not be answered in its target latency, even if it is sent now. */
     private isPastTarget(request: AdmissionRequest, nowMs: number): boolean {
-        return nowMs + request.workMs > request.targetMs;
+        const shortestMs = this.shortestWorkMs(request);
+        const mostMs = Math.max(shortestMs, (request.targetMs - request.arrivedMs) * mostWorkShare);
+        return nowMs + Math.min(mostMs, shortestMs * this.spread.ratio) > request.targetMs;
     }
 
     /**
      * Time until a slot is free for a request. What waits before it goes first; if it will be late all the same, so does
      * what arrives meanwhile and can still be in time.
      */
-    private expectedWaitMs(request: AdmissionRequest, open: readonly TargetRecord[], nowMs: number): number {
-        if (open.some((record) => hasFreeSlot(record, nowMs))) {
-            return 0;
-        }
-        const slots = Math.max(minSlots, open.reduce((sum, { target, slowness }) => sum + target.slots / slowness, 0));
+    private expectedWaitMs(request: AdmissionRequest, nowMs: number): number {
+        const slots = this.openSlots();
         const before = this.waiting.filter((other) => this.compare(other, request, nowMs) <= 0);
         const waitMs = (workOf(before) + this.runningWorkMs(nowMs)) / slots;
-        if (nowMs + waitMs + this.shortestWorkMs(request, open) <= request.targetMs) {
+        if (!this.isPastTarget(request, nowMs + waitMs)) {
             return waitMs;
         }
-        const spareShare = Math.max(minSpareShare, 1 - this.offeredSlots(nowMs) / slots);
-        return (workOf(this.waiting) + this.runningWorkMs(nowMs)) / slots / spareShare;
+        return waitMs / this.spareShare(slots, nowMs);
+    }
+
+    /** Share of the slots that what arrives and can be in time leaves to what cannot. */
+    private spareShare(slots: number, nowMs: number): number {
+        return Math.max(minSpareShare, 1 - this.offeredSlots(nowMs) / slots);
+    }
+
+    /** Requests that the open targets are at at once, as average targets. */
+    private openSlots(): number {
+        let slots = 0;
+        for (const { target, slowness } of this.targets.values()) {
+            slots += target.open ? target.slots / slowness : 0;
+        }
+        return Math.max(minSlots, slots);
     }
 
     /** Work that is left of what the targets are at. */
@@ -289,19 +332,25 @@
         return leftMs;
     }
 
-    /** Slots of an average target that all recent requests need, those too that were turned away. */
+    /** Slots of an average target that all recent requests need which could be in time, those too that were turned away. */
     private offeredSlots(nowMs: number): number {
         return this.offered * Math.exp(-(nowMs - this.offeredMs) / offeredMemoryMs);
     }
 
     private noteOffered(request: AdmissionRequest, nowMs: number): void {
-        this.offered = this.offeredSlots(nowMs) + request.workMs / offeredMemoryMs;
+        this.offered = this.offeredSlots(nowMs) + (this.isPastTarget(request, nowMs) ? 0 : request.workMs / offeredMemoryMs);
         this.offeredMs = nowMs;
     }
 
-    private shortestWorkMs(request: AdmissionRequest, open: readonly TargetRecord[]): number {
-        const slowness = open.reduce((least, record) => Math.min(least, record.slowness), maxSlowness);
-        return request.workMs * slowness;
+    private shortestWorkMs(request: AdmissionRequest): number {
+        return request.workMs * this.leastSlowness;
+    }
+
+    private noteSlowness(): void {
+        this.leastSlowness = maxSlowness;
+        for (const { target, slowness } of this.targets.values()) {
+            this.leastSlowness = target.open ? Math.min(this.leastSlowness, slowness) : this.leastSlowness;
+        }
     }
 
     private countRunning(targetId: TargetId): number {
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -15,6 +15,7 @@
 import type { AttemptEnd, AttemptParts } from "./attempt.js";
 import { attempt } from "./attempt.js";
 import type { TargetNotice } from "./dialect.js";
+import { CallerAges } from "./callerAges.js";
 import type { Job } from "./job.js";
 import type { Placed } from "./placement.js";
 import { createPlacer, retryAfterUnreachableMs } from "./placement.js";
@@ -71,6 +72,7 @@
     const { view, clock, requestLog } = parts;
     const nowMs = () => clock.now().monoMs;
     const workTimes = new WorkTimes();
+    const callerAges = new CallerAges();
     const stopped = new AbortController();
     let leaving = false;
     setMaxListeners(0, stopped.signal);
@@ -90,6 +92,9 @@
 
     const refuse = (call: ClientCall, refusal: Refusal, job?: Job) => {
         requestLog.refused(call, refusal, job?.route, job?.tried);
+        if (job !== undefined) {
+            callerAges.noteTurnedAway(job.route.routeId, nowMs());
+        }
         call.refuse(refusal);
     };
 
@@ -120,7 +125,7 @@
         const receivedMs = call.receivedAt.monoMs;
         return {
             call, route, service, body,
-            targetMs: receivedMs + route.targetLatencyMs,
+            targetMs: receivedMs + route.targetLatencyMs - callerAges.ageMs(route.routeId, call.budgetMs, receivedMs),
             deadlineMs: receivedMs + Math.min(call.budgetMs ?? Number.POSITIVE_INFINITY, route.timeoutMs),
             sends: 0, tried: new Set(), expectedMs: workTimes.meanMs(route.routeId, typicalWorkMs(route)),
         };
--- a/src/host/daemonSettings.ts
+++ b/src/host/daemonSettings.ts
@@ -2,7 +2,8 @@
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import yargsParser from "yargs-parser";
-import { z } from "../model/schema.js";
+import * as z from "zod/mini";
+import "../model/schema.js";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 
--- a/test/admission/admissionQueue.spec.ts
+++ b/test/admission/admissionQueue.spec.ts
@@ -2,7 +2,9 @@
 import type { AdmissionRequest, AdmissionVerdict, Ticket } from "../../src/admission/admissionQueue.js";
 import { AdmissionQueue } from "../../src/admission/admissionQueue.js";
 import type { QueueTarget, WorkEnd } from "../../src/admission/targetRecord.js";
+import { CallerAges } from "../../src/forwarding/callerAges.js";
 import type { DataCentreId, TargetId } from "../../src/model/names.js";
+import { Random } from "../support/random.js";
 
 const here = "here" as DataCentreId;
 const there = "there" as DataCentreId;
@@ -29,6 +31,98 @@
     return verdicts.map((verdict) => `${verdict.ticket} ${verdict.kind === "granted" ? `to ${verdict.targetId}` : verdict.reason}`);
 }
 
+const meanWorkMs = 120;
+
+/** Work whose length varies as that of real requests: half of it short, a few times the mean at most. */
+function drawWorkMs(random: () => number): number {
+    const spread = 0.8;
+    const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+    return Math.min(900, meanWorkMs * Math.exp(spread * normal - spread * spread / 2));
+}
+
+interface HotKeyLoad {
+    perSecond: number;
+    slots: number;
+    seconds: number;
+    targetLatencyMs: number;
+    budgetMs: number;
+}
+
+/**
+ * Plays requests for one key, several times what its owner can do. Callers that are turned away come back twice, after a third
+ * of their time at most, and so say that they are old by their shorter deadline.
+ */
+function playHotKey(load: HotKeyLoad): { inTime: number; served: number; heldMs: number } {
+    const { perSecond, slots, seconds, targetLatencyMs, budgetMs } = load;
+    const seeded = new Random(7);
+    const random = () => seeded.unit();
+    const queue = queueOf(target("t1", { slots }));
+    const events = new PriorityList();
+    const ages = new CallerAges();
+    const callers = new Map<Ticket, { firstMs: number; left: number; offeredMs: number }>();
+    let served = 0;
+    let inTime = 0;
+    const heldMs: number[] = [];
+    const take = (verdicts: readonly AdmissionVerdict[], nowMs: number) => {
+        for (const verdict of verdicts) {
+            const caller = callers.get(verdict.ticket) as { firstMs: number; left: number; offeredMs: number };
+            if (verdict.kind === "granted") {
+                const tookMs = drawWorkMs(random);
+                events.at(nowMs + tookMs, (endMs) => {
+                    served += 1;
+                    inTime += endMs - caller.firstMs <= targetLatencyMs ? 1 : 0;
+                    take(queue.finish(verdict.ticket, { kind: "answered", tookMs }, endMs), endMs);
+                });
+                continue;
+            }
+            heldMs.push(nowMs - caller.offeredMs);
+            ages.noteTurnedAway("route", nowMs);
+            const leftMs = caller.firstMs + budgetMs - nowMs;
+            if (caller.left > 0 && leftMs > 0) {
+                events.at(nowMs + Math.min(verdict.retryAfterMs, leftMs / 3), (againMs) => {
+                    offer(caller.firstMs, caller.left - 1, againMs);
+                });
+            }
+        }
+    };
+    let names = 0;
+    const offer = (firstMs: number, left: number, nowMs: number) => {
+        const ticket = String(names++) as Ticket;
+        callers.set(ticket, { firstMs, left, offeredMs: nowMs });
+        const ageMs = ages.ageMs("route", firstMs + budgetMs * (0.85 + 0.15 * random()) - nowMs, nowMs);
+        const times = { arrivedMs: nowMs, targetMs: nowMs + targetLatencyMs - ageMs, deadlineMs: firstMs + budgetMs };
+        take(queue.offer(request(ticket, { workMs: meanWorkMs, ...times }), nowMs), nowMs);
+    };
+    for (let nowMs = 0; nowMs < seconds * 1_000; nowMs += 1_000 / perSecond) {
+        events.at(nowMs, (atMs) => {
+            offer(atMs, 2, atMs);
+        });
+    }
+    for (let nowMs = 0; nowMs < seconds * 1_000; nowMs += 25) {
+        events.at(nowMs, (atMs) => {
+            take(queue.tick(atMs), atMs);
+        });
+    }
+    events.run(seconds * 1_000);
+    return { inTime, served, heldMs: heldMs.reduce((sum, ms) => sum + ms, 0) / heldMs.length };
+}
+
+/** Events in the order of their times. */
+class PriorityList {
+    private events: { atMs: number; happen: (atMs: number) => void }[] = [];
+
+    at(atMs: number, happen: (atMs: number) => void): void {
+        const place = this.events.findIndex((event) => event.atMs > atMs);
+        this.events.splice(place < 0 ? this.events.length : place, 0, { atMs, happen });
+    }
+
+    run(untilMs: number): void {
+        for (let next = this.events.shift(); next !== undefined && next.atMs < untilMs; next = this.events.shift()) {
+            next.happen(next.atMs);
+        }
+    }
+}
+
 describe("queue in front of targets", () => {
     it("never gives a target more than it has slots, and the next request a slot as soon as one is free", () => {
         const queue = queueOf(target("t1"));
@@ -104,6 +198,14 @@
         expect(inTime / served).to.be.above(0.9);
     });
 
+    it("spends the slots of a hot key's owner on callers that can still be in time, though those turned away come back twice", () => {
+        const { inTime, served, heldMs } = playHotKey({ perSecond: 160, slots: 6, seconds: 12, targetLatencyMs: 400, budgetMs: 2_500 });
+        const capacity = 6 * 12_000 / meanWorkMs;
+        expect(served).to.be.above(capacity * 0.9);
+        expect(inTime / served).to.be.above(0.85);
+        expect(heldMs).to.be.below(100);
+    });
+
     it("learns how slow a target is, and prefers the one that is done first", () => {
         const queue = queueOf(target("slow"), target("quick"));
         for (let round = 0; round < 20; round++) {
