--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,23 +1,25 @@
 /** Bundles each program into one file, so that a start loads only what is used. */
 import { build } from "esbuild";
 
-/** Optional parts of libraries that no program uses, and what stands in their place: most libraries ask whether loading them fails. */
-const absent = "throw new Error(\"left out of the bundle\");";
-const unused = new Map([
-    ["dtrace-provider", absent],
-    ["mv", absent],
-    ["source-map-support", absent],
-    ["msgpackr-extract", absent],
-    // prom-client loads it for metrics of the process that are not collected.
-    ["@opentelemetry/api", ""],
-]);
+/**
+ * Parts of libraries that no program uses, and what stands in their place. A library that loads a part only if it is there finds it
+ * missing; one that always loads it gets an empty module.
+ */
+const missing = "throw new Error(\"left out of the bundle\");";
+const empty = "";
+const unusedParts = [
+    { part: /^(dtrace-provider|mv|source-map-support|msgpackr-extract)$/, contents: missing },
+    { part: /^\.\/lib\/(pushgateway|cluster|defaultMetrics)$/, contents: empty },
+];
 
 /** Loading what is not used would take as long as the rest of a start. */
 const leaveOutUnused = {
     name: "leave out unused parts",
     setup: ({ onResolve, onLoad }) => {
-        onResolve({ filter: /^[@a-z]/ }, ({ path }) => unused.has(path) ? { path, namespace: "unused" } : undefined);
-        onLoad({ filter: /.*/, namespace: "unused" }, ({ path }) => ({ contents: unused.get(path), loader: "js" }));
+        for (const { part, contents } of unusedParts) {
+            onResolve({ filter: part }, ({ path }) => ({ path, namespace: "unused", pluginData: contents }));
+        }
+        onLoad({ filter: /.*/, namespace: "unused" }, ({ pluginData }) => ({ contents: pluginData, loader: "js" }));
     },
 };
 
--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -5,7 +5,7 @@
 import type { DataCentreId, TargetId } from "../model/names.js";
 import { rankCandidates } from "../model/rendezvous.js";
 import type { Clock } from "../model/time.js";
-import type { RefusalOfQueue, Ticket } from "./admissionQueue.js";
+import type { RefusalOfQueue, Ticket } from "./admissionRequest.js";
 import type { EnterParams, EnterReply, Group } from "./messages.js";
 import { admissionMethods, groupName } from "./messages.js";
 import type { QueueKeeper } from "./queueKeeper.js";
--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -9,44 +9,12 @@
  * as late as an average one still ends in time, under lasting overload half of the slots' work would be late.
  */
 import { inOrder } from "../model/inOrder.js";
-import type { Branded, DataCentreId, TargetId } from "../model/names.js";
-import { WorkSpread } from "./workSpread.js";
+import type { TargetId } from "../model/names.js";
+import type { AdmissionRequest, AdmissionVerdict, RefusalOfQueue, Ticket } from "./admissionRequest.js";
+import { chooseTarget } from "./targetChoice.js";
 import type { QueueTarget, Running, TargetRecord, WorkEnd } from "./targetRecord.js";
-import { closedForMs, fadeSlowness, hasFreeSlot, learnFromEnd, maxSlowness, newTargetRecord, quickest } from "./targetRecord.js";
-
-/** Names one request at the queue. */
-export type Ticket = Branded<string, "Ticket">;
-
-/** A request that asks for a slot. Times are monotonic milliseconds of the queue's host. */
-export interface AdmissionRequest {
-    ticket: Ticket;
-    /** Host that would send the request. */
-    sender: string;
-    /** 0 is the most urgent. */
-    priority: number;
-    /** Time that the work takes at an average target. */
-    workMs: number;
-    arrivedMs: number;
-    /** Last moment at which the answer has its full value. */
-    targetMs: number;
-    /** Last moment at which an answer is of any use. */
-    deadlineMs: number;
-    /** Data centre of the host that would send the request. */
-    near: DataCentreId;
-    /** Targets that have already turned this request away. */
-    avoid: ReadonlySet<TargetId>;
-}
-
-/** What the queue decided about a request. */
-export type AdmissionVerdict =
-    | { kind: "granted"; ticket: Ticket; targetId: TargetId; expectedMs: number }
-    | { kind: "refused"; ticket: Ticket; reason: RefusalOfQueue; retryAfterMs: number };
-
-/** Why a queue turns a request away. */
-export type RefusalOfQueue =
-    | "overloaded" | "no-target"
-    /** Every target has the host back off for a while. */
-    | "paused";
+import { closedForMs, fadeSlowness, hasFreeSlot, learnFromEnd, maxSlowness, newTargetRecord } from "./targetRecord.js";
+import { WorkSpread } from "./workSpread.js";
 
 const minRetryAfterMs = 50;
 
@@ -63,9 +31,6 @@
 /** Of its target latency a request may always spend the rest of this share waiting before it counts as probably late. */
 const mostWorkShare = 0.75;
 
-/** A request goes elsewhere when less than this share of its time is left besides the work. */
-const nearPatienceShare = 0.35;
-
 /** Queue in front of a group of targets. */
 export class AdmissionQueue {
     private readonly targets = new Map<TargetId, TargetRecord>();
@@ -246,7 +211,7 @@
             return undefined;
         }
         for (const request of inOrder(this.waiting, (left, right) => this.compare(left, right, nowMs))) {
-            const record = this.bestTarget(request, free, nowMs);
+            const record = chooseTarget(request, free, [...this.targets.values()], nowMs);
             if (record !== undefined) {
                 return { request, record };
             }
@@ -254,31 +219,6 @@
         return undefined;
     }
 
-    /**
-     * Chooses a target with a free slot. Bytes between data centres are dear, so a request waits for a target nearby as
-     * long as it can still be in time there.
-     */
-    private bestTarget(request: AdmissionRequest, allFree: readonly TargetRecord[], nowMs: number): TargetRecord | undefined {
-        const free = allFree.filter((record) => closedForMs(record, request.sender, nowMs) === 0);
-        const untried = free.filter(({ target }) => !request.avoid.has(target.targetId));
-        const usable = untried.length > 0 ? untried : free;
-        const near = usable.filter(({ target }) => target.dataCentreId === request.near);
-        const nearInTime = near.filter(({ slowness }) => nowMs + request.workMs * slowness <= request.targetMs);
-        if (nearInTime.length > 0) {
-            return quickest(nearInTime);
-        }
-        const leftMs = request.targetMs - nowMs - request.workMs;
-        const mayWait = leftMs > (request.targetMs - request.arrivedMs) * nearPatienceShare;
-        if (near.length === 0 && mayWait && this.hasOpenNear(request.near)) {
-            return undefined;
-        }
-        return quickest(usable);
-    }
-
-    private hasOpenNear(near: DataCentreId): boolean {
-        return [...this.targets.values()].some(({ target }) => target.open && target.dataCentreId === near);
-    }
-
     private compare(left: AdmissionRequest, right: AdmissionRequest, nowMs: number): number {
         const lateLeft = this.isPastTarget(left, nowMs);
         const lateRight = this.isPastTarget(right, nowMs);
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -1,6 +1,6 @@
 /** Messages between a host that has a request and the host that keeps the queue for it. */
 import type { DataCentreId, ServiceId, TargetId } from "../model/names.js";
-import type { RefusalOfQueue, Ticket } from "./admissionQueue.js";
+import type { RefusalOfQueue, Ticket } from "./admissionRequest.js";
 import type { WorkEnd } from "./targetRecord.js";
 
 /** The targets that share a queue: one that owns keys, or all of a service without keys. */
--- a/src/admission/queueKeeper.ts
+++ b/src/admission/queueKeeper.ts
@@ -6,7 +6,7 @@
 import { mayReceive } from "../model/target.js";
 import type { Clock } from "../model/time.js";
 import type { ClusterView } from "../store/clusterView.js";
-import type { AdmissionRequest, AdmissionVerdict, Ticket } from "./admissionQueue.js";
+import type { AdmissionRequest, AdmissionVerdict, Ticket } from "./admissionRequest.js";
 import { AdmissionQueue } from "./admissionQueue.js";
 import type { EnterParams, EnterReply, Group, LeaveParams, WithdrawParams } from "./messages.js";
 import { admissionMethods, groupName } from "./messages.js";
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -3,7 +3,7 @@
 import { container, instanceCachingFactory } from "tsyringe";
 import { v4 as newUuid } from "uuid";
 import { createAdmissionClient } from "../admission/admissionClient.js";
-import type { Ticket } from "../admission/admissionQueue.js";
+import type { Ticket } from "../admission/admissionRequest.js";
 import { createQueueKeeper } from "../admission/queueKeeper.js";
 import { createRetryBudgets } from "../admission/retryBudgets.js";
 import { Membership } from "../cluster/membership.js";
--- a/test/admission/admissionClient.spec.ts
+++ b/test/admission/admissionClient.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { ok } from "neverthrow";
 import { createAdmissionClient } from "../../src/admission/admissionClient.js";
-import type { Ticket } from "../../src/admission/admissionQueue.js";
+import type { Ticket } from "../../src/admission/admissionRequest.js";
 import type { EnterReply, Group } from "../../src/admission/messages.js";
 import { createQueueKeeper } from "../../src/admission/queueKeeper.js";
 import type { Member } from "../../src/cluster/membership.js";
--- a/test/admission/admissionQueue.spec.ts
+++ b/test/admission/admissionQueue.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import type { AdmissionRequest, AdmissionVerdict, Ticket } from "../../src/admission/admissionQueue.js";
+import type { AdmissionRequest, AdmissionVerdict, Ticket } from "../../src/admission/admissionRequest.js";
 import { AdmissionQueue } from "../../src/admission/admissionQueue.js";
 import type { QueueTarget, WorkEnd } from "../../src/admission/targetRecord.js";
 import { CallerAges } from "../../src/forwarding/callerAges.js";
