--- a/src/admission/queueKeeper.ts
+++ b/src/admission/queueKeeper.ts
@@ -6,7 +6,7 @@
 import { mayReceive } from "../model/target.js";
 import type { Clock } from "../model/time.js";
 import type { ClusterView } from "../store/clusterView.js";
-import type { AdmissionRequest, AdmissionVerdict, Ticket } from "./admissionQueue.js";
+import type { AdmissionRequest, AdmissionVerdict, Ticket } from "./admissionRequest.js";
 import { AdmissionQueue } from "./admissionQueue.js";
 import type { EnterParams, EnterReply, Group, LeaveParams, WithdrawParams } from "./messages.js";
 import { admissionMethods, groupName } from "./messages.js";
@@ -16,7 +16,7 @@
 const tickMs = 25;
 
 /** The same while nothing waits; slots whose end was never reported are freed this late. */
-const idleTickMs = 250;
+const idleTickMs = 1_000;
 
 /** A queue that nobody used for this long is forgotten. */
 const idleQueueMs = 30_000;
