--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -36,7 +36,6 @@
     target: "node20",
     format: "cjs",
     minifySyntax: true,
-    minifyWhitespace: false,
     plugins: [leaveOutUnused],
     define: {
         // Some libraries ask for the address of their own module, which a bundle in this format does not have.
--- a/src/forwarding/standby.ts
+++ b/src/forwarding/standby.ts
@@ -52,7 +52,8 @@
             if (isLeaving()) {
                 return false;
             }
-            const { signal } = search = new AbortController();
+            search = new AbortController();
+            const { signal } = search;
             const place = placer.isOwner(job, current.target.targetId) ? current : await placer.place(job, signal);
             if (place.kind !== "placed") {
                 return false;
--- /dev/null
+++ b/test/forwarding/callerAges.spec.ts
@@ -0,0 +1,55 @@
+import { expect } from "chai";
+import { CallerAges } from "../../src/forwarding/callerAges.js";
+import { Random } from "../support/random.js";
+
+const kind = "read";
+
+/** Callers that come for the first time wait for 2.1 to 2.5 s. */
+function withUsualCallers(nowMs = 0): CallerAges {
+    const ages = new CallerAges();
+    const random = new Random(3);
+    for (let count = 0; count < 200; count++) {
+        ages.ageMs(kind, 2_100 + 400 * random.unit(), nowMs);
+    }
+    return ages;
+}
+
+describe("ages of callers", () => {
+    it("takes callers that wait about as long as usual for new ones, also while requests are turned away", () => {
+        const ages = withUsualCallers();
+        ages.noteTurnedAway(kind, 0);
+        for (const budgetMs of [2_100, 2_200, 2_300, 2_400, 2_500]) {
+            expect(ages.ageMs(kind, budgetMs, 10)).to.equal(0);
+        }
+    });
+
+    it("knows a caller that comes back by its shorter deadline, while requests of its kind are turned away", () => {
+        const ages = withUsualCallers();
+        expect(ages.ageMs(kind, 1_500, 10)).to.equal(0);
+        ages.noteTurnedAway(kind, 20);
+        expect(ages.ageMs(kind, 1_500, 30)).to.be.within(600, 1_000);
+        expect(ages.ageMs("other", 1_500, 30)).to.equal(0);
+        expect(ages.ageMs(kind, 1_500, 10_000)).to.equal(0);
+    });
+
+    it("still knows new callers when two of three have come back", () => {
+        const ages = withUsualCallers();
+        const random = new Random(4);
+        for (let nowMs = 0; nowMs < 5_000; nowMs += 10) {
+            ages.noteTurnedAway(kind, nowMs);
+            ages.ageMs(kind, 1_400 + 250 * random.unit(), nowMs);
+            ages.ageMs(kind, 600 + 400 * random.unit(), nowMs);
+            expect(ages.ageMs(kind, 2_100 + 400 * random.unit(), nowMs)).to.equal(0);
+        }
+        expect(ages.ageMs(kind, 1_400, 5_000)).to.be.above(400);
+    });
+
+    it("is hardly moved by what one caller claims", () => {
+        const ages = withUsualCallers();
+        ages.noteTurnedAway(kind, 0);
+        ages.ageMs(kind, 1e12, 1);
+        ages.ageMs(kind, 0, 2);
+        expect(ages.ageMs(kind, 2_100, 3)).to.equal(0);
+        expect(ages.ageMs(kind, undefined, 4)).to.equal(0);
+    });
+});
