Show what targets state about their rate limits, and count attempts and lease calls by target

Change: the header is decoded into TargetNotice and recorded; a line when what a host knows of a limit changes or can't be read; hornbeam_attempts_total is counted at last, hornbeam_lease_calls_total is new. Nothing acts on a limit yet.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -53,8 +53,8 @@
     pool: ConnectionPool;
     dialect: TargetDialect;
     clock: Clock;
-    /** Called with the notice in the head of each response. */
-    onNotice: (target: TargetEntry, notice: TargetNotice) => void;
+    /** Called with the notice in the head of each response, and the monotonic time at which the request was sent. */
+    onNotice: (target: TargetEntry, notice: TargetNotice, sentMs: number) => void;
 }
 
 /** The request to send, its target and the limits of the attempt. */
@@ -142,7 +142,7 @@
     if (head.isErr()) {
         return { kind: "lost", why: head.error.message };
     }
-    dependencies.onNotice(request.target, dependencies.dialect.noticeOf(head.value));
+    dependencies.onNotice(request.target, dependencies.dialect.noticeOf(head.value), startedMs);
     const end = await receiveResponse(dependencies, request, exchange, head.value, interrupt);
     const tookMs = dependencies.clock.now().monoMs - startedMs;
     return "tookMs" in end ? { ...end, tookMs } : end;
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -1,6 +1,7 @@
 /** Ports for the HTTP headers in which clients, targets and this host exchange information about a request. */
 import type { Refusal } from "../entry/clientCall.js";
 import type { Key, RequestId, TargetId } from "../model/names.js";
+import type { RateLimitNotice } from "../model/rateLimit.js";
 import type { ResponseHead } from "./responseParser.js";
 
 /** Headers of a request by lower-case name. */
@@ -45,6 +46,7 @@
     isLeaving: boolean;
     /** Time for which this host is to back off; undefined if the target does not ask for it. */
     pauseMs: number | undefined;
+    rateLimit: RateLimitNotice;
 }
 
 /** Terms of a request as stated to the target. */
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -23,6 +23,7 @@
 import { nextStep } from "./retryPolicy.js";
 import type { RetryReservation } from "./retryReservation.js";
 import { createRetryReservation } from "./retryReservation.js";
+import { StatedRateLimits } from "./statedRateLimits.js";
 import { TargetPauses } from "./targetPauses.js";
 import { typicalWorkMs, WorkTimes } from "./workTimes.js";
 
@@ -79,9 +80,10 @@
     setMaxListeners(0, waitingRefused.signal);
     const addJitter = (delayMs: number) => delayMs * (0.9 + dependencies.random() * 0.4);
     const pauses = new TargetPauses();
+    const rateLimits = new StatedRateLimits();
     const placer = createPlacer({ ...dependencies, workTimes, pauses, addJitter, waitingRefused: waitingRefused.signal });
 
-    const onNotice = ({ targetId, bornWallMs }: TargetEntry, { isLeaving, pauseMs }: TargetNotice) => {
+    const onNotice = ({ targetId, bornWallMs }: TargetEntry, { isLeaving, pauseMs, rateLimit }: TargetNotice, sentMs: number) => {
         if (isLeaving && view.recordLeaving({ targetId, bornWallMs }, nowMs())) {
             requestLog.targetLeaving(targetId);
         }
@@ -89,6 +91,10 @@
             pauses.pause({ targetId, bornWallMs }, pauseMs, nowMs());
             requestLog.targetPauseRequested(targetId, pauseMs);
         }
+        const change = rateLimits.record({ targetId, bornWallMs }, rateLimit, sentMs, nowMs());
+        if (change !== undefined) {
+            requestLog.targetRateLimitChanged(targetId, change);
+        }
     };
 
     const refuse = (call: ClientCall, refusal: Refusal, context?: RequestContext) => {
@@ -178,6 +184,7 @@
             { placer, getRetryTerms: retryTerms, isShuttingDown: () => isShuttingDown }, context, slot);
         const startedMs = nowMs();
         const end = await runAttempt(context, slot, reservation);
+        requestLog.attemptEnded(slot.target.targetId, end);
         const retrySlot = reservation.close(end.kind === "given-up");
         if (retrySlot !== slot) {
             slot.release(workEndOf(end, nowMs() - startedMs));
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -12,6 +12,7 @@
     readonly moves: Counter<"reason" | "outcome">;
     readonly storeCalls: Counter<"path" | "outcome">;
     readonly connections: Counter<"kind">;
+    readonly leaseCalls: Counter<"target" | "call">;
     /** Adds a gauge whose value is read when the metrics are exported. */
     gauge(name: string, help: string, read: () => number): void;
     /** All metrics in the text format of Prometheus. */
@@ -51,6 +52,10 @@
             name: "hornbeam_connections_total", help: "Connections opened to targets, by their use.",
             labelNames: ["kind"], registers,
         }),
+        leaseCalls: new Counter({
+            name: "hornbeam_lease_calls_total", help: "Calls that grant, renew or release leases, by target.",
+            labelNames: ["target", "call"], registers,
+        }),
         gauge: (name, help, read) => {
             new Gauge({ name, help, registers, collect() {
                 this.set(read());
--- a/src/observe/requestLog.ts
+++ b/src/observe/requestLog.ts
@@ -1,6 +1,7 @@
 /** Port for recording the outcome of requests in log lines and metrics. */
 import type { ClientCall, Refusal } from "../entry/clientCall.js";
 import type { AttemptEnd } from "../forwarding/attempt.js";
+import type { RateLimitChange } from "../forwarding/statedRateLimits.js";
 import type { TargetId } from "../model/names.js";
 import type { Route } from "../model/routing.js";
 
@@ -12,10 +13,14 @@
     refused(call: ClientCall, refusal: Refusal, route: Route | undefined, triedTargetIds: ReadonlySet<TargetId> | undefined): void;
     /** The attempt at `targetId` ended with `end`, and the request is to be sent again if it gets another slot. */
     retried(call: ClientCall, route: Route, targetId: TargetId, end: AttemptEnd): void;
+    /** An attempt at a target has ended. */
+    attemptEnded(targetId: TargetId, end: AttemptEnd): void;
     /** Handling ends without a response to send: the client disconnected, or a streamed response to it has ended or broken off. */
     clientLeft(call: ClientCall, route: Route, triedTargetIds: ReadonlySet<TargetId>): void;
     /** A target announced in a response that it is about to stop. */
     targetLeaving(targetId: TargetId): void;
     /** A target asked this host in a response to send it no requests for `pauseMs`. */
     targetPauseRequested(targetId: TargetId, pauseMs: number): void;
+    /** A response changed what this host knows of its target's rate limit, or stated one that cannot be read. */
+    targetRateLimitChanged(targetId: TargetId, change: RateLimitChange): void;
 }
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -1,6 +1,7 @@
 /** Records the outcome of requests in the log and in the metrics. */
 import type { ClientCall } from "../entry/clientCall.js";
 import type { AttemptEnd } from "../forwarding/attempt.js";
+import type { RateLimitChange } from "../forwarding/statedRateLimits.js";
 import type { TargetId } from "../model/names.js";
 import type { Clock } from "../model/time.js";
 import type { Log } from "./log.js";
@@ -47,6 +48,9 @@
             metrics.retries.inc({ route: route.routeId, end: end.kind });
             log.info("sent again", { ...commonFields(call), route: route.routeId, target: targetId, end: describeEnd(end) });
         },
+        attemptEnded: (targetId, end) => {
+            metrics.attempts.inc({ target: targetId, end: end.kind });
+        },
         clientLeft: (call, route, triedTargetIds: ReadonlySet<TargetId>) => {
             metrics.requests.inc({ route: route.routeId, outcome: "left", reason: "" });
             log.info("client left", { ...commonFields(call), route: route.routeId, targets: [...triedTargetIds] });
@@ -57,9 +61,19 @@
         targetPauseRequested: (targetId, pauseMs) => {
             log.info("target requested a pause", { target: targetId, pauseMs });
         },
+        targetRateLimitChanged: (targetId, { kind, ...fields }) => {
+            const event = rateLimitEvents[kind];
+            log[event.level](event.text, { target: targetId, ...fields });
+        },
     };
 }
 
+const rateLimitEvents: Record<RateLimitChange["kind"], { level: "info" | "warn"; text: string }> = {
+    "stated": { level: "info", text: "target stated a rate limit" },
+    "ended": { level: "info", text: "rate limit of target ended" },
+    "unreadable": { level: "warn", text: "target stated a rate limit that cannot be read" },
+};
+
 function describeEnd(end: AttemptEnd): string {
     return "why" in end ? `${end.kind}: ${end.why}` : end.kind;
 }
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -130,6 +130,7 @@
                 const pause = headerOf(head.rawHeaders, "pause");
                 return {
                     isLeaving: headerOf(head.rawHeaders, "leaving") !== undefined, pauseMs: pause === undefined ? undefined : Number(pause),
+                    rateLimit: { kind: "none" },
                 };
             },
         },
@@ -140,7 +141,8 @@
         retries: { onRequest: () => undefined, take: () => true },
         loads: { count: () => undefined } as unknown as ForwarderDependencies["loads"],
         requestLog: { answered: () => undefined, refused: () => undefined, retried: () => undefined, clientLeft: () => undefined,
-            targetLeaving: () => undefined, targetPauseRequested: () => undefined },
+            targetLeaving: () => undefined, targetPauseRequested: () => undefined,
+            attemptEnded: () => undefined, targetRateLimitChanged: () => undefined },
         dataCentreId, drainMs: 100,
         random: () => 0.5,
         ...overrides,
--- a/test/platform/decoders.spec.ts
+++ b/test/platform/decoders.spec.ts
@@ -73,9 +73,9 @@
     it("announce that a target is leaving or asks for a pause, and malformed or unrelated values are ignored", () => {
         const noticeOf = (status: number, ...rawHeaders: string[]) =>
             platformTargetDialect.noticeOf({ status, reasonPhrase: "", rawHeaders, persistent: true });
-        expect(noticeOf(200, "Server-Leaving", "1")).to.deep.equal({ isLeaving: true, pauseMs: undefined });
-        expect(noticeOf(503, "Server-Leaving", "1", "Retry-After", "2")).to.deep.equal({ isLeaving: true, pauseMs: 2_000 });
-        expect(noticeOf(503, "Retry-After", "0.25")).to.deep.equal({ isLeaving: false, pauseMs: 250 });
+        expect(noticeOf(200, "Server-Leaving", "1")).to.deep.equal({ isLeaving: true, pauseMs: undefined, rateLimit: { kind: "none" } });
+        expect(noticeOf(503, "Server-Leaving", "1", "Retry-After", "2")).to.deep.equal({ isLeaving: true, pauseMs: 2_000, rateLimit: { kind: "none" } });
+        expect(noticeOf(503, "Retry-After", "0.25")).to.deep.equal({ isLeaving: false, pauseMs: 250, rateLimit: { kind: "none" } });
         expect(noticeOf(503, "Retry-After", "999999999").pauseMs).to.equal(600_000);
         const ignored = ["-1", "1e3", "", "soon", "Wed, 21 Oct 2015 07:28:00 GMT", "1.", "9999999999"];
         expect(ignored.map((text) => noticeOf(503, "Retry-After", text).pauseMs)).to.deep.equal(ignored.map(() => undefined));
@@ -83,6 +83,18 @@
         expect(noticeOf(200, "Server-Leaving", "0").isLeaving).to.equal(false);
     });
 
+    it("state a rate limit as a decimal number, and anything else is kept apart from the end of a limit", () => {
+        const rateLimitOf = (...rawHeaders: string[]) => platformTargetDialect.noticeOf(head(...rawHeaders)).rateLimit;
+        expect(rateLimitOf("Server-Limit", "3.4")).to.deep.equal({ kind: "stated", requestsPerSecond: 3.4 });
+        expect(rateLimitOf("server-limit", "2.3000000000000003")).to.deep.equal({ kind: "stated", requestsPerSecond: 2.3000000000000003 });
+        expect(rateLimitOf("Server-Limit", "0")).to.deep.equal({ kind: "stated", requestsPerSecond: 0 });
+        expect(rateLimitOf()).to.deep.equal({ kind: "none" });
+        for (const text of ["-1", "1e3", "", "NaN", "Infinity", "3,4", "3.4/s", ".5", "5."]) {
+            expect(rateLimitOf("Server-Limit", text)).to.deep.equal({ kind: "unreadable", text });
+        }
+        expect(rateLimitOf("Server-Limit", "x".repeat(5_000))).to.deep.equal({ kind: "unreadable", text: "x".repeat(40) });
+    });
+
     it("match an answer to its request by id; an answer without an id is accepted only if it says that the request was not run", () => {
         const id = "r1" as RequestId;
         expect(platformTargetDialect.isAnswerTo(head("Request-Id", "r1"), id)).to.equal(true);
--- a/test/platform/leases.spec.ts
+++ b/test/platform/leases.spec.ts
@@ -18,7 +18,7 @@
 async function grantAt(targetId: string, server: { id: string; sharded: boolean }): Promise<string> {
     const standIn = await startServer({ ...options, service: "s", ...server });
     try {
-        const session = (await createLeasePort(() => undefined).open(targetId as TargetId, standIn.address as Address))._unsafeUnwrap();
+        const session = (await createLeasePort(ignoreCalls).open(targetId as TargetId, standIn.address as Address))._unsafeUnwrap();
         const reply = await session.grant(grant, 1_000);
         session.reset();
         return reply._unsafeUnwrap();
@@ -28,6 +28,8 @@
     }
 }
 
+const ignoreCalls = { onConnected: () => undefined, onCall: () => undefined };
+
 describe("grants at a reused address", () => {
     it("are accepted by the intended target", async () => {
         expect(await grantAt("k1", { id: "k1", sharded: true })).to.equal("granted");
@@ -57,7 +59,7 @@
         server.listen(0, "127.0.0.1");
         await once(server, "listening");
         const address = `127.0.0.1:${String((server.address() as net.AddressInfo).port)}` as Address;
-        const session = (await createLeasePort(() => undefined).open("k1" as TargetId, address))._unsafeUnwrap();
+        const session = (await createLeasePort(ignoreCalls).open("k1" as TargetId, address))._unsafeUnwrap();
         const reply = await session.grant(grant, 200);
         expect(reply._unsafeUnwrapErr().kind).to.equal("lost");
         server.close();
