--- /dev/null
+++ b/test/fleet/rateLimit.spec.ts
@@ -0,0 +1,101 @@
+import http from "node:http";
+import { expect } from "chai";
+import type { ServerStandIn } from "../../platform/standins/serverStandIn.js";
+import { noServerFaults } from "../../platform/standins/serverStandIn.js";
+import type { ClientAnswer, FleetHost } from "./fleet.js";
+import { Fleet, paths, send, sleep } from "./fleet.js";
+
+/** What the platform's rule allows: from `settledMs` after a limit was first stated, in any `windowMs`. */
+const windowMs = 4_000;
+const settledMs = 3_000;
+const toleratedRatio = 1.5;
+const toleratedExtra = 5;
+
+/** A refusal must come at once. */
+const promptMs = 300;
+
+const keys = Array.from({ length: 256 }, (_, index) => index * 256);
+
+function allowedPerWindow(limitPerSecond: number): number {
+    return toleratedRatio * limitPerSecond * windowMs / 1_000 + toleratedExtra;
+}
+
+/** Returns the largest number of requests and lease calls in any window that ends after `fromMs`. */
+function maxPerWindow({ arrivalsMs }: ServerStandIn, fromMs: number): number {
+    return Math.max(0, ...arrivalsMs.filter((endMs) => endMs >= fromMs)
+        .map((endMs) => arrivalsMs.filter((atMs) => atMs > endMs - windowMs && atMs <= endMs).length));
+}
+
+interface Load {
+    path: string;
+    keys: readonly number[] | undefined;
+    /** Pause of each host's client between its requests. */
+    periodMs: number;
+}
+
+/** Sends requests through a host until stopped, on one open connection. */
+function startClient(host: FleetHost, prefix: string, { path, keys: requestedKeys, periodMs }: Load): () => Promise<ClientAnswer[]> {
+    const agent = new http.Agent({ keepAlive: true });
+    const answers: Promise<ClientAnswer>[] = [];
+    const timer = setInterval(() => {
+        const count = answers.length;
+        const key = requestedKeys?.[(count * 7) % requestedKeys.length];
+        answers.push(send(host, { id: `${prefix}-${host.name}-${String(count)}`, path: `${path}x`, key, agent, budgetMs: 2_000 }));
+    }, periodMs);
+    return async () => {
+        clearInterval(timer);
+        const ended = await Promise.all(answers);
+        agent.destroy();
+        return ended;
+    };
+}
+
+function expectPromptRefusals(answers: readonly ClientAnswer[]): void {
+    const refusals = answers.filter(({ status }) => status === 503);
+    expect(answers.filter(({ status }) => status !== 200 && status !== 503)).to.deep.equal([]);
+    expect(refusals.filter(({ headers }) => !(Number(headers["retry-after"]) > 0)), "refusals without Retry-After").to.deep.equal([]);
+    expect(refusals.filter(({ tookMs }) => tookMs > promptMs).map(({ tookMs }) => tookMs), "late refusals").to.deep.equal([]);
+}
+
+describe("a rate limit that a server states", function () {
+    this.timeout(60_000);
+    let fleet: Fleet;
+
+    before(async () => {
+        fleet = await Fleet.start(6, 3, 3);
+    });
+
+    after(async () => {
+        await fleet.stop();
+    });
+
+    it("bounds what a server that owns keys gets from many hosts with few requests each", async () => {
+        const limitPerSecond = 2.3;
+        const limited = fleet.servers.find(({ id }) => id === "k0")!;
+        const load = { path: paths.read, keys: keys.filter((key) => limited.holds(key)), periodMs: 600 };
+        const clients = fleet.hosts.map((host) => startClient(host, "keyed", load));
+        await sleep(1_500);
+        limited.faults = { ...noServerFaults, statedLimit: String(limitPerSecond) };
+        const statedMs = performance.now();
+        await sleep(settledMs + windowMs + 1_000);
+        const answers = (await Promise.all(clients.map((stop) => stop()))).flat();
+        limited.faults = noServerFaults;
+        expect(maxPerWindow(limited, statedMs + settledMs)).to.be.at.most(allowedPerWindow(limitPerSecond));
+        expectPromptRefusals(answers);
+        expect(answers.filter(({ status }) => status === 200).length).to.be.above(answers.length / 2);
+    });
+
+    it("bounds what a server without keys gets, while others serve the rest", async () => {
+        const limitPerSecond = 1.5;
+        const limited = fleet.servers.find(({ id }) => id === "p0")!;
+        const clients = fleet.hosts.map((host) => startClient(host, "plain", { path: paths.list, keys: undefined, periodMs: 200 }));
+        await sleep(1_000);
+        limited.faults = { ...noServerFaults, statedLimit: String(limitPerSecond) };
+        const statedMs = performance.now();
+        await sleep(settledMs + windowMs + 1_000);
+        const answers = (await Promise.all(clients.map((stop) => stop()))).flat();
+        limited.faults = noServerFaults;
+        expect(maxPerWindow(limited, statedMs + settledMs)).to.be.at.most(allowedPerWindow(limitPerSecond));
+        expect(answers.filter(({ status }) => status !== 200)).to.deep.equal([]);
+    });
+});
