Keep the rate limit that a target states, over all hosts, in its admission queue

Cause: nothing acted on the limit. Change: the host that keeps a target's queue, which grants every request of every host anyway, meters the grants with a token bucket that is empty at first (rateLimiter.ts). Senders tell it the limit with each request and each end, so that a host that takes the queue over knows it at once; the newest statement counts, an answer without one ends the limit if its request was sent later. What the limit has no room for before its deadline is refused at once (rate-limited, 503) with the time at which there is room, or runs at another target of a service without keys; the most urgent waiting request goes first. Limits of 0 get a request every 5 s, since only answers show their end. The order of hosts for a queue moves to queueHosts.ts. Why it works: every request needs a grant of the queue, and one host keeps the queue. Open: lease calls, the queue on two hosts at once, a retry in the slot of the running attempt.

--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -2,12 +2,13 @@
 import { ok } from "neverthrow";
 import type { Member, Membership } from "../cluster/membership.js";
 import type { PeerLinks } from "../cluster/peerLinks.js";
-import type { DataCentreId, TargetId } from "../model/names.js";
-import { rankCandidates } from "../model/rendezvous.js";
+import type { TargetId } from "../model/names.js";
+import type { StatedRateLimit } from "../model/rateLimit.js";
 import type { Clock } from "../model/time.js";
 import type { QueueRefusalReason, Ticket } from "./admissionRequest.js";
-import type { EnterParams, EnterReply, Group } from "./messages.js";
-import { admissionMethods, groupName } from "./messages.js";
+import type { EnterParams, EnterReply, LeaveParams } from "./messages.js";
+import { admissionMethods } from "./messages.js";
+import type { QueueHosts } from "./queueHosts.js";
 import type { AdmissionServer } from "./admissionServer.js";
 import type { WorkEnd } from "./targetRecord.js";
 
@@ -28,13 +29,14 @@
     softDeadlineMs: number;
     /** Monotonic time after which the answer is useless. */
     deadlineMs: number;
-    /** Preferred data centre of the host that keeps the queue, or undefined for any. */
-    preferredDataCentreId: DataCentreId | undefined;
 }
 
-/** A slot at a target, or the reason why none was granted. `leave` frees the slot after the end of the request. */
+/**
+ * A slot at a target, or the reason why none was granted. `leave` frees the slot after the end of the request; it also tells the
+ * queue's host which rate limit the target has, if any.
+ */
 export type SlotDecision =
-    | { kind: "granted"; targetId: TargetId; expectedMs: number; leave: (end: WorkEnd) => void }
+    | { kind: "granted"; targetId: TargetId; expectedMs: number; leave: (end: WorkEnd, rateLimit?: StatedRateLimit) => void }
     | { kind: "refused"; reason: QueueRefusalReason | "no-host" | "withdrawn"; retryAfterMs: number };
 
 /** Requests slots from the hosts that keep the queues. */
@@ -54,44 +56,21 @@
 export interface AdmissionClientDependencies {
     localServer: AdmissionServer;
     membership: Membership;
+    queueHosts: QueueHosts;
     links: PeerLinks;
     clock: Clock;
     nextTicket: () => Ticket;
 }
 
 /** Creates the admission client of this host. */
-export function createAdmissionClient({ localServer, membership, links, clock, nextTicket }: AdmissionClientDependencies): AdmissionClient {
-    const rankedByQueue = new Map<string, readonly Member[]>();
-    let rankedVersion = membership.version;
+export function createAdmissionClient(
+    { localServer, membership, queueHosts, links, clock, nextTicket }: AdmissionClientDependencies,
+): AdmissionClient {
     const isSelf = (member: Member) => member.hostId === membership.self.hostId;
 
-    /**
-     * Lists the hosts that may keep a queue, in order of preference. All hosts ask the queue of a service without keys for every
-     * request, which is more than a small host can answer, so for these queues hosts with a larger CPU share come first.
-     */
-    const rankHosts = ({ group, preferredDataCentreId }: SlotRequest): Member[] => {
-        const ranked = rankCandidates(groupName(group), membership.members(), ({ hostId }) => hostId);
-        if (group.kind === "service") {
-            ranked.sort((left, right) => right.cpuShare - left.cpuShare);
-        }
-        return [
-            ...ranked.filter(({ dataCentreId }) => dataCentreId === preferredDataCentreId),
-            ...ranked.filter(({ dataCentreId }) => dataCentreId !== preferredDataCentreId),
-        ];
-    };
-
-    /**
-     * Returns the preferred reachable hosts, at most `maxHostsTried`. The ranking is cached by queue until the members change: with
-     * hundreds of hosts, ranking takes longer than the rest of `enter`.
-     */
-    const reachableCandidates = (request: SlotRequest, nowMs: number): Member[] => {
-        if (rankedVersion !== membership.version) {
-            rankedByQueue.clear();
-            rankedVersion = membership.version;
-        }
-        const queueName = `${groupName(request.group)}/${request.preferredDataCentreId ?? ""}`;
-        const ranked = rankedByQueue.get(queueName) ?? rankHosts(request);
-        rankedByQueue.set(queueName, ranked);
+    /** Returns the preferred reachable hosts, at most `maxHostsTried`. */
+    const reachableCandidates = ({ group }: SlotRequest, nowMs: number): Member[] => {
+        const ranked = queueHosts.ranked(group);
         const candidates: Member[] = [];
         for (let index = 0; index < ranked.length && candidates.length < maxHostsTried; index++) {
             const member = ranked[index] as Member;
@@ -116,7 +95,7 @@
     const requestSlotFromPeer = (member: Member, params: EnterParams) =>
         links.call<EnterReply>(member.peerAddress, admissionMethods.enter, params, params.deadlineLeftMs + replyGraceMs);
 
-    const notifyQueueHost = (member: Member, method: "leave" | "withdraw", params: { group: Group; ticket: Ticket; end?: WorkEnd }) => {
+    const notifyQueueHost = (member: Member, method: "leave" | "withdraw", params: Pick<LeaveParams, "group" | "ticket" | "rateLimit"> & { end?: WorkEnd }) => {
         if (!isSelf(member)) {
             links.notify(member.peerAddress, admissionMethods[method], params);
         }
@@ -131,14 +110,14 @@
     const enterAt = async (member: Member, request: SlotRequest, signal: AbortSignal): Promise<SlotDecision | undefined> => {
         const nowMs = clock.now().monoMs;
         const ticket = nextTicket();
-        const { group, priority, workMs, near, avoid, softDeadlineMs, deadlineMs } = request;
+        const { group, priority, workMs, near, avoid, rateLimits, softDeadlineMs, deadlineMs } = request;
         const withdraw = () => {
             notifyQueueHost(member, "withdraw", { group, ticket });
         };
         const withdrawn = whenAborted(signal);
         const reply = await Promise.race([
             requestSlot(member, {
-                ticket, group, priority, near, avoid, workMs: Math.round(workMs),
+                ticket, group, priority, near, avoid, workMs: Math.round(workMs), ...rateLimits === undefined ? {} : { rateLimits },
                 targetLeftMs: Math.round(softDeadlineMs - nowMs), deadlineLeftMs: Math.round(deadlineMs - nowMs),
             }),
             withdrawn.promise,
@@ -154,8 +133,8 @@
         return "granted" in reply
             ? {
                 kind: "granted", targetId: reply.granted, expectedMs: reply.expectedMs,
-                leave: (end) => {
-                    notifyQueueHost(member, "leave", { group, ticket, end });
+                leave: (end, rateLimit) => {
+                    notifyQueueHost(member, "leave", { group, ticket, end, ...rateLimit === undefined ? {} : { rateLimit } });
                 },
             }
             : { kind: "refused", reason: reply.refused, retryAfterMs: reply.retryAfterMs };
--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -8,20 +8,27 @@
  * - Requests that will probably be answered within their target latency are sent before those that will not.
  * - Within each of these two classes, more urgent requests are sent before less urgent ones.
  * - A request that cannot be answered before its deadline is refused at once.
+ * - A target that stated a rate limit gets no more requests than that, from all hosts together.
  *
  * Work times vary between requests, so the queue plans with more than the average work time. If it sent requests at the last
  * moment at which one of average length is still in time, half of the work would be late under sustained overload.
  */
 import { iterateSorted } from "../model/iterateSorted.js";
 import type { TargetId } from "../model/names.js";
+import type { StatedRateLimit } from "../model/rateLimit.js";
 import type { AdmissionRequest, AdmissionVerdict, QueueRefusalReason, Ticket } from "./admissionRequest.js";
 import { chooseTarget } from "./targetChoice.js";
 import type { QueueTarget, RunningRequest, TargetRecord, WorkEnd } from "./targetRecord.js";
-import { backOffLeftMs, decaySlowness, hasFreeSlot, recordEnd, maxSlowness, newTargetRecord } from "./targetRecord.js";
+import {
+    applyRateLimit, backOffLeftMs, decaySlowness, effectiveSlots, endRateLimit, hasFreeSlot, recordEnd, maxSlowness, newTargetRecord,
+} from "./targetRecord.js";
 import { WorkTimeQuantile } from "./workTimeQuantile.js";
 
 const minRetryAfterMs = 50;
 
+/** Factors of retry delays. The next request under a rate limit is certainly not sent earlier, while slots may become free sooner. */
+const retryJitter = { rateLimited: { min: 1, spread: 0.25 }, other: { min: 0.75, spread: 0.5 } };
+
 /** Time constant of the offered load's exponential decay: an arrival this long ago counts for about a third (1/e). */
 const offeredLoadDecayMs = 1_000;
 
@@ -38,6 +45,32 @@
  */
 const maxPlannedWorkShare = 0.75;
 
+/** Weight of a new request in the moving average of the work times. */
+const meanWorkWeight = 0.05;
+
+/** Upper bound of the slowness that `describeTargets` lists; a target with a rate limit may do far less work than its slots allow. */
+const maxReportedSlowness = 200;
+
+/** Expected wait of a request, and what it is refused with if that is too long. */
+interface ExpectedWait {
+    durationMs: number;
+    reason: QueueRefusalReason;
+    retryAfterMs: number;
+}
+
+const noWait: ExpectedWait = { durationMs: 0, reason: "overloaded", retryAfterMs: 0 };
+
+/** Load and capacity of a target, as its queue knows them. */
+export interface TargetDescription {
+    targetId: TargetId;
+    running: number;
+    observationCount: number;
+    /** Slots divided by what the target can do in parallel, in slots of a target of average speed. */
+    slowness: number;
+    /** Rate limit that the target stated; undefined if it has none. */
+    requestsPerSecond: number | undefined;
+}
+
 /** Queue of the requests for a group of targets. */
 export class AdmissionQueue {
     private readonly targets = new Map<TargetId, TargetRecord>();
@@ -49,6 +82,10 @@
     private readonly workTimeQuantile = new WorkTimeQuantile();
     /** Slowness of the fastest open target. */
     private minOpenSlowness = 1;
+    /** Mean work time of the requests, at targets of average speed. */
+    private meanWorkMs = 0;
+    /** Share of the targets' rate limits that this queue may use. */
+    private rateLimitShare = 1;
 
     /** @param random source of numbers uniform in [0, 1), for the jitter of retry delays */
     constructor(private readonly random: () => number) {}
@@ -63,10 +100,37 @@
         return this.running.size;
     }
 
-    /** Lists the load and the observed slowness of each target. */
-    describeTargets(): { targetId: TargetId; running: number; slowness: number; observationCount: number }[] {
-        return [...this.targets.values()].map(({ target, running, slowness, observationCount }) =>
-            ({ targetId: target.targetId, running, slowness, observationCount }));
+    /** Lists the load and the capacity of each target. */
+    describeTargets(): TargetDescription[] {
+        return [...this.targets.values()].map((record) => ({
+            targetId: record.target.targetId, running: record.running, observationCount: record.observationCount,
+            slowness: Math.min(maxReportedSlowness, record.target.slots / effectiveSlots(record, this.meanWorkMs)),
+            requestsPerSecond: record.rateLimiter?.limit,
+        }));
+    }
+
+    /**
+     * Applies a rate limit that a target stated to some host.
+     * @param stated the limit
+     * @param nowMs current monotonic time
+     */
+    applyRateLimit(stated: StatedRateLimit, nowMs: number): void {
+        const record = this.targets.get(stated.targetId);
+        if (record !== undefined) {
+            applyRateLimit(record, stated, this.rateLimitShare, nowMs);
+        }
+    }
+
+    /**
+     * Sets the share of the targets' rate limits that this queue may use.
+     * @param share more than 0, at most 1
+     * @param nowMs current monotonic time
+     */
+    setRateLimitShare(share: number, nowMs: number): void {
+        if (share !== this.rateLimitShare) {
+            this.rateLimitShare = share;
+            this.targets.forEach(({ rateLimiter }) => rateLimiter?.setShare(share, nowMs));
+        }
     }
 
     /**
@@ -84,7 +148,7 @@
             const known = this.targets.get(target.targetId);
             this.targets.set(target.targetId, known === undefined
                 ? newTargetRecord(target, this.countRunning(target.targetId), nowMs)
-                : { ...known, target });
+                : { ...known, target, ...known.target.bornWallMs === target.bornWallMs ? {} : { rateLimiter: undefined } });
         }
         this.updateMinOpenSlowness();
         return this.dispatch(nowMs);
@@ -106,9 +170,9 @@
         if (backOffMs > 0) {
             return [this.refuse(request, "paused", backOffMs)];
         }
-        const waitMs = open.some((record) => hasFreeSlot(record, nowMs)) ? 0 : this.expectedWaitMs(request, nowMs);
-        if (nowMs + waitMs + this.fastestWorkMs(request) > request.deadlineMs) {
-            return [this.refuse(request, "overloaded", waitMs)];
+        const wait = open.some((record) => hasFreeSlot(record, nowMs)) ? noWait : this.expectedWait(request, nowMs);
+        if (nowMs + wait.durationMs + this.fastestWorkMs(request) > request.deadlineMs) {
+            return [this.refuse(request, wait.reason, wait.retryAfterMs)];
         }
         this.waiting.push(request);
         return this.dispatch(nowMs);
@@ -130,9 +194,10 @@
      * @param ticket identifies the request
      * @param end how the request ended
      * @param nowMs current monotonic time
+     * @param rateLimit rate limit of the target as its last response to the sender stated it; undefined if the target has none
      * @returns verdicts on waiting requests
      */
-    finish(ticket: Ticket, end: WorkEnd, nowMs: number): AdmissionVerdict[] {
+    finish(ticket: Ticket, end: WorkEnd, nowMs: number, rateLimit?: StatedRateLimit): AdmissionVerdict[] {
         const ended = this.running.get(ticket);
         if (ended === undefined) {
             return [];
@@ -145,6 +210,12 @@
                 this.workTimeQuantile.observe(end.tookMs / Math.max(1, ended.workMs * record.slowness));
             }
             recordEnd(record, ended, end, nowMs);
+            if (rateLimit !== undefined) {
+                applyRateLimit(record, rateLimit, this.rateLimitShare, nowMs);
+            }
+            else if (end.kind === "answered") {
+                endRateLimit(record, ended, nowMs);
+            }
             this.updateMinOpenSlowness();
         }
         return this.dispatch(nowMs);
@@ -176,9 +247,12 @@
         const kept: AdmissionRequest[] = [];
         let workBeforeMs = this.remainingWorkMs(nowMs);
         for (const request of this.waiting.sort((left, right) => this.compareRank(left, right, nowMs))) {
-            const waitMs = this.isProbablyLate(request, nowMs) ? workBeforeMs / slots / spareShare : 0;
-            if (nowMs + waitMs + this.fastestWorkMs(request) > request.deadlineMs) {
-                refused.push(this.refuse(request, "overloaded", Math.max(request.workMs, waitMs)));
+            const slotWaitMs = this.isProbablyLate(request, nowMs) ? workBeforeMs / slots / spareShare : 0;
+            const rateWaitMs = this.rateLimitWaitMs(kept.length, nowMs);
+            if (nowMs + Math.max(slotWaitMs, rateWaitMs) + this.fastestWorkMs(request) > request.deadlineMs) {
+                refused.push(rateWaitMs > 0
+                    ? this.refuse(request, "rate-limited", rateWaitMs)
+                    : this.refuse(request, "overloaded", Math.max(request.workMs, slotWaitMs)));
                 continue;
             }
             kept.push(request);
@@ -203,6 +277,7 @@
 
     private grant(request: AdmissionRequest, record: TargetRecord, nowMs: number): AdmissionVerdict {
         record.running += 1;
+        record.rateLimiter?.take(nowMs);
         this.running.set(request.ticket, {
             targetId: record.target.targetId, sender: request.sender, workMs: request.workMs,
             startedMs: nowMs, slotExpiryMs: request.deadlineMs + unreportedGraceMs,
@@ -248,14 +323,35 @@
      * first. If the request will exceed its target latency, requests that arrive meanwhile and can still meet theirs are sent before
      * it as well.
      */
-    private expectedWaitMs(request: AdmissionRequest, nowMs: number): number {
+    private expectedWait(request: AdmissionRequest, nowMs: number): ExpectedWait {
         const slots = this.effectiveSlots();
         const sentBefore = this.waiting.filter((other) => this.compareRank(other, request, nowMs) <= 0);
-        const waitMs = (totalWorkMs(sentBefore) + this.remainingWorkMs(nowMs)) / slots;
-        if (!this.isProbablyLate(request, nowMs + waitMs)) {
-            return waitMs;
+        const rateWaitMs = this.rateLimitWaitMs(sentBefore.length, nowMs);
+        const waitMs = Math.max(rateWaitMs, (totalWorkMs(sentBefore) + this.remainingWorkMs(nowMs)) / slots);
+        const durationMs = this.isProbablyLate(request, nowMs + waitMs) ? waitMs / this.spareShare(slots, nowMs) : waitMs;
+        return rateWaitMs > 0
+            ? { durationMs, reason: "rate-limited", retryAfterMs: rateWaitMs }
+            : { durationMs, reason: "overloaded", retryAfterMs: durationMs };
+    }
+
+    /**
+     * Returns the time until the rate limits permit one more request, or 0 if a target without a limit is open.
+     * @param sentBefore number of waiting requests that are sent before it
+     * @param nowMs current monotonic time
+     */
+    private rateLimitWaitMs(sentBefore: number, nowMs: number): number {
+        let tokens = 0;
+        let perSecond = 0;
+        for (const { target, rateLimiter } of this.targets.values()) {
+            if (target.isOpen && rateLimiter === undefined) {
+                return 0;
+            }
+            if (target.isOpen && rateLimiter !== undefined) {
+                tokens += rateLimiter.availableTokens(nowMs);
+                perSecond += rateLimiter.permittedPerSecond;
+            }
         }
-        return waitMs / this.spareShare(slots, nowMs);
+        return perSecond === 0 ? 0 : Math.max(0, (sentBefore + 1 - tokens) / perSecond * 1_000);
     }
 
     /** Share of the slots left for requests that will exceed their target latency, after the offered load of those that will not. */
@@ -266,8 +362,8 @@
     /** Total slots of the open targets, converted to slots of targets of average speed. */
     private effectiveSlots(): number {
         let slots = 0;
-        for (const { target, slowness } of this.targets.values()) {
-            slots += target.isOpen ? target.slots / slowness : 0;
+        for (const record of this.targets.values()) {
+            slots += record.target.isOpen ? effectiveSlots(record, this.meanWorkMs) : 0;
         }
         return Math.max(minEffectiveSlots, slots);
     }
@@ -290,6 +386,7 @@
     }
 
     private recordOffer(request: AdmissionRequest, nowMs: number): void {
+        this.meanWorkMs = this.meanWorkMs === 0 ? request.workMs : this.meanWorkMs + meanWorkWeight * (request.workMs - this.meanWorkMs);
         this.offeredLoad = this.currentOfferedLoad(nowMs) + (this.isProbablyLate(request, nowMs) ? 0 : request.workMs / offeredLoadDecayMs);
         this.offeredLoadUpdatedMs = nowMs;
     }
@@ -310,7 +407,8 @@
     }
 
     private refuse({ ticket }: AdmissionRequest, reason: QueueRefusalReason, waitMs: number): AdmissionVerdict {
-        return { kind: "refused", ticket, reason, retryAfterMs: Math.max(minRetryAfterMs, waitMs) * (0.75 + this.random() / 2) };
+        const jitter = retryJitter[reason === "rate-limited" ? "rateLimited" : "other"];
+        return { kind: "refused", ticket, reason, retryAfterMs: Math.max(minRetryAfterMs, waitMs) * (jitter.min + this.random() * jitter.spread) };
     }
 }
 
--- a/src/admission/admissionRequest.ts
+++ b/src/admission/admissionRequest.ts
@@ -36,6 +36,8 @@
 export type QueueRefusalReason =
     /** The request cannot be answered before its deadline. */
     | "overloaded"
+    /** The rate limits that the targets stated leave no room for the request before its deadline. */
+    | "rate-limited"
     /** No target of the group is open. */
     | "no-target"
     /** Every open target has asked the sending host to back off. */
--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -41,6 +41,8 @@
     slowness: number;
     running: number;
     waiting: number;
+    /** Rate limit that the target stated; absent if it has none. */
+    requestsPerSecond?: number;
 }
 
 interface ManagedQueue {
@@ -117,6 +119,7 @@
         isOpen: !isSilent(target.targetId)
             && (group.kind === "target" ? mayReceive(target, drainMs, nowMs) : target.state === "ready" && !isDrained(target.targetId)),
         warmingUp: target.warmingUp,
+        bornWallMs: target.bornWallMs,
     });
 
     const sendReplies = (managed: ManagedQueue, verdicts: readonly AdmissionVerdict[]) => {
@@ -135,6 +138,9 @@
         }
         const nowMs = clock.now().monoMs;
         const managed = queueOf(params.group, nowMs);
+        params.rateLimits?.forEach((limit) => {
+            managed.queue.applyRateLimit(limit, nowMs);
+        });
         return new Promise((resolve) => {
             managed.pendingReplies.set(params.ticket, resolve);
             sendReplies(managed, managed.queue.offer(toRequest(params, sender, nowMs), nowMs));
@@ -144,10 +150,10 @@
         });
     };
 
-    const leave = ({ group, ticket, end }: LeaveParams) => {
+    const leave = ({ group, ticket, end, rateLimit }: LeaveParams) => {
         const nowMs = clock.now().monoMs;
         const managed = queueOf(group, nowMs);
-        sendReplies(managed, managed.queue.finish(ticket, end, nowMs));
+        sendReplies(managed, managed.queue.finish(ticket, end, nowMs, rateLimit));
     };
 
     const withdraw = ({ group, ticket }: WithdrawParams) => {
@@ -211,9 +217,11 @@
             }
         },
         pressures: () => [...queues.values()].flatMap(({ queue }) => queue.describeTargets()
-            .filter(({ observationCount }) => observationCount >= minObservationCount)
-            .map(({ targetId, running, slowness }) =>
-                ({ targetId, running, slowness: roundToHundredths(slowness), waiting: queue.waitingCount }))),
+            .filter(({ observationCount, requestsPerSecond }) => observationCount >= minObservationCount || requestsPerSecond !== undefined)
+            .map(({ targetId, running, slowness, requestsPerSecond }) => ({
+                targetId, running, slowness: roundToHundredths(slowness), waiting: queue.waitingCount,
+                ...requestsPerSecond === undefined ? {} : { requestsPerSecond },
+            }))),
     };
 }
 
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -1,5 +1,6 @@
 /** RPC messages between a host that needs a slot and the host that keeps the queue. */
 import type { DataCentreId, ServiceId, TargetId } from "../model/names.js";
+import type { StatedRateLimit } from "../model/rateLimit.js";
 import type { QueueRefusalReason, Ticket } from "./admissionRequest.js";
 import type { WorkEnd } from "./targetRecord.js";
 
@@ -23,6 +24,8 @@
     near: DataCentreId;
     /** Targets of the request's earlier attempts, and targets that the sending host knows to be unavailable. */
     avoid: readonly TargetId[];
+    /** Rate limits of the group's targets that the sending host knows; absent if it knows of none. */
+    rateLimits?: readonly StatedRateLimit[];
 }
 
 /** Reply to `EnterParams`. */
@@ -37,6 +40,8 @@
     group: Group;
     ticket: Ticket;
     end: WorkEnd;
+    /** Rate limit of the target as the sending host knows it now; absent if the target has none. */
+    rateLimit?: StatedRateLimit;
 }
 
 /** Removes a request whose sender no longer needs a slot. */
--- /dev/null
+++ b/src/admission/queueHosts.ts
@@ -0,0 +1,54 @@
+/** Determines which hosts may keep an admission queue. */
+import type { Member, Membership } from "../cluster/membership.js";
+import type { DataCentreId } from "../model/names.js";
+import { rankCandidates } from "../model/rendezvous.js";
+import type { ClusterView } from "../store/clusterView.js";
+import type { Group } from "./messages.js";
+import { groupName } from "./messages.js";
+
+/** Ranks the hosts for each queue; all hosts that know the same members and targets get the same order. */
+export class QueueHosts {
+    private readonly rankedByQueue = new Map<string, readonly Member[]>();
+    private rankedVersion: number;
+
+    constructor(private readonly membership: Membership, private readonly view: ClusterView) {
+        this.rankedVersion = membership.version;
+    }
+
+    /**
+     * Lists the hosts that may keep a queue, in order of preference: first those in the data centre of the target, if the group is one
+     * target. The order is cached until the members change: with hundreds of hosts, ranking takes longer than the rest of a request for
+     * a slot.
+     */
+    ranked(group: Group): readonly Member[] {
+        if (this.rankedVersion !== this.membership.version) {
+            this.rankedByQueue.clear();
+            this.rankedVersion = this.membership.version;
+        }
+        const dataCentreId = group.kind === "target" ? this.view.targets.get(group.targetId)?.dataCentreId : undefined;
+        const cacheKey = `${groupName(group)}/${dataCentreId ?? ""}`;
+        const ranked = this.rankedByQueue.get(cacheKey) ?? this.rank(group, dataCentreId);
+        this.rankedByQueue.set(cacheKey, ranked);
+        return ranked;
+    }
+
+    /** Returns the place of this host in the order for a queue: 0 is the host that keeps it, -1 means that this host is leaving. */
+    ownRank(group: Group): number {
+        return this.ranked(group).findIndex(({ hostId }) => hostId === this.membership.self.hostId);
+    }
+
+    /**
+     * All hosts ask the queue of a service without keys for every request, which is more than a small host can answer, so for these
+     * queues hosts with a larger CPU share come first.
+     */
+    private rank(group: Group, preferredDataCentreId: DataCentreId | undefined): readonly Member[] {
+        const ranked = rankCandidates(groupName(group), this.membership.members(), ({ hostId }) => hostId);
+        if (group.kind === "service") {
+            ranked.sort((left, right) => right.cpuShare - left.cpuShare);
+        }
+        return [
+            ...ranked.filter(({ dataCentreId }) => dataCentreId === preferredDataCentreId),
+            ...ranked.filter(({ dataCentreId }) => dataCentreId !== preferredDataCentreId),
+        ];
+    }
+}
--- /dev/null
+++ b/src/admission/rateLimiter.ts
@@ -0,0 +1,69 @@
+/**
+ * Keeps the rate of requests to one target within the limit that it stated. The host that keeps the target's queue counts the requests
+ * of all hosts, so a limit of a few requests a second holds however many hosts send a few each.
+ *
+ * Load pattern: a target in trouble states a limit far below the rate of its requests. It then gets its requests evenly spaced, the
+ * most urgent first; the rest is refused at once or runs elsewhere.
+ */
+
+/** Capacity of the token bucket: this many requests, or those of `burstMs` at the permitted rate if that is more. */
+const minBurst = 2;
+const burstMs = 100;
+
+/** Rate at which a target that accepts (almost) nothing is sent requests, since only its responses show the end of its limit. */
+const minPerSecond = 0.2;
+
+/** A token bucket that is empty at first, since the target got more than its limit until now. Times are monotonic milliseconds. */
+export class RateLimiter {
+    private tokens = 0;
+
+    /**
+     * @param limitPerSecond limit that the target stated
+     * @param share share of the limit that this limiter may use
+     * @param statedAtMs time of the statement
+     * @param updatedMs current time
+     */
+    constructor(private limitPerSecond: number, private share: number, private statedAtMs: number, private updatedMs: number) {}
+
+    /** Limit that the target stated. */
+    get limit(): number {
+        return this.limitPerSecond;
+    }
+
+    /** Time of the newest statement of the limit. */
+    get lastStatedMs(): number {
+        return this.statedAtMs;
+    }
+
+    /** Requests a second that are sent at most. */
+    get permittedPerSecond(): number {
+        return Math.max(minPerSecond, this.limitPerSecond * this.share);
+    }
+
+    /** Sets a limit that was stated later. */
+    restate(limitPerSecond: number, statedAtMs: number, nowMs: number): void {
+        this.tokens = this.availableTokens(nowMs);
+        this.updatedMs = nowMs;
+        this.limitPerSecond = limitPerSecond;
+        this.statedAtMs = statedAtMs;
+    }
+
+    /** Sets the share of the limit that this limiter may use. */
+    setShare(share: number, nowMs: number): void {
+        this.tokens = this.availableTokens(nowMs);
+        this.updatedMs = nowMs;
+        this.share = share;
+    }
+
+    /** Returns how many requests may be sent now; fractions count towards the next one. */
+    availableTokens(nowMs: number): number {
+        const refilled = this.tokens + (nowMs - this.updatedMs) / 1_000 * this.permittedPerSecond;
+        return Math.min(refilled, Math.max(minBurst, this.permittedPerSecond * burstMs / 1_000));
+    }
+
+    /** Counts a request that is sent. */
+    take(nowMs: number): void {
+        this.tokens = this.availableTokens(nowMs) - 1;
+        this.updatedMs = nowMs;
+    }
+}
--- a/src/admission/targetChoice.ts
+++ b/src/admission/targetChoice.ts
@@ -35,6 +35,7 @@
     }
     const slackMs = request.softDeadlineMs - nowMs - request.workMs;
     const mayWait = slackMs > (request.softDeadlineMs - request.arrivedMs) * minSlackShare;
-    const hasOpenLocal = all.some(({ target }) => target.isOpen && target.dataCentreId === request.near);
+    const hasOpenLocal = all.some(({ target, rateLimiter }) =>
+        target.isOpen && target.dataCentreId === request.near && rateLimiter === undefined);
     return local.length === 0 && mayWait && hasOpenLocal ? undefined : fastestTarget(usable);
 }
--- a/src/admission/targetRecord.ts
+++ b/src/admission/targetRecord.ts
@@ -1,5 +1,7 @@
 /** State that an admission queue keeps for each target: used slots, observed slowness and pauses. */
 import type { DataCentreId, TargetId } from "../model/names.js";
+import type { StatedRateLimit } from "../model/rateLimit.js";
+import { RateLimiter } from "./rateLimiter.js";
 
 /** The properties of a target that a queue needs. */
 export interface QueueTarget {
@@ -9,6 +11,8 @@
     /** False while the target may get no new requests. */
     isOpen: boolean;
     warmingUp: boolean;
+    /** Start of the target's process; a later process starts without a rate limit. */
+    bornWallMs: number;
 }
 
 /** How a request ended at its target. */
@@ -52,6 +56,10 @@
     pausedUntilMs: number;
     /** End of the back-off for each host that the target has asked for one; undefined if there has been none. */
     backOffEndMsByHost: Map<string, number> | undefined;
+    /** Keeps the target's rate limit; undefined if it has none. */
+    rateLimiter: RateLimiter | undefined;
+    /** Time at which the last rate limit ended; earlier statements of a limit do not count any more. */
+    rateLimitEndedMs: number;
 }
 
 /** Weight of a new observation in the moving average of `slowness`; the first observations weigh more. */
@@ -83,7 +91,10 @@
  */
 export function newTargetRecord(target: QueueTarget, running: number, nowMs: number): TargetRecord {
     const slowness = target.warmingUp ? warmUpSlowness : 1;
-    return { target, running, slowness, observationCount: 0, lastObservedMs: nowMs, pausedUntilMs: 0, backOffEndMsByHost: undefined };
+    return {
+        target, running, slowness, observationCount: 0, lastObservedMs: nowMs, pausedUntilMs: 0, backOffEndMsByHost: undefined,
+        rateLimiter: undefined, rateLimitEndedMs: Number.NEGATIVE_INFINITY,
+    };
 }
 
 type RecordEnd<Kind extends WorkEnd["kind"]> = (
@@ -143,8 +154,9 @@
 }
 
 /** Returns whether a target can be sent one more request now. */
-export function hasFreeSlot({ target, running, pausedUntilMs }: TargetRecord, nowMs: number): boolean {
-    return target.isOpen && running < target.slots && nowMs >= pausedUntilMs;
+export function hasFreeSlot({ target, running, pausedUntilMs, rateLimiter }: TargetRecord, nowMs: number): boolean {
+    const hasToken = rateLimiter === undefined || rateLimiter.availableTokens(nowMs) >= 1;
+    return target.isOpen && running < target.slots && nowMs >= pausedUntilMs && hasToken;
 }
 
 /** Returns the remaining time for which a host has to back off from a target, or 0 if it does not have to. */
@@ -152,6 +164,49 @@
     return Math.max(0, (backOffEndMsByHost?.get(sender) ?? 0) - nowMs);
 }
 
+/**
+ * Applies a rate limit that a target stated to some host, unless a later statement or the end of the limit is known.
+ * @param record the target's record, which is modified
+ * @param stated the limit
+ * @param share share of the limit that this queue may use
+ * @param nowMs current monotonic time
+ */
+export function applyRateLimit(record: TargetRecord, stated: StatedRateLimit, share: number, nowMs: number): void {
+    const statedAtMs = nowMs - stated.ageMs;
+    if (stated.bornWallMs !== record.target.bornWallMs || statedAtMs <= record.rateLimitEndedMs) {
+        return;
+    }
+    if (record.rateLimiter === undefined) {
+        record.rateLimiter = new RateLimiter(stated.requestsPerSecond, share, statedAtMs, nowMs);
+    }
+    else if (statedAtMs >= record.rateLimiter.lastStatedMs) {
+        record.rateLimiter.restate(stated.requestsPerSecond, statedAtMs, nowMs);
+    }
+}
+
+/**
+ * Ends a target's rate limit after a response that stated none, if the request was sent after the newest statement of the limit.
+ * @param record the target's record, which is modified
+ * @param ended the request
+ * @param nowMs current monotonic time
+ */
+export function endRateLimit(record: TargetRecord, { startedMs }: RunningRequest, nowMs: number): void {
+    if (record.rateLimiter !== undefined && startedMs >= record.rateLimiter.lastStatedMs) {
+        record.rateLimiter = undefined;
+        record.rateLimitEndedMs = nowMs;
+    }
+}
+
+/**
+ * Returns what a target can do in parallel, in slots of a target of average speed.
+ * @param record the target's record
+ * @param meanWorkMs mean work time of a request at a target of average speed; together with a rate limit it bounds the work in progress
+ */
+export function effectiveSlots({ target, slowness, rateLimiter }: TargetRecord, meanWorkMs: number): number {
+    const slots = target.slots / slowness;
+    return rateLimiter === undefined ? slots : Math.min(slots, rateLimiter.permittedPerSecond * meanWorkMs / 1_000);
+}
+
 /** Returns the target that is expected to answer first, or undefined if there are no targets. */
 export function fastestTarget(records: readonly TargetRecord[]): TargetRecord | undefined {
     const relativeTimeOf = ({ target, slowness, running }: TargetRecord) => slowness * (1 + running / target.slots);
--- a/src/entry/clientCall.ts
+++ b/src/entry/clientCall.ts
@@ -7,7 +7,7 @@
     /** The request is invalid, or its body did not arrive completely. */
     | "no-route" | "body-too-large" | "body-late" | "no-key"
     /** The request did not run and will not run. */
-    | "not-ready" | "no-target" | "owner-unknown" | "owner-silent" | "target-paused" | "overloaded" | "too-late" | "rejected"
+    | "not-ready" | "no-target" | "owner-unknown" | "owner-silent" | "target-paused" | "overloaded" | "rate-limited" | "too-late" | "rejected"
     | "unreachable" | "stopping"
     /** The request may have run. */
     | "timed-out" | "lost";
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -31,6 +31,7 @@
     "owner-silent": 503,
     "target-paused": 503,
     "overloaded": 503,
+    "rate-limited": 503,
     "too-late": 503,
     "rejected": 503,
     "unreachable": 503,
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -81,7 +81,7 @@
     const addJitter = (delayMs: number) => delayMs * (0.9 + dependencies.random() * 0.4);
     const pauses = new TargetPauses();
     const rateLimits = new StatedRateLimits();
-    const placer = createPlacer({ ...dependencies, workTimes, pauses, addJitter, waitingRefused: waitingRefused.signal });
+    const placer = createPlacer({ ...dependencies, workTimes, pauses, rateLimits, addJitter, waitingRefused: waitingRefused.signal });
 
     const onNotice = ({ targetId, bornWallMs }: TargetEntry, { isLeaving, pauseMs, rateLimit }: TargetNotice, sentMs: number) => {
         if (isLeaving && view.recordLeaving({ targetId, bornWallMs }, nowMs())) {
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -3,6 +3,7 @@
 import type { WorkEnd } from "../admission/targetRecord.js";
 import type { Refusal, RefusalReason } from "../entry/clientCall.js";
 import type { DataCentreId, Key, ServiceId, TargetId } from "../model/names.js";
+import type { StatedRateLimit } from "../model/rateLimit.js";
 import { linkAborts, waitFor } from "../model/signal.js";
 import type { TargetEntry } from "../model/target.js";
 import { mayReceive } from "../model/target.js";
@@ -11,6 +12,7 @@
 import type { ClusterView } from "../store/clusterView.js";
 import type { RequestContext } from "./requestContext.js";
 import { decideOwnerWait, maxOwnerWaitMs } from "./ownerWait.js";
+import type { StatedRateLimits } from "./statedRateLimits.js";
 import type { TargetPauses } from "./targetPauses.js";
 import type { WorkTimes } from "./workTimes.js";
 import { typicalWorkMs } from "./workTimes.js";
@@ -54,6 +56,8 @@
     drainMs: number;
     /** Targets that have asked this host to back off, and for how long. */
     pauses: TargetPauses;
+    /** Rate limits that targets stated to this host. */
+    rateLimits: StatedRateLimits;
     /** Adds random jitter to a delay in milliseconds, so that clients do not retry at the same time. */
     addJitter: (delayMs: number) => number;
     /** Aborted once this host refuses requests that have no slot. */
@@ -72,10 +76,19 @@
     isOwner(context: RequestContext, targetId: TargetId): boolean;
 }
 
+const reasonByDecision: Record<"overloaded" | "rate-limited" | "no-target" | "no-host", RefusalReason> = {
+    "overloaded": "overloaded",
+    "rate-limited": "rate-limited",
+    "no-target": "no-target",
+    "no-host": "no-target",
+};
+
 /** Creates the placer. */
 export function createPlacer(
-    { view, owners, admission, workTimes, clock, dataCentreId, drainMs, pauses, addJitter, waitingRefused }: PlacerDependencies,
+    dependencies: PlacerDependencies,
 ): Placer {
+    const { view, owners, admission, workTimes, clock, dataCentreId, drainMs } = dependencies;
+    const { pauses, rateLimits, addJitter, waitingRefused } = dependencies;
     const nowMs = () => clock.now().monoMs;
 
     const place = async (context: RequestContext, signal: AbortSignal): Promise<Placement> => {
@@ -89,7 +102,8 @@
         for (let requestCount = 0; requestCount < maxSlotRequests; requestCount++) {
             const waitAbort = linkAborts(signal, waitingRefused);
             const decision = await admission.enter({
-                ...slotRequestOf(context), group: { kind: "service", serviceId }, avoid: [...avoid], preferredDataCentreId: undefined,
+                ...slotRequestOf(context), ...rateLimitsOf(view.targets.ofService(serviceId)),
+                group: { kind: "service", serviceId }, avoid: [...avoid],
             }, waitAbort.signal);
             waitAbort.release();
             if (decision.kind === "refused" || !isUnavailable(decision.targetId)) {
@@ -138,7 +152,8 @@
                 waitAbort.abort();
             });
             const decision = await admission.enter({
-                ...slotRequestOf(context), group: { kind: "target", targetId: owner }, avoid: [], preferredDataCentreId: entry?.dataCentreId,
+                ...slotRequestOf(context), ...rateLimitsOf(entry === undefined ? [] : [entry]),
+                group: { kind: "target", targetId: owner }, avoid: [],
             }, waitAbort.signal);
             waitAbort.release();
             stopWatching();
@@ -206,6 +221,12 @@
         softDeadlineMs, deadlineMs,
     });
 
+    /** Tells the queue's host the limits that this host knows, since another host may have kept the queue until now. */
+    const rateLimitsOf = (targets: readonly TargetEntry[]): { rateLimits?: readonly StatedRateLimit[] } => {
+        const known = targets.flatMap((target) => rateLimits.find(target, nowMs()) ?? []);
+        return known.length === 0 ? {} : { rateLimits: known };
+    };
+
     const toPlacement = (decision: SlotDecision, targetId?: TargetId): Placement => {
         if (decision.kind === "granted") {
             const target = view.targets.get(decision.targetId);
@@ -213,7 +234,12 @@
                 decision.leave({ kind: "dropped" });
                 return noTargetRefusal();
             }
-            return { kind: "placed", target, expectedMs: decision.expectedMs, release: decision.leave };
+            return {
+                kind: "placed", target, expectedMs: decision.expectedMs,
+                release: (end) => {
+                    decision.leave(end, rateLimits.find(target, nowMs()));
+                },
+            };
         }
         if (decision.reason === "withdrawn") {
             return waitingRefused.aborted ? stoppingRefusal() : { kind: "client-left" };
@@ -221,8 +247,7 @@
         if (decision.reason === "paused") {
             return pausedRefusal(targetId, decision.retryAfterMs);
         }
-        const reason: RefusalReason = decision.reason === "overloaded" ? "overloaded" : "no-target";
-        return { kind: "refused", refusal: { reason, retryAfterMs: decision.retryAfterMs, targetId } };
+        return { kind: "refused", refusal: { reason: reasonByDecision[decision.reason], retryAfterMs: decision.retryAfterMs, targetId } };
     };
 
     const isOwner = ({ call, service }: RequestContext, targetId: TargetId): boolean => {
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -5,6 +5,7 @@
 import { createAdmissionClient } from "../admission/admissionClient.js";
 import type { Ticket } from "../admission/admissionRequest.js";
 import { createAdmissionServer } from "../admission/admissionServer.js";
+import { QueueHosts } from "../admission/queueHosts.js";
 import { createRetryBudgets } from "../admission/retryBudgets.js";
 import { Membership } from "../cluster/membership.js";
 import { createNode } from "../cluster/node.js";
@@ -105,9 +106,11 @@
             isSilent: (targetId) => owners.isSilent(targetId, clock.now().monoMs),
         });
     });
+    provide(tokens.queueHosts, (from) => new QueueHosts(from.resolve(tokens.membership), from.resolve(tokens.view)));
     provide(tokens.admission, (from) => createAdmissionClient({
         localServer: from.resolve(tokens.admissionServer),
         membership: from.resolve(tokens.membership),
+        queueHosts: from.resolve(tokens.queueHosts),
         links: from.resolve(tokens.links),
         clock: from.resolve(tokens.clock),
         nextTicket: createTicketGenerator(from.resolve(tokens.membership).self.runId),
--- a/src/host/tokens.ts
+++ b/src/host/tokens.ts
@@ -2,6 +2,7 @@
 import type { InjectionToken } from "tsyringe";
 import type { AdmissionClient } from "../admission/admissionClient.js";
 import type { AdmissionServer } from "../admission/admissionServer.js";
+import type { QueueHosts } from "../admission/queueHosts.js";
 import type { RetryBudgets } from "../admission/retryBudgets.js";
 import type { Membership } from "../cluster/membership.js";
 import type { ClusterNode } from "../cluster/node.js";
@@ -55,6 +56,7 @@
     peerHandlers: token<PeerHandlers>("peerHandlers"),
     links: token<PeerLinks>("links"),
     admissionServer: token<AdmissionServer>("admissionServer"),
+    queueHosts: token<QueueHosts>("queueHosts"),
     admission: token<AdmissionClient>("admission"),
     retryBudgets: token<RetryBudgets>("retryBudgets"),
     pool: token<ConnectionPool>("pool"),
--- a/test/admission/admissionClient.spec.ts
+++ b/test/admission/admissionClient.spec.ts
@@ -3,6 +3,7 @@
 import { createAdmissionClient } from "../../src/admission/admissionClient.js";
 import type { Ticket } from "../../src/admission/admissionRequest.js";
 import type { EnterReply, Group } from "../../src/admission/messages.js";
+import { QueueHosts } from "../../src/admission/queueHosts.js";
 import { createAdmissionServer } from "../../src/admission/admissionServer.js";
 import type { Member } from "../../src/cluster/membership.js";
 import { Membership } from "../../src/cluster/membership.js";
@@ -22,8 +23,9 @@
     const clock = new VirtualClock();
     const membership = new Membership(member("self"));
     membership.update(Object.keys(replies).map((name) => member(name, cpuShareOf(name))));
+    const view = new ClusterView();
     const localServer = createAdmissionServer({
-        view: new ClusterView(), clock, random: () => 0.5, drainMs: 1_000, isSilent: () => false,
+        view, clock, random: () => 0.5, drainMs: 1_000, isSilent: () => false,
     });
     const askedHosts: string[] = [];
     const links = {
@@ -36,7 +38,7 @@
     } as unknown as PeerLinks;
     let tickets = 0;
     const client = createAdmissionClient({
-        localServer, membership, links, clock,
+        localServer, membership, links, clock, queueHosts: new QueueHosts(membership, view),
         nextTicket: () => {
             tickets += 1;
             return `t${String(tickets)}` as Ticket;
@@ -44,7 +46,7 @@
     });
     const enter = (group: Group = { kind: "service", serviceId: "s" as ServiceId }) => client.enter({
         group, priority: 1, workMs: 10, near: here, avoid: [],
-        softDeadlineMs: 1_000, deadlineMs: 2_000, preferredDataCentreId: undefined,
+        softDeadlineMs: 1_000, deadlineMs: 2_000,
     }, new AbortController().signal);
     return { enter, askedHosts, membership, clock };
 }
--- a/test/admission/admissionQueue.spec.ts
+++ b/test/admission/admissionQueue.spec.ts
@@ -10,7 +10,7 @@
 const there = "there" as DataCentreId;
 
 function target(name: string, change: Partial<QueueTarget> = {}): QueueTarget {
-    return { targetId: name as TargetId, dataCentreId: here, slots: 2, isOpen: true, warmingUp: false, ...change };
+    return { targetId: name as TargetId, dataCentreId: here, slots: 2, isOpen: true, warmingUp: false, bornWallMs: 1, ...change };
 }
 
 function request(name: string, change: Partial<AdmissionRequest> = {}): AdmissionRequest {
