A retry in the slot of the running attempt needs a grant of the queue while the target has a rate limit

Cause: an attempt that is given up for a retry at the same owner sends again in the slot it holds, which the queue doesn't count. Change: not while the sender knows of a limit, or the queue knew of one when it granted the slot (the grant says so); the retry then enters the queue like any other request. Evidence: forwarder.spec 'retries a keyed request at an owner with a rate limit only if ...' failed before (the retry was sent) and passes. Why it works: each send needs its own grant, and grants are metered.

--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -36,7 +36,14 @@
  * queue's host which rate limit the target has, if any.
  */
 export type SlotDecision =
-    | { kind: "granted"; targetId: TargetId; expectedMs: number; leave: (end: WorkEnd, rateLimit?: StatedRateLimit) => void }
+    | {
+        kind: "granted";
+        targetId: TargetId;
+        expectedMs: number;
+        /** True if the target has a rate limit, so that the slot is good for one request only. */
+        isRateLimited: boolean;
+        leave: (end: WorkEnd, rateLimit?: StatedRateLimit) => void;
+    }
     | { kind: "refused"; reason: QueueRefusalReason | "no-host" | "withdrawn"; retryAfterMs: number };
 
 /** Requests slots from the hosts that keep the queues. */
@@ -132,7 +139,7 @@
         }
         return "granted" in reply
             ? {
-                kind: "granted", targetId: reply.granted, expectedMs: reply.expectedMs,
+                kind: "granted", targetId: reply.granted, expectedMs: reply.expectedMs, isRateLimited: reply.rateLimited === true,
                 leave: (end, rateLimit) => {
                     notifyQueueHost(member, "leave", { group, ticket, end, ...rateLimit === undefined ? {} : { rateLimit } });
                 },
--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -284,6 +284,7 @@
         });
         return {
             kind: "granted", ticket: request.ticket, targetId: record.target.targetId, expectedMs: request.workMs * record.slowness,
+            isRateLimited: record.rateLimiter !== undefined,
         };
     }
 
--- a/src/admission/admissionRequest.ts
+++ b/src/admission/admissionRequest.ts
@@ -29,7 +29,7 @@
 
 /** Decision of the queue about a request. */
 export type AdmissionVerdict =
-    | { kind: "granted"; ticket: Ticket; targetId: TargetId; expectedMs: number }
+    | { kind: "granted"; ticket: Ticket; targetId: TargetId; expectedMs: number; isRateLimited: boolean }
     | { kind: "refused"; ticket: Ticket; reason: QueueRefusalReason; retryAfterMs: number };
 
 /** Reason why a queue refuses a request. */
--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -127,7 +127,7 @@
             const reply = managed.pendingReplies.get(verdict.ticket);
             managed.pendingReplies.delete(verdict.ticket);
             reply?.(verdict.kind === "granted"
-                ? { granted: verdict.targetId, expectedMs: verdict.expectedMs }
+                ? { granted: verdict.targetId, expectedMs: verdict.expectedMs, ...verdict.isRateLimited ? { rateLimited: true } : {} }
                 : { refused: verdict.reason, retryAfterMs: verdict.retryAfterMs });
         }
     };
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -30,7 +30,8 @@
 
 /** Reply to `EnterParams`. */
 export type EnterReply =
-    | { granted: TargetId; expectedMs: number }
+    /** `rateLimited` is set if the target has a rate limit, so that the slot is good for one request only. */
+    | { granted: TargetId; expectedMs: number; rateLimited?: true }
     | { refused: QueueRefusalReason; retryAfterMs: number }
     /** The host has just started and does not know the targets yet, so it cannot keep a queue. */
     | { unready: true };
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -34,6 +34,8 @@
     target: TargetEntry;
     /** Expected duration of the request at this target. */
     expectedMs: number;
+    /** True if the queue knew of a rate limit of the target when it granted the slot. */
+    isRateLimited: boolean;
     /** Returns the slot to the queue; `end` says how the request ended. */
     release: (end: WorkEnd) => void;
 }
@@ -72,8 +74,11 @@
      * @param signal ends the wait when aborted; the placement is then `client-left`, or a refusal if this host is stopping
      */
     place(context: RequestContext, signal: AbortSignal): Promise<Placement>;
-    /** Returns whether a target owns the request's key at present; false for a request without a key. */
-    isOwner(context: RequestContext, targetId: TargetId): boolean;
+    /**
+     * Returns whether a request may be sent again in its slot: its target owns the request's key at present, and has no rate limit, under
+     * which the queue has to grant every request.
+     */
+    mayReuse(context: RequestContext, slot: TargetSlot): boolean;
 }
 
 const reasonByDecision: Record<"overloaded" | "rate-limited" | "no-target" | "no-host", RefusalReason> = {
@@ -235,7 +240,7 @@
                 return noTargetRefusal();
             }
             return {
-                kind: "placed", target, expectedMs: decision.expectedMs,
+                kind: "placed", target, expectedMs: decision.expectedMs, isRateLimited: decision.isRateLimited,
                 release: (end) => {
                     decision.leave(end, rateLimits.find(target, nowMs()));
                 },
@@ -250,10 +255,11 @@
         return { kind: "refused", refusal: { reason: reasonByDecision[decision.reason], retryAfterMs: decision.retryAfterMs, targetId } };
     };
 
-    const isOwner = ({ call, service }: RequestContext, targetId: TargetId): boolean => {
+    const mayReuse = ({ call, service }: RequestContext, { target, isRateLimited }: TargetSlot): boolean => {
         const status = service.sharded && call.key !== undefined ? owners.find(service.serviceId, call.key, nowMs()) : undefined;
-        return status?.kind === "owned" && status.targetId === targetId;
+        const hasRateLimit = isRateLimited || rateLimits.find(target, nowMs()) !== undefined;
+        return status?.kind === "owned" && status.targetId === target.targetId && !hasRateLimit;
     };
 
-    return { place, isOwner };
+    return { place, mayReuse };
 }
--- a/src/forwarding/retryReservation.ts
+++ b/src/forwarding/retryReservation.ts
@@ -34,7 +34,7 @@
 /**
  * Creates the retry reservation of one attempt.
  * @param context the request
- * @param current the slot of the running attempt; it is used for the retry too if its target still owns the request's key
+ * @param current the slot of the running attempt; it is used for the retry too if the placer permits it
  */
 export function createRetryReservation(
     { placer, getRetryTerms, isShuttingDown }: RetryReservationDependencies, context: RequestContext, current: TargetSlot,
@@ -55,7 +55,7 @@
             }
             searchAbort = new AbortController();
             const { signal } = searchAbort;
-            const placement = placer.isOwner(context, current.target.targetId) ? current : await placer.place(context, signal);
+            const placement = placer.mayReuse(context, current) ? current : await placer.place(context, signal);
             if (placement.kind !== "placed") {
                 return false;
             }
--- a/test/admission/rateLimiter.spec.ts
+++ b/test/admission/rateLimiter.spec.ts
@@ -180,6 +180,16 @@
         expect(queue.describeTargets()[0]?.requestsPerSecond).to.equal(2);
     });
 
+    it("tells the sender that the slot is good for one request only", () => {
+        const queue = new AdmissionQueue(() => 0.5);
+        queue.setTargets([target("t1")], 0);
+        const isRateLimited = (name: string, nowMs: number) =>
+            queue.offer(request(name, nowMs), nowMs).map((verdict) => verdict.kind === "granted" && verdict.isRateLimited);
+        expect(isRateLimited("a", 0)).to.deep.equal([false]);
+        queue.applyRateLimit(limitOf("t1", 2), 0);
+        expect(isRateLimited("b", 1_000)).to.deep.equal([true]);
+    });
+
     it("keeps the limit when the response to an earlier request arrives late and states none", () => {
         const queue = new AdmissionQueue(() => 0.5);
         queue.setTargets([target("t1")], 0);
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -116,7 +116,7 @@
         const grant = queue.grants.shift() ?? "refused";
         return Promise.resolve(grant === "refused"
             ? { kind: "refused", reason: "overloaded", retryAfterMs: 100 }
-            : { kind: "granted", targetId: grant, expectedMs: 20, leave: (end) => {
+            : { kind: "granted", targetId: grant, expectedMs: 20, isRateLimited: false, leave: (end) => {
                 queue.ends.push(end);
             } });
     };
@@ -128,9 +128,10 @@
             classify: (head) => headerOf(head.rawHeaders, "not-run") === undefined ? "answer" : "not-run",
             noticeOf: (head) => {
                 const pause = headerOf(head.rawHeaders, "pause");
+                const limit = headerOf(head.rawHeaders, "limit");
                 return {
                     isLeaving: headerOf(head.rawHeaders, "leaving") !== undefined, pauseMs: pause === undefined ? undefined : Number(pause),
-                    rateLimit: { kind: "none" },
+                    rateLimit: limit === undefined ? { kind: "none" } : { kind: "stated", requestsPerSecond: Number(limit) },
                 };
             },
         },
@@ -314,6 +315,15 @@
         });
     });
 
+    it("retries a keyed request at an owner with a rate limit only if the queue grants that request too", async () => {
+        const limited = await target("t-1", { afterMs: 1, headers: "limit: 2\r\n" }, { afterMs: 900, headers: "limit: 2\r\n" });
+        const queue: ScriptedQueue = { grants: [limited.targetId, limited.targetId, "refused"], ends: [], requestCount: 0 };
+        const forwarder = createTestForwarder([limited], queue);
+        await serve(forwarder, keyed);
+        expect((await serve(forwarder, keyed)).status).to.equal(200);
+        expect([limited.arrivedMs.length, queue.requestCount]).to.deep.equal([2, 3]);
+    });
+
     it("does not interrupt a slow response after a part of it has been sent to the client", async () => {
         const bulk = await target("t-1", { afterMs: 1, pieces: [{ afterMs: 0, bytes: 300_000 }, { afterMs: 600, bytes: 10 }] });
         const queue: ScriptedQueue = { grants: [bulk.targetId, bulk.targetId], ends: [], requestCount: 0 };
