Hosts that stand in for the host of a queue use a small share of the targets' rate limits

Cause: a host that can't reach the host that keeps a queue asks the next in order while the others go on asking the first. Two or three hosts then meter the same limit in full, each for its own askers: 24 and 69 requests in 4 s, allowed 18 and 41 (limits 2.3 and 6). Change: a host uses the whole limit only if it is first in its own order for the queue, a fifth if second, a tenth otherwise: at most 1.3 of the limit together, within what targets tolerate for a while (1.5). When the first is lost, the second becomes first with the next member list. Why it works: who is first is decided by the member list alone, not by what one host can reach.

--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -10,6 +10,7 @@
 import { AdmissionQueue } from "./admissionQueue.js";
 import type { EnterParams, EnterReply, Group, LeaveParams, WithdrawParams } from "./messages.js";
 import { admissionMethods, groupName } from "./messages.js";
+import type { QueueHosts } from "./queueHosts.js";
 import type { QueueTarget } from "./targetRecord.js";
 
 /** Interval between ticks of the queues while requests wait or a target leaves. */
@@ -33,6 +34,7 @@
     drainMs: number;
     /** Returns whether a target has stopped answering. */
     isSilent: (targetId: TargetId) => boolean;
+    queueHosts: QueueHosts;
 }
 
 /** Load of a target as its queue observes it. Sent to the coordinator under these field names. */
@@ -78,7 +80,9 @@
 }
 
 /** Creates the admission server of this host. */
-export function createAdmissionServer({ view, clock, random, drainMs, isSilent }: AdmissionServerDependencies): AdmissionServer {
+export function createAdmissionServer(
+    { view, clock, random, drainMs, isSilent, queueHosts }: AdmissionServerDependencies,
+): AdmissionServer {
     const queues = new Map<string, ManagedQueue>();
     const requestQueued = new Signal();
     const ticketsByPeer = new Map<PeerConnection, Map<Ticket, Group>>();
@@ -91,11 +95,13 @@
         };
         queues.set(name, managed);
         managed.lastUsedMs = nowMs;
-        refreshTargets(managed, nowMs);
+        refresh(managed, nowMs);
         return managed;
     };
 
-    const refreshTargets = (managed: ManagedQueue, nowMs: number) => {
+    /** Applies changes of the targets and of this host's share of their rate limits. */
+    const refresh = (managed: ManagedQueue, nowMs: number) => {
+        managed.queue.setRateLimitShare(queueHosts.rateLimitShare(managed.group), nowMs);
         if (managed.viewVersion !== view.targetsVersion || managed.hasLeavingTarget) {
             const targets = targetsOf(managed.group);
             managed.viewVersion = view.targetsVersion;
@@ -207,7 +213,7 @@
                 await (needsFrequentTicks ? clock.sleep(tickMs, signal) : waitFor(clock, idleTickMs, [requestQueued], signal));
                 const nowMs = clock.now().monoMs;
                 for (const [name, managed] of queues) {
-                    refreshTargets(managed, nowMs);
+                    refresh(managed, nowMs);
                     sendReplies(managed, managed.queue.tick(nowMs));
                     if (nowMs - managed.lastUsedMs > idleQueueRetentionMs
                         && managed.queue.runningCount + managed.queue.waitingCount === 0) {
--- a/src/admission/queueHosts.ts
+++ b/src/admission/queueHosts.ts
@@ -6,6 +6,10 @@
 import type { Group } from "./messages.js";
 import { groupName } from "./messages.js";
 
+/** Share of a rate limit that a host may use, by its place in the order of hosts for the queue; `shareOfOthers` for all further ones. */
+const shareByRank: readonly number[] = [1, 0.2];
+const shareOfOthers = 0.1;
+
 /** Ranks the hosts for each queue; all hosts that know the same members and targets get the same order. */
 export class QueueHosts {
     private readonly rankedByQueue = new Map<string, readonly Member[]>();
@@ -32,9 +36,14 @@
         return ranked;
     }
 
-    /** Returns the place of this host in the order for a queue: 0 is the host that keeps it, -1 means that this host is leaving. */
-    ownRank(group: Group): number {
-        return this.ranked(group).findIndex(({ hostId }) => hostId === this.membership.self.hostId);
+    /**
+     * Returns the share of the targets' rate limits that this host may use when it is asked to keep a queue. Hosts that cannot reach the
+     * preferred host ask the next one, while the others go on asking the first; so several hosts may keep one queue at a time, and
+     * their shares together stay within what targets tolerate beyond their limits.
+     */
+    rateLimitShare(group: Group): number {
+        const rank = this.ranked(group).findIndex(({ hostId }) => hostId === this.membership.self.hostId);
+        return shareByRank[rank] ?? shareOfOthers;
     }
 
     /**
--- a/src/admission/rateLimiter.ts
+++ b/src/admission/rateLimiter.ts
@@ -10,8 +10,12 @@
 const minBurst = 2;
 const burstMs = 100;
 
-/** Rate at which a target that accepts (almost) nothing is sent requests, since only its responses show the end of its limit. */
-const minPerSecond = 0.2;
+/** Capacity of the bucket of a limiter that may use less than `minorShare` of the limit. */
+const minorBurst = 1;
+const minorShare = 0.5;
+
+/** Lower bound of a limit: a target that accepts nothing gets a request now and then, since only its responses show the end of that. */
+const minLimitPerSecond = 0.2;
 
 /** A token bucket that is empty at first, since the target got more than its limit until now. Times are monotonic milliseconds. */
 export class RateLimiter {
@@ -37,7 +41,7 @@
 
     /** Requests a second that are sent at most. */
     get permittedPerSecond(): number {
-        return Math.max(minPerSecond, this.limitPerSecond * this.share);
+        return Math.max(minLimitPerSecond, this.limitPerSecond) * this.share;
     }
 
     /** Sets a limit that was stated later. */
@@ -58,7 +62,8 @@
     /** Returns how many requests may be sent now; fractions count towards the next one. */
     availableTokens(nowMs: number): number {
         const refilled = this.tokens + (nowMs - this.updatedMs) / 1_000 * this.permittedPerSecond;
-        return Math.min(refilled, Math.max(minBurst, this.permittedPerSecond * burstMs / 1_000));
+        const burst = this.share < minorShare ? minorBurst : minBurst;
+        return Math.min(refilled, Math.max(burst, this.permittedPerSecond * burstMs / 1_000));
     }
 
     /** Counts a request that is sent. */
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -104,6 +104,7 @@
             view: from.resolve(tokens.view), clock, drainMs,
             random: from.resolve(tokens.random),
             isSilent: (targetId) => owners.isSilent(targetId, clock.now().monoMs),
+            queueHosts: from.resolve(tokens.queueHosts),
         });
     });
     provide(tokens.queueHosts, (from) => new QueueHosts(from.resolve(tokens.membership), from.resolve(tokens.view)));
--- a/test/admission/admissionClient.spec.ts
+++ b/test/admission/admissionClient.spec.ts
@@ -24,8 +24,9 @@
     const membership = new Membership(member("self"));
     membership.update(Object.keys(replies).map((name) => member(name, cpuShareOf(name))));
     const view = new ClusterView();
+    const queueHosts = new QueueHosts(membership, view);
     const localServer = createAdmissionServer({
-        view, clock, random: () => 0.5, drainMs: 1_000, isSilent: () => false,
+        view, clock, random: () => 0.5, drainMs: 1_000, isSilent: () => false, queueHosts,
     });
     const askedHosts: string[] = [];
     const links = {
@@ -38,7 +39,7 @@
     } as unknown as PeerLinks;
     let tickets = 0;
     const client = createAdmissionClient({
-        localServer, membership, links, clock, queueHosts: new QueueHosts(membership, view),
+        localServer, membership, links, clock, queueHosts,
         nextTicket: () => {
             tickets += 1;
             return `t${String(tickets)}` as Ticket;
