Lease calls leave most of a target's rate limit to requests

Cause: renewals come every 0.7 s for each range, and every move takes a grant, a release and grants of what remains, whatever limit the target stated: 5.7 calls in 4 s for one range, when a limit of 0.4 a second allows 7.4 in all. Change: a quarter of a limit is left to lease calls, requests use the rest. The coordinator learns limits with the hosts' reports and from the answers to lease calls; it renews less often (at most every 3 s) and grants for longer in proportion. What a target can do under its limit counts as its capacity, so the planner moves its keys to others: much at once, one move in 4 s, none back. Why it works: both kinds of calls keep to fixed parts of one limit, so they need no word of each other. What it costs: the keys of such a target are without an owner for up to 10 s instead of 2.4 s if it is lost without a word. Moves away from a target that leaves are not held back, whatever its limit.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -124,6 +124,7 @@
         mayBalance: (now) =>
             mayAct(now) && !isLedgerReadFailing && authority.ageMs(now) < balancingStopsAfterMs && writer.isStoreResponding(now.monoMs),
         holdMs: (now) => authority.ageMs(now) > longLeasesAfterMs ? dependencies.maxHoldMs : defaultHoldMs,
+        maxHoldMs: dependencies.maxHoldMs,
         predecessor: dependencies.predecessor,
         onOutdated: () => {
             // Only a later term has higher fencing tokens, so nothing is granted until the store confirms that there is none.
--- a/src/model/rateLimit.ts
+++ b/src/model/rateLimit.ts
@@ -1,6 +1,9 @@
 /** Rate limits that targets state in their responses. A limit applies to the requests of all hosts together. */
 import type { TargetId } from "./names.js";
 
+/** Share of a target's rate limit that is left to grants, renewals and releases of leases; requests use the rest. */
+export const leaseCallShare = 0.25;
+
 /** What one response states about the rate limit of its target. */
 export type RateLimitNotice =
     /** The target has no limit, or its limit has ended. */
--- a/src/ownership/leaseManager.ts
+++ b/src/ownership/leaseManager.ts
@@ -9,7 +9,8 @@
 import type { Log } from "../observe/log.js";
 import type { FenceCounter } from "./fences.js";
 import { TargetSessions } from "./targetSessions.js";
-import { maxTimeToExpiryMs, renewalIntervalMs } from "./leaseTerms.js";
+import type { RenewalTerms } from "./leaseTerms.js";
+import { maxTimeToExpiryMs, renewalIntervalMs, renewalTerms } from "./leaseTerms.js";
 import type { GrantReply, LeasePort, LeaseSession } from "./leasePort.js";
 import { Liveness } from "./liveness.js";
 import { ExpiringLeases } from "./expiringLeases.js";
@@ -36,6 +37,10 @@
     isRecorded: (targetId: TargetId, range: KeyRange) => boolean;
     /** Returns the duration of a lease that is granted now. */
     holdMs: (now: Instant) => number;
+    /** Longest permitted duration of a lease. */
+    maxHoldMs: number;
+    /** Returns the rate limit of a target in requests a second; undefined if none is known. */
+    rateLimitOf: (targetId: TargetId) => number | undefined;
     /** Called when the target has seen a higher fencing token. */
     onOutdated: () => void;
     /** Called when a process of the target has announced that it is leaving. */
@@ -279,7 +284,7 @@
             lease.fence = this.dependencies.fences.next();
         }
         this.hasSentGrantWhileSilent = this.isSilent;
-        const holdMs = this.dependencies.holdMs(now);
+        const { holdMs, intervalMs } = this.renewalTerms(session, now);
         const heldBeforeMs = lease.heldUntilMs;
         lease.heldUntilMs = Math.max(heldBeforeMs, now.monoMs + grantTimeoutMs + maxTimeToExpiryMs(holdMs));
         const reply = await session.grant({ range: lease.range, fence: lease.fence, holdMs, handover: lease.handover }, grantTimeoutMs);
@@ -298,12 +303,18 @@
             return false;
         }
         lease.handover = undefined;
-        lease.dueMs = now.monoMs + renewalIntervalMs;
+        lease.dueMs = now.monoMs + intervalMs;
         this.endedMs = Number.NEGATIVE_INFINITY;
         this.onAnswer();
         return true;
     }
 
+    private renewalTerms(session: LeaseSession, now: Instant): RenewalTerms {
+        const { holdMs, maxHoldMs, rateLimitOf } = this.dependencies;
+        const rateLimit = session.requestsPerSecond ?? rateLimitOf(this.targetId);
+        return renewalTerms(rateLimit, this.leases.length, holdMs(now), maxHoldMs);
+    }
+
     private reportIfLeaving(session: LeaseSession): void {
         if (session.isLeaving && this.bornWallMs !== undefined) {
             this.dependencies.onLeaving({ targetId: this.targetId, bornWallMs: this.bornWallMs });
--- a/src/ownership/leasePort.ts
+++ b/src/ownership/leasePort.ts
@@ -33,6 +33,8 @@
     readonly closed: Promise<string>;
     /** True once the target has announced in an answer that it is leaving. */
     readonly isLeaving: boolean;
+    /** Rate limit that the target stated in its last answer here, in requests a second; undefined if it stated none. */
+    readonly requestsPerSecond: number | undefined;
     grant(grant: Grant, timeoutMs: number): Promise<Result<GrantReply, Failure>>;
     /**
      * Has the target release keys. It accepts no new work on them from then on, and answers when the work in progress has ended.
--- a/src/ownership/ownershipManager.ts
+++ b/src/ownership/ownershipManager.ts
@@ -20,6 +20,7 @@
 import { OwnerMap } from "./ownerMap.js";
 import type { Assignment } from "./ownershipDraft.js";
 import type { MovingRange, OwnershipNotice } from "./ownerLookup.js";
+import { MovePacing } from "./movePacing.js";
 import type { Move } from "./planner.js";
 import { planMoves } from "./planner.js";
 import { contains, overlaps } from "./ranges.js";
@@ -37,9 +38,6 @@
 const releaseRetryPeriodMs = 1_000;
 const releaseRetryDelayMs = 120;
 
-/** Delay before another move away from a target is planned after one has failed. */
-const moveRetryDelayMs = 300;
-
 /** A range that has moved is not moved for balance for this long, until load reports show the effect of the move. */
 const balanceCooldownMs = 1_000;
 
@@ -76,6 +74,8 @@
     mayBalance: (now: Instant) => boolean;
     /** Returns the duration of a lease that is granted now. */
     holdMs: (now: Instant) => number;
+    /** Longest permitted duration of a lease. */
+    maxHoldMs: number;
     predecessor: Predecessor;
     /** Called when a target has seen a higher fencing token than those of this term. */
     onOutdated: () => void;
@@ -116,7 +116,7 @@
     const loadsByService = new Map<ServiceId, KeyLoads>();
     const firstAssignments = new Map<ServiceId, FirstAssignment>();
     const activeMoves = new Set<ActiveMove>();
-    const nextMoveMsByTarget = new Map<TargetId, number>();
+    const movePacing = new MovePacing();
     let cooldowns: { serviceId: ServiceId; range: KeyRange; untilMs: number }[] = [];
     const noticeChanged = new Signal();
     const moveStarted = new Signal();
@@ -127,7 +127,9 @@
 
     const leaseManagerDependencies: LeaseManagerDependencies = {
         leases: dependencies.leases, fences: dependencies.fences, clock, log,
-        mayGrant: dependencies.mayGrant, holdMs: dependencies.holdMs, onOutdated: dependencies.onOutdated,
+        mayGrant: dependencies.mayGrant, holdMs: dependencies.holdMs, maxHoldMs: dependencies.maxHoldMs,
+        rateLimitOf: (targetId) => standings.rateLimitOf(targetId, clock.now().monoMs),
+        onOutdated: dependencies.onOutdated,
         onLeaving: (leaving) => {
             view.recordLeaving(leaving, clock.now().monoMs);
         },
@@ -176,12 +178,13 @@
         loads.setExpectedLoad(
             expectedUtilization * targets.reduce((sum, { standing, capacity }) => standing === "ready" ? sum + capacity : sum, 0));
         cooldowns = cooldowns.filter(({ untilMs }) => nowMs < untilMs);
-        return planMoves({
+        const planned = planMoves({
             targets, ranges, loads,
             recentlyMoved: cooldowns.filter((cooldown) => cooldown.serviceId === serviceId).map(({ range }) => range),
             moving: movingRangesOf(serviceId),
             moveDestinations: new Set([...activeMoves].filter((active) => active.serviceId === serviceId).map(({ move }) => move.to)),
-        }).filter(({ from }) => from === undefined || nowMs >= (nextMoveMsByTarget.get(from) ?? 0));
+        });
+        return movePacing.select(planned, (targetId) => standings.rateLimitOf(targetId, nowMs) !== undefined, nowMs);
     };
 
     const assignmentOf = (serviceId: ServiceId, range: KeyRange, targetId: TargetId): Assignment =>
@@ -231,6 +234,9 @@
         activeMoves.add(active);
         moveStarted.fire();
         const startedMs = clock.now().monoMs;
+        if (standings.rateLimitOf(from, startedMs) !== undefined) {
+            movePacing.recordRateLimitedStart(from, startedMs);
+        }
         dependencies.onMove(move, "begun");
         const manager = leaseManagers.get(from);
         const released = await (move.reason === "leaving"
@@ -250,7 +256,7 @@
             cooldowns.push({ serviceId, range: move.range, untilMs: clock.now().monoMs + balanceCooldownMs });
         }
         else {
-            nextMoveMsByTarget.set(from, clock.now().monoMs + moveRetryDelayMs);
+            movePacing.recordFailure(from, clock.now().monoMs);
         }
         dependencies.onMove(move, isDone ? "done" : "failed");
         log.info(isDone ? "keys moved" : "move of keys failed", {
--- a/src/ownership/planner.ts
+++ b/src/ownership/planner.ts
@@ -28,6 +28,8 @@
     standing: TargetStanding;
     /** Work that it can do in parallel, in slots of an average target. */
     capacity: number;
+    /** True if it stated a rate limit; `capacity` takes the limit into account. */
+    isRateLimited: boolean;
 }
 
 /** A planned change of owner. */
@@ -79,6 +81,9 @@
 const maxFillOverMean = 1.15;
 const minFillLimit = 0.6;
 
+/** The same for moves away from a target with a rate limit: few calls to it are possible, so each move takes as much as possible. */
+const rateLimitFillLimit = 0.85;
+
 /** Number of sources and destinations that are considered for a move. */
 const maxSources = 3;
 const maxDestinations = 4;
@@ -220,13 +225,14 @@
     const hasNewcomer = leastLoaded.some((destination) => isNewcomer(destination, mean));
     const mostLoaded = [...sources].sort((left, right) => utilization(right) - utilization(left)).slice(0, maxSources)
         .filter((source) => utilization(source) > reliefUtilization || hasNewcomer);
-    const fillLimit = Math.max(minFillLimit, mean * maxFillOverMean);
+    const fillLimitOf = (source: TargetLoad) =>
+        Math.max(source.target.isRateLimited ? rateLimitFillLimit : minFillLimit, mean * maxFillOverMean);
     const candidates = mostLoaded.flatMap((source) => {
         const movable = movableOf(input, source, leastLoaded, excluded);
         return leastLoaded.filter((destination) => destination !== source).flatMap((destination) => {
             const required = utilization(source) > reliefUtilization ? minGain
                 : isNewcomer(destination, mean) ? minNewcomerGain : Number.POSITIVE_INFINITY;
-            return piecesFor(movable, input.loads, idealLoad(source, destination, fillLimit))
+            return piecesFor(movable, input.loads, idealLoad(source, destination, fillLimitOf(source)))
                 .map((range) => toCandidate(range, input.loads.loadOf(range), source, destination))
                 .filter(({ gain }) => gain >= required);
         });
@@ -247,7 +253,7 @@
 }
 
 function isNewcomer(targetLoad: TargetLoad, mean: number): boolean {
-    return targetLoad.isEmpty && utilization(targetLoad) < mean * newcomerShare;
+    return targetLoad.isEmpty && !targetLoad.target.isRateLimited && utilization(targetLoad) < mean * newcomerShare;
 }
 
 /** Ranges that a source may move away. */
--- a/src/ownership/targetStandings.ts
+++ b/src/ownership/targetStandings.ts
@@ -13,7 +13,7 @@
 
 /** Derives the standing and the capacity of targets. */
 export class TargetStandings {
-    private readonly pressures = new Map<TargetId, { slowness: number; atMs: number }>();
+    private readonly pressures = new Map<TargetId, { slowness: number; requestsPerSecond: number | undefined; atMs: number }>();
 
     /**
      * @param view targets and ledger
@@ -25,10 +25,10 @@
         private readonly earlierGrantsUntilMs: number,
     ) {}
 
-    /** Records the slowness of targets as reported by a host. */
+    /** Records the slowness and the rate limits of targets as reported by a host. */
     addPressures(reported: readonly TargetPressure[], nowMs: number): void {
-        for (const { targetId, slowness } of reported) {
-            this.pressures.set(targetId, { slowness, atMs: nowMs });
+        for (const { targetId, slowness, requestsPerSecond } of reported) {
+            this.pressures.set(targetId, { slowness, requestsPerSecond, atMs: nowMs });
         }
     }
 
@@ -50,16 +50,29 @@
     /** Returns a target as input of the planner. */
     toPlannerTarget(targetId: TargetId, nowMs: number): PlannerTarget {
         const slots = this.view.targets.get(targetId)?.slots ?? 1;
-        return { targetId, standing: this.standingOf(targetId, nowMs), capacity: slots / this.slownessOf(targetId, nowMs) };
+        return {
+            targetId, standing: this.standingOf(targetId, nowMs), capacity: slots / this.slownessOf(targetId, nowMs),
+            isRateLimited: this.rateLimitOf(targetId, nowMs) !== undefined,
+        };
+    }
+
+    /** Returns the rate limit that a target stated, in requests a second; undefined if none is known. */
+    rateLimitOf(targetId: TargetId, nowMs: number): number | undefined {
+        return this.validPressure(targetId, nowMs)?.requestsPerSecond;
     }
 
     private isLeaving(targetId: TargetId): boolean {
         return this.view.targets.get(targetId)?.state !== "ready" || this.view.ledger.drained().includes(targetId);
     }
 
-    private slownessOf(targetId: TargetId, nowMs: number): number {
+    private validPressure(targetId: TargetId, nowMs: number) {
         const pressure = this.pressures.get(targetId);
-        if (pressure !== undefined && nowMs - pressure.atMs < pressureValidMs) {
+        return pressure !== undefined && nowMs - pressure.atMs < pressureValidMs ? pressure : undefined;
+    }
+
+    private slownessOf(targetId: TargetId, nowMs: number): number {
+        const pressure = this.validPressure(targetId, nowMs);
+        if (pressure !== undefined) {
             return pressure.slowness;
         }
         return this.view.targets.get(targetId)?.warmingUp === true ? warmUpSlowness : 1;
--- a/test/fleet/rateLimit.spec.ts
+++ b/test/fleet/rateLimit.spec.ts
@@ -74,9 +74,14 @@
         await fleet.stop();
     });
 
-    it("bounds what a server that owns keys gets from many hosts with few requests each", async () => {
-        const limitPerSecond = 2.3;
-        const limited = fleet.servers.find(({ id }) => id === "k0")!;
+    for (const { serverId, limitPerSecond } of [{ serverId: "k0", limitPerSecond: 2.3 }, { serverId: "k1", limitPerSecond: 0.4 }]) {
+        it(`bounds what a server that owns keys gets from many hosts with few requests each (${String(limitPerSecond)} a second)`, async () => {
+            await boundsKeyedServer(serverId, limitPerSecond);
+        });
+    }
+
+    const boundsKeyedServer = async (serverId: string, limitPerSecond: number) => {
+        const limited = fleet.servers.find(({ id }) => id === serverId)!;
         const load = { path: paths.read, keys: keys.filter((key) => limited.holds(key)), periodMs: 600 };
         const clients = fleet.hosts.map((host) => startClient(host, "keyed", load));
         await sleep(1_500);
@@ -88,7 +93,7 @@
         expect(maxPerWindow(limited, statedMs)).to.be.at.most(allowedPerWindow(limitPerSecond));
         expectPromptRefusals(answers);
         expect(answers.filter(({ status }) => status === 200).length).to.be.above(answers.length / 2);
-    });
+    };
 
     it("bounds what a server without keys gets, while others serve the rest", async () => {
         const limitPerSecond = 1.5;
--- a/test/ownership/leaseManager.spec.ts
+++ b/test/ownership/leaseManager.spec.ts
@@ -15,7 +15,7 @@
 function setUp(predecessorActsForMs = 0) {
     const clock = new VirtualClock();
     const grants: Grant[] = [];
-    const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number; holdMs: number; closes: boolean; leaving: boolean } =
+    const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number; holdMs: number; closes: boolean; leaving: boolean; rateLimit?: number } =
         { reply: "granted", reachable: true, opened: 0, holdMs: defaultHoldMs, closes: false, leaving: false };
     const leavingReports: LeavingTarget[] = [];
     const session = (): LeaseSession => {
@@ -29,6 +29,7 @@
             get isLeaving() {
                 return state.leaving;
             },
+            requestsPerSecond: undefined,
             closed: new Promise((resolve) => {
                 closeSession = () => {
                     open = false;
@@ -62,6 +63,7 @@
         fences: new FenceCounter(1 as Term), clock,
         log: { info: () => undefined, warn: () => undefined, error: () => undefined },
         mayGrant: () => true, isRecorded: () => true, holdMs: () => state.holdMs, onOutdated: () => undefined,
+        maxHoldMs: 10_000, rateLimitOf: () => state.rateLimit,
         onLeaving: (leaving) => {
             leavingReports.push(leaving);
         },
@@ -85,6 +87,31 @@
         end();
     });
 
+    for (const { limit, rangeCount } of [{ limit: 0.7, rangeCount: 1 }, { limit: 2.3, rangeCount: 3 }, { limit: 6, rangeCount: 8 }]) {
+        it(`renews ${String(rangeCount)} leases within what a limit of ${String(limit)} a second leaves beside requests`, async () => {
+            const { clock, manager, grants, state, end } = setUp();
+            const grantedMs: number[] = [];
+            const ranges = Array.from({ length: rangeCount }, (_, index) => ({ from: index * 100, to: index * 100 + 99 }) as KeyRange);
+            manager.setRanges(ranges, []);
+            await clock.advance(2_000);
+            state.rateLimit = limit;
+            await clock.advance(1_000);
+            for (let stepMs = 0; stepMs < 20_000; stepMs += 10) {
+                const before = grants.length;
+                await clock.advance(10);
+                grantedMs.push(...grants.slice(before).map(() => clock.now().monoMs));
+            }
+            const maxPerWindow = Math.max(
+                ...grantedMs.map((endMs) => grantedMs.filter((atMs) => atMs > endMs - 4_000 && atMs <= endMs).length));
+            const requestsPerWindow = 0.75 * 4 * limit + 2;
+            expect(maxPerWindow).to.be.at.most(1.5 * 4 * limit + 5 - requestsPerWindow);
+            const last = grants.at(-1) as Grant;
+            const renewals = grants.filter((grant) => grant.range.from === last.range.from);
+            expect(last.holdMs).to.be.at.least(2 * 20_000 / (renewals.length - 4));
+            end();
+        });
+    }
+
     it("uses a new fencing token on a new connection, which may lead to another process", async () => {
         const { clock, manager, grants, state, end } = setUp();
         manager.setRanges([range], []);
--- a/test/ownership/ownershipManager.spec.ts
+++ b/test/ownership/ownershipManager.spec.ts
@@ -44,7 +44,7 @@
     ], 2 as Offset, 0);
     const released: string[] = [];
     const session: LeaseSession = {
-        isOpen: true, isLeaving: false, closed: new Promise(() => undefined), reset: () => undefined,
+        isOpen: true, isLeaving: false, requestsPerSecond: undefined, closed: new Promise(() => undefined), reset: () => undefined,
         grant: async () => {
             await clock.sleep(1);
             return ok("granted" as const);
@@ -68,7 +68,7 @@
     const manager = createOwnershipManager({
         view, clock, writer, fences: new FenceCounter(1 as Term), leases: { open: () => Promise.resolve(ok(session)) },
         log: { info: () => undefined, warn: () => undefined, error: () => undefined },
-        mayGrant: () => true, mayBalance: () => true, holdMs: () => defaultHoldMs,
+        mayGrant: () => true, mayBalance: () => true, holdMs: () => defaultHoldMs, maxHoldMs: 10_000,
         predecessor: { actsUntilMs: 0, grantsUntilMs: 12_000 },
         onOutdated: () => undefined, onMove: () => undefined,
     });
--- a/test/ownership/planner.spec.ts
+++ b/test/ownership/planner.spec.ts
@@ -11,7 +11,7 @@
 const second = 1_000;
 
 function target(name: string, standing: TargetStanding = "ready", capacity = 3): PlannerTarget {
-    return { targetId: name as TargetId, standing, capacity };
+    return { targetId: name as TargetId, standing, capacity, isRateLimited: false };
 }
 
 function range(from: number, to: number): KeyRange {
@@ -121,6 +121,19 @@
         });
     }
 
+    it("moves most of the load of a target with a rate limit at once, and none back to it", () => {
+        const requests = Array.from({ length: 128 }, (_, index) => ({ key: index * 512, perSecond: 0.45, workMs: 100 }));
+        const loads = loadsOf(requests);
+        const limited = { ...target("a", "ready", 0.17), isRateLimited: true };
+        const targets = [limited, ...["b", "c", "d"].map((name) => target(name))];
+        const [first] = planMoves({ targets, ranges: quarters, loads, ...noMoves });
+        expect(first?.from).to.equal("a");
+        const ranges = apply(quarters, first === undefined ? [] : [first]);
+        expect(loadOf(loads, ranges, "a")).to.be.below(loadOf(loads, quarters, "a") / 2);
+        const emptied = apply(quarters, [{ range: range(0, 16_383), from: limited.targetId, to: "b" as TargetId, reason: "balance" }]);
+        expect(planMoves({ targets, ranges: emptied, loads, ...noMoves }).filter(({ to }) => to === "a")).to.deep.equal([]);
+    });
+
     it("moves no keys from a target that needs no relief to one that owns keys with little load", () => {
         const cold = { key: 50_000, perSecond: 0.2, workMs: 100 };
         const busy = [100, 17_000, 34_000].flatMap((from) =>
--- a/test/world/virtualTargets.ts
+++ b/test/world/virtualTargets.ts
@@ -200,7 +200,7 @@
                 return isOpen && isSameProcess();
             },
             closed,
-            isLeaving: false,
+            isLeaving: false, requestsPerSecond: undefined,
             grant: (grant, timeoutMs) => call<GrantReply>("grant", timeoutMs, () => this.receiveGrant(target, grant)),
             release: async (range, fence, timeoutMs) => {
                 const released = await call<{ handover: string }>("release", timeoutMs, () => this.release(target, range, fence));
@@ -273,7 +273,7 @@
 function createOtherTargetSession(): LeaseSession {
     return {
         isOpen: true,
-        isLeaving: false,
+        isLeaving: false, requestsPerSecond: undefined,
         closed: new Promise(() => undefined),
         grant: () => Promise.resolve(ok("other-target" as const)),
         release: () => Promise.resolve(err(failure("refused", "release", "other", "status 421"))),
