Under a rate limit, waiting requests of equal urgency keep their order

What callers saw: a request waited 0.64 s and was then refused, although no more urgent one had come (seen once in rateLimit.spec). Cause: requests that will probably be late are sent after those that can be in time. Where a limit spaces grants by half a second, a request that is granted a moment later than expected counts as late by then, is overtaken by newcomers, and waits until its deadline has passed. Change: while every open target has a rate limit, waiting requests are ranked by priority, then by arrival. Ruled out: a margin in the expected time (the overtaking remained). Evidence: rateLimiter.spec 'keeps no request waiting that it refuses later' failed before at 5 requests a second under a limit of 2. Why it works: a request is accepted with those ahead of it counted, and without overtaking that count stands.

--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -247,8 +247,8 @@
         const kept: AdmissionRequest[] = [];
         let workBeforeMs = this.remainingWorkMs(nowMs);
         for (const request of this.waiting.sort((left, right) => this.compareRank(left, right, nowMs))) {
-            const slotWaitMs = this.isProbablyLate(request, nowMs) ? workBeforeMs / slots / spareShare : 0;
             const rateWaitMs = this.rateLimitWaitMs(kept.length, nowMs);
+            const slotWaitMs = this.isProbablyLate(request, nowMs) ? workBeforeMs / slots / spareShare : 0;
             if (nowMs + Math.max(slotWaitMs, rateWaitMs) + this.fastestWorkMs(request) > request.deadlineMs) {
                 refused.push(rateWaitMs > 0
                     ? this.refuse(request, "rate-limited", rateWaitMs)
@@ -304,6 +304,9 @@
     }
 
     private compareRank(left: AdmissionRequest, right: AdmissionRequest, nowMs: number): number {
+        if (this.isRateLimited()) {
+            return left.priority - right.priority || left.arrivedMs - right.arrivedMs;
+        }
         const isLeftLate = this.isProbablyLate(left, nowMs);
         const isRightLate = this.isProbablyLate(right, nowMs);
         if (isLeftLate !== isRightLate) {
@@ -312,6 +315,21 @@
         return left.priority - right.priority || left.softDeadlineMs - right.softDeadlineMs;
     }
 
+    /**
+     * Returns whether every open target has a rate limit. The waiting requests then keep their order of arrival: when requests are sent
+     * far apart, one that is overtaken because it has become a little late would wait in vain until its deadline.
+     */
+    private isRateLimited(): boolean {
+        let hasOpen = false;
+        for (const { target, rateLimiter } of this.targets.values()) {
+            if (target.isOpen && rateLimiter === undefined) {
+                return false;
+            }
+            hasOpen ||= target.isOpen;
+        }
+        return hasOpen;
+    }
+
     /** Returns whether a request will probably exceed its target latency even if it is sent now. */
     private isProbablyLate(request: AdmissionRequest, nowMs: number): boolean {
         const fastestMs = this.fastestWorkMs(request);
@@ -341,18 +359,13 @@
      * @param nowMs current monotonic time
      */
     private rateLimitWaitMs(sentBefore: number, nowMs: number): number {
-        let tokens = 0;
-        let perSecond = 0;
-        for (const { target, rateLimiter } of this.targets.values()) {
-            if (target.isOpen && rateLimiter === undefined) {
-                return 0;
-            }
-            if (target.isOpen && rateLimiter !== undefined) {
-                tokens += rateLimiter.availableTokens(nowMs);
-                perSecond += rateLimiter.permittedPerSecond;
-            }
+        if (!this.isRateLimited()) {
+            return 0;
         }
-        return perSecond === 0 ? 0 : Math.max(0, (sentBefore + 1 - tokens) / perSecond * 1_000);
+        const limiters = [...this.targets.values()].flatMap(({ target, rateLimiter }) => target.isOpen ? rateLimiter ?? [] : []);
+        const tokens = limiters.reduce((sum, limiter) => sum + limiter.availableTokens(nowMs), 0);
+        const perSecond = limiters.reduce((sum, limiter) => sum + limiter.permittedPerSecond, 0);
+        return Math.max(0, (sentBefore + 1 - tokens) / perSecond * 1_000);
     }
 
     /** Share of the slots left for requests that will exceed their target latency, after the offered load of those that will not. */
--- a/test/admission/rateLimiter.spec.ts
+++ b/test/admission/rateLimiter.spec.ts
@@ -43,7 +43,10 @@
     private count = 0;
     nowMs = 0;
 
-    constructor(readonly targets: readonly QueueTarget[], private readonly perSecond: number) {
+    constructor(
+        targets: readonly QueueTarget[], private readonly perSecond: number,
+        private readonly priorityOf = (isUrgent: boolean) => isUrgent ? 0 : 2,
+    ) {
         this.queue.setTargets(targets, 0);
     }
 
@@ -73,7 +76,7 @@
         const isUrgent = this.count % 3 === 0;
         const ticket = `${isUrgent ? "urgent" : "other"}-${String(this.count)}` as Ticket;
         this.offeredMs.set(ticket, this.nowMs);
-        this.handle(this.queue.offer(request(ticket, this.nowMs, { sender: `host-${String(this.count % 60)}`, priority: isUrgent ? 0 : 2 }), this.nowMs));
+        this.handle(this.queue.offer(request(ticket, this.nowMs, { sender: `host-${String(this.count % 60)}`, priority: this.priorityOf(isUrgent) }), this.nowMs));
     }
 
     private handle(verdicts: readonly AdmissionVerdict[]): void {
@@ -151,6 +154,15 @@
         }
     });
 
+    it("keeps no request waiting that it refuses later, as long as no request is more urgent", () => {
+        for (const perSecond of [3, 5, 12, 40]) {
+            const driver = new QueueDriver([target("t1")], perSecond, () => 2);
+            driver.stated.set("t1", 2);
+            driver.run(30_000);
+            expect(driver.refusals.filter(({ atMs, heldMs }) => atMs > 1_000 && heldMs > 25)).to.deep.equal([]);
+        }
+    });
+
     it("serves urgent requests first", () => {
         const driver = new QueueDriver([target("t1")], 9);
         driver.stated.set("t1", 3);
