A target whose rate limit is below its load gives up all its keys at once

Cause: one move in 4 s away from such a target, cut for balance like any other, from one limited target to the other too. Change: the planner moves all keys of such a target to targets without a limit, if these keep a fifth of their room: in up to four pieces a range, as many moves as the limit leaves room for in 4 s (1 + N). A target without keys needs no renewals either. None moves back while the limit is known. The pacing counts starts of moves. Evidence: planner.spec 'with a target whose rate limit is below its load' and the stricter bound in rateLimit.spec (under 10 in 100 refused). Why it works: what a target can't take runs at its peers, which is worth more than refusals; calls are few because nothing is kept.

--- a/src/ownership/ownershipManager.ts
+++ b/src/ownership/ownershipManager.ts
@@ -144,7 +144,7 @@
         noticeChanged.fire();
         replan.fire();
     });
-    const standings = new TargetStandings(view, leaseManagers, dependencies.predecessor.grantsUntilMs);
+    const standings = new TargetStandings(view, leaseManagers, dependencies.predecessor.grantsUntilMs, movePacing);
 
     const shardedServices = (): ServiceId[] =>
         [...view.config?.services.values() ?? []].filter(({ sharded }) => sharded).map(({ serviceId }) => serviceId);
@@ -184,7 +184,7 @@
             moving: movingRangesOf(serviceId),
             moveDestinations: new Set([...activeMoves].filter((active) => active.serviceId === serviceId).map(({ move }) => move.to)),
         });
-        return movePacing.select(planned, (targetId) => standings.rateLimitOf(targetId, nowMs) !== undefined, nowMs);
+        return movePacing.select(planned, (targetId) => standings.rateLimitOf(targetId, nowMs), nowMs);
     };
 
     const assignmentOf = (serviceId: ServiceId, range: KeyRange, targetId: TargetId): Assignment =>
@@ -234,9 +234,7 @@
         activeMoves.add(active);
         moveStarted.fire();
         const startedMs = clock.now().monoMs;
-        if (standings.rateLimitOf(from, startedMs) !== undefined) {
-            movePacing.recordRateLimitedStart(from, startedMs);
-        }
+        movePacing.recordStart(from, startedMs);
         dependencies.onMove(move, "begun");
         const manager = leaseManagers.get(from);
         const released = await (move.reason === "leaving"
--- a/src/ownership/planner.ts
+++ b/src/ownership/planner.ts
@@ -30,6 +30,8 @@
     capacity: number;
     /** True if it stated a rate limit; `capacity` takes the limit into account. */
     isRateLimited: boolean;
+    /** Number of moves away from it that may begin now. */
+    maxMoves: number;
 }
 
 /** A planned change of owner. */
@@ -38,7 +40,7 @@
     /** Undefined when no target holds the range. */
     from: TargetId | undefined;
     to: TargetId;
-    reason: "unowned" | "leaving" | "balance" | "newcomer";
+    reason: "unowned" | "leaving" | "balance" | "newcomer" | "rate-limit";
 }
 
 /** Input of the planner, for one service. */
@@ -81,8 +83,8 @@
 const maxFillOverMean = 1.15;
 const minFillLimit = 0.6;
 
-/** The same for moves away from a target with a rate limit: few calls to it are possible, so each move takes as much as possible. */
-const rateLimitFillLimit = 0.85;
+/** A target with a rate limit gives up all its keys if the mean utilization of the others stays below this. */
+const maxUtilizationAfterRelief = 0.8;
 
 /** Number of sources and destinations that are considered for a move. */
 const maxSources = 3;
@@ -107,15 +109,21 @@
  */
 export function planMoves(input: PlannerInput): Move[] {
     const targetLoads = sumTargetLoads(input);
-    const destinations = [...targetLoads.values()].filter(({ target }) => target.standing === "ready");
-    if (destinations.length === 0) {
+    const ready = [...targetLoads.values()].filter(({ target }) => target.standing === "ready");
+    if (ready.length === 0) {
         return [];
     }
+    const unlimited = ready.filter(({ target }) => !target.isRateLimited);
+    const destinations = unlimited.length > 0 ? unlimited : ready;
     const assigned = [
         ...assignUnowned(input, destinations),
         ...reassignDisplaced(input, targetLoads, destinations),
     ];
-    return [...assigned, ...assigned.length > 0 ? [] : balance(input, targetLoads, destinations)];
+    if (assigned.length > 0) {
+        return assigned;
+    }
+    const relieving = relieveRateLimited(input, ready, unlimited);
+    return relieving.length > 0 ? relieving : balance(input, targetLoads, destinations);
 }
 
 function sumTargetLoads({ targets, ranges, loads, moveDestinations }: PlannerInput): Map<TargetId, TargetLoad> {
@@ -152,6 +160,32 @@
     });
 }
 
+/**
+ * Plans to move all keys away from targets whose rate limit is below their load, the most loaded ranges first. A target without keys
+ * needs no calls at all, while few calls are possible to one that keeps some.
+ */
+function relieveRateLimited(input: PlannerInput, ready: readonly TargetLoad[], unlimited: readonly TargetLoad[]): Move[] {
+    const capacity = unlimited.reduce((sum, { target }) => sum + target.capacity, 0);
+    const excluded = [...input.moving, ...input.recentlyMoved];
+    return ready.filter((source) => source.target.isRateLimited && utilization(source) > reliefUtilization).flatMap((source) => {
+        const load = unlimited.reduce((sum, other) => sum + other.load, source.load);
+        if (load > maxUtilizationAfterRelief * capacity) {
+            return [];
+        }
+        const moves: Move[] = [];
+        const ranges = input.ranges.filter((range) => range.targetId === source.target.targetId && !overlapsAny(range, excluded))
+            .sort((left, right) => input.loads.loadOf(right) - input.loads.loadOf(left));
+        for (const [index, range] of ranges.entries()) {
+            const maxPiecesHere = Math.min(maxPieces, source.target.maxMoves - moves.length - (ranges.length - index - 1));
+            if (moves.length < source.target.maxMoves) {
+                moves.push(...split(range, input.loads, unlimited, Math.max(1, maxPiecesHere)).map(({ piece, to }): Move =>
+                    ({ range: piece, from: source.target.targetId, to, reason: "rate-limit" })));
+            }
+        }
+        return moves;
+    });
+}
+
 /** Cuts a range into at most `limit` pieces of similar load and assigns each to the target that then has the lowest utilization. */
 function split(range: KeyRange, loads: KeyLoads, destinations: readonly TargetLoad[], limit: number): { piece: KeyRange; to: TargetId }[] {
     const total = loads.loadOf(range);
@@ -225,14 +259,13 @@
     const hasNewcomer = leastLoaded.some((destination) => isNewcomer(destination, mean));
     const mostLoaded = [...sources].sort((left, right) => utilization(right) - utilization(left)).slice(0, maxSources)
         .filter((source) => utilization(source) > reliefUtilization || hasNewcomer);
-    const fillLimitOf = (source: TargetLoad) =>
-        Math.max(source.target.isRateLimited ? rateLimitFillLimit : minFillLimit, mean * maxFillOverMean);
+    const fillLimit = Math.max(minFillLimit, mean * maxFillOverMean);
     const candidates = mostLoaded.flatMap((source) => {
         const movable = movableOf(input, source, leastLoaded, excluded);
         return leastLoaded.filter((destination) => destination !== source).flatMap((destination) => {
             const required = utilization(source) > reliefUtilization ? minGain
                 : isNewcomer(destination, mean) ? minNewcomerGain : Number.POSITIVE_INFINITY;
-            return piecesFor(movable, input.loads, idealLoad(source, destination, fillLimitOf(source)))
+            return piecesFor(movable, input.loads, idealLoad(source, destination, fillLimit))
                 .map((range) => toCandidate(range, input.loads.loadOf(range), source, destination))
                 .filter(({ gain }) => gain >= required);
         });
--- a/src/ownership/targetStandings.ts
+++ b/src/ownership/targetStandings.ts
@@ -3,6 +3,7 @@
 import type { TargetId } from "../model/names.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { LeaseManagerSet } from "./leaseManagerSet.js";
+import type { MovePacing } from "./movePacing.js";
 import type { PlannerTarget, TargetStanding } from "./planner.js";
 
 /** Assumed slowness (its work time divided by the average) of a target in the first seconds of its process, when none is reported. */
@@ -19,10 +20,11 @@
      * @param view targets and ledger
      * @param leaseManagers lease managers of the targets
      * @param earlierGrantsUntilMs monotonic time until which leases granted by earlier coordinators may be in force
+     * @param pacing paces the moves away from targets
      */
     constructor(
         private readonly view: ClusterView, private readonly leaseManagers: LeaseManagerSet,
-        private readonly earlierGrantsUntilMs: number,
+        private readonly earlierGrantsUntilMs: number, private readonly pacing: MovePacing,
     ) {}
 
     /** Records the slowness and the rate limits of targets as reported by a host. */
@@ -50,9 +52,10 @@
     /** Returns a target as input of the planner. */
     toPlannerTarget(targetId: TargetId, nowMs: number): PlannerTarget {
         const slots = this.view.targets.get(targetId)?.slots ?? 1;
+        const rateLimit = this.rateLimitOf(targetId, nowMs);
         return {
             targetId, standing: this.standingOf(targetId, nowMs), capacity: slots / this.slownessOf(targetId, nowMs),
-            isRateLimited: this.rateLimitOf(targetId, nowMs) !== undefined,
+            isRateLimited: rateLimit !== undefined, maxMoves: this.pacing.remaining(targetId, rateLimit, nowMs),
         };
     }
 
--- a/test/fleet/rateLimit.spec.ts
+++ b/test/fleet/rateLimit.spec.ts
@@ -92,7 +92,7 @@
         limited.faults = noServerFaults;
         expect(maxPerWindow(limited, statedMs)).to.be.at.most(allowedPerWindow(limitPerSecond));
         expectPromptRefusals(answers);
-        expect(answers.filter(({ status }) => status === 200).length).to.be.above(answers.length / 2);
+        expect(answers.filter(({ status }) => status === 503).length).to.be.below(answers.length * 0.1);
     };
 
     it("bounds what a server without keys gets, while others serve the rest", async () => {
--- a/test/ownership/planner.spec.ts
+++ b/test/ownership/planner.spec.ts
@@ -11,7 +11,7 @@
 const second = 1_000;
 
 function target(name: string, standing: TargetStanding = "ready", capacity = 3): PlannerTarget {
-    return { targetId: name as TargetId, standing, capacity, isRateLimited: false };
+    return { targetId: name as TargetId, standing, capacity, isRateLimited: false, maxMoves: Number.POSITIVE_INFINITY };
 }
 
 function range(from: number, to: number): KeyRange {
@@ -121,17 +121,41 @@
         });
     }
 
-    it("moves most of the load of a target with a rate limit at once, and none back to it", () => {
+    describe("with a target whose rate limit is below its load", () => {
         const requests = Array.from({ length: 128 }, (_, index) => ({ key: index * 512, perSecond: 0.45, workMs: 100 }));
         const loads = loadsOf(requests);
-        const limited = { ...target("a", "ready", 0.17), isRateLimited: true };
-        const targets = [limited, ...["b", "c", "d"].map((name) => target(name))];
-        const [first] = planMoves({ targets, ranges: quarters, loads, ...noMoves });
-        expect(first?.from).to.equal("a");
-        const ranges = apply(quarters, first === undefined ? [] : [first]);
-        expect(loadOf(loads, ranges, "a")).to.be.below(loadOf(loads, quarters, "a") / 2);
-        const emptied = apply(quarters, [{ range: range(0, 16_383), from: limited.targetId, to: "b" as TargetId, reason: "balance" }]);
-        expect(planMoves({ targets, ranges: emptied, loads, ...noMoves }).filter(({ to }) => to === "a")).to.deep.equal([]);
+        const limited = (name: string, maxMoves: number) => ({ ...target(name, "ready", 0.17), isRateLimited: true, maxMoves });
+        const others = ["b", "c", "d"].map((name) => target(name));
+
+        it("moves all its keys to targets without one, in no more moves than may begin", () => {
+            for (const maxMoves of [1, 3, 20]) {
+                const moves = planMoves({ targets: [limited("a", maxMoves), ...others], ranges: quarters, loads, ...noMoves });
+                expect(moves.length).to.be.within(1, maxMoves);
+                expect(moves.every(({ from, to, reason }) => from === "a" && to !== "a" && reason === "rate-limit")).to.equal(true);
+                expect(apply(quarters, moves).filter(({ targetId }) => targetId === "a")).to.deep.equal([]);
+            }
+        });
+
+        it("moves the most loaded of its ranges first when few moves may begin", () => {
+            const ranges = [owned("a", 0, 599), owned("a", 600, 16_383), ...quarters.slice(1)];
+            const moves = planMoves({ targets: [limited("a", 1), ...others], ranges, loads, ...noMoves });
+            expect(moves.map(({ range: { from, to } }) => [from, to])).to.deep.equal([[600, 16_383]]);
+        });
+
+        it("moves none back to it, and none from one limited target to another", () => {
+            const emptied = apply(quarters, [{ range: range(0, 16_383), from: "a" as TargetId, to: "b" as TargetId, reason: "balance" }]);
+            const both = [limited("a", 4), limited("b", 4), ...others.slice(1)];
+            for (const targets of [[limited("a", 4), ...others], both]) {
+                const moves = planMoves({ targets, ranges: emptied, loads, ...noMoves });
+                expect(moves.filter(({ to }) => to === "a" || to === targets.find(({ isRateLimited }) => isRateLimited)?.targetId)).to.deep.equal([]);
+            }
+        });
+
+        it("lets it keep keys when the others have no room for them", () => {
+            const targets = [limited("a", 20), ...["b", "c", "d"].map((name) => target(name, "ready", 1.6))];
+            const moves = planMoves({ targets, ranges: quarters, loads, ...noMoves });
+            expect(apply(quarters, moves).some(({ targetId }) => targetId === "a")).to.equal(true);
+        });
     });
 
     it("moves no keys from a target that needs no relief to one that owns keys with little load", () => {
