Lease calls leave what they can't use of a large rate limit to requests

Cause: a quarter of the limit was left to lease calls whatever its size; a target that stated 12 a second got 9 requests, while its renewals need 1.4. Change: at most 1.5 a second of a limit is left to lease calls.

--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -18,6 +18,7 @@
 import type { StatedRateLimit } from "../model/rateLimit.js";
 import type { AdmissionRequest, AdmissionVerdict, QueueRefusalReason, Ticket } from "./admissionRequest.js";
 import { chooseTarget } from "./targetChoice.js";
+import type { RateLimitUse } from "./rateLimiter.js";
 import type { QueueTarget, RunningRequest, TargetRecord, WorkEnd } from "./targetRecord.js";
 import {
     applyRateLimit, backOffLeftMs, decaySlowness, effectiveSlots, endRateLimit, hasFreeSlot, recordEnd, maxSlowness, newTargetRecord,
@@ -84,11 +85,16 @@
     private minOpenSlowness = 1;
     /** Mean work time of the requests, at targets of average speed. */
     private meanWorkMs = 0;
-    /** Share of the targets' rate limits that this queue may use. */
-    private rateLimitShare = 1;
+    /** The part of the targets' rate limits that this queue may use. */
+    private rateLimitUse: RateLimitUse;
 
-    /** @param random source of numbers uniform in [0, 1), for the jitter of retry delays */
-    constructor(private readonly random: () => number) {}
+    /**
+     * @param random source of numbers uniform in [0, 1), for the jitter of retry delays
+     * @param hasLeases true if the queue is that of a target that owns keys
+     */
+    constructor(private readonly random: () => number, hasLeases = false) {
+        this.rateLimitUse = { share: 1, hasLeases };
+    }
 
     /** Number of requests that wait for a slot. */
     get waitingCount(): number {
@@ -117,19 +123,19 @@
     applyRateLimit(stated: StatedRateLimit, nowMs: number): void {
         const record = this.targets.get(stated.targetId);
         if (record !== undefined) {
-            applyRateLimit(record, stated, this.rateLimitShare, nowMs);
+            applyRateLimit(record, stated, this.rateLimitUse, nowMs);
         }
     }
 
     /**
-     * Sets the share of the targets' rate limits that this queue may use.
+     * Sets the share that this queue may use of what the targets' rate limits leave for requests.
      * @param share more than 0, at most 1
      * @param nowMs current monotonic time
      */
     setRateLimitShare(share: number, nowMs: number): void {
-        if (share !== this.rateLimitShare) {
-            this.rateLimitShare = share;
-            this.targets.forEach(({ rateLimiter }) => rateLimiter?.setShare(share, nowMs));
+        if (share !== this.rateLimitUse.share) {
+            this.rateLimitUse = { ...this.rateLimitUse, share };
+            this.targets.forEach(({ rateLimiter }) => rateLimiter?.setUse(this.rateLimitUse, nowMs));
         }
     }
 
@@ -211,7 +217,7 @@
             }
             recordEnd(record, ended, end, nowMs);
             if (rateLimit !== undefined) {
-                applyRateLimit(record, rateLimit, this.rateLimitShare, nowMs);
+                applyRateLimit(record, rateLimit, this.rateLimitUse, nowMs);
             }
             else if (end.kind === "answered") {
                 endRateLimit(record, ended, nowMs);
--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -90,7 +90,7 @@
     const queueOf = (group: Group, nowMs: number): ManagedQueue => {
         const name = groupName(group);
         const managed = queues.get(name) ?? {
-            group, queue: new AdmissionQueue(random), pendingReplies: new Map(),
+            group, queue: new AdmissionQueue(random, group.kind === "target"), pendingReplies: new Map(),
             viewVersion: -1, hasLeavingTarget: false, lastUsedMs: nowMs,
         };
         queues.set(name, managed);
--- a/src/admission/queueHosts.ts
+++ b/src/admission/queueHosts.ts
@@ -1,7 +1,6 @@
 /** Determines which hosts may keep an admission queue. */
 import type { Member, Membership } from "../cluster/membership.js";
 import type { DataCentreId } from "../model/names.js";
-import { leaseCallShare } from "../model/rateLimit.js";
 import { rankCandidates } from "../model/rendezvous.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { Group } from "./messages.js";
@@ -11,9 +10,6 @@
 const shareByRank: readonly number[] = [1, 0.2];
 const shareOfOthers = 0.1;
 
-/** Share of a rate limit that is left for requests. Only targets that own keys, which have queues of their own, get lease calls. */
-const requestShareByKind: Record<Group["kind"], number> = { target: 1 - leaseCallShare, service: 1 };
-
 /** Ranks the hosts for each queue; all hosts that know the same members and targets get the same order. */
 export class QueueHosts {
     private readonly rankedByQueue = new Map<string, readonly Member[]>();
@@ -47,7 +43,7 @@
      */
     rateLimitShare(group: Group): number {
         const rank = this.ranked(group).findIndex(({ hostId }) => hostId === this.membership.self.hostId);
-        return (shareByRank[rank] ?? shareOfOthers) * requestShareByKind[group.kind];
+        return shareByRank[rank] ?? shareOfOthers;
     }
 
     /**
--- a/src/admission/rateLimiter.ts
+++ b/src/admission/rateLimiter.ts
@@ -5,6 +5,7 @@
  * Load pattern: a target in trouble states a limit far below the rate of its requests. It then gets its requests evenly spaced, the
  * most urgent first; the rest is refused at once or runs elsewhere.
  */
+import { leaseCallBudget } from "../model/rateLimit.js";
 
 /** Capacity of the token bucket: this many requests, or those of `burstMs` at the permitted rate if that is more. */
 const minBurst = 2;
@@ -17,17 +18,27 @@
 /** Lower bound of a limit: a target that accepts nothing gets a request now and then, since only its responses show the end of that. */
 const minLimitPerSecond = 0.2;
 
+/** The part of a rate limit that one queue may use. */
+export interface RateLimitUse {
+    /** Share of what is left for requests, more than 0 and at most 1. */
+    share: number;
+    /** True if the target owns keys, so that lease calls use a part of the limit. */
+    hasLeases: boolean;
+}
+
 /** A token bucket that is empty at first, since the target got more than its limit until now. Times are monotonic milliseconds. */
 export class RateLimiter {
     private tokens = 0;
 
     /**
      * @param limitPerSecond limit that the target stated
-     * @param share share of the limit that this limiter may use
+     * @param use the part of the limit that this limiter may use
      * @param statedAtMs time of the statement
      * @param updatedMs current time
      */
-    constructor(private limitPerSecond: number, private share: number, private statedAtMs: number, private updatedMs: number) {}
+    constructor(
+        private limitPerSecond: number, private use: RateLimitUse, private statedAtMs: number, private updatedMs: number,
+    ) {}
 
     /** Limit that the target stated. */
     get limit(): number {
@@ -41,7 +52,8 @@
 
     /** Requests a second that are sent at most. */
     get permittedPerSecond(): number {
-        return Math.max(minLimitPerSecond, this.limitPerSecond) * this.share;
+        const limit = Math.max(minLimitPerSecond, this.limitPerSecond);
+        return (this.use.hasLeases ? limit - leaseCallBudget(limit) : limit) * this.use.share;
     }
 
     /** Sets a limit that was stated later. */
@@ -52,17 +64,17 @@
         this.statedAtMs = statedAtMs;
     }
 
-    /** Sets the share of the limit that this limiter may use. */
-    setShare(share: number, nowMs: number): void {
+    /** Sets the part of the limit that this limiter may use. */
+    setUse(use: RateLimitUse, nowMs: number): void {
         this.tokens = this.availableTokens(nowMs);
         this.updatedMs = nowMs;
-        this.share = share;
+        this.use = use;
     }
 
     /** Returns how many requests may be sent now; fractions count towards the next one. */
     availableTokens(nowMs: number): number {
         const refilled = this.tokens + (nowMs - this.updatedMs) / 1_000 * this.permittedPerSecond;
-        const burst = this.share < minorShare ? minorBurst : minBurst;
+        const burst = this.use.share < minorShare ? minorBurst : minBurst;
         return Math.min(refilled, Math.max(burst, this.permittedPerSecond * burstMs / 1_000));
     }
 
--- a/src/admission/targetRecord.ts
+++ b/src/admission/targetRecord.ts
@@ -1,6 +1,7 @@
 /** State that an admission queue keeps for each target: used slots, observed slowness and pauses. */
 import type { DataCentreId, TargetId } from "../model/names.js";
 import type { StatedRateLimit } from "../model/rateLimit.js";
+import type { RateLimitUse } from "./rateLimiter.js";
 import { RateLimiter } from "./rateLimiter.js";
 
 /** The properties of a target that a queue needs. */
@@ -168,16 +169,16 @@
  * Applies a rate limit that a target stated to some host, unless a later statement or the end of the limit is known.
  * @param record the target's record, which is modified
  * @param stated the limit
- * @param share share of the limit that this queue may use
+ * @param use the part of the limit that this queue may use
  * @param nowMs current monotonic time
  */
-export function applyRateLimit(record: TargetRecord, stated: StatedRateLimit, share: number, nowMs: number): void {
+export function applyRateLimit(record: TargetRecord, stated: StatedRateLimit, use: RateLimitUse, nowMs: number): void {
     const statedAtMs = nowMs - stated.ageMs;
     if (stated.bornWallMs !== record.target.bornWallMs || statedAtMs <= record.rateLimitEndedMs) {
         return;
     }
     if (record.rateLimiter === undefined) {
-        record.rateLimiter = new RateLimiter(stated.requestsPerSecond, share, statedAtMs, nowMs);
+        record.rateLimiter = new RateLimiter(stated.requestsPerSecond, use, statedAtMs, nowMs);
     }
     else if (statedAtMs >= record.rateLimiter.lastStatedMs) {
         record.rateLimiter.restate(stated.requestsPerSecond, statedAtMs, nowMs);
--- a/src/model/rateLimit.ts
+++ b/src/model/rateLimit.ts
@@ -1,8 +1,14 @@
 /** Rate limits that targets state in their responses. A limit applies to the requests of all hosts together. */
 import type { TargetId } from "./names.js";
 
-/** Share of a target's rate limit that is left to grants, renewals and releases of leases; requests use the rest. */
-export const leaseCallShare = 0.25;
+/** Bounds of the part of a target's rate limit that is left to grants, renewals and releases of leases; requests use the rest. */
+const maxLeaseCallShare = 0.25;
+const maxLeaseCallsPerSecond = 1.5;
+
+/** Returns how many lease calls a second a target with a rate limit may get. */
+export function leaseCallBudget(requestsPerSecond: number): number {
+    return Math.min(maxLeaseCallShare * requestsPerSecond, maxLeaseCallsPerSecond);
+}
 
 /** What one response states about the rate limit of its target. */
 export type RateLimitNotice =
--- a/src/ownership/leaseTerms.ts
+++ b/src/ownership/leaseTerms.ts
@@ -1,5 +1,5 @@
 /** Durations of leases and their renewals. */
-import { leaseCallShare } from "../model/rateLimit.js";
+import { leaseCallBudget } from "../model/rateLimit.js";
 
 /** Interval between two renewals of a lease. */
 export const renewalIntervalMs = 700;
@@ -36,7 +36,7 @@
     }
     const holdPerInterval = defaultHoldMs / renewalIntervalMs;
     const longestMs = Math.max(renewalIntervalMs, Math.min(maxRenewalIntervalMs, maxHoldMs / holdPerInterval));
-    const wantedMs = 1_000 * rangeCount / Math.max(Number.EPSILON, leaseCallShare * rateLimit);
+    const wantedMs = 1_000 * rangeCount / Math.max(Number.EPSILON, leaseCallBudget(rateLimit));
     const intervalMs = Math.min(longestMs, Math.max(renewalIntervalMs, wantedMs));
     return { intervalMs, holdMs: Math.min(maxHoldMs, Math.max(holdMs, Math.round(intervalMs * holdPerInterval))) };
 }
--- a/test/admission/rateLimiter.spec.ts
+++ b/test/admission/rateLimiter.spec.ts
@@ -9,6 +9,7 @@
 
 const here = "here" as DataCentreId;
 const windowMs = 4_000;
+const wholeLimit = { share: 1, hasLeases: false };
 
 function target(name: string, change: Partial<QueueTarget> = {}): QueueTarget {
     return { targetId: name as TargetId, dataCentreId: here, slots: 3, isOpen: true, warmingUp: false, bornWallMs: 1, ...change };
@@ -93,7 +94,7 @@
 
 describe("rate limiter", () => {
     it("spaces requests evenly and lets a short burst through after a pause", () => {
-        const limiter = new RateLimiter(2, 1, 0, 0);
+        const limiter = new RateLimiter(2, wholeLimit, 0, 0);
         expect(limiter.availableTokens(0)).to.equal(0);
         expect(limiter.availableTokens(500)).to.equal(1);
         expect(limiter.availableTokens(10_000)).to.equal(2);
@@ -101,9 +102,15 @@
         expect(limiter.availableTokens(10_000)).to.equal(1);
     });
 
+    it("leaves a part of the limit of a target that owns keys to lease calls, which need no more than a few a second", () => {
+        const permitted = (limit: number) => new RateLimiter(limit, { share: 1, hasLeases: true }, 0, 0).permittedPerSecond;
+        expect(permitted(2)).to.equal(1.5);
+        expect(permitted(12)).to.equal(10.5);
+    });
+
     it("still sends a request now and then to a target that takes none, to learn when that ends", () => {
-        expect(new RateLimiter(0, 1, 0, 0).availableTokens(5_000)).to.be.closeTo(1, 1e-9);
-        expect(new RateLimiter(0.01, 1, 0, 0).availableTokens(4_000)).to.be.below(1);
+        expect(new RateLimiter(0, wholeLimit, 0, 0).availableTokens(5_000)).to.be.closeTo(1, 1e-9);
+        expect(new RateLimiter(0.01, wholeLimit, 0, 0).availableTokens(4_000)).to.be.below(1);
     });
 });
 
