A target that warms up gets no more requests than it tolerates, from all hosts together

Change: the token bucket in the target's queue meters that rate too, while the target's entry says that it warms up; it is the same mechanism.

--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -8,7 +8,7 @@
  * - Requests that will probably be answered within their target latency are sent before those that will not.
  * - Within each of these two classes, more urgent requests are sent before less urgent ones.
  * - A request that cannot be answered before its deadline is refused at once.
- * - A target that stated a rate limit gets no more requests than that, from all hosts together.
+ * - A target that stated a rate limit, or one that warms up and tolerates a certain rate, gets no more than that from all hosts together.
  *
  * Work times vary between requests, so the queue plans with more than the average work time. If it sent requests at the last
  * moment at which one of average length is still in time, half of the work would be late under sustained overload.
@@ -21,7 +21,8 @@
 import type { RateLimitUse } from "./rateLimiter.js";
 import type { QueueTarget, RunningRequest, TargetRecord, WorkEnd } from "./targetRecord.js";
 import {
-    applyRateLimit, backOffLeftMs, decaySlowness, effectiveSlots, endRateLimit, hasFreeSlot, recordEnd, maxSlowness, newTargetRecord,
+    applyRateLimit, backOffLeftMs, decaySlowness, effectiveSlots, endRateLimit, hasFreeSlot, limitersOf, recordEnd, maxSlowness,
+    newTargetRecord, updateTarget,
 } from "./targetRecord.js";
 import { WorkTimeQuantile } from "./workTimeQuantile.js";
 
@@ -135,7 +136,9 @@
     setRateLimitShare(share: number, nowMs: number): void {
         if (share !== this.rateLimitUse.share) {
             this.rateLimitUse = { ...this.rateLimitUse, share };
-            this.targets.forEach(({ rateLimiter }) => rateLimiter?.setUse(this.rateLimitUse, nowMs));
+            [...this.targets.values()].flatMap(limitersOf).forEach((limiter) => {
+                limiter.setShare(share, nowMs);
+            });
         }
     }
 
@@ -151,10 +154,9 @@
             this.targets.delete(id);
         }
         for (const target of targets) {
-            const known = this.targets.get(target.targetId);
-            this.targets.set(target.targetId, known === undefined
-                ? newTargetRecord(target, this.countRunning(target.targetId), nowMs)
-                : { ...known, target, ...known.target.bornWallMs === target.bornWallMs ? {} : { rateLimiter: undefined } });
+            const record = this.targets.get(target.targetId) ?? newTargetRecord(target, this.countRunning(target.targetId), nowMs);
+            updateTarget(record, target, this.rateLimitUse, nowMs);
+            this.targets.set(target.targetId, record);
         }
         this.updateMinOpenSlowness();
         return this.dispatch(nowMs);
@@ -283,14 +285,16 @@
 
     private grant(request: AdmissionRequest, record: TargetRecord, nowMs: number): AdmissionVerdict {
         record.running += 1;
-        record.rateLimiter?.take(nowMs);
+        limitersOf(record).forEach((limiter) => {
+            limiter.take(nowMs);
+        });
         this.running.set(request.ticket, {
             targetId: record.target.targetId, sender: request.sender, workMs: request.workMs,
             startedMs: nowMs, slotExpiryMs: request.deadlineMs + unreportedGraceMs,
         });
         return {
             kind: "granted", ticket: request.ticket, targetId: record.target.targetId, expectedMs: request.workMs * record.slowness,
-            isRateLimited: record.rateLimiter !== undefined,
+            isRateLimited: limitersOf(record).length > 0,
         };
     }
 
@@ -322,16 +326,16 @@
     }
 
     /**
-     * Returns whether every open target has a rate limit. The waiting requests then keep their order of arrival: when requests are sent
-     * far apart, one that is overtaken because it has become a little late would wait in vain until its deadline.
+     * Returns whether the rate of requests to every open target is limited. The waiting requests then keep their order of arrival: when
+     * requests are sent far apart, one that is overtaken because it has become a little late would wait in vain until its deadline.
      */
     private isRateLimited(): boolean {
         let hasOpen = false;
-        for (const { target, rateLimiter } of this.targets.values()) {
-            if (target.isOpen && rateLimiter === undefined) {
+        for (const record of this.targets.values()) {
+            if (record.target.isOpen && limitersOf(record).length === 0) {
                 return false;
             }
-            hasOpen ||= target.isOpen;
+            hasOpen ||= record.target.isOpen;
         }
         return hasOpen;
     }
@@ -368,9 +372,10 @@
         if (!this.isRateLimited()) {
             return 0;
         }
-        const limiters = [...this.targets.values()].flatMap(({ target, rateLimiter }) => target.isOpen ? rateLimiter ?? [] : []);
-        const tokens = limiters.reduce((sum, limiter) => sum + limiter.availableTokens(nowMs), 0);
-        const perSecond = limiters.reduce((sum, limiter) => sum + limiter.permittedPerSecond, 0);
+        const tightest = [...this.targets.values()].filter(({ target }) => target.isOpen).map((record) =>
+            limitersOf(record).reduce((left, right) => left.permittedPerSecond < right.permittedPerSecond ? left : right));
+        const tokens = tightest.reduce((sum, limiter) => sum + limiter.availableTokens(nowMs), 0);
+        const perSecond = tightest.reduce((sum, limiter) => sum + limiter.permittedPerSecond, 0);
         return Math.max(0, (sentBefore + 1 - tokens) / perSecond * 1_000);
     }
 
--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -125,6 +125,7 @@
         isOpen: !isSilent(target.targetId)
             && (group.kind === "target" ? mayReceive(target, drainMs, nowMs) : target.state === "ready" && !isDrained(target.targetId)),
         warmingUp: target.warmingUp,
+        warmUpRequestsPerSecond: target.warmingUp ? view.config?.services.get(target.serviceId)?.warmUpRequestsPerSecond : undefined,
         bornWallMs: target.bornWallMs,
     });
 
--- a/src/admission/rateLimiter.ts
+++ b/src/admission/rateLimiter.ts
@@ -64,11 +64,11 @@
         this.statedAtMs = statedAtMs;
     }
 
-    /** Sets the part of the limit that this limiter may use. */
-    setUse(use: RateLimitUse, nowMs: number): void {
+    /** Sets the share that this limiter may use of what the limit leaves for requests. */
+    setShare(share: number, nowMs: number): void {
         this.tokens = this.availableTokens(nowMs);
         this.updatedMs = nowMs;
-        this.use = use;
+        this.use = { ...this.use, share };
     }
 
     /** Returns how many requests may be sent now; fractions count towards the next one. */
--- a/src/admission/targetRecord.ts
+++ b/src/admission/targetRecord.ts
@@ -12,6 +12,8 @@
     /** False while the target may get no new requests. */
     isOpen: boolean;
     warmingUp: boolean;
+    /** Requests a second that it tolerates while it warms up; undefined if it does not, or tolerates any. */
+    warmUpRequestsPerSecond: number | undefined;
     /** Start of the target's process; a later process starts without a rate limit. */
     bornWallMs: number;
 }
@@ -59,6 +61,8 @@
     backOffEndMsByHost: Map<string, number> | undefined;
     /** Keeps the target's rate limit; undefined if it has none. */
     rateLimiter: RateLimiter | undefined;
+    /** Keeps the rate that the target tolerates while it warms up; undefined at other times. */
+    warmUpLimiter: RateLimiter | undefined;
     /** Time at which the last rate limit ended; earlier statements of a limit do not count any more. */
     rateLimitEndedMs: number;
 }
@@ -94,7 +98,7 @@
     const slowness = target.warmingUp ? warmUpSlowness : 1;
     return {
         target, running, slowness, observationCount: 0, lastObservedMs: nowMs, pausedUntilMs: 0, backOffEndMsByHost: undefined,
-        rateLimiter: undefined, rateLimitEndedMs: Number.NEGATIVE_INFINITY,
+        rateLimiter: undefined, warmUpLimiter: undefined, rateLimitEndedMs: Number.NEGATIVE_INFINITY,
     };
 }
 
@@ -155,9 +159,10 @@
 }
 
 /** Returns whether a target can be sent one more request now. */
-export function hasFreeSlot({ target, running, pausedUntilMs, rateLimiter }: TargetRecord, nowMs: number): boolean {
-    const hasToken = rateLimiter === undefined || rateLimiter.availableTokens(nowMs) >= 1;
-    return target.isOpen && running < target.slots && nowMs >= pausedUntilMs && hasToken;
+export function hasFreeSlot(record: TargetRecord, nowMs: number): boolean {
+    const { target, running, pausedUntilMs } = record;
+    return target.isOpen && running < target.slots && nowMs >= pausedUntilMs
+        && limitersOf(record).every((limiter) => limiter.availableTokens(nowMs) >= 1);
 }
 
 /** Returns the remaining time for which a host has to back off from a target, or 0 if it does not have to. */
@@ -203,9 +208,32 @@
  * @param record the target's record
  * @param meanWorkMs mean work time of a request at a target of average speed; together with a rate limit it bounds the work in progress
  */
-export function effectiveSlots({ target, slowness, rateLimiter }: TargetRecord, meanWorkMs: number): number {
-    const slots = target.slots / slowness;
-    return rateLimiter === undefined ? slots : Math.min(slots, rateLimiter.permittedPerSecond * meanWorkMs / 1_000);
+export function effectiveSlots(record: TargetRecord, meanWorkMs: number): number {
+    const slots = record.target.slots / record.slowness;
+    return limitersOf(record).reduce((least, { permittedPerSecond }) => Math.min(least, permittedPerSecond * meanWorkMs / 1_000), slots);
+}
+
+/** Lists the limiters that bound the rate of requests to a target now. */
+export function limitersOf({ rateLimiter, warmUpLimiter }: TargetRecord): RateLimiter[] {
+    return [...rateLimiter === undefined ? [] : [rateLimiter], ...warmUpLimiter === undefined ? [] : [warmUpLimiter]];
+}
+
+/**
+ * Updates a record after a change of its target. A later process of the target starts without a rate limit.
+ * @param record the target's record, which is modified
+ * @param target the target as it is now
+ * @param use the part of its limits that this queue may use
+ * @param nowMs current monotonic time
+ */
+export function updateTarget(record: TargetRecord, target: QueueTarget, use: RateLimitUse, nowMs: number): void {
+    record.rateLimiter = record.target.bornWallMs === target.bornWallMs ? record.rateLimiter : undefined;
+    record.target = target;
+    const { warmUpRequestsPerSecond } = target;
+    if (record.warmUpLimiter?.limit !== warmUpRequestsPerSecond) {
+        record.warmUpLimiter = warmUpRequestsPerSecond === undefined
+            ? undefined
+            : new RateLimiter(warmUpRequestsPerSecond, { ...use, hasLeases: false }, nowMs, nowMs);
+    }
 }
 
 /** Returns the target that is expected to answer first, or undefined if there are no targets. */
--- a/src/config/compile.ts
+++ b/src/config/compile.ts
@@ -47,6 +47,7 @@
             healthPath: config.healthPath,
             maxConnections: config.connections,
             sharded: config.kind === "keyed",
+            warmUpRequestsPerSecond: undefined,
             warmUpMs: 0,
         })),
     };
--- a/test/admission/admissionQueue.spec.ts
+++ b/test/admission/admissionQueue.spec.ts
@@ -10,7 +10,10 @@
 const there = "there" as DataCentreId;
 
 function target(name: string, change: Partial<QueueTarget> = {}): QueueTarget {
-    return { targetId: name as TargetId, dataCentreId: here, slots: 2, isOpen: true, warmingUp: false, bornWallMs: 1, ...change };
+    return {
+        targetId: name as TargetId, dataCentreId: here, slots: 2, isOpen: true, warmingUp: false, warmUpRequestsPerSecond: undefined,
+        bornWallMs: 1, ...change,
+    };
 }
 
 function request(name: string, change: Partial<AdmissionRequest> = {}): AdmissionRequest {
--- a/test/admission/rateLimiter.spec.ts
+++ b/test/admission/rateLimiter.spec.ts
@@ -12,7 +12,10 @@
 const wholeLimit = { share: 1, hasLeases: false };
 
 function target(name: string, change: Partial<QueueTarget> = {}): QueueTarget {
-    return { targetId: name as TargetId, dataCentreId: here, slots: 3, isOpen: true, warmingUp: false, bornWallMs: 1, ...change };
+    return {
+        targetId: name as TargetId, dataCentreId: here, slots: 3, isOpen: true, warmingUp: false, warmUpRequestsPerSecond: undefined,
+        bornWallMs: 1, ...change,
+    };
 }
 
 function limitOf(name: string, requestsPerSecond: number, ageMs = 0, bornWallMs = 1): StatedRateLimit {
@@ -51,6 +54,10 @@
         this.queue.setTargets(targets, 0);
     }
 
+    setTargets(targets: readonly QueueTarget[]): void {
+        this.handle(this.queue.setTargets(targets, this.nowMs));
+    }
+
     run(durationMs: number): void {
         for (const endMs = this.nowMs + durationMs; this.nowMs < endMs; this.nowMs += 5) {
             for (; this.nextArrivalMs <= this.nowMs; this.nextArrivalMs += -Math.log(1 - this.random.uniform()) * 1_000 / this.perSecond) {
@@ -228,3 +235,28 @@
         expect(queue.describeTargets()[0]?.requestsPerSecond).to.equal(undefined);
     });
 });
+
+describe("admission queue of a target that warms up", () => {
+    const warmUpRequestsPerSecond = 6.1;
+    const maxPerSecond = (grantedMs: readonly number[]) =>
+        Math.max(0, ...grantedMs.map((endMs) => grantedMs.filter((atMs) => atMs > endMs - 1_000 && atMs <= endMs).length));
+
+    it("sends it no more requests from 60 hosts than it tolerates, in any second, and as many as it can do afterwards", () => {
+        const warm = target("t1", { slots: 6 });
+        const driver = new QueueDriver([{ ...warm, warmingUp: true, warmUpRequestsPerSecond }], 200);
+        driver.run(3_000);
+        expect(maxPerSecond(driver.grantsTo("t1"))).to.be.at.most(1.5 * warmUpRequestsPerSecond + 8);
+        expect(driver.grantsTo("t1").length).to.be.at.least(Math.floor(3 * warmUpRequestsPerSecond) - 2);
+        driver.setTargets([warm]);
+        const fromMs = driver.nowMs;
+        driver.run(2_000);
+        expect(driver.grantsTo("t1", fromMs).length).to.be.above(100);
+    });
+
+    it("keeps to a lower limit that it states meanwhile", () => {
+        const driver = new QueueDriver([target("t1", { warmingUp: true, warmUpRequestsPerSecond })], 50);
+        driver.stated.set("t1", 2);
+        driver.run(8_000);
+        expect(maxPerWindow(driver.grantsTo("t1", 1_000))).to.be.at.most(10);
+    });
+});
