Admission queue and planner parted by duty

Change: offeredLoad.ts and queueCapacity.ts out of the queue; plannerInput.ts, rangeSplitting.ts and rateLimitRelief.ts out of the planner; leavingRelease.ts out of the ownership manager. Code moved and renamed, no rule changed.

--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -17,12 +17,14 @@
 import type { TargetId } from "../model/names.js";
 import type { StatedRateLimit } from "../model/rateLimit.js";
 import type { AdmissionRequest, AdmissionVerdict, QueueRefusalReason, Ticket } from "./admissionRequest.js";
+import { OfferedLoad } from "./offeredLoad.js";
+import { isEveryRateLimited, minOpenSlowness, rateLimitWaitMs, totalEffectiveSlots } from "./queueCapacity.js";
 import { chooseTarget } from "./targetChoice.js";
 import type { RateLimitUse } from "./rateLimiter.js";
 import type { QueueTarget, RunningRequest, TargetRecord, WorkEnd } from "./targetRecord.js";
 import {
-    applyRateLimit, backOffLeftMs, decaySlowness, effectiveSlots, endRateLimit, hasFreeSlot, limitersOf, recordEnd, maxSlowness,
-    newTargetRecord, updateTarget,
+    applyRateLimit, backOffLeftMs, decaySlowness, effectiveSlots, endRateLimit, hasFreeSlot, limitersOf, newTargetRecord, recordEnd,
+    updateTarget,
 } from "./targetRecord.js";
 import { WorkTimeQuantile } from "./workTimeQuantile.js";
 
@@ -31,11 +33,7 @@
 /** Factors of retry delays. The next request under a rate limit is certainly not sent earlier, while slots may become free sooner. */
 const retryJitter = { rateLimited: { min: 1, spread: 0.25 }, other: { min: 0.75, spread: 0.5 } };
 
-/** Time constant of the offered load's exponential decay: an arrival this long ago counts for about a third (1/e). */
-const offeredLoadDecayMs = 1_000;
-
-/** Lower bounds of divisors, which keep the expected wait finite. */
-const minEffectiveSlots = 0.05;
+/** Lower bound of a divisor, which keeps the expected wait finite. */
 const minSpareShare = 0.05;
 
 /** Time after a request's deadline at which its slot is freed if its end has not been reported. */
@@ -47,9 +45,6 @@
  */
 const maxPlannedWorkShare = 0.75;
 
-/** Weight of a new request in the moving average of the work times. */
-const meanWorkWeight = 0.05;
-
 /** Upper bound of the slowness that `describeTargets` lists; a target with a rate limit may do far less work than its slots allow. */
 const maxReportedSlowness = 200;
 
@@ -78,14 +73,11 @@
     private readonly targets = new Map<TargetId, TargetRecord>();
     private readonly running = new Map<Ticket, RunningRequest>();
     private waiting: AdmissionRequest[] = [];
-    private offeredLoad = 0;
-    private offeredLoadUpdatedMs = 0;
+    private readonly offeredLoad = new OfferedLoad();
     private lastTickMs = 0;
     private readonly workTimeQuantile = new WorkTimeQuantile();
     /** Slowness of the fastest open target. */
     private minOpenSlowness = 1;
-    /** Mean work time of the requests, at targets of average speed. */
-    private meanWorkMs = 0;
     /** The part of the targets' rate limits that this queue may use. */
     private rateLimitUse: RateLimitUse;
 
@@ -111,7 +103,7 @@
     describeTargets(): TargetDescription[] {
         return [...this.targets.values()].map((record) => ({
             targetId: record.target.targetId, running: record.running, observationCount: record.observationCount,
-            slowness: Math.min(maxReportedSlowness, record.target.slots / effectiveSlots(record, this.meanWorkMs)),
+            slowness: Math.min(maxReportedSlowness, record.target.slots / effectiveSlots(record, this.offeredLoad.meanWorkMs)),
             requestsPerSecond: record.rateLimiter?.limit,
         }));
     }
@@ -158,7 +150,7 @@
             updateTarget(record, target, this.rateLimitUse, nowMs);
             this.targets.set(target.targetId, record);
         }
-        this.updateMinOpenSlowness();
+        this.minOpenSlowness = minOpenSlowness(this.targets.values());
         return this.dispatch(nowMs);
     }
 
@@ -169,7 +161,7 @@
      * @returns verdicts on this request and on waiting ones; contains none on this request if it has to wait
      */
     offer(request: AdmissionRequest, nowMs: number): AdmissionVerdict[] {
-        this.recordOffer(request, nowMs);
+        this.offeredLoad.count(request.workMs, !this.isProbablyLate(request, nowMs), nowMs);
         const open = [...this.targets.values()].filter((record) => record.target.isOpen);
         if (open.length === 0) {
             return [this.refuse(request, "no-target", request.workMs)];
@@ -224,7 +216,7 @@
             else if (end.kind === "answered") {
                 endRateLimit(record, ended, nowMs);
             }
-            this.updateMinOpenSlowness();
+            this.minOpenSlowness = minOpenSlowness(this.targets.values());
         }
         return this.dispatch(nowMs);
     }
@@ -242,20 +234,20 @@
         this.lastTickMs = nowMs;
         const unreported = [...this.running].filter(([, { slotExpiryMs }]) => nowMs > slotExpiryMs);
         const verdicts = unreported.flatMap(([ticket]) => this.finish(ticket, { kind: "lost" }, nowMs));
-        this.updateMinOpenSlowness();
+        this.minOpenSlowness = minOpenSlowness(this.targets.values());
         verdicts.push(...this.dispatch(nowMs));
         return [...verdicts, ...this.refuseTooLate(nowMs)];
     }
 
     /** Refuses waiting requests that cannot be answered before their deadline, given the work that is sent before them. */
     private refuseTooLate(nowMs: number): AdmissionVerdict[] {
-        const slots = this.effectiveSlots();
+        const slots = totalEffectiveSlots(this.targets.values(), this.offeredLoad.meanWorkMs);
         const spareShare = this.spareShare(slots, nowMs);
         const refused: AdmissionVerdict[] = [];
         const kept: AdmissionRequest[] = [];
         let workBeforeMs = this.remainingWorkMs(nowMs);
         for (const request of this.waiting.sort((left, right) => this.compareRank(left, right, nowMs))) {
-            const rateWaitMs = this.rateLimitWaitMs(kept.length, nowMs);
+            const rateWaitMs = rateLimitWaitMs([...this.targets.values()], kept.length, nowMs);
             const slotWaitMs = this.isProbablyLate(request, nowMs) ? workBeforeMs / slots / spareShare : 0;
             if (nowMs + Math.max(slotWaitMs, rateWaitMs) + this.fastestWorkMs(request) > request.deadlineMs) {
                 refused.push(rateWaitMs > 0
@@ -313,8 +305,13 @@
         return undefined;
     }
 
+    /**
+     * Compares two waiting requests by the order in which they are sent. While the rate to every target is limited, they keep their order
+     * of arrival: when requests are sent far apart, one that is overtaken because it has become a little late would wait in vain until
+     * its deadline.
+     */
     private compareRank(left: AdmissionRequest, right: AdmissionRequest, nowMs: number): number {
-        if (this.isRateLimited()) {
+        if (isEveryRateLimited(this.targets.values())) {
             return left.priority - right.priority || left.arrivedMs - right.arrivedMs;
         }
         const isLeftLate = this.isProbablyLate(left, nowMs);
@@ -325,21 +322,6 @@
         return left.priority - right.priority || left.softDeadlineMs - right.softDeadlineMs;
     }
 
-    /**
-     * Returns whether the rate of requests to every open target is limited. The waiting requests then keep their order of arrival: when
-     * requests are sent far apart, one that is overtaken because it has become a little late would wait in vain until its deadline.
-     */
-    private isRateLimited(): boolean {
-        let hasOpen = false;
-        for (const record of this.targets.values()) {
-            if (record.target.isOpen && limitersOf(record).length === 0) {
-                return false;
-            }
-            hasOpen ||= record.target.isOpen;
-        }
-        return hasOpen;
-    }
-
     /** Returns whether a request will probably exceed its target latency even if it is sent now. */
     private isProbablyLate(request: AdmissionRequest, nowMs: number): boolean {
         const fastestMs = this.fastestWorkMs(request);
@@ -353,9 +335,9 @@
      * it as well.
      */
     private expectedWait(request: AdmissionRequest, nowMs: number): ExpectedWait {
-        const slots = this.effectiveSlots();
+        const slots = totalEffectiveSlots(this.targets.values(), this.offeredLoad.meanWorkMs);
         const sentBefore = this.waiting.filter((other) => this.compareRank(other, request, nowMs) <= 0);
-        const rateWaitMs = this.rateLimitWaitMs(sentBefore.length, nowMs);
+        const rateWaitMs = rateLimitWaitMs([...this.targets.values()], sentBefore.length, nowMs);
         const waitMs = Math.max(rateWaitMs, (totalWorkMs(sentBefore) + this.remainingWorkMs(nowMs)) / slots);
         const durationMs = this.isProbablyLate(request, nowMs + waitMs) ? waitMs / this.spareShare(slots, nowMs) : waitMs;
         return rateWaitMs > 0
@@ -363,34 +345,9 @@
             : { durationMs, reason: "overloaded", retryAfterMs: durationMs };
     }
 
-    /**
-     * Returns the time until the rate limits permit one more request, or 0 if a target without a limit is open.
-     * @param sentBefore number of waiting requests that are sent before it
-     * @param nowMs current monotonic time
-     */
-    private rateLimitWaitMs(sentBefore: number, nowMs: number): number {
-        if (!this.isRateLimited()) {
-            return 0;
-        }
-        const tightest = [...this.targets.values()].filter(({ target }) => target.isOpen).map((record) =>
-            limitersOf(record).reduce((left, right) => left.permittedPerSecond < right.permittedPerSecond ? left : right));
-        const tokens = tightest.reduce((sum, limiter) => sum + limiter.availableTokens(nowMs), 0);
-        const perSecond = tightest.reduce((sum, limiter) => sum + limiter.permittedPerSecond, 0);
-        return Math.max(0, (sentBefore + 1 - tokens) / perSecond * 1_000);
-    }
-
     /** Share of the slots left for requests that will exceed their target latency, after the offered load of those that will not. */
     private spareShare(slots: number, nowMs: number): number {
-        return Math.max(minSpareShare, 1 - this.currentOfferedLoad(nowMs) / slots);
-    }
-
-    /** Total slots of the open targets, converted to slots of targets of average speed. */
-    private effectiveSlots(): number {
-        let slots = 0;
-        for (const record of this.targets.values()) {
-            slots += record.target.isOpen ? effectiveSlots(record, this.meanWorkMs) : 0;
-        }
-        return Math.max(minEffectiveSlots, slots);
+        return Math.max(minSpareShare, 1 - this.offeredLoad.slotsAt(nowMs) / slots);
     }
 
     /** Expected remaining work of the requests that hold a slot. */
@@ -402,31 +359,10 @@
         return sumMs;
     }
 
-    /**
-     * Offered load: the number of slots, at targets of average speed, that recent requests need. It counts requests that could meet
-     * their target latency on arrival, including refused ones.
-     */
-    private currentOfferedLoad(nowMs: number): number {
-        return this.offeredLoad * Math.exp(-(nowMs - this.offeredLoadUpdatedMs) / offeredLoadDecayMs);
-    }
-
-    private recordOffer(request: AdmissionRequest, nowMs: number): void {
-        this.meanWorkMs = this.meanWorkMs === 0 ? request.workMs : this.meanWorkMs + meanWorkWeight * (request.workMs - this.meanWorkMs);
-        this.offeredLoad = this.currentOfferedLoad(nowMs) + (this.isProbablyLate(request, nowMs) ? 0 : request.workMs / offeredLoadDecayMs);
-        this.offeredLoadUpdatedMs = nowMs;
-    }
-
     private fastestWorkMs(request: AdmissionRequest): number {
         return request.workMs * this.minOpenSlowness;
     }
 
-    private updateMinOpenSlowness(): void {
-        this.minOpenSlowness = maxSlowness;
-        for (const { target, slowness } of this.targets.values()) {
-            this.minOpenSlowness = target.isOpen ? Math.min(this.minOpenSlowness, slowness) : this.minOpenSlowness;
-        }
-    }
-
     private countRunning(targetId: TargetId): number {
         return [...this.running.values()].filter((running) => running.targetId === targetId).length;
     }
--- a/src/ownership/movePacing.ts
+++ b/src/ownership/movePacing.ts
@@ -1,6 +1,6 @@
 /** Decides when the next moves of keys away from a target may begin. */
 import type { TargetId } from "../model/names.js";
-import type { Move } from "./planner.js";
+import type { Move } from "./plannerInput.js";
 
 /** Delay before another move away from a target is planned after one has failed. */
 const retryDelayMs = 300;
--- a/src/ownership/ownershipManager.ts
+++ b/src/ownership/ownershipManager.ts
@@ -10,18 +10,19 @@
 import type { ClusterView } from "../store/clusterView.js";
 import type { FenceCounter } from "./fences.js";
 import { FirstAssignment } from "./firstAssignment.js";
-import type { LeaseManager, LeaseManagerDependencies, RangeHandover, ReleaseOutcome } from "./leaseManager.js";
+import type { LeaseManager, LeaseManagerDependencies, RangeHandover } from "./leaseManager.js";
+import { releaseFromLeaving } from "./leavingRelease.js";
 import { createLeaseManagerSet } from "./leaseManagerSet.js";
 import { KeyLoads } from "./keyLoads.js";
 import type { LeasePort } from "./leasePort.js";
-import { maxTimeToExpiryMs, defaultHoldMs } from "./leaseTerms.js";
+import { maxTimeToExpiryMs } from "./leaseTerms.js";
 import type { KeyLoadReport } from "./loadMeter.js";
 import type { LedgerWriter } from "./ledgerWriter.js";
 import { OwnerMap } from "./ownerMap.js";
 import type { Assignment } from "./ownershipDraft.js";
 import type { MovingRange, OwnershipNotice } from "./ownerLookup.js";
 import { MovePacing } from "./movePacing.js";
-import type { Move } from "./planner.js";
+import type { Move } from "./plannerInput.js";
 import { planMoves } from "./planner.js";
 import { contains, overlaps } from "./ranges.js";
 import { TargetStandings } from "./targetStandings.js";
@@ -31,13 +32,6 @@
 /** A move for balance is cancelled when the work in progress on its range takes longer than this. */
 const balanceReleaseTimeoutMs = 700;
 
-/** The work in progress on a leaving target is awaited until the target's lease would have expired anyway. */
-const leavingReleaseTimeoutMs = defaultHoldMs;
-
-/** A failed release by a leaving target is retried for this long, with this delay; each attempt extends the target's lease. */
-const releaseRetryPeriodMs = 1_000;
-const releaseRetryDelayMs = 120;
-
 /** A range that has moved is not moved for balance for this long, until load reports show the effect of the move. */
 const balanceCooldownMs = 1_000;
 
@@ -238,7 +232,7 @@
         dependencies.onMove(move, "begun");
         const manager = leaseManagers.get(from);
         const released = await (move.reason === "leaving"
-            ? releaseWithRetry(manager, move.range)
+            ? releaseFromLeaving(manager, move.range, clock)
             : manager?.release(move.range, balanceReleaseTimeoutMs));
         const releasedMs = clock.now().monoMs;
         const isFree = released?.kind === "released"
@@ -273,26 +267,6 @@
         return writer.isStoreResponding(nowMs) ? heldMs : Math.max(heldMs, minStoreOutageMs);
     };
 
-    /**
-     * Has a leaving target release a range. An overloaded target resets connections, and retrying takes less time than waiting for its
-     * leases to expire.
-     */
-    const releaseWithRetry = async (manager: LeaseManager | undefined, range: KeyRange): Promise<ReleaseOutcome | undefined> => {
-        const latestMs = clock.now().monoMs + releaseRetryPeriodMs;
-        let heldUntilMs = Number.NEGATIVE_INFINITY;
-        for (;;) {
-            const outcome = await manager?.release(range, leavingReleaseTimeoutMs);
-            if (outcome?.kind !== "failed") {
-                return outcome;
-            }
-            heldUntilMs = Math.max(heldUntilMs, outcome.heldUntilMs);
-            if (clock.now().monoMs > latestMs || manager?.isSilent === true || manager?.hasEnded === true) {
-                return { ...outcome, heldUntilMs };
-            }
-            await clock.sleep(releaseRetryDelayMs);
-        }
-    };
-
     /** Includes leases granted by earlier coordinators; a target whose process has certainly ended holds none, whoever granted it. */
     const leaseEndMs = (grantedUntilMs: number, manager: LeaseManager | undefined): number =>
         manager?.isCertainlyFree === true ? Number.NEGATIVE_INFINITY : Math.max(grantedUntilMs, dependencies.predecessor.grantsUntilMs);
--- a/src/ownership/planner.ts
+++ b/src/ownership/planner.ts
@@ -8,56 +8,11 @@
 import type { Key, KeyRange, TargetId } from "../model/names.js";
 import { allKeys } from "../model/names.js";
 import type { KeyLoads } from "./keyLoads.js";
-import type { OwnedRange } from "./ownerMap.js";
-import { overlaps, withoutRange } from "./ranges.js";
-
-/** How the planner may treat a target and its keys. */
-export type TargetStanding =
-    /** It may receive keys. */
-    | "ready"
-    /** It keeps its keys and receives none. */
-    | "unsure"
-    /** Its keys must move to other targets; it still answers. */
-    | "leaving"
-    /** It certainly holds no lease any more. */
-    | "free";
-
-/** A target as input of the planner. */
-export interface PlannerTarget {
-    targetId: TargetId;
-    standing: TargetStanding;
-    /** Work that it can do in parallel, in slots of an average target. */
-    capacity: number;
-    /** True if it stated a rate limit; `capacity` takes the limit into account. */
-    isRateLimited: boolean;
-    /** Number of moves away from it that may begin now. */
-    maxMoves: number;
-}
-
-/** A planned change of owner. */
-export interface Move {
-    range: KeyRange;
-    /** Undefined when no target holds the range. */
-    from: TargetId | undefined;
-    to: TargetId;
-    reason: "unowned" | "leaving" | "balance" | "newcomer" | "rate-limit";
-}
-
-/** Input of the planner, for one service. */
-export interface PlannerInput {
-    targets: readonly PlannerTarget[];
-    ranges: readonly OwnedRange[];
-    loads: KeyLoads;
-    /** Ranges that are being moved. */
-    moving: readonly KeyRange[];
-    /** Destinations of the moves in progress. */
-    moveDestinations: ReadonlySet<TargetId>;
-    /** Ranges that have moved recently; they are not moved for balance, since the reported loads do not show the effect yet. */
-    recentlyMoved: readonly KeyRange[];
-}
-
-/** Only targets with a higher utilization are relieved; below it, requests hardly wait. */
-const reliefUtilization = 0.65;
+import type { Move, PlannerInput, TargetLoad } from "./plannerInput.js";
+import { reliefUtilization, utilization } from "./plannerInput.js";
+import { overlaps, overlapsAny, withoutRange } from "./ranges.js";
+import { maxPieces, split } from "./rangeSplitting.js";
+import { relieveRateLimited } from "./rateLimitRelief.js";
 
 /** Smallest gain of a move for balance, in the unit of `congestion`. */
 const minGain = 0.35;
@@ -83,26 +38,10 @@
 const maxFillOverMean = 1.15;
 const minFillLimit = 0.6;
 
-/** A target with a rate limit gives up all its keys if the mean utilization of the others stays below this. */
-const maxUtilizationAfterRelief = 0.8;
-
 /** Number of sources and destinations that are considered for a move. */
 const maxSources = 3;
 const maxDestinations = 4;
 
-/** Largest number of pieces into which one range of a lost or leaving target is cut. */
-const maxPieces = 4;
-
-/** Share of an average target's capacity that one such piece uses. */
-const pieceShare = 0.25;
-
-interface TargetLoad {
-    target: PlannerTarget;
-    load: number;
-    /** True while the target owns no keys and is not the destination of a move in progress. */
-    isEmpty: boolean;
-}
-
 /**
  * Plans the next moves of a service's keys. Moves for balance are planned only when no range has to be assigned.
  * @returns moves that overlap neither each other nor those in progress
@@ -160,60 +99,6 @@
     });
 }
 
-/**
- * Plans to move all keys away from targets whose rate limit is below their load, the most loaded ranges first. A target without keys
- * needs no calls at all, while few calls are possible to one that keeps some.
- */
-function relieveRateLimited(input: PlannerInput, ready: readonly TargetLoad[], unlimited: readonly TargetLoad[]): Move[] {
-    const capacity = unlimited.reduce((sum, { target }) => sum + target.capacity, 0);
-    const excluded = [...input.moving, ...input.recentlyMoved];
-    return ready.filter((source) => source.target.isRateLimited && utilization(source) > reliefUtilization).flatMap((source) => {
-        const load = unlimited.reduce((sum, other) => sum + other.load, source.load);
-        if (load > maxUtilizationAfterRelief * capacity) {
-            return [];
-        }
-        const moves: Move[] = [];
-        const ranges = input.ranges.filter((range) => range.targetId === source.target.targetId && !overlapsAny(range, excluded))
-            .sort((left, right) => input.loads.loadOf(right) - input.loads.loadOf(left));
-        for (const [index, range] of ranges.entries()) {
-            const maxPiecesHere = Math.min(maxPieces, source.target.maxMoves - moves.length - (ranges.length - index - 1));
-            if (moves.length < source.target.maxMoves) {
-                moves.push(...split(range, input.loads, unlimited, Math.max(1, maxPiecesHere)).map(({ piece, to }): Move =>
-                    ({ range: piece, from: source.target.targetId, to, reason: "rate-limit" })));
-            }
-        }
-        return moves;
-    });
-}
-
-/** Cuts a range into at most `limit` pieces of similar load and assigns each to the target that then has the lowest utilization. */
-function split(range: KeyRange, loads: KeyLoads, destinations: readonly TargetLoad[], limit: number): { piece: KeyRange; to: TargetId }[] {
-    const total = loads.loadOf(range);
-    const meanCapacity = destinations.reduce((sum, { target }) => sum + target.capacity, 0) / destinations.length;
-    const count = Math.max(1, Math.min(limit, limit === destinations.length ? limit : Math.ceil(total / (meanCapacity * pieceShare))));
-    const result: { piece: KeyRange; to: TargetId }[] = [];
-    let from = range.from;
-    for (let index = 0; index < count && from <= range.to; index++) {
-        const to = index === count - 1
-            ? range.to
-            : loads.lastKeyWithinLoad(from, range.to, loads.loadOf({ from, to: range.to }) / (count - index));
-        const piece = { from, to };
-        const destination = leastUtilized(destinations, loads.loadOf(piece));
-        destination.load += loads.loadOf(piece);
-        result.push({ piece, to: destination.target.targetId });
-        from = to + 1 as Key;
-    }
-    return result;
-}
-
-function leastUtilized(candidates: readonly TargetLoad[], addedLoad: number): TargetLoad {
-    return candidates.reduce((best, candidate) => utilization(candidate, addedLoad) < utilization(best, addedLoad) ? candidate : best);
-}
-
-function utilization({ target, load }: TargetLoad, addedLoad = 0): number {
-    return (load + addedLoad) / Math.max(0.01, target.capacity);
-}
-
 /**
  * Returns what a load costs at a target. Like waiting times, the cost grows faster than the load, so a move is worth making when it
  * saves more at its source than it costs at its destination.
@@ -357,7 +242,3 @@
     }
     return gaps;
 }
-
-function overlapsAny(range: KeyRange, others: readonly KeyRange[]): boolean {
-    return others.some((other) => overlaps(range, other));
-}
--- a/src/ownership/ranges.ts
+++ b/src/ownership/ranges.ts
@@ -51,3 +51,8 @@
 export function isSameRange(left: KeyRange, right: KeyRange): boolean {
     return left.from === right.from && left.to === right.to;
 }
+
+/** Returns whether a range overlaps any of the others. */
+export function overlapsAny(range: KeyRange, others: readonly KeyRange[]): boolean {
+    return others.some((other) => overlaps(range, other));
+}
--- a/src/ownership/targetStandings.ts
+++ b/src/ownership/targetStandings.ts
@@ -4,7 +4,7 @@
 import type { ClusterView } from "../store/clusterView.js";
 import type { LeaseManagerSet } from "./leaseManagerSet.js";
 import type { MovePacing } from "./movePacing.js";
-import type { PlannerTarget, TargetStanding } from "./planner.js";
+import type { PlannerTarget, TargetStanding } from "./plannerInput.js";
 
 /** Assumed slowness (its work time divided by the average) of a target in the first seconds of its process, when none is reported. */
 const warmUpSlowness = 2;
--- a/test/ownership/movePacing.spec.ts
+++ b/test/ownership/movePacing.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import type { Key, TargetId } from "../../src/model/names.js";
 import { MovePacing } from "../../src/ownership/movePacing.js";
-import type { Move } from "../../src/ownership/planner.js";
+import type { Move } from "../../src/ownership/plannerInput.js";
 
 const limited = "limited" as TargetId;
 const free = "free" as TargetId;
--- a/test/ownership/planner.spec.ts
+++ b/test/ownership/planner.spec.ts
@@ -4,7 +4,7 @@
 import { maxKey } from "../../src/model/names.js";
 import { KeyLoads } from "../../src/ownership/keyLoads.js";
 import type { OwnedRange } from "../../src/ownership/ownerMap.js";
-import type { Move, PlannerInput, PlannerTarget, TargetStanding } from "../../src/ownership/planner.js";
+import type { Move, PlannerInput, PlannerTarget, TargetStanding } from "../../src/ownership/plannerInput.js";
 import { gapsOf, planMoves } from "../../src/ownership/planner.js";
 import { withoutRange } from "../../src/ownership/ranges.js";
 
