Soak: servers state rate limits at random, and the rule is checked for requests

Cause: the rule for rate limits was checked without other faults only. Change: a fault that has a server state a limit (0, fractions, no number) for 3 to 9 s beside all others; the rule's arithmetic stands once (rateLimitRule.ts); the server stand-in tells requests from lease calls and keeps its limit apart from its faults. In the soak lease calls don't count, since a link that is disturbed makes the coordinator call again and again, which the rule excuses.

--- a/test/fleet/rateLimit.spec.ts
+++ b/test/fleet/rateLimit.spec.ts
@@ -1,36 +1,14 @@
 import http from "node:http";
 import { expect } from "chai";
-import type { ServerStandIn } from "../../platform/standins/serverStandIn.js";
-import { noServerFaults } from "../../platform/standins/serverStandIn.js";
 import type { ClientAnswer, FleetHost } from "./fleet.js";
 import { Fleet, paths, send, sleep } from "./fleet.js";
-
-/**
- * What the platform's rule allows: from `settledMs` after a limit was first stated, in any `windowMs`. It counts what hosts send from
- * `noticeMs` after they passed on a statement; here everything counts from `noticeMs` after the first one, from whatever host.
- */
-const noticeMs = 500;
-const windowMs = 4_000;
-const settledMs = 3_000;
-const toleratedRatio = 1.5;
-const toleratedExtra = 5;
+import { allowedPerWindow, maxArrivalsPerWindow, rateLimitWindowMs, settledMs } from "./rateLimitRule.js";
 
 /** A refusal must come at once. */
 const promptMs = 300;
 
 const keys = Array.from({ length: 256 }, (_, index) => index * 256);
 
-function allowedPerWindow(limitPerSecond: number): number {
-    return toleratedRatio * limitPerSecond * windowMs / 1_000 + toleratedExtra;
-}
-
-/** Returns the largest number of requests and lease calls in any window that ends later than `settledMs` after `statedMs`. */
-function maxPerWindow(server: ServerStandIn, statedMs: number): number {
-    const arrivalsMs = server.arrivalsMs.filter((atMs) => atMs >= statedMs + noticeMs);
-    return Math.max(0, ...arrivalsMs.filter((endMs) => endMs >= statedMs + settledMs)
-        .map((endMs) => arrivalsMs.filter((atMs) => atMs > endMs - windowMs && atMs <= endMs).length));
-}
-
 interface Load {
     path: string;
     keys: readonly number[] | undefined;
@@ -85,12 +63,12 @@
         const load = { path: paths.read, keys: keys.filter((key) => limited.holds(key)), periodMs: 600 };
         const clients = fleet.hosts.map((host) => startClient(host, "keyed", load));
         await sleep(1_500);
-        limited.faults = { ...noServerFaults, statedLimit: String(limitPerSecond) };
+        limited.statedLimit = String(limitPerSecond);
         const statedMs = performance.now();
-        await sleep(settledMs + windowMs + 1_000);
+        await sleep(settledMs + rateLimitWindowMs + 1_000);
         const answers = (await Promise.all(clients.map((stop) => stop()))).flat();
-        limited.faults = noServerFaults;
-        expect(maxPerWindow(limited, statedMs)).to.be.at.most(allowedPerWindow(limitPerSecond));
+        limited.statedLimit = undefined;
+        expect(maxArrivalsPerWindow(limited.arrivals, statedMs)).to.be.at.most(allowedPerWindow(limitPerSecond));
         expectPromptRefusals(answers);
         expect(answers.filter(({ status }) => status === 503).length).to.be.below(answers.length * 0.1);
     };
@@ -100,12 +78,12 @@
         const limited = fleet.servers.find(({ id }) => id === "p0")!;
         const clients = fleet.hosts.map((host) => startClient(host, "plain", { path: paths.list, keys: undefined, periodMs: 200 }));
         await sleep(1_000);
-        limited.faults = { ...noServerFaults, statedLimit: String(limitPerSecond) };
+        limited.statedLimit = String(limitPerSecond);
         const statedMs = performance.now();
-        await sleep(settledMs + windowMs + 1_000);
+        await sleep(settledMs + rateLimitWindowMs + 1_000);
         const answers = (await Promise.all(clients.map((stop) => stop()))).flat();
-        limited.faults = noServerFaults;
-        expect(maxPerWindow(limited, statedMs)).to.be.at.most(allowedPerWindow(limitPerSecond));
+        limited.statedLimit = undefined;
+        expect(maxArrivalsPerWindow(limited.arrivals, statedMs)).to.be.at.most(allowedPerWindow(limitPerSecond));
         expect(answers.filter(({ status }) => status !== 200)).to.deep.equal([]);
     });
 });
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -9,6 +9,7 @@
 import { noServerFaults } from "../../platform/standins/serverStandIn.js";
 import type { ClientAnswer, FleetHost } from "../fleet/fleet.js";
 import { Fleet, isReady, keyedService, buildRoutingConfig, paths, plainService, send, sleep } from "../fleet/fleet.js";
+import { allowedPerWindow, maxArrivalsPerWindow, settledMs } from "../fleet/rateLimitRule.js";
 import { SeededRandom } from "../support/seededRandom.js";
 import type { ProxyMode } from "./faultProxy.js";
 import { FaultProxy } from "./faultProxy.js";
@@ -208,6 +209,27 @@
         });
     }
 
+    /** Lets a server state a rate limit for some time, which may be no number. */
+    stateRateLimit(): void {
+        const candidates = this.fleet.servers.filter(({ statedLimit }) => statedLimit === undefined);
+        if (candidates.length === 0) {
+            return;
+        }
+        const server = this.random.pick(candidates);
+        const limit = this.random.pick(["0", "0.5", "2.3", "6", "soon"]);
+        this.runFault(`${server.id} states a rate limit of ${limit}`, async () => {
+            server.statedLimit = limit;
+            const statedMs = performance.now();
+            await sleep(settledMs + this.random.integerUpTo(6_000));
+            const requests = server.arrivals.filter(({ isLeaseCall }) => !isLeaseCall);
+            server.statedLimit = undefined;
+            const count = maxArrivalsPerWindow(requests, statedMs);
+            if (count > allowedPerWindow(Number(limit))) {
+                this.violations.push(`${server.id} got ${String(count)} requests in a window under a rate limit of ${limit}`);
+            }
+        });
+    }
+
     publishConfiguration(): void {
         this.configVersion += 1;
         this.recordStep(`configuration ${String(this.configVersion)}`);
@@ -322,6 +344,9 @@
     (soak) => {
         soak.publishConfiguration();
     },
+    (soak) => {
+        soak.stateRateLimit();
+    },
 ];
 
 /**
