World: targets state rate limits among all other faults

Cause: leases of such targets are renewed less often and last up to 9.9 s; exclusive ownership had not been checked for that under faults. Change: a fault limitTarget, for fresh runs and twelve seeds of their own; the regression seeds select from the list they know.

--- a/test/world/runs.ts
+++ b/test/world/runs.ts
@@ -1,6 +1,6 @@
 /** Runs the simulation with random faults for a number of seeds. Usage: tsx test/world/runs.ts RUNS SEED [trace] */
 import { pathToFileURL } from "node:url";
-import { faultNames, faults, World } from "./world.js";
+import { allFaultNames, faultNames, faults, World } from "./world.js";
 
 const startUpMs = 4_000;
 const faultsPerRun = 14;
@@ -30,14 +30,15 @@
 /**
  * Runs the simulation once.
  * @param seed seed of all random decisions
+ * @param names names of the faults to select from
  */
-export async function playRun(seed: number): Promise<RunResult> {
+export async function playRun(seed: number, names: readonly string[] = faultNames): Promise<RunResult> {
     const world = new World(seed);
     const steps: string[] = [];
     await world.clock.advance(startUpMs);
     const heldShareBefore = world.targets.heldShare();
     for (let count = 0; count < faultsPerRun; count++) {
-        const name = world.random.pick(faultNames);
+        const name = world.random.pick(names);
         steps.push(`${world.clock.now().monoMs.toFixed(0)} ${name}`);
         faults[name]?.(world);
         world.addLoad();
@@ -74,7 +75,7 @@
 async function main(runCount: number, firstSeed: number, withTrace: boolean): Promise<void> {
     let failedCount = 0;
     for (let index = 0; index < runCount; index++) {
-        const result = await playRun(firstSeed + index);
+        const result = await playRun(firstSeed + index, allFaultNames);
         if (hasFailed(result)) {
             failedCount += 1;
             process.stdout.write(`seed ${String(result.seed)}: share of keys held ${String(result.heldShareBefore)} before the faults, ${String(result.heldShareAfter)} after; disagreeing hosts: ${result.disagreeingHosts.join()}; ${result.violations.slice(0, 2).join("; ")}\n`);
--- a/test/world/virtualTargets.ts
+++ b/test/world/virtualTargets.ts
@@ -35,6 +35,8 @@
     /** True once the process has ended and another target has its address. */
     isAddressReused = false;
     isDraining = false;
+    /** Rate limit that it states in its answers to grants and releases; undefined for none. */
+    requestsPerSecond: number | undefined;
     /** True while the target publishes its entry in the service directory. */
     isRegistered = true;
     private sequence = 0;
@@ -200,7 +202,10 @@
                 return isOpen && isSameProcess();
             },
             closed,
-            isLeaving: false, requestsPerSecond: undefined,
+            isLeaving: false,
+            get requestsPerSecond() {
+                return target.requestsPerSecond;
+            },
             grant: (grant, timeoutMs) => call<GrantReply>("grant", timeoutMs, () => this.receiveGrant(target, grant)),
             release: async (range, fence, timeoutMs) => {
                 const released = await call<{ handover: string }>("release", timeoutMs, () => this.release(target, range, fence));
--- a/test/world/world.spec.ts
+++ b/test/world/world.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { hasFailed, playRun } from "./runs.js";
-import { World } from "./world.js";
+import { allFaultNames, World } from "./world.js";
 
 /** Seeds that once failed, with the cause. */
 const regressionSeeds: [seed: number, cause: string][] = [
@@ -36,6 +36,13 @@
             expect(hasFailed(result), `seed ${String(seed)}: ${result.violations[0] ?? `share of keys held ${String(result.heldShareAfter)}`}`).to.equal(false);
         }
     }).timeout(60_000);
+
+    it("seeds 6000 and up: the same beside targets that state rate limits, whose leases are renewed less often and last longer", async () => {
+        for (let seed = 6_000; seed < 6_000 + extraSeedCount; seed++) {
+            const result = await playRun(seed, allFaultNames);
+            expect(hasFailed(result), `seed ${String(seed)}: ${result.violations[0] ?? `share of keys held ${String(result.heldShareAfter)}`}`).to.equal(false);
+        }
+    }).timeout(60_000);
 });
 
 describe("a store that refuses every host", () => {
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -78,6 +78,7 @@
         for (const target of this.targets.all()) {
             target.isUnresponsive = false;
             target.isAddressReused = false;
+            target.requestsPerSecond = undefined;
             if (!target.isUp) {
                 target.restart();
             }
@@ -191,6 +192,13 @@
             target.isRegistered = true;
         });
     },
+    limitTarget: (world) => {
+        const target = world.random.pick(world.targets.all());
+        target.requestsPerSecond = world.random.pick([0, 0.4, 2.3, 12]);
+        void world.clock.sleep(1_000 + world.random.integerUpTo(8_000)).then(() => {
+            target.requestsPerSecond = undefined;
+        });
+    },
     addLoad: (world) => {
         world.addLoad();
         world.addLoad();
@@ -200,5 +208,8 @@
     },
 };
 
-/** Names of the faults. Their order decides which of them a seed selects. */
-export const faultNames = Object.keys(faults);
+/** Names of all faults. */
+export const allFaultNames = Object.keys(faults);
+
+/** Names of the faults that the regression seeds select from. Their order decides which of them a seed selects. */
+export const faultNames = allFaultNames.filter((name) => name !== "limitTarget");
