--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -23,8 +23,8 @@
 import type { RateLimitUse } from "./rateLimiter.js";
 import type { QueueTarget, RunningRequest, TargetRecord, WorkEnd } from "./targetRecord.js";
 import {
-    applyRateLimit, backOffLeftMs, decaySlowness, effectiveSlots, endRateLimit, hasFreeSlot, limitersOf, newTargetRecord, recordEnd,
-    updateTarget,
+    applyRateLimit, backOffLeftMs, decaySlowness, effectiveSlots, endRateLimit, hasFreeSlot, hasRateLimit, limitersOf,
+    newTargetRecord, recordEnd, updateTarget,
 } from "./targetRecord.js";
 import { WorkTimeQuantile } from "./workTimeQuantile.js";
 
@@ -78,6 +78,8 @@
     private readonly workTimeQuantile = new WorkTimeQuantile();
     /** Slowness of the fastest open target. */
     private minOpenSlowness = 1;
+    /** True while the rate of requests to every open target is limited. */
+    private isEveryRateLimited = false;
     /** The part of the targets' rate limits that this queue may use. */
     private rateLimitUse: RateLimitUse;
 
@@ -117,6 +119,7 @@
         const record = this.targets.get(stated.targetId);
         if (record !== undefined) {
             applyRateLimit(record, stated, this.rateLimitUse, nowMs);
+            this.updateCapacity();
         }
     }
 
@@ -150,7 +153,7 @@
             updateTarget(record, target, this.rateLimitUse, nowMs);
             this.targets.set(target.targetId, record);
         }
-        this.minOpenSlowness = minOpenSlowness(this.targets.values());
+        this.updateCapacity();
         return this.dispatch(nowMs);
     }
 
@@ -216,7 +219,7 @@
             else if (end.kind === "answered") {
                 endRateLimit(record, ended, nowMs);
             }
-            this.minOpenSlowness = minOpenSlowness(this.targets.values());
+            this.updateCapacity();
         }
         return this.dispatch(nowMs);
     }
@@ -234,7 +237,7 @@
         this.lastTickMs = nowMs;
         const unreported = [...this.running].filter(([, { slotExpiryMs }]) => nowMs > slotExpiryMs);
         const verdicts = unreported.flatMap(([ticket]) => this.finish(ticket, { kind: "lost" }, nowMs));
-        this.minOpenSlowness = minOpenSlowness(this.targets.values());
+        this.updateCapacity();
         verdicts.push(...this.dispatch(nowMs));
         return [...verdicts, ...this.refuseTooLate(nowMs)];
     }
@@ -247,7 +250,7 @@
         const kept: AdmissionRequest[] = [];
         let workBeforeMs = this.remainingWorkMs(nowMs);
         for (const request of this.waiting.sort((left, right) => this.compareRank(left, right, nowMs))) {
-            const rateWaitMs = rateLimitWaitMs([...this.targets.values()], kept.length, nowMs);
+            const rateWaitMs = this.rateLimitWaitMs(kept.length, nowMs);
             const slotWaitMs = this.isProbablyLate(request, nowMs) ? workBeforeMs / slots / spareShare : 0;
             if (nowMs + Math.max(slotWaitMs, rateWaitMs) + this.fastestWorkMs(request) > request.deadlineMs) {
                 refused.push(rateWaitMs > 0
@@ -286,7 +289,7 @@
         });
         return {
             kind: "granted", ticket: request.ticket, targetId: record.target.targetId, expectedMs: request.workMs * record.slowness,
-            isRateLimited: limitersOf(record).length > 0,
+            isRateLimited: hasRateLimit(record),
         };
     }
 
@@ -311,7 +314,7 @@
      * its deadline.
      */
     private compareRank(left: AdmissionRequest, right: AdmissionRequest, nowMs: number): number {
-        if (isEveryRateLimited(this.targets.values())) {
+        if (this.isEveryRateLimited) {
             return left.priority - right.priority || left.arrivedMs - right.arrivedMs;
         }
         const isLeftLate = this.isProbablyLate(left, nowMs);
@@ -337,7 +340,7 @@
     private expectedWait(request: AdmissionRequest, nowMs: number): ExpectedWait {
         const slots = totalEffectiveSlots(this.targets.values(), this.offeredLoad.meanWorkMs);
         const sentBefore = this.waiting.filter((other) => this.compareRank(other, request, nowMs) <= 0);
-        const rateWaitMs = rateLimitWaitMs([...this.targets.values()], sentBefore.length, nowMs);
+        const rateWaitMs = this.rateLimitWaitMs(sentBefore.length, nowMs);
         const waitMs = Math.max(rateWaitMs, (totalWorkMs(sentBefore) + this.remainingWorkMs(nowMs)) / slots);
         const durationMs = this.isProbablyLate(request, nowMs + waitMs) ? waitMs / this.spareShare(slots, nowMs) : waitMs;
         return rateWaitMs > 0
@@ -363,6 +366,15 @@
         return request.workMs * this.minOpenSlowness;
     }
 
+    private rateLimitWaitMs(sentBefore: number, nowMs: number): number {
+        return this.isEveryRateLimited ? rateLimitWaitMs([...this.targets.values()], sentBefore, nowMs) : 0;
+    }
+
+    private updateCapacity(): void {
+        this.minOpenSlowness = minOpenSlowness(this.targets.values());
+        this.isEveryRateLimited = isEveryRateLimited(this.targets.values());
+    }
+
     private countRunning(targetId: TargetId): number {
         return [...this.running.values()].filter((running) => running.targetId === targetId).length;
     }
--- a/src/admission/queueCapacity.ts
+++ b/src/admission/queueCapacity.ts
@@ -1,6 +1,6 @@
 /** Calculates what the open targets of a queue can do together. */
 import type { TargetRecord } from "./targetRecord.js";
-import { effectiveSlots, limitersOf, maxSlowness } from "./targetRecord.js";
+import { effectiveSlots, hasRateLimit, limitersOf, maxSlowness } from "./targetRecord.js";
 
 /** Lower bound of the total, which keeps the expected wait finite. */
 const minEffectiveSlots = 0.05;
@@ -31,7 +31,7 @@
 export function isEveryRateLimited(records: Iterable<TargetRecord>): boolean {
     let hasOpen = false;
     for (const record of records) {
-        if (record.target.isOpen && limitersOf(record).length === 0) {
+        if (record.target.isOpen && !hasRateLimit(record)) {
             return false;
         }
         hasOpen ||= record.target.isOpen;
@@ -40,15 +40,12 @@
 }
 
 /**
- * Returns the time until the rate limits permit one more request, or 0 if the rate to an open target is not limited.
+ * Returns the time until the rate limits permit one more request, if the rate to every open target is limited.
  * @param records all targets of the queue
  * @param sentBefore number of waiting requests that are sent before it
  * @param nowMs current monotonic time
  */
 export function rateLimitWaitMs(records: readonly TargetRecord[], sentBefore: number, nowMs: number): number {
-    if (!isEveryRateLimited(records)) {
-        return 0;
-    }
     const tightest = records.filter(({ target }) => target.isOpen).map((record) =>
         limitersOf(record).reduce((left, right) => left.permittedPerSecond < right.permittedPerSecond ? left : right));
     const tokens = tightest.reduce((sum, limiter) => sum + limiter.availableTokens(nowMs), 0);
--- a/src/admission/targetChoice.ts
+++ b/src/admission/targetChoice.ts
@@ -6,7 +6,7 @@
  */
 import type { AdmissionRequest } from "./admissionRequest.js";
 import type { TargetRecord } from "./targetRecord.js";
-import { backOffLeftMs, fastestTarget, limitersOf } from "./targetRecord.js";
+import { backOffLeftMs, fastestTarget, hasRateLimit } from "./targetRecord.js";
 
 /**
  * A request stops waiting for a local target when its slack (time left until its soft deadline, minus its work time) is at most this
@@ -36,6 +36,6 @@
     const slackMs = request.softDeadlineMs - nowMs - request.workMs;
     const mayWait = slackMs > (request.softDeadlineMs - request.arrivedMs) * minSlackShare;
     const hasOpenLocal = all.some((record) =>
-        record.target.isOpen && record.target.dataCentreId === request.near && limitersOf(record).length === 0);
+        record.target.isOpen && record.target.dataCentreId === request.near && !hasRateLimit(record));
     return local.length === 0 && mayWait && hasOpenLocal ? undefined : fastestTarget(usable);
 }
--- a/src/admission/targetRecord.ts
+++ b/src/admission/targetRecord.ts
@@ -162,7 +162,15 @@
 export function hasFreeSlot(record: TargetRecord, nowMs: number): boolean {
     const { target, running, pausedUntilMs } = record;
     return target.isOpen && running < target.slots && nowMs >= pausedUntilMs
-        && limitersOf(record).every((limiter) => limiter.availableTokens(nowMs) >= 1);
+        && hasToken(record.rateLimiter, nowMs) && hasToken(record.warmUpLimiter, nowMs);
+}
+
+function hasToken(limiter: RateLimiter | undefined, nowMs: number): boolean {
+    return limiter === undefined || limiter.availableTokens(nowMs) >= 1;
+}
+
+function slotsPermittedBy(limiter: RateLimiter | undefined, meanWorkMs: number): number {
+    return limiter === undefined ? Number.POSITIVE_INFINITY : limiter.permittedPerSecond * meanWorkMs / 1_000;
 }
 
 /** Returns the remaining time for which a host has to back off from a target, or 0 if it does not have to. */
@@ -210,7 +218,12 @@
  */
 export function effectiveSlots(record: TargetRecord, meanWorkMs: number): number {
     const slots = record.target.slots / record.slowness;
-    return limitersOf(record).reduce((least, { permittedPerSecond }) => Math.min(least, permittedPerSecond * meanWorkMs / 1_000), slots);
+    return Math.min(slots, slotsPermittedBy(record.rateLimiter, meanWorkMs), slotsPermittedBy(record.warmUpLimiter, meanWorkMs));
+}
+
+/** Tells whether the rate of requests to a target is limited now. */
+export function hasRateLimit({ rateLimiter, warmUpLimiter }: TargetRecord): boolean {
+    return rateLimiter !== undefined || warmUpLimiter !== undefined;
 }
 
 /** Lists the limiters that bound the rate of requests to a target now. */
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -228,7 +228,7 @@
 
     /** Tells the queue's host the limits that this host knows, since another host may have kept the queue until now. */
     const rateLimitsOf = (targets: readonly TargetEntry[]): { rateLimits?: readonly StatedRateLimit[] } => {
-        const known = targets.flatMap((target) => rateLimits.find(target, nowMs()) ?? []);
+        const known = rateLimits.isEmpty ? [] : targets.flatMap((target) => rateLimits.find(target, nowMs()) ?? []);
         return known.length === 0 ? {} : { rateLimits: known };
     };
 
--- a/src/forwarding/statedRateLimits.ts
+++ b/src/forwarding/statedRateLimits.ts
@@ -54,6 +54,11 @@
         }
     }
 
+    /** True if this host knows of no limit at all. */
+    get isEmpty(): boolean {
+        return this.limits.size === 0;
+    }
+
     /** Returns the limit of a target's process, or undefined if this host knows of none. */
     find({ targetId, bornWallMs }: TargetProcess, nowMs: number): StatedRateLimit | undefined {
         const known = this.limits.get(targetId);
