Lease manager: the table of leases in a file of its own

Cause: leaseManager.ts had 386 lines and three duties: which leases there are, when they are renewed, whether the target lives. Change: leaseTable.ts holds the leases and those that expire; moved and renamed only.

--- a/src/ownership/leaseManager.ts
+++ b/src/ownership/leaseManager.ts
@@ -2,7 +2,7 @@
 import type { Result } from "neverthrow";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
-import type { Address, FencingToken, KeyRange, TargetId } from "../model/names.js";
+import type { Address, KeyRange, TargetId } from "../model/names.js";
 import { Signal, waitFor } from "../model/signal.js";
 import type { LeavingTarget } from "../model/target.js";
 import type { Clock, Instant } from "../model/time.js";
@@ -13,8 +13,8 @@
 import { maxTimeToExpiryMs, renewalIntervalMs, renewalTerms } from "./leaseTerms.js";
 import type { GrantReply, LeasePort, LeaseSession } from "./leasePort.js";
 import { Liveness } from "./liveness.js";
-import { ExpiringLeases } from "./expiringLeases.js";
-import { contains, isSameRange, withoutRange } from "./ranges.js";
+import type { Lease, RangeHandover } from "./leaseTable.js";
+import { LeaseTable } from "./leaseTable.js";
 import { revokeLease } from "./revokeLease.js";
 
 const grantTimeoutMs = 300;
@@ -49,23 +49,6 @@
     predecessorActsUntilMs: number;
 }
 
-interface Lease {
-    range: KeyRange;
-    fence: FencingToken;
-    /** Connection on which the fencing token was first sent; another connection may lead to another process. */
-    session: LeaseSession | undefined;
-    handover: string | undefined;
-    dueMs: number;
-    /** After this time the target certainly does not hold the range through this lease. */
-    heldUntilMs: number;
-}
-
-/** A range with the handover token that its last holder returned for the next one. */
-export interface RangeHandover {
-    range: KeyRange;
-    handover: string | undefined;
-}
-
 /** Outcome of the release of a range. */
 export type ReleaseOutcome =
     | { kind: "released"; handover: string | undefined }
@@ -77,11 +60,9 @@
     /** Fires when the target falls silent or answers again. */
     readonly changed = new Signal();
     private readonly wake = new Signal();
-    private leases: Lease[] = [];
+    private readonly leases: LeaseTable;
     private readonly sessions: TargetSessions;
     private readonly liveness: Liveness;
-    /** Leases that are no longer renewed but may still be in force; a new lease on any of their keys counts as held until they expire. */
-    private readonly expiringLeases = new ExpiringLeases();
     private renewalInProgress: Promise<void> = Promise.resolve();
     private hasSentGrantWhileSilent = false;
     private endedMs = Number.NEGATIVE_INFINITY;
@@ -89,6 +70,7 @@
 
     constructor(readonly targetId: TargetId, address: Address, private readonly dependencies: LeaseManagerDependencies) {
         this.liveness = new Liveness(dependencies.clock.now().monoMs);
+        this.leases = new LeaseTable(dependencies.fences);
         this.sessions = new TargetSessions(targetId, address, dependencies.leases, () => {
             this.wake.fire();
         });
@@ -121,12 +103,12 @@
     get freeAtMs(): number {
         return this.isCertainlyFree
             ? Number.NEGATIVE_INFINITY
-            : Math.max(this.expiringLeases.lastExpiryMs, ...this.leases.map((lease) => lease.heldUntilMs));
+            : this.leases.lastExpiryMs;
     }
 
     /** Ranges whose leases are renewed. */
     get ranges(): KeyRange[] {
-        return this.leases.map(({ range }) => range);
+        return this.leases.ranges;
     }
 
     /**
@@ -149,13 +131,7 @@
      * @param handovers handover tokens for ranges that are new here
      */
     setRanges(ranges: readonly KeyRange[], handovers: readonly RangeHandover[]): void {
-        const nowMs = this.dependencies.clock.now().monoMs;
-        const kept = this.leases.filter((lease) => ranges.some((range) => isSameRange(range, lease.range)));
-        this.leases.filter((lease) => !kept.includes(lease)).forEach((lease) => {
-            this.expiringLeases.add(lease.range, lease.heldUntilMs, nowMs);
-        });
-        const added = ranges.filter((range) => !kept.some((lease) => isSameRange(range, lease.range)));
-        this.leases = [...kept, ...added.map((range) => this.newLease(range, handoverFor(range, handovers), nowMs))];
+        this.leases.setRanges(ranges, handovers, this.dependencies.clock.now().monoMs);
         this.wake.fire();
     }
 
@@ -165,7 +141,9 @@
             this.renewalInProgress = this.renewDue(signal);
             await this.renewalInProgress;
             const nowMs = this.dependencies.clock.now().monoMs;
-            const pauseMs = this.liveness.isFailing ? this.liveness.retryDelayMs() : this.nextDueMs(nowMs) - nowMs;
+            const pauseMs = this.liveness.isFailing
+                ? this.liveness.retryDelayMs()
+                : this.leases.nextDueMs(nowMs + renewalIntervalMs) - nowMs;
             await waitFor(this.dependencies.clock, Math.max(1, pauseMs), [this.wake], signal);
         }
         this.sessions.close();
@@ -182,7 +160,7 @@
         await this.renewalInProgress;
         const outcome = await revokeLease({ ...this.dependencies, targetId: this.targetId, sessions: this.sessions }, range, timeoutMs);
         if (outcome.kind === "released") {
-            this.expiringLeases.remove(range);
+            this.leases.recordRelease(range);
             return outcome;
         }
         if (outcome.kind === "grant-refused") {
@@ -190,7 +168,7 @@
         }
         if (outcome.kind !== "unsent") {
             const now = this.dependencies.clock.now();
-            this.expiringLeases.add(range, now.monoMs + maxTimeToExpiryMs(this.dependencies.holdMs(now)), now.monoMs);
+            this.leases.addExpiring(range, now.monoMs + maxTimeToExpiryMs(this.dependencies.holdMs(now)), now.monoMs);
         }
         const cause = outcome.kind === "grant-refused" ? failure("refused", "grant", this.targetId, outcome.reply) : outcome.failure;
         return { kind: "failed", heldUntilMs: this.heldUntilMs(range), failure: cause };
@@ -198,7 +176,7 @@
 
     /** Monotonic time after which the target certainly does not hold a range that is not renewed any more. */
     private heldUntilMs(range: KeyRange): number {
-        return this.isCertainlyFree ? Number.NEGATIVE_INFINITY : this.expiringLeases.latestExpiryMs(range);
+        return this.isCertainlyFree ? Number.NEGATIVE_INFINITY : this.leases.latestExpiryMs(range);
     }
 
     /**
@@ -213,26 +191,10 @@
     }
 
     private stopRenewing(range: KeyRange): void {
-        const nowMs = this.dependencies.clock.now().monoMs;
-        this.leases = this.leases.flatMap((lease) => {
-            if (!contains(lease.range, range)) {
-                return [lease];
-            }
-            this.expiringLeases.add(lease.range, lease.heldUntilMs, nowMs);
-            return withoutRange([lease.range], range).map((rest) => this.newLease(rest, undefined, nowMs));
-        });
+        this.leases.stopRenewing(range, this.dependencies.clock.now().monoMs);
         this.wake.fire();
     }
 
-    private newLease(range: KeyRange, handover: string | undefined, nowMs: number): Lease {
-        const heldUntilMs = this.expiringLeases.latestExpiryMs(range);
-        return { range, handover, fence: this.dependencies.fences.next(), session: undefined, dueMs: nowMs, heldUntilMs };
-    }
-
-    private nextDueMs(nowMs: number): number {
-        return Math.min(nowMs + renewalIntervalMs, ...this.leases.map(({ dueMs }) => dueMs));
-    }
-
     private async renewDue(signal: AbortSignal): Promise<void> {
         const now = this.dependencies.clock.now();
         if (!this.dependencies.mayGrant(now) || signal.aborted || (this.hasEnded && !this.mustConfirmEnd(now.monoMs))) {
@@ -243,16 +205,16 @@
             this.onFailure(session.error);
             return;
         }
-        if (this.isSilent && this.leases.length === 0) {
+        if (this.isSilent && this.leases.count === 0) {
             // No grant is sent to a target without leases, so an open connection counts as an answer.
             this.onAnswer();
         }
-        for (const lease of [...this.leases].sort((left, right) => left.dueMs - right.dueMs)) {
+        for (const lease of this.leases.byDueTime()) {
             if (signal.aborted || !session.value.isOpen || !this.isDue(lease) || !await this.renew(lease, session.value)) {
                 return;
             }
         }
-        if (this.leases.length > 0) {
+        if (this.leases.count > 0) {
             void this.sessions.openSpareSession();
         }
     }
@@ -262,7 +224,7 @@
      * coordinator could still send grants, and has to be confirmed now that it cannot.
      */
     private mustConfirmEnd(nowMs: number): boolean {
-        return this.leases.length > 0 && !this.isCertainlyFree && nowMs >= this.dependencies.predecessorActsUntilMs;
+        return this.leases.count > 0 && !this.isCertainlyFree && nowMs >= this.dependencies.predecessorActsUntilMs;
     }
 
     /** A silent target gets only one more grant before its leases have expired, since each grant extends the wait for its keys. */
@@ -292,7 +254,7 @@
         this.reportIfLeaving(session);
         lease.heldUntilMs = mayHaveAccepted(reply) ? Math.max(lease.heldUntilMs, answeredMs + maxTimeToExpiryMs(holdMs)) : heldBeforeMs;
         if (!this.leases.includes(lease)) {
-            this.expiringLeases.add(lease.range, lease.heldUntilMs, answeredMs);
+            this.leases.addExpiring(lease.range, lease.heldUntilMs, answeredMs);
         }
         if (reply.isErr()) {
             this.onFailure(reply.error);
@@ -312,7 +274,7 @@
     private renewalTerms(session: LeaseSession, now: Instant): RenewalTerms {
         const { holdMs, maxHoldMs, rateLimitOf } = this.dependencies;
         const rateLimit = session.requestsPerSecond ?? rateLimitOf(this.targetId);
-        return renewalTerms(rateLimit, this.leases.length, holdMs(now), maxHoldMs);
+        return renewalTerms(rateLimit, this.leases.count, holdMs(now), maxHoldMs);
     }
 
     private reportIfLeaving(session: LeaseSession): void {
@@ -380,7 +342,3 @@
 function mayHaveAccepted(reply: Result<GrantReply, Failure>): boolean {
     return reply.match((answer) => answer === "granted", ({ kind }) => kind !== "unreachable");
 }
-
-function handoverFor(range: KeyRange, handovers: readonly RangeHandover[]): string | undefined {
-    return handovers.find((given) => contains(range, given.range))?.handover;
-}
--- a/src/ownership/leaseManagerSet.ts
+++ b/src/ownership/leaseManagerSet.ts
@@ -3,7 +3,8 @@
 import { linkAborts } from "../model/signal.js";
 import type { TargetEntry } from "../model/target.js";
 import type { ClusterView } from "../store/clusterView.js";
-import type { LeaseManagerDependencies, RangeHandover } from "./leaseManager.js";
+import type { LeaseManagerDependencies } from "./leaseManager.js";
+import type { RangeHandover } from "./leaseTable.js";
 import { LeaseManager } from "./leaseManager.js";
 import { isSameRange, withoutRange } from "./ranges.js";
 
