Targets with moderate rate limits keep the keys that fit, and keys don't move back and forth between them

A limit left 1.5 a second to lease calls that need half of it, and a burst of 0.1 s lost what a moment without requests had left. Change: only targets that can do less than half a slot under their limit give up all keys.

--- a/src/admission/rateLimiter.ts
+++ b/src/admission/rateLimiter.ts
@@ -9,7 +9,7 @@
 
 /** Capacity of the token bucket: this many requests, or those of `burstMs` at the permitted rate if that is more. */
 const minBurst = 2;
-const burstMs = 100;
+const burstMs = 500;
 
 /** Capacity of the bucket of a limiter that may use less than `minorShare` of the limit. */
 const minorBurst = 1;
--- a/src/ownership/planner.ts
+++ b/src/ownership/planner.ts
@@ -17,6 +17,9 @@
 /** Smallest gain of a move for balance, in the unit of `congestion`. */
 const minGain = 0.35;
 
+/** The same for moves away from a target that exceeds its rate limit: the excess is refused, so that relief is worth more. */
+const minGainUnderRateLimit = 0.1;
+
 /**
  * A target without keys whose utilization is below this share of the mean is a newcomer: it receives keys of the most loaded
  * targets even if they need no relief, when the gain of the move is at least `minNewcomerGain`.
@@ -143,12 +146,12 @@
     const leastLoaded = [...destinations].sort((left, right) => utilization(left) - utilization(right)).slice(0, maxDestinations);
     const hasNewcomer = leastLoaded.some((destination) => isNewcomer(destination, mean));
     const mostLoaded = [...sources].sort((left, right) => utilization(right) - utilization(left)).slice(0, maxSources)
-        .filter((source) => utilization(source) > reliefUtilization || hasNewcomer);
+        .filter((source) => utilization(source) > reliefUtilizationOf(source) || hasNewcomer);
     const fillLimit = Math.max(minFillLimit, mean * maxFillOverMean);
     const candidates = mostLoaded.flatMap((source) => {
         const movable = movableOf(input, source, leastLoaded, excluded);
         return leastLoaded.filter((destination) => destination !== source).flatMap((destination) => {
-            const required = utilization(source) > reliefUtilization ? minGain
+            const required = utilization(source) > reliefUtilizationOf(source) ? minGainOf(source)
                 : isNewcomer(destination, mean) ? minNewcomerGain : Number.POSITIVE_INFINITY;
             return piecesFor(movable, input.loads, idealLoad(source, destination, fillLimit))
                 .map((range) => toCandidate(range, input.loads.loadOf(range), source, destination))
@@ -158,6 +161,15 @@
     return candidates.reduce<Candidate | undefined>((best, one) => best === undefined || one.gain > best.gain ? one : best, undefined);
 }
 
+/** A target with a rate limit is relieved only when it exceeds the limit, since moves away from it are few. */
+function reliefUtilizationOf({ target }: TargetLoad): number {
+    return target.isRateLimited ? 1 : reliefUtilization;
+}
+
+function minGainOf({ target }: TargetLoad): number {
+    return target.isRateLimited ? minGainUnderRateLimit : minGain;
+}
+
 function toCandidate(range: KeyRange, load: number, source: TargetLoad, destination: TargetLoad): Candidate {
     const saved = congestion(source, source.load) - congestion(source, source.load - load);
     const added = congestion(destination, destination.load + load) - congestion(destination, destination.load);
--- a/src/ownership/rateLimitRelief.ts
+++ b/src/ownership/rateLimitRelief.ts
@@ -8,17 +8,22 @@
 import { maxPieces, split } from "./rangeSplitting.js";
 import { overlapsAny } from "./ranges.js";
 
+/** A target that can do less than this under its rate limit, in slots, keeps no keys: lease calls would use much of the limit. */
+const minKeptCapacity = 0.5;
+
 /** A target with a rate limit gives up all its keys if the mean utilization of the others stays below this. */
 const maxUtilizationAfterRelief = 0.8;
 
 /**
- * Plans to move all keys away from targets whose rate limit is below their load, the most loaded ranges first. A target without keys
- * needs no calls at all, while few calls are possible to one that keeps some.
+ * Plans to move all keys away from targets whose rate limit is low and below their load, the most loaded ranges first. A target without
+ * keys needs no calls at all, while few calls are possible to one that keeps some. Targets with higher limits are relieved by `balance`.
  */
 export function relieveRateLimited(input: PlannerInput, ready: readonly TargetLoad[], unlimited: readonly TargetLoad[]): Move[] {
     const capacity = unlimited.reduce((sum, { target }) => sum + target.capacity, 0);
     const excluded = [...input.moving, ...input.recentlyMoved];
-    return ready.filter((source) => source.target.isRateLimited && utilization(source) > reliefUtilization).flatMap((source) => {
+    const relieved = ready.filter((source) =>
+        source.target.isRateLimited && source.target.capacity < minKeptCapacity && utilization(source) > reliefUtilization);
+    return relieved.flatMap((source) => {
         const load = unlimited.reduce((sum, other) => sum + other.load, source.load);
         if (load > maxUtilizationAfterRelief * capacity) {
             return [];
--- a/test/ownership/planner.spec.ts
+++ b/test/ownership/planner.spec.ts
@@ -136,6 +136,15 @@
             }
         });
 
+        it("moves no more than the excess if the limit is high enough to keep keys, and nothing below it", () => {
+            const moderate = (capacity: number) => ({ ...limited("a", 4), capacity });
+            const before = loadOf(loads, quarters, "a");
+            const moves = planMoves({ targets: [moderate(before * 0.8), ...others], ranges: quarters, loads, ...noMoves });
+            const relieved = apply(quarters, moves);
+            expect(loadOf(loads, relieved, "a")).to.be.within(before * 0.3, before * 0.9);
+            expect(planMoves({ targets: [moderate(before * 1.1), ...others], ranges: quarters, loads, ...noMoves })).to.deep.equal([]);
+        });
+
         it("moves the most loaded of its ranges first when few moves may begin", () => {
             const ranges = [owned("a", 0, 599), owned("a", 600, 16_383), ...quarters.slice(1)];
             const moves = planMoves({ targets: [limited("a", 1), ...others], ranges, loads, ...noMoves });
