Hosts that stand in for the host of a queue report a target's whole capacity

What callers would have seen: keys moving away from a target and back; found in reading the change. Cause: the capacity that hosts report for the planner took in the share of the limit that the reporting host may use, so the report of a host that stands in (a fifth) replaced that of the first. Change: the report goes by what the limit leaves for requests of all hosts; the queue's own waits go by its share as before.

--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -23,7 +23,7 @@
 import type { RateLimitUse } from "./rateLimiter.js";
 import type { QueueTarget, RunningRequest, TargetRecord, WorkEnd } from "./targetRecord.js";
 import {
-    applyRateLimit, backOffLeftMs, decaySlowness, effectiveSlots, endRateLimit, hasFreeSlot, hasRateLimit, limitersOf,
+    applyRateLimit, backOffLeftMs, capacityOf, decaySlowness, endRateLimit, hasFreeSlot, hasRateLimit, limitersOf,
     newTargetRecord, recordEnd, updateTarget,
 } from "./targetRecord.js";
 import { WorkTimeQuantile } from "./workTimeQuantile.js";
@@ -105,7 +105,7 @@
     describeTargets(): TargetDescription[] {
         return [...this.targets.values()].map((record) => ({
             targetId: record.target.targetId, running: record.running, observationCount: record.observationCount,
-            slowness: Math.min(maxReportedSlowness, record.target.slots / effectiveSlots(record, this.offeredLoad.meanWorkMs)),
+            slowness: Math.min(maxReportedSlowness, record.target.slots / capacityOf(record, this.offeredLoad.meanWorkMs)),
             requestsPerSecond: record.rateLimiter?.limit,
         }));
     }
--- a/src/admission/rateLimiter.ts
+++ b/src/admission/rateLimiter.ts
@@ -50,10 +50,15 @@
         return this.statedAtMs;
     }
 
-    /** Requests a second that are sent at most. */
-    get permittedPerSecond(): number {
+    /** Requests a second that all hosts together may send. */
+    get perSecondOfAllHosts(): number {
         const limit = Math.max(minLimitPerSecond, this.limitPerSecond);
-        return (this.use.hasLeases ? limit - leaseCallBudget(limit) : limit) * this.use.share;
+        return this.use.hasLeases ? limit - leaseCallBudget(limit) : limit;
+    }
+
+    /** Requests a second that this limiter permits. */
+    get permittedPerSecond(): number {
+        return this.perSecondOfAllHosts * this.use.share;
     }
 
     /** Sets a limit that was stated later. */
--- a/src/admission/targetRecord.ts
+++ b/src/admission/targetRecord.ts
@@ -216,6 +216,15 @@
  * @param record the target's record
  * @param meanWorkMs mean work time of a request at a target of average speed; together with a rate limit it bounds the work in progress
  */
+export function capacityOf(record: TargetRecord, meanWorkMs: number): number {
+    const slots = record.target.slots / record.slowness;
+    return limitersOf(record).reduce((least, limiter) => Math.min(least, limiter.perSecondOfAllHosts * meanWorkMs / 1_000), slots);
+}
+
+/**
+ * Returns the part of a target's capacity that its queue here may use: all of it, unless this host stands in for the one that keeps the
+ * queue and the target has a rate limit.
+ */
 export function effectiveSlots(record: TargetRecord, meanWorkMs: number): number {
     const slots = record.target.slots / record.slowness;
     return Math.min(slots, slotsPermittedBy(record.rateLimiter, meanWorkMs), slotsPermittedBy(record.warmUpLimiter, meanWorkMs));
--- a/test/admission/rateLimiter.spec.ts
+++ b/test/admission/rateLimiter.spec.ts
@@ -225,6 +225,17 @@
         expect(queue.describeTargets()[0]?.requestsPerSecond).to.equal(2);
     });
 
+    it("reports the same capacity whatever share of the limit this host may use", () => {
+        const slownessWith = (share: number) => {
+            const driver = new QueueDriver([target("t1")], 25);
+            driver.queue.setRateLimitShare(share, 0);
+            driver.stated.set("t1", 5);
+            driver.run(2_000);
+            return driver.queue.describeTargets()[0]?.slowness;
+        };
+        expect(slownessWith(0.2)).to.be.closeTo(slownessWith(1) ?? 0, 0.01);
+    });
+
     it("forgets the limit when the target's process restarts, and ignores what the earlier process stated", () => {
         const queue = new AdmissionQueue(() => 0.5);
         queue.setTargets([target("t1")], 0);
