--- a/test/fleet/rateLimit.spec.ts
+++ b/test/fleet/rateLimit.spec.ts
@@ -1,9 +1,13 @@
 import http from "node:http";
 import { expect } from "chai";
+import type { ServerStandIn } from "../../platform/standins/serverStandIn.js";
 import type { ClientAnswer, FleetHost } from "./fleet.js";
 import { Fleet, paths, send, sleep } from "./fleet.js";
 import { allowedPerWindow, maxArrivalsPerWindow, rateLimitWindowMs, settledMs } from "./rateLimitRule.js";
 
+/** Time during which requests are sent before a limit is stated. */
+const unlimitedMs = 1_500;
+
 /** A refusal must come at once. */
 const promptMs = 300;
 
@@ -52,38 +56,34 @@
         await fleet.stop();
     });
 
-    for (const { serverId, limitPerSecond } of [{ serverId: "k0", limitPerSecond: 2.3 }, { serverId: "k1", limitPerSecond: 0.4 }]) {
-        it(`bounds what a server that owns keys gets from many hosts with few requests each (${String(limitPerSecond)} a second)`, async () => {
-            await boundsKeyedServer(serverId, limitPerSecond);
-        });
-    }
-
-    const boundsKeyedServer = async (serverId: string, limitPerSecond: number) => {
-        const limited = fleet.servers.find(({ id }) => id === serverId)!;
-        const load = { path: paths.read, keys: keys.filter((key) => limited.holds(key)), periodMs: 600 };
-        const clients = fleet.hosts.map((host) => startClient(host, "keyed", load));
-        await sleep(1_500);
-        limited.statedLimit = String(limitPerSecond);
+    /** Sends requests through all hosts, and has a server state a limit after a while; returns the answers and what the server got. */
+    const play = async (server: ServerStandIn, limitPerSecond: number, load: Load) => {
+        const clients = fleet.hosts.map((host) => startClient(host, server.id, load));
+        await sleep(unlimitedMs);
+        server.statedLimit = String(limitPerSecond);
         const statedMs = performance.now();
         await sleep(settledMs + rateLimitWindowMs + 1_000);
         const answers = (await Promise.all(clients.map((stop) => stop()))).flat();
-        limited.statedLimit = undefined;
-        expect(maxArrivalsPerWindow(limited.arrivals, statedMs)).to.be.at.most(allowedPerWindow(limitPerSecond));
-        expectPromptRefusals(answers);
-        expect(answers.filter(({ status }) => status === 503).length).to.be.below(answers.length * 0.1);
+        server.statedLimit = undefined;
+        return { answers, maxPerWindow: maxArrivalsPerWindow(server.arrivals, statedMs) };
     };
 
+    for (const { serverId, limitPerSecond } of [{ serverId: "k0", limitPerSecond: 2.3 }, { serverId: "k1", limitPerSecond: 0.4 }]) {
+        it(`bounds what a server that owns keys gets from many hosts with few requests each (${String(limitPerSecond)} a second)`, async () => {
+            const limited = fleet.servers.find(({ id }) => id === serverId)!;
+            const heldKeys = keys.filter((key) => limited.holds(key));
+            const { answers, maxPerWindow } = await play(limited, limitPerSecond, { path: paths.read, keys: heldKeys, periodMs: 600 });
+            expect(maxPerWindow).to.be.at.most(allowedPerWindow(limitPerSecond));
+            expectPromptRefusals(answers);
+            expect(answers.filter(({ status }) => status === 503).length).to.be.below(answers.length * 0.1);
+        });
+    }
+
     it("bounds what a server without keys gets, while others serve the rest", async () => {
         const limitPerSecond = 1.5;
         const limited = fleet.servers.find(({ id }) => id === "p0")!;
-        const clients = fleet.hosts.map((host) => startClient(host, "plain", { path: paths.list, keys: undefined, periodMs: 200 }));
-        await sleep(1_000);
-        limited.statedLimit = String(limitPerSecond);
-        const statedMs = performance.now();
-        await sleep(settledMs + rateLimitWindowMs + 1_000);
-        const answers = (await Promise.all(clients.map((stop) => stop()))).flat();
-        limited.statedLimit = undefined;
-        expect(maxArrivalsPerWindow(limited.arrivals, statedMs)).to.be.at.most(allowedPerWindow(limitPerSecond));
+        const { answers, maxPerWindow } = await play(limited, limitPerSecond, { path: paths.list, keys: undefined, periodMs: 200 });
+        expect(maxPerWindow).to.be.at.most(allowedPerWindow(limitPerSecond));
         expect(answers.filter(({ status }) => status !== 200)).to.deep.equal([]);
     });
 });
