Relief of limited targets in short functions

Cause: one function filtered, weighed and cut. Change: mustGiveUpKeys, haveRoomFor and moveAllKeys; same rules.

--- a/src/ownership/planner.ts
+++ b/src/ownership/planner.ts
@@ -46,7 +46,8 @@
 const maxDestinations = 4;
 
 /**
- * Plans the next moves of a service's keys. Moves for balance are planned only when no range has to be assigned.
+ * Plans the next moves of a service's keys. Moves for balance are planned only when no range has to be assigned, and no target with a low
+ * rate limit has keys to give up.
  * @returns moves that overlap neither each other nor those in progress
  */
 export function planMoves(input: PlannerInput): Move[] {
--- a/src/ownership/rateLimitRelief.ts
+++ b/src/ownership/rateLimitRelief.ts
@@ -15,29 +15,41 @@
 const maxUtilizationAfterRelief = 0.8;
 
 /**
- * Plans to move all keys away from targets whose rate limit is low and below their load, the most loaded ranges first. A target without
- * keys needs no calls at all, while few calls are possible to one that keeps some. Targets with higher limits are relieved by `balance`.
+ * Plans to move all keys away from targets whose rate limit is low and below their load. A target without keys needs no calls at all,
+ * while few calls are possible to one that keeps some. Targets with higher limits are relieved by `balance`.
+ * @param input input of the planner
+ * @param ready targets that may receive keys
+ * @param unlimited those of them without a rate limit
  */
 export function relieveRateLimited(input: PlannerInput, ready: readonly TargetLoad[], unlimited: readonly TargetLoad[]): Move[] {
-    const capacity = unlimited.reduce((sum, { target }) => sum + target.capacity, 0);
-    const excluded = [...input.moving, ...input.recentlyMoved];
-    const relieved = ready.filter((source) =>
-        source.target.isRateLimited && source.target.capacity < minKeptCapacity && utilization(source) > reliefUtilization);
-    return relieved.flatMap((source) => {
-        const load = unlimited.reduce((sum, other) => sum + other.load, source.load);
-        if (load > maxUtilizationAfterRelief * capacity) {
-            return [];
-        }
-        const moves: Move[] = [];
-        const ranges = input.ranges.filter((range) => range.targetId === source.target.targetId && !overlapsAny(range, excluded))
-            .sort((left, right) => input.loads.loadOf(right) - input.loads.loadOf(left));
-        for (const [index, range] of ranges.entries()) {
-            const maxPiecesHere = Math.min(maxPieces, source.target.maxMoves - moves.length - (ranges.length - index - 1));
-            if (moves.length < source.target.maxMoves) {
-                moves.push(...split(range, input.loads, unlimited, Math.max(1, maxPiecesHere)).map(({ piece, to }): Move =>
-                    ({ range: piece, from: source.target.targetId, to, reason: "rate-limit" })));
-            }
+    return ready.filter(mustGiveUpKeys)
+        .flatMap((source) => haveRoomFor(source, unlimited) ? moveAllKeys(input, source, unlimited) : []);
+}
+
+function mustGiveUpKeys(source: TargetLoad): boolean {
+    return source.target.isRateLimited && source.target.capacity < minKeptCapacity && utilization(source) > reliefUtilization;
+}
+
+function haveRoomFor(source: TargetLoad, destinations: readonly TargetLoad[]): boolean {
+    const capacity = destinations.reduce((sum, { target }) => sum + target.capacity, 0);
+    const load = destinations.reduce((sum, destination) => sum + destination.load, source.load);
+    return load <= maxUtilizationAfterRelief * capacity;
+}
+
+/** Moves the most loaded ranges first, and cuts them into pieces as far as enough moves are left for the others. */
+function moveAllKeys(
+    { ranges, loads, moving, recentlyMoved }: PlannerInput, { target }: TargetLoad, destinations: readonly TargetLoad[],
+): Move[] {
+    const movable = ranges.filter((range) => range.targetId === target.targetId && !overlapsAny(range, [...moving, ...recentlyMoved]))
+        .sort((left, right) => loads.loadOf(right) - loads.loadOf(left))
+        .slice(0, target.maxMoves);
+    const moves: Move[] = [];
+    for (const [index, range] of movable.entries()) {
+        const neededForOthers = movable.length - index - 1;
+        const pieceLimit = Math.min(maxPieces, target.maxMoves - moves.length - neededForOthers);
+        for (const { piece, to } of split(range, loads, destinations, pieceLimit)) {
+            moves.push({ range: piece, from: target.targetId, to, reason: "rate-limit" });
         }
-        return moves;
-    });
+    }
+    return moves;
 }
