--- a/src/config/compile.ts
+++ b/src/config/compile.ts
@@ -47,7 +47,6 @@
             healthPath: config.healthPath,
             maxConnections: config.connections,
             sharded: config.kind === "keyed",
-            warmUpRequestsPerSecond: undefined,
             warmUpMs: 0,
         })),
     };
--- a/src/model/routing.ts
+++ b/src/model/routing.ts
@@ -38,8 +38,8 @@
     maxConnections: number;
     /** True if each key is owned by one target at a time. */
     sharded: boolean;
-    /** Requests a second that a target tolerates from all hosts together while it warms up; undefined if that is not limited. */
-    warmUpRequestsPerSecond: number | undefined;
+    /** Requests a second that a target tolerates from all hosts together while it warms up; absent if that is not limited. */
+    warmUpRequestsPerSecond?: number;
     /** Time during which a new owner that received no handover serves its keys more slowly. */
     warmUpMs: number;
 }
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -87,7 +87,6 @@
     })),
     services: [keyed, plain].map((serviceId) => ({
         serviceId, healthPath: "/", maxConnections: 10, sharded: serviceId === keyed, warmUpMs: 0,
-        warmUpRequestsPerSecond: undefined,
     })),
     limits: { maxHeaderBytes: 10_000, maxBodyBytes: 10_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
 };
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -12,7 +12,7 @@
 const heartbeatPeriodMs = 800;
 const config = {
     version: 1, routes: [], limits: {},
-    services: [{ serviceId, healthPath: "/", maxConnections: 100, sharded: true, warmUpRequestsPerSecond: undefined, warmUpMs: 0 }],
+    services: [{ serviceId, healthPath: "/", maxConnections: 100, sharded: true, warmUpMs: 0 }],
 } as unknown as RoutingConfig;
 
 /** The simulated cluster: three hosts, some targets and the store. */
