Four imports no longer run against the layers

watchDocument, which ties the project's document to the view and the log, moves from src/config to src/host. TargetPressure, what queues report for the planner, moves from admission to src/ownership/targetPressure.ts beside KeyLoadReport; admissionServer.ts passes it on until src/cluster/messages.ts imports it from there. No code changed.

--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -5,6 +5,7 @@
 import type { KnownTarget } from "../model/target.js";
 import { mayReceive } from "../model/target.js";
 import type { Clock } from "../model/time.js";
+import type { TargetPressure } from "../ownership/targetPressure.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { AdmissionRequest, AdmissionVerdict, Ticket } from "./admissionRequest.js";
 import { AdmissionQueue } from "./admissionQueue.js";
@@ -13,6 +14,8 @@
 import type { QueueHosts } from "./queueHosts.js";
 import type { QueueTarget } from "./targetRecord.js";
 
+export type { TargetPressure } from "../ownership/targetPressure.js";
+
 /** Interval between ticks of the queues while requests wait or a target leaves. */
 const tickMs = 25;
 
@@ -37,16 +40,6 @@
     queueHosts: QueueHosts;
 }
 
-/** Load of a target as its queue observes it. Sent to the coordinator under these field names. */
-export interface TargetPressure {
-    targetId: TargetId;
-    slowness: number;
-    running: number;
-    waiting: number;
-    /** Rate limit that the target stated; absent if it has none. */
-    requestsPerSecond?: number;
-}
-
 interface ManagedQueue {
     group: Group;
     queue: AdmissionQueue;
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -2,10 +2,10 @@
 import { setMaxListeners } from "node:events";
 import type { DependencyContainer } from "tsyringe";
 import { listenForPeers } from "../cluster/peerConnection.js";
-import { watchDocument } from "../config/documentWatcher.js";
 import type { AdverseStanding } from "../crashes/crashEvidence.js";
 import { monitorStandings } from "../crashes/standingMonitor.js";
 import { createAdminHttp, createReadyHttp, listen } from "./adminHttp.js";
+import { watchDocument } from "./documentWatcher.js";
 import { tokens } from "./tokens.js";
 
 /** The load balancer removes a host after two failed readiness checks; new connections may arrive until then. */
--- a/src/config/documentWatcher.ts
+++ b/src/host/documentWatcher.ts
@@ -1,10 +1,10 @@
 /** Applies the newest version of the project's own configuration document, again whenever one of its exceptions expires. */
+import { compileDocument } from "../config/compile.js";
+import { nextExpiryWallMs } from "../config/document.js";
 import { waitFor } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import type { ClusterView } from "../store/clusterView.js";
-import { compileDocument } from "./compile.js";
-import { nextExpiryWallMs } from "./document.js";
 
 /** Longest time between two checks for expired exceptions. */
 const maxCheckIntervalMs = 60_000;
--- a/src/ownership/ownershipManager.ts
+++ b/src/ownership/ownershipManager.ts
@@ -2,7 +2,6 @@
  * Manages the ownership of keys on behalf of the coordinator: grants leases on the ranges that the ledger assigns, moves ranges
  * between targets, and reassigns the ranges of lost targets.
  */
-import type { TargetPressure } from "../admission/admissionServer.js";
 import type { Address, KeyRange, ServiceId, TargetId } from "../model/names.js";
 import { Signal, waitFor } from "../model/signal.js";
 import type { Clock, Instant } from "../model/time.js";
@@ -26,6 +25,7 @@
 import type { Move } from "./plannerInput.js";
 import { planMoves } from "./planner.js";
 import { contains, overlaps } from "./ranges.js";
+import type { TargetPressure } from "./targetPressure.js";
 import { TargetStandings } from "./targetStandings.js";
 
 const planIntervalMs = 150;
--- a/src/ownership/targetStandings.ts
+++ b/src/ownership/targetStandings.ts
@@ -1,10 +1,10 @@
 /** Assesses each target for the planner: whether it may receive keys, and how much work it can do. */
-import type { TargetPressure } from "../admission/admissionServer.js";
 import type { TargetId } from "../model/names.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { LeaseManagerSet } from "./leaseManagerSet.js";
 import type { MovePacing } from "./movePacing.js";
 import type { PlannerTarget, TargetStanding } from "./plannerInput.js";
+import type { TargetPressure } from "./targetPressure.js";
 
 /** Assumed slowness (its work time divided by the average) of a target in the first seconds of its process, when none is reported. */
 const warmUpSlowness = 2;
