--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,52 @@
 import stylistic from "@stylistic/eslint-plugin";
 import tseslint from "typescript-eslint";
 
+/** Folders of `src` from top to bottom. A module imports only from its own folder and from those below it. */
+export const layers = [
+    "host", "forwarding", "admission", "cluster", "control", "ownership", "crashes", "store",
+    "observe", "entry", "config", "routing", "settings", "adapters", "model",
+];
+
+/** Modules that import from a higher layer so far, each with these imports. No entry may be added. */
+export const upwardImports = {
+    "src/cluster/messages.ts": ["admission/admissionServer.js"],
+    "src/cluster/node.ts": ["admission/admissionServer.js"],
+    "src/entry/clientCall.ts": ["crashes/requestFingerprint.js"],
+    "src/entry/clientHttp.ts": ["forwarding/dialect.js", "forwarding/hopByHop.js"],
+    "src/entry/ownDialect.ts": ["forwarding/dialect.js"],
+    "src/observe/requestLog.ts": ["forwarding/attempt.js", "forwarding/statedRateLimits.js"],
+    "src/observe/requestRecorder.ts": ["forwarding/attempt.js", "forwarding/statedRateLimits.js"],
+    "src/store/clusterView.ts": ["ownership/ledger.js"],
+    "src/store/topicReader.ts": ["ownership/ledger.js"],
+};
+
+const noNull = { selector: "Literal[raw='null']", message: "Use undefined." };
+
+/** The rule on imports sees import declarations only. */
+const noImportExpressions = { selector: "ImportExpression, TSImportType", message: "Use an import declaration." };
+
+/**
+ * Forbids imports from higher layers, from `platform` and from `test`.
+ * @param files modules that the rule applies to
+ * @param layer their folder
+ * @param allowed imports that are permitted all the same
+ */
+function importsFromBelow(files, layer, allowed) {
+    const exceptions = allowed.map((path) => `${path.replaceAll(".", "\\.")}$`).join("|");
+    const exceptAllowed = exceptions === "" ? "" : `(?!${exceptions})`;
+    const above = [...layers.slice(0, layers.indexOf(layer)), "platform", "test"].join("|");
+    return {
+        files,
+        rules: {
+            "no-restricted-imports": ["error", { patterns: [{
+                regex: `^(\\.\\./)+(src/)?${exceptAllowed}(${above})/`,
+                message: `${layer} may import only from layers below it (see layers in eslint.config.js).`,
+            }] }],
+            "no-restricted-syntax": ["error", noNull, noImportExpressions],
+        },
+    };
+}
+
 export default tseslint.config(
     { ignores: ["dist/**", "node_modules/**", "report/**", "target/**", "journal/**"] },
     ...tseslint.configs.strict,
@@ -10,10 +56,7 @@
         rules: {
             "curly": ["error", "all"],
             "eqeqeq": "error",
-            "no-restricted-syntax": [
-                "error",
-                { selector: "Literal[raw='null']", message: "Use undefined." },
-            ],
+            "no-restricted-syntax": ["error", noNull],
             "@stylistic/indent": ["error", 4],
             "@stylistic/quotes": ["error", "double", { avoidEscape: true, allowTemplateLiterals: "always" }],
             "@stylistic/semi": ["error", "always"],
@@ -35,6 +78,8 @@
             "@typescript-eslint/no-dynamic-delete": "off",
         },
     },
+    ...layers.map((layer) => importsFromBelow([`src/${layer}/**/*.ts`], layer, [])),
+    ...Object.entries(upwardImports).map(([file, allowed]) => importsFromBelow([file], file.split("/")[1], allowed)),
     {
         files: ["test/**/*.ts"],
         rules: { "@typescript-eslint/no-unused-expressions": "off", "@typescript-eslint/no-non-null-assertion": "off" },
