A host forgets a request that it refused a slot

The host that keeps a queue remembers the requests of each connection, to withdraw them when it closes. One that was refused stayed in that list for as long as the connection was open, since its sender has nothing to report any more: memory grew with every refusal, and the close of a connection withdrew them one by one, each after looking up its queue again (under overload, thousands within one turn of the event loop).

Cause: only leave and withdraw took a ticket off the list. It goes now when the reply is anything but a grant. admissionServer.spec (new) counts the uses of the queue when a connection closes after one grant and 50 refusals: 51 before, 1 now.

--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -78,6 +78,7 @@
 ): AdmissionServer {
     const queues = new Map<string, ManagedQueue>();
     const requestQueued = new Signal();
+    /** Requests that wait or hold a slot, by the connection that they came on. */
     const ticketsByPeer = new Map<PeerConnection, Map<Ticket, Group>>();
 
     const queueOf = (group: Group, nowMs: number): ManagedQueue => {
@@ -187,9 +188,14 @@
     return {
         enter, leave, withdraw,
         handlers: () => ({
-            [admissionMethods.enter]: (params: EnterParams, from: PeerConnection) => {
-                ticketsOf(from).set(params.ticket, params.group);
-                return enter(params, from.address);
+            [admissionMethods.enter]: async (params: EnterParams, from: PeerConnection) => {
+                const tickets = ticketsOf(from);
+                tickets.set(params.ticket, params.group);
+                const reply = await enter(params, from.address);
+                if (!("granted" in reply)) {
+                    tickets.delete(params.ticket);
+                }
+                return reply;
             },
             [admissionMethods.leave]: (params: LeaveParams, from: PeerConnection) => {
                 ticketsOf(from).delete(params.ticket);
