A target's back-off holds for a host that connects anew

A target may tell one host to back off. The host that keeps the target's queue knew hosts by the address of their connection, with its remote port, so a host that reconnected counted as another one and was given slots at a target that it had to leave alone.

A request for a slot names its host now (sender; absent from hosts of an earlier version, which are known by their address as before). admissionServer.spec: after 'back off for 900 ms' and a new connection the queue granted a slot before, and refuses with 'paused' now, while another host is granted one.

--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -24,7 +24,7 @@
 const retryAfterNoHostMs = 300;
 
 /** A request that needs a slot. */
-export interface SlotRequest extends Omit<EnterParams, "ticket" | "targetLeftMs" | "deadlineLeftMs"> {
+export interface SlotRequest extends Omit<EnterParams, "ticket" | "sender" | "targetLeftMs" | "deadlineLeftMs"> {
     /** Monotonic time after which the answer loses value, because the target latency is exceeded. */
     softDeadlineMs: number;
     /** Monotonic time after which the answer is useless. */
@@ -99,8 +99,8 @@
         return undefined;
     };
 
-    const requestSlotFromPeer = (member: Member, params: EnterParams) =>
-        links.call<EnterReply>(member.peerAddress, admissionMethods.enter, params, params.deadlineLeftMs + replyGraceMs);
+    const requestSlotFromPeer = ({ peerAddress }: Member, params: EnterParams) => links.call<EnterReply>(
+        peerAddress, admissionMethods.enter, { ...params, sender: membership.self.hostId }, params.deadlineLeftMs + replyGraceMs);
 
     const notifyQueueHost = (member: Member, method: "leave" | "withdraw", params: Pick<LeaveParams, "group" | "ticket" | "rateLimit"> & { end?: WorkEnd }) => {
         if (!isSelf(member)) {
--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -191,7 +191,7 @@
             [admissionMethods.enter]: async (params: EnterParams, from: PeerConnection) => {
                 const tickets = ticketsOf(from);
                 tickets.set(params.ticket, params.group);
-                const reply = await enter(params, from.address);
+                const reply = await enter(params, params.sender ?? from.address);
                 if (!("granted" in reply)) {
                     tickets.delete(params.ticket);
                 }
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -1,6 +1,6 @@
 /** RPC messages between a host that needs a slot and the host that keeps the queue. */
 import type { Fingerprint } from "../crashes/requestFingerprint.js";
-import type { DataCentreId, ServiceId, TargetId } from "../model/names.js";
+import type { DataCentreId, HostId, ServiceId, TargetId } from "../model/names.js";
 import type { StatedRateLimit } from "../model/rateLimit.js";
 import type { QueueRefusalReason, Ticket } from "./admissionRequest.js";
 import type { WorkEnd } from "./targetRecord.js";
@@ -13,6 +13,8 @@
 /** Requests a slot. */
 export interface EnterParams {
     ticket: Ticket;
+    /** Host that would send the request; absent in messages of earlier versions. */
+    sender?: HostId;
     group: Group;
     priority: number;
     /** Expected work time at a target of average speed. */
--- a/test/admission/admissionServer.spec.ts
+++ b/test/admission/admissionServer.spec.ts
@@ -13,4 +13,18 @@
         expect(pair.queueUseCount - usesBefore).to.equal(1);
         expect((await pair.enter()).kind, "the slot is free again").to.equal("granted");
     });
+
+    it("keeps a host's back-off from a target when the host connects anew", async () => {
+        const pair = new HostPair();
+        const decision = await pair.enter();
+        if (decision.kind !== "granted") {
+            throw new Error("no slot");
+        }
+        decision.leave({ kind: "turned-away", pauseMs: 900 });
+        await pair.clock.advance(100);
+        expect(await pair.enter()).to.include({ kind: "refused", reason: "paused" });
+        await pair.reconnect();
+        expect(await pair.enter()).to.include({ kind: "refused", reason: "paused" });
+        expect((await pair.enter(5_000, "other")).kind, "other hosts may use the target").to.equal("granted");
+    });
 });
