A slot whose reply was lost is given back at once

When the reply of the queue's host did not come in time, the asking host went on to the next host and told the first nothing: its request waited there, or held a slot that nobody used until a second after the request's deadline, while others waited for it.

The asking host withdraws a request whose call failed. admissionServer.spec: the only slot of a target is granted in a reply that is lost; another host's request waited before, and gets it at once now. If the connection is closed too, the message is dropped and the queue's host withdraws the request by itself, as before.

--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -95,6 +95,10 @@
         if (reply.isOk() && !("unready" in reply.value)) {
             return reply.value;
         }
+        if (reply.isErr()) {
+            // The request may wait or hold a slot there all the same.
+            notifyQueueHost(member, "withdraw", { group: params.group, ticket: params.ticket });
+        }
         membership.suspect(member.peerAddress, clock.now().monoMs + suspicionMs);
         return undefined;
     };
--- a/test/admission/admissionServer.spec.ts
+++ b/test/admission/admissionServer.spec.ts
@@ -27,4 +27,17 @@
         expect(await pair.enter()).to.include({ kind: "refused", reason: "paused" });
         expect((await pair.enter(5_000, "other")).kind, "other hosts may use the target").to.equal("granted");
     });
+
+    it("gets a slot back whose reply did not reach the host that asked for it", async () => {
+        const pair = new HostPair();
+        pair.isLosingReplies = true;
+        const lost = pair.enter(500);
+        await pair.clock.advance(800);
+        expect(await lost).to.include({ kind: "refused", reason: "no-host" });
+        pair.isLosingReplies = false;
+        const decisions: string[] = [];
+        void pair.enter(5_000, "other").then(({ kind }) => decisions.push(kind));
+        await pair.clock.advance(10);
+        expect(decisions).to.deep.equal(["granted"]);
+    });
 });
--- a/test/admission/hostPair.ts
+++ b/test/admission/hostPair.ts
@@ -30,6 +30,8 @@
     queueUseCount = 0;
     /** True while replies of the queue's host do not arrive. */
     isLosingReplies = false;
+    private connected = Promise.resolve();
+    private isConnected = true;
     private connection = createConnection(1);
     private connectionCount = 1;
     private ticketCount = 0;
@@ -49,6 +51,14 @@
         }, signal);
     }
 
+    /** Lets calls wait for a connection for some time; messages without a result are dropped meanwhile. */
+    delayConnection(durationMs: number): void {
+        this.isConnected = false;
+        this.connected = this.clock.sleep(durationMs).then(() => {
+            this.isConnected = true;
+        });
+    }
+
     /** Closes the connection to the queue's host and opens another, from another port. */
     async reconnect(): Promise<void> {
         const closing = this.connection;
@@ -101,15 +111,19 @@
             this.server.handlers()[method]?.(structuredClone(params) as never, this.connection);
         return {
             call: async (address: Address, method: string, params: object, timeoutMs: number) => {
-                const reply = deliver(method, params);
-                if (this.isLosingReplies) {
-                    await this.clock.sleep(timeoutMs);
-                    return err(failure("lost", "peer-call", address, "timed out"));
-                }
-                return ok(await reply);
+                await this.connected;
+                const reply = Promise.resolve(deliver(method, params));
+                const timeout = this.clock.sleep(timeoutMs);
+                const outcome = await Promise.race([
+                    ...this.isLosingReplies ? [] : [reply.then((value) => ok(value))],
+                    timeout.then(() => err(failure("lost", "peer-call", address, "timed out"))),
+                ]);
+                return outcome;
             },
             notify: (_address: Address, method: string, params: object) => {
-                deliver(method, params);
+                if (this.isConnected) {
+                    deliver(method, params);
+                }
             },
         } as unknown as PeerLinks;
     }
