A host whose client left while its request waited no longer avoids the queue's host

When a client leaves, its host withdraws the waiting request, and the queue's host sends no reply to it. The call for the slot went on in the background, ended by its timeout, and the queue's host was then taken for unreachable: for 1.5 s this host asked another one for slots, which keeps a queue of its own for the same targets (more requests at once than slots, and only a part of a rate limit), or refused with no-host.

A call whose request was withdrawn says nothing about the host. admissionServer.spec: a client leaves while its request waits; after the call's timeout the next request was refused with no-host before, and is granted the free slot now.

--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -88,13 +88,17 @@
         return candidates;
     };
 
-    const requestSlot = async (member: Member, params: EnterParams): Promise<QueueReply | undefined> => {
+    const requestSlot = async (member: Member, params: EnterParams, signal: AbortSignal): Promise<QueueReply | undefined> => {
         const reply = isSelf(member)
             ? ok(await localServer.enter(params, membership.self.hostId))
             : await requestSlotFromPeer(member, params);
         if (reply.isOk() && !("unready" in reply.value)) {
             return reply.value;
         }
+        if (signal.aborted) {
+            // No reply comes to a request that was withdrawn.
+            return undefined;
+        }
         if (reply.isErr()) {
             // The request may wait or hold a slot there all the same.
             notifyQueueHost(member, "withdraw", { group: params.group, ticket: params.ticket });
@@ -130,7 +134,7 @@
             requestSlot(member, {
                 ticket, group, priority, near, avoid, workMs: Math.round(workMs), ...rateLimits === undefined ? {} : { rateLimits },
                 targetLeftMs: Math.round(softDeadlineMs - nowMs), deadlineLeftMs: Math.round(deadlineMs - nowMs),
-            }),
+            }, signal),
             withdrawn.promise,
         ]);
         withdrawn.release();
--- a/test/admission/admissionServer.spec.ts
+++ b/test/admission/admissionServer.spec.ts
@@ -40,4 +40,19 @@
         await pair.clock.advance(10);
         expect(decisions).to.deep.equal(["granted"]);
     });
+
+    it("is not avoided by a host whose client left while its request waited", async () => {
+        const pair = new HostPair();
+        const first = await pair.enter();
+        const clientLeft = new AbortController();
+        const second = pair.enter(500, "asker", clientLeft.signal);
+        await pair.clock.advance(10);
+        clientLeft.abort();
+        expect(await second).to.include({ kind: "refused", reason: "withdrawn" });
+        await pair.clock.advance(800);
+        if (first.kind === "granted") {
+            first.leave({ kind: "answered", tookMs: 800 });
+        }
+        expect((await pair.enter()).kind).to.equal("granted");
+    });
 });
