A slot that is granted after the client left is given back, also when the connection was not open yet

A host that asks for a slot while its connection to the queue's host is being opened sends the request once it is open. If the client leaves before, the withdrawal was dropped, since there was no connection, and the request was sent after it: the slot that it was granted was used by nobody until a second after the request's deadline.

--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -92,16 +92,19 @@
         const reply = isSelf(member)
             ? ok(await localServer.enter(params, membership.self.hostId))
             : await requestSlotFromPeer(member, params);
-        if (reply.isOk() && !("unready" in reply.value)) {
-            return reply.value;
-        }
         if (signal.aborted) {
-            // No reply comes to a request that was withdrawn.
+            // No reply comes to a request that was withdrawn, unless it was sent only then, when the connection was open.
+            if (reply.isOk() && "granted" in reply.value) {
+                withdraw(member, params);
+            }
             return undefined;
         }
+        if (reply.isOk() && !("unready" in reply.value)) {
+            return reply.value;
+        }
         if (reply.isErr()) {
             // The request may wait or hold a slot there all the same.
-            notifyQueueHost(member, "withdraw", { group: params.group, ticket: params.ticket });
+            withdraw(member, params);
         }
         membership.suspect(member.peerAddress, clock.now().monoMs + suspicionMs);
         return undefined;
@@ -122,13 +125,14 @@
         }
     };
 
+    const withdraw = (member: Member, { group, ticket }: Pick<EnterParams, "group" | "ticket">) => {
+        notifyQueueHost(member, "withdraw", { group, ticket });
+    };
+
     const enterAt = async (member: Member, request: SlotRequest, signal: AbortSignal): Promise<SlotDecision | undefined> => {
         const nowMs = clock.now().monoMs;
         const ticket = nextTicket();
         const { group, priority, workMs, near, avoid, rateLimits, softDeadlineMs, deadlineMs } = request;
-        const withdraw = () => {
-            notifyQueueHost(member, "withdraw", { group, ticket });
-        };
         const withdrawn = whenAborted(signal);
         const reply = await Promise.race([
             requestSlot(member, {
@@ -139,7 +143,7 @@
         ]);
         withdrawn.release();
         if (signal.aborted) {
-            withdraw();
+            withdraw(member, { group, ticket });
             return { kind: "refused", reason: "withdrawn", retryAfterMs: 0 };
         }
         if (reply === undefined) {
--- a/test/admission/admissionServer.spec.ts
+++ b/test/admission/admissionServer.spec.ts
@@ -55,4 +55,19 @@
         }
         expect((await pair.enter()).kind).to.equal("granted");
     });
+
+    it("gets a slot back that was granted after the client had left, before the connection was open", async () => {
+        const pair = new HostPair();
+        pair.delayConnection(100);
+        const clientLeft = new AbortController();
+        const left = pair.enter(5_000, "asker", clientLeft.signal);
+        await pair.clock.advance(50);
+        clientLeft.abort();
+        expect(await left).to.include({ kind: "refused", reason: "withdrawn" });
+        await pair.clock.advance(100);
+        const decisions: string[] = [];
+        void pair.enter(5_000, "other").then(({ kind }) => decisions.push(kind));
+        await pair.clock.advance(10);
+        expect(decisions).to.deep.equal(["granted"]);
+    });
 });
