--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -24,7 +24,7 @@
 const retryAfterNoHostMs = 300;
 
 /** A request that needs a slot. */
-export interface SlotRequest extends Omit<EnterParams, "ticket" | "targetLeftMs" | "deadlineLeftMs"> {
+export interface SlotRequest extends Omit<EnterParams, "ticket" | "sender" | "targetLeftMs" | "deadlineLeftMs"> {
     /** Monotonic time after which the answer loses value, because the target latency is exceeded. */
     softDeadlineMs: number;
     /** Monotonic time after which the answer is useless. */
@@ -88,19 +88,30 @@
         return candidates;
     };
 
-    const requestSlot = async (member: Member, params: EnterParams): Promise<QueueReply | undefined> => {
+    const requestSlot = async (member: Member, params: EnterParams, signal: AbortSignal): Promise<QueueReply | undefined> => {
         const reply = isSelf(member)
             ? ok(await localServer.enter(params, membership.self.hostId))
             : await requestSlotFromPeer(member, params);
+        if (signal.aborted) {
+            // No reply comes to a request that was withdrawn, unless it was sent only then, when the connection was open.
+            if (reply.isOk() && "granted" in reply.value) {
+                withdraw(member, params);
+            }
+            return undefined;
+        }
         if (reply.isOk() && !("unready" in reply.value)) {
             return reply.value;
         }
+        if (reply.isErr()) {
+            // The request may wait or hold a slot there all the same.
+            withdraw(member, params);
+        }
         membership.suspect(member.peerAddress, clock.now().monoMs + suspicionMs);
         return undefined;
     };
 
-    const requestSlotFromPeer = (member: Member, params: EnterParams) =>
-        links.call<EnterReply>(member.peerAddress, admissionMethods.enter, params, params.deadlineLeftMs + replyGraceMs);
+    const requestSlotFromPeer = ({ peerAddress }: Member, params: EnterParams) => links.call<EnterReply>(
+        peerAddress, admissionMethods.enter, { ...params, sender: membership.self.hostId }, params.deadlineLeftMs + replyGraceMs);
 
     const notifyQueueHost = (member: Member, method: "leave" | "withdraw", params: Pick<LeaveParams, "group" | "ticket" | "rateLimit"> & { end?: WorkEnd }) => {
         if (!isSelf(member)) {
@@ -114,24 +125,25 @@
         }
     };
 
+    const withdraw = (member: Member, { group, ticket }: Pick<EnterParams, "group" | "ticket">) => {
+        notifyQueueHost(member, "withdraw", { group, ticket });
+    };
+
     const enterAt = async (member: Member, request: SlotRequest, signal: AbortSignal): Promise<SlotDecision | undefined> => {
         const nowMs = clock.now().monoMs;
         const ticket = nextTicket();
         const { group, priority, workMs, near, avoid, rateLimits, softDeadlineMs, deadlineMs } = request;
-        const withdraw = () => {
-            notifyQueueHost(member, "withdraw", { group, ticket });
-        };
         const withdrawn = whenAborted(signal);
         const reply = await Promise.race([
             requestSlot(member, {
                 ticket, group, priority, near, avoid, workMs: Math.round(workMs), ...rateLimits === undefined ? {} : { rateLimits },
                 targetLeftMs: Math.round(softDeadlineMs - nowMs), deadlineLeftMs: Math.round(deadlineMs - nowMs),
-            }),
+            }, signal),
             withdrawn.promise,
         ]);
         withdrawn.release();
         if (signal.aborted) {
-            withdraw();
+            withdraw(member, { group, ticket });
             return { kind: "refused", reason: "withdrawn", retryAfterMs: 0 };
         }
         if (reply === undefined) {
--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -5,6 +5,7 @@
 import type { KnownTarget } from "../model/target.js";
 import { mayReceive } from "../model/target.js";
 import type { Clock } from "../model/time.js";
+import type { TargetPressure } from "../ownership/targetPressure.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { AdmissionRequest, AdmissionVerdict, Ticket } from "./admissionRequest.js";
 import { AdmissionQueue } from "./admissionQueue.js";
@@ -13,6 +14,8 @@
 import type { QueueHosts } from "./queueHosts.js";
 import type { QueueTarget } from "./targetRecord.js";
 
+export type { TargetPressure } from "../ownership/targetPressure.js";
+
 /** Interval between ticks of the queues while requests wait or a target leaves. */
 const tickMs = 25;
 
@@ -37,16 +40,6 @@
     queueHosts: QueueHosts;
 }
 
-/** Load of a target as its queue observes it. Sent to the coordinator under these field names. */
-export interface TargetPressure {
-    targetId: TargetId;
-    slowness: number;
-    running: number;
-    waiting: number;
-    /** Rate limit that the target stated; absent if it has none. */
-    requestsPerSecond?: number;
-}
-
 interface ManagedQueue {
     group: Group;
     queue: AdmissionQueue;
@@ -85,6 +78,7 @@
 ): AdmissionServer {
     const queues = new Map<string, ManagedQueue>();
     const requestQueued = new Signal();
+    /** Requests that wait or hold a slot, by the connection that they came on. */
     const ticketsByPeer = new Map<PeerConnection, Map<Ticket, Group>>();
 
     const queueOf = (group: Group, nowMs: number): ManagedQueue => {
@@ -194,9 +188,14 @@
     return {
         enter, leave, withdraw,
         handlers: () => ({
-            [admissionMethods.enter]: (params: EnterParams, from: PeerConnection) => {
-                ticketsOf(from).set(params.ticket, params.group);
-                return enter(params, from.address);
+            [admissionMethods.enter]: async (params: EnterParams, from: PeerConnection) => {
+                const tickets = ticketsOf(from);
+                tickets.set(params.ticket, params.group);
+                const reply = await enter(params, params.sender ?? from.address);
+                if (!("granted" in reply)) {
+                    tickets.delete(params.ticket);
+                }
+                return reply;
             },
             [admissionMethods.leave]: (params: LeaveParams, from: PeerConnection) => {
                 ticketsOf(from).delete(params.ticket);
