Answers of ours that deny a request leave a line and a count

What callers saw: a 4xx of this host that no log could explain. The parser's errors (400, 408, 431) and what Node.js answered by itself (400 without Host, 417 for an unknown Expect) left neither a line nor a count; `refused` lines of 404, 400 and 413 did not say what the request was.

Now the listener answers these two itself, with the same statuses, and each such answer leaves a line `clients: input denied` with status, reason, the parser's code, a printable excerpt, the client's address, requests received on the connection before, bytes received, and the limit in force beside the one that the connection was opened with. `refused` lines that blame the request name method, host name, path, key as stated, declared length and the connection. `hornbeam_refusals_total` counts by status and reason. hornbeamctl explain finds a denial by the client's address or by an id in the excerpt, and shows changes of the configuration beside it.

The decisions are unchanged; statuses and ClientCall move to modules of their own (refusalStatus.ts, httpClientCall.ts).

--- a/src/control/explain.ts
+++ b/src/control/explain.ts
@@ -18,6 +18,10 @@
     /** Fingerprint for which the request is quarantined. */
     fingerprint?: string;
     key?: number;
+    /** IP address and port of the client; on lines about input that the listener denied, which has no request. */
+    clientAddress?: string;
+    /** Bytes of such input. */
+    excerpt?: string;
     [field: string]: unknown;
 }
 
@@ -42,20 +46,29 @@
     "stopping": "The host was stopping.",
     "quarantined": "Requests with the same content crashed the targets that ran them; they are refused for some time.",
     "timed-out": "The request was sent and not answered in time; it may have run.",
+    "malformed": "The client's bytes were no valid request; parserCode and excerpt say where the parser stopped.",
+    "header-too-large": "The header section was longer than the limit with which the connection was opened.",
+    "header-late": "The client did not send the whole header section in time.",
+    "no-host-header": "The request had no Host header.",
+    "unknown-expectation": "The request had an Expect header other than 100-continue.",
     "lost": "The connection to the target ended before the answer was complete; the request may have run.",
 };
 
+/** Reasons that blame the request by the configuration in force; its latest changes are related. */
+const reasonsByConfiguration: ReadonlySet<string> = new Set(["no-route", "no-key", "body-too-large", "header-too-large"]);
+
 /**
  * Shows the log lines of a request, the related lines around it, and the cause of its outcome.
- * @param requestId the request's id
+ * @param requestId the request's id, or the client's address with its port, for input that was denied before an id was known
  * @param texts contents of the hosts' log files
  */
 export function explain(requestId: string, texts: readonly string[]): CommandResult {
     const lines = texts.flatMap(parseLines).sort((left, right) => left.time < right.time ? -1 : 1);
-    const requestLines = lines.filter(({ request }) => request === requestId);
+    const requestLines = lines.filter((line) => isAbout(line, requestId));
     const lastLine = requestLines.at(-1);
     if (lastLine === undefined) {
-        return refused(`No log line has request ${requestId}; check that the files are from the host that received it and cover that time.`);
+        return refused(`No log line has request ${requestId}; check that the files are from the host that received it and cover that time. `
+            + "A request that the listener denied has no id in the logs: look it up by the client's address and port.");
     }
     const involvedTargets = new Set(requestLines.flatMap(({ targets, target }) =>
         [...targets ?? [], ...target === undefined ? [] : [target]]));
@@ -73,9 +86,13 @@
     };
 }
 
+function isAbout({ request, clientAddress, excerpt }: LogLine, requestId: string): boolean {
+    return request === requestId || clientAddress === requestId || (request === undefined && excerpt?.includes(requestId) === true);
+}
+
 /**
- * Returns whether a line without a request tells of the request's quarantine or, within `aroundMs`, of one of its targets or a move of its
- * key.
+ * Returns whether a line without a request tells of the request's quarantine or, within `aroundMs`, of one of its targets, a move of its
+ * key or, where that matters, a change of the configuration.
  */
 function isRelated(line: LogLine, causeLine: LogLine, involvedTargets: ReadonlySet<string>, key: number | undefined): boolean {
     if (causeLine.fingerprint !== undefined && line.fingerprint === causeLine.fingerprint && line.request === undefined) {
@@ -85,6 +102,9 @@
     if (!isNear || line.request !== undefined) {
         return false;
     }
+    if (line.msg === "store: configuration applied") {
+        return reasonsByConfiguration.has(causeLine.reason ?? "");
+    }
     const text = JSON.stringify(line);
     return [...involvedTargets].some((target) => text.includes(target)) || namesMoveOfKey(line, key);
 }
--- a/src/entry/clientCall.ts
+++ b/src/entry/clientCall.ts
@@ -2,6 +2,7 @@
 import type { Fingerprint } from "../crashes/requestFingerprint.js";
 import type { Key, RequestId, TargetId } from "../model/names.js";
 import type { Instant } from "../model/time.js";
+import type { ConnectionSummary } from "./clientConnection.js";
 
 /** Why this host answers a request itself. `clientHttp.ts` maps each reason to an HTTP status. */
 export type RefusalReason =
@@ -57,6 +58,8 @@
     readonly path: string;
     readonly hostName: string;
     readonly key: Key | undefined;
+    /** The key as the client stated it, readable or not; only logged. */
+    readonly statedKey?: string | undefined;
     /** Time for which the client waits from `receivedAt` on; undefined if it stated none. */
     readonly budgetMs: number | undefined;
     readonly receivedAt: Instant;
@@ -65,6 +68,8 @@
     readonly body: RequestBody;
     /** Aborted when the client has left. */
     readonly clientLeft: AbortSignal;
+    /** Describes the client's connection for a log line. */
+    describeConnection?(): ConnectionSummary;
     /** Sends a refusal. */
     refuse(refusal: Refusal): void;
     /** Sends a complete response. */
--- /dev/null
+++ b/src/entry/clientConnection.ts
@@ -0,0 +1,116 @@
+/** One connection of a client: what log lines tell of it, and the response to input on it that is not a valid request. */
+import http from "node:http";
+import type { Socket } from "node:net";
+import type { ClientLimits } from "../model/routing.js";
+
+/** Bytes shown in log lines before and after the position at which the parser stopped. */
+const excerptBytesBefore = 32;
+const excerptBytesAfter = 32;
+
+/** What log lines tell of a client's connection. */
+export interface ConnectionSummary {
+    /** IP address and port of the client. */
+    clientAddress: string;
+    /** Requests received on the connection before this one. */
+    earlierRequestCount: number;
+    receivedBytes: number;
+    openForMs: number;
+    /** Limit on the header section in force when the connection was opened; the parser of the connection keeps it. */
+    openedWithMaxHeaderBytes: number;
+}
+
+/** Why input on a connection is answered by the listener, without a `ClientCall`. */
+export type DenialReason =
+    /** The parser rejected the input. */
+    | "malformed" | "header-too-large" | "header-late"
+    /** The header section is valid, but no request that this host accepts. */
+    | "no-host-header" | "unknown-expectation";
+
+/** An answer of the listener to input that it does not accept as a request. */
+export interface Denial {
+    reason: DenialReason;
+    status: number;
+    connection: ConnectionSummary;
+    /** Limit on the header section in force now. */
+    maxHeaderBytes: number;
+    /** Error code of the parser. */
+    parserCode?: string | undefined;
+    /** Printable form of a few bytes around the position at which the parser stopped. */
+    excerpt?: string | undefined;
+}
+
+/** Error of the HTTP parser, or of the socket. */
+export interface ParserError extends Error {
+    code?: string;
+    /** Bytes given to the parser. */
+    rawPacket?: Buffer;
+    /** Number of these bytes that it accepted. */
+    bytesParsed?: number;
+}
+
+/** State of one connection. */
+export interface ClientConnection {
+    readonly socket: Socket;
+    /** Kept for log lines, since a closed socket no longer knows it. */
+    readonly clientAddress: string;
+    readonly openedMs: number;
+    readonly openedWithMaxHeaderBytes: number;
+    requestCount: number;
+}
+
+/** HTTP status of each denial. */
+export const statusByDenial: Record<DenialReason, number> = {
+    "malformed": 400,
+    "header-too-large": 431,
+    "header-late": 408,
+    "no-host-header": 400,
+    "unknown-expectation": 417,
+};
+
+/** Reasons by the parser's error code; any other code means `malformed`. */
+const denialByParserCode: Record<string, DenialReason> = {
+    "HPE_HEADER_OVERFLOW": "header-too-large",
+    "ERR_HTTP_REQUEST_TIMEOUT": "header-late",
+};
+
+/** Returns why input that the parser rejected is denied. */
+export function denialReasonOf(error: ParserError): DenialReason {
+    return denialByParserCode[error.code ?? ""] ?? "malformed";
+}
+
+/**
+ * Creates the state of a connection.
+ * @param socket the connection
+ * @param limits limits in force
+ * @param nowMs current monotonic time
+ */
+export function createClientConnection(socket: Socket, limits: ClientLimits, nowMs: number): ClientConnection {
+    return {
+        socket, openedMs: nowMs, requestCount: 0, openedWithMaxHeaderBytes: limits.maxHeaderBytes,
+        clientAddress: `${socket.remoteAddress ?? ""}:${String(socket.remotePort ?? "")}`,
+    };
+}
+
+/**
+ * Describes a connection for a log line.
+ * @param earlierRequestCount number of requests received before the one that the line is about
+ * @param nowMs current monotonic time
+ */
+export function summarizeConnection(connection: ClientConnection, earlierRequestCount: number, nowMs: number): ConnectionSummary {
+    const { socket, clientAddress, openedMs, openedWithMaxHeaderBytes } = connection;
+    return {
+        clientAddress, openedWithMaxHeaderBytes, earlierRequestCount,
+        receivedBytes: socket.bytesRead, openForMs: Math.round(nowMs - openedMs),
+    };
+}
+
+/** Writes a response without a body to a connection on which no other response may follow, and closes it. */
+export function endWithStatus(socket: Socket, status: number): void {
+    socket.end(`HTTP/1.1 ${String(status)} ${http.STATUS_CODES[status] ?? ""}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+}
+
+/** Returns the bytes around the position at which the parser stopped, each byte that is not printable as `\xNN`. */
+export function excerptOf({ rawPacket, bytesParsed = 0 }: ParserError): string | undefined {
+    return rawPacket?.subarray(Math.max(0, bytesParsed - excerptBytesBefore), bytesParsed + excerptBytesAfter).toString("latin1")
+        .replace(/[^ -~]/g, (character) => `\\x${character.charCodeAt(0).toString(16).padStart(2, "0")}`);
+}
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -4,12 +4,12 @@
 import type { Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import type { ClientDialect } from "../forwarding/dialect.js";
-import { withoutHopByHop } from "../forwarding/hopByHop.js";
 import type { ClientLimits } from "../model/routing.js";
-import { abortReason } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
-import type { AnswerHead, ClientCall, Refusal, RefusalReason } from "./clientCall.js";
-import { createRequestBody } from "./requestBody.js";
+import type { ClientCall } from "./clientCall.js";
+import type { ClientConnection, Denial, DenialReason, ParserError } from "./clientConnection.js";
+import { createClientConnection, denialReasonOf, endWithStatus, excerptOf, statusByDenial, summarizeConnection } from "./clientConnection.js";
+import { createHttpClientCall } from "./httpClientCall.js";
 
 const connectionCheckIntervalMs = 500;
 
@@ -19,32 +19,9 @@
 /** Allowance for the request line and for what the parser counts in addition to the bytes of the headers. */
 const headerOverheadBytes = 1_024;
 
-/** HTTP status of each refusal by this host. 429, 503, 408 and 421 tell the client that the request did not run. */
-export const statusByReason: Record<RefusalReason, number> = {
-    "no-route": 404,
-    "no-key": 400,
-    "body-too-large": 413,
-    "body-late": 408,
-    "not-ready": 503,
-    "no-target": 503,
-    "owner-unknown": 503,
-    "owner-silent": 503,
-    "target-paused": 503,
-    "overloaded": 503,
-    "rate-limited": 503,
-    "too-late": 503,
-    "rejected": 503,
-    "unreachable": 503,
-    "stopping": 503,
-    "quarantined": 503,
-    "timed-out": 504,
-    "lost": 502,
-};
-
-/** HTTP status of the response to input that is not a valid request, by the parser's error code. */
-const statusByParserError: Record<string, number> = {
-    "HPE_HEADER_OVERFLOW": 431,
-    "ERR_HTTP_REQUEST_TIMEOUT": 408,
+/** Headers of the listener's answers to requests with a valid header section. */
+const denialHeaders: Partial<Record<DenialReason, http.OutgoingHttpHeaders>> = {
+    "no-host-header": { "Connection": "close" },
 };
 
 /** Dependencies of the listener. */
@@ -54,6 +31,8 @@
     clock: Clock;
     /** Answers a request. */
     serve: (call: ClientCall) => Promise<void>;
+    /** Called for each answer to input that is not passed to `serve`. */
+    onDenied: (denial: Denial) => void;
     /** Called with any error that `serve` throws. */
     onUnexpectedError: (error: unknown) => void;
 }
@@ -82,14 +61,62 @@
     let limits = initialLimits;
     let closing = false;
     let pending = 0;
+    const connections = new WeakMap<Socket, ClientConnection>();
+    const nowMs = () => dependencies.clock.now().monoMs;
+
+    /** Returns the state of a connection; creates it when the connection is opened. */
+    const connectionOf = (socket: Socket): ClientConnection => {
+        const connection = connections.get(socket) ?? createClientConnection(socket, limits, nowMs());
+        connections.set(socket, connection);
+        return connection;
+    };
+
+    const recordDenial = (connection: ClientConnection, reason: DenialReason, error?: ParserError) => {
+        dependencies.onDenied({
+            reason, status: statusByDenial[reason], maxHeaderBytes: limits.maxHeaderBytes,
+            connection: summarizeConnection(connection, connection.requestCount, nowMs()),
+            ...error === undefined ? {} : { parserCode: error.code, excerpt: excerptOf(error) },
+        });
+    };
+
+    /** Answers a request with a valid header section that this host does not accept. */
+    const deny = (request: IncomingMessage, response: ServerResponse, reason: DenialReason) => {
+        const connection = connectionOf(request.socket);
+        recordDenial(connection, reason);
+        connection.requestCount += 1;
+        response.writeHead(statusByDenial[reason], denialHeaders[reason]);
+        response.end();
+    };
+
+    const onParserError = (error: ParserError, socket: Socket) => {
+        if (error.code === "ECONNRESET" || !socket.writable) {
+            socket.destroy();
+            return;
+        }
+        const reason = denialReasonOf(error);
+        const connection = connectionOf(socket);
+        recordDenial(connection, reason, error);
+        endWithStatus(socket, statusByDenial[reason]);
+    };
 
     const onRequest = (request: IncomingMessage, response: ServerResponse, beforeRead: () => void) => {
+        if (lacksHostHeader(request)) {
+            deny(request, response, "no-host-header");
+            return;
+        }
+        const connection = connectionOf(request.socket);
+        const earlierRequestCount = connection.requestCount;
+        connection.requestCount += 1;
         pending += 1;
         response.once("close", () => {
             pending -= 1;
         });
         response.shouldKeepAlive = response.shouldKeepAlive && !closing;
-        const call = createClientCall({ request, response, dependencies, limits, beforeRead, isClosing: () => closing });
+        const call = createHttpClientCall({
+            request, response, dialects: dependencies.dialects, receivedAt: dependencies.clock.now(), limits, beforeRead,
+            isClosing: () => closing,
+            describeConnection: () => summarizeConnection(connection, earlierRequestCount, nowMs()),
+        });
         const serve = async () => {
             await waitTwoTurns();
             if (!call.clientLeft.aborted) {
@@ -102,7 +129,10 @@
         });
     };
 
-    const server = http.createServer({ noDelay: true, connectionsCheckingInterval: connectionCheckIntervalMs, requestTimeout: 0 });
+    const server = http.createServer({
+        noDelay: true, connectionsCheckingInterval: connectionCheckIntervalMs, requestTimeout: 0, requireHostHeader: false,
+    });
+    server.on("connection", connectionOf);
     server.on("request", (request, response) => {
         onRequest(request, response, () => undefined);
     });
@@ -111,7 +141,10 @@
             response.writeContinue();
         });
     });
-    server.on("clientError", respondToParserError);
+    server.on("checkExpectation", (request, response) => {
+        deny(request, response, lacksHostHeader(request) ? "no-host-header" : "unknown-expectation");
+    });
+    server.on("clientError", onParserError);
     applyLimits(server, limits);
 
     return {
@@ -149,97 +182,12 @@
     await nextTurn();
 }
 
+function lacksHostHeader(request: IncomingMessage): boolean {
+    return request.httpVersion === "1.1" && request.headers.host === undefined;
+}
+
 function applyLimits(server: Server & { maxHeaderSize?: number }, limits: ClientLimits): void {
     server.headersTimeout = limits.headerTimeoutMs;
     server.keepAliveTimeout = limits.idleTimeoutMs;
     server.maxHeaderSize = limits.maxHeaderBytes + headerOverheadBytes;
 }
-
-function respondToParserError(error: Error & { code?: string }, socket: Socket): void {
-    if (error.code === "ECONNRESET" || !socket.writable) {
-        socket.destroy();
-        return;
-    }
-    const status = statusByParserError[error.code ?? ""] ?? 400;
-    socket.end(`HTTP/1.1 ${String(status)} ${http.STATUS_CODES[status] ?? ""}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-}
-
-interface ClientCallDependencies {
-    request: IncomingMessage;
-    response: ServerResponse;
-    dependencies: ClientHttpDependencies;
-    limits: ClientLimits;
-    beforeRead: () => void;
-    isClosing: () => boolean;
-}
-
-function createClientCall({ request, response, dependencies, limits, beforeRead, isClosing }: ClientCallDependencies): ClientCall {
-    const path = request.url ?? "/";
-    const dialect = dependencies.dialects.find((candidate) => candidate.matches(path, request.headers)) as ClientDialect;
-    const terms = dialect.termsOf(path, request.headers);
-    const clientLeft = new AbortController();
-    const onClientLeft = () => {
-        clientLeft.abort(abortReason);
-    };
-    // Node.js closes the response only some turns of the event loop after it has read the end of the client's connection.
-    request.socket.once("end", onClientLeft);
-    response.once("close", () => {
-        request.socket.off("end", onClientLeft);
-        if (!response.writableFinished) {
-            onClientLeft();
-        }
-    });
-
-    const writeAnswerHead = (head: AnswerHead) => {
-        writeHead({ ...head, rawHeaders: [...head.rawHeaders, ...dialect.headersOfAnswer(terms.requestId)] });
-    };
-
-    const writeHead = ({ status, reasonPhrase, rawHeaders, bodyBytes }: AnswerHead) => {
-        response.shouldKeepAlive = response.shouldKeepAlive && !isClosing();
-        const length = bodyBytes === undefined ? [] : ["Content-Length", String(bodyBytes)];
-        response.writeHead(status, reasonPhrase, [...rawHeaders, ...length]);
-    };
-
-    return {
-        ...terms,
-        method: request.method ?? "GET",
-        path,
-        hostName: request.headers.host ?? "",
-        receivedAt: dependencies.clock.now(),
-        forwardHeaders: withoutHopByHop(request.rawHeaders, dialect.unforwardedHeaders),
-        body: createRequestBody(request, limits.maxBodyBytes, beforeRead),
-        clientLeft: clientLeft.signal,
-        refuse: (refusal) => {
-            const status = statusByReason[refusal.reason];
-            const body = Buffer.from(JSON.stringify(bodyOfRefusal(refusal)));
-            writeHead({
-                status,
-                reasonPhrase: http.STATUS_CODES[status] ?? "",
-                rawHeaders: ["Content-Type", "application/json", ...dialect.headersOfRefusal(terms.requestId, refusal)],
-                bodyBytes: body.length,
-            });
-            response.end(body);
-        },
-        answer: (head, body) => {
-            writeAnswerHead(head);
-            response.end(body);
-        },
-        beginAnswer: writeAnswerHead,
-        writeAnswer: (piece) => response.write(piece) || response.destroyed
-            ? Promise.resolve()
-            : new Promise((resolve) => {
-                response.once("drain", resolve);
-                response.once("close", resolve);
-            }),
-        finishAnswer: () => {
-            response.end();
-        },
-        abortAnswer: () => {
-            request.socket.destroy();
-        },
-    };
-}
-
-function bodyOfRefusal({ reason, retryAfterMs }: Refusal): object {
-    return { reason, ...retryAfterMs === undefined ? {} : { retryAfterMs: Math.ceil(retryAfterMs) } };
-}
--- /dev/null
+++ b/src/entry/httpClientCall.ts
@@ -0,0 +1,105 @@
+/** One request on an HTTP/1.1 connection, and its response. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import http from "node:http";
+import type { ClientDialect } from "../forwarding/dialect.js";
+import { withoutHopByHop } from "../forwarding/hopByHop.js";
+import type { ClientLimits } from "../model/routing.js";
+import { abortReason } from "../model/signal.js";
+import type { Instant } from "../model/time.js";
+import type { AnswerHead, ClientCall, Refusal } from "./clientCall.js";
+import type { ConnectionSummary } from "./clientConnection.js";
+import { statusByReason } from "./refusalStatus.js";
+import { createRequestBody } from "./requestBody.js";
+
+/** What a call is created from. */
+export interface HttpClientCallDependencies {
+    request: IncomingMessage;
+    response: ServerResponse;
+    /** The first one that matches the request is used; the last one must match every request. */
+    dialects: readonly ClientDialect[];
+    receivedAt: Instant;
+    limits: ClientLimits;
+    /** Called once, before the body is read. */
+    beforeRead: () => void;
+    /** Returns whether responses ask the client to close its connection. */
+    isClosing: () => boolean;
+    describeConnection: () => ConnectionSummary;
+}
+
+/** Creates the call for a request. */
+export function createHttpClientCall({
+    request, response, dialects, receivedAt, limits, beforeRead, isClosing, describeConnection,
+}: HttpClientCallDependencies): ClientCall {
+    const path = request.url ?? "/";
+    const dialect = dialects.find((candidate) => candidate.matches(path, request.headers)) as ClientDialect;
+    const terms = dialect.termsOf(path, request.headers);
+    const clientLeft = new AbortController();
+    const onClientLeft = () => {
+        clientLeft.abort(abortReason);
+    };
+    // Node.js closes the response only some turns of the event loop after it has read the end of the client's connection.
+    request.socket.once("end", onClientLeft);
+    response.once("close", () => {
+        request.socket.off("end", onClientLeft);
+        if (!response.writableFinished) {
+            onClientLeft();
+        }
+    });
+
+    const writeAnswerHead = (head: AnswerHead) => {
+        writeHead({ ...head, rawHeaders: [...head.rawHeaders, ...dialect.headersOfAnswer(terms.requestId)] });
+    };
+
+    const writeHead = ({ status, reasonPhrase, rawHeaders, bodyBytes }: AnswerHead) => {
+        response.shouldKeepAlive = response.shouldKeepAlive && !isClosing();
+        const length = bodyBytes === undefined ? [] : ["Content-Length", String(bodyBytes)];
+        response.writeHead(status, reasonPhrase, [...rawHeaders, ...length]);
+    };
+
+    return {
+        ...terms,
+        method: request.method ?? "GET",
+        path,
+        get statedKey() {
+            return dialect.statedKeyOf?.(path, request.headers);
+        },
+        hostName: request.headers.host ?? "",
+        receivedAt,
+        forwardHeaders: withoutHopByHop(request.rawHeaders, dialect.unforwardedHeaders),
+        body: createRequestBody(request, limits.maxBodyBytes, beforeRead),
+        clientLeft: clientLeft.signal,
+        describeConnection,
+        refuse: (refusal) => {
+            const status = statusByReason[refusal.reason];
+            const body = Buffer.from(JSON.stringify(bodyOfRefusal(refusal)));
+            writeHead({
+                status,
+                reasonPhrase: http.STATUS_CODES[status] ?? "",
+                rawHeaders: ["Content-Type", "application/json", ...dialect.headersOfRefusal(terms.requestId, refusal)],
+                bodyBytes: body.length,
+            });
+            response.end(body);
+        },
+        answer: (head, body) => {
+            writeAnswerHead(head);
+            response.end(body);
+        },
+        beginAnswer: writeAnswerHead,
+        writeAnswer: (piece) => response.write(piece) || response.destroyed
+            ? Promise.resolve()
+            : new Promise((resolve) => {
+                response.once("drain", resolve);
+                response.once("close", resolve);
+            }),
+        finishAnswer: () => {
+            response.end();
+        },
+        abortAnswer: () => {
+            request.socket.destroy();
+        },
+    };
+}
+
+function bodyOfRefusal({ reason, retryAfterMs }: Refusal): object {
+    return { reason, ...retryAfterMs === undefined ? {} : { retryAfterMs: Math.ceil(retryAfterMs) } };
+}
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -25,6 +25,8 @@
     matches(path: string, headers: RequestHeaders): boolean;
     /** Reads the terms of a request. */
     termsOf(path: string, headers: RequestHeaders): RequestTerms;
+    /** Returns the key as the client stated it, readable or not, for log lines; undefined if it stated none. */
+    statedKeyOf?(path: string, headers: RequestHeaders): string | undefined;
     /** Headers of a refusal by this host: alternating names and values. */
     headersOfRefusal(requestId: RequestId | undefined, refusal: Refusal): readonly string[];
     /** Headers that this host adds to a target's response: alternating names and values. */
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -19,6 +19,7 @@
 import { createForwarder } from "../forwarding/forwarder.js";
 import { probeTarget } from "../forwarding/targetProbe.js";
 import type { RunId } from "../model/names.js";
+import { createDenialRecorder } from "../observe/denialRecorder.js";
 import { createLogger } from "../observe/logger.js";
 import { createLogWriter } from "../observe/logWriter.js";
 import type { Metrics } from "../observe/metrics.js";
@@ -165,6 +166,7 @@
             dialects: from.resolve(tokens.clientDialects),
             clock: from.resolve(tokens.clock),
             serve: (call) => from.resolve(tokens.forwarder).serve(call),
+            onDenied: createDenialRecorder(log, from.resolve(tokens.metrics)),
             onUnexpectedError: (error) => {
                 log.error("unexpected error", { why: error instanceof Error ? error.stack : String(error) });
             },
--- /dev/null
+++ b/src/observe/denialRecorder.ts
@@ -0,0 +1,12 @@
+/** Records the listener's answers to input that it does not accept as a request, in the log and in the metrics. */
+import type { Denial } from "../entry/clientConnection.js";
+import type { Log } from "./log.js";
+import type { Metrics } from "./metrics.js";
+
+/** Creates a function that records one denial. */
+export function createDenialRecorder(log: Log, metrics: Metrics): (denial: Denial) => void {
+    return ({ connection, ...denial }) => {
+        metrics.refusals.inc({ status: denial.status, reason: denial.reason });
+        log.warn("input denied", { ...denial, ...connection });
+    };
+}
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -6,6 +6,7 @@
 /** The metrics of a host. */
 export interface Metrics {
     readonly requests: Counter<"route" | "outcome" | "reason">;
+    readonly refusals: Counter<"status" | "reason">;
     readonly answerMs: Histogram<"route">;
     readonly attempts: Counter<"target" | "end">;
     readonly retries: Counter<"route" | "end">;
@@ -29,6 +30,10 @@
             name: "hornbeam_requests_total", help: "Requests from clients, by route and outcome.",
             labelNames: ["route", "outcome", "reason"], registers,
         }),
+        refusals: new Counter({
+            name: "hornbeam_refusals_total", help: "Answers of this host in place of a target, by status and reason.",
+            labelNames: ["status", "reason"], registers,
+        }),
         answerMs: new Histogram({
             name: "hornbeam_answer_ms", help: "Time from the arrival of a request to its response, in milliseconds.",
             labelNames: ["route"], buckets: latencyBucketsMs, registers,
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -1,13 +1,20 @@
 /** Records the outcome of requests in the log and in the metrics. */
-import type { ClientCall } from "../entry/clientCall.js";
+import type { ClientCall, RefusalReason } from "../entry/clientCall.js";
+import { statusByReason } from "../entry/refusalStatus.js";
 import { describeEnd } from "../forwarding/attempt.js";
 import type { RateLimitChange } from "../forwarding/statedRateLimits.js";
 import type { TargetId } from "../model/names.js";
 import type { Clock } from "../model/time.js";
-import type { Log } from "./log.js";
+import type { Log, LogFields } from "./log.js";
 import type { Metrics } from "./metrics.js";
 import type { RequestLog } from "./requestLog.js";
 
+/** Longest part of a host name, path or key that is logged. */
+const maxLoggedChars = 200;
+
+/** Reasons that blame the request; their lines tell what the request was. */
+const denyingReasons: ReadonlySet<RefusalReason> = new Set(["no-route", "no-key", "body-too-large"]);
+
 /** Dependencies of the recorder. */
 export interface RequestRecorderDependencies {
     log: Log;
@@ -39,9 +46,11 @@
         },
         refused: (call, refusal, route, triedTargetIds) => {
             metrics.requests.inc({ route: route?.routeId ?? "", outcome: "refused", reason: refusal.reason });
+            metrics.refusals.inc({ status: statusByReason[refusal.reason], reason: refusal.reason });
             log.info("refused", {
                 ...commonFields(call), route: route?.routeId, reason: refusal.reason, retryAfterMs: refusal.retryAfterMs,
                 targets: [...triedTargetIds ?? []], target: refusal.targetId, fingerprint: refusal.fingerprint, budgetMs: call.budgetMs,
+                ...denyingReasons.has(refusal.reason) ? denialFieldsOf(call) : {},
             });
         },
         retried: (call, route, targetId, end) => {
@@ -68,6 +77,14 @@
     };
 }
 
+function denialFieldsOf(call: ClientCall): LogFields {
+    return {
+        method: call.method, hostName: call.hostName.slice(0, maxLoggedChars),
+        path: call.path.slice(0, maxLoggedChars), statedKey: call.statedKey?.slice(0, maxLoggedChars), bodyBytes: call.body.declaredBytes,
+        ...call.describeConnection?.(),
+    };
+}
+
 const rateLimitEvents: Record<RateLimitChange["kind"], { level: "info" | "warn"; text: string }> = {
     "stated": { level: "info", text: "target stated a rate limit" },
     "ended": { level: "info", text: "rate limit of target ended" },
--- a/test/control/commands.spec.ts
+++ b/test/control/commands.spec.ts
@@ -197,6 +197,25 @@
         expect(render(explain("r1", [log, other]), false)).toMatchSnapshot();
     });
 
+    it("finds input that the listener denied by the client's address, or by an id that the excerpt shows", () => {
+        const denied = line({
+            msg: "clients: input denied", reason: "malformed", status: 400, parserCode: "HPE_INVALID_CONSTANT", time: "2026-01-01T00:00:01.000Z",
+            clientAddress: "10.0.0.9:4711", earlierRequestCount: 2, excerpt: "Request-Id: r7",
+        });
+        const byAddress = render(explain("10.0.0.9:4711", [log, denied]), false);
+        expect(byAddress).to.include("earlierRequestCount=2").and.include("Cause: malformed.");
+        expect(render(explain("r7", [log, denied]), false)).to.equal(byAddress);
+    });
+
+    it("shows changes of the configuration near a request that had no route", () => {
+        const lines = [
+            line({ msg: "request: refused", request: "r3", reason: "no-route", hostName: "x", path: "/a/", config: 4, time: "2026-01-01T00:00:02.000Z" }),
+            line({ msg: "store: configuration applied", version: 5, time: "2026-01-01T00:00:02.500Z" }),
+        ].join("\n");
+        expect(render(explain("r3", [lines]), false)).to.include("store: configuration applied version=5");
+        expect(render(explain("r1", [log, lines]), false)).not.to.include("configuration applied");
+    });
+
     it("is refused when no log line has the request's id", () => {
         expect(explain("r9", [log]).exitCode).to.equal(exitCodes.refused);
     });
--- a/test/entry/clientHttp.spec.ts
+++ b/test/entry/clientHttp.spec.ts
@@ -1,10 +1,10 @@
 import { spawn } from "node:child_process";
-import net from "node:net";
 import { once } from "node:events";
 import { expect } from "chai";
 import { platformClientDialect } from "../../platform/dialect.js";
 import { createSystemClock } from "../../src/adapters/systemClock.js";
 import { createClientHttp } from "../../src/entry/clientHttp.js";
+import { freePort } from "./listenerClient.js";
 
 const clock = createSystemClock();
 
@@ -33,7 +33,7 @@
                 served += 1;
             }
         },
-        onUnexpectedError: () => undefined,
+        onDenied: () => undefined, onUnexpectedError: () => undefined,
     });
     const port = await freePort();
     await clients.listen(`127.0.0.1:${String(port)}`);
@@ -50,15 +50,6 @@
     return served;
 }
 
-async function freePort(): Promise<number> {
-    const probe = net.createServer().listen(0, "127.0.0.1");
-    await once(probe, "listening");
-    const { port } = probe.address() as net.AddressInfo;
-    probe.close();
-    await once(probe, "close");
-    return port;
-}
-
 describe("listener for clients", () => {
     it("does not serve a request if its client left before the request was read", async () => {
         expect(await countServedAfterLeaving("GET /a/ HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\n\r\n")).to.equal(0);
--- a/test/fleet/path.spec.ts
+++ b/test/fleet/path.spec.ts
@@ -220,6 +220,11 @@
         expect(await fetchAdminPage(host, "/metrics")).to.match(/hornbeam_requests_total\{.*outcome="refused",reason="no-route"\} [1-9]/);
         expect(JSON.parse(await fetchAdminPage(host, "/dump"))).to.include.keys("self", "members", "term", "configVersion", "targets");
         await fleet.waitUntil("the refusal is logged", () => Promise.resolve(fleet.logs().join("").includes("\"to-be-found\"")), 2_000);
+        const line = fleet.logs().join("").split("\n").find((one) => one.includes("\"to-be-found\"")) ?? "{}";
+        expect(JSON.parse(line)).to.include({ reason: "no-route", hostName: "fleet.example", path: "/nowhere/", method: "GET" })
+            .and.include.keys("config", "knownAgoMs", "clientAddress", "earlierRequestCount");
+        expect(await send(host, { id: "key-not-found", path: `${paths.read}x`, headers: { "Shard-Key": "65536" } })).to.include({ status: 400 });
+        await fleet.waitUntil("the key is logged", () => Promise.resolve(fleet.logs().join("").includes("\"statedKey\":\"65536\"")), 2_000);
     });
 });
 
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -8,7 +8,7 @@
 import { CrashEvidence } from "../../src/crashes/crashEvidence.js";
 import type { RequestFingerprints } from "../../src/crashes/requestFingerprint.js";
 import { computeFingerprints } from "../../src/crashes/requestFingerprint.js";
-import { statusByReason } from "../../src/entry/clientHttp.js";
+import { statusByReason } from "../../src/entry/refusalStatus.js";
 import { createConnectionPool } from "../../src/forwarding/connectionPool.js";
 import type { Forwarder, ForwarderDependencies } from "../../src/forwarding/forwarder.js";
 import { createForwarder } from "../../src/forwarding/forwarder.js";
