Input that is not a valid request never answers the proper request before it

What callers saw: a proper request that was still being worked on got 400, 431 or 408 of this host, and its connection was closed; a response that was being streamed had "HTTP/1.1 400" in the middle of its body. 408 says "not run" while the request was running.

Cause: on an error of the parser (also a header section that does not arrive in time) the listener wrote the status straight to the socket, whatever requests were still unanswered there. A client takes the next response for the answer to its oldest request.

Now the responses to the complete requests before it go first; then comes the status, and the connection ends. Requests after the error are not served. An error in the body of a request that has a response already ends the connection without a second one.

--- a/src/entry/clientConnection.ts
+++ b/src/entry/clientConnection.ts
@@ -1,4 +1,5 @@
 /** One connection of a client: what log lines tell of it, and the response to input on it that is not a valid request. */
+import type { IncomingMessage, ServerResponse } from "node:http";
 import http from "node:http";
 import type { Socket } from "node:net";
 import type { ClientLimits } from "../model/routing.js";
@@ -48,6 +49,12 @@
     bytesParsed?: number;
 }
 
+/** A request and its response. */
+export interface HttpExchange {
+    request: IncomingMessage;
+    response: ServerResponse;
+}
+
 /** State of one connection. */
 export interface ClientConnection {
     readonly socket: Socket;
@@ -56,6 +63,12 @@
     readonly openedMs: number;
     readonly openedWithMaxHeaderBytes: number;
     requestCount: number;
+    /** Requests whose responses are not complete, in the order of their arrival. */
+    readonly exchanges: Set<HttpExchange>;
+    /** The request received last; its body may not have arrived completely. */
+    lastExchange: HttpExchange | undefined;
+    /** True once input was denied: the requests received before are still answered, and later ones are not served. */
+    hasFailed: boolean;
 }
 
 /** HTTP status of each denial. */
@@ -86,7 +99,8 @@
  */
 export function createClientConnection(socket: Socket, limits: ClientLimits, nowMs: number): ClientConnection {
     return {
-        socket, openedMs: nowMs, requestCount: 0, openedWithMaxHeaderBytes: limits.maxHeaderBytes,
+        socket, openedMs: nowMs, openedWithMaxHeaderBytes: limits.maxHeaderBytes,
+        requestCount: 0, exchanges: new Set(), lastExchange: undefined, hasFailed: false,
         clientAddress: `${socket.remoteAddress ?? ""}:${String(socket.remotePort ?? "")}`,
     };
 }
@@ -104,8 +118,50 @@
     };
 }
 
+/** Adds a request to its connection until its response is complete, or broken off. */
+export function addExchange(connection: ClientConnection, exchange: HttpExchange): void {
+    connection.requestCount += 1;
+    connection.lastExchange = exchange;
+    connection.exchanges.add(exchange);
+    exchange.response.once("close", () => {
+        connection.exchanges.delete(exchange);
+    });
+}
+
+/**
+ * Answers input that is not a valid request, and closes the connection. Responses to the complete requests that came before it go first,
+ * since a client takes the next response for the answer to its oldest request.
+ */
+export async function endAfterResponses({ socket, exchanges, lastExchange }: ClientConnection, status: number): Promise<void> {
+    const isInBody = lastExchange?.request.complete === false;
+    const earlier = [...exchanges].filter((exchange) => !isInBody || exchange !== lastExchange);
+    if (earlier.length > 0 && socket.readableEnded) {
+        socket.destroy();
+        return;
+    }
+    await Promise.all(earlier.map(({ response }) => new Promise((resolve) => {
+        response.once("close", resolve);
+    })));
+    if (isInBody && lastExchange.response.headersSent) {
+        // No second response to the same request; one that is not complete breaks off.
+        endWithoutStatus(socket, lastExchange.response);
+    }
+    else if (socket.writable) {
+        endWithStatus(socket, status);
+    }
+}
+
+function endWithoutStatus(socket: Socket, response: ServerResponse): void {
+    if (response.writableFinished) {
+        socket.end();
+    }
+    else {
+        socket.destroy();
+    }
+}
+
 /** Writes a response without a body to a connection on which no other response may follow, and closes it. */
-export function endWithStatus(socket: Socket, status: number): void {
+function endWithStatus(socket: Socket, status: number): void {
     socket.end(`HTTP/1.1 ${String(status)} ${http.STATUS_CODES[status] ?? ""}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 }
 
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -8,7 +8,9 @@
 import type { Clock } from "../model/time.js";
 import type { ClientCall } from "./clientCall.js";
 import type { ClientConnection, Denial, DenialReason, ParserError } from "./clientConnection.js";
-import { createClientConnection, denialReasonOf, endWithStatus, excerptOf, statusByDenial, summarizeConnection } from "./clientConnection.js";
+import {
+    addExchange, createClientConnection, denialReasonOf, endAfterResponses, excerptOf, statusByDenial, summarizeConnection,
+} from "./clientConnection.js";
 import { createHttpClientCall } from "./httpClientCall.js";
 
 const connectionCheckIntervalMs = 500;
@@ -89,14 +91,18 @@
     };
 
     const onParserError = (error: ParserError, socket: Socket) => {
+        const connection = connectionOf(socket);
         if (error.code === "ECONNRESET" || !socket.writable) {
             socket.destroy();
             return;
         }
-        const reason = denialReasonOf(error);
-        const connection = connectionOf(socket);
-        recordDenial(connection, reason, error);
-        endWithStatus(socket, statusByDenial[reason]);
+        // The parser reports its error again for any further input.
+        if (!connection.hasFailed) {
+            connection.hasFailed = true;
+            const reason = denialReasonOf(error);
+            recordDenial(connection, reason, error);
+            void endAfterResponses(connection, statusByDenial[reason]);
+        }
     };
 
     const onRequest = (request: IncomingMessage, response: ServerResponse, beforeRead: () => void) => {
@@ -105,8 +111,11 @@
             return;
         }
         const connection = connectionOf(request.socket);
+        if (connection.hasFailed) {
+            return;
+        }
         const earlierRequestCount = connection.requestCount;
-        connection.requestCount += 1;
+        addExchange(connection, { request, response });
         pending += 1;
         response.once("close", () => {
             pending -= 1;
--- /dev/null
+++ b/test/entry/listenerUnderTest.ts
@@ -0,0 +1,156 @@
+/** The real listener in front of a scripted service, for tests of what clients get from the listener itself. */
+import { createHash } from "node:crypto";
+import { platformClientDialect } from "../../platform/dialect.js";
+import { createSystemClock } from "../../src/adapters/systemClock.js";
+import type { ClientCall } from "../../src/entry/clientCall.js";
+import type { Denial } from "../../src/entry/clientConnection.js";
+import type { ClientHttp } from "../../src/entry/clientHttp.js";
+import { createClientHttp } from "../../src/entry/clientHttp.js";
+import type { RouteId, ServiceId } from "../../src/model/names.js";
+import type { ClientLimits, RoutingConfig } from "../../src/model/routing.js";
+import { createRouteTable } from "../../src/routing/routeTable.js";
+import { freePort } from "./listenerClient.js";
+
+const clock = createSystemClock();
+
+/** Path prefix of the only route; its host name is `one.example`. */
+export const pathPrefix = "/a/";
+
+/** Limits that the listener starts with in these tests. */
+export const limits: ClientLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 };
+
+/** Header by which a request states how the service treats it; see `treatments`. */
+export const treatmentHeader = "treatment";
+
+/** Time for which the service works on a request of the treatment `late`. */
+const lateMs = 60;
+
+/** Time for which the service works on a request of the treatment `very-late`. */
+const veryLateMs = 1_300;
+
+/** Part of a streamed answer that is sent at once; the rest follows after `lateMs`. */
+const streamedAnswer = "streamed".repeat(4);
+
+async function readWholeBody(call: ClientCall): Promise<Buffer | undefined> {
+    const collected = await call.body.collect();
+    if (collected !== "too-long") {
+        return collected === "broken" ? undefined : collected;
+    }
+    const pieces: Buffer[] = [];
+    for (;;) {
+        const piece = await call.body.next();
+        if (piece === "broken") {
+            return undefined;
+        }
+        if (piece === undefined) {
+            return Buffer.concat(pieces);
+        }
+        pieces.push(piece);
+    }
+}
+
+function answerWith(call: ClientCall, text: string): void {
+    const body = Buffer.from(text, "latin1");
+    call.answer({ status: 200, reasonPhrase: "OK", rawHeaders: [], bodyBytes: body.length }, body);
+}
+
+/** What the service answers to a request that it has read whole. */
+export function expectedBody(requestId: string, path: string, body: Buffer): string {
+    return `${requestId} ${path} ${String(body.length)} ${createHash("sha1").update(body).digest("hex")}`;
+}
+
+async function answerAfterReading(call: ClientCall): Promise<void> {
+    const body = await readWholeBody(call);
+    if (body === undefined) {
+        call.refuse({ reason: "body-late", retryAfterMs: undefined });
+        return;
+    }
+    answerWith(call, expectedBody(call.requestId ?? "", call.path, body));
+}
+
+/** How the service treats a request. */
+const treatments: Record<string, (call: ClientCall) => Promise<void>> = {
+    /** Refused before the body is read. */
+    "refused": (call) => {
+        call.refuse({ reason: "no-target", retryAfterMs: 10 });
+        return Promise.resolve();
+    },
+    /** Refused after a small body was read whole, or a long one in part. */
+    "refused-while-read": async (call) => {
+        await call.body.collect();
+        call.refuse({ reason: "quarantined", retryAfterMs: 10 });
+    },
+    "served": answerAfterReading,
+    "late": async (call) => {
+        await clock.sleep(lateMs);
+        await answerAfterReading(call);
+    },
+    /** Takes longer than the time limit for a header section in the tests that send it. */
+    "very-late": async (call) => {
+        await clock.sleep(veryLateMs);
+        await answerAfterReading(call);
+    },
+    /** The answer starts before a long body was read whole; nothing of the rest is read. */
+    "answered-early": async (call) => {
+        await call.body.collect();
+        answerWith(call, `${call.requestId ?? ""} early`);
+    },
+    "streamed": async (call) => {
+        await readWholeBody(call);
+        call.beginAnswer({ status: 200, reasonPhrase: "OK", rawHeaders: [], bodyBytes: streamedAnswer.length * 2 });
+        await call.writeAnswer(Buffer.from(streamedAnswer));
+        await clock.sleep(lateMs);
+        await call.writeAnswer(Buffer.from(streamedAnswer));
+        call.finishAnswer();
+    },
+};
+
+/** Body of an answer to the treatment `streamed`. */
+export const streamedBody = streamedAnswer.repeat(2);
+
+/** A running listener. */
+export interface ListenerUnderTest {
+    clients: ClientHttp;
+    port: number;
+    /** Ids of the requests that reached the service, in order. */
+    servedIds: string[];
+    denials: Denial[];
+    errors: unknown[];
+}
+
+/**
+ * Starts the listener.
+ * @param initial limits that it gets before it listens; undefined for none
+ */
+export async function startListener(initial: ClientLimits | undefined = limits): Promise<ListenerUnderTest> {
+    const routes = createRouteTable({
+        version: 1, services: [], limits,
+        routes: [{
+            routeId: "r" as RouteId, hostName: "one.example", pathPrefix, idempotent: true, timeoutMs: 1_000, targetLatencyMs: 300,
+            priority: 1, maxAttempts: 1, backends: [{ serviceId: "s" as ServiceId, weight: 1 }],
+        }],
+    } satisfies RoutingConfig);
+    const servedIds: string[] = [];
+    const denials: Denial[] = [];
+    const errors: unknown[] = [];
+    const clients = createClientHttp({
+        dialects: [platformClientDialect], clock,
+        serve: async (call) => {
+            if (routes.find(call.hostName, call.path, call.method) === undefined) {
+                call.refuse({ reason: "no-route", retryAfterMs: undefined });
+                return;
+            }
+            servedIds.push(call.requestId ?? "");
+            const index = call.forwardHeaders.findIndex((name) => name.toLowerCase() === treatmentHeader);
+            await treatments[index < 0 ? "served" : call.forwardHeaders[index + 1] ?? ""]?.(call);
+        },
+        onDenied: (denial) => denials.push(denial),
+        onUnexpectedError: (error) => errors.push(error),
+    });
+    if (initial !== undefined) {
+        clients.setLimits(initial);
+    }
+    const port = await freePort();
+    await clients.listen(`127.0.0.1:${String(port)}`);
+    return { clients, port, servedIds, denials, errors };
+}
