What is left of a request body is read after its response, so that the connection stays usable

What callers saw: after a refusal, or an early answer, to a request whose body is longer than 64 KB, the connection stayed open and said keep-alive, but no further request on it was read; the client waited until it gave up.

Cause: Node.js drops the rest of a body only if nothing of it was read. The start of a long body is read to tell whether it can be repeated; when the request is then refused (no slot, quarantined) nobody reads the rest, the socket stays paused, and the next request lies behind it.

Now the rest is read and dropped after the response; a body over the configured length closes the connection instead.

--- a/src/entry/httpClientCall.ts
+++ b/src/entry/httpClientCall.ts
@@ -46,6 +46,11 @@
         }
     });
 
+    const body = createRequestBody(request, limits.maxBodyBytes, beforeRead);
+    response.once("finish", () => {
+        void body.discardRest();
+    });
+
     const writeAnswerHead = (head: AnswerHead) => {
         writeHead({ ...head, rawHeaders: [...head.rawHeaders, ...dialect.headersOfAnswer(terms.requestId)] });
     };
@@ -66,23 +71,23 @@
         hostName: request.headers.host ?? "",
         receivedAt,
         forwardHeaders: withoutHopByHop(request.rawHeaders, dialect.unforwardedHeaders),
-        body: createRequestBody(request, limits.maxBodyBytes, beforeRead),
+        body,
         clientLeft: clientLeft.signal,
         describeConnection,
         refuse: (refusal) => {
             const status = statusByReason[refusal.reason];
-            const body = Buffer.from(JSON.stringify(bodyOfRefusal(refusal)));
+            const refusalBody = Buffer.from(JSON.stringify(bodyOfRefusal(refusal)));
             writeHead({
                 status,
                 reasonPhrase: http.STATUS_CODES[status] ?? "",
                 rawHeaders: ["Content-Type", "application/json", ...dialect.headersOfRefusal(terms.requestId, refusal)],
-                bodyBytes: body.length,
+                bodyBytes: refusalBody.length,
             });
-            response.end(body);
+            response.end(refusalBody);
         },
-        answer: (head, body) => {
+        answer: (head, answerBody) => {
             writeAnswerHead(head);
-            response.end(body);
+            response.end(answerBody);
         },
         beginAnswer: writeAnswerHead,
         writeAnswer: (piece) => response.write(piece) || response.destroyed
--- a/src/entry/requestBody.ts
+++ b/src/entry/requestBody.ts
@@ -5,13 +5,22 @@
 /** Bodies up to this size are buffered, so that the request can be retried. */
 const maxCollectedBytes = 65_536;
 
+/** The body of a request on a connection that may carry further requests. */
+export interface ConnectionBody extends RequestBody {
+    /**
+     * Reads what is left of a body that was read in part, and drops it: the next request on the connection follows it. Called after the
+     * response. Closes the connection if the body is too long.
+     */
+    discardRest(): Promise<void>;
+}
+
 /**
  * Creates the body of a request.
  * @param request the request
  * @param maxBodyBytes a longer body counts as broken
  * @param beforeRead called once, before the first read
  */
-export function createRequestBody(request: IncomingMessage, maxBodyBytes: number, beforeRead: () => void): RequestBody {
+export function createRequestBody(request: IncomingMessage, maxBodyBytes: number, beforeRead: () => void): ConnectionBody {
     const declared = request.headers["content-length"];
     const declaredBytes = declared === undefined ? undefined : Number(declared);
     const isBodiless = declaredBytes === undefined && request.headers["transfer-encoding"] === undefined;
@@ -60,6 +69,16 @@
                 }
             }
         },
+        discardRest: async () => {
+            // Node.js itself drops a body of which nothing was read.
+            for (let piece: Buffer | undefined | "broken" = start; pieces !== undefined && piece !== undefined;) {
+                piece = await readPiece();
+                if (piece === "broken") {
+                    request.socket.destroySoon();
+                    return;
+                }
+            }
+        },
         next: async () => collected.shift() ?? await readPiece(),
         get start() {
             return start;
