A header section over a limit that no longer holds, or isn't known, is answered 503 in place of 431

What callers saw: 431 for a proper request on a connection that had been opened under a lower limit, although the configuration in force allows it; and 431 from a host that knew no configuration yet. Clients don't repeat a request after 431.

Cause: Node.js gives the limit to the parser when the connection is opened, and the parser keeps it; until the first configuration it is a default.

Such a request has not run, and a new connection applies the limit in force: the answer is 503 with Retry-After and Connection: close, reasons `limit-raised` and `limits-unknown`. A header section over the limit that the connection was opened with is still answered 431 where that limit is in force.

--- a/src/control/explain.ts
+++ b/src/control/explain.ts
@@ -48,6 +48,8 @@
     "timed-out": "The request was sent and not answered in time; it may have run.",
     "malformed": "The client's bytes were no valid request; parserCode and excerpt say where the parser stopped.",
     "header-too-large": "The header section was longer than the limit with which the connection was opened.",
+    "limits-unknown": "The header section was long, and the host had no configuration yet that says whether it is too long.",
+    "limit-raised": "The connection was opened under a lower limit on the header section than the one in force; a new connection has that.",
     "header-late": "The client did not send the whole header section in time.",
     "no-host-header": "The request had no Host header.",
     "unknown-expectation": "The request had an Expect header other than 100-continue.",
--- a/src/entry/clientConnection.ts
+++ b/src/entry/clientConnection.ts
@@ -24,6 +24,8 @@
 export type DenialReason =
     /** The parser rejected the input. */
     | "malformed" | "header-too-large" | "header-late"
+    /** The header section is too long for this connection, but not known to be too long. It was not read, so the request did not run. */
+    | "limits-unknown" | "limit-raised"
     /** The header section is valid, but no request that this host accepts. */
     | "no-host-header" | "unknown-expectation";
 
@@ -76,6 +78,8 @@
     "malformed": 400,
     "header-too-large": 431,
     "header-late": 408,
+    "limits-unknown": 503,
+    "limit-raised": 503,
     "no-host-header": 400,
     "unknown-expectation": 417,
 };
@@ -86,20 +90,36 @@
     "ERR_HTTP_REQUEST_TIMEOUT": "header-late",
 };
 
-/** Returns why input that the parser rejected is denied. */
-export function denialReasonOf(error: ParserError): DenialReason {
-    return denialByParserCode[error.code ?? ""] ?? "malformed";
+/** Time in seconds after which the same request may succeed on another connection. */
+const retryAfterSeconds: Partial<Record<DenialReason, number>> = {
+    "limits-unknown": 1,
+    "limit-raised": 0,
+};
+
+/**
+ * Returns why input that the parser rejected is denied.
+ * @param limits limits in force; undefined until a configuration is known
+ */
+export function denialReasonOf(error: ParserError, connection: ClientConnection, limits: ClientLimits | undefined): DenialReason {
+    const reason = denialByParserCode[error.code ?? ""] ?? "malformed";
+    if (reason !== "header-too-large") {
+        return reason;
+    }
+    if (limits === undefined) {
+        return "limits-unknown";
+    }
+    return connection.openedWithMaxHeaderBytes < limits.maxHeaderBytes ? "limit-raised" : reason;
 }
 
 /**
  * Creates the state of a connection.
  * @param socket the connection
- * @param limits limits in force
+ * @param maxHeaderBytes limit on the header section that its parser applies
  * @param nowMs current monotonic time
  */
-export function createClientConnection(socket: Socket, limits: ClientLimits, nowMs: number): ClientConnection {
+export function createClientConnection(socket: Socket, maxHeaderBytes: number, nowMs: number): ClientConnection {
     return {
-        socket, openedMs: nowMs, openedWithMaxHeaderBytes: limits.maxHeaderBytes,
+        socket, openedMs: nowMs, openedWithMaxHeaderBytes: maxHeaderBytes,
         requestCount: 0, exchanges: new Set(), lastExchange: undefined, hasFailed: false,
         clientAddress: `${socket.remoteAddress ?? ""}:${String(socket.remotePort ?? "")}`,
     };
@@ -132,7 +152,7 @@
  * Answers input that is not a valid request, and closes the connection. Responses to the complete requests that came before it go first,
  * since a client takes the next response for the answer to its oldest request.
  */
-export async function endAfterResponses({ socket, exchanges, lastExchange }: ClientConnection, status: number): Promise<void> {
+export async function endAfterResponses({ socket, exchanges, lastExchange }: ClientConnection, reason: DenialReason): Promise<void> {
     const isInBody = lastExchange?.request.complete === false;
     const earlier = [...exchanges].filter((exchange) => !isInBody || exchange !== lastExchange);
     if (earlier.length > 0 && socket.readableEnded) {
@@ -147,7 +167,7 @@
         endWithoutStatus(socket, lastExchange.response);
     }
     else if (socket.writable) {
-        endWithStatus(socket, status);
+        endWithDenial(socket, reason);
     }
 }
 
@@ -160,9 +180,16 @@
     }
 }
 
-/** Writes a response without a body to a connection on which no other response may follow, and closes it. */
-function endWithStatus(socket: Socket, status: number): void {
-    socket.end(`HTTP/1.1 ${String(status)} ${http.STATUS_CODES[status] ?? ""}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+/** Writes the response to denied input on a connection on which no other response may follow, and closes it. */
+function endWithDenial(socket: Socket, reason: DenialReason): void {
+    const status = statusByDenial[reason];
+    const retryAfter = retryAfterSeconds[reason];
+    socket.end([
+        `HTTP/1.1 ${String(status)} ${http.STATUS_CODES[status] ?? ""}`,
+        "Connection: close", "Content-Length: 0",
+        ...retryAfter === undefined ? [] : [`Retry-After: ${String(retryAfter)}`],
+        "\r\n",
+    ].join("\r\n"));
 }
 
 /** Returns the bytes around the position at which the parser stopped, each byte that is not printable as `\xNN`. */
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -15,7 +15,7 @@
 
 const connectionCheckIntervalMs = 500;
 
-/** Limits in force until a configuration is known. */
+/** Limits applied until a configuration is known. */
 const initialLimits: ClientLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 10_000, idleTimeoutMs: 15_000 };
 
 /** Allowance for the request line and for what the parser counts in addition to the bytes of the headers. */
@@ -60,22 +60,24 @@
 
 /** Creates the listener. */
 export function createClientHttp(dependencies: ClientHttpDependencies): ClientHttp {
-    let limits = initialLimits;
+    /** Limits of the configuration; undefined until one is known. */
+    let configuredLimits: ClientLimits | undefined;
     let closing = false;
     let pending = 0;
     const connections = new WeakMap<Socket, ClientConnection>();
+    const limits = () => configuredLimits ?? initialLimits;
     const nowMs = () => dependencies.clock.now().monoMs;
 
     /** Returns the state of a connection; creates it when the connection is opened. */
     const connectionOf = (socket: Socket): ClientConnection => {
-        const connection = connections.get(socket) ?? createClientConnection(socket, limits, nowMs());
+        const connection = connections.get(socket) ?? createClientConnection(socket, limits().maxHeaderBytes, nowMs());
         connections.set(socket, connection);
         return connection;
     };
 
     const recordDenial = (connection: ClientConnection, reason: DenialReason, error?: ParserError) => {
         dependencies.onDenied({
-            reason, status: statusByDenial[reason], maxHeaderBytes: limits.maxHeaderBytes,
+            reason, status: statusByDenial[reason], maxHeaderBytes: limits().maxHeaderBytes,
             connection: summarizeConnection(connection, connection.requestCount, nowMs()),
             ...error === undefined ? {} : { parserCode: error.code, excerpt: excerptOf(error) },
         });
@@ -99,9 +101,9 @@
         // The parser reports its error again for any further input.
         if (!connection.hasFailed) {
             connection.hasFailed = true;
-            const reason = denialReasonOf(error);
+            const reason = denialReasonOf(error, connection, configuredLimits);
             recordDenial(connection, reason, error);
-            void endAfterResponses(connection, statusByDenial[reason]);
+            void endAfterResponses(connection, reason);
         }
     };
 
@@ -122,7 +124,7 @@
         });
         response.shouldKeepAlive = response.shouldKeepAlive && !closing;
         const call = createHttpClientCall({
-            request, response, dialects: dependencies.dialects, receivedAt: dependencies.clock.now(), limits, beforeRead,
+            request, response, dialects: dependencies.dialects, receivedAt: dependencies.clock.now(), limits: limits(), beforeRead,
             isClosing: () => closing,
             describeConnection: () => summarizeConnection(connection, earlierRequestCount, nowMs()),
         });
@@ -154,7 +156,7 @@
         deny(request, response, lacksHostHeader(request) ? "no-host-header" : "unknown-expectation");
     });
     server.on("clientError", onParserError);
-    applyLimits(server, limits);
+    applyLimits(server, initialLimits);
 
     return {
         listen: (address) => {
@@ -165,7 +167,7 @@
             });
         },
         setLimits: (newLimits) => {
-            limits = newLimits;
+            configuredLimits = newLimits;
             applyLimits(server, newLimits);
         },
         startClosingConnections: () => {
--- a/test/entry/denials.spec.ts
+++ b/test/entry/denials.spec.ts
@@ -10,6 +10,7 @@
 import type { LogFields } from "../../src/observe/log.js";
 import { createMetrics } from "../../src/observe/metrics.js";
 import { freePort } from "./listenerClient.js";
+import { limits } from "./listenerUnderTest.js";
 
 const clock = createSystemClock();
 const proper = "GET /a/ HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -31,6 +32,7 @@
             onDenied: (denial) => denials.push(denial),
             onUnexpectedError: () => undefined,
         });
+        clients.setLimits(limits);
         port = await freePort();
         await clients.listen(`127.0.0.1:${String(port)}`);
     });
--- a/test/entry/listenerUnderTest.ts
+++ b/test/entry/listenerUnderTest.ts
@@ -120,9 +120,9 @@
 
 /**
  * Starts the listener.
- * @param initial limits that it gets before it listens; undefined for none
+ * @param initial limits that it gets before it listens, or `none` before the first configuration
  */
-export async function startListener(initial: ClientLimits | undefined = limits): Promise<ListenerUnderTest> {
+export async function startListener(initial: ClientLimits | "none" = limits): Promise<ListenerUnderTest> {
     const routes = createRouteTable({
         version: 1, services: [], limits,
         routes: [{
@@ -147,7 +147,7 @@
         onDenied: (denial) => denials.push(denial),
         onUnexpectedError: (error) => errors.push(error),
     });
-    if (initial !== undefined) {
+    if (initial !== "none") {
         clients.setLimits(initial);
     }
     const port = await freePort();
