Routes are found for every spelling of a host name that the protocol allows

What callers saw: 404 for a request with an absolute request target (`GET http://one.example/a/x`), which each server must accept, and for a host name with the dot of the DNS root. A route whose configured host name has upper-case letters was never found.

Cause: the path of an absolute target was taken to begin with its scheme; host names were compared without the dot, and only the request's was put in lower case.

The listener now splits an absolute target into host name and path and ignores the Host header then (RFC 9112, 3.2.2), also in what it forwards, so that a target sees the host name that the route was chosen by. The route table normalizes both sides.

--- a/src/entry/httpClientCall.ts
+++ b/src/entry/httpClientCall.ts
@@ -10,6 +10,7 @@
 import type { ConnectionSummary } from "./clientConnection.js";
 import { statusByReason } from "./refusalStatus.js";
 import { createRequestBody } from "./requestBody.js";
+import { parseRequestTarget, withHostOf } from "./requestTarget.js";
 
 /** What a call is created from. */
 export interface HttpClientCallDependencies {
@@ -30,7 +31,8 @@
 export function createHttpClientCall({
     request, response, dialects, receivedAt, limits, beforeRead, isClosing, describeConnection,
 }: HttpClientCallDependencies): ClientCall {
-    const path = request.url ?? "/";
+    const target = parseRequestTarget(request.url ?? "/", request.headers.host);
+    const { path, hostName } = target;
     const dialect = dialects.find((candidate) => candidate.matches(path, request.headers)) as ClientDialect;
     const terms = dialect.termsOf(path, request.headers);
     const clientLeft = new AbortController();
@@ -68,9 +70,9 @@
         get statedKey() {
             return dialect.statedKeyOf?.(path, request.headers);
         },
-        hostName: request.headers.host ?? "",
+        hostName,
         receivedAt,
-        forwardHeaders: withoutHopByHop(request.rawHeaders, dialect.unforwardedHeaders),
+        forwardHeaders: withoutHopByHop(withHostOf(target, request.rawHeaders), dialect.unforwardedHeaders),
         body,
         clientLeft: clientLeft.signal,
         describeConnection,
--- a/src/routing/routeTable.ts
+++ b/src/routing/routeTable.ts
@@ -26,20 +26,26 @@
 export function createRouteTable(config: RoutingConfig): RouteTable {
     const byHost = new Map<string, RoutesByPrefix>();
     for (const route of config.routes) {
-        const byPrefix: RoutesByPrefix = byHost.get(route.hostName) ?? new Map<string, Route[]>();
+        const hostName = normalizeHostName(route.hostName);
+        const byPrefix: RoutesByPrefix = byHost.get(hostName) ?? new Map<string, Route[]>();
         byPrefix.set(route.pathPrefix, [...byPrefix.get(route.pathPrefix) ?? [], route]);
-        byHost.set(route.hostName, byPrefix);
+        byHost.set(hostName, byPrefix);
     }
     return {
         find: (hostName, path, method) => {
             const pathWithoutQuery = path.split("?", 1)[0] as string;
-            const routesOfHost = byHost.get(hostName.toLowerCase().replace(/:[0-9]*$/, ""));
+            const routesOfHost = byHost.get(normalizeHostName(hostName));
             return findLongestPrefix(routesOfHost, pathWithoutQuery, method)
                 ?? findLongestPrefix(byHost.get(anyHost), pathWithoutQuery, method);
         },
     };
 }
 
+/** Returns the form of a host name that is the same for all ways to write it: in lower case, without a port and the dot of the DNS root. */
+function normalizeHostName(hostName: string): string {
+    return hostName.toLowerCase().replace(/\.?(:[0-9]*)?$/, "");
+}
+
 /** Looks up every prefix of the path that ends with a slash, longest first; the prefixes of routes always end with one. */
 function findLongestPrefix(byPrefix: RoutesByPrefix | undefined, path: string, method: string): Route | undefined {
     for (let end = path.lastIndexOf("/"); byPrefix !== undefined && end >= 0; end = end === 0 ? -1 : path.lastIndexOf("/", end - 1)) {
--- /dev/null
+++ b/test/entry/unusualRequests.spec.ts
@@ -0,0 +1,39 @@
+import { expect } from "chai";
+import { RawClient } from "./listenerClient.js";
+import type { ListenerUnderTest } from "./listenerUnderTest.js";
+import { expectedBody, startListener } from "./listenerUnderTest.js";
+
+const noBody = Buffer.alloc(0);
+
+describe("unusual requests that the protocol allows", () => {
+    let listener: ListenerUnderTest;
+    let client: RawClient;
+
+    beforeEach(async () => {
+        listener = await startListener();
+        client = await RawClient.connect(listener.port);
+    });
+
+    afterEach(() => {
+        client.socket.destroy();
+        listener.clients.close();
+    });
+
+    const targets = [
+        ["http://one.example/a/x?y=/b/", "other.example", "/a/x?y=/b/"],
+        ["HTTP://user@ONE.example:8080/a/", "other.example", "/a/"],
+        ["/a/x", "one.example.", "/a/x"],
+        ["/a/x", "One.Example.:8080", "/a/x"],
+    ] as const;
+    for (const [target, host, path] of targets) {
+        it(`are served by the host name that they mean: ${target}, Host ${host}`, async () => {
+            await client.write(Buffer.from(`GET ${target} HTTP/1.1\r\nHost: ${host}\r\nRequest-Id: r-1\r\n\r\n`));
+            expect(await client.readAnswer()).to.include({ status: 200, body: expectedBody("r-1", path, noBody) });
+        });
+    }
+
+    it("have no route if an absolute request target names another host", async () => {
+        await client.write(Buffer.from("GET http://other.example/a/x HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r-1\r\n\r\n"));
+        expect((await client.readAnswer()).status).to.equal(404);
+    });
+});
