Header fields beyond the first 2,000 are no longer dropped

What callers saw: 400 "no Host" for a request within the limit on bytes that has more than 2,000 header fields before Host; others lost fields on the way, also the one that announces a body.

Cause: Node.js drops fields beyond server.maxHeadersCount, 2,000 by default, without an error. The configured limit on bytes bounds their number already.

Evidence: unusualRequests.spec.ts "with more than 2,000 header fields before Host": 400 before, 200 now.

--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -143,6 +143,8 @@
     const server = http.createServer({
         noDelay: true, connectionsCheckingInterval: connectionCheckIntervalMs, requestTimeout: 0, requireHostHeader: false,
     });
+    // By default Node.js drops header fields beyond the first 2,000. The limit on bytes bounds their number.
+    server.maxHeadersCount = 0;
     server.on("connection", connectionOf);
     server.on("request", (request, response) => {
         onRequest(request, response, () => undefined);
--- a/test/entry/unusualRequests.spec.ts
+++ b/test/entry/unusualRequests.spec.ts
@@ -19,6 +19,11 @@
         listener.clients.close();
     });
 
+    it("are served with more than 2,000 header fields before Host, within the limit on bytes", async () => {
+        await client.write(Buffer.from(`GET /a/x HTTP/1.1\r\n${"f:\r\n".repeat(3_000)}Host: one.example\r\nRequest-Id: r-1\r\n\r\n`));
+        expect(await client.readAnswer()).to.include({ status: 200, body: expectedBody("r-1", "/a/x", noBody) });
+    });
+
     const targets = [
         ["http://one.example/a/x?y=/b/", "other.example", "/a/x?y=/b/"],
         ["HTTP://user@ONE.example:8080/a/", "other.example", "/a/"],
