An unknown expectation closes the connection after 417

What callers would see: a client that holds back its body until its expectation is met gets 417, keeps the connection, and the first bytes of its next, proper request are taken for that body; what follows is then answered 400.

Cause: Node.js closes the connection only where a final status comes in place of 100 Continue; for any other expectation it kept it open with the body outstanding.

Evidence: unusualRequests.spec.ts "are not read from the place of a body that an unknown expectation held back": `Connection: keep-alive` before, `close` now.

--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -24,6 +24,8 @@
 /** Headers of the listener's answers to requests with a valid header section. */
 const denialHeaders: Partial<Record<DenialReason, http.OutgoingHttpHeaders>> = {
     "no-host-header": { "Connection": "close" },
+    // The client may hold back the body, or send it.
+    "unknown-expectation": { "Connection": "close" },
 };
 
 /** Dependencies of the listener. */
--- a/test/entry/unusualRequests.spec.ts
+++ b/test/entry/unusualRequests.spec.ts
@@ -41,4 +41,13 @@
         await client.write(Buffer.from("GET http://other.example/a/x HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r-1\r\n\r\n"));
         expect((await client.readAnswer()).status).to.equal(404);
     });
+
+    it("are not read from the place of a body that an unknown expectation held back", async () => {
+        await client.write(Buffer.from("POST /a/x HTTP/1.1\r\nHost: one.example\r\nExpect: more\r\nContent-Length: 4\r\n\r\n"));
+        const answer = await client.readAnswer();
+        expect(answer.status).to.equal(417);
+        expect(answer.headers["connection"]).to.equal("close");
+        await client.write(Buffer.from("GET /a/x HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r-1\r\n\r\n"));
+        expect((await client.readAnswer()).status).to.equal(0);
+    });
 });
