A request with Upgrade ends its connection, since Node.js drops what follows it

What callers saw: proper requests sent behind a request with `Upgrade` on the same connection, before its answer, were never answered.

Cause: the parser of Node.js pauses after such a request, and the listener of Node.js drops the rest of that piece of input when nobody handles upgrades; from then on it may begin in the middle of a request. RFC 9110, 7.8, lets a server ignore Upgrade, and what follows is then HTTP/1.1.

Now the answer to such a request says Connection: close and nothing behind it is read, so that clients send it again on another connection and no part of a body can be taken for a request.

Evidence: unusualRequests.spec.ts "are not read from the middle of a body that follows a request with Upgrade": the connection stayed open without an answer for 3 s before, now it is closed.

--- a/src/entry/clientConnection.ts
+++ b/src/entry/clientConnection.ts
@@ -69,8 +69,8 @@
     readonly exchanges: Set<HttpExchange>;
     /** The request received last; its body may not have arrived completely. */
     lastExchange: HttpExchange | undefined;
-    /** True once input was denied: the requests received before are still answered, and later ones are not served. */
-    hasFailed: boolean;
+    /** True once further input is ignored. The requests received before are still answered; then the connection is closed. */
+    isInputEnded: boolean;
 }
 
 /** HTTP status of each denial. */
@@ -120,7 +120,7 @@
 export function createClientConnection(socket: Socket, maxHeaderBytes: number, nowMs: number): ClientConnection {
     return {
         socket, openedMs: nowMs, openedWithMaxHeaderBytes: maxHeaderBytes,
-        requestCount: 0, exchanges: new Set(), lastExchange: undefined, hasFailed: false,
+        requestCount: 0, exchanges: new Set(), lastExchange: undefined, isInputEnded: false,
         clientAddress: `${socket.remoteAddress ?? ""}:${String(socket.remotePort ?? "")}`,
     };
 }
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -101,8 +101,8 @@
             return;
         }
         // The parser reports its error again for any further input.
-        if (!connection.hasFailed) {
-            connection.hasFailed = true;
+        if (!connection.isInputEnded) {
+            connection.isInputEnded = true;
             const reason = denialReasonOf(error, connection, configuredLimits);
             recordDenial(connection, reason, error);
             void endAfterResponses(connection, reason);
@@ -115,7 +115,7 @@
             return;
         }
         const connection = connectionOf(request.socket);
-        if (connection.hasFailed) {
+        if (connection.isInputEnded) {
             return;
         }
         const earlierRequestCount = connection.requestCount;
@@ -124,7 +124,9 @@
         response.once("close", () => {
             pending -= 1;
         });
-        response.shouldKeepAlive = response.shouldKeepAlive && !closing;
+        // Node.js drops what follows a request with Upgrade in the same piece of input.
+        connection.isInputEnded = request.headers.upgrade !== undefined;
+        response.shouldKeepAlive = response.shouldKeepAlive && !closing && !connection.isInputEnded;
         const call = createHttpClientCall({
             request, response, dialects: dependencies.dialects, receivedAt: dependencies.clock.now(), limits: limits(), beforeRead,
             isClosing: () => closing,
--- a/test/entry/unusualRequests.spec.ts
+++ b/test/entry/unusualRequests.spec.ts
@@ -50,4 +50,16 @@
         await client.write(Buffer.from("GET /a/x HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r-1\r\n\r\n"));
         expect((await client.readAnswer()).status).to.equal(0);
     });
+
+    it("are not read from the middle of a body that follows a request with Upgrade", async () => {
+        const smuggled = "GET /a/x HTTP/1.1\r\nHost: one.example\r\nRequest-Id: smuggled\r\n\r\n";
+        await client.write(Buffer.from("GET /a/x HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r-1\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n"
+            + `POST /a/x HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r-2\r\nContent-Length: ${String(smuggled.length)}\r\n\r\n`));
+        await client.write(Buffer.from(smuggled));
+        const answer = await client.readAnswer();
+        expect(answer).to.include({ status: 200, body: expectedBody("r-1", "/a/x", noBody) });
+        expect((await client.readAnswer()).status).to.equal(0);
+        expect(listener.servedIds).to.deep.equal(["r-1"]);
+        expect(answer.headers["connection"]).to.equal("close");
+    });
 });
