--- a/src/control/explain.ts
+++ b/src/control/explain.ts
@@ -51,6 +51,7 @@
     "limits-unknown": "The header section was long, and the host had no configuration yet that says whether it is too long.",
     "limit-raised": "The connection was opened under a lower limit on the header section than the one in force; a new connection has that.",
     "header-late": "The client did not send the whole header section in time.",
+    "incomplete": "The client ended its side of the connection in the middle of a request.",
     "no-host-header": "The request had no Host header.",
     "unknown-expectation": "The request had an Expect header other than 100-continue.",
     "lost": "The connection to the target ended before the answer was complete; the request may have run.",
--- a/src/entry/clientConnection.ts
+++ b/src/entry/clientConnection.ts
@@ -24,6 +24,8 @@
 export type DenialReason =
     /** The parser rejected the input. */
     | "malformed" | "header-too-large" | "header-late"
+    /** The client ended its side in the middle of a request. */
+    | "incomplete"
     /** The header section is too long for this connection, but not known to be too long. It was not read, so the request did not run. */
     | "limits-unknown" | "limit-raised"
     /** The header section is valid, but no request that this host accepts. */
@@ -78,6 +80,7 @@
     "malformed": 400,
     "header-too-large": 431,
     "header-late": 408,
+    "incomplete": 400,
     "limits-unknown": 503,
     "limit-raised": 503,
     "no-host-header": 400,
@@ -88,6 +91,7 @@
 const denialByParserCode: Record<string, DenialReason> = {
     "HPE_HEADER_OVERFLOW": "header-too-large",
     "ERR_HTTP_REQUEST_TIMEOUT": "header-late",
+    "HPE_INVALID_EOF_STATE": "incomplete",
 };
 
 /** Time in seconds after which the same request may succeed on another connection. */
