--- /dev/null
+++ b/src/entry/clientConnection.ts
@@ -0,0 +1,203 @@
+/** One connection of a client: what log lines tell of it, and the response to input on it that is not a valid request. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import http from "node:http";
+import type { Socket } from "node:net";
+import type { ClientLimits } from "../model/routing.js";
+
+/** Bytes shown in log lines before and after the position at which the parser stopped. */
+const excerptBytesBefore = 32;
+const excerptBytesAfter = 32;
+
+/** What log lines tell of a client's connection. */
+export interface ConnectionSummary {
+    /** IP address and port of the client. */
+    clientAddress: string;
+    /** Requests received on the connection before this one. */
+    earlierRequestCount: number;
+    receivedBytes: number;
+    openForMs: number;
+    /** Limit on the header section in force when the connection was opened; the parser of the connection keeps it. */
+    openedWithMaxHeaderBytes: number;
+}
+
+/** Why input on a connection is answered by the listener, without a `ClientCall`. */
+export type DenialReason =
+    /** The parser rejected the input. */
+    | "malformed" | "header-too-large" | "header-late"
+    /** The client ended its side in the middle of a request. */
+    | "incomplete"
+    /** The header section is too long for this connection, but not known to be too long. It was not read, so the request did not run. */
+    | "limits-unknown" | "limit-raised"
+    /** The header section is valid, but no request that this host accepts. */
+    | "no-host-header" | "unknown-expectation";
+
+/** An answer of the listener to input that it does not accept as a request. */
+export interface Denial {
+    reason: DenialReason;
+    status: number;
+    connection: ConnectionSummary;
+    /** Limit on the header section in force now. */
+    maxHeaderBytes: number;
+    /** Error code of the parser. */
+    parserCode?: string | undefined;
+    /** Printable form of a few bytes around the position at which the parser stopped. */
+    excerpt?: string | undefined;
+}
+
+/** Error of the HTTP parser, or of the socket. */
+export interface ParserError extends Error {
+    code?: string;
+    /** Bytes given to the parser. */
+    rawPacket?: Buffer;
+    /** Number of these bytes that it accepted. */
+    bytesParsed?: number;
+}
+
+/** A request and its response. */
+export interface HttpExchange {
+    request: IncomingMessage;
+    response: ServerResponse;
+}
+
+/** State of one connection. */
+export interface ClientConnection {
+    readonly socket: Socket;
+    /** Kept for log lines, since a closed socket no longer knows it. */
+    readonly clientAddress: string;
+    readonly openedMs: number;
+    readonly openedWithMaxHeaderBytes: number;
+    requestCount: number;
+    /** Requests whose responses are not complete, in the order of their arrival. */
+    readonly exchanges: Set<HttpExchange>;
+    /** The request received last; its body may not have arrived completely. */
+    lastExchange: HttpExchange | undefined;
+    /** True once further input is ignored. The requests received before are still answered; then the connection is closed. */
+    isInputEnded: boolean;
+}
+
+/** HTTP status of each denial. */
+export const statusByDenial: Record<DenialReason, number> = {
+    "malformed": 400,
+    "header-too-large": 431,
+    "header-late": 408,
+    "incomplete": 400,
+    "limits-unknown": 503,
+    "limit-raised": 503,
+    "no-host-header": 400,
+    "unknown-expectation": 417,
+};
+
+/** Reasons by the parser's error code; any other code means `malformed`. */
+const denialByParserCode: Record<string, DenialReason> = {
+    "HPE_HEADER_OVERFLOW": "header-too-large",
+    "ERR_HTTP_REQUEST_TIMEOUT": "header-late",
+    "HPE_INVALID_EOF_STATE": "incomplete",
+};
+
+/** Time in seconds after which the same request may succeed on another connection. */
+const retryAfterSeconds: Partial<Record<DenialReason, number>> = {
+    "limits-unknown": 1,
+    "limit-raised": 0,
+};
+
+/**
+ * Returns why input that the parser rejected is denied.
+ * @param limits limits in force; undefined until a configuration is known
+ */
+export function denialReasonOf(error: ParserError, connection: ClientConnection, limits: ClientLimits | undefined): DenialReason {
+    const reason = denialByParserCode[error.code ?? ""] ?? "malformed";
+    if (reason !== "header-too-large") {
+        return reason;
+    }
+    if (limits === undefined) {
+        return "limits-unknown";
+    }
+    return connection.openedWithMaxHeaderBytes < limits.maxHeaderBytes ? "limit-raised" : reason;
+}
+
+/**
+ * Creates the state of a connection.
+ * @param socket the connection
+ * @param maxHeaderBytes limit on the header section that its parser applies
+ * @param nowMs current monotonic time
+ */
+export function createClientConnection(socket: Socket, maxHeaderBytes: number, nowMs: number): ClientConnection {
+    return {
+        socket, openedMs: nowMs, openedWithMaxHeaderBytes: maxHeaderBytes,
+        requestCount: 0, exchanges: new Set(), lastExchange: undefined, isInputEnded: false,
+        clientAddress: `${socket.remoteAddress ?? ""}:${String(socket.remotePort ?? "")}`,
+    };
+}
+
+/**
+ * Describes a connection for a log line.
+ * @param earlierRequestCount number of requests received before the one that the line is about
+ * @param nowMs current monotonic time
+ */
+export function summarizeConnection(connection: ClientConnection, earlierRequestCount: number, nowMs: number): ConnectionSummary {
+    const { socket, clientAddress, openedMs, openedWithMaxHeaderBytes } = connection;
+    return {
+        clientAddress, openedWithMaxHeaderBytes, earlierRequestCount,
+        receivedBytes: socket.bytesRead, openForMs: Math.round(nowMs - openedMs),
+    };
+}
+
+/** Adds a request to its connection until its response is complete, or broken off. */
+export function addExchange(connection: ClientConnection, exchange: HttpExchange): void {
+    connection.requestCount += 1;
+    connection.lastExchange = exchange;
+    connection.exchanges.add(exchange);
+    exchange.response.once("close", () => {
+        connection.exchanges.delete(exchange);
+    });
+}
+
+/**
+ * Answers input that is not a valid request, and closes the connection. Responses to the complete requests that came before it go first,
+ * since a client takes the next response for the answer to its oldest request.
+ */
+export async function endAfterResponses({ socket, exchanges, lastExchange }: ClientConnection, reason: DenialReason): Promise<void> {
+    const isInBody = lastExchange?.request.complete === false;
+    const earlier = [...exchanges].filter((exchange) => !isInBody || exchange !== lastExchange);
+    if (earlier.length > 0 && socket.readableEnded) {
+        socket.destroy();
+        return;
+    }
+    await Promise.all(earlier.map(({ response }) => new Promise((resolve) => {
+        response.once("close", resolve);
+    })));
+    if (isInBody && lastExchange.response.headersSent) {
+        // No second response to the same request; one that is not complete breaks off.
+        endWithoutStatus(socket, lastExchange.response);
+    }
+    else if (socket.writable) {
+        endWithDenial(socket, reason);
+    }
+}
+
+function endWithoutStatus(socket: Socket, response: ServerResponse): void {
+    if (response.writableFinished) {
+        socket.end();
+    }
+    else {
+        socket.destroy();
+    }
+}
+
+/** Writes the response to denied input on a connection on which no other response may follow, and closes it. */
+function endWithDenial(socket: Socket, reason: DenialReason): void {
+    const status = statusByDenial[reason];
+    const retryAfter = retryAfterSeconds[reason];
+    socket.end([
+        `HTTP/1.1 ${String(status)} ${http.STATUS_CODES[status] ?? ""}`,
+        "Connection: close", "Content-Length: 0",
+        ...retryAfter === undefined ? [] : [`Retry-After: ${String(retryAfter)}`],
+        "\r\n",
+    ].join("\r\n"));
+}
+
+/** Returns the bytes around the position at which the parser stopped, each byte that is not printable as `\xNN`. */
+export function excerptOf({ rawPacket, bytesParsed = 0 }: ParserError): string | undefined {
+    return rawPacket?.subarray(Math.max(0, bytesParsed - excerptBytesBefore), bytesParsed + excerptBytesAfter).toString("latin1")
+        .replace(/[^ -~]/g, (character) => `\\x${character.charCodeAt(0).toString(16).padStart(2, "0")}`);
+}
--- a/test/forwarding/crashingRequests.spec.ts
+++ b/test/forwarding/crashingRequests.spec.ts
@@ -2,7 +2,7 @@
 import { CrashEvidence } from "../../src/crashes/crashEvidence.js";
 import type { RequestFingerprints } from "../../src/crashes/requestFingerprint.js";
 import { computeFingerprints } from "../../src/crashes/requestFingerprint.js";
-import { statusByReason } from "../../src/entry/clientHttp.js";
+import { statusByReason } from "../../src/entry/refusalStatus.js";
 import type { ForwarderDependencies } from "../../src/forwarding/forwarder.js";
 import type { Key, ServiceId, TargetId } from "../../src/model/names.js";
 import { Signal } from "../../src/model/signal.js";
