A response without proof leaves a line and is counted

`request: response without proof` names request, target and status; hornbeam_unproven_responses_total counts them. No change of what happens to the request.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -60,6 +60,8 @@
     clock: Clock;
     /** Called with the notice in the head of each response, and the monotonic time at which the request was sent. */
     onNotice: (target: TargetEntry, notice: TargetNotice, sentMs: number) => void;
+    /** Called with the status of each response that proves neither that the target ran the request nor that it didn't. */
+    onUnproven: (target: TargetEntry, call: ClientCall, status: number) => void;
 }
 
 /** The request to send, its target and the limits of the attempt. */
@@ -154,9 +156,12 @@
 }
 
 async function receiveResponse(
-    dependencies: AttemptDependencies, { call }: AttemptRequest, exchange: Exchange, head: ResponseHead, interrupt: Interrupt,
+    dependencies: AttemptDependencies, { call, target }: AttemptRequest, exchange: Exchange, head: ResponseHead, interrupt: Interrupt,
 ): Promise<AttemptEnd> {
     const responseClass = dependencies.dialect.classify(head);
+    if (responseClass === "unproven") {
+        dependencies.onUnproven(target, call, head.status);
+    }
     if (responseClass === "not-run") {
         await Promise.race([drainBody(exchange), interrupt.raised]);
         return { kind: "turned-away", status: head.status, pauseMs: dependencies.dialect.noticeOf(head).pauseMs };
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -46,7 +46,7 @@
 const retryDelayMs = 15;
 
 /** Dependencies of a forwarder. */
-export interface ForwarderDependencies extends Omit<AttemptDependencies, "onNotice"> {
+export interface ForwarderDependencies extends Omit<AttemptDependencies, "onNotice" | "onUnproven"> {
     view: ClusterView;
     owners: OwnerLookup;
     admission: AdmissionClient;
@@ -106,6 +106,10 @@
         }
     };
 
+    const onUnproven = ({ targetId }: TargetEntry, call: ClientCall, status: number) => {
+        requestLog.responseUnproven(call, targetId, status);
+    };
+
     const refuse = (call: ClientCall, refusal: Refusal, context?: RequestContext) => {
         requestLog.refused(call, refusal, context?.route, context?.triedTargetIds);
         if (context !== undefined && refusal.reason !== "quarantined") {
@@ -151,7 +155,7 @@
         const mayRetry = context.route.idempotent && context.body !== undefined && giveUpAfterMs + slot.expectedMs < remainingMs;
         context.triedTargetIds.add(slot.target.targetId);
         context.attemptCount += 1;
-        return attempt({ ...dependencies, onNotice }, {
+        return attempt({ ...dependencies, onNotice, onUnproven }, {
             call: context.call,
             target: slot.target,
             body: context.body,
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -9,6 +9,7 @@
     readonly answerMs: Histogram<"route">;
     readonly attempts: Counter<"target" | "end">;
     readonly retries: Counter<"route" | "end">;
+    readonly unprovenResponses: Counter<"target" | "status">;
     readonly moves: Counter<"reason" | "outcome">;
     readonly storeCalls: Counter<"path" | "outcome">;
     readonly connections: Counter<"kind">;
@@ -41,6 +42,11 @@
             name: "hornbeam_retries_total", help: "Requests sent again, by how the previous attempt ended.",
             labelNames: ["route", "end"], registers,
         }),
+        unprovenResponses: new Counter({
+            name: "hornbeam_unproven_responses_total",
+            help: "Responses that prove neither that their target ran the request nor that it didn't, by target and status.",
+            labelNames: ["target", "status"], registers,
+        }),
         moves: new Counter({
             name: "hornbeam_moves_total", help: "Moves of key ranges, by reason and outcome.",
             labelNames: ["reason", "outcome"], registers,
--- a/src/observe/requestLog.ts
+++ b/src/observe/requestLog.ts
@@ -15,6 +15,8 @@
     retried(call: ClientCall, route: Route, targetId: TargetId, end: AttemptEnd): void;
     /** An attempt at a target has ended. */
     attemptEnded(targetId: TargetId, end: AttemptEnd): void;
+    /** The response of a target to `call` proves neither that the request ran nor that it didn't. */
+    responseUnproven(call: ClientCall, targetId: TargetId, status: number): void;
     /** Handling ends without a response to send: the client disconnected, or a streamed response to it has ended or broken off. */
     clientLeft(call: ClientCall, route: Route, triedTargetIds: ReadonlySet<TargetId>): void;
     /** A target announced in a response that it is about to stop. */
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -51,6 +51,10 @@
         attemptEnded: (targetId, end) => {
             metrics.attempts.inc({ target: targetId, end: end.kind });
         },
+        responseUnproven: (call, targetId, status) => {
+            metrics.unprovenResponses.inc({ target: targetId, status: String(status) });
+            log.warn("response without proof", { ...commonFields(call), target: targetId, status });
+        },
         clientLeft: (call, route, triedTargetIds: ReadonlySet<TargetId>) => {
             metrics.requests.inc({ route: route.routeId, outcome: "left", reason: "" });
             log.info("client left", { ...commonFields(call), route: route.routeId, targets: [...triedTargetIds] });
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -147,7 +147,7 @@
         loads: { count: () => undefined } as unknown as ForwarderDependencies["loads"],
         requestLog: { answered: () => undefined, refused: () => undefined, retried: () => undefined, clientLeft: () => undefined,
             targetLeaving: () => undefined, targetPauseRequested: () => undefined,
-            attemptEnded: () => undefined, targetRateLimitChanged: () => undefined },
+            attemptEnded: () => undefined, responseUnproven: () => undefined, targetRateLimitChanged: () => undefined },
         crashObserver: {
             observed: new Signal(), takeUnreported: () => undefined,
             attemptLost: () => Promise.resolve(), attemptCompleted: () => undefined,
