A failure that no target proves is not passed on: it counts as lost

Callers saw a 3xx or 4xx that no target had given: any response of status 300 or more with the request's id was delivered as the target's, whether it bore a signature or not. Nor did it matter that a 503, 429 or 408 of that kind promises that nothing ran, which only Not-Executed does.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -161,14 +161,12 @@
     const responseClass = dependencies.dialect.classify(head);
     if (responseClass === "unproven") {
         dependencies.onUnproven(target, call, head.status);
+        return { kind: "lost", why: `response of status ${String(head.status)} has no signature` };
     }
     if (responseClass === "not-run") {
         await Promise.race([drainBody(exchange), interrupt.raised]);
         return { kind: "turned-away", status: head.status, pauseMs: dependencies.dialect.noticeOf(head).pauseMs };
     }
-    if (responseClass === "unproven" && head.status < 300) {
-        return { kind: "lost", why: "response has no signature" };
-    }
     const buffered: Buffer[] = [];
     let bufferedBytes = 0;
     let isStreaming = false;
