Responses with a status or with bytes that HTTP doesn't allow are lost, not passed on

Callers saw status 600 or 999 as an answer, a response after 101 (from where on the connection no longer speaks HTTP), and, for a control character in a header or the reason phrase, a closed connection with no answer: Node.js throws when such a head is written to the client. The parser took any three digits, skipped 101 like other interim responses, and let every character but CR and LF through.

--- a/src/forwarding/responseParser.ts
+++ b/src/forwarding/responseParser.ts
@@ -29,11 +29,13 @@
 const maxChunkLineBytes = 256;
 const headEnd = Buffer.from("\r\n\r\n");
 const lineEnd = Buffer.from("\r\n");
-const statusLine = /^HTTP\/1\.([01]) ([1-9][0-9]{2})(?: ([^\r\n]*))?$/;
-const headerLine = /^([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\r\n]*?)[ \t]*$/;
+const statusLine = /^HTTP\/1\.([01]) ([1-5][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?$/;
+const headerLine = /^([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*$/;
 const chunkLine = /^([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?$/;
 const digits = /^[0-9]{1,15}$/;
 
+const switchingProtocols = 101;
+
 type State = "head" | "sized" | "chunk-line" | "chunk" | "chunk-end" | "trailers" | "until-close";
 
 /** Parses the responses on one connection. */
@@ -112,6 +114,9 @@
     }
 
     private startResponse(code: number, reasonPhrase: string, isHttp11: boolean, rawHeaders: string[]): void {
+        if (code === switchingProtocols) {
+            throw new ResponseSyntaxError("target switched to another protocol, which no request asks for");
+        }
         if (code < 200) {
             this.interimCount += 1;
             if (this.interimCount > maxInterimResponses) {
--- a/test/forwarding/responseParser.spec.ts
+++ b/test/forwarding/responseParser.spec.ts
@@ -61,6 +61,12 @@
     const invalidResponses: Record<string, string> = {
         "a missing status line": "hello\r\n\r\n",
         "a header without a colon": "HTTP/1.1 200 OK\r\nContent-Length 2\r\n\r\n",
+        "a status below 100": "HTTP/1.1 099 Some\r\nContent-Length: 0\r\n\r\n",
+        "a status above 599": "HTTP/1.1 600 Some\r\nContent-Length: 0\r\n\r\n",
+        "a switch to another protocol": "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        "a control character in a header": "HTTP/1.1 200 OK\r\nA: b\u0001\r\nContent-Length: 0\r\n\r\n",
+        "a control character in the reason phrase": "HTTP/1.1 200 O\u0000K\r\nContent-Length: 0\r\n\r\n",
+        "a line feed without carriage return": "HTTP/1.1 200 OK\nContent-Length: 0\r\n\r\n",
         "a folded header": "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n",
         "two different Content-Length headers": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nab",
         "a Content-Length that is not a number": "HTTP/1.1 200 OK\r\nContent-Length: 2x\r\n\r\nab",
