Bytes after a response close the connection, also when they are no complete response

A faulty target sent some bytes after a complete response. A whole response was noticed; a part of one, or bytes that are no response, stayed in the parser of the idle connection and became the start of the next request's response: callers got 502 for requests that ran (and can't be repeated), and the rest of a refusal without an id would have been taken for the next request's. Now an idle connection that gets any byte is closed, and so is one that has bytes left over at the end of a response.

--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -152,7 +152,7 @@
 
     const closeConnection = (why: string) => {
         reusable = false;
-        closeReason = why;
+        closeReason = socket.destroyed ? closeReason : why;
         socket.destroy();
     };
 
@@ -166,9 +166,14 @@
     };
 
     socket.on("data", (bytes: Buffer) => {
+        const wasIdle = current === undefined;
         parseOrClose(() => {
             parser.push(bytes);
         });
+        // What is left here would become the start of the next request's response.
+        if (wasIdle || (current === undefined && !parser.isBetweenResponses)) {
+            closeConnection("received bytes that no request is waiting for");
+        }
     });
     const onEnd = () => {
         parseOrClose(() => {
--- a/test/fleet/scriptedTarget.ts
+++ b/test/fleet/scriptedTarget.ts
@@ -36,7 +36,7 @@
     const received: ReceivedRequest[] = [];
     const sockets = new Set<net.Socket>();
     let connectionCount = 0;
-    const server = net.createServer({ allowHalfOpen: false }, (socket) => {
+    const server = net.createServer({ noDelay: true }, (socket) => {
         connectionCount += 1;
         sockets.add(socket);
         let pending = "";
