A rejection that a target writes once more is not taken for that of a request that runs

On a kept connection a faulty server wrote an earlier rejection once more, when the next request had arrived there. Callers were told 503, "not run, try again", for requests that must not run twice and that ran, or the request was sent again. Two causes: a rejection without an id counts as the answer of whatever waits; and a request that was rejected and sent again on the same connection bears the same id, so that even a copy with an id fits. Bytes on an idle connection close it already; what is on its way when the next request is written can't be told apart by looking at it.

Now a connection remembers that a rejection without an id arrived on it, and a request the connections that rejected it. A request that must not run twice is never sent on either (connectionReuse.ts), so a rejection that it gets is the first of its kind on its connection. Idempotent requests prefer the former connections, and a full pool drops them first, to leave the others to those who need them.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -3,6 +3,7 @@
 import type { TargetEntry } from "../model/target.js";
 import type { Clock } from "../model/time.js";
 import type { ConnectionPool } from "./connectionPool.js";
+import type { ReuseTerms } from "./connectionReuse.js";
 import type { TargetDialect, TargetNotice } from "./dialect.js";
 import { withoutHeaders, withoutHopByHop } from "./hopByHop.js";
 import type { Interrupt, InterruptReason, GiveUpPolicy } from "./interrupt.js";
@@ -76,8 +77,10 @@
     timeoutMs: number;
     /** When the attempt may be given up for a retry; undefined if it must not be. */
     giveUpPolicy: GiveUpPolicy | undefined;
-    /** Longest idle time of a pooled connection that may be reused for this request. */
-    maxIdleMs: number;
+    /** Which pooled connections may carry this request. */
+    reuse: ReuseTerms;
+    /** The connection is added if the target rejects the request on it. */
+    rejectedOn: Set<TargetConnection>;
     /** False if the attempt is to continue after the client has left. */
     cancelIfClientLeaves: boolean;
 }
@@ -91,7 +94,7 @@
     const { timeoutMs, giveUpPolicy } = request;
     const interrupt = createInterrupt({ clientLeft: request.cancelIfClientLeaves ? call.clientLeft : undefined, timeoutMs, giveUpPolicy });
     try {
-        const opening = dependencies.pool.acquire(target.address, request.maxIdleMs);
+        const opening = dependencies.pool.acquire(target.address, request.reuse);
         const opened = await Promise.race([opening, interrupt.raised]);
         if (typeof opened === "string") {
             void opening.then((late) => late.map((connection) => {
@@ -151,6 +154,12 @@
     }
     dependencies.onNotice(request.target, dependencies.dialect.noticeOf(head.value), startedMs);
     const end = await receiveResponse(dependencies, request, exchange, head.value, interrupt);
+    if (end.kind === "turned-away") {
+        request.rejectedOn.add(connection);
+        if (!dependencies.dialect.namesRequest(head.value)) {
+            connection.recordUnnamedRejection();
+        }
+    }
     const tookMs = dependencies.clock.now().monoMs - startedMs;
     return "tookMs" in end ? { ...end, tookMs } : end;
 }
--- a/src/forwarding/connectionPool.ts
+++ b/src/forwarding/connectionPool.ts
@@ -4,6 +4,7 @@
 import type { Failure } from "../model/failure.js";
 import type { Address } from "../model/names.js";
 import type { Clock } from "../model/time.js";
+import type { ReuseTerms } from "./connectionReuse.js";
 import type { TargetConnection } from "./targetConnection.js";
 import { connectToTarget } from "./targetConnection.js";
 
@@ -27,11 +28,11 @@
 /** Connections to all targets, pooled by address. */
 export interface ConnectionPool {
     /**
-     * Takes the most recently used idle connection, or opens a new one.
+     * Takes the most recently used of the idle connections that may be used, or opens a new one.
      * @param address the target's address
-     * @param maxIdleMs longest idle time of a connection that may be reused
+     * @param reuse which idle connections may be used
      */
-    acquire(address: Address, maxIdleMs: number): Promise<Result<TargetConnection, Failure>>;
+    acquire(address: Address, reuse: ReuseTerms): Promise<Result<TargetConnection, Failure>>;
     /** Returns a connection to the pool; closes it if it cannot be reused or the pool for its target is full. */
     release(address: Address, connection: TargetConnection): void;
     /** Closes all idle connections to a target. */
@@ -65,6 +66,14 @@
         return connection.reusable && nowMs - idleSinceMs < Math.min(limitMs, maxIdleMs);
     };
 
+    /** Closes an idle connection that fewer requests may use than the given one; returns false if there is none. */
+    const makeRoomFor = (connection: TargetConnection, list: IdleConnection[]): boolean => {
+        const index = connection.hasUnnamedRejection ? -1 : list.findIndex((idle) => idle.connection.hasUnnamedRejection);
+        const [replaced] = index < 0 ? [] : list.splice(index, 1);
+        replaced?.connection.destroy();
+        return replaced !== undefined;
+    };
+
     const sweep = (nowMs: number) => {
         for (const [address, list] of idleByAddress) {
             const kept = list.filter((idle) => isUsable(idle, Number.POSITIVE_INFINITY, nowMs));
@@ -81,10 +90,12 @@
     };
 
     return {
-        acquire: async (address, maxIdleMs) => {
+        acquire: async (address, { maxIdleMs, isAllowed, isPreferred }) => {
             const list = idleListOf(address);
             const nowMs = clock.now().monoMs;
-            const index = list.findLastIndex((idle) => isUsable(idle, maxIdleMs, nowMs));
+            const isCandidate = (idle: IdleConnection) => isUsable(idle, maxIdleMs, nowMs) && isAllowed(idle.connection);
+            const preferred = list.findLastIndex((idle) => isPreferred(idle.connection) && isCandidate(idle));
+            const index = preferred < 0 ? list.findLastIndex(isCandidate) : preferred;
             const [found] = index < 0 ? [] : list.splice(index, 1);
             if (found !== undefined) {
                 return ok(found.connection);
@@ -97,7 +108,7 @@
         },
         release: (address, connection) => {
             const list = idleListOf(address);
-            if (!connection.reusable || list.length >= maxIdlePerTarget) {
+            if (!connection.reusable || (list.length >= maxIdlePerTarget && !makeRoomFor(connection, list))) {
                 connection.destroy();
                 return;
             }
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -67,6 +67,8 @@
     headersFor(terms: TargetTerms): readonly string[];
     /** Returns whether a response belongs to a request. */
     isAnswerTo(head: ResponseHead, requestId: RequestId | undefined): boolean;
+    /** Returns whether a response states the id of its request. */
+    namesRequest(head: ResponseHead): boolean;
     /** Determines what a response proves about the execution of its request. */
     classify(head: ResponseHead): ResponseClass;
     /** Reads what a response states about its target. */
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -18,6 +18,7 @@
 import { attempt, describeEnd } from "./attempt.js";
 import type { Answered } from "./attemptEnds.js";
 import { mayHaveRun, moreInformativeEnd, reasonIfNotRun, reasonIfRun, workEndOf } from "./attemptEnds.js";
+import { reuseForIdempotent, reuseForNonIdempotent } from "./connectionReuse.js";
 import type { TargetNotice } from "./dialect.js";
 import { ClientWaitEstimator } from "./clientWaitEstimator.js";
 import type { RequestContext } from "./requestContext.js";
@@ -32,9 +33,6 @@
 import { TargetPauses } from "./targetPauses.js";
 import { typicalWorkMs, WorkTimes } from "./workTimes.js";
 
-/** Longest idle time of a connection that may be reused for a non-idempotent request, which must not run twice. */
-const maxIdleNonIdempotentMs = 1_000;
-
 /**
  * An attempt of an idempotent request may be given up for a retry once it has taken this many times its expected duration, and
  * not before the minimum below.
@@ -162,7 +160,8 @@
             budgetMs: remainingMs,
             timeoutMs: remainingMs,
             giveUpPolicy: mayRetry ? { afterMs: giveUpAfterMs, mayGiveUp: () => reservation.reserve() } : undefined,
-            maxIdleMs: context.route.idempotent ? Number.POSITIVE_INFINITY : maxIdleNonIdempotentMs,
+            reuse: context.route.idempotent ? reuseForIdempotent : reuseForNonIdempotent(context.rejectedOn),
+            rejectedOn: context.rejectedOn,
             cancelIfClientLeaves: context.route.idempotent,
         });
     };
--- a/src/forwarding/requestContext.ts
+++ b/src/forwarding/requestContext.ts
@@ -3,6 +3,7 @@
 import type { ClientCall } from "../entry/clientCall.js";
 import type { TargetId } from "../model/names.js";
 import type { Route, ServiceConfig } from "../model/routing.js";
+import type { TargetConnection } from "./targetConnection.js";
 
 /** A client request with its route, its deadlines and its attempts so far. Times are monotonic milliseconds. */
 export interface RequestContext {
@@ -21,6 +22,8 @@
     attemptCount: number;
     /** Targets of these attempts. */
     triedTargetIds: Set<TargetId>;
+    /** Connections on which a target has rejected the request. */
+    rejectedOn: Set<TargetConnection>;
     /** Expected duration of the current attempt or, between attempts, of the next one. */
     expectedMs: number;
 }
--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -51,6 +51,10 @@
     readonly reusable: boolean;
     /** Idle time after which the target closes the connection, from its Keep-Alive header; undefined if it sent none. */
     readonly keepAliveMs: number | undefined;
+    /** True once a rejection that doesn't name its request has arrived. */
+    readonly hasUnnamedRejection: boolean;
+    /** Records that a rejection that doesn't name its request has arrived. */
+    recordUnnamedRejection(): void;
     /** Resolves with the reason when the connection is closed. */
     readonly closed: Promise<string>;
     /** Sends a request. */
@@ -96,6 +100,7 @@
     let current: ExchangeState | undefined;
     let reusable = true;
     let keepAliveMs: number | undefined;
+    let hasUnnamedRejection = false;
     let closeReason = "closed by the target";
     let isSkipping = false;
     let skippedBytes = 0;
@@ -220,6 +225,12 @@
         get keepAliveMs() {
             return keepAliveMs;
         },
+        get hasUnnamedRejection() {
+            return hasUnnamedRejection;
+        },
+        recordUnnamedRejection: () => {
+            hasUnnamedRejection = true;
+        },
         closed,
         start: (request) => {
             const state = new ExchangeState(request, socket);
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -128,7 +128,7 @@
         view,
         pool: createConnectionPool(systemClock, () => undefined),
         dialect: {
-            reservedHeaders: new Set(), headersFor: () => [], isAnswerTo: () => true,
+            reservedHeaders: new Set(), headersFor: () => [], isAnswerTo: () => true, namesRequest: () => true,
             classify: (head) => headerOf(head.rawHeaders, "not-run") === undefined ? "answer" : "not-run",
             noticeOf: (head) => {
                 const pause = headerOf(head.rawHeaders, "pause");
