--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -51,6 +51,10 @@
     readonly reusable: boolean;
     /** Idle time after which the target closes the connection, from its Keep-Alive header; undefined if it sent none. */
     readonly keepAliveMs: number | undefined;
+    /** True once a rejection that doesn't name its request has arrived. */
+    readonly hasUnnamedRejection: boolean;
+    /** Records that a rejection that doesn't name its request has arrived. */
+    recordUnnamedRejection(): void;
     /** Resolves with the reason when the connection is closed. */
     readonly closed: Promise<string>;
     /** Sends a request. */
@@ -96,6 +100,7 @@
     let current: ExchangeState | undefined;
     let reusable = true;
     let keepAliveMs: number | undefined;
+    let hasUnnamedRejection = false;
     let closeReason = "closed by the target";
     let isSkipping = false;
     let skippedBytes = 0;
@@ -152,7 +157,7 @@
 
     const closeConnection = (why: string) => {
         reusable = false;
-        closeReason = why;
+        closeReason = socket.destroyed ? closeReason : why;
         socket.destroy();
     };
 
@@ -166,9 +171,14 @@
     };
 
     socket.on("data", (bytes: Buffer) => {
+        const wasIdle = current === undefined;
         parseOrClose(() => {
             parser.push(bytes);
         });
+        // What is left here would become the start of the next request's response.
+        if (wasIdle || (current === undefined && !parser.isBetweenResponses)) {
+            closeConnection("received bytes that no request is waiting for");
+        }
     });
     const onEnd = () => {
         parseOrClose(() => {
@@ -215,6 +225,12 @@
         get keepAliveMs() {
             return keepAliveMs;
         },
+        get hasUnnamedRejection() {
+            return hasUnnamedRejection;
+        },
+        recordUnnamedRejection: () => {
+            hasUnnamedRejection = true;
+        },
         closed,
         start: (request) => {
             const state = new ExchangeState(request, socket);
--- a/test/forwarding/forwarderUnderTest.ts
+++ b/test/forwarding/forwarderUnderTest.ts
@@ -128,7 +128,7 @@
         view,
         pool: createConnectionPool(systemClock, () => undefined),
         dialect: {
-            reservedHeaders: new Set(), headersFor: () => [], isAnswerTo: () => true,
+            reservedHeaders: new Set(), headersFor: () => [], isAnswerTo: () => true, namesRequest: () => true,
             classify: (head) => headerOf(head.rawHeaders, "not-run") === undefined ? "answer" : "not-run",
             noticeOf: (head) => {
                 const pause = headerOf(head.rawHeaders, "pause");
@@ -147,7 +147,7 @@
         loads: { count: () => undefined } as unknown as ForwarderDependencies["loads"],
         requestLog: { answered: () => undefined, refused: () => undefined, retried: () => undefined, clientLeft: () => undefined,
             targetLeaving: () => undefined, targetPauseRequested: () => undefined,
-            attemptEnded: () => undefined, targetRateLimitChanged: () => undefined },
+            attemptEnded: () => undefined, responseUnproven: () => undefined, targetRateLimitChanged: () => undefined },
         crashObserver: {
             observed: new Signal(), takeUnreported: () => undefined,
             attemptLost: () => Promise.resolve(), attemptCompleted: () => undefined,
