Entries of targets and configurations are believed only within what their values can mean

Callers saw requests ended with no answer, among them ones that may not be repeated: an entry with port 99999 was taken for a target. An entry with slots, a start in the year 287396 or an unknown field nested 100,000 deep was taken too, and a configuration with version r99999999999999999999 applied and kept all later ones out.

Cause: the decoders checked the form of a value, not its range, and neither size nor depth of a record. An entry outside the ranges names no target and counts as a removal; a key that can't be an id is dropped (an id travels in a header, and makes up keys of the ledger, which hold 255 bytes); a configuration outside the ranges leaves the former one in force.

--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -4,6 +4,7 @@
 import type { Failure } from "../model/failure.js";
 import type { Offset, TargetId } from "../model/names.js";
 import type { RoutingConfig } from "../model/routing.js";
+import { isId } from "../model/valueSchemas.js";
 import type { LedgerChange } from "../ownership/ledger.js";
 import { decodeLedgerRecord } from "../ownership/ledger.js";
 import type { Clock } from "../model/time.js";
@@ -134,13 +135,13 @@
             return config === undefined ? [] : [{ config, offset }];
         });
 
-    /** Decodes entries of targets. One that cannot be decoded counts as a removal. */
-    const decodeTargets = (records: readonly StoreRecord[]): TargetChange[] => records.map(({ key, value, offset }) => {
+    /** Decodes entries of targets. One that cannot be decoded counts as a removal; a key that is no id names no target to remove. */
+    const decodeTargets = (records: readonly StoreRecord[]): TargetChange[] => records.flatMap(({ key, value, offset }) => {
         const decoded = value === undefined ? undefined : decoders.target(key, value);
         if (decoded?.isErr() === true) {
             log.warn("target entry cannot be decoded", { target: key, offset, why: decoded.error.message });
         }
-        return { targetId: key as TargetChange["targetId"], offset, entry: decoded?.unwrapOr(undefined) };
+        return isId(key) ? [{ targetId: key as TargetId, offset, entry: decoded?.unwrapOr(undefined) }] : [];
     });
 
     const decodeLedger = (records: readonly StoreRecord[]): LedgerChange[] => records.flatMap((record) => {
