An unexpected error ends an attempt, or is answered, and gives the slot back

Callers saw their connection closed with no answer, also for requests that may not be repeated, when an attempt raised an error: an address with port 99999 made `net.connect` raise ERR_SOCKET_BAD_PORT. The slot at the queue was never given back, so that each such request took one for good. The same happened to an answer with a header value that Node.js refuses to pass on, such as a control character.

Cause: what is raised while an attempt is prepared or run was neither an attempt that ended nor an answer. `attempt` never rejects now: an error ends it as `unreachable` if nothing can have been sent, as `lost` otherwise, and closes its connection, so that the usual rules follow (another target, 503, 502). The forwarder gives slots back on every way out and says whether the request has certainly not run; the listener then answers 503, else 502, and closes the connection only if a part of an answer was written. A keep-alive time over 10 minutes is not relied on.

--- a/src/entry/clientCall.ts
+++ b/src/entry/clientCall.ts
@@ -24,6 +24,9 @@
     fingerprint?: Fingerprint;
 }
 
+/** Thrown by what serves a request if the request has certainly reached no target, and will reach none. */
+export class RequestNotRunError extends Error {}
+
 /** The body of a request. */
 export interface RequestBody {
     /**
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -9,10 +9,14 @@
 import { abortReason } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import type { AnswerHead, ClientCall, Refusal, RefusalReason } from "./clientCall.js";
+import { RequestNotRunError } from "./clientCall.js";
 import { createRequestBody } from "./requestBody.js";
 
 const connectionCheckIntervalMs = 500;
 
+/** Retry delay sent to clients whose request did not run because of an unexpected error. */
+const retryAfterErrorMs = 250;
+
 /** Limits in force until a configuration is known. */
 const initialLimits: ClientLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 10_000, idleTimeoutMs: 15_000 };
 
@@ -54,8 +58,8 @@
     clock: Clock;
     /** Answers a request. */
     serve: (call: ClientCall) => Promise<void>;
-    /** Called with any error that `serve` throws. */
-    onUnexpectedError: (error: unknown) => void;
+    /** Called with any error that `serve` throws, and the call. */
+    onUnexpectedError: (error: unknown, call: ClientCall) => void;
 }
 
 /** The listener. */
@@ -97,7 +101,10 @@
             }
         };
         serve().catch((error: unknown) => {
-            dependencies.onUnexpectedError(error);
+            dependencies.onUnexpectedError(error, call);
+            refuseAfterError(call, response, error);
+        }).catch((error: unknown) => {
+            dependencies.onUnexpectedError(error, call);
             call.abortAnswer();
         });
     };
@@ -140,6 +147,20 @@
     };
 }
 
+/** Answers a request that could not be served because of an unexpected error; if a part of an answer was written, closes the connection. */
+function refuseAfterError(call: ClientCall, response: ServerResponse, error: unknown): void {
+    if (response.writableEnded) {
+        return;
+    }
+    if (response.headersSent) {
+        call.abortAnswer();
+        return;
+    }
+    call.refuse(error instanceof RequestNotRunError
+        ? { reason: "unreachable", retryAfterMs: retryAfterErrorMs }
+        : { reason: "lost", retryAfterMs: undefined });
+}
+
 /**
  * Waits two turns of the event loop, so that it polls its sockets once more. On an overloaded host a client may have left before its
  * request is read; the end of its connection is then read in the next turn.
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -1,5 +1,6 @@
 /** Runs one attempt: sends a request to a target and receives the response. */
 import type { AnswerHead, ClientCall } from "../entry/clientCall.js";
+import { describeFailure } from "../model/failure.js";
 import type { TargetEntry } from "../model/target.js";
 import type { Clock } from "../model/time.js";
 import type { ConnectionPool } from "./connectionPool.js";
@@ -33,13 +34,13 @@
     /** The response was streamed to the client and is complete. */
     | { kind: "streamed"; tookMs: number }
     /** The response broke off after a part of it had been sent to the client; the client's connection was closed. */
-    | { kind: "broken-off" }
+    | { kind: "broken-off"; error?: unknown }
     /** The target rejected the request without running it. */
     | { kind: "turned-away"; status: number; pauseMs?: number }
-    /** No connection could be opened; nothing was sent. */
-    | { kind: "unreachable"; why: string }
+    /** No connection could be opened; nothing was sent. `error` is set here and below if the attempt ended by an unexpected error. */
+    | { kind: "unreachable"; why: string; error?: unknown }
     /** The request was sent, and no complete, valid response arrived. */
-    | { kind: "lost"; why: string }
+    | { kind: "lost"; why: string; error?: unknown }
     /** The request was sent, and the response was not complete within the timeout. */
     | { kind: "timed-out" }
     /** Given up because a slot for a retry was reserved, before the response was complete and before any of it was sent to the client. */
@@ -48,6 +49,15 @@
     | { kind: "body-broken" }
     | { kind: "client-left" };
 
+/** How far an attempt has got; it decides how the attempt ends if an unexpected error is raised. */
+interface AttemptProgress {
+    connection: TargetConnection | undefined;
+    /** True once any part of the request may have been sent. */
+    isSent: boolean;
+    /** True once a part of the response has been sent to the client. */
+    isStreaming: boolean;
+}
+
 /** Describes the end of an attempt in a log line. */
 export function describeEnd(end: AttemptEnd): string {
     return "why" in end ? `${end.kind}: ${end.why}` : end.kind;
@@ -81,13 +91,14 @@
 }
 
 /**
- * Sends a request to a target and receives the response.
+ * Sends a request to a target and receives the response. Never rejects: an unexpected error ends the attempt.
  * @param request the request, its target and the limits of the attempt
  */
 export async function attempt(dependencies: AttemptDependencies, request: AttemptRequest): Promise<AttemptEnd> {
     const { call, target } = request;
     const { timeoutMs, giveUpPolicy } = request;
     const interrupt = createInterrupt({ clientLeft: request.cancelIfClientLeaves ? call.clientLeft : undefined, timeoutMs, giveUpPolicy });
+    const progress: AttemptProgress = { connection: undefined, isSent: false, isStreaming: false };
     try {
         const opening = dependencies.pool.acquire(target.address, request.maxIdleMs);
         const opened = await Promise.race([opening, interrupt.raised]);
@@ -98,21 +109,35 @@
             return endBeforeSending[opened];
         }
         if (opened.isErr()) {
-            return { kind: "unreachable", why: opened.error.message };
+            return { kind: "unreachable", why: describeFailure(opened.error) };
         }
-        const connection = opened.value;
-        const end = await sendAndReceive(dependencies, request, connection, interrupt);
-        dependencies.pool.release(target.address, connection);
+        progress.connection = opened.value;
+        const end = await sendAndReceive(dependencies, request, opened.value, interrupt, progress);
+        dependencies.pool.release(target.address, opened.value);
         if (end.kind === "timed-out" || end.kind === "given-up") {
             dependencies.pool.closeIdle(target.address);
         }
         return end;
     }
+    catch (error) {
+        return endByError(request, progress, error);
+    }
     finally {
         interrupt.release();
     }
 }
 
+/** Ends an attempt by an unexpected error: what may have been sent is lost, and nothing more is read from the connection. */
+function endByError({ call, target }: AttemptRequest, { connection, isSent, isStreaming }: AttemptProgress, error: unknown): AttemptEnd {
+    connection?.destroy();
+    if (isStreaming) {
+        call.abortAnswer();
+        return { kind: "broken-off", error };
+    }
+    const why = `${isSent ? "forward" : "connect"} with ${target.address}: unexpected error: ${String(error)}`;
+    return { kind: isSent ? "lost" : "unreachable", why, error };
+}
+
 const endBeforeSending: { [Reason in InterruptReason]: AttemptEnd } = {
     "client-left": { kind: "client-left" },
     "timed-out": { kind: "unreachable", why: "connection was not opened in time" },
@@ -128,11 +153,14 @@
 
 async function sendAndReceive(
     dependencies: AttemptDependencies, request: AttemptRequest, connection: TargetConnection, interrupt: Interrupt,
+    progress: AttemptProgress,
 ): Promise<AttemptEnd> {
     const startedMs = dependencies.clock.now().monoMs;
+    const requestHead = requestHeadOf(dependencies.dialect, request);
+    progress.isSent = true;
     const exchange = connection.start({
         method: request.call.method,
-        head: requestHeadOf(dependencies.dialect, request),
+        head: requestHead,
         body: request.body,
         hasMore: request.body === undefined,
         isAnswer: (head) => dependencies.dialect.isAnswerTo(head, request.call.requestId),
@@ -148,13 +176,14 @@
         return { kind: "lost", why: head.error.message };
     }
     dependencies.onNotice(request.target, dependencies.dialect.noticeOf(head.value), startedMs);
-    const end = await receiveResponse(dependencies, request, exchange, head.value, interrupt);
+    const end = await receiveResponse(dependencies, request, exchange, head.value, interrupt, progress);
     const tookMs = dependencies.clock.now().monoMs - startedMs;
     return "tookMs" in end ? { ...end, tookMs } : end;
 }
 
 async function receiveResponse(
     dependencies: AttemptDependencies, { call }: AttemptRequest, exchange: Exchange, head: ResponseHead, interrupt: Interrupt,
+    progress: AttemptProgress,
 ): Promise<AttemptEnd> {
     const responseClass = dependencies.dialect.classify(head);
     if (responseClass === "not-run") {
@@ -166,34 +195,33 @@
     }
     const buffered: Buffer[] = [];
     let bufferedBytes = 0;
-    let isStreaming = false;
     let receivedBytes = 0;
     const maxBytes = contentLengthOf(head) ?? maxUnknownLengthBytes;
     for (;;) {
         const piece = await Promise.race([exchange.read(), interrupt.raised]);
         if (typeof piece === "string") {
-            return isStreaming ? abortAnswer(call) : endAfterSending[piece];
+            return progress.isStreaming ? abortAnswer(call) : endAfterSending[piece];
         }
         if (piece.isErr()) {
-            return isStreaming ? abortAnswer(call) : { kind: "lost", why: piece.error.message };
+            return progress.isStreaming ? abortAnswer(call) : { kind: "lost", why: piece.error.message };
         }
         if (piece.value === undefined) {
-            return finishResponse(call, head, buffered, isStreaming);
+            return finishResponse(call, head, buffered, progress.isStreaming);
         }
         receivedBytes += piece.value.length;
         if (receivedBytes > maxBytes) {
-            return isStreaming ? abortAnswer(call) : { kind: "lost", why: "response body exceeds the size limit" };
+            return progress.isStreaming ? abortAnswer(call) : { kind: "lost", why: "response body exceeds the size limit" };
         }
-        if (isStreaming) {
+        if (progress.isStreaming) {
             await call.writeAnswer(piece.value);
             continue;
         }
         buffered.push(piece.value);
         bufferedBytes += piece.value.length;
         if (bufferedBytes > maxBufferedAnswerBytes) {
-            isStreaming = true;
             interrupt.preventGiveUp();
             call.beginAnswer(answerHeadOf(head, contentLengthOf(head)));
+            progress.isStreaming = true;
             await call.writeAnswer(Buffer.concat(buffered));
         }
     }
--- a/src/forwarding/connectionPool.ts
+++ b/src/forwarding/connectionPool.ts
@@ -13,6 +13,9 @@
 /** Share of the target's keep-alive time for which an idle connection is used; the rest allows for the network delay to the target. */
 const usableKeepAliveShare = 0.7;
 
+/** A longer keep-alive time of a target is not relied on. */
+const maxKeepAliveMs = 600_000;
+
 const connectTimeoutMs = 400;
 const sweepIntervalMs = 1_000;
 
@@ -61,7 +64,7 @@
     };
 
     const isUsable = ({ connection, idleSinceMs }: IdleConnection, maxIdleMs: number, nowMs: number): boolean => {
-        const limitMs = (connection.keepAliveMs ?? defaultKeepAliveMs) * usableKeepAliveShare;
+        const limitMs = Math.min(connection.keepAliveMs ?? defaultKeepAliveMs, maxKeepAliveMs) * usableKeepAliveShare;
         return connection.reusable && nowMs - idleSinceMs < Math.min(limitMs, maxIdleMs);
     };
 
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -5,6 +5,7 @@
 import type { CrashObserver } from "../crashes/crashObserver.js";
 import type { CrashEvidence, Standing } from "../crashes/crashEvidence.js";
 import type { ClientCall, Refusal } from "../entry/clientCall.js";
+import { RequestNotRunError } from "../entry/clientCall.js";
 import type { LoadMeter } from "../ownership/loadMeter.js";
 import type { DataCentreId } from "../model/names.js";
 import { linkAborts } from "../model/signal.js";
@@ -66,7 +67,10 @@
 
 /** Serves client requests. */
 export interface Forwarder {
-    /** Serves one request; resolves once the client has been answered or has left. */
+    /**
+     * Serves one request; resolves once the client has been answered or has left. After an unexpected error it rejects with a
+     * `RequestNotRunError` if the request has certainly not run, otherwise with the error.
+     */
     serve(call: ClientCall): Promise<void>;
     /** Called when this host begins to shut down: from then on no running attempt is given up for a retry. */
     startShutdown(): void;
@@ -171,11 +175,19 @@
             { placer, getRetryTerms: retryTerms, isShuttingDown: () => isShuttingDown }, context, slot);
         const startedMs = nowMs();
         const end = await runAttempt(context, slot, reservation);
-        requestLog.attemptEnded(slot.target.targetId, end);
-        observeEnd(context, slot.target, startedMs, end);
-        const retrySlot = reservation.close(end.kind === "given-up");
-        if (retrySlot !== slot) {
-            slot.release(workEndOf(end, nowMs() - startedMs));
+        context.mayHaveRun ||= mayHaveRun(end);
+        let retrySlot: TargetSlot | undefined;
+        let isRecorded = false;
+        try {
+            requestLog.attemptEnded(slot.target.targetId, end);
+            observeEnd(context, slot.target, startedMs, end);
+            isRecorded = true;
+        }
+        finally {
+            retrySlot = reservation.close(isRecorded && end.kind === "given-up");
+            if (retrySlot !== slot) {
+                slot.release(workEndOf(end, nowMs() - startedMs));
+            }
         }
         return { end, retrySlot };
     };
@@ -227,17 +239,33 @@
                 waitAbort.abort();
             }
         });
-        const placement = await placer.place(context, waitAbort.signal);
-        stopListening();
-        waitAbort.release();
-        return placement;
+        try {
+            return await placer.place(context, waitAbort.signal);
+        }
+        finally {
+            stopListening();
+            waitAbort.release();
+        }
+    };
+
+    /** As `quarantineRefusal`, for a request that has a placement; on an unexpected error its slot is given back. */
+    const quarantineRefusalOfPlaced = (context: RequestContext, placement: Placement): Refusal | undefined => {
+        try {
+            return quarantineRefusal(context);
+        }
+        catch (error) {
+            if (placement.kind === "placed") {
+                placement.release({ kind: "dropped" });
+            }
+            throw error;
+        }
     };
 
     /** Finds a slot, unless the request is quarantined before there is one. */
     const placeUnlessQuarantined = async (context: RequestContext, reservedSlot: TargetSlot | undefined): Promise<Placement> => {
         for (;;) {
             const placement = reservedSlot ?? await placeWhileNotQuarantined(context);
-            const refusal = quarantineRefusal(context);
+            const refusal = quarantineRefusalOfPlaced(context, placement);
             if (refusal !== undefined && placement.kind === "placed") {
                 placement.release({ kind: "dropped" });
             }
@@ -253,6 +281,17 @@
         }
     };
 
+    /** Logs that a request is sent again in a slot that is reserved for it; on an unexpected error the slot is given back. */
+    const recordRetry = ({ call, route }: RequestContext, { target }: TargetSlot, end: AttemptEnd, reservedSlot: TargetSlot) => {
+        try {
+            requestLog.retried(call, route, target.targetId, end);
+        }
+        catch (error) {
+            reservedSlot.release({ kind: "dropped" });
+            throw error;
+        }
+    };
+
     const runAttempts = async (context: RequestContext): Promise<void> => {
         let possiblyExecuted: AttemptEnd | undefined;
         let reservedSlot: TargetSlot | undefined;
@@ -271,7 +310,7 @@
             possiblyExecuted = mayHaveRun(end) ? moreInformativeEnd(possiblyExecuted, end) : possiblyExecuted;
             reservedSlot = retrySlot;
             if (reservedSlot !== undefined) {
-                requestLog.retried(context.call, context.route, placement.target.targetId, end);
+                recordRetry(context, placement, end, reservedSlot);
                 continue;
             }
             switch (nextStep({ ...retryTerms(context, context.expectedMs), end, idempotent: context.route.idempotent })) {
@@ -295,16 +334,23 @@
         }
     };
 
-    return {
-        serve: async (call) => {
-            const context = await prepare(call);
-            if (context === undefined) {
-                return;
+    const serve = async (call: ClientCall): Promise<void> => {
+        let context: RequestContext | undefined;
+        try {
+            context = await prepare(call);
+            if (context !== undefined) {
+                dependencies.retries.onRequest(context.service.serviceId);
+                countLoad(context);
+                await runAttempts(context);
             }
-            dependencies.retries.onRequest(context.service.serviceId);
-            countLoad(context);
-            await runAttempts(context);
-        },
+        }
+        catch (error) {
+            throw context?.mayHaveRun === true ? error : new RequestNotRunError("unexpected error before the request ran", { cause: error });
+        }
+    };
+
+    return {
+        serve,
         startShutdown: () => {
             isShuttingDown = true;
         },
--- a/src/forwarding/requestContext.ts
+++ b/src/forwarding/requestContext.ts
@@ -21,6 +21,8 @@
     attemptCount: number;
     /** Targets of these attempts. */
     triedTargetIds: Set<TargetId>;
+    /** True if the request may have run in any of these attempts. */
+    mayHaveRun: boolean;
     /** Expected duration of the current attempt or, between attempts, of the next one. */
     expectedMs: number;
 }
--- a/src/forwarding/requestPreparation.ts
+++ b/src/forwarding/requestPreparation.ts
@@ -62,7 +62,8 @@
             getFingerprints: () => fingerprints ??= fingerprintsOf(call, body.bytes, attemptHeaders),
             softDeadlineMs: receivedMs + route.targetLatencyMs - clientWaits.estimateWaitMs(route.routeId, call.budgetMs, receivedMs),
             deadlineMs: receivedMs + Math.min(call.budgetMs ?? Number.POSITIVE_INFINITY, route.timeoutMs),
-            attemptCount: 0, triedTargetIds: new Set(), expectedMs: workTimes.meanMs(route.routeId, typicalWorkMs(route)),
+            attemptCount: 0, triedTargetIds: new Set(), mayHaveRun: false,
+            expectedMs: workTimes.meanMs(route.routeId, typicalWorkMs(route)),
         },
     };
 }
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -12,6 +12,7 @@
 import { createPeerLinks } from "../cluster/peerLinks.js";
 import { CrashEvidence } from "../crashes/crashEvidence.js";
 import { createCrashObserver } from "../crashes/crashObserver.js";
+import { RequestNotRunError } from "../entry/clientCall.js";
 import { createClientHttp } from "../entry/clientHttp.js";
 import { ownDialect } from "../entry/ownDialect.js";
 import { createConnectionPool } from "../forwarding/connectionPool.js";
@@ -43,6 +44,8 @@
 /** Number of characters in a run id. */
 const runIdLength = 8;
 
+const maxLoggedPathChars = 200;
+
 /** Implementations that the platform's adapter provides. */
 export interface HostAdapters {
     clientDialect: ClientDialect;
@@ -165,8 +168,12 @@
             dialects: from.resolve(tokens.clientDialects),
             clock: from.resolve(tokens.clock),
             serve: (call) => from.resolve(tokens.forwarder).serve(call),
-            onUnexpectedError: (error) => {
-                log.error("unexpected error", { why: error instanceof Error ? error.stack : String(error) });
+            onUnexpectedError: (error, { requestId, method, path }) => {
+                const cause = error instanceof Error ? error.cause ?? error : error;
+                log.error("unexpected error", {
+                    request: requestId, method, path: path.slice(0, maxLoggedPathChars), notRun: error instanceof RequestNotRunError,
+                    why: cause instanceof Error ? cause.stack : String(cause),
+                });
             },
         });
     });
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -19,6 +19,8 @@
     ledgerStatus: (nowMs: number) => { ledgerUpTo: number; ageMs: number };
 }
 
+const maxLoggedStackChars = 2_000;
+
 /** Creates the recorder. */
 export function createRequestRecorder({ log, metrics, clock, configVersion, ledgerStatus }: RequestRecorderDependencies): RequestLog {
     const commonFields = (call: ClientCall) => {
@@ -50,6 +52,12 @@
         },
         attemptEnded: (targetId, end) => {
             metrics.attempts.inc({ target: targetId, end: end.kind });
+            if ("error" in end && end.error !== undefined) {
+                const stack = end.error instanceof Error ? end.error.stack : undefined;
+                log.error("attempt ended by an unexpected error", {
+                    target: targetId, end: describeEnd(end), stack: stack?.slice(0, maxLoggedStackChars),
+                });
+            }
         },
         clientLeft: (call, route, triedTargetIds: ReadonlySet<TargetId>) => {
             metrics.requests.inc({ route: route.routeId, outcome: "left", reason: "" });
