--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,8 +12,6 @@
     "src/cluster/messages.ts": ["admission/admissionServer.js"],
     "src/cluster/node.ts": ["admission/admissionServer.js"],
     "src/entry/clientCall.ts": ["crashes/requestFingerprint.js"],
-    "src/entry/clientHttp.ts": ["forwarding/dialect.js", "forwarding/hopByHop.js"],
-    "src/entry/ownDialect.ts": ["forwarding/dialect.js"],
     "src/observe/requestLog.ts": ["forwarding/attempt.js", "forwarding/statedRateLimits.js"],
     "src/observe/requestRecorder.ts": ["forwarding/attempt.js", "forwarding/statedRateLimits.js"],
     "src/store/clusterView.ts": ["ownership/ledger.js"],
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -3,10 +3,11 @@
 import http from "node:http";
 import type { Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
-import type { ClientDialect } from "../forwarding/dialect.js";
+import type { ClientDialect } from "./clientDialect.js";
 import type { ClientLimits } from "../model/routing.js";
 import type { Clock } from "../model/time.js";
 import type { ClientCall } from "./clientCall.js";
+import { RequestNotRunError } from "./clientCall.js";
 import type { ClientConnection, Denial, DenialReason, ParserError } from "./clientConnection.js";
 import {
     addExchange, createClientConnection, denialReasonOf, endAfterResponses, excerptOf, statusByDenial, summarizeConnection,
@@ -15,6 +16,9 @@
 
 const connectionCheckIntervalMs = 500;
 
+/** Retry delay sent to clients whose request did not run because of an unexpected error. */
+const retryAfterErrorMs = 250;
+
 /** Limits applied until a configuration is known. */
 const initialLimits: ClientLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 10_000, idleTimeoutMs: 15_000 };
 
@@ -37,8 +41,8 @@
     serve: (call: ClientCall) => Promise<void>;
     /** Called for each answer to input that is not passed to `serve`. */
     onDenied: (denial: Denial) => void;
-    /** Called with any error that `serve` throws. */
-    onUnexpectedError: (error: unknown) => void;
+    /** Called with any error that `serve` throws, and the call. */
+    onUnexpectedError: (error: unknown, call: ClientCall) => void;
 }
 
 /** The listener. */
@@ -139,7 +143,10 @@
             }
         };
         serve().catch((error: unknown) => {
-            dependencies.onUnexpectedError(error);
+            dependencies.onUnexpectedError(error, call);
+            refuseAfterError(call, response, error);
+        }).catch((error: unknown) => {
+            dependencies.onUnexpectedError(error, call);
             call.abortAnswer();
         });
     };
@@ -190,6 +197,20 @@
     };
 }
 
+/** Answers a request that could not be served because of an unexpected error; if a part of an answer was written, closes the connection. */
+function refuseAfterError(call: ClientCall, response: ServerResponse, error: unknown): void {
+    if (response.writableEnded) {
+        return;
+    }
+    if (response.headersSent) {
+        call.abortAnswer();
+        return;
+    }
+    call.refuse(error instanceof RequestNotRunError
+        ? { reason: "unreachable", retryAfterMs: retryAfterErrorMs }
+        : { reason: "lost", retryAfterMs: undefined });
+}
+
 /**
  * Waits two turns of the event loop, so that it polls its sockets once more. On an overloaded host a client may have left before its
  * request is read; the end of its connection is then read in the next turn.
--- a/src/entry/httpClientCall.ts
+++ b/src/entry/httpClientCall.ts
@@ -1,8 +1,8 @@
 /** One request on an HTTP/1.1 connection, and its response. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import http from "node:http";
-import type { ClientDialect } from "../forwarding/dialect.js";
-import { withoutHopByHop } from "../forwarding/hopByHop.js";
+import type { ClientDialect } from "./clientDialect.js";
+import { withoutHopByHop } from "./hopByHop.js";
 import type { ClientLimits } from "../model/routing.js";
 import { abortReason } from "../model/signal.js";
 import type { Instant } from "../model/time.js";
--- a/src/entry/ownDialect.ts
+++ b/src/entry/ownDialect.ts
@@ -1,7 +1,7 @@
 /** The project's own interface for clients, as docs/INTERFACE.md describes it. */
 import { v4 as newUuid } from "uuid";
 import { ownPathPrefix } from "../config/compile.js";
-import type { ClientDialect } from "../forwarding/dialect.js";
+import type { ClientDialect } from "./clientDialect.js";
 import type { Key, RequestId } from "../model/names.js";
 import { maxKey } from "../model/names.js";
 import { hash } from "../model/rendezvous.js";
--- a/src/forwarding/requestPreparation.ts
+++ b/src/forwarding/requestPreparation.ts
@@ -6,7 +6,7 @@
 import type { Splitter } from "../routing/splitter.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { ClientWaitEstimator } from "./clientWaitEstimator.js";
-import { withoutHeaders } from "./hopByHop.js";
+import { withoutHeaders } from "../entry/hopByHop.js";
 import type { RequestContext } from "./requestContext.js";
 import type { WorkTimes } from "./workTimes.js";
 import { typicalWorkMs } from "./workTimes.js";
@@ -62,7 +62,7 @@
             getFingerprints: () => fingerprints ??= fingerprintsOf(call, body.bytes, attemptHeaders),
             softDeadlineMs: receivedMs + route.targetLatencyMs - clientWaits.estimateWaitMs(route.routeId, call.budgetMs, receivedMs),
             deadlineMs: receivedMs + Math.min(call.budgetMs ?? Number.POSITIVE_INFINITY, route.timeoutMs),
-            attemptCount: 0, triedTargetIds: new Set(), rejectedOn: new Set(),
+            attemptCount: 0, triedTargetIds: new Set(), rejectedOn: new Set(), mayHaveRun: false,
             expectedMs: workTimes.meanMs(route.routeId, typicalWorkMs(route)),
         },
     };
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -12,10 +12,12 @@
 import { createPeerLinks } from "../cluster/peerLinks.js";
 import { CrashEvidence } from "../crashes/crashEvidence.js";
 import { createCrashObserver } from "../crashes/crashObserver.js";
+import { RequestNotRunError } from "../entry/clientCall.js";
 import { createClientHttp } from "../entry/clientHttp.js";
 import { ownDialect } from "../entry/ownDialect.js";
 import { createConnectionPool } from "../forwarding/connectionPool.js";
-import type { ClientDialect, TargetDialect } from "../forwarding/dialect.js";
+import type { ClientDialect } from "../entry/clientDialect.js";
+import type { TargetDialect } from "../forwarding/dialect.js";
 import { createForwarder } from "../forwarding/forwarder.js";
 import { probeTarget } from "../forwarding/targetProbe.js";
 import type { RunId } from "../model/names.js";
@@ -44,6 +46,8 @@
 /** Number of characters in a run id. */
 const runIdLength = 8;
 
+const maxLoggedPathChars = 200;
+
 /** Implementations that the platform's adapter provides. */
 export interface HostAdapters {
     clientDialect: ClientDialect;
@@ -167,8 +171,12 @@
             clock: from.resolve(tokens.clock),
             serve: (call) => from.resolve(tokens.forwarder).serve(call),
             onDenied: createDenialRecorder(log, from.resolve(tokens.metrics)),
-            onUnexpectedError: (error) => {
-                log.error("unexpected error", { why: error instanceof Error ? error.stack : String(error) });
+            onUnexpectedError: (error, { requestId, method, path }) => {
+                const cause = error instanceof Error ? error.cause ?? error : error;
+                log.error("unexpected error", {
+                    request: requestId, method, path: path.slice(0, maxLoggedPathChars), notRun: error instanceof RequestNotRunError,
+                    why: cause instanceof Error ? cause.stack : String(cause),
+                });
             },
         });
     });
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -26,6 +26,8 @@
     ledgerStatus: (nowMs: number) => { ledgerUpTo: number; ageMs: number };
 }
 
+const maxLoggedStackChars = 2_000;
+
 /** Creates the recorder. */
 export function createRequestRecorder({ log, metrics, clock, configVersion, ledgerStatus }: RequestRecorderDependencies): RequestLog {
     const commonFields = (call: ClientCall) => {
@@ -59,6 +61,12 @@
         },
         attemptEnded: (targetId, end) => {
             metrics.attempts.inc({ target: targetId, end: end.kind });
+            if ("error" in end && end.error !== undefined) {
+                const stack = end.error instanceof Error ? end.error.stack : undefined;
+                log.error("attempt ended by an unexpected error", {
+                    target: targetId, end: describeEnd(end), stack: stack?.slice(0, maxLoggedStackChars),
+                });
+            }
         },
         responseUnproven: (call, targetId, status) => {
             metrics.unprovenResponses.inc({ target: targetId, status: String(status) });
--- a/test/forwarding/retryPolicy.spec.ts
+++ b/test/forwarding/retryPolicy.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { RetryBudget } from "../../src/admission/retryBudget.js";
 import type { AttemptEnd } from "../../src/forwarding/attempt.js";
-import { withoutHopByHop } from "../../src/forwarding/hopByHop.js";
+import { withoutHopByHop } from "../../src/entry/hopByHop.js";
 import type { RetrySituation } from "../../src/forwarding/retryPolicy.js";
 import { nextStep } from "../../src/forwarding/retryPolicy.js";
 import { WorkTimes } from "../../src/forwarding/workTimes.js";
