A lost range is cut by its load also when four targets remain

With exactly four targets to choose from, every range of a lost or leaving target was cut into four, however idle: four moves, four ranges to grant and renew, four handovers, where one would do. The same for a target with a rate limit that may begin as many moves as there are destinations. Cause: split() took 'as many pieces as destinations', which the first assignment asks for, from the limit being equal to their number, and the largest number of pieces is four too.

split() cuts into a given number now, splitByLoad() by load up to a limit. planner.spec, an idle range of a quarter of the keys with 2 to 6 targets left: 1, 1, 4, 1, 1 pieces before; 1 each now.

--- a/src/ownership/planner.ts
+++ b/src/ownership/planner.ts
@@ -11,7 +11,7 @@
 import type { Move, PlannerInput, TargetLoad } from "./plannerInput.js";
 import { reliefUtilization, utilization } from "./plannerInput.js";
 import { overlaps, overlapsAny, withoutRange } from "./ranges.js";
-import { maxPieces, split } from "./rangeSplitting.js";
+import { maxPieces, split, splitByLoad } from "./rangeSplitting.js";
 import { relieveRateLimited } from "./rateLimitRelief.js";
 
 /** Smallest gain of a move for balance, in the unit of `congestion`. */
@@ -85,8 +85,10 @@
 function assignUnowned(input: PlannerInput, destinations: readonly TargetLoad[]): Move[] {
     const gaps = gapsOf(input.ranges).filter((range) => !overlapsAny(range, input.moving));
     const isFirstAssignment = input.ranges.length === 0;
-    return gaps.flatMap((range) => split(range, input.loads, destinations, isFirstAssignment ? destinations.length : maxPieces)
-        .map(({ piece, to }) => ({ range: piece, from: undefined, to, reason: "unowned" as const })));
+    return gaps.flatMap((range) => (isFirstAssignment
+        ? split(range, input.loads, destinations, destinations.length)
+        : splitByLoad(range, input.loads, destinations, maxPieces)
+    ).map(({ piece, to }) => ({ range: piece, from: undefined, to, reason: "unowned" as const })));
 }
 
 function reassignDisplaced(
@@ -98,7 +100,7 @@
     });
     return displaced.flatMap((range) => {
         const isLeaving = targetLoads.get(range.targetId)?.target.standing === "leaving";
-        return split(range, input.loads, destinations, maxPieces).map(({ piece, to }): Move =>
+        return splitByLoad(range, input.loads, destinations, maxPieces).map(({ piece, to }): Move =>
             ({ range: piece, from: isLeaving ? range.targetId : undefined, to, reason: isLeaving ? "leaving" : "unowned" }));
     });
 }
--- a/src/ownership/rangeSplitting.ts
+++ b/src/ownership/rangeSplitting.ts
@@ -16,11 +16,18 @@
     to: TargetId;
 }
 
-/** Cuts a range into at most `limit` pieces of similar load and assigns each to the target that then has the lowest utilization. */
-export function split(range: KeyRange, loads: KeyLoads, destinations: readonly TargetLoad[], limit: number): AssignedPiece[] {
-    const total = loads.loadOf(range);
+/**
+ * Cuts a range into as many pieces of similar load as its load needs, and assigns each to the target that then has the lowest utilization.
+ * @param limit largest number of pieces
+ */
+export function splitByLoad(range: KeyRange, loads: KeyLoads, destinations: readonly TargetLoad[], limit: number): AssignedPiece[] {
     const meanCapacity = destinations.reduce((sum, { target }) => sum + target.capacity, 0) / destinations.length;
-    const count = Math.max(1, Math.min(limit, limit === destinations.length ? limit : Math.ceil(total / (meanCapacity * pieceShare))));
+    const neededCount = Math.ceil(loads.loadOf(range) / (meanCapacity * pieceShare));
+    return split(range, loads, destinations, Math.max(1, Math.min(limit, neededCount)));
+}
+
+/** Cuts a range into pieces of similar load and assigns each to the target that then has the lowest utilization. */
+export function split(range: KeyRange, loads: KeyLoads, destinations: readonly TargetLoad[], count: number): AssignedPiece[] {
     const result: AssignedPiece[] = [];
     let from = range.from;
     for (let index = 0; index < count && from <= range.to; index++) {
--- a/src/ownership/rateLimitRelief.ts
+++ b/src/ownership/rateLimitRelief.ts
@@ -5,7 +5,7 @@
  */
 import type { Move, PlannerInput, TargetLoad } from "./plannerInput.js";
 import { reliefUtilization, utilization } from "./plannerInput.js";
-import { maxPieces, split } from "./rangeSplitting.js";
+import { maxPieces, splitByLoad } from "./rangeSplitting.js";
 import { overlapsAny } from "./ranges.js";
 
 /** A target that can do less than this under its rate limit, in slots, keeps no keys: lease calls would use much of the limit. */
@@ -47,7 +47,7 @@
     for (const [index, range] of movable.entries()) {
         const neededForOthers = movable.length - index - 1;
         const pieceLimit = Math.min(maxPieces, target.maxMoves - moves.length - neededForOthers);
-        for (const { piece, to } of split(range, loads, destinations, pieceLimit)) {
+        for (const { piece, to } of splitByLoad(range, loads, destinations, pieceLimit)) {
             moves.push({ range: piece, from: target.targetId, to, reason: "rate-limit" });
         }
     }
--- a/test/ownership/planner.spec.ts
+++ b/test/ownership/planner.spec.ts
@@ -68,6 +68,18 @@
         expect(new Set(moves.map(({ to }) => to)).size).to.be.above(1);
     });
 
+    it("cuts the range of a lost target into as many pieces as its load needs, whatever the number of targets", () => {
+        const pieceCounts = [2, 3, 4, 5, 6].map((count) => {
+            const others = Array.from({ length: count }, (_, index) => target(`other-${String(index)}`));
+            const ranges = others.map(({ targetId }, index) => owned(targetId, 16_384 + index, 16_384 + index));
+            return planMoves({
+                targets: [target("lost", "free"), ...others], loads: new KeyLoads(), ...noMoves,
+                ranges: [owned("lost", 0, 16_383), ...ranges, owned("other-0", 16_384 + count, maxKey)],
+            }).length;
+        });
+        expect(pieceCounts).to.deep.equal([1, 1, 1, 1, 1]);
+    });
+
     it("moves the keys of a leaving target away from it, and none of a target whose state is uncertain", () => {
         const targets = [target("a", "leaving"), target("b", "unsure"), target("c"), target("d")];
         const moves = planMoves({ targets, ranges: quarters, loads: new KeyLoads(), ...noMoves });
