Work that is reported within the millisecond of a plan counts in the next one

Loads by key are summed up once per instant. A report that arrived in the same millisecond as such a sum, or with an earlier time, was added to the keys but not to the sum, so that a plan at that time saw the load from before: at a coordinator with many hosts, whose reports come together, those after the first.

Adding work makes the sum invalid. planner.spec: 4 slots of work on a key, added at the time of the last sum, were 0 before and are above 1 now.

--- a/src/ownership/keyLoads.ts
+++ b/src/ownership/keyLoads.ts
@@ -62,6 +62,7 @@
     add(pairs: readonly number[], nowMs: number): void {
         this.advanceTo(nowMs);
         this.hasAddedWork ||= pairs.length > 0;
+        this.arePrefixSumsValid &&= pairs.length === 0;
         for (let index = 0; index + 1 < pairs.length; index += 2) {
             const key = pairs[index] as number;
             const workMs = pairs[index + 1] as number;
--- a/test/ownership/planner.spec.ts
+++ b/test/ownership/planner.spec.ts
@@ -261,6 +261,15 @@
         expect(loads.loadOf(range(7, 7))).to.be.above(2);
     });
 
+    it("shows work that is added within the millisecond of the last evaluation", () => {
+        const loads = loadsOf([{ key: 1, perSecond: 5, workMs: 90 }], 10);
+        const nowMs = 10_000;
+        loads.advanceTo(nowMs);
+        const before = loads.loadOf(range(7, 7));
+        loads.add([7, 4 * 300], nowMs);
+        expect(loads.loadOf(range(7, 7)) - before).to.be.above(1);
+    });
+
     it("drops the load of a key that receives no more requests", () => {
         const loads = loadsOf([{ key: 7, perSecond: 50, workMs: 90 }], 4);
         loads.advanceTo(4_000 + 10_000);
