The ledger writer sends nothing when there is nothing to record

When the owner of unowned keys turned out to hold them after all (its end had to be confirmed, and it answered meanwhile), the coordinator recorded the new owners of no range: an append without records, a call that costs as much as any other, holds up the appends behind it by 40 ms, and marks the store as failing if it is refused.

The writer reports an empty list as done without a call. ledgerWriter.spec, with a store that refuses appends: assign([]) failed and was one append before; it succeeds without one now, and the store still counts as responding.

--- a/src/ownership/ledgerWriter.ts
+++ b/src/ownership/ledgerWriter.ts
@@ -242,6 +242,10 @@
     });
 
     const enqueue = (changes: LedgerChanges, onStoreFailure: StoreFailurePolicy) => new Promise<Result<void, Failure>>((settle) => {
+        if (changes.assignments.length + changes.records.length === 0) {
+            settle(ok(undefined));
+            return;
+        }
         if (onStoreFailure === "refuse" && !isStoreResponding(clock.now().monoMs)) {
             settle(err(storeUnavailable));
             return;
--- a/test/ownership/ledgerWriter.spec.ts
+++ b/test/ownership/ledgerWriter.spec.ts
@@ -96,6 +96,20 @@
         expect(appends).to.be.at.most(6);
     });
 
+    it("appends nothing when there is nothing to record, also while the store fails", async () => {
+        let appends = 0;
+        const { writer, isStoreResponding } = setUp(() => {
+            appends += 1;
+            return Promise.resolve(err(failure("refused", "store-append", "store", "status 400")));
+        });
+        expect((await writer.assign([], "wait")).isOk()).to.equal(true);
+        expect((await writer.record([])).isOk()).to.equal(true);
+        expect([appends, isStoreResponding()]).to.deep.equal([0, true]);
+        await writer.assign([assignment], "wait");
+        expect([appends, isStoreResponding()]).to.deep.equal([1, false]);
+        expect((await writer.assign([], "refuse")).isOk()).to.equal(true);
+    });
+
     it("does not report a store as failing that is slow but answers, and records assignments", async () => {
         const { clock, writer, isStoreResponding } = setUp(async (sent) => {
             await clock.sleep(360);
