--- a/test/platform/ctl.spec.ts
+++ b/test/platform/ctl.spec.ts
@@ -1,10 +1,9 @@
-import { execFile } from "node:child_process";
 import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { once } from "node:events";
 import http from "node:http";
 import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
-import { join, resolve as resolvePath } from "node:path";
+import { join } from "node:path";
 import { expect } from "chai";
 import { stringify } from "yaml";
 import type { StoreStandIn } from "../../platform/standins/storeStandIn.js";
@@ -21,27 +20,13 @@
 import { ClusterView } from "../../src/store/clusterView.js";
 import { createTopicReader } from "../../src/store/topicReader.js";
 import { sampleDocument } from "../config/sample.js";
+import { run } from "./ctlProcess.js";
 
-const program = resolvePath("target/hornbeamctl.cjs");
 const silentLog = { info: () => undefined, warn: () => undefined, error: () => undefined };
 const loopback = "127.0.0.1";
 const fingerprint = "aB3_fingerprint-";
 const note = ["--author", "ops", "--reason", "a test"];
 
-interface Run {
-    exitCode: number;
-    stdout: string;
-    stderr: string;
-}
-
-function run(args: readonly string[], environment: Record<string, string> = {}, options: { cwd?: string } = {}): Promise<Run> {
-    return new Promise((resolve) => {
-        const child = execFile(process.execPath, [program, ...args], { env: environment, ...options }, (_error, stdout, stderr) => {
-            resolve({ exitCode: child.exitCode ?? -1, stdout, stderr });
-        });
-    });
-}
-
 /** One way to call a verb, and what it prints. The words of the verb come first in `args`. */
 interface Call {
     verb: string;
