--- a/test/platform/ctl.spec.ts
+++ b/test/platform/ctl.spec.ts
@@ -25,6 +25,7 @@
 const silentLog = { info: () => undefined, warn: () => undefined, error: () => undefined };
 const loopback = "127.0.0.1";
 const fingerprint = "aB3_fingerprint-";
+const hyphenFingerprint = "-B3_fingerprint-";
 const note = ["--author", "ops", "--reason", "a test"];
 
 /** One way to call a verb, and what it prints. The words of the verb come first in `args`. */
@@ -54,8 +55,10 @@
         { verb: "drain", args: ["t1", "--undo"], exitCode: 0, prints: /t1 may get work again/ },
         { verb: "quarantine list", args: [], exitCode: 0, prints: new RegExp(fingerprint) },
         { verb: "quarantine release", args: [fingerprint, ...note], exitCode: 0, prints: /may run again/ },
+        { verb: "quarantine release", args: [hyphenFingerprint, ...note], exitCode: 0, prints: /fingerprint -B3_fingerprint- may run again/ },
         { verb: "dump", args: ["h1"], exitCode: 0, prints: /knowledgeAgeMs/ },
         { verb: "explain", args: ["r1", log, log], exitCode: 0, prints: /Cause: overloaded/ },
+        { verb: "explain", args: ["-r2", log], exitCode: 0, prints: /Cause: no-target/ },
     ];
 }
 
@@ -80,9 +83,9 @@
 
     before(() => {
         writeFileSync(document, stringify(sampleDocument));
-        writeFileSync(log, JSON.stringify({
-            hostname: "h1", msg: "request: refused", request: "r1", targets: ["t1"], reason: "overloaded", time: "2026-01-01T00:00:02.000Z",
-        }));
+        writeFileSync(log, [{ request: "r1", reason: "overloaded" }, { request: "-r2", reason: "no-target" }].map((fields) => JSON.stringify({
+            hostname: "h1", msg: "request: refused", targets: ["t1"], time: "2026-01-01T00:00:02.000Z", ...fields,
+        })).join("\n"));
     });
 
     beforeEach(async () => {
@@ -91,7 +94,8 @@
         const ranges = [{ from: 0, to: 65_535 } as KeyRange];
         const dump: HostDump = {
             self, members: [self], configVersion: 1, ledgerUpTo: 3, knowledgeAgeMs: 200, pending: 0,
-            crashes: { standings: [{ fingerprint, kind: "quarantined", crashCount: 3, remainingMs: 9_000, targets: ["t1"] }] },
+            crashes: { standings: [fingerprint, hyphenFingerprint].map((known) =>
+                ({ fingerprint: known, kind: "quarantined", crashCount: 3, remainingMs: 9_000, targets: ["t1"] })) },
             coordinator: { term: 2, owners: { targets: [{ targetId: "t1", standing: "ready", ranges, freeInMs: 0 }] } },
         };
         admin = http.createServer((_request, response) => response.end(JSON.stringify(dump))).listen(0, loopback);
