--- a/test/platform/ctl.spec.ts
+++ b/test/platform/ctl.spec.ts
@@ -41,6 +41,7 @@
     return [
         { verb: "config validate", args: [document], exitCode: 0, prints: /The document is valid/ },
         { verb: "config publish", args: [document, ...note, "--based-on", "1"], exitCode: 0, prints: /Version 2 is published/ },
+        { verb: "config publish", args: [document, ...note], exitCode: 0, prints: /Version 2 is published/ },
         { verb: "config show", args: [], exitCode: 0, prints: /Version 1/ },
         { verb: "config diff", args: [document], exitCode: 0, prints: /0 change\(s\) against version 1/ },
         { verb: "config history", args: [], exitCode: 0, prints: /a test/ },
