--- a/test/platform/ctl.spec.ts
+++ b/test/platform/ctl.spec.ts
@@ -1,10 +1,9 @@
-import { execFile } from "node:child_process";
 import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { once } from "node:events";
 import http from "node:http";
 import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
-import { join, resolve as resolvePath } from "node:path";
+import { join } from "node:path";
 import { expect } from "chai";
 import { stringify } from "yaml";
 import type { StoreStandIn } from "../../platform/standins/storeStandIn.js";
@@ -21,27 +20,14 @@
 import { ClusterView } from "../../src/store/clusterView.js";
 import { createTopicReader } from "../../src/store/topicReader.js";
 import { sampleDocument } from "../config/sample.js";
+import { run } from "./ctlProcess.js";
 
-const program = resolvePath("target/hornbeamctl.cjs");
 const silentLog = { info: () => undefined, warn: () => undefined, error: () => undefined };
 const loopback = "127.0.0.1";
 const fingerprint = "aB3_fingerprint-";
+const hyphenFingerprint = "-B3_fingerprint-";
 const note = ["--author", "ops", "--reason", "a test"];
 
-interface Run {
-    exitCode: number;
-    stdout: string;
-    stderr: string;
-}
-
-function run(args: readonly string[], environment: Record<string, string> = {}, options: { cwd?: string } = {}): Promise<Run> {
-    return new Promise((resolve) => {
-        const child = execFile(process.execPath, [program, ...args], { env: environment, ...options }, (_error, stdout, stderr) => {
-            resolve({ exitCode: child.exitCode ?? -1, stdout, stderr });
-        });
-    });
-}
-
 /** One way to call a verb, and what it prints. The words of the verb come first in `args`. */
 interface Call {
     verb: string;
@@ -55,6 +41,7 @@
     return [
         { verb: "config validate", args: [document], exitCode: 0, prints: /The document is valid/ },
         { verb: "config publish", args: [document, ...note, "--based-on", "1"], exitCode: 0, prints: /Version 2 is published/ },
+        { verb: "config publish", args: [document, ...note], exitCode: 0, prints: /Version 2 is published/ },
         { verb: "config show", args: [], exitCode: 0, prints: /Version 1/ },
         { verb: "config diff", args: [document], exitCode: 0, prints: /0 change\(s\) against version 1/ },
         { verb: "config history", args: [], exitCode: 0, prints: /a test/ },
@@ -69,8 +56,10 @@
         { verb: "drain", args: ["t1", "--undo"], exitCode: 0, prints: /t1 may get work again/ },
         { verb: "quarantine list", args: [], exitCode: 0, prints: new RegExp(fingerprint) },
         { verb: "quarantine release", args: [fingerprint, ...note], exitCode: 0, prints: /may run again/ },
+        { verb: "quarantine release", args: [hyphenFingerprint, ...note], exitCode: 0, prints: /fingerprint -B3_fingerprint- may run again/ },
         { verb: "dump", args: ["h1"], exitCode: 0, prints: /knowledgeAgeMs/ },
         { verb: "explain", args: ["r1", log, log], exitCode: 0, prints: /Cause: overloaded/ },
+        { verb: "explain", args: ["-r2", log], exitCode: 0, prints: /Cause: no-target/ },
     ];
 }
 
@@ -95,9 +84,9 @@
 
     before(() => {
         writeFileSync(document, stringify(sampleDocument));
-        writeFileSync(log, JSON.stringify({
-            hostname: "h1", msg: "request: refused", request: "r1", targets: ["t1"], reason: "overloaded", time: "2026-01-01T00:00:02.000Z",
-        }));
+        writeFileSync(log, [{ request: "r1", reason: "overloaded" }, { request: "-r2", reason: "no-target" }].map((fields) => JSON.stringify({
+            hostname: "h1", msg: "request: refused", targets: ["t1"], time: "2026-01-01T00:00:02.000Z", ...fields,
+        })).join("\n"));
     });
 
     beforeEach(async () => {
@@ -106,7 +95,8 @@
         const ranges = [{ from: 0, to: 65_535 } as KeyRange];
         const dump: HostDump = {
             self, members: [self], configVersion: 1, ledgerUpTo: 3, knowledgeAgeMs: 200, pending: 0,
-            crashes: { standings: [{ fingerprint, kind: "quarantined", crashCount: 3, remainingMs: 9_000, targets: ["t1"] }] },
+            crashes: { standings: [fingerprint, hyphenFingerprint].map((known) =>
+                ({ fingerprint: known, kind: "quarantined", crashCount: 3, remainingMs: 9_000, targets: ["t1"] })) },
             coordinator: { term: 2, owners: { targets: [{ targetId: "t1", standing: "ready", ranges, freeInMs: 0 }] } },
         };
         admin = http.createServer((_request, response) => response.end(JSON.stringify(dump))).listen(0, loopback);
