A request without a key goes to the part of a split route that needs none

What callers saw: on a route that is split over a service with keys and one without, a request without a key was answered 400 `no-key` as often as the weight of the part with keys says, although the other part would have run it.

Cause: the part was chosen by weight alone, before it was known whether it can take the request.

The splitter now chooses among the parts that can serve the request; requests with a key still follow the weights exactly, since a choice among some parts leaves the sum of their credits as it was. On a route whose only service has keys the answer stays 400: no repetition could be served.

--- a/src/forwarding/requestPreparation.ts
+++ b/src/forwarding/requestPreparation.ts
@@ -42,11 +42,13 @@
     if (route === undefined) {
         return refused("no-route");
     }
-    const service = activeConfig.services.get(splitter.choose(route) ?? "" as ServiceId);
+    const { services } = activeConfig;
+    const lacksKeyFor = (serviceId: ServiceId) => services.get(serviceId)?.sharded === true && call.key === undefined;
+    const service = services.get(splitter.choose(route, (serviceId) => !lacksKeyFor(serviceId)) ?? "" as ServiceId);
     if (service === undefined) {
         return refused("no-target", retryAfterNotReadyMs);
     }
-    if (service.sharded && call.key === undefined) {
+    if (lacksKeyFor(service.serviceId)) {
         return refused("no-key");
     }
     const body = await readBody(call, activeConfig.config.limits.maxBodyBytes);
--- a/src/routing/splitter.ts
+++ b/src/routing/splitter.ts
@@ -25,13 +25,16 @@
     /**
      * Chooses the service for a request.
      * @param route the request's route
+     * @param canServe returns whether a service can serve this request at all; if none can, the choice is made among all
      * @returns the service, or undefined if there are several backends and the weight of each is 0
      */
-    choose(route: Route): ServiceId | undefined {
+    choose(route: Route, canServe: (serviceId: ServiceId) => boolean = () => true): ServiceId | undefined {
         if (route.backends.length === 1) {
             return route.backends[0]?.serviceId;
         }
-        return selectNext(this.backendsOf(route))?.serviceId;
+        const backends = this.backendsOf(route);
+        const chosen = selectNext(backends.filter(({ serviceId }) => canServe(serviceId))) ?? selectNext(backends);
+        return chosen?.serviceId;
     }
 
     private backendsOf(route: Route): CreditedBackend[] {
