A host that can't know that its configuration is in force answers 503 in place of 404, 400 and 413

What callers would see: 404 `no-route`, 400 `no-key` or 413 for a request that the configuration in force allows, from a host that was cut off from store and coordinator, that had just started on a store restored from an older copy, or that had heard of a newer configuration and was still fetching it. Clients don't repeat a request after these statuses; after 503 they do, at another host or a moment later.

Cause: the host judged by what it knew, however long ago that had been confirmed. Its age of knowledge did not help: it starts anew when a host begins to follow a coordinator, which may itself be cut off, and when a coordinator stops.

Now ConfigAge (src/cluster/configAge.ts) keeps when the store, or a coordinator without a newer configuration, last confirmed the configuration, by the coordinator's own age; it is infinite before the host has followed or coordinated, and while the coordinator states a newer one. prepareRequest gets the age: above 2 s a request that is not allowed is refused with 503 `config-unconfirmed` and Retry-After. Where the knowledge is current, 404, 400 and 413 come at once as before, and what the configuration allows is forwarded however old it is.

Weighed: a mistyped path is repeated in vain by its client while a host is cut off, since 503 invites that; blaming a proper request loses it for good. 400 stays where a current configuration has moved a route to a service with keys: no repetition without a key could be served.

--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -7,6 +7,7 @@
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { TopicReader } from "../store/topicReader.js";
+import type { ConfigAge } from "./configAge.js";
 import { MemberListCopy } from "./memberList.js";
 import type { Membership } from "./membership.js";
 import type { ConfigurationReply, FollowParams, FollowReply, News } from "./messages.js";
@@ -25,6 +26,7 @@
     membership: Membership;
     owners: OwnerLookup;
     crashEvidence: CrashEvidence;
+    configAge: ConfigAge;
     clock: Clock;
     /** Latest term that this host knows. */
     latestTerm: () => Term | undefined;
@@ -44,7 +46,7 @@
 
 /** Creates the receiver. */
 export function createNewsReceiver(
-    { view, reader, membership, owners, crashEvidence, clock, latestTerm }: NewsReceiverDependencies,
+    { view, reader, membership, owners, crashEvidence, configAge, clock, latestTerm }: NewsReceiverDependencies,
 ): NewsReceiver {
     let confirmedAtMs = Number.NEGATIVE_INFINITY;
     let isCatchingUp = false;
@@ -77,7 +79,9 @@
         if (members !== undefined) {
             membership.update(members);
         }
-        if (news.configOffset > (view.config?.offset ?? -1)) {
+        const configOffset = view.config?.offset ?? -1 as Offset;
+        configAge.recordNews(news.configOffset, configOffset, nowMs() - news.storeAgeMs);
+        if (news.configOffset > configOffset) {
             void fetchConfig(from);
         }
         const targetsDiffer = news.targetsDigest !== view.targets.digest() && nowMs() - allTargetsRequestedAtMs > allTargetsRequestGapMs;
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -2,7 +2,7 @@
 import type { AdmissionServer } from "../admission/admissionServer.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { CrashObserver } from "../crashes/crashObserver.js";
-import type { Address } from "../model/names.js";
+import type { Address, Offset } from "../model/names.js";
 import { linkAborts, Signal, waitFor } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import type { Log } from "../observe/log.js";
@@ -14,6 +14,7 @@
 import type { ClusterView } from "../store/clusterView.js";
 import type { StorePort } from "../store/storePort.js";
 import type { TopicReader } from "../store/topicReader.js";
+import { ConfigAge } from "./configAge.js";
 import type { Coordinator } from "./coordinator.js";
 import { recordWhileAlone, watchCrashRecords } from "./crashRecording.js";
 import { createCoordinator } from "./coordinator.js";
@@ -83,6 +84,8 @@
     isCoordinating(): boolean;
     /** Time since the store last confirmed the state that this host acts on. */
     knowledgeAgeMs(nowMs: number): number;
+    /** Time since it was last confirmed that no newer configuration is in force; see `ConfigAge.ageMs`. */
+    configAgeMs(nowMs: number): number;
     describe(): object;
 }
 
@@ -108,7 +111,8 @@
     };
 
     const claims = new TermClaims(dependencies);
-    const newsReceiver = createNewsReceiver({ ...dependencies, latestTerm: () => latestTerm()?.term });
+    const configAge = new ConfigAge();
+    const newsReceiver = createNewsReceiver({ ...dependencies, configAge, latestTerm: () => latestTerm()?.term });
 
     /** Reads every topic from the store; resolves to whether all could be read. */
     const readAllTopics = async (): Promise<boolean> => {
@@ -118,13 +122,21 @@
         const others = ledger.isErr() ? [] : await Promise.all([reader.read("targets", 0), reader.read("configuration", 0)]);
         owners.refresh();
         const isComplete = [ledger, ...others].every((reading) => reading.isOk());
-        lastReadAtMs = isComplete ? Math.max(lastReadAtMs, askedAtMs) : lastReadAtMs;
+        if (isComplete) {
+            lastReadAtMs = Math.max(lastReadAtMs, askedAtMs);
+            configAge.confirm(askedAtMs);
+        }
         return isComplete;
     };
 
     const knowledgeAgeMs = (atMs: number) =>
         coordinator === undefined ? atMs - Math.max(lastReadAtMs, newsReceiver.confirmedAtMs) : coordinator.storeAgeMs(clock.now());
 
+    const configAgeMs = (atMs: number) => {
+        const ageMs = configAge.ageMs(view.config?.offset ?? -1 as Offset, atMs);
+        return coordinator === undefined || !Number.isFinite(ageMs) ? ageMs : Math.min(ageMs, coordinator.storeAgeMs(clock.now()));
+    };
+
     /** Delay before the store is tried again. It grows with the cluster, so that the rate of all hosts together is bounded. */
     const storeRetryDelayMs = () => directReadPeriodMs * Math.max(1, membership.members().length / fullRateHostCount);
 
@@ -154,6 +166,7 @@
             return "lost";
         }
         isFollowing = true;
+        configAge.recordJoined();
         log.info("following coordinator", { coordinator: term.hostId, term: term.term });
         newsReceiver.assumeConfirmedNow();
         newsReceiver.apply(reply.value.news, connection);
@@ -217,6 +230,7 @@
         const claimed = claims.takeClaimedTerm();
         const newCoordinator = createCoordinator({ ...dependencies, ...claimed, term: term.term });
         coordinator = newCoordinator;
+        configAge.recordJoined();
         log.info("started coordinating", {
             term: term.term, predecessorMs: Math.round(Math.max(0, claimed.predecessor.grantsUntilMs - nowMs())),
         });
@@ -228,6 +242,7 @@
         await newCoordinator.run(linkedAbort.signal);
         linkedAbort.release();
         stop.abort();
+        configAge.confirm(nowMs() - newCoordinator.storeAgeMs(clock.now()));
         coordinator = undefined;
         lastReadAtMs = nowMs();
         log.info("stopped coordinating", { term: term.term, now: view.ledger.term?.hostId });
@@ -366,6 +381,7 @@
         },
         isCoordinating: () => coordinator !== undefined,
         knowledgeAgeMs,
+        configAgeMs,
         describe: () => ({
             self, members: membership.members(), term: view.ledger.term, ledgerUpTo: view.ledger.upTo,
             configVersion: view.config?.config.version, configOffset: view.config?.offset,
--- a/src/control/explain.ts
+++ b/src/control/explain.ts
@@ -35,6 +35,8 @@
     "body-too-large": "The body is longer than the configuration allows.",
     "body-late": "The client did not send the whole body.",
     "not-ready": "The host had no configuration yet.",
+    "config-unconfirmed": "The configuration that this host knows does not allow the request, and neither the store nor the coordinator had "
+        + "confirmed that configuration for some time.",
     "no-target": "No target of the service could take work.",
     "owner-unknown": "The key was being moved or had no owner, for longer than the request could wait.",
     "target-paused": "The target, or every target of the service, had asked this host to back off.",
@@ -58,7 +60,9 @@
 };
 
 /** Reasons that blame the request by the configuration in force; its latest changes are related. */
-const reasonsByConfiguration: ReadonlySet<string> = new Set(["no-route", "no-key", "body-too-large", "header-too-large"]);
+const reasonsByConfiguration: ReadonlySet<string> = new Set([
+    "no-route", "no-key", "body-too-large", "header-too-large", "config-unconfirmed",
+]);
 
 /**
  * Shows the log lines of a request, the related lines around it, and the cause of its outcome.
--- a/src/entry/clientCall.ts
+++ b/src/entry/clientCall.ts
@@ -9,7 +9,7 @@
     /** The request is invalid, or its body did not arrive completely. */
     | "no-route" | "body-too-large" | "body-late" | "no-key"
     /** The request did not run and will not run. */
-    | "not-ready" | "no-target" | "owner-unknown" | "owner-silent" | "target-paused" | "overloaded" | "rate-limited" | "too-late" | "rejected"
+    | "not-ready" | "config-unconfirmed" | "no-target" | "owner-unknown" | "owner-silent" | "target-paused" | "overloaded" | "rate-limited" | "too-late" | "rejected"
     | "unreachable" | "stopping" | "quarantined"
     /** The request may have run. */
     | "timed-out" | "lost";
--- a/src/entry/refusalStatus.ts
+++ b/src/entry/refusalStatus.ts
@@ -8,6 +8,7 @@
     "body-too-large": 413,
     "body-late": 408,
     "not-ready": 503,
+    "config-unconfirmed": 503,
     "no-target": 503,
     "owner-unknown": 503,
     "owner-silent": 503,
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -58,6 +58,8 @@
     crashEvidence: CrashEvidence;
     clock: Clock;
     dataCentreId: DataCentreId;
+    /** Time since it was last confirmed that no newer configuration is in force. */
+    configAgeMs: (nowMs: number) => number;
     /** Time for which a target still receives new requests after this host learned that the target is shutting down. */
     drainMs: number;
     /** Returns a random number in [0, 1). */
@@ -124,7 +126,8 @@
     /** Prepares a call; refuses it at once if it can't be forwarded. */
     const prepare = async (call: ClientCall): Promise<RequestContext | undefined> => {
         const prepared = await prepareRequest(
-            { view, splitter: dependencies.splitter, clientWaits, workTimes, attemptHeaders: dependencies.dialect.reservedHeaders }, call);
+            { view, splitter: dependencies.splitter, clientWaits, workTimes, attemptHeaders: dependencies.dialect.reservedHeaders },
+            call, dependencies.configAgeMs(nowMs()));
         if (prepared.kind === "refused") {
             refuse(call, prepared.refusal);
             return undefined;
--- a/src/forwarding/requestPreparation.ts
+++ b/src/forwarding/requestPreparation.ts
@@ -13,6 +13,12 @@
 
 const retryAfterNotReadyMs = 500;
 
+/**
+ * A configuration that was not confirmed for this long may have been replaced. A host that reaches the store or the coordinator confirms
+ * it more often.
+ */
+const maxConfigAgeMs = 2_000;
+
 /** Dependencies of `prepareRequest`. */
 export interface RequestPreparationDependencies {
     view: ClusterView;
@@ -31,8 +37,11 @@
 /**
  * Prepares a client's call. Bodies up to a certain size are read completely.
  * @param call the call
+ * @param configAgeMs time since it was last confirmed that no newer configuration is in force
  */
-export async function prepareRequest(dependencies: RequestPreparationDependencies, call: ClientCall): Promise<PreparedRequest> {
+export async function prepareRequest(
+    dependencies: RequestPreparationDependencies, call: ClientCall, configAgeMs: number,
+): Promise<PreparedRequest> {
     const { view, splitter, clientWaits, workTimes, attemptHeaders } = dependencies;
     const activeConfig = view.config;
     if (activeConfig === undefined) {
@@ -40,7 +49,7 @@
     }
     const route = activeConfig.routes.find(call.hostName, call.path, call.method);
     if (route === undefined) {
-        return refused("no-route");
+        return notAllowed("no-route", configAgeMs);
     }
     const { services } = activeConfig;
     const lacksKeyFor = (serviceId: ServiceId) => services.get(serviceId)?.sharded === true && call.key === undefined;
@@ -49,9 +58,13 @@
         return refused("no-target", retryAfterNotReadyMs);
     }
     if (lacksKeyFor(service.serviceId)) {
-        return refused("no-key");
+        return notAllowed("no-key", configAgeMs);
     }
-    const body = await readBody(call, activeConfig.config.limits.maxBodyBytes);
+    const { maxBodyBytes } = activeConfig.config.limits;
+    if (call.body.declaredBytes !== undefined && call.body.declaredBytes > maxBodyBytes) {
+        return notAllowed("body-too-large", configAgeMs);
+    }
+    const body = await readBody(call);
     if (body.kind === "refused") {
         return body;
     }
@@ -75,11 +88,16 @@
     return { kind: "refused", refusal: { reason, retryAfterMs } };
 }
 
+/**
+ * Refuses a request that the configuration does not allow. Clients do not repeat a request that is blamed, so one that a newer
+ * configuration may allow is not.
+ */
+function notAllowed(reason: Refusal["reason"], configAgeMs: number): Refused {
+    return configAgeMs > maxConfigAgeMs ? refused("config-unconfirmed", retryAfterNotReadyMs) : refused(reason);
+}
+
 /** Reads the body; `bytes` is undefined if it is too long and has to be streamed. */
-async function readBody(call: ClientCall, maxBodyBytes: number): Promise<Refused | { kind: "read"; bytes: Buffer | undefined }> {
-    if (call.body.declaredBytes !== undefined && call.body.declaredBytes > maxBodyBytes) {
-        return refused("body-too-large");
-    }
+async function readBody(call: ClientCall): Promise<Refused | { kind: "read"; bytes: Buffer | undefined }> {
     const body = await call.body.collect();
     if (body === "broken") {
         return refused("body-late");
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -130,6 +130,7 @@
         metrics: from.resolve(tokens.metrics),
         clock: from.resolve(tokens.clock),
         configVersion: () => from.resolve(tokens.view).config?.config.version,
+        configAgeMs: (nowMs) => from.resolve(tokens.node).configAgeMs(nowMs),
         ledgerStatus: (nowMs) => ({
             ledgerUpTo: from.resolve(tokens.view).ledger.upTo, ageMs: from.resolve(tokens.node).knowledgeAgeMs(nowMs),
         }),
@@ -158,6 +159,7 @@
         dialect: from.resolve(tokens.targetDialect),
         clock: from.resolve(tokens.clock),
         dataCentreId: settings.dataCentreId, drainMs,
+        configAgeMs: (nowMs) => from.resolve(tokens.node).configAgeMs(nowMs),
         random: from.resolve(tokens.random),
     }));
     provide(tokens.clientHttp, (from) => {
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -12,8 +12,8 @@
 /** Longest part of a host name, path or key that is logged. */
 const maxLoggedChars = 200;
 
-/** Reasons that blame the request; their lines tell what the request was. */
-const denyingReasons: ReadonlySet<RefusalReason> = new Set(["no-route", "no-key", "body-too-large"]);
+/** Reasons by which the configuration does not allow the request; their lines tell what the request was. */
+const denyingReasons: ReadonlySet<RefusalReason> = new Set(["no-route", "no-key", "body-too-large", "config-unconfirmed"]);
 
 /** Dependencies of the recorder. */
 export interface RequestRecorderDependencies {
@@ -22,12 +22,16 @@
     clock: Clock;
     /** Version of the configuration in force; undefined if there is none yet. */
     configVersion: () => number | undefined;
+    /** Time since it was last confirmed that no newer configuration is in force. */
+    configAgeMs: (nowMs: number) => number;
     /** Ledger offset that this host has reached, and the time since the store last confirmed that state. */
     ledgerStatus: (nowMs: number) => { ledgerUpTo: number; ageMs: number };
 }
 
 /** Creates the recorder. */
-export function createRequestRecorder({ log, metrics, clock, configVersion, ledgerStatus }: RequestRecorderDependencies): RequestLog {
+export function createRequestRecorder(
+    { log, metrics, clock, configVersion, configAgeMs, ledgerStatus }: RequestRecorderDependencies,
+): RequestLog {
     const commonFields = (call: ClientCall) => {
         const nowMs = clock.now().monoMs;
         const { ledgerUpTo, ageMs } = ledgerStatus(nowMs);
@@ -50,7 +54,9 @@
             log.info("refused", {
                 ...commonFields(call), route: route?.routeId, reason: refusal.reason, retryAfterMs: refusal.retryAfterMs,
                 targets: [...triedTargetIds ?? []], target: refusal.targetId, fingerprint: refusal.fingerprint, budgetMs: call.budgetMs,
-                ...denyingReasons.has(refusal.reason) ? denialFieldsOf(call) : {},
+                ...denyingReasons.has(refusal.reason)
+                    ? { ...denialFieldsOf(call), configAgeMs: Math.round(configAgeMs(clock.now().monoMs)) }
+                    : {},
             });
         },
         retried: (call, route, targetId, end) => {
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -153,7 +153,7 @@
             attemptLost: () => Promise.resolve(), attemptCompleted: () => undefined,
         },
         crashEvidence: new CrashEvidence(),
-        dataCentreId, drainMs: 100,
+        dataCentreId, drainMs: 100, configAgeMs: () => 0,
         random: () => 0.5,
         ...overrides,
     });
--- a/test/forwarding/requestPreparation.spec.ts
+++ b/test/forwarding/requestPreparation.spec.ts
@@ -29,15 +29,16 @@
 interface CallTerms {
     path: string;
     key?: number;
+    bodyBytes?: number;
 }
 
-function createCall({ path, key }: CallTerms): ClientCall {
+function createCall({ path, key, bodyBytes = 0 }: CallTerms): ClientCall {
     return {
         requestId: "r-1" as RequestId, method: "GET", path, hostName: "h", key: key as Key | undefined,
         budgetMs: 2_000, receivedAt: createSystemClock().now(), forwardHeaders: [],
         body: {
-            collect: () => Promise.resolve(Buffer.alloc(0)), next: () => Promise.resolve(undefined),
-            declaredBytes: 0, start: Buffer.alloc(0),
+            collect: () => Promise.resolve(Buffer.alloc(bodyBytes)), next: () => Promise.resolve(undefined),
+            declaredBytes: bodyBytes, start: Buffer.alloc(0),
         },
         clientLeft: new AbortController().signal,
         refuse: () => undefined, answer: () => undefined, beginAnswer: () => undefined, writeAnswer: () => Promise.resolve(),
@@ -52,21 +53,53 @@
         splitter = new Splitter(() => 0);
     });
 
-    async function prepare(terms: CallTerms): Promise<PreparedRequest> {
+    async function prepare(terms: CallTerms, configAgeMs: number): Promise<PreparedRequest> {
         const view = new ClusterView();
         view.applyConfig(config, 1 as Offset, 1 as Offset);
         return prepareRequest(
             { view, splitter, clientWaits: new ClientWaitEstimator(), workTimes: new WorkTimes(), attemptHeaders: new Set() },
-            createCall(terms));
+            createCall(terms), configAgeMs);
     }
 
+    async function refusalOf(terms: CallTerms, configAgeMs: number): Promise<string | undefined> {
+        const prepared = await prepare(terms, configAgeMs);
+        return prepared.kind === "refused" ? prepared.refusal.reason : undefined;
+    }
+
+    const denied: { terms: CallTerms; reason: string }[] = [
+        { terms: { path: "/none/x" }, reason: "no-route" },
+        { terms: { path: "/keyed/x" }, reason: "no-key" },
+        { terms: { path: "/plain/x", bodyBytes: 20_000 }, reason: "body-too-large" },
+    ];
+    for (const { terms, reason } of denied) {
+        it(`blames a request by a configuration that is confirmed: ${reason}`, async () => {
+            expect(await refusalOf(terms, 1_500)).to.equal(reason);
+        });
+
+        it(`does not blame a request by a configuration that may have been replaced: ${reason}`, async () => {
+            for (const ageMs of [2_500, 60_000, Number.POSITIVE_INFINITY]) {
+                const prepared = await prepare(terms, ageMs);
+                expect(prepared).to.deep.include({ kind: "refused" });
+                const { refusal } = prepared as Extract<PreparedRequest, { kind: "refused" }>;
+                expect(refusal.reason).to.equal("config-unconfirmed");
+                expect(refusal.retryAfterMs).to.be.within(1, 2_000);
+            }
+        });
+    }
+
+    it("forwards what the configuration allows, however old it is", async () => {
+        for (const terms of [{ path: "/keyed/x", key: 1 }, { path: "/plain/x" }, { path: "/split/x", key: 1 }]) {
+            expect((await prepare(terms, Number.POSITIVE_INFINITY)).kind).to.equal("request");
+        }
+    });
+
     it("sends a request without a key to the part of a split route that needs none, and others by weight", async () => {
         const keylessServices = new Set<string>();
         const countByService = new Map<ServiceId, number>();
         for (let count = 0; count < 400; count++) {
-            const keyless = await prepare({ path: "/split/x" });
+            const keyless = await prepare({ path: "/split/x" }, 0);
             keylessServices.add(keyless.kind === "request" ? keyless.context.service.serviceId : keyless.refusal.reason);
-            const withKey = await prepare({ path: "/split/x", key: 1 });
+            const withKey = await prepare({ path: "/split/x", key: 1 }, 0);
             if (withKey.kind === "request") {
                 const { serviceId } = withKey.context.service;
                 countByService.set(serviceId, (countByService.get(serviceId) ?? 0) + 1);
--- a/test/world/virtualStore.ts
+++ b/test/world/virtualStore.ts
@@ -50,6 +50,12 @@
         this.addRecords(topic, [{ key, value: value === undefined ? undefined : Buffer.from(JSON.stringify(value)) }]);
     }
 
+    /** Removes the newest records of a topic, as when the store is restored from an older copy. */
+    loseNewest(topic: TopicName, count: number): void {
+        const { records } = this.getTopic(topic);
+        records.splice(Math.max(0, records.length - count));
+    }
+
     /**
      * Creates a host's port to the store.
      * @param hostId the host
