A host does not judge by its configuration document before it has read the platform's configuration

What callers would see: 404 for every route of the platform's configuration from a host that has read the ledger, with a document in it, and not yet the configuration topic, or can't read that topic.

Cause: the document was in force whenever no configuration of the platform was known, also if nobody had looked. The three topics are read one after the other.

The document now applies once the configuration topic has been read and holds none; before that the host has no configuration and answers 503 `not-ready`.

--- a/src/store/clusterView.ts
+++ b/src/store/clusterView.ts
@@ -50,15 +50,15 @@
 
     /**
      * The configuration that applies, or undefined before the first. A configuration that operators publish on the platform takes
-     * precedence over the router's own configuration document.
+     * precedence over the router's own configuration document, which therefore applies only once the platform's topic was read.
      */
     get config(): ActiveConfig | undefined {
-        return this.platformConfig ?? this.documentConfig;
+        return this.platformConfig ?? (this.configReadUpTo > noOffset ? this.documentConfig : undefined);
     }
 
     /** True while the router's own configuration document applies. */
     get isDocumentConfig(): boolean {
-        return this.platformConfig === undefined && this.documentConfig !== undefined;
+        return this.platformConfig === undefined && this.config !== undefined;
     }
 
     /** Offset up to which the configuration topic was read; negative before the first reading. */
@@ -79,9 +79,13 @@
      * @returns whether it was applied
      */
     applyConfig(config: RoutingConfig | undefined, offset: Offset, upTo: Offset): boolean {
+        const isFirstReading = this.configReadUpTo === noOffset;
         this.configReadUpTo = Math.max(this.configReadUpTo, upTo) as Offset;
         if (config === undefined || offset <= (this.platformConfig?.offset ?? noOffset)
             || config.version < (this.platformConfig?.config.version ?? 0)) {
+            if (isFirstReading && this.isDocumentConfig) {
+                this.configChanged.fire();
+            }
             return false;
         }
         this.platformConfig = toActiveConfig(config, offset);
