--- a/src/entry/httpClientCall.ts
+++ b/src/entry/httpClientCall.ts
@@ -49,9 +49,11 @@
     });
 
     const body = createRequestBody(request, limits.maxBodyBytes, beforeRead);
-    response.once("finish", () => {
-        void body.discardRest();
-    });
+    if (body.declaredBytes !== 0) {
+        response.once("finish", () => {
+            void body.discardRest();
+        });
+    }
 
     const writeAnswerHead = (head: AnswerHead) => {
         writeHead({ ...head, rawHeaders: [...head.rawHeaders, ...dialect.headersOfAnswer(terms.requestId)] });
