--- a/test/forwarding/unexpectedErrors.spec.ts
+++ b/test/forwarding/unexpectedErrors.spec.ts
@@ -130,7 +130,7 @@
             } });
         };
         return {
-            view, clock, dataCentreId, drainMs: 100,
+            view, clock, dataCentreId, drainMs: 100, configAgeMs: () => 0,
             pool: createConnectionPool(clock, () => undefined),
             dialect: {
                 reservedHeaders: new Set(), headersFor: () => [], isAnswerTo: () => true, namesRequest: () => true,
