A stopping host passes on only what ends before it leaves

In a planned stop, requests that came late in the grace period were passed on, and at its end they were cut with no answer, among them requests that must not be repeated. The host took requests until its last moment, on kept connections, on connections opened before and not used yet (which stay open when it stops accepting), and on new ones, whatever time they might take. Now the stop tells the forwarder when it cuts; from then on a request is sent to a target only if its deadline (the client's budget or the route's timeout, whichever ends first) comes 200 ms or more before that. The others are refused at once with 503, Retry-After and Connection: close, also those that wait for a slot at that moment.

--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -7,7 +7,7 @@
 import type { ClientCall, Refusal } from "../entry/clientCall.js";
 import type { LoadMeter } from "../ownership/loadMeter.js";
 import type { DataCentreId } from "../model/names.js";
-import { linkAborts } from "../model/signal.js";
+import { linkAborts, Signal } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import type { RequestLog } from "../observe/requestLog.js";
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
@@ -24,7 +24,7 @@
 import type { RequestContext } from "./requestContext.js";
 import { prepareRequest } from "./requestPreparation.js";
 import type { Placement, TargetSlot } from "./placement.js";
-import { createPlacer, retryAfterUnreachableMs } from "./placement.js";
+import { createPlacer, retryAfterStoppingMs, retryAfterUnreachableMs } from "./placement.js";
 import type { RetryTerms } from "./retryPolicy.js";
 import { nextStep } from "./retryPolicy.js";
 import type { RetryReservation } from "./retryReservation.js";
@@ -66,8 +66,12 @@
 export interface Forwarder {
     /** Serves one request; resolves once the client has been answered or has left. */
     serve(call: ClientCall): Promise<void>;
-    /** Called when this host begins to shut down: from then on no running attempt is given up for a retry. */
-    startShutdown(): void;
+    /**
+     * Called when this host begins to shut down. From then on no running attempt is given up for a retry, and a request is sent to a target
+     * only if it ends by `cutAtMs` at the latest, whatever the target does; other requests are refused at once.
+     * @param cutAtMs monotonic time at which requests in progress are cut off
+     */
+    startShutdown(cutAtMs: number): void;
     /** Refuses every request that has no slot, now and from now on. */
     refuseWaiting(): void;
 }
@@ -79,7 +83,8 @@
     const workTimes = new WorkTimes();
     const clientWaits = new ClientWaitEstimator();
     const waitingRefused = new AbortController();
-    let isShuttingDown = false;
+    const shutdownStarted = new Signal();
+    let cutAtMs = Number.POSITIVE_INFINITY;
     setMaxListeners(0, waitingRefused.signal);
     const addJitter = (delayMs: number) => delayMs * (0.9 + dependencies.random() * 0.4);
     const pauses = new TargetPauses();
@@ -123,6 +128,12 @@
             : undefined;
     };
 
+    const stopRefusal = ({ deadlineMs }: RequestContext): Refusal | undefined =>
+        deadlineMs > cutAtMs ? { reason: "stopping", retryAfterMs: addJitter(retryAfterStoppingMs) } : undefined;
+
+    /** Returns the refusal of a request that must not be sent to a target at present, wherever there is a slot for it. */
+    const findRefusal = (context: RequestContext): Refusal | undefined => stopRefusal(context) ?? quarantineRefusal(context);
+
     /** Prepares a call; refuses it at once if it can't be forwarded. */
     const prepare = async (call: ClientCall): Promise<RequestContext | undefined> => {
         const prepared = await prepareRequest(
@@ -132,7 +143,7 @@
             return undefined;
         }
         const { context } = prepared;
-        const refusal = quarantineRefusal(context);
+        const refusal = findRefusal(context);
         if (refusal !== undefined) {
             refuse(call, refusal, context);
             return undefined;
@@ -171,7 +182,7 @@
         context: RequestContext, slot: TargetSlot,
     ): Promise<{ end: AttemptEnd; retrySlot: TargetSlot | undefined }> => {
         const reservation = createRetryReservation(
-            { placer, getRetryTerms: retryTerms, isShuttingDown: () => isShuttingDown }, context, slot);
+            { placer, getRetryTerms: retryTerms, isShuttingDown: () => Number.isFinite(cutAtMs) }, context, slot);
         const startedMs = nowMs();
         const end = await runAttempt(context, slot, reservation);
         requestLog.attemptEnded(slot.target.targetId, end);
@@ -222,25 +233,28 @@
             context);
     };
 
-    /** Waits for a slot; the wait ends when the request is quarantined, or its client leaves. */
-    const placeWhileNotQuarantined = async (context: RequestContext): Promise<Placement> => {
+    /** Waits for a slot; the wait ends when the request must be refused, or its client leaves. */
+    const placeWhileAllowed = async (context: RequestContext): Promise<Placement> => {
         const waitAbort = linkAborts(context.call.clientLeft);
-        const stopListening = crashEvidence.changed.listen(() => {
-            if (quarantineRefusal(context) !== undefined) {
+        const onChange = () => {
+            if (findRefusal(context) !== undefined) {
                 waitAbort.abort();
             }
-        });
+        };
+        const stopListening = [crashEvidence.changed.listen(onChange), shutdownStarted.listen(onChange)];
         const placement = await placer.place(context, waitAbort.signal);
-        stopListening();
+        stopListening.forEach((stop) => {
+            stop();
+        });
         waitAbort.release();
         return placement;
     };
 
-    /** Finds a slot, unless the request is quarantined before there is one. */
-    const placeUnlessQuarantined = async (context: RequestContext, reservedSlot: TargetSlot | undefined): Promise<Placement> => {
+    /** Finds a slot, unless the request must be refused before there is one. */
+    const placeUnlessRefused = async (context: RequestContext, reservedSlot: TargetSlot | undefined): Promise<Placement> => {
         for (;;) {
-            const placement = reservedSlot ?? await placeWhileNotQuarantined(context);
-            const refusal = quarantineRefusal(context);
+            const placement = reservedSlot ?? await placeWhileAllowed(context);
+            const refusal = findRefusal(context);
             if (refusal !== undefined && placement.kind === "placed") {
                 placement.release({ kind: "dropped" });
             }
@@ -260,7 +274,7 @@
         let possiblyExecuted: AttemptEnd | undefined;
         let reservedSlot: TargetSlot | undefined;
         for (;;) {
-            const placement = await placeUnlessQuarantined(context, reservedSlot);
+            const placement = await placeUnlessRefused(context, reservedSlot);
             if (placement.kind === "client-left") {
                 requestLog.clientLeft(context.call, context.route, context.triedTargetIds);
                 return;
@@ -308,8 +322,9 @@
             countLoad(context);
             await runAttempts(context);
         },
-        startShutdown: () => {
-            isShuttingDown = true;
+        startShutdown: (atMs) => {
+            cutAtMs = atMs;
+            shutdownStarted.fire();
         },
         refuseWaiting: () => {
             waitingRefused.abort();
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -18,7 +18,8 @@
 import type { WorkTimes } from "./workTimes.js";
 import { typicalWorkMs } from "./workTimes.js";
 
-const retryAfterStoppingMs = 50;
+/** Retry delay sent to clients while this host stops; their next attempt reaches another host. */
+export const retryAfterStoppingMs = 50;
 
 /** Upper limit of the retry delay sent to clients while a target has asked this host to back off. */
 const retryAfterPausedMs = 300;
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -17,6 +17,9 @@
 /** Requests that have no slot this long before the shutdown deadline are refused, so that their responses can still be sent. */
 const refuseWaitingBeforeDeadlineMs = 900;
 
+/** A request is passed on during the shutdown only if it ends this long before the deadline, so that its response can still be sent. */
+const lastEndBeforeDeadlineMs = 200;
+
 /** Interval at which the shutdown checks whether requests are pending and whether this host still coordinates. */
 const stopPollMs = 25;
 
@@ -92,11 +95,11 @@
         stop: async () => {
             const startedMs = clock.now().monoMs;
             isStopping = true;
+            const deadlineMs = startedMs + settings.stopTimeoutMs - stopReserveMs;
             clients.startClosingConnections();
-            hostContainer.resolve(tokens.forwarder).startShutdown();
+            hostContainer.resolve(tokens.forwarder).startShutdown(deadlineMs - lastEndBeforeDeadlineMs);
             log.info("stopping", { pending: clients.pending(), coordinating: node.isCoordinating() });
             void node.handOver();
-            const deadlineMs = startedMs + settings.stopTimeoutMs - stopReserveMs;
             await clock.sleep(Math.min(balancerRemovalMs, settings.stopTimeoutMs / 2));
             clients.stopAccepting();
             const isBusy = () => clients.pending() > 0 || node.isCoordinating();
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -350,6 +350,24 @@
         expect(received).to.deep.equal({ status: 500, bytes: 2, brokenOff: false });
     });
 
+    it("refuses a request that waits for a slot as soon as this host stops, if it may last longer than the host", async () => {
+        const enter: ForwarderDependencies["admission"]["enter"] = (_request, signal) => new Promise((resolve) => {
+            signal.addEventListener("abort", () => {
+                resolve({ kind: "refused", reason: "withdrawn", retryAfterMs: 0 });
+            });
+        });
+        const queue: ScriptedQueue = { grants: [], ends: [], requestCount: 0 };
+        const forwarder = createTestForwarder([], queue, { admission: { enter } });
+        const startedMs = performance.now();
+        const answer = serve(forwarder, plain);
+        setTimeout(() => {
+            forwarder.startShutdown(systemClock.now().monoMs + 1_000);
+        }, 50);
+        expect((await answer).refusal?.reason).to.equal("stopping");
+        expect((await serve(forwarder, plain)).refusal?.reason).to.equal("stopping");
+        expect(performance.now() - startedMs).to.be.below(500);
+    });
+
     describe("of a request that crashes its targets", () => {
         /** Evidence that requests with the content of `createCall` have crashed a number of targets so far. */
         const addCrashes = (evidence: CrashEvidence, fingerprints: RequestFingerprints, count: number) => {
