A streamed response is recorded as what became of it

On-call engineers saw `client left` for every response over 256 KiB, whether it had been sent whole, the target had broken it off, or the client had really left; the time that targets took for them was never learned, and a client that left in the middle was held against the target as a lost attempt (its process was probed for a crash). The forwarder had one outcome for all requests that need no response any more. Now a whole one is `answered`, with its status, and learned from; one that breaks off is `response broken off`, with why; a client that leaves is that, also for the target's queue. test/forwarding/forwarder.spec.ts: 3 new tests, all failed before.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -32,9 +32,9 @@
     /** The response is complete and buffered; nothing has been sent to the client. */
     | { kind: "answered"; answer: BufferedAnswer; tookMs: number }
     /** The response was streamed to the client and is complete. */
-    | { kind: "streamed"; tookMs: number }
+    | { kind: "streamed"; status: number; tookMs: number }
     /** The response broke off after a part of it had been sent to the client; the client's connection was closed. */
-    | { kind: "broken-off" }
+    | { kind: "broken-off"; why: string }
     /** The target rejected the request without running it. */
     | { kind: "turned-away"; status: number; pauseMs?: number }
     /** No connection could be opened; nothing was sent. */
@@ -184,17 +184,19 @@
     for (;;) {
         const piece = await Promise.race([exchange.read(), interrupt.raised]);
         if (typeof piece === "string") {
-            return isStreaming ? abortAnswer(call) : endAfterSending[piece];
+            const brokenOff = isStreaming ? abortAnswer(call, piece) : undefined;
+            return piece === "client-left" ? endAfterSending[piece] : brokenOff ?? endAfterSending[piece];
         }
         if (piece.isErr()) {
-            return isStreaming ? abortAnswer(call) : { kind: "lost", why: piece.error.message };
+            return isStreaming ? abortAnswer(call, piece.error.message) : { kind: "lost", why: piece.error.message };
         }
         if (piece.value === undefined) {
             return finishResponse(call, head, buffered, isStreaming);
         }
         receivedBytes += piece.value.length;
         if (receivedBytes > maxBytes) {
-            return isStreaming ? abortAnswer(call) : { kind: "lost", why: "response body exceeds the size limit" };
+            const why = "response body exceeds the size limit";
+            return isStreaming ? abortAnswer(call, why) : { kind: "lost", why };
         }
         if (isStreaming) {
             await call.writeAnswer(piece.value);
@@ -214,16 +216,16 @@
 function finishResponse(call: ClientCall, head: ResponseHead, buffered: readonly Buffer[], isStreaming: boolean): AttemptEnd {
     if (isStreaming) {
         call.finishAnswer();
-        return { kind: "streamed", tookMs: 0 };
+        return { kind: "streamed", status: head.status, tookMs: 0 };
     }
     const body = Buffer.concat(buffered);
     const bodyBytes = call.method === "HEAD" ? contentLengthOf(head) : body.length;
     return { kind: "answered", answer: { head: answerHeadOf(head, bodyBytes), body }, tookMs: 0 };
 }
 
-function abortAnswer(call: ClientCall): AttemptEnd {
+function abortAnswer(call: ClientCall, why: string): AttemptEnd {
     call.abortAnswer();
-    return { kind: "broken-off" };
+    return { kind: "broken-off", why };
 }
 
 /** Reads the body of a rejection, so that the connection can be reused. Stops at the size limit. */
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -210,10 +210,29 @@
         }
     };
 
-    const deliver = ({ call, route, triedTargetIds }: RequestContext, { answer, tookMs }: Answered) => {
+    const recordAnswer = ({ call, route, triedTargetIds }: RequestContext, status: number, tookMs: number) => {
         workTimes.observe(route.routeId, tookMs, typicalWorkMs(route));
-        requestLog.answered(call, route, triedTargetIds, answer.head.status, tookMs);
-        call.answer(answer.head, answer.body);
+        requestLog.answered(call, route, triedTargetIds, status, tookMs);
+    };
+
+    const deliver = (context: RequestContext, { answer, tookMs }: Answered) => {
+        recordAnswer(context, answer.head.status, tookMs);
+        context.call.answer(answer.head, answer.body);
+    };
+
+    /** Records the end of a request that needs no response any more: it has been streamed, or its client has left. */
+    const recordEndWithoutResponse = (context: RequestContext, end: AttemptEnd) => {
+        const { call, route, triedTargetIds } = context;
+        switch (end.kind) {
+            case "streamed":
+                recordAnswer(context, end.status, end.tookMs);
+                return;
+            case "broken-off":
+                requestLog.brokenOff(call, route, triedTargetIds, end.why);
+                return;
+            default:
+                requestLog.clientLeft(call, route, triedTargetIds);
+        }
     };
 
     /**
@@ -298,7 +317,7 @@
                     }
                     return;
                 case "none":
-                    requestLog.clientLeft(context.call, context.route, context.triedTargetIds);
+                    recordEndWithoutResponse(context, end);
                     return;
                 case "refuse":
                 case "fail":
--- a/src/observe/requestLog.ts
+++ b/src/observe/requestLog.ts
@@ -7,7 +7,7 @@
 
 /** Records what happens to requests. */
 export interface RequestLog {
-    /** A complete response of a target is sent to the client; `targetTookMs` is the time that the target took. */
+    /** A complete response of a target is sent, or has been streamed, to the client; `targetTookMs` is the time that the target took. */
     answered(call: ClientCall, route: Route, triedTargetIds: ReadonlySet<TargetId>, status: number, targetTookMs: number): void;
     /** This host answers with an error of its own; `refusal` has the reason. */
     refused(call: ClientCall, refusal: Refusal, route: Route | undefined, triedTargetIds: ReadonlySet<TargetId> | undefined): void;
@@ -17,7 +17,9 @@
     attemptEnded(targetId: TargetId, end: AttemptEnd): void;
     /** The response of a target to `call` proves neither that the request ran nor that it didn't. */
     responseUnproven(call: ClientCall, targetId: TargetId, status: number): void;
-    /** Handling ends without a response to send: the client disconnected, or a streamed response to it has ended or broken off. */
+    /** A response broke off after a part of it had been sent to the client; `why` says how. */
+    brokenOff(call: ClientCall, route: Route, triedTargetIds: ReadonlySet<TargetId>, why: string): void;
+    /** The client disconnected. */
     clientLeft(call: ClientCall, route: Route, triedTargetIds: ReadonlySet<TargetId>): void;
     /** A target announced in a response that it is about to stop. */
     targetLeaving(targetId: TargetId): void;
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -55,6 +55,10 @@
             metrics.unprovenResponses.inc({ target: targetId, status: String(status) });
             log.warn("response without proof", { ...commonFields(call), target: targetId, status });
         },
+        brokenOff: (call, route, triedTargetIds, why) => {
+            metrics.requests.inc({ route: route.routeId, outcome: "broken-off", reason: "" });
+            log.info("response broken off", { ...commonFields(call), route: route.routeId, targets: [...triedTargetIds], why });
+        },
         clientLeft: (call, route, triedTargetIds: ReadonlySet<TargetId>) => {
             metrics.requests.inc({ route: route.routeId, outcome: "left", reason: "" });
             log.info("client left", { ...commonFields(call), route: route.routeId, targets: [...triedTargetIds] });
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -17,6 +17,7 @@
 import type { Address, DataCentreId, Key, Offset, RequestId, RouteId, ServiceId, TargetId } from "../../src/model/names.js";
 import { Signal } from "../../src/model/signal.js";
 import type { RoutingConfig } from "../../src/model/routing.js";
+import type { RequestLog } from "../../src/observe/requestLog.js";
 import { Splitter } from "../../src/routing/splitter.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 
@@ -83,6 +84,12 @@
     }
 }
 
+const silentRequestLog: RequestLog = {
+    answered: () => undefined, refused: () => undefined, retried: () => undefined, brokenOff: () => undefined, clientLeft: () => undefined,
+    targetLeaving: () => undefined, targetPauseRequested: () => undefined,
+    attemptEnded: () => undefined, responseUnproven: () => undefined, targetRateLimitChanged: () => undefined,
+};
+
 const config: RoutingConfig = {
     version: 1,
     routes: [keyed, plain].map((serviceId) => ({
@@ -145,9 +152,7 @@
         splitter: new Splitter(() => 0),
         retries: { onRequest: () => undefined, take: () => true },
         loads: { count: () => undefined } as unknown as ForwarderDependencies["loads"],
-        requestLog: { answered: () => undefined, refused: () => undefined, retried: () => undefined, clientLeft: () => undefined,
-            targetLeaving: () => undefined, targetPauseRequested: () => undefined,
-            attemptEnded: () => undefined, responseUnproven: () => undefined, targetRateLimitChanged: () => undefined },
+        requestLog: silentRequestLog,
         crashObserver: {
             observed: new Signal(), takeUnreported: () => undefined,
             attemptLost: () => Promise.resolve(), attemptCompleted: () => undefined,
@@ -343,6 +348,58 @@
         expect(received).to.deep.equal({ status: 200, bytes: 300_010, brokenOff: false });
     });
 
+    describe("of a response that is streamed to the client", () => {
+        /** What was recorded about requests: the outcome and, of a complete response, its status. */
+        const recordedBy = async (pieces: NonNullable<Reaction["pieces"]>, endTarget?: (started: ScriptedTarget) => void, leavesAfterMs?: number) => {
+            const bulk = await target("t-1", { afterMs: 1, pieces });
+            const queue: ScriptedQueue = { grants: [bulk.targetId], ends: [], requestCount: 0 };
+            const recorded: string[] = [];
+            const lost: string[] = [];
+            const forwarder = createTestForwarder([bulk], queue, {
+                requestLog: {
+                    ...silentRequestLog,
+                    answered: (_call, _route, _targets, status) => recorded.push(`answered ${String(status)}`),
+                    brokenOff: () => recorded.push("broken off"),
+                    clientLeft: () => recorded.push("client left"),
+                },
+                crashObserver: {
+                    observed: new Signal(), takeUnreported: () => undefined, attemptCompleted: () => undefined,
+                    attemptLost: ({ why }) => {
+                        lost.push(why);
+                        return Promise.resolve();
+                    },
+                },
+            });
+            const clientLeft = new AbortController();
+            if (endTarget !== undefined) {
+                setTimeout(endTarget, 100, bulk);
+            }
+            if (leavesAfterMs !== undefined) {
+                setTimeout(() => {
+                    clientLeft.abort();
+                }, leavesAfterMs);
+            }
+            await forwarder.serve(createCall(plain, { bytes: 0, brokenOff: false }, clientLeft.signal));
+            return { recorded, lost: lost.length, ends: queue.ends.map(({ kind }) => kind) };
+        };
+        const beyondBuffer = { afterMs: 0, bytes: 300_000 };
+        const late = { afterMs: 400, bytes: 10 };
+
+        it("records a complete one as answered", async () => {
+            expect(await recordedBy([beyondBuffer])).to.deep.equal({ recorded: ["answered 200"], lost: 0, ends: ["answered"] });
+        });
+
+        it("records one that breaks off as broken off", async () => {
+            expect(await recordedBy([beyondBuffer, late], ({ stop }) => {
+                stop();
+            })).to.deep.equal({ recorded: ["broken off"], lost: 1, ends: ["lost"] });
+        });
+
+        it("records one whose client leaves as that, and doesn't hold it against the target", async () => {
+            expect(await recordedBy([beyondBuffer, late], undefined, 100)).to.deep.equal({ recorded: ["client left"], lost: 0, ends: ["dropped"] });
+        });
+    });
+
     it("delivers a target's error response if there is no slot for a retry", async () => {
         const failing = await target("t-1", { afterMs: 1, status: 500 });
         const queue: ScriptedQueue = { grants: [failing.targetId, "refused"], ends: [], requestCount: 0 };
--- a/test/forwarding/retryPolicy.spec.ts
+++ b/test/forwarding/retryPolicy.spec.ts
@@ -23,7 +23,7 @@
 
 describe("next step after an attempt", () => {
     it("never retries a non-idempotent request that may have run", () => {
-        const ends: AttemptEnd[] = [lost, { kind: "timed-out" }, { kind: "broken-off" }, answered(500), answered(200)];
+        const ends: AttemptEnd[] = [lost, { kind: "timed-out" }, { kind: "broken-off", why: "reset" }, answered(500), answered(200)];
         for (const end of ends) {
             expect(nextStep(situation(end, { idempotent: false })), end.kind).not.to.equal("retry");
         }
