An attempt given up while connecting counts as unreachable, not as late

A target to which no connection could be opened in time was recorded as slow, with the time spent on connecting as its work time, and went on getting requests. The end of a given-up attempt didn't look at whether anything had been sent. Now it does: the target is treated as for any connection that can't be opened. test/forwarding/attemptEnds.spec.ts failed before.

--- a/src/forwarding/attemptEnds.ts
+++ b/src/forwarding/attemptEnds.ts
@@ -24,7 +24,7 @@
     "unreachable": () => ({ kind: "unreachable" }),
     "lost": () => ({ kind: "lost" }),
     "timed-out": (_end, tookMs) => ({ kind: "late", afterMs: tookMs }),
-    "given-up": (_end, tookMs) => ({ kind: "late", afterMs: tookMs }),
+    "given-up": ({ wasSent }, tookMs) => wasSent ? { kind: "late", afterMs: tookMs } : { kind: "unreachable" },
     "body-broken": () => ({ kind: "dropped" }),
     "client-left": () => ({ kind: "dropped" }),
 };
