--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -8,7 +8,7 @@
 import { RequestNotRunError } from "../entry/clientCall.js";
 import type { LoadMeter } from "../ownership/loadMeter.js";
 import type { DataCentreId } from "../model/names.js";
-import { linkAborts } from "../model/signal.js";
+import { linkAborts, Signal } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import type { RequestLog } from "../observe/requestLog.js";
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
@@ -25,7 +25,7 @@
 import type { RequestContext } from "./requestContext.js";
 import { prepareRequest } from "./requestPreparation.js";
 import type { Placement, TargetSlot } from "./placement.js";
-import { createPlacer, retryAfterUnreachableMs } from "./placement.js";
+import { createPlacer, retryAfterStoppingMs, retryAfterUnreachableMs } from "./placement.js";
 import type { RetryTerms } from "./retryPolicy.js";
 import { nextStep } from "./retryPolicy.js";
 import type { RetryReservation } from "./retryReservation.js";
@@ -72,8 +72,12 @@
      * `RequestNotRunError` if the request has certainly not run, otherwise with the error.
      */
     serve(call: ClientCall): Promise<void>;
-    /** Called when this host begins to shut down: from then on no running attempt is given up for a retry. */
-    startShutdown(): void;
+    /**
+     * Called when this host begins to shut down. From then on no running attempt is given up for a retry, and a request is sent to a target
+     * only if it ends by `cutAtMs` at the latest, whatever the target does; other requests are refused at once.
+     * @param cutAtMs monotonic time at which requests in progress are cut off
+     */
+    startShutdown(cutAtMs: number): void;
     /** Refuses every request that has no slot, now and from now on. */
     refuseWaiting(): void;
 }
@@ -85,7 +89,8 @@
     const workTimes = new WorkTimes();
     const clientWaits = new ClientWaitEstimator();
     const waitingRefused = new AbortController();
-    let isShuttingDown = false;
+    const shutdownStarted = new Signal();
+    let cutAtMs = Number.POSITIVE_INFINITY;
     setMaxListeners(0, waitingRefused.signal);
     const addJitter = (delayMs: number) => delayMs * (0.9 + dependencies.random() * 0.4);
     const pauses = new TargetPauses();
@@ -129,6 +134,12 @@
             : undefined;
     };
 
+    const stopRefusal = ({ deadlineMs }: RequestContext): Refusal | undefined =>
+        deadlineMs > cutAtMs ? { reason: "stopping", retryAfterMs: addJitter(retryAfterStoppingMs) } : undefined;
+
+    /** Returns the refusal of a request that must not be sent to a target at present, wherever there is a slot for it. */
+    const findRefusal = (context: RequestContext): Refusal | undefined => stopRefusal(context) ?? quarantineRefusal(context);
+
     /** Prepares a call; refuses it at once if it can't be forwarded. */
     const prepare = async (call: ClientCall): Promise<RequestContext | undefined> => {
         const prepared = await prepareRequest(
@@ -139,7 +150,7 @@
             return undefined;
         }
         const { context } = prepared;
-        const refusal = quarantineRefusal(context);
+        const refusal = findRefusal(context);
         if (refusal !== undefined) {
             refuse(call, refusal, context);
             return undefined;
@@ -178,7 +189,7 @@
         context: RequestContext, slot: TargetSlot,
     ): Promise<{ end: AttemptEnd; retrySlot: TargetSlot | undefined }> => {
         const reservation = createRetryReservation(
-            { placer, getRetryTerms: retryTerms, isShuttingDown: () => isShuttingDown }, context, slot);
+            { placer, getRetryTerms: retryTerms, isShuttingDown: () => Number.isFinite(cutAtMs) }, context, slot);
         const startedMs = nowMs();
         const end = await runAttempt(context, slot, reservation);
         context.mayHaveRun ||= mayHaveRun(end);
@@ -214,10 +225,29 @@
         }
     };
 
-    const deliver = ({ call, route, triedTargetIds }: RequestContext, { answer, tookMs }: Answered) => {
+    const recordAnswer = ({ call, route, triedTargetIds }: RequestContext, status: number, tookMs: number) => {
         workTimes.observe(route.routeId, tookMs, typicalWorkMs(route));
-        requestLog.answered(call, route, triedTargetIds, answer.head.status, tookMs);
-        call.answer(answer.head, answer.body);
+        requestLog.answered(call, route, triedTargetIds, status, tookMs);
+    };
+
+    const deliver = (context: RequestContext, { answer, tookMs }: Answered) => {
+        recordAnswer(context, answer.head.status, tookMs);
+        context.call.answer(answer.head, answer.body);
+    };
+
+    /** Records the end of a request that needs no response any more: it has been streamed, or its client has left. */
+    const recordEndWithoutResponse = (context: RequestContext, end: AttemptEnd) => {
+        const { call, route, triedTargetIds } = context;
+        switch (end.kind) {
+            case "streamed":
+                recordAnswer(context, end.status, end.tookMs);
+                return;
+            case "broken-off":
+                requestLog.brokenOff(call, route, triedTargetIds, end.why);
+                return;
+            default:
+                requestLog.clientLeft(call, route, triedTargetIds);
+        }
     };
 
     /**
@@ -237,27 +267,30 @@
             context);
     };
 
-    /** Waits for a slot; the wait ends when the request is quarantined, or its client leaves. */
-    const placeWhileNotQuarantined = async (context: RequestContext): Promise<Placement> => {
+    /** Waits for a slot; the wait ends when the request must be refused, or its client leaves. */
+    const placeWhileAllowed = async (context: RequestContext): Promise<Placement> => {
         const waitAbort = linkAborts(context.call.clientLeft);
-        const stopListening = crashEvidence.changed.listen(() => {
-            if (quarantineRefusal(context) !== undefined) {
+        const onChange = () => {
+            if (findRefusal(context) !== undefined) {
                 waitAbort.abort();
             }
-        });
+        };
+        const stopListening = [crashEvidence.changed.listen(onChange), shutdownStarted.listen(onChange)];
         try {
             return await placer.place(context, waitAbort.signal);
         }
         finally {
-            stopListening();
+            stopListening.forEach((stop) => {
+                stop();
+            });
             waitAbort.release();
         }
     };
 
-    /** As `quarantineRefusal`, for a request that has a placement; on an unexpected error its slot is given back. */
-    const quarantineRefusalOfPlaced = (context: RequestContext, placement: Placement): Refusal | undefined => {
+    /** As `findRefusal`, for a request that has a placement; on an unexpected error its slot is given back. */
+    const findRefusalOfPlaced = (context: RequestContext, placement: Placement): Refusal | undefined => {
         try {
-            return quarantineRefusal(context);
+            return findRefusal(context);
         }
         catch (error) {
             if (placement.kind === "placed") {
@@ -267,11 +300,11 @@
         }
     };
 
-    /** Finds a slot, unless the request is quarantined before there is one. */
-    const placeUnlessQuarantined = async (context: RequestContext, reservedSlot: TargetSlot | undefined): Promise<Placement> => {
+    /** Finds a slot, unless the request must be refused before there is one. */
+    const placeUnlessRefused = async (context: RequestContext, reservedSlot: TargetSlot | undefined): Promise<Placement> => {
         for (;;) {
-            const placement = reservedSlot ?? await placeWhileNotQuarantined(context);
-            const refusal = quarantineRefusalOfPlaced(context, placement);
+            const placement = reservedSlot ?? await placeWhileAllowed(context);
+            const refusal = findRefusalOfPlaced(context, placement);
             if (refusal !== undefined && placement.kind === "placed") {
                 placement.release({ kind: "dropped" });
             }
@@ -302,7 +335,7 @@
         let possiblyExecuted: AttemptEnd | undefined;
         let reservedSlot: TargetSlot | undefined;
         for (;;) {
-            const placement = await placeUnlessQuarantined(context, reservedSlot);
+            const placement = await placeUnlessRefused(context, reservedSlot);
             if (placement.kind === "client-left") {
                 requestLog.clientLeft(context.call, context.route, context.triedTargetIds);
                 return;
@@ -326,7 +359,7 @@
                     }
                     return;
                 case "none":
-                    requestLog.clientLeft(context.call, context.route, context.triedTargetIds);
+                    recordEndWithoutResponse(context, end);
                     return;
                 case "refuse":
                 case "fail":
@@ -357,8 +390,9 @@
 
     return {
         serve,
-        startShutdown: () => {
-            isShuttingDown = true;
+        startShutdown: (atMs) => {
+            cutAtMs = atMs;
+            shutdownStarted.fire();
         },
         refuseWaiting: () => {
             waitingRefused.abort();
