Records of the ledger are believed only within what their values can mean

Operators would see hosts that stop following the configuration document for good, hosts that lead with fencing tokens that are no safe integers or lower than those the targets have seen, and crash records that stay forever: another program's record with a term of 2^53, ranges that overlap, a port out of range, a document without defaults or a completion in the year 33658 was taken as it stood, and the document was not checked at all, so that compiling it raised an error in the task that follows documents.

Cause: the decoder of the ledger checked the form of a value, not its range. It now uses the ranges of `valueSchemas.ts`, bounds size, depth and lists, checks the document by the schema that hornbeamctl publishes with (unknown fields are left out, for later versions), and takes a record only under the key that a host writes it to. An odd record changes nothing: what stood under its key stays in force. A host that starts and can't read the term claims one above the number of records before it, which no earlier term can exceed, and waits until earlier leases have ended. Records of crashes more than 6 hours in the future are removed. Fields of the schema stand in the order in which hosts write them, since the ledger writer compares records as text; those of a crash did not, so that an unanswered append of one was never found in the ledger.

--- a/src/cluster/crashRecording.ts
+++ b/src/cluster/crashRecording.ts
@@ -30,6 +30,9 @@
 /** The release of a quarantined request is forgotten after this time, by when the crashes before it are forgotten too. */
 const releaseRetentionMs = 6 * 60 * 60_000;
 
+/** No host's clock is believed to be ahead of another one's by more. */
+const maxClockErrorMs = 6 * 60 * 60_000;
+
 /** Interval at which records are checked for what has become too old. */
 const checkPeriodMs = 10_000;
 
@@ -58,18 +61,24 @@
         .map((report) => toCrashRecord(report, recordedBy, now))
         .map((record) => ({ key: crashKeyOf(record, recordedBy), record: { ...record, requests: notCleared(record, evidence) } }));
     const oldCrashes = recorded
-        .filter((record) => !wanted.some((report) => isSameProcess(record, report)) && now.wallMs - record.atWallMs > minRetentionMs)
+        .filter((record) => !wanted.some((report) => isSameProcess(record, report)) && isOutdated(record.atWallMs, minRetentionMs, now))
         .map((record) => ({ key: crashKeyOf(record, record.recordedBy), record: undefined }));
     const outdated = recorded.flatMap((record) => withoutCleared(record, evidence));
     const oldReleases = ledger.quarantineReleases()
-        .filter(({ releasedWallMs }) => now.wallMs - releasedWallMs > releaseRetentionMs)
+        .filter(({ releasedWallMs }) => isOutdated(releasedWallMs, releaseRetentionMs, now))
         .map(({ fingerprint }) => ({ key: quarantineReleaseKeyOf(fingerprint), record: undefined }));
     const oldCompletions = ledger.completions()
-        .filter(({ atWallMs }) => now.wallMs - atWallMs > minRetentionMs)
+        .filter(({ atWallMs }) => isOutdated(atWallMs, minRetentionMs, now))
         .map(({ fingerprint }) => ({ key: completionKeyOf(fingerprint), record: undefined }));
     return [...added, ...outdated, ...oldCrashes, ...oldCompletions, ...oldReleases];
 }
 
+/** Tells whether a record is too old, or so far in the future that no clock can be that wrong; the latter would stay forever. */
+function isOutdated(atWallMs: number, retentionMs: number, now: Instant): boolean {
+    const ageMs = now.wallMs - atWallMs;
+    return ageMs > retentionMs || ageMs < -maxClockErrorMs;
+}
+
 function notCleared(record: CrashRecord, evidence: CrashEvidence): CrashRecord["requests"] {
     return record.requests.filter((request) => !evidence.isClearedSince(record, request));
 }
--- a/src/cluster/termClaims.ts
+++ b/src/cluster/termClaims.ts
@@ -66,7 +66,7 @@
         const { self, view, store, reader, clock, log } = this.dependencies;
         const previous = view.ledger.term;
         const record: TermRecord = {
-            kind: "term", term: (previous?.term ?? 0) + 1 as Term, hostId: self.hostId, runId: self.runId, peerAddress: self.peerAddress,
+            kind: "term", term: this.nextTerm(previous), hostId: self.hostId, runId: self.runId, peerAddress: self.peerAddress,
         };
         const sentAt = clock.now();
         const outcome = await store.append([encodeLedgerRecord(termKey, record)], view.ledger.upTo);
@@ -95,9 +95,18 @@
         return claimed;
     }
 
+    /**
+     * Returns the number of the term after the previous one. If that can't be read, it is at most the number of records before it, since
+     * every term has a record.
+     */
+    private nextTerm(previous: TermRecord | undefined): Term {
+        const { ledger } = this.dependencies.view;
+        return (previous?.term ?? (ledger.isTermUnreadable ? ledger.upTo : 0)) + 1 as Term;
+    }
+
     private predecessorOf(previous: TermRecord | undefined, resignation: Resignation | undefined): Predecessor {
         if (previous === undefined) {
-            return noPredecessor;
+            return this.dependencies.view.ledger.isTermUnreadable ? this.predecessorWithoutResignation(false) : noPredecessor;
         }
         const nowMs = this.dependencies.clock.now().monoMs;
         if (resignation !== undefined && nowMs - resignation.receivedAtMs < resignationValidMs) {
--- a/src/ownership/ledger.ts
+++ b/src/ownership/ledger.ts
@@ -6,13 +6,17 @@
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import * as z from "zod/mini";
-import "../model/zodLocale.js";
 import type { ConfigDocument } from "../config/documentSchema.js";
+import { publishedDocumentSchema } from "../config/documentSchema.js";
 import type { CompletionRecord, CrashRecord, QuarantineReleaseRecord } from "../crashes/crashRecords.js";
+import { completionKeyOf, crashKeyOf, quarantineReleaseKeyOf } from "../crashes/crashRecords.js";
+import type { JsonLimits } from "../model/boundedJson.js";
+import { describeJsonRejection, parseBoundedJson } from "../model/boundedJson.js";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Address, HostId, KeyRange, Offset, RunId, ServiceId, TargetId, Term } from "../model/names.js";
-import { maxKey } from "../model/names.js";
+import { validate } from "../model/schemaIssues.js";
+import { addressSchema, countSchema, idSchema, keySchema, nameSchema, wallMsSchema } from "../model/valueSchemas.js";
 import type { NewRecord, StoreRecord } from "../store/storePort.js";
 
 /** A term with its coordinator. */
@@ -62,35 +66,74 @@
     record: LedgerRecord | undefined;
 }
 
-const keyNumber = z.int().check(z.gte(0), z.lte(maxKey));
+const recordLimits: JsonLimits = { maxBytes: 1_048_576, maxDepth: 16 };
+
+/** Limits on lists in records, above what any host writes. */
+const maxListedRequests = 1_000;
+const maxListedTargets = 100_000;
+
+/** The number of a later term could not be part of a fencing token, which has to be a safe integer. */
+const maxTerm = 2 ** 25 - 1;
+const maxVersion = 1_000_000_000;
+const maxNoteChars = 10_000;
+
+const noteSchema = z.string().check(z.maxLength(maxNoteChars));
+const versionSchema = z.int().check(z.gte(0), z.lte(maxVersion));
+const processFields = { targetId: idSchema, bornWallMs: wallMsSchema };
+
+/** Empty if the target had left the directory before the keys were assigned to it. */
+const ownerAddressSchema = z.union([z.literal(""), addressSchema]);
+
+const rangesSchema = z.array(z.object({ from: keySchema, to: keySchema }))
+    .check(z.refine(areDistinctRanges, "must be ranges that begin before they end, and do not overlap"));
+
+/** Fields stand in the order in which hosts write them, since a record that was read is compared with one that was written. */
 const recordSchema = z.discriminatedUnion("kind", [
-    z.object({ kind: z.literal("term"), term: z.int(), hostId: z.string(), runId: z.string(), peerAddress: z.string() }),
     z.object({
-        kind: z.literal("document"), version: z.int(), basedOn: z.int(), document: z.looseObject({}), author: z.string(), reason: z.string(),
-        publishedWallMs: z.number(),
+        kind: z.literal("term"), term: z.int().check(z.gte(1), z.lte(maxTerm)), hostId: nameSchema, runId: nameSchema, peerAddress: addressSchema,
     }),
-    z.object({ kind: z.literal("drain"), targetIds: z.array(z.string()) }),
     z.object({
-        kind: z.literal("ownership"), targetId: z.string(), serviceId: z.string(), address: z.string(),
-        ranges: z.array(z.object({ from: keyNumber, to: keyNumber })),
+        kind: z.literal("document"), version: versionSchema, basedOn: versionSchema, document: publishedDocumentSchema, author: noteSchema,
+        reason: noteSchema, publishedWallMs: wallMsSchema,
     }),
+    z.object({ kind: z.literal("drain"), targetIds: z.array(idSchema).check(z.maxLength(maxListedTargets)) }),
     z.object({
-        kind: z.literal("crash"), recordedBy: z.string(), targetId: z.string(), bornWallMs: z.number(), serviceId: z.string(), atWallMs: z.number(),
-        requests: z.array(z.object({ content: z.string(), exact: z.string(), sentWallMs: z.number() })),
-        others: z.object({ asked: z.int(), down: z.array(z.object({ targetId: z.string(), bornWallMs: z.number() })) }),
+        kind: z.literal("ownership"), targetId: idSchema, serviceId: nameSchema, address: ownerAddressSchema, ranges: rangesSchema,
     }),
-    z.object({ kind: z.literal("completion"), fingerprint: z.string(), atWallMs: z.number() }),
     z.object({
-        kind: z.literal("quarantine-release"), fingerprint: z.string(), releasedWallMs: z.number(), author: z.string(), reason: z.string(),
+        kind: z.literal("crash"), recordedBy: nameSchema, ...processFields, serviceId: nameSchema,
+        others: z.object({ asked: countSchema, down: z.array(z.object(processFields)).check(z.maxLength(maxListedTargets)) }),
+        atWallMs: wallMsSchema,
+        requests: z.array(z.object({ content: idSchema, exact: idSchema, sentWallMs: wallMsSchema })).check(z.maxLength(maxListedRequests)),
+    }),
+    z.object({ kind: z.literal("completion"), fingerprint: idSchema, atWallMs: wallMsSchema }),
+    z.object({
+        kind: z.literal("quarantine-release"), fingerprint: idSchema, releasedWallMs: wallMsSchema, author: noteSchema, reason: noteSchema,
     }),
 ]);
 
+function areDistinctRanges(ranges: readonly { from: number; to: number }[]): boolean {
+    const sorted = [...ranges].sort((left, right) => left.from - right.from);
+    return sorted.every(({ from, to }, index) => from <= to && from > (sorted[index - 1]?.to ?? -1));
+}
+
 /** Key of the term in force. */
 export const termKey = "term";
 
 /** Key of the targets that operators drain. */
 export const drainKey = "drain";
 
+/** Returns the key under which a record is kept; a record under another key was not written by a host. */
+const keyByKind: { [Kind in LedgerRecord["kind"]]: (record: Extract<LedgerRecord, { kind: Kind }>) => string } = {
+    "term": () => termKey,
+    "document": ({ version }) => documentKeyOf(version),
+    "drain": () => drainKey,
+    "ownership": ({ targetId }) => ownershipKeyOf(targetId),
+    "crash": (record) => crashKeyOf(record, record.recordedBy),
+    "completion": ({ fingerprint }) => completionKeyOf(fingerprint),
+    "quarantine-release": ({ fingerprint }) => quarantineReleaseKeyOf(fingerprint),
+};
+
 /** Returns the key of a version of the configuration document. */
 export function documentKeyOf(version: number): string {
     return `document/${String(version)}`;
@@ -118,19 +161,30 @@
     if (stored.value === undefined) {
         return ok({ offset: stored.offset, key: stored.key, record: undefined });
     }
-    try {
-        const record = recordSchema.parse(JSON.parse(stored.value.toString("utf8"))) as LedgerRecord;
-        return ok({ offset: stored.offset, key: stored.key, record });
-    }
-    catch (error) {
-        return err(failure("invalid", "fold", stored.key, error instanceof Error ? error.message : String(error)));
-    }
+    const record = parseBoundedJson(stored.value, recordLimits).mapErr(describeJsonRejection)
+        .andThen((json) => parseLedgerRecord(stored.key, json));
+    return record.map((parsed) => ({ offset: stored.offset, key: stored.key, record: parsed }))
+        .mapErr((message) => failure("invalid", "fold", stored.key, message));
+}
+
+/**
+ * Checks a record that another program wrote.
+ * @param key key under which it is kept
+ * @param value the record
+ * @returns the record, or what is wrong with it
+ */
+export function parseLedgerRecord(key: string, value: unknown): Result<LedgerRecord, string> {
+    return validate(recordSchema, value).map((record) => record as LedgerRecord).andThen((record) => {
+        const expectedKey = (keyByKind[record.kind] as (of: LedgerRecord) => string)(record);
+        return key === expectedKey ? ok(record) : err(`is not kept under its key, which is ${expectedKey}`);
+    });
 }
 
 /** Newest known change of each key of the ledger. */
 export class Ledger {
     private readonly changes = new Map<string, LedgerChange>();
     private end = 0 as Offset;
+    private hasOddTerm = false;
 
     /** Offset after the last applied record. */
     get upTo(): Offset {
@@ -143,6 +197,16 @@
         return record?.kind === "term" ? record : undefined;
     }
 
+    /** True if there is a record of the term in force, but this host has read none that it can decode; then `term` is undefined. */
+    get isTermUnreadable(): boolean {
+        return this.hasOddTerm && this.term === undefined;
+    }
+
+    /** Remembers that a record of the term could not be decoded. */
+    markTermUnreadable(): void {
+        this.hasOddTerm = true;
+    }
+
     /** Returns the stored versions of the configuration document, newest first. */
     documents(): DocumentRecord[] {
         return this.records().filter((record) => record.kind === "document").sort((left, right) => right.version - left.version);
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -6,7 +6,7 @@
 import type { RoutingConfig } from "../model/routing.js";
 import { isId } from "../model/valueSchemas.js";
 import type { LedgerChange } from "../ownership/ledger.js";
-import { decodeLedgerRecord } from "../ownership/ledger.js";
+import { decodeLedgerRecord, termKey } from "../ownership/ledger.js";
 import type { Clock } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import type { ClusterView } from "./clusterView.js";
@@ -144,10 +144,14 @@
         return isId(key) ? [{ targetId: key as TargetId, offset, entry: decoded?.unwrapOr(undefined) }] : [];
     });
 
+    /** Decodes records of the ledger. One that cannot be decoded changes nothing: an earlier one under its key stays in force. */
     const decodeLedger = (records: readonly StoreRecord[]): LedgerChange[] => records.flatMap((record) => {
         const decoded = decodeLedgerRecord(record);
         if (decoded.isErr()) {
             log.warn("ledger record cannot be decoded", { key: record.key, offset: record.offset, why: decoded.error.message });
+            if (record.key === termKey) {
+                view.ledger.markTermUnreadable();
+            }
         }
         return decoded.isOk() ? [decoded.value] : [];
     });
--- a/test/cluster/crashRecording.spec.ts
+++ b/test/cluster/crashRecording.spec.ts
@@ -93,6 +93,28 @@
         expect(other.standingOf(deadly, 104_000).kind).to.equal("suspected");
     });
 
+    it("are removed if they are years in the future, and stay if a host's clock is ahead by minutes", () => {
+        const evidence = new CrashEvidence();
+        const record = (ahead: number): DraftedRecord[] => {
+            const atWallMs = 1_000_000 + ahead;
+            const fingerprint = `f-${String(ahead)}` as Fingerprint;
+            return [
+                { key: `completion/${fingerprint}`, record: { kind: "completion", fingerprint, atWallMs } },
+                { key: `quarantine-release/${fingerprint}`, record: {
+                    kind: "quarantine-release", fingerprint, releasedWallMs: atWallMs, author: "ops", reason: "mended",
+                } },
+                { key: `crash/t-${String(ahead)}/1/h9`, record: {
+                    kind: "crash", recordedBy: "h9" as HostId, targetId: `t-${String(ahead)}` as TargetId, bornWallMs: 1,
+                    serviceId: "leases" as ServiceId, others: { asked: 0, down: [] }, atWallMs, requests: [],
+                } },
+            ];
+        };
+        const view = new ClusterView();
+        append(view, [...record(300_000), ...record(1e12)]);
+        const removed = draftCrashRecords(view.ledger, evidence, self, at(0)).map(({ key }) => key);
+        expect(removed).to.have.members(["crash/t-1000000000000/1/h9", "completion/f-1000000000000", "quarantine-release/f-1000000000000"]);
+    });
+
     it("let an operator release a request", () => {
         const evidence = new CrashEvidence();
         const view = new ClusterView();
