Messages of other hosts are believed only within what their values can mean

Operators of hosts of two versions would see one that takes an entry with port 99999 from the coordinator, although its own decoder would not, follows a member at such an address in a task that then ends by an error, or whose state is said to be confirmed at no time any more: one `storeAgeMs` that is no number stayed in the maximum that is computed from it, and one load that is no number in every sum.

Cause: what a host's decoder would refuse came in through news, reports and calls of other hosts, which were believed as they stood. `messageChecks.ts` checks them with the ranges of `valueSchemas.ts` and the ledger's decoder: what can't be meant is left out with one line that names peer, field and value; an entry that can't be meant is a removal. Loads and pressures, of which there are many, are checked without a schema. `connectToPeer` reports an address without a host or a valid port as unreachable instead of raising an error.

--- /dev/null
+++ b/src/cluster/messageChecks.ts
@@ -0,0 +1,216 @@
+/**
+ * Checks messages of other hosts, which may run another version of the router. What can't be meant is left out with a log line: a single
+ * value that is no number would otherwise stay in the state that is computed from it.
+ */
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
+import * as z from "zod/mini";
+import type { TargetPressure } from "../admission/admissionServer.js";
+import type { Failure } from "../model/failure.js";
+import { failure } from "../model/failure.js";
+import { validate } from "../model/schemaIssues.js";
+import {
+    addressSchema, countSchema, durationMsSchema, idSchema, isId, keySchema, nameSchema, offsetSchema, positiveCountSchema,
+    positiveDurationMsSchema, rateSchema, sequenceSchema, slotsSchema, wallMsSchema, weightSchema,
+} from "../model/valueSchemas.js";
+import type { Log } from "../observe/log.js";
+import type { LedgerChange, TermRecord } from "../ownership/ledger.js";
+import { parseLedgerRecord, termKey } from "../ownership/ledger.js";
+import type { TargetChange } from "../store/targetDirectory.js";
+import type { ConfigurationReply, FollowParams, News, Report } from "./messages.js";
+
+/** Limits on lists in messages. */
+const maxMembers = 100_000;
+const maxRequestsPerCrash = 1_000;
+
+const memberSchema = z.object({
+    hostId: nameSchema, runId: nameSchema, peerAddress: addressSchema, dataCentreId: nameSchema, cpuShare: z.number().check(z.positive()),
+});
+
+const membersSchema = z.object({
+    since: z.optional(countSchema), came: z.array(memberSchema).check(z.maxLength(maxMembers)), went: z.array(nameSchema),
+});
+
+const processFields = { targetId: idSchema, bornWallMs: wallMsSchema };
+const processesSchema = z.array(z.object(processFields));
+
+/** Ages of crashes may be negative by what clocks of two hosts differ. */
+const agoMsSchema = z.number().check(z.gte(-1e13), z.lte(1e13));
+
+const evidenceSchema = z.object({
+    crashes: z.array(z.object({
+        ...processFields, serviceId: nameSchema, agoMs: agoMsSchema, others: z.object({ asked: countSchema, down: processesSchema }),
+        requests: z.array(z.object({ content: idSchema, exact: idSchema, sentAgoMs: agoMsSchema })).check(z.maxLength(maxRequestsPerCrash)),
+    })),
+    completions: z.array(z.object({ fingerprint: idSchema, agoMs: agoMsSchema })),
+});
+
+const noticeSchema = z.object({
+    moving: z.array(z.object({ serviceId: nameSchema, from: keySchema, to: keySchema, freeInMs: z.optional(durationMsSchema) })),
+    silent: z.array(z.object({ targetId: idSchema, freeInMs: durationMsSchema })),
+});
+
+const newsFields = z.object({
+    term: z.int().check(z.gte(1)), storeAgeMs: durationMsSchema, configOffset: offsetSchema,
+    targetsUpTo: offsetSchema, targetsDigest: z.int(),
+    ledgerUpTo: offsetSchema, ledgerFrom: z.optional(offsetSchema), membersVersion: countSchema,
+    targets: z.optional(z.array(z.unknown())), ledger: z.optional(z.array(z.unknown())), notice: z.optional(z.unknown()),
+    leavingTargets: z.optional(z.unknown()), crashEvidence: z.optional(z.unknown()), members: z.optional(z.unknown()),
+});
+
+const changeSchema = z.object({ offset: offsetSchema, targetId: z.string() });
+const entrySchema = z.object({
+    targetId: idSchema, serviceId: nameSchema, address: addressSchema, dataCentreId: nameSchema, slots: slotsSchema,
+    state: z.enum(["ready", "draining", "gone"]), bornWallMs: wallMsSchema, sequence: sequenceSchema, warmingUp: z.boolean(),
+});
+const ledgerChangeSchema = z.object({ offset: offsetSchema, key: z.string(), record: z.optional(z.unknown()) });
+
+const followSchema = z.object({
+    member: memberSchema, ledgerUpTo: offsetSchema, targetsFrom: offsetSchema,
+    members: z.optional(z.object({ term: z.int(), version: countSchema })),
+});
+
+const maxSlowness = 1_000_000;
+const maxRequestsPerSecond = 1_000_000_000;
+
+const configurationSchema = z.object({
+    offset: offsetSchema,
+    config: z.object({
+        version: z.int().check(z.gte(0)),
+        routes: z.array(z.object({
+            routeId: nameSchema, hostName: z.string(), method: z.optional(z.string()), pathPrefix: z.string(), idempotent: z.boolean(),
+            timeoutMs: positiveDurationMsSchema, targetLatencyMs: positiveDurationMsSchema, priority: countSchema,
+            maxAttempts: positiveCountSchema,
+            backends: z.array(z.object({ serviceId: nameSchema, weight: weightSchema })),
+        })),
+        services: z.array(z.object({
+            serviceId: nameSchema, healthPath: z.string(), maxConnections: positiveCountSchema, sharded: z.boolean(),
+            warmUpRequestsPerSecond: z.optional(rateSchema), warmUpMs: durationMsSchema,
+        })),
+        limits: z.object({
+            maxHeaderBytes: z.int().check(z.gte(1)), maxBodyBytes: z.int().check(z.gte(1)), headerTimeoutMs: positiveDurationMsSchema,
+            idleTimeoutMs: positiveDurationMsSchema,
+        }),
+    }),
+});
+
+/** Checks messages of other hosts. */
+export interface MessageChecks {
+    /** Returns the news without what can't be meant; undefined if none of it can. A target's entry that can't be meant is a removal. */
+    news(message: unknown, peer: string): News | undefined;
+    /** Returns a report without what can't be meant; undefined if none of it can. */
+    report(message: unknown, peer: string): Report | undefined;
+    follow(message: unknown, peer: string): Result<FollowParams, Failure>;
+    configuration(message: unknown, peer: string): Result<ConfigurationReply, Failure>;
+    /** Returns an announced term. */
+    term(message: unknown, peer: string): Result<TermRecord, Failure>;
+}
+
+/**
+ * Creates the checks.
+ * @param log gets a line for what is left out
+ */
+export function createMessageChecks(log: Log): MessageChecks {
+    const warn = (part: string, peer: string, why: string) => {
+        log.warn("message of another host cannot be meant", { peer, part, why });
+    };
+
+    /** Returns a part of a message; undefined if it is absent or can't be meant. */
+    const checkPart = <T>(part: string, schema: z.ZodMiniType<T>, value: unknown, peer: string): T | undefined =>
+        value === undefined ? undefined : validate(schema, value).match((checked) => checked, (why) => {
+            warn(part, peer, why);
+            return undefined;
+        });
+
+    const checkTarget = (value: unknown, peer: string): TargetChange[] => {
+        const change = checkPart("target", changeSchema, value, peer);
+        if (change === undefined || !isId(change.targetId)) {
+            return [];
+        }
+        const entry = checkPart("target", entrySchema, (value as { entry?: unknown }).entry, peer);
+        return [{ ...change, entry: entry?.targetId === change.targetId ? entry : undefined } as TargetChange];
+    };
+
+    const checkLedgerChange = (value: unknown, peer: string): LedgerChange[] => {
+        const change = checkPart("ledger", ledgerChangeSchema, value, peer);
+        if (change?.record === undefined) {
+            return change === undefined ? [] : [{ ...change, record: undefined } as LedgerChange];
+        }
+        return parseLedgerRecord(change.key, change.record).match((record) => [{ ...change, record } as LedgerChange], (why) => {
+            warn(`ledger ${change.key}`, peer, why);
+            return [];
+        });
+    };
+
+    const checkPressures = (pressures: readonly unknown[], peer: string): unknown[] => {
+        const checked = pressures.filter(isPressure);
+        if (checked.length < pressures.length) {
+            warn("pressures", peer, `${String(pressures.length - checked.length)} of ${String(pressures.length)} are out of range`);
+        }
+        return checked;
+    };
+
+    return {
+        news: (message, peer) => {
+            const fields = checkPart("news", newsFields, message, peer);
+            if (fields === undefined) {
+                return undefined;
+            }
+            const { targets, ledger, notice, leavingTargets, crashEvidence, members, ...scalars } = fields;
+            return {
+                ...scalars,
+                targets: targets?.flatMap((change) => checkTarget(change, peer)),
+                ledger: ledger?.flatMap((change) => checkLedgerChange(change, peer)),
+                notice: checkPart("notice", noticeSchema, notice, peer),
+                leavingTargets: checkPart("leaving targets", processesSchema, leavingTargets, peer),
+                crashEvidence: checkPart("crash evidence", evidenceSchema, crashEvidence, peer),
+                members: checkPart("members", membersSchema, members, peer),
+            } as News;
+        },
+        report: (message, peer) => {
+            const fields = checkPart("report", reportFields, message, peer);
+            if (fields === undefined) {
+                return undefined;
+            }
+            return {
+                leaving: fields.leaving,
+                loads: fields.loads.filter(isLoad),
+                pressures: checkPressures(fields.pressures, peer),
+                leavingTargets: checkPart("leaving targets", processesSchema, fields.leavingTargets, peer),
+                crashEvidence: checkPart("crash evidence", evidenceSchema, fields.crashEvidence, peer),
+            } as unknown as Report;
+        },
+        follow: (message, peer) => checkWhole(followSchema, message, peer).map((params) => params as unknown as FollowParams),
+        configuration: (message, peer) =>
+            checkWhole(configurationSchema, message, peer).map((reply) => reply as unknown as ConfigurationReply),
+        term: (message, peer) => parseLedgerRecord(termKey, message).mapErr((why) => failure("invalid", "peer-call", peer, why))
+            .andThen((record) => record.kind === "term" ? ok(record) : err(failure("invalid", "peer-call", peer, "is no term"))),
+    };
+}
+
+const reportFields = z.object({
+    leaving: z.boolean(), loads: z.array(z.unknown()), pressures: z.array(z.unknown()),
+    leavingTargets: z.optional(z.unknown()), crashEvidence: z.optional(z.unknown()),
+});
+
+/** Tells whether a value has the form of a report of loads by key; `KeyLoads.add` checks the numbers, of which there are many. */
+function isLoad(value: unknown): boolean {
+    const { serviceId, pairs } = (value ?? {}) as { serviceId?: unknown; pairs?: unknown };
+    return typeof serviceId === "string" && Array.isArray(pairs);
+}
+
+/** Tells whether a value is the pressure of a target. Without a schema, since every host reports many of them each time. */
+function isPressure(value: unknown): boolean {
+    const { targetId, slowness, running, waiting, requestsPerSecond } = (value ?? {}) as Partial<Record<keyof TargetPressure, unknown>>;
+    return typeof targetId === "string" && isBetween(slowness, Number.MIN_VALUE, maxSlowness)
+        && isBetween(running, 0, Number.MAX_SAFE_INTEGER) && isBetween(waiting, 0, Number.MAX_SAFE_INTEGER)
+        && (requestsPerSecond === undefined || isBetween(requestsPerSecond, 0, maxRequestsPerSecond));
+}
+
+function isBetween(value: unknown, min: number, max: number): boolean {
+    return typeof value === "number" && value >= min && value <= max;
+}
+
+function checkWhole<T>(schema: z.ZodMiniType<T>, message: unknown, peer: string): Result<T, Failure> {
+    return validate(schema, message).mapErr((why) => failure("invalid", "peer-call", peer, why));
+}
--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -4,11 +4,13 @@
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { Offset, Term } from "../model/names.js";
 import type { Clock } from "../model/time.js";
+import type { Log } from "../observe/log.js";
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { TopicReader } from "../store/topicReader.js";
 import { MemberListCopy } from "./memberList.js";
 import type { Membership } from "./membership.js";
+import type { MessageChecks } from "./messageChecks.js";
 import type { ConfigurationReply, FollowParams, FollowReply, News } from "./messages.js";
 import { clusterMethods } from "./messages.js";
 import type { PeerConnection } from "./peerConnection.js";
@@ -26,6 +28,8 @@
     owners: OwnerLookup;
     crashEvidence: CrashEvidence;
     clock: Clock;
+    checks: MessageChecks;
+    log: Log;
     /** Latest term that this host knows. */
     latestTerm: () => Term | undefined;
 }
@@ -36,7 +40,7 @@
     readonly confirmedAtMs: number;
     /** Counts the state as confirmed now; used when following begins, while the age of the coordinator's state is not known. */
     assumeConfirmedNow(): void;
-    /** Applies an update, unless this host knows a later term. */
+    /** Applies what can be meant of an update, unless this host knows a later term. */
     apply(news: News, from: PeerConnection): void;
     /** Asks a coordinator for everything that this host lacks. */
     requestState(from: PeerConnection): Promise<Result<FollowReply, Failure>>;
@@ -44,7 +48,7 @@
 
 /** Creates the receiver. */
 export function createNewsReceiver(
-    { view, reader, membership, owners, crashEvidence, clock, latestTerm }: NewsReceiverDependencies,
+    { view, reader, membership, owners, crashEvidence, clock, checks, log, latestTerm }: NewsReceiverDependencies,
 ): NewsReceiver {
     let confirmedAtMs = Number.NEGATIVE_INFINITY;
     let isCatchingUp = false;
@@ -52,8 +56,9 @@
     const memberList = new MemberListCopy();
     const nowMs = () => clock.now().monoMs;
 
-    const apply = (news: News, from: PeerConnection) => {
-        if (news.term < (latestTerm() ?? 0)) {
+    const apply = (received: News, from: PeerConnection) => {
+        const news = checks.news(received, from.address);
+        if (news === undefined || news.term < (latestTerm() ?? 0)) {
             return;
         }
         confirmedAtMs = Math.max(confirmedAtMs, nowMs() - news.storeAgeMs);
@@ -120,7 +125,11 @@
         }
         const reply = await from.call<ConfigurationReply | undefined>(clusterMethods.configuration, {}, callTimeoutMs);
         if (reply.isOk() && reply.value !== undefined) {
-            view.applyConfig(reply.value.config, reply.value.offset, view.configUpTo);
+            checks.configuration(reply.value, from.address).match(({ config, offset }) => {
+                view.applyConfig(config, offset, view.configUpTo);
+            }, (failed) => {
+                log.warn("configuration of another host cannot be meant", { peer: failed.peer, why: failed.message });
+            });
         }
     };
 
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -1,10 +1,14 @@
 /** This host's role in the cluster: it coordinates, follows the coordinator, or takes over from a coordinator that was lost. */
+import type { Result } from "neverthrow";
 import type { AdmissionServer } from "../admission/admissionServer.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { CrashObserver } from "../crashes/crashObserver.js";
+import type { Failure } from "../model/failure.js";
+import { describeFailure } from "../model/failure.js";
 import type { Address } from "../model/names.js";
 import { linkAborts, Signal, waitFor } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
+import { isDurationMs } from "../model/valueSchemas.js";
 import type { Log } from "../observe/log.js";
 import type { TermRecord } from "../ownership/ledger.js";
 import type { LeasePort } from "../ownership/leasePort.js";
@@ -18,6 +22,7 @@
 import { recordWhileAlone, watchCrashRecords } from "./crashRecording.js";
 import { createCoordinator } from "./coordinator.js";
 import type { Member, Membership } from "./membership.js";
+import { createMessageChecks } from "./messageChecks.js";
 import type { ConfigurationReply, FollowParams, FollowReply, News, Report, ResignReply } from "./messages.js";
 import { clusterMethods } from "./messages.js";
 import { createNewsReceiver } from "./newsReceiver.js";
@@ -108,7 +113,8 @@
     };
 
     const claims = new TermClaims(dependencies);
-    const newsReceiver = createNewsReceiver({ ...dependencies, latestTerm: () => latestTerm()?.term });
+    const checks = createMessageChecks(log);
+    const newsReceiver = createNewsReceiver({ ...dependencies, checks, latestTerm: () => latestTerm()?.term });
 
     /** Reads every topic from the store; resolves to whether all could be read. */
     const readAllTopics = async (): Promise<boolean> => {
@@ -207,7 +213,7 @@
     /** Asks the coordinator to resign, and claims the next term if it did. */
     const takeOver = async (connection: PeerConnection): Promise<boolean> => {
         const reply = await connection.call<ResignReply>(clusterMethods.resign, {}, callTimeoutMs);
-        if (reply.isErr() || !reply.value.resigned) {
+        if (reply.isErr() || !reply.value.resigned || !isDurationMs(reply.value.grantsLastMs)) {
             return false;
         }
         return claims.claim({ grantsLastMs: reply.value.grantsLastMs, receivedAtMs: nowMs() });
@@ -308,19 +314,22 @@
     return {
         handlers: () => ({
             [clusterMethods.follow]: (params: FollowParams, from: PeerConnection): FollowReply =>
-                coordinator?.follow(params, from) ?? { accepted: false, runId: self.runId },
+                coordinator?.follow(unwrapOrThrow(checks.follow(params, from.address)), from) ?? { accepted: false, runId: self.runId },
             [clusterMethods.news]: (news: News, from: PeerConnection) => {
                 newsReceiver.apply(news, from);
             },
             [clusterMethods.report]: (report: Report, from: PeerConnection) => {
-                coordinator?.report(report, from);
+                const checked = coordinator === undefined ? undefined : checks.report(report, from.address);
+                if (checked !== undefined) {
+                    coordinator?.report(checked, from);
+                }
             },
             [clusterMethods.resign]: (): ResignReply => coordinator?.resign() ?? { resigned: false },
             [clusterMethods.succeed]: ({ address }: { address: Address }) => {
                 void takeOverFrom(address);
             },
-            [clusterMethods.announce]: (term: TermRecord) => {
-                handleAnnouncedTerm(term);
+            [clusterMethods.announce]: (term: TermRecord, from: PeerConnection) => {
+                handleAnnouncedTerm(unwrapOrThrow(checks.term(term, from.address)));
             },
             [clusterMethods.configuration]: (): ConfigurationReply | undefined =>
                 view.config === undefined ? undefined : { config: view.config.config, offset: view.config.offset },
@@ -374,3 +383,11 @@
         }),
     };
 }
+
+/** Returns a checked message. A failure is thrown, so that the calling host gets it as the answer to its call. */
+function unwrapOrThrow<T>(checked: Result<T, Failure>): T {
+    if (checked.isErr()) {
+        throw new Error(describeFailure(checked.error));
+    }
+    return checked.value;
+}
--- a/src/cluster/peerConnection.ts
+++ b/src/cluster/peerConnection.ts
@@ -9,6 +9,7 @@
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Clock } from "../model/time.js";
+import { parseAddress } from "../model/valueSchemas.js";
 import { RpcSession } from "./rpcSession.js";
 
 const connectTimeoutMs = 300;
@@ -46,9 +47,12 @@
  * @param handlers methods that this host offers on the same connection
  */
 export function connectToPeer(address: string, handlers: PeerHandlers, clock: Clock): Promise<Result<PeerConnection, Failure>> {
-    const [host, port] = address.split(":");
+    const endpoint = parseAddress(address);
+    if (endpoint === undefined) {
+        return Promise.resolve(err(failure("unreachable", "connect", address, "the address has no host or no valid port")));
+    }
     return new Promise((resolve) => {
-        const socket = net.connect({ host, port: Number(port), noDelay: true });
+        const socket = net.connect({ ...endpoint, noDelay: true });
         const failConnect = (reason: string) => {
             clearTimeout(timer);
             socket.destroy();
--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -5,6 +5,7 @@
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Address } from "../model/names.js";
+import { parseAddress } from "../model/valueSchemas.js";
 import type { ResponseHead } from "./responseParser.js";
 import { headerOf, ResponseParser } from "./responseParser.js";
 
@@ -15,9 +16,6 @@
 const maxSkippedBytes = 262_144;
 const maxSkippedResponses = 16;
 
-const portPattern = /^[1-9][0-9]{0,4}$/;
-const maxPort = 65_535;
-
 /** A request as it is written to the socket. */
 export interface OutgoingRequest {
     method: string;
@@ -70,12 +68,12 @@
  * @returns the connection, or a failure of kind `unreachable`
  */
 export function connectToTarget(address: Address, timeoutMs: number): Promise<Result<TargetConnection, Failure>> {
-    const [host, port = ""] = address.split(":");
-    if (host === "" || !portPattern.test(port) || Number(port) > maxPort) {
+    const endpoint = parseAddress(address);
+    if (endpoint === undefined) {
         return Promise.resolve(err(failure("unreachable", "connect", address, "the address has no host or no valid port")));
     }
     return new Promise((resolve) => {
-        const socket = net.connect({ host, port: Number(port), noDelay: true, allowHalfOpen: true });
+        const socket = net.connect({ ...endpoint, noDelay: true, allowHalfOpen: true });
         const fail = (reason: string, refused = false) => {
             clearTimeout(timer);
             socket.destroy();
--- a/src/model/valueSchemas.ts
+++ b/src/model/valueSchemas.ts
@@ -29,8 +29,10 @@
 
 const maxWeight = 1_000_000_000;
 
+const idPattern = /^[\x21-\x7e]{1,128}$/;
+
 /** Id that travels in headers: visible ASCII characters, which cannot end a header or hide in a log line. */
-export const idSchema = z.string().check(z.regex(/^[\x21-\x7e]{1,128}$/, "must be 1 to 128 visible ASCII characters"));
+export const idSchema = z.string().check(z.regex(idPattern, "must be 1 to 128 visible ASCII characters"));
 
 /** Name that is compared, counted and logged, but never sent in a header. */
 export const nameSchema = z.string().check(
@@ -59,7 +61,18 @@
 
 /** Tells whether a text can be the id of a target. */
 export function isId(text: string): boolean {
-    return idSchema.safeParse(text).success;
+    return idPattern.test(text);
+}
+
+/** Tells whether a value is a duration in milliseconds. */
+export function isDurationMs(value: unknown): boolean {
+    return durationMsSchema.safeParse(value).success;
+}
+
+/** Splits an address; undefined if it is none. */
+export function parseAddress(address: string): { host: string; port: number } | undefined {
+    const [host, port] = splitAddress(address);
+    return isIpAddress(address) || isNamedAddress(address) ? { host, port: Number(port) } : undefined;
 }
 
 /** Tells whether an address has an IPv4 address without leading zeros that one host can have, and a port. */
--- a/src/ownership/keyLoads.ts
+++ b/src/ownership/keyLoads.ts
@@ -30,6 +30,9 @@
 /** The slow average reaches the full load only after a while; this limits the factor that compensates for it. */
 const minWarmUpShare = 0.15;
 
+/** Longest work on one key that one report may state. */
+const maxWorkMs = 1_000_000_000;
+
 /** Load by key of one service, in slots of an average target. */
 export class KeyLoads {
     private readonly slowSums = new DecayingSums(slowTimeConstantMs);
@@ -65,7 +68,8 @@
         for (let index = 0; index + 1 < pairs.length; index += 2) {
             const key = pairs[index] as number;
             const workMs = pairs[index + 1] as number;
-            if (key >= 0 && key <= maxKey) {
+            // Another host may report a work that is no number, and one such value would stay in every sum.
+            if (Number.isInteger(key) && key >= 0 && key <= maxKey && workMs >= 0 && workMs <= maxWorkMs) {
                 this.slowSums.add(key, workMs / slowTimeConstantMs, this.nowMs);
                 this.fastAverages.set(key, { load: this.fastLoad(key) + workMs / fastTimeConstantMs, atMs: this.nowMs });
                 this.meanWorkMs += (workMs - this.meanWorkMs) * meanWeight;
