An unexpected error while a topic is read is a failed reading, and does not end the task that follows the topic

Operators would see a host that stops following the store for good, without a sign but one line: whatever raised an error while records were decoded or applied rejected the reading, and the tasks that follow the targets, the ledger and the configuration have no way on from there. A decoder that raises an error now makes its record an odd one, and any other error a failed reading, which is logged with its stack; the next reading goes on after the records that were applied.

Evidence: on the code before, the two new tests of test/store/oddRecords.spec.ts failed with the raised RangeError; now they pass.

--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -2,6 +2,7 @@
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import type { Failure } from "../model/failure.js";
+import { failure } from "../model/failure.js";
 import type { Offset, TargetId } from "../model/names.js";
 import type { RoutingConfig } from "../model/routing.js";
 import { isId } from "../model/valueSchemas.js";
@@ -39,7 +40,8 @@
 /** Reads topics, each from the offset up to which it was last read. */
 export interface TopicReader {
     /**
-     * Reads the new records of a topic, or a snapshot if it was not read before or the records have expired.
+     * Reads the new records of a topic, or a snapshot if it was not read before or the records have expired. Never rejects, since the
+     * tasks that follow the topics would end.
      * @param topic the topic
      * @param waitMs time for which the store may hold the call while there are no new records
      */
@@ -127,7 +129,7 @@
 
     const decodeConfigs = (records: readonly StoreRecord[]): { config: RoutingConfig; offset: Offset }[] =>
         records.flatMap(({ key, value, offset }) => {
-            const decoded = value === undefined ? undefined : decoders.configuration(key, value);
+            const decoded = value === undefined ? undefined : decodeSafely(key, () => decoders.configuration(key, value));
             if (decoded?.isErr() === true) {
                 log.warn("configuration record cannot be decoded", { key, offset, why: decoded.error.message });
             }
@@ -137,7 +139,7 @@
 
     /** Decodes entries of targets. One that cannot be decoded counts as a removal; a key that is no id names no target to remove. */
     const decodeTargets = (records: readonly StoreRecord[]): TargetChange[] => records.flatMap(({ key, value, offset }) => {
-        const decoded = value === undefined ? undefined : decoders.target(key, value);
+        const decoded = value === undefined ? undefined : decodeSafely(key, () => decoders.target(key, value));
         if (decoded?.isErr() === true) {
             log.warn("target entry cannot be decoded", { target: key, offset, why: decoded.error.message });
         }
@@ -146,7 +148,7 @@
 
     /** Decodes records of the ledger. One that cannot be decoded changes nothing: an earlier one under its key stays in force. */
     const decodeLedger = (records: readonly StoreRecord[]): LedgerChange[] => records.flatMap((record) => {
-        const decoded = decodeLedgerRecord(record);
+        const decoded = decodeSafely(record.key, () => decodeLedgerRecord(record));
         if (decoded.isErr()) {
             log.warn("ledger record cannot be decoded", { key: record.key, offset: record.offset, why: decoded.error.message });
             if (record.key === termKey) {
@@ -162,18 +164,44 @@
         ledger: () => view.ledger.upTo,
     };
 
+    const readNew = async (topic: TopicName, waitMs: number): Promise<Result<Reading, Failure>> => {
+        const outcome = topicsRead.has(topic)
+            ? await store.read(topic, nextOffsets[topic](), waitMs)
+            : ok({ kind: "expired" as const });
+        if (outcome.isErr()) {
+            lastReadFailureAtMs = nowMs();
+            return err(outcome.error);
+        }
+        return outcome.value.kind === "expired"
+            ? readSnapshot(topic)
+            : ok(applyRecords[topic](outcome.value.page.records, outcome.value.page.next));
+    };
+
     return {
         read: async (topic, waitMs) => {
-            const outcome = topicsRead.has(topic)
-                ? await store.read(topic, nextOffsets[topic](), waitMs)
-                : ok({ kind: "expired" as const });
-            if (outcome.isErr()) {
-                lastReadFailureAtMs = nowMs();
-                return err(outcome.error);
+            try {
+                return await readNew(topic, waitMs);
+            }
+            catch (error) {
+                log.error("unexpected error while a topic was read", { topic, why: error instanceof Error ? error.stack : String(error) });
+                return err(failure("invalid", "store-read", topic, describeUnexpected(error)));
             }
-            return outcome.value.kind === "expired"
-                ? readSnapshot(topic)
-                : ok(applyRecords[topic](outcome.value.page.records, outcome.value.page.next));
         },
     };
 }
+
+const maxLoggedErrorChars = 200;
+
+function describeUnexpected(error: unknown): string {
+    return `unexpected error: ${String(error).slice(0, maxLoggedErrorChars)}`;
+}
+
+/** Decodes a record; an unexpected error makes it a record that cannot be decoded, so that it does not keep the others from being read. */
+function decodeSafely<T>(key: string, decode: () => Result<T, Failure>): Result<T, Failure> {
+    try {
+        return decode();
+    }
+    catch (error) {
+        return err(failure("invalid", "parse", key, describeUnexpected(error)));
+    }
+}
--- a/test/store/oddRecords.spec.ts
+++ b/test/store/oddRecords.spec.ts
@@ -4,6 +4,7 @@
 import type { Offset, ServiceId } from "../../src/model/names.js";
 import type { LogFields } from "../../src/observe/log.js";
 import { ClusterView } from "../../src/store/clusterView.js";
+import type { RecordDecoders } from "../../src/store/recordDecoders.js";
 import type { StorePort, StoreRecord, TopicName } from "../../src/store/storePort.js";
 import { createTopicReader } from "../../src/store/topicReader.js";
 import { deepJson } from "../support/oddValues.js";
@@ -20,7 +21,7 @@
 }
 
 /** A reader of topics whose records the test appends. */
-function createReader() {
+function createReader(decoders: RecordDecoders = platformDecoders) {
     const records: Record<TopicName, StoreRecord[]> = { configuration: [], targets: [], ledger: [] };
     const store: StorePort = {
         snapshot: (topic) => Promise.resolve(ok({ records: [...records[topic]], upTo: records[topic].length as Offset })),
@@ -32,16 +33,20 @@
     const view = new ClusterView();
     const warnings: LogFields[] = [];
     const reader = createTopicReader({
-        store, decoders: platformDecoders, view, clock: new VirtualClock(),
+        store, decoders, view, clock: new VirtualClock(),
         log: { info: () => undefined, warn: (_event, fields) => warnings.push(fields ?? {}), error: () => undefined },
     });
-    const append = async (topic: TopicName, key: string, value: string | undefined) => {
+    const write = (topic: TopicName, key: string, value: string | undefined) => {
         const stored = value === undefined ? undefined : Buffer.from(value);
         records[topic].push({ offset: records[topic].length as Offset, key, value: stored });
-        return (await reader.read(topic, 0))._unsafeUnwrap();
+    };
+    const read = (topic: TopicName) => reader.read(topic, 0);
+    const append = async (topic: TopicName, key: string, value: string | undefined) => {
+        write(topic, key, value);
+        return (await read(topic))._unsafeUnwrap();
     };
     const states = () => view.targets.ofService(serviceId).map(({ targetId, state }) => `${targetId} ${state}`);
-    return { view, warnings, append, states };
+    return { view, warnings, write, append, read, states };
 }
 
 describe("odd records among good ones", () => {
@@ -80,6 +85,35 @@
         expect(warnings).to.have.length(2);
     });
 
+    it("goes on reading when a decoder raises an error: the record is odd, and the others hold", async () => {
+        const { append, states, warnings } = createReader({ ...platformDecoders, target: (key, value) => {
+            if (key === "t-odd") {
+                throw new RangeError("unexpected");
+            }
+            return platformDecoders.target(key, value);
+        } });
+        await append("targets", "t-1", entry(1));
+        await append("targets", "t-odd", entry(1));
+        await append("targets", "t-2", entry(1));
+        expect(states()).to.deep.equal(["t-1 ready", "t-2 ready"]);
+        expect(warnings.map(({ target, why }) => `${String(target)} ${String(why)}`)).to.deep.equal(["t-odd unexpected error: RangeError: unexpected"]);
+    });
+
+    it("reports an unexpected error while records are applied as a failed reading, and reads on", async () => {
+        const { view, write, append, read, states } = createReader();
+        await append("targets", "t-1", entry(1));
+        const stopListening = view.targetsChanged.listen(() => {
+            throw new RangeError("unexpected");
+        });
+        write("targets", "t-2", entry(1));
+        const failed = await read("targets");
+        stopListening();
+        expect(failed._unsafeUnwrapErr()).to.include({ kind: "invalid", step: "store-read", peer: "targets" });
+        expect((await read("targets")).isOk()).to.equal(true);
+        await append("targets", "t-3", entry(1));
+        expect(states()).to.deep.equal(["t-1 ready", "t-2 ready", "t-3 ready"]);
+    });
+
     it("keeps the configuration in force when a later one can't be meant, and applies the next one", async () => {
         const { view, append, warnings } = createReader();
         await append("configuration", "config", JSON.stringify(buildRoutingConfig(1)));
