--- a/test/cluster/oddMessages.spec.ts
+++ b/test/cluster/oddMessages.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { ok } from "neverthrow";
+import { ConfigAge } from "../../src/cluster/configAge.js";
 import { Membership } from "../../src/cluster/membership.js";
 import type { Member } from "../../src/cluster/membership.js";
 import { createMessageChecks } from "../../src/cluster/messageChecks.js";
@@ -93,6 +94,7 @@
     const membership = new Membership(self as unknown as Member);
     const receiver = createNewsReceiver({
         view, membership, clock, checks, owners: new OwnerLookup(view, 2_000), crashEvidence: new CrashEvidence(),
+        configAge: new ConfigAge(),
         reader: { read: () => Promise.resolve(ok({ targets: [], ledger: [] })) }, latestTerm: () => 3 as Term,
         log: { info: () => undefined, warn: () => undefined, error: () => undefined },
     });
--- a/test/config/oddDocument.spec.ts
+++ b/test/host/oddDocument.spec.ts
@@ -1,10 +1,10 @@
 import { expect } from "chai";
-import { watchDocument } from "../../src/config/documentWatcher.js";
+import { watchDocument } from "../../src/host/documentWatcher.js";
 import type { Offset } from "../../src/model/names.js";
 import { decodeLedgerRecord, documentKeyOf } from "../../src/ownership/ledger.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 import { VirtualClock } from "../support/virtualTime.js";
-import { sampleDocument } from "./sample.js";
+import { sampleDocument } from "../config/sample.js";
 
 describe("a configuration document that another program wrote", () => {
     it("leaves the former one in force if it can't be meant, and a later one is still followed", async () => {
