Specs of world and document agree with the checks of messages and with the order of configurations

The world's configuration is a whole one now, since hosts check what they tell each other; the view of oddDocument.spec has read the platform's configuration.

--- a/test/host/oddDocument.spec.ts
+++ b/test/host/oddDocument.spec.ts
@@ -10,6 +10,7 @@
     it("leaves the former one in force if it can't be meant, and a later one is still followed", async () => {
         const clock = new VirtualClock();
         const view = new ClusterView();
+        view.applyConfig(undefined, 0 as Offset, 0 as Offset);
         const stop = new AbortController();
         let ended = "";
         watchDocument(view, clock, { info: () => undefined, warn: () => undefined, error: () => undefined }, stop.signal)
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -10,10 +10,10 @@
 
 const serviceId = "main" as ServiceId;
 const heartbeatPeriodMs = 800;
-const config = {
-    version: 1, routes: [], limits: {},
+const config: RoutingConfig = {
+    version: 1, routes: [], limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
     services: [{ serviceId, healthPath: "/", maxConnections: 100, sharded: true, warmUpMs: 0 }],
-} as unknown as RoutingConfig;
+};
 
 /** The simulated cluster: some hosts, some targets and the store. */
 export class World {
