A client that leaves while a denial waits for earlier responses ends its connection

What callers would see: nothing; the host kept the connection and the request, so that a planned stop waited for them.

Cause: since "Input that is not a valid request never answers the proper request before it" a second error on the connection is ignored. The parser reports the end of the client's side in the middle of a header section as such an error, and Node.js then leaves the connection to the handler.

Now that error closes the connection. The state of a connection also lets go of its last request once that has been received and answered.

--- a/src/entry/clientConnection.ts
+++ b/src/entry/clientConnection.ts
@@ -69,7 +69,7 @@
     requestCount: number;
     /** Requests whose responses are not complete, in the order of their arrival. */
     readonly exchanges: Set<HttpExchange>;
-    /** The request received last; its body may not have arrived completely. */
+    /** The request received last, until its response is complete and its body has arrived. */
     lastExchange: HttpExchange | undefined;
     /** True once further input is ignored. The requests received before are still answered; then the connection is closed. */
     isInputEnded: boolean;
@@ -142,13 +142,21 @@
     };
 }
 
-/** Adds a request to its connection. The caller removes it from `exchanges` when its response is complete, or broken off. */
+/** Adds a request to its connection. */
 export function addExchange(connection: ClientConnection, exchange: HttpExchange): void {
     connection.requestCount += 1;
     connection.lastExchange = exchange;
     connection.exchanges.add(exchange);
 }
 
+/** Removes a request whose response is complete, or broken off. */
+export function removeExchange(connection: ClientConnection, exchange: HttpExchange): void {
+    connection.exchanges.delete(exchange);
+    if (connection.lastExchange === exchange && exchange.request.complete) {
+        connection.lastExchange = undefined;
+    }
+}
+
 /**
  * Answers input that is not a valid request, and closes the connection. Responses to the complete requests that came before it go first,
  * since a client takes the next response for the answer to its oldest request.
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -9,7 +9,7 @@
 import type { ClientCall } from "./clientCall.js";
 import type { ClientConnection, Denial, DenialReason, ParserError } from "./clientConnection.js";
 import {
-    addExchange, createClientConnection, denialReasonOf, endAfterResponses, excerptOf, statusByDenial, summarizeConnection,
+    addExchange, createClientConnection, denialReasonOf, endAfterResponses, excerptOf, removeExchange, statusByDenial, summarizeConnection,
 } from "./clientConnection.js";
 import { createHttpClientCall } from "./httpClientCall.js";
 
@@ -96,11 +96,12 @@
 
     const onParserError = (error: ParserError, socket: Socket) => {
         const connection = connectionOf(socket);
-        if (error.code === "ECONNRESET" || !socket.writable) {
+        // The parser reports its error again for any further input, and at its end.
+        const hasClientLeft = connection.isInputEnded && socket.readableEnded;
+        if (error.code === "ECONNRESET" || !socket.writable || hasClientLeft) {
             socket.destroy();
             return;
         }
-        // The parser reports its error again for any further input.
         if (!connection.isInputEnded) {
             connection.isInputEnded = true;
             const reason = denialReasonOf(error, connection, configuredLimits);
@@ -124,7 +125,7 @@
         pending += 1;
         response.once("close", () => {
             pending -= 1;
-            connection.exchanges.delete(exchange);
+            removeExchange(connection, exchange);
         });
         // Node.js drops what follows a request with Upgrade in the same piece of input.
         connection.isInputEnded = request.headers.upgrade !== undefined;
--- a/test/entry/inputAfterRequests.spec.ts
+++ b/test/entry/inputAfterRequests.spec.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { RawClient } from "./listenerClient.js";
 import type { ListenerUnderTest } from "./listenerUnderTest.js";
@@ -56,6 +57,18 @@
         expect((await client.readAnswer()).status).to.equal(0);
     });
 
+    it("does not keep a request pending whose client leaves while the denial waits for its answer", async () => {
+        await client.write(requestOf("r-1", "never"), Buffer.from("GET /a"));
+        while (listener.denials.length === 0) {
+            await sleep(20);
+        }
+        expect(listener.clients.pending()).to.equal(1);
+        client.socket.end();
+        expect((await client.readAnswer()).status).to.equal(0);
+        await sleep(50);
+        expect(listener.clients.pending()).to.equal(0);
+    });
+
     it("does not leave the connection open after the client has ended its side", async () => {
         await client.write(requestOf("r-1", "late"), Buffer.from("GET /a"));
         client.socket.end();
--- a/test/entry/listenerUnderTest.ts
+++ b/test/entry/listenerUnderTest.ts
@@ -90,6 +90,12 @@
         await clock.sleep(veryLateMs);
         await answerAfterReading(call);
     },
+    /** Not answered before its client leaves. */
+    "never": (call) => new Promise((resolve) => {
+        call.clientLeft.addEventListener("abort", () => {
+            resolve();
+        });
+    }),
     /** The answer starts before a long body was read whole; nothing of the rest is read. */
     "answered-early": async (call) => {
         await call.body.collect();
