--- a/src/entry/clientConnection.ts
+++ b/src/entry/clientConnection.ts
@@ -69,7 +69,7 @@
     requestCount: number;
     /** Requests whose responses are not complete, in the order of their arrival. */
     readonly exchanges: Set<HttpExchange>;
-    /** The request received last; its body may not have arrived completely. */
+    /** The request received last, until its response is complete and its body has arrived. */
     lastExchange: HttpExchange | undefined;
     /** True once further input is ignored. The requests received before are still answered; then the connection is closed. */
     isInputEnded: boolean;
@@ -142,14 +142,19 @@
     };
 }
 
-/** Adds a request to its connection until its response is complete, or broken off. */
+/** Adds a request to its connection. */
 export function addExchange(connection: ClientConnection, exchange: HttpExchange): void {
     connection.requestCount += 1;
     connection.lastExchange = exchange;
     connection.exchanges.add(exchange);
-    exchange.response.once("close", () => {
-        connection.exchanges.delete(exchange);
-    });
+}
+
+/** Removes a request whose response is complete, or broken off. */
+export function removeExchange(connection: ClientConnection, exchange: HttpExchange): void {
+    connection.exchanges.delete(exchange);
+    if (connection.lastExchange === exchange && exchange.request.complete) {
+        connection.lastExchange = undefined;
+    }
 }
 
 /**
