Failing tests: requests that crash targets run at many targets when their quarantine ends at all hosts

The simulated hosts place requests with their own placer, quarantine guard and admission now, in place of a model whose queues saw all hosts' suspects; runs go on for 30 s after the last fault, so that quarantines end within them; and several requests come 6 to 30 times a second for a service without keys.

--- a/test/world/crashLoad.ts
+++ b/test/world/crashLoad.ts
@@ -1,10 +1,13 @@
 /**
- * Requests in the simulated cluster, some of which crash the targets that run them. Hosts treat them as the forwarder does: they refuse
- * what is quarantined, run suspects one at a time, send idempotent requests again and observe how attempts end.
+ * Requests in the simulated cluster, some of which crash the targets that run them. Each arrives at a random host, which places it by its
+ * own forwarding and admission, sends it again if it is idempotent, and observes how its attempts end.
  */
-import type { Fingerprint, RequestFingerprints } from "../../src/crashes/requestFingerprint.js";
+import type { AttemptEnd } from "../../src/forwarding/attempt.js";
+import { workEndOf } from "../../src/forwarding/attemptEnds.js";
+import type { TargetSlot } from "../../src/forwarding/placement.js";
 import type { HostId } from "../../src/model/names.js";
-import { hash } from "../../src/model/rendezvous.js";
+import type { RequestKind } from "./crashForwarder.js";
+import { CrashForwarder, fingerprintsOf } from "./crashForwarder.js";
 import type { HostRun } from "./virtualHosts.js";
 import type { VirtualTarget } from "./virtualTargets.js";
 import type { World } from "./world.js";
@@ -12,10 +15,6 @@
 const runMs = 90;
 const crashAfterMs = 50;
 const restartAfterMs = 2_000;
-const slotsPerTarget = 3;
-
-/** Time for which a queue holds a suspected request back after an attempt of one with the same content was lost. */
-const suspectHoldMs = 1_000;
 const retryDelayMs = 15;
 const networkDelayMs = 1;
 
@@ -29,16 +28,6 @@
 /** A host counts as in touch once nothing has disturbed it for this long. */
 export const stableWindowMs = 3_000;
 
-/** A kind of requests. */
-export interface RequestKind {
-    content: string;
-    isDeadly: boolean;
-    isIdempotent: boolean;
-    /** True if all requests of the kind go to the same target as long as it is up, as those for one key do. */
-    hasKey: boolean;
-    perSecond: number;
-}
-
 interface Attempt {
     kind: RequestKind;
     hostId: HostId;
@@ -47,7 +36,7 @@
     incarnation: number;
     /** Time at which the host sent it, by the host's clock. */
     sentMs: number;
-    end: (isAnswered: boolean) => void;
+    end: (end: AttemptEnd) => void;
 }
 
 /** A delivery of a deadly request to a target. */
@@ -68,6 +57,7 @@
     refusedCount = 0;
     answeredCount = 0;
     private readonly running = new Set<Attempt>();
+    private readonly forwarders = new Map<HostRun, CrashForwarder>();
     /** Times of the crashes at which requests with a content were, and of their last completion. */
     private readonly lossesMs = new Map<string, number[]>();
     private readonly completions = new Map<string, { atMs: number; run: HostRun }>();
@@ -141,33 +131,39 @@
         if (run.view.config === undefined || run.view.targetsUpTo < 0) {
             return;
         }
+        const forwarder = this.forwarderOf(run);
+        const context = forwarder.createContext(kind);
         for (let attempt = 0; attempt < (kind.isIdempotent ? 2 : 1); attempt++) {
-            const placed = await this.place(kind, hostId, run);
-            if (placed === undefined || await placed.isAnswered) {
+            const placed = await forwarder.place(context);
+            if ("reason" in placed) {
+                this.countRefusal(kind, placed.reason);
+                return;
+            }
+            const startedMs = run.process.clock.now().monoMs;
+            const end = await this.runAttempt(kind, hostId, run, placed);
+            const tookMs = run.process.clock.now().monoMs - startedMs;
+            placed.release(workEndOf(end, tookMs));
+            if (end.kind === "answered") {
+                forwarder.observeWorkTime(context, tookMs);
                 return;
             }
             await run.process.clock.sleep(retryDelayMs);
         }
     }
 
-    /** Waits for a target and sends the request; resolves to undefined if it is refused. */
-    private async place(kind: RequestKind, hostId: HostId, run: HostRun): Promise<{ isAnswered: Promise<boolean> } | undefined> {
-        for (let waits = 0; waits < 20; waits++) {
-            const standing = run.crashEvidence.standingOf(fingerprintsOf(kind), run.process.clock.now().monoMs);
-            if (standing.kind === "quarantined") {
-                this.refusedCount += 1;
-                if (!kind.isDeadly) {
-                    this.countInnocentRefusal(kind.content);
-                }
-                return undefined;
-            }
-            const target = this.chooseTarget(kind, run);
-            if (target !== undefined && (standing.kind === "clear" || this.mayRunSuspect(kind, hostId, target))) {
-                return this.startAttempt(kind, hostId, run, target);
+    private forwarderOf(run: HostRun): CrashForwarder {
+        const forwarder = this.forwarders.get(run) ?? new CrashForwarder(run, () => this.world.random.uniform());
+        this.forwarders.set(run, forwarder);
+        return forwarder;
+    }
+
+    private countRefusal({ content, isDeadly }: RequestKind, reason: string): void {
+        if (reason === "quarantined") {
+            this.refusedCount += 1;
+            if (!isDeadly) {
+                this.countInnocentRefusal(content);
             }
-            await run.process.clock.sleep(100);
         }
-        return undefined;
     }
 
     private countInnocentRefusal(content: string): void {
@@ -182,33 +178,20 @@
         }
     }
 
-    /** A host that can't reach the others does not learn which suspects they run. */
-    private mayRunSuspect(kind: RequestKind, hostId: HostId, target: VirtualTarget): boolean {
-        if (this.nowMs - (this.lossesMs.get(kind.content)?.at(-1) ?? 0) < suspectHoldMs) {
-            return false;
+    /** Sends the request to the target of its slot; nothing is sent if the target's process has ended. */
+    private async runAttempt(kind: RequestKind, hostId: HostId, run: HostRun, slot: TargetSlot): Promise<AttemptEnd> {
+        const { targetId, bornWallMs } = slot.target;
+        const target = this.world.targets.all().find((one) => one.targetId === targetId);
+        if (target?.isUp !== true || target.incarnation !== bornWallMs) {
+            await run.process.clock.sleep(networkDelayMs);
+            return { kind: "unreachable", why: "connection refused" };
         }
-        const visible = [...this.running].filter((attempt) => !this.world.hosts.blockedLinks.has(`${hostId}>${attempt.hostId}`));
-        return visible.every((attempt) => attempt.kind.content !== kind.content
-            && (attempt.target !== target || !isSuspected(attempt)));
-    }
-
-    /** Chooses a target with a free slot among those that the host knows. */
-    private chooseTarget(kind: RequestKind, { view }: HostRun): VirtualTarget | undefined {
-        const up = this.world.targets.all().filter(({ isUp, targetId }) => isUp && view.targets.get(targetId)?.state === "ready");
-        const free = up.filter((target) => [...this.running].filter((attempt) => attempt.target === target).length < slotsPerTarget);
-        const owner = up[hash(kind.content) % up.length];
-        return kind.hasKey ? free.find((target) => target === owner) : free[this.world.random.integerUpTo(free.length - 1)];
-    }
-
-    private startAttempt(kind: RequestKind, hostId: HostId, run: HostRun, target: VirtualTarget): { isAnswered: Promise<boolean> } {
-        const { incarnation } = target;
         const sentMs = run.process.clock.now().monoMs;
-        const isAnswered = new Promise<boolean>((resolve) => {
-            const attempt: Attempt = { kind, hostId, run, target, incarnation, sentMs, end: resolve };
+        return new Promise((end) => {
+            const attempt: Attempt = { kind, hostId, run, target, incarnation: bornWallMs, sentMs, end };
             this.running.add(attempt);
             void this.runAtTarget(attempt);
         });
-        return { isAnswered };
     }
 
     private async runAtTarget(attempt: Attempt): Promise<void> {
@@ -230,25 +213,17 @@
         await run.process.clock.sleep(networkDelayMs);
         this.answeredCount += 1;
         this.completions.set(kind.content, { atMs: this.nowMs, run });
-        run.crashObserver.attemptCompleted(() => fingerprintsOf(kind));
-        end(true);
+        run.crashObserver.attemptCompleted(() => fingerprintsOf(kind.content));
+        const answer = { head: { status: 200, reasonPhrase: "OK", rawHeaders: [], bodyBytes: 0 }, body: Buffer.alloc(0) };
+        end({ kind: "answered", answer, tookMs: run.process.clock.now().monoMs - attempt.sentMs });
     }
 
     private async observeLoss({ kind, run, target, incarnation, sentMs, end }: Attempt): Promise<void> {
         await run.process.clock.sleep(networkDelayMs);
         const entry = { ...target.nextEntry(), bornWallMs: incarnation };
-        await Promise.race([
-            run.crashObserver.attemptLost({ requestId: undefined, fingerprints: fingerprintsOf(kind), target: entry, sentMs, why: "closed" }),
-            run.process.clock.sleep(retryDelayMs),
-        ]);
-        end(false);
+        void run.crashObserver.attemptLost({
+            requestId: undefined, fingerprints: fingerprintsOf(kind.content), target: entry, sentMs, why: "closed",
+        });
+        end({ kind: "lost", why: "closed" });
     }
 }
-
-function isSuspected({ kind, run }: Attempt): boolean {
-    return run.crashEvidence.standingOf(fingerprintsOf(kind), run.process.clock.now().monoMs).kind !== "clear";
-}
-
-function fingerprintsOf({ content }: RequestKind): RequestFingerprints {
-    return { content: content as Fingerprint, exact: `${content}/any` as Fingerprint };
-}
--- a/test/world/crashRuns.ts
+++ b/test/world/crashRuns.ts
@@ -4,20 +4,27 @@
 import { pathToFileURL } from "node:url";
 import type { HostId } from "../../src/model/names.js";
 import { SeededRandom } from "../support/seededRandom.js";
+import type { RequestKind } from "./crashForwarder.js";
 import { CrashLoad } from "./crashLoad.js";
-import type { RequestKind } from "./crashLoad.js";
 import { World } from "./world.js";
 
 const startUpMs = 4_000;
 const faultsPerRun = 10;
 const maxTimeBetweenFaultsMs = 2_500;
+
+/** Time after the last fault; quarantines end within it. */
+const settleMs = 30_000;
 const allowedLateDeliveries = 3;
 const innocentContents = 30;
 
+/** Which requests crash targets in a run: any few, or many for a service without keys. */
+export type DeadlyKind = "any" | "many without key";
+
 /** Kinds of requests of a run: deadly ones of a type that is drawn, and innocent ones of which some are frequent. */
-function requestKinds(random: SeededRandom, deadlyContents: readonly string[]): RequestKind[] {
+function requestKinds(random: SeededRandom, deadlyContents: readonly string[], deadlyKind: DeadlyKind): RequestKind[] {
     const deadly = deadlyContents.map((content): RequestKind => ({
-        content, isDeadly: true, isIdempotent: random.chance(0.6), hasKey: random.chance(0.5), perSecond: random.pick([1, 3, 6]),
+        content, isDeadly: true, isIdempotent: random.chance(0.6), hasKey: random.chance(0.5) && deadlyKind === "any",
+        perSecond: random.pick(deadlyKind === "any" ? [1, 3, 6] : [6, 15, 30]),
     }));
     const innocent = Array.from({ length: innocentContents }, (_, index): RequestKind => ({
         content: `innocent-${String(index)}`, isDeadly: false, isIdempotent: random.chance(0.7), hasKey: random.chance(0.5),
@@ -155,15 +162,16 @@
  * @param targetCount number of targets
  * @param names names of the faults to select from
  * @param deadlyContents contents of the requests that crash targets
+ * @param deadlyKind whether some of these have keys
  */
 export async function playCrashRun(
     seed: number, hostCount: number, targetCount: number, names: readonly string[] = Object.keys(crashFaults),
-    deadlyContents: readonly string[] = ["deadly-1", "deadly-2"],
+    deadlyContents: readonly string[] = ["deadly-1", "deadly-2"], deadlyKind: DeadlyKind = "any",
 ): Promise<CrashRunResult> {
     const world = new World(seed, targetCount, hostCount);
     const random = new SeededRandom(seed + 1);
     await world.clock.advance(startUpMs);
-    const load = new CrashLoad(world, requestKinds(random, deadlyContents));
+    const load = new CrashLoad(world, requestKinds(random, deadlyContents, deadlyKind));
     const steps: string[] = [];
     for (let count = 0; count < faultsPerRun; count++) {
         await world.clock.advance(random.integerUpTo(maxTimeBetweenFaultsMs));
@@ -173,7 +181,7 @@
             crashFaults[name]?.({ world, load, random });
         }
     }
-    await world.clock.advance(maxTimeBetweenFaultsMs * 4);
+    await world.clock.advance(settleMs);
     load.stop();
     const late = deadlyContents.map((content) => ({ content, count: load.countLateDeliveries(content) }));
     world.stop();
--- a/test/world/crashWorld.spec.ts
+++ b/test/world/crashWorld.spec.ts
@@ -20,7 +20,7 @@
 }
 
 describe("requests that crash targets, at 3 to 24 hosts", function () {
-    this.timeout(60_000);
+    this.timeout(120_000);
 
     for (const [seed, cause] of regressionSeeds) {
         it(`seed ${String(seed)}: ${cause}`, async () => {
@@ -41,6 +41,24 @@
         });
     }
 
+    /** Several requests at a time, each of which comes so often that all hosts have one when a quarantine ends. */
+    const playQuarantineEnds = (seed: number, faults: readonly string[]) => playCrashRun(
+        seed, hostCountOf(seed), targetCountOf(seed), faults, ["deadly-1", "deadly-2", "deadly-3"], "many without key");
+
+    it("do not run at target after target when their quarantine ends at all hosts", async () => {
+        for (let seed = 200; seed < 208; seed++) {
+            expect((await playQuarantineEnds(seed, [])).violations, `seed ${String(seed)}`).to.deep.equal([]);
+        }
+    });
+
+    for (const fault of ["killCoordinator", "suspendCoordinator", "suspendHost", "stopStore", "cutHalves", "cutAllFromEachOther", "killAllHosts"]) {
+        it(`do not run at target after target when their quarantine ends, with ${fault} time and again`, async () => {
+            for (const seed of [203, 206]) {
+                expect((await playQuarantineEnds(seed, [fault])).violations, `seed ${String(seed)}`).to.deep.equal([]);
+            }
+        });
+    }
+
     it("are refused in time by three times as many hosts", async () => {
         expect((await playCrashRun(1, 72, 30, ["killHost", "joinHost", "killCoordinator"])).violations).to.deep.equal([]);
     });
--- a/test/world/virtualHosts.ts
+++ b/test/world/virtualHosts.ts
@@ -1,7 +1,12 @@
 /** Simulated hosts in virtual time: each runs the real cluster node over a simulated network, store and lease port. */
+import { setMaxListeners } from "node:events";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
-import type { AdmissionServer } from "../../src/admission/admissionServer.js";
+import type { AdmissionClient } from "../../src/admission/admissionClient.js";
+import { createAdmissionClient } from "../../src/admission/admissionClient.js";
+import type { Ticket } from "../../src/admission/admissionRequest.js";
+import { createAdmissionServer } from "../../src/admission/admissionServer.js";
+import { QueueHosts } from "../../src/admission/queueHosts.js";
 import { Membership } from "../../src/cluster/membership.js";
 import type { ClusterNode } from "../../src/cluster/node.js";
 import { createNode } from "../../src/cluster/node.js";
@@ -27,12 +32,15 @@
 
 const networkDelayMs = 1;
 const connectTimeoutMs = 300;
+const drainMs = 1_300;
 
 /** One run of a host's process. */
 export interface HostRun {
     process: VirtualProcess;
     node: ClusterNode;
     view: ClusterView;
+    owners: OwnerLookup;
+    admission: AdmissionClient;
     loads: LoadMeter;
     crashEvidence: CrashEvidence;
     crashObserver: CrashObserver;
@@ -70,7 +78,9 @@
     /** Log lines of all hosts. */
     readonly logLines: string[] = [];
     private startCount = 0;
+    private ticketCount = 0;
     private readonly targetOrder = new SeededRandom(1);
+    private readonly retryJitter = new SeededRandom(2);
 
     /**
      * @param clock the clock of the simulation
@@ -84,7 +94,7 @@
         this.startCount += 1;
         const process = new VirtualProcess(this.clock, { monoMs: this.startCount * 10_000, wallMs: wallOffsetMs, rate: 1 });
         const view = new ClusterView();
-        const owners = new OwnerLookup(view, 1_300);
+        const owners = new OwnerLookup(view, drainMs);
         const self = {
             hostId, runId: `run-${String(this.startCount)}` as RunId, peerAddress: addressOf(hostId),
             dataCentreId: "here" as DataCentreId, cpuShare: 1,
@@ -95,8 +105,9 @@
         const membership = new Membership(self);
         const crashEvidence = new CrashEvidence();
         const run: HostRun = {
-            process, view, loads, crashEvidence, membership, handlers: {}, stop: new AbortController(), connections: new Set(),
+            process, view, owners, loads, crashEvidence, membership, handlers: {}, stop: new AbortController(), connections: new Set(),
             node: undefined as unknown as ClusterNode,
+            admission: undefined as unknown as AdmissionClient,
             crashObserver: undefined as unknown as CrashObserver,
         };
         const crashObserver = createCrashObserver({
@@ -104,21 +115,31 @@
             probe: (address) => this.targets.probe(hostId, address, process),
         });
         const reader = createTopicReader({ store, decoders, view, clock: process.clock, log });
+        const links = this.createPeerLinks(hostId, run);
+        const queueHosts = new QueueHosts(membership, view);
+        const admissionServer = createAdmissionServer({
+            view, clock: process.clock, random: () => this.retryJitter.uniform(), drainMs, queueHosts,
+            isSilent: (targetId) => owners.isSilent(targetId, process.clock.now().monoMs),
+        });
+        run.admission = createAdmissionClient({
+            localServer: admissionServer, membership, queueHosts, links, clock: process.clock, nextTicket: () => this.nextTicket(hostId),
+        });
         run.node = createNode({
             self, view, store, reader, owners, loads, log,
             maxHoldMs: 10_000,
             membership,
-            links: this.createPeerLinks(hostId, run),
+            links,
             leases: this.targets.createLeasePort(hostId, process),
-            admissionServer: { pressures: () => [] } as unknown as AdmissionServer,
-            crashEvidence, crashObserver,
+            admissionServer, crashEvidence, crashObserver,
             clock: process.clock,
             onMove: () => undefined,
         });
         run.crashObserver = crashObserver;
-        run.handlers = run.node.handlers();
+        run.handlers = { ...run.node.handlers(), ...admissionServer.handlers() };
         this.runs.set(hostId, run);
+        setMaxListeners(0, run.stop.signal);
         void run.node.run(run.stop.signal);
+        void admissionServer.run(run.stop.signal);
     }
 
     /** Ends a host's process without notice. */
@@ -139,6 +160,11 @@
         return [...this.runs].filter(([, { node }]) => node.isCoordinating()).map(([hostId]) => hostId);
     }
 
+    private nextTicket(hostId: HostId): Ticket {
+        this.ticketCount += 1;
+        return `${hostId}-${String(this.ticketCount)}` as Ticket;
+    }
+
     private createLog(hostId: HostId): Log {
         const writeLine = (event: string, fields: object = {}) => {
             this.logLines.push(`${this.clock.now().monoMs.toFixed(0)} ${hostId} ${event} ${JSON.stringify(fields)}`);
