The queue's host is told that a request is suspected of crashing targets

Cause: a host asks the queue's host for a slot with a message that the admission client filled field by field, and `suspect` was not among the fields. So no queue ever knew a suspect, and none ran them one at a time or held the next one back after a crash, although the queue's own tests and the forwarder's (each on its side of that message) showed it. Class: a field added on both sides of a message and lost between them. The client passes on everything but the two times that it converts now.

--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -117,14 +117,15 @@
     const enterAt = async (member: Member, request: SlotRequest, signal: AbortSignal): Promise<SlotDecision | undefined> => {
         const nowMs = clock.now().monoMs;
         const ticket = nextTicket();
-        const { group, priority, workMs, near, avoid, rateLimits, softDeadlineMs, deadlineMs } = request;
+        const { softDeadlineMs, deadlineMs, ...params } = request;
+        const { group } = params;
         const withdraw = () => {
             notifyQueueHost(member, "withdraw", { group, ticket });
         };
         const withdrawn = whenAborted(signal);
         const reply = await Promise.race([
             requestSlot(member, {
-                ticket, group, priority, near, avoid, workMs: Math.round(workMs), ...rateLimits === undefined ? {} : { rateLimits },
+                ...params, ticket, workMs: Math.round(params.workMs),
                 targetLeftMs: Math.round(softDeadlineMs - nowMs), deadlineLeftMs: Math.round(deadlineMs - nowMs),
             }),
             withdrawn.promise,
--- a/test/admission/admissionClient.spec.ts
+++ b/test/admission/admissionClient.spec.ts
@@ -1,10 +1,12 @@
 import { expect } from "chai";
 import { ok } from "neverthrow";
+import type { SlotRequest } from "../../src/admission/admissionClient.js";
 import { createAdmissionClient } from "../../src/admission/admissionClient.js";
 import type { Ticket } from "../../src/admission/admissionRequest.js";
-import type { EnterReply, Group } from "../../src/admission/messages.js";
+import type { EnterParams, EnterReply, Group } from "../../src/admission/messages.js";
 import { QueueHosts } from "../../src/admission/queueHosts.js";
 import { createAdmissionServer } from "../../src/admission/admissionServer.js";
+import type { Fingerprint } from "../../src/crashes/requestFingerprint.js";
 import type { Member } from "../../src/cluster/membership.js";
 import { Membership } from "../../src/cluster/membership.js";
 import type { PeerLinks } from "../../src/cluster/peerLinks.js";
@@ -29,10 +31,12 @@
         view, clock, random: () => 0.5, drainMs: 1_000, isSilent: () => false, queueHosts,
     });
     const askedHosts: string[] = [];
+    const sent: EnterParams[] = [];
     const links = {
-        call: (address: string) => {
+        call: (address: string, _method: string, params: EnterParams) => {
             const name = address.split(":")[0] ?? "";
             askedHosts.push(name);
+            sent.push(params);
             return Promise.resolve(ok(replies[name]));
         },
         notify: () => undefined,
@@ -45,11 +49,11 @@
             return `t${String(tickets)}` as Ticket;
         },
     });
-    const enter = (group: Group = { kind: "service", serviceId: "s" as ServiceId }) => client.enter({
+    const enter = (group: Group = { kind: "service", serviceId: "s" as ServiceId }, more: Partial<SlotRequest> = {}) => client.enter({
         group, priority: 1, workMs: 10, near: here, avoid: [],
-        softDeadlineMs: 1_000, deadlineMs: 2_000,
+        softDeadlineMs: clock.now().monoMs + 1_000, deadlineMs: clock.now().monoMs + 2_000, ...more,
     }, new AbortController().signal);
-    return { enter, askedHosts, membership, clock };
+    return { enter, askedHosts, sent, membership, clock };
 }
 
 describe("admission client", () => {
@@ -110,6 +114,17 @@
         expect(askedHosts).to.deep.equal(["fresh", "fresh"]);
     });
 
+    it("tells the queue's host everything about a request, also that it is suspected of crashing targets", async () => {
+        const { enter, sent } = setUp({ fresh: { unready: true }, other: { granted: "k1" as TargetId, expectedMs: 10 } });
+        const group: Group = { kind: "service", serviceId: "s" as ServiceId };
+        const rateLimits = [{ targetId: "k1" as TargetId, bornWallMs: 1, requestsPerSecond: 5, ageMs: 0 }];
+        await enter(group, { workMs: 10.4, avoid: ["k2" as TargetId], suspect: "deadly" as Fingerprint, rateLimits });
+        expect({ ...sent.at(-1), ticket: "any" }).to.deep.equal({
+            ticket: "any", group, priority: 1, workMs: 10, near: here, avoid: ["k2"], suspect: "deadly", rateLimits,
+            targetLeftMs: 1_000, deadlineLeftMs: 2_000,
+        });
+    });
+
     it("refuses a request when no host can keep the queue", async () => {
         const { enter } = setUp({ fresh: { unready: true } });
         const decision = await enter();
