The end of a quarantine allows one run over all hosts, which the coordinator grants

Callers would see: when a quarantine ends, a request that still crashes its targets ends one at each host that keeps a queue for it, while hosts are cut from each other or the coordinator is frozen.

Cause: each host computed the end of the quarantine by itself, and all let the request through from the same moment; "it runs alone" held at one queue. Class: a bound over the whole cluster that each host keeps by itself.

Fix: at the end of a quarantine a trial is due (trial.ts). A host that has a slot for the request asks the coordinator, which records the trial in the ledger, on condition of its term, before it grants it; the host sends only within 500 ms of asking. From the record on the request is quarantined again at every host and for every later coordinator. Completed: clear. Crashed: the next, longer quarantine. Not known when the request's deadline and 1 s have passed: used up, and another quarantine follows (15 s, then 10 min, 4 h by the number of trials), so that four hours see three runs at most, whatever becomes of them. Without a coordinator, or without a store that accepts the record, all are refused, with Retry-After 1 s. Others are refused with the time until the outcome is probably known.

Why it works: only one append can follow the end of the ledger that the coordinator knows, and a coordinator that was replaced can't append. A host that lost everything reads the record with the crashes.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -8,10 +8,12 @@
 import { recordCrashes } from "./crashRecording.js";
 import type { MemberListVersion } from "./memberList.js";
 import { MemberList } from "./memberList.js";
+import { createTrialGranter } from "./trialGrants.js";
 import type { Member, Membership } from "./membership.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { CrashEvidenceUpdate } from "../crashes/crashReport.js";
 import { CrashUpdateQueue } from "../crashes/crashReport.js";
+import type { TrialParams, TrialReply } from "../crashes/trial.js";
 import type { Offset, TargetId, Term } from "../model/names.js";
 import { linkAborts, Signal, waitFor } from "../model/signal.js";
 import type { LeavingTarget } from "../model/target.js";
@@ -87,6 +89,8 @@
     follow(params: FollowParams, from: PeerConnection): FollowReply;
     report(report: Report, from: PeerConnection | undefined): void;
     resign(): ResignReply;
+    /** Decides whether a request may run once after its quarantine. */
+    grantTrial(params: TrialParams): Promise<TrialReply>;
     /** Time since the store last confirmed the term, or since the targets were last read, whichever is longer. */
     storeAgeMs(now: Instant): number;
     describe(): object;
@@ -125,6 +129,8 @@
         },
     });
 
+    const trialGranter = createTrialGranter({ evidence: crashEvidence, writer, mayAct, clock, log });
+
     const ownershipManager: OwnershipManager = createOwnershipManager({
         view, clock, log, writer, leases: dependencies.leases,
         fences: new FenceCounter(dependencies.term),
@@ -363,6 +369,7 @@
             log.info("coordinator resigned", { term: dependencies.term });
             return { resigned: true, grantsLastMs: ownershipManager.grantsLastMs(now.monoMs) };
         },
+        grantTrial: (params) => trialGranter.grant(params),
         storeAgeMs,
         describe: () => ({
             term: dependencies.term, resigned: resignedAtMs !== undefined, authorityAgeMs: Math.round(authority.ageMs(clock.now())),
--- a/src/cluster/crashRecording.ts
+++ b/src/cluster/crashRecording.ts
@@ -8,6 +8,7 @@
 import type { CrashRecord } from "../crashes/crashRecords.js";
 import {
     completionKeyOf, crashKeyOf, quarantineReleaseKeyOf, toCompletionRecord, toCompletionReport, toCrashRecord, toCrashReport,
+    toTrialReport, trialKeyOf,
 } from "../crashes/crashRecords.js";
 import { describeFailure } from "../model/failure.js";
 import type { HostId, Offset } from "../model/names.js";
@@ -24,11 +25,14 @@
 /** Limit on the crashes that are kept in the ledger. */
 const maxRecordedCrashes = 48;
 
-/** A completion, or a crash at which no suspected request was, is removed after this time; until then other hosts may need it. */
+/**
+ * A completion, a crash at which no suspected request was, or a trial of a request that is not suspected any more is removed after this
+ * time; until then other hosts may need it.
+ */
 const minRetentionMs = 60_000;
 
-/** The release of a quarantined request is forgotten after this time, by when the crashes before it are forgotten too. */
-const releaseRetentionMs = 6 * 60 * 60_000;
+/** The release or trial of a quarantined request is forgotten after this time, by when the crashes before it are forgotten too. */
+const maxRetentionMs = 6 * 60 * 60_000;
 
 /** Interval at which records are checked for what has become too old. */
 const checkPeriodMs = 10_000;
@@ -62,12 +66,20 @@
         .map((record) => ({ key: crashKeyOf(record, record.recordedBy), record: undefined }));
     const outdated = recorded.flatMap((record) => withoutCleared(record, evidence));
     const oldReleases = ledger.quarantineReleases()
-        .filter(({ releasedWallMs }) => now.wallMs - releasedWallMs > releaseRetentionMs)
+        .filter(({ releasedWallMs }) => now.wallMs - releasedWallMs > maxRetentionMs)
         .map(({ fingerprint }) => ({ key: quarantineReleaseKeyOf(fingerprint), record: undefined }));
     const oldCompletions = ledger.completions()
         .filter(({ atWallMs }) => now.wallMs - atWallMs > minRetentionMs)
         .map(({ fingerprint }) => ({ key: completionKeyOf(fingerprint), record: undefined }));
-    return [...added, ...outdated, ...oldCrashes, ...oldCompletions, ...oldReleases];
+    return [...added, ...outdated, ...oldCrashes, ...oldCompletions, ...oldReleases, ...draftOldTrials(ledger, evidence, now)];
+}
+
+function draftOldTrials(ledger: Ledger, evidence: CrashEvidence, now: Instant): DraftedRecord[] {
+    const suspected = new Set(evidence.adverseStandings(now.monoMs).map(({ fingerprint }) => fingerprint));
+    return ledger.trials()
+        .filter(({ fingerprint, grantedWallMs }) =>
+            now.wallMs - grantedWallMs > (suspected.has(fingerprint) ? maxRetentionMs : minRetentionMs))
+        .map(({ fingerprint }) => ({ key: trialKeyOf(fingerprint), record: undefined }));
 }
 
 function notCleared(record: CrashRecord, evidence: CrashEvidence): CrashRecord["requests"] {
@@ -171,11 +183,12 @@
     };
 }
 
-/** Adds the ledger's records of crashes, completions and releases to the evidence, now and whenever the ledger changes. */
+/** Adds the ledger's records of crashes, completions, trials and releases to the evidence, now and whenever the ledger changes. */
 export function watchCrashRecords(view: ClusterView, evidence: CrashEvidence, clock: Clock): void {
     let appliedUpTo = 0 as Offset;
     const apply = () => {
         const now = clock.now();
+        const isFirstReading = appliedUpTo === 0;
         const records = view.ledger.changesFrom(appliedUpTo).flatMap(({ record }) => record ?? []);
         appliedUpTo = view.ledger.upTo;
         const crashes = records.filter((record) => record.kind === "crash")
@@ -185,6 +198,8 @@
         if (crashes.length > 0 || completions.length > 0) {
             evidence.merge({ crashes, completions }, now.monoMs);
         }
+        evidence.addTrials(records.filter((record) => record.kind === "trial")
+            .map((record) => toTrialReport(record, !isFirstReading, now)), now.monoMs);
     };
     apply();
     view.ledgerChanged.listen(apply);
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -21,6 +21,8 @@
     report: "report",
     /** A host asks the coordinator to resign, in order to take over. */
     resign: "resign",
+    /** A host asks whether a request may run once after its quarantine. */
+    trial: "trial",
     /** A coordinator that is leaving asks a host to take over. */
     succeed: "succeed",
     /** A new coordinator announces its term, so that hosts that cannot read the store learn of it too. */
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -2,6 +2,8 @@
 import type { AdmissionServer } from "../admission/admissionServer.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { CrashObserver } from "../crashes/crashObserver.js";
+import type { TrialParams, TrialReply } from "../crashes/trial.js";
+import { trialGrantValidMs } from "../crashes/trial.js";
 import type { Address } from "../model/names.js";
 import { linkAborts, Signal, waitFor } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
@@ -81,6 +83,8 @@
     /** Takes this host out of the cluster; if it coordinates, asks other hosts in turn to take over. */
     handOver(): Promise<void>;
     isCoordinating(): boolean;
+    /** Asks the coordinator whether a request may run once after its quarantine. */
+    requestTrial(params: TrialParams): Promise<TrialReply>;
     /** Time since the store last confirmed the state that this host acts on. */
     knowledgeAgeMs(nowMs: number): number;
     describe(): object;
@@ -95,7 +99,8 @@
     /** Monotonic time at which this host sent its last complete reading of the store. */
     let lastReadAtMs = Number.NEGATIVE_INFINITY;
     let isLeaving = false;
-    let isFollowing = false;
+    /** Connection to the coordinator that this host follows. */
+    let coordinatorConnection: PeerConnection | undefined;
     /** Latest term that its coordinator announced to this host; it may be later than the ledger's. */
     let announcedTerm: TermRecord | undefined;
 
@@ -153,7 +158,7 @@
             claims.recordEndedRun(reply.value.runId === term.runId ? undefined : term.runId);
             return "lost";
         }
-        isFollowing = true;
+        coordinatorConnection = connection;
         log.info("following coordinator", { coordinator: term.hostId, term: term.term });
         newsReceiver.assumeConfirmedNow();
         newsReceiver.apply(reply.value.news, connection);
@@ -316,6 +321,8 @@
                 coordinator?.report(report, from);
             },
             [clusterMethods.resign]: (): ResignReply => coordinator?.resign() ?? { resigned: false },
+            [clusterMethods.trial]: (params: TrialParams): Promise<TrialReply> | TrialReply =>
+                coordinator?.grantTrial(params) ?? { kind: "unavailable" },
             [clusterMethods.succeed]: ({ address }: { address: Address }) => {
                 void takeOverFrom(address);
             },
@@ -330,7 +337,7 @@
             watchCrashRecords(view, crashEvidence, clock);
             void recordWhileAlone({
                 store: dependencies.store, evidence: crashEvidence, observer: crashObserver, self: self.hostId, clock, log,
-                isConnected: () => coordinator !== undefined || isFollowing,
+                isConnected: () => coordinator !== undefined || coordinatorConnection !== undefined,
             }, signal);
             while (!signal.aborted && !await readAllTopics()) {
                 await clock.sleep(retryDelayMs, signal);
@@ -343,7 +350,7 @@
                 }
                 const isOther = term !== undefined && term.hostId !== self.hostId;
                 const end = isOther ? await follow(term, signal) : "lost";
-                isFollowing = false;
+                coordinatorConnection = undefined;
                 if (end !== "closed" && latestTerm()?.term === term?.term) {
                     await runSuccession(term, signal);
                 }
@@ -365,6 +372,13 @@
             }
         },
         isCoordinating: () => coordinator !== undefined,
+        requestTrial: async (params) => {
+            if (coordinator !== undefined) {
+                return coordinator.grantTrial(params);
+            }
+            const reply = await coordinatorConnection?.call<TrialReply>(clusterMethods.trial, params, trialGrantValidMs);
+            return reply?.isOk() === true ? reply.value : { kind: "unavailable" };
+        },
         knowledgeAgeMs,
         describe: () => ({
             self, members: membership.members(), term: view.ledger.term, ledgerUpTo: view.ledger.upTo,
--- /dev/null
+++ b/src/cluster/trialGrants.ts
@@ -0,0 +1,66 @@
+/** Grants trials of quarantined requests; see `trial.ts`. Only the coordinator does so, and only while the store confirms its term. */
+import type { CrashEvidence } from "../crashes/crashEvidence.js";
+import { trialKeyOf } from "../crashes/crashRecords.js";
+import type { Fingerprint } from "../crashes/requestFingerprint.js";
+import type { TrialParams, TrialReply } from "../crashes/trial.js";
+import { trialGrantValidMs, trialTimes } from "../crashes/trial.js";
+import { describeFailure } from "../model/failure.js";
+import type { Clock, Instant } from "../model/time.js";
+import type { Log } from "../observe/log.js";
+import type { LedgerWriter } from "../ownership/ledgerWriter.js";
+
+/** Retry delay of a request whose trial this coordinator can't decide on: the asking host knows more or less than it does. */
+const retryAfterOtherNewsMs = 500;
+
+/** Dependencies of `createTrialGranter`. */
+export interface TrialGranterDependencies {
+    evidence: CrashEvidence;
+    writer: LedgerWriter;
+    mayAct: (now: Instant) => boolean;
+    clock: Clock;
+    log: Log;
+}
+
+/** Grants trials. */
+export interface TrialGranter {
+    /** Grants the trial of a request if one is due. The grant is in the ledger when it is returned. */
+    grant(params: TrialParams): Promise<TrialReply>;
+}
+
+/** Creates the granter of one coordinator. */
+export function createTrialGranter({ evidence, writer, mayAct, clock, log }: TrialGranterDependencies): TrialGranter {
+    /** Fingerprints whose trials are being recorded. */
+    const pending = new Set<Fingerprint>();
+
+    const refusal = ({ content, exact }: TrialParams, nowMs: number): TrialReply => {
+        const standing = evidence.standingOf({ content, exact }, nowMs);
+        return { kind: "refused", retryAfterMs: standing.kind === "quarantined" ? Math.ceil(standing.remainingMs) : retryAfterOtherNewsMs };
+    };
+
+    return {
+        grant: async (params) => {
+            const now = clock.now();
+            const due = evidence.dueTrials(params, now.monoMs);
+            const fingerprints = due.map(({ fingerprint }) => fingerprint);
+            if (due.length === 0 || fingerprints.some((fingerprint) => pending.has(fingerprint))) {
+                return refusal(params, now.monoMs);
+            }
+            if (!mayAct(now)) {
+                return { kind: "unavailable" };
+            }
+            fingerprints.forEach((fingerprint) => pending.add(fingerprint));
+            const result = await writer.record(due.map((trial) => ({
+                key: trialKeyOf(trial.fingerprint),
+                record: { kind: "trial" as const, ...trial, ...trialTimes(params), grantedWallMs: Math.round(now.wallMs) },
+            })));
+            fingerprints.forEach((fingerprint) => pending.delete(fingerprint));
+            const tookMs = Math.round(clock.now().monoMs - now.monoMs);
+            const isInTime = tookMs <= trialGrantValidMs;
+            log.info("trial of a quarantined request", {
+                fingerprints, numbers: due.map(({ number }) => number), tookMs,
+                outcome: result.isErr() ? describeFailure(result.error) : isInTime ? "granted" : "recorded too late, not used",
+            });
+            return result.isOk() && isInTime ? { kind: "granted" } : { kind: "unavailable" };
+        },
+    };
+}
--- a/src/control/quarantineCommands.ts
+++ b/src/control/quarantineCommands.ts
@@ -32,7 +32,7 @@
             head: ["fingerprint", "standing", "crashes", "seconds left", "targets", "hosts"],
             rows: fingerprints.map((fingerprint) => {
                 const known = rows.filter((row) => row.fingerprint === fingerprint);
-                const worst = known.find(({ kind }) => kind === "quarantined") ?? known[0];
+                const worst = known.find(({ kind }) => kind === "quarantined") ?? known.find(({ kind }) => kind === "trial-due") ?? known[0];
                 return [
                     fingerprint, worst?.kind ?? "", worst?.crashCount ?? 0, Math.ceil((worst?.remainingMs ?? 0) / msPerSecond),
                     worst?.targets.join(" ") ?? "", known.length,
--- a/src/control/session.ts
+++ b/src/control/session.ts
@@ -25,7 +25,7 @@
     pending: number;
     /** Absent in dumps of earlier versions. */
     crashes?: {
-        standings: { fingerprint: string; kind: "suspected" | "quarantined"; crashCount: number; remainingMs?: number; targets: string[] }[];
+        standings: { fingerprint: string; kind: "suspected" | "trial-due" | "quarantined"; crashCount: number; remainingMs?: number; targets: string[] }[];
     };
     coordinator?: {
         term: number;
--- a/src/crashes/crashEvidence.ts
+++ b/src/crashes/crashEvidence.ts
@@ -5,6 +5,8 @@
 import { assessCrashes, distinctFingerprints, quarantineExcess, suspectedCrashCount } from "./crashAssessment.js";
 import type { CompletionReport, CrashEvidenceUpdate, CrashReport, TargetProcess } from "./crashReport.js";
 import type { Fingerprint, RequestFingerprints } from "./requestFingerprint.js";
+import type { Trial, TrialReport, TrialTerms } from "./trial.js";
+import { quarantineRemainingMs } from "./trial.js";
 
 /** Limits on what is kept. */
 const maxCrashes = 128;
@@ -20,17 +22,13 @@
 const retentionMs = 10 * 60_000;
 const suspectRetentionMs = 5 * 60 * 60_000;
 
-/**
- * Duration of a quarantine from the last crash on, by the number of unexplained crashes beyond those that lead to the first one. After a
- * quarantine the request may run again, alone, so that one that was there by chance is soon cleared.
- */
-const quarantinesMs = [15_000, 10 * 60_000, 4 * 60 * 60_000];
-
 /** How a request is to be treated. */
 export type Standing =
     | { kind: "clear" }
     /** It may run, but not together with another suspected request. */
     | { kind: "suspected"; fingerprint: Fingerprint; crashCount: number }
+    /** Its quarantine has ended: it may run once, if the coordinator grants a trial. */
+    | { kind: "trial-due"; fingerprint: Fingerprint; crashCount: number }
     | { kind: "quarantined"; fingerprint: Fingerprint; crashCount: number; remainingMs: number };
 
 /** The standing of all requests with one fingerprint, unless it is clear. */
@@ -45,6 +43,9 @@
 
 const clear: Standing = { kind: "clear" };
 
+/** Of a request's two standings, the one that comes first here applies. */
+const adverseKindsBySeverity: readonly AdverseStanding["kind"][] = ["quarantined", "trial-due", "suspected"];
+
 /** Crashes, and requests that were run to their end since. Bounded in size; what is old is forgotten. */
 export class CrashEvidence {
     /** Fires when anything new is known. */
@@ -52,6 +53,8 @@
     /** By process; see `keyOf`. */
     private readonly crashes = new Map<string, Crash>();
     private readonly completedMs = new Map<Fingerprint, number>();
+    /** The last trial of requests with each fingerprint. */
+    private readonly trials = new Map<Fingerprint, Trial>();
     /** Fingerprints of the requests in `crashes`. */
     private fingerprints = new Set<Fingerprint>();
     /** Undefined when `crashes` or `completedMs` has changed since. */
@@ -102,7 +105,25 @@
         return { crashes, completions };
     }
 
-    /** Returns everything that is known. */
+    /** Adds trials that the coordinator has granted, each of them later than those that are known. */
+    addTrials(reports: readonly TrialReport[], nowMs: number): void {
+        reports.forEach(({ agoMs, ...terms }) => this.trials.set(terms.fingerprint, { ...terms, grantedMs: nowMs - agoMs }));
+        if (reports.length > 0) {
+            this.changed.fire();
+        }
+    }
+
+    /** Lists the trials to grant so that a request may run once; empty if none is due, or if one of its fingerprints is quarantined. */
+    dueTrials(request: RequestFingerprints, nowMs: number): Pick<TrialTerms, "fingerprint" | "number" | "excessCount">[] {
+        return this.standingOf(request, nowMs).kind !== "trial-due" ? [] : [request.content, request.exact].flatMap((fingerprint) => {
+            const suspicion = this.assess().get(fingerprint);
+            return suspicion === undefined || this.standingOfFingerprint(fingerprint, nowMs).kind !== "trial-due" ? [] : [{
+                fingerprint, number: (this.lastTrialOf(fingerprint)?.number ?? 0) + 1, excessCount: quarantineExcess(suspicion),
+            }];
+        });
+    }
+
+    /** Returns everything that is known, except for trials, which hosts learn from the ledger. */
     snapshot(nowMs: number): CrashEvidenceUpdate {
         return {
             crashes: [...this.crashes.values()].map((crash) => toReport(crash, nowMs)),
@@ -119,7 +140,7 @@
     /** Returns the standing of a request. */
     standingOf({ content, exact }: RequestFingerprints, nowMs: number): Standing {
         const standings = [this.standingOfFingerprint(content, nowMs), this.standingOfFingerprint(exact, nowMs)];
-        return standings.find(({ kind }) => kind === "quarantined") ?? standings.find(({ kind }) => kind === "suspected") ?? clear;
+        return adverseKindsBySeverity.flatMap((wanted) => standings.filter(({ kind }) => kind === wanted))[0] ?? clear;
     }
 
     /** Lists every standing that is not clear. */
@@ -158,6 +179,8 @@
         const excess = this.crashes.size > maxCrashes ? this.crashes.size - crashesLeft : 0;
         byDispensability.filter(({ ageMs, hasSuspect }, index) => index < excess || ageMs > (hasSuspect ? suspectRetentionMs : retentionMs))
             .forEach(({ id }) => this.crashes.delete(id));
+        [...this.trials.values()].filter(({ grantedMs }) => nowMs - grantedMs > suspectRetentionMs)
+            .forEach(({ fingerprint }) => this.trials.delete(fingerprint));
         this.updateFingerprints();
     }
 
@@ -219,10 +242,19 @@
         }
         const { crashCount, lastCrashMs } = suspicion;
         const excessCount = quarantineExcess(suspicion);
-        const remainingMs = excessCount < 0 ? 0 : lastCrashMs + quarantineMs(excessCount) - nowMs;
+        if (excessCount < 0) {
+            return { kind: "suspected", fingerprint, crashCount };
+        }
+        const remainingMs = quarantineRemainingMs({ lastCrashMs, excessCount, trial: this.lastTrialOf(fingerprint) }, nowMs);
         return remainingMs > 0
             ? { kind: "quarantined", fingerprint, crashCount, remainingMs }
-            : { kind: "suspected", fingerprint, crashCount };
+            : { kind: "trial-due", fingerprint, crashCount };
+    }
+
+    /** Returns the last trial since requests with a fingerprint were clear. */
+    private lastTrialOf(fingerprint: Fingerprint): Trial | undefined {
+        const trial = this.trials.get(fingerprint);
+        return trial === undefined || (this.completedMs.get(fingerprint) ?? Number.NEGATIVE_INFINITY) > trial.grantedMs ? undefined : trial;
     }
 }
 
@@ -242,10 +274,6 @@
     return Math.max(0, Math.round(nowMs - atMs));
 }
 
-function quarantineMs(excessCount: number): number {
-    return quarantinesMs[Math.min(excessCount, quarantinesMs.length - 1)] as number;
-}
-
 function toCrash({ targetId, bornWallMs, serviceId, agoMs, requests, others }: CrashReport, nowMs: number): Crash {
     return {
         targetId, bornWallMs, serviceId, others,
--- a/src/crashes/crashRecords.ts
+++ b/src/crashes/crashRecords.ts
@@ -6,6 +6,7 @@
 import type { HostId, ServiceId } from "../model/names.js";
 import type { Instant } from "../model/time.js";
 import type { CompletionReport, CrashReport, Survey, TargetProcess } from "./crashReport.js";
+import type { TrialReport, TrialTerms } from "./trial.js";
 
 /** A crash in the ledger. */
 export interface CrashRecord extends TargetProcess {
@@ -24,6 +25,12 @@
     atWallMs: number;
 }
 
+/** A trial in the ledger. */
+export interface TrialRecord extends TrialTerms {
+    kind: "trial";
+    grantedWallMs: number;
+}
+
 /** An operator's decision that requests with a fingerprint may run again. */
 export interface QuarantineReleaseRecord {
     kind: "quarantine-release";
@@ -43,6 +50,11 @@
     return `completion/${fingerprint}`;
 }
 
+/** Returns the key of the record of the last trial of requests with a fingerprint. */
+export function trialKeyOf(fingerprint: Fingerprint): string {
+    return `trial/${fingerprint}`;
+}
+
 /** Returns the key of the record of a release. */
 export function quarantineReleaseKeyOf(fingerprint: Fingerprint): string {
     return `quarantine-release/${fingerprint}`;
@@ -88,3 +100,17 @@
 export function toCompletionRecord({ fingerprint, agoMs }: CompletionReport, { wallMs }: Instant): CompletionRecord {
     return { kind: "completion", fingerprint, atWallMs: Math.round(wallMs - agoMs) };
 }
+
+/**
+ * Converts a trial to a report.
+ * @param record the trial
+ * @param isNew true if this host has been following the ledger and meets the record for the first time; then the trial counts as granted
+ * just now, whatever the clocks of the hosts say
+ * @param now current time of this host
+ */
+export function toTrialReport(record: TrialRecord, isNew: boolean, now: Instant): TrialReport {
+    const { fingerprint, number, excessCount, expectedMs, outcomeWithinMs, grantedWallMs } = record;
+    return {
+        fingerprint, number, excessCount, expectedMs, outcomeWithinMs, agoMs: isNew ? 0 : Math.max(0, now.wallMs - grantedWallMs),
+    };
+}
--- a/src/crashes/standingMonitor.ts
+++ b/src/crashes/standingMonitor.ts
@@ -32,7 +32,9 @@
     }
 }
 
-const eventByKind = { suspected: "request suspected", quarantined: "request quarantined" } as const;
+const eventByKind = {
+    "suspected": "request suspected", "trial-due": "trial of a quarantined request is due", "quarantined": "request quarantined",
+} as const;
 
 function logChanges(
     before: ReadonlyMap<Fingerprint, AdverseStanding>, after: ReadonlyMap<Fingerprint, AdverseStanding>, evidence: CrashEvidence, log: Log,
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -23,6 +23,7 @@
 import { prepareRequest } from "./requestPreparation.js";
 import type { TargetSlot } from "./placement.js";
 import { createPlacer, retryAfterUnreachableMs } from "./placement.js";
+import type { QuarantineGuardDependencies } from "./quarantineGuard.js";
 import { createQuarantineGuard, standingOfRequest } from "./quarantineGuard.js";
 import type { RetryTerms } from "./retryPolicy.js";
 import { nextStep } from "./retryPolicy.js";
@@ -56,6 +57,8 @@
     requestLog: RequestLog;
     crashObserver: CrashObserver;
     crashEvidence: CrashEvidence;
+    /** Asks the coordinator whether a request may run once after its quarantine. */
+    requestTrial: QuarantineGuardDependencies["requestTrial"];
     clock: Clock;
     dataCentreId: DataCentreId;
     /** Time for which a target still receives new requests after this host learned that the target is shutting down. */
@@ -90,7 +93,7 @@
         ...dependencies, workTimes, pauses, rateLimits, addJitter, waitingRefused: waitingRefused.signal,
         standingOf: (context, atMs) => standingOfRequest(crashEvidence, context, atMs),
     });
-    const quarantineGuard = createQuarantineGuard({ placer, crashEvidence, clock });
+    const quarantineGuard = createQuarantineGuard({ ...dependencies, placer });
 
     const onNotice = ({ targetId, bornWallMs }: TargetEntry, { isLeaving, pauseMs, rateLimit }: TargetNotice, sentMs: number) => {
         if (isLeaving && view.recordLeaving({ targetId, bornWallMs }, nowMs())) {
@@ -141,7 +144,9 @@
     const runAttempt = async (context: RequestContext, slot: TargetSlot, reservation: RetryReservation): Promise<AttemptEnd> => {
         const remainingMs = context.deadlineMs - nowMs();
         const giveUpAfterMs = Math.max(minGiveUpMs, slot.expectedMs * giveUpRatio);
-        const mayRetry = context.route.idempotent && context.body !== undefined && giveUpAfterMs + slot.expectedMs < remainingMs;
+        const isTrial = slot.isTrial === true;
+        const isRepeatable = context.route.idempotent && context.body !== undefined;
+        const mayRetry = isRepeatable && !isTrial && giveUpAfterMs + slot.expectedMs < remainingMs;
         context.triedTargetIds.add(slot.target.targetId);
         context.attemptCount += 1;
         return attempt({ ...dependencies, onNotice }, {
@@ -152,7 +157,7 @@
             timeoutMs: remainingMs,
             giveUpPolicy: mayRetry ? { afterMs: giveUpAfterMs, mayGiveUp: () => reservation.reserve() } : undefined,
             maxIdleMs: context.route.idempotent ? Number.POSITIVE_INFINITY : maxIdleNonIdempotentMs,
-            cancelIfClientLeaves: context.route.idempotent,
+            cancelIfClientLeaves: context.route.idempotent && !isTrial,
         });
     };
 
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -37,6 +37,8 @@
     expectedMs: number;
     /** True if the queue knew of a rate limit of the target when it granted the slot. */
     isRateLimited: boolean;
+    /** Set if the request runs to find out whether it still crashes its target, which it may do once. */
+    isTrial?: true;
     /** Returns the slot to the queue; `end` says how the request ended. */
     release: (end: WorkEnd) => void;
 }
@@ -230,7 +232,7 @@
             workMs: workTimes.meanMs(route.routeId, typicalWorkMs(route)),
             near: dataCentreId,
             softDeadlineMs, deadlineMs,
-            ...standing.kind === "suspected" ? { suspect: standing.fingerprint } : {},
+            ...standing.kind === "suspected" || standing.kind === "trial-due" ? { suspect: standing.fingerprint } : {},
         };
     };
 
--- a/src/forwarding/quarantineGuard.ts
+++ b/src/forwarding/quarantineGuard.ts
@@ -1,15 +1,26 @@
-/** Keeps requests that crash the targets that run them from being sent: they are refused, also while they wait for a slot. */
+/**
+ * Keeps requests that crash the targets that run them from being sent: they are refused, also while they wait for a slot. After a
+ * quarantine one of them may run, if the coordinator grants a trial.
+ */
 import type { CrashEvidence, Standing } from "../crashes/crashEvidence.js";
+import type { TrialParams, TrialReply } from "../crashes/trial.js";
+import { trialGrantValidMs } from "../crashes/trial.js";
 import type { Refusal } from "../entry/clientCall.js";
 import { linkAborts } from "../model/signal.js";
+import type { Fingerprint } from "../crashes/requestFingerprint.js";
 import type { Clock } from "../model/time.js";
 import type { Placement, Placer, TargetSlot } from "./placement.js";
 import type { RequestContext } from "./requestContext.js";
 
+/** Time for which no trial is asked for after the coordinator could not be asked, or could not record one. */
+const retryAfterUnavailableMs = 1_000;
+
 /** Dependencies of a guard. */
 export interface QuarantineGuardDependencies {
     placer: Pick<Placer, "place">;
     crashEvidence: CrashEvidence;
+    /** Asks the coordinator for a trial. */
+    requestTrial: (params: TrialParams) => Promise<TrialReply>;
     clock: Clock;
 }
 
@@ -18,7 +29,8 @@
     /** Returns the refusal of a request that must not run now; undefined if it may wait for a slot. */
     refusalOf(context: RequestContext): Refusal | undefined;
     /**
-     * Finds a slot, unless the request is quarantined before there is one.
+     * Finds a slot, unless the request is quarantined before there is one. If a trial of the request is due, the slot is for that trial;
+     * without one the request is refused.
      * @param context the request
      * @param reservedSlot a slot that the request has already
      */
@@ -31,11 +43,18 @@
 }
 
 /** Creates the guard. */
-export function createQuarantineGuard({ placer, crashEvidence, clock }: QuarantineGuardDependencies): QuarantineGuard {
+export function createQuarantineGuard({ placer, crashEvidence, requestTrial, clock }: QuarantineGuardDependencies): QuarantineGuard {
+    const nowMs = () => clock.now().monoMs;
+    let noTrialsUntilMs = Number.NEGATIVE_INFINITY;
+
     const refusalOf = (context: RequestContext): Refusal | undefined => {
-        const standing = standingOfRequest(crashEvidence, context, clock.now().monoMs);
-        return standing.kind === "quarantined"
-            ? { reason: "quarantined", retryAfterMs: standing.remainingMs, fingerprint: standing.fingerprint }
+        const standing = standingOfRequest(crashEvidence, context, nowMs());
+        if (standing.kind === "quarantined") {
+            return { reason: "quarantined", retryAfterMs: standing.remainingMs, fingerprint: standing.fingerprint };
+        }
+        const noTrialsMs = noTrialsUntilMs - nowMs();
+        return standing.kind === "trial-due" && noTrialsMs > 0
+            ? { reason: "quarantined", retryAfterMs: noTrialsMs, fingerprint: standing.fingerprint }
             : undefined;
     };
 
@@ -53,6 +72,24 @@
         return placement;
     };
 
+    /** Has the run recorded for which the slot is; nothing may come between the end of this and the sending of the request. */
+    const startTrial = async (context: RequestContext, slot: TargetSlot, fingerprint: Fingerprint): Promise<Placement> => {
+        const askedMs = nowMs();
+        const reply = await requestTrial({
+            ...context.getFingerprints(), expectedMs: Math.round(slot.expectedMs), deadlineLeftMs: Math.round(context.deadlineMs - askedMs),
+        });
+        const isInTime = nowMs() - askedMs <= trialGrantValidMs;
+        if (reply.kind === "granted" && isInTime) {
+            return { ...slot, isTrial: true };
+        }
+        slot.release({ kind: "dropped" });
+        if (reply.kind === "unavailable" || !isInTime) {
+            noTrialsUntilMs = nowMs() + retryAfterUnavailableMs;
+        }
+        const retryAfterMs = reply.kind === "refused" ? reply.retryAfterMs : retryAfterUnavailableMs;
+        return { kind: "refused", refusal: { reason: "quarantined", retryAfterMs, fingerprint } };
+    };
+
     return {
         refusalOf,
         place: async (context, reservedSlot) => {
@@ -68,7 +105,11 @@
                 if (refusal !== undefined) {
                     return { kind: "refused", refusal };
                 }
-                if (placement.kind !== "client-left") {
+                if (placement.kind === "placed") {
+                    const standing = standingOfRequest(crashEvidence, context, nowMs());
+                    return standing.kind === "trial-due" ? startTrial(context, placement, standing.fingerprint) : placement;
+                }
+                if (placement.kind === "refused") {
                     return placement;
                 }
             }
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -153,6 +153,7 @@
         requestLog: from.resolve(tokens.requestLog),
         crashObserver: from.resolve(tokens.crashObserver),
         crashEvidence: from.resolve(tokens.crashEvidence),
+        requestTrial: (params) => from.resolve(tokens.node).requestTrial(params),
         pool: from.resolve(tokens.pool),
         dialect: from.resolve(tokens.targetDialect),
         clock: from.resolve(tokens.clock),
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -143,7 +143,7 @@
         .adverseStandings(clock.now().monoMs).filter(({ kind }) => kind === wanted).length;
     metrics.gauge("hornbeam_suspected_fingerprints", "Fingerprints of requests that may crash targets.", () => countStandings("suspected"));
     metrics.gauge("hornbeam_quarantined_fingerprints", "Fingerprints of requests that are refused because they crash targets.", () =>
-        countStandings("quarantined"));
+        countStandings("quarantined") + countStandings("trial-due"));
     metrics.gauge("hornbeam_known_crashes", "Crashes of targets that this host keeps as evidence.", () =>
         hostContainer.resolve(tokens.crashEvidence).crashCount);
     metrics.gauge("hornbeam_log_lines_dropped", "Log lines dropped because standard output was too slow.", () =>
--- a/src/ownership/ledger.ts
+++ b/src/ownership/ledger.ts
@@ -8,7 +8,7 @@
 import * as z from "zod/mini";
 import "../model/zodLocale.js";
 import type { ConfigDocument } from "../config/documentSchema.js";
-import type { CompletionRecord, CrashRecord, QuarantineReleaseRecord } from "../crashes/crashRecords.js";
+import type { CompletionRecord, CrashRecord, QuarantineReleaseRecord, TrialRecord } from "../crashes/crashRecords.js";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Address, HostId, KeyRange, Offset, RunId, ServiceId, TargetId, Term } from "../model/names.js";
@@ -53,7 +53,7 @@
 }
 
 export type LedgerRecord = TermRecord | OwnershipRecord | DocumentRecord | DrainRecord | CrashRecord | CompletionRecord
-    | QuarantineReleaseRecord;
+    | TrialRecord | QuarantineReleaseRecord;
 
 /** A change of one key; `record` is undefined when the key was removed. */
 export interface LedgerChange {
@@ -79,6 +79,10 @@
         requests: z.array(z.object({ content: z.string(), exact: z.string(), sentWallMs: z.number() })),
         others: z.object({ asked: z.int(), down: z.array(z.object({ targetId: z.string(), bornWallMs: z.number() })) }),
     }),
+    z.object({
+        kind: z.literal("trial"), fingerprint: z.string(), number: z.int(), excessCount: z.int(), grantedWallMs: z.number(),
+        expectedMs: z.number(), outcomeWithinMs: z.number(),
+    }),
     z.object({ kind: z.literal("completion"), fingerprint: z.string(), atWallMs: z.number() }),
     z.object({
         kind: z.literal("quarantine-release"), fingerprint: z.string(), releasedWallMs: z.number(), author: z.string(), reason: z.string(),
@@ -180,6 +184,11 @@
         return this.records().filter((record) => record.kind === "completion");
     }
 
+    /** Returns the recorded trials of quarantined requests. */
+    trials(): TrialRecord[] {
+        return this.records().filter((record) => record.kind === "trial");
+    }
+
     /** Returns the requests that operators released from quarantine. */
     quarantineReleases(): QuarantineReleaseRecord[] {
         return this.records().filter((record) => record.kind === "quarantine-release");
--- a/test/crashes/crashEvidence.spec.ts
+++ b/test/crashes/crashEvidence.spec.ts
@@ -49,7 +49,7 @@
         addThreeCrashes(evidence, 0);
         const isQuarantinedUntil = (atMs: number) => {
             expect(evidence.standingOf(deadly, atMs - 1)).to.deep.include({ kind: "quarantined", remainingMs: 1 });
-            expect(evidence.standingOf(deadly, atMs).kind).to.equal("suspected");
+            expect(evidence.standingOf(deadly, atMs).kind).to.equal("trial-due");
         };
         isQuarantinedUntil(15_000);
         evidence.merge(crashes(report(8, ["deadly"])), minuteMs);
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -153,6 +153,7 @@
             attemptLost: () => Promise.resolve(), attemptCompleted: () => undefined,
         },
         crashEvidence: new CrashEvidence(),
+        requestTrial: () => Promise.resolve({ kind: "unavailable" }),
         dataCentreId, drainMs: 100,
         random: () => 0.5,
         ...overrides,
--- /dev/null
+++ b/test/forwarding/quarantineGuard.spec.ts
@@ -0,0 +1,84 @@
+import { expect } from "chai";
+import { CrashEvidence } from "../../src/crashes/crashEvidence.js";
+import type { Fingerprint } from "../../src/crashes/requestFingerprint.js";
+import type { TrialParams, TrialReply } from "../../src/crashes/trial.js";
+import type { WorkEnd } from "../../src/admission/targetRecord.js";
+import type { Placement, TargetSlot } from "../../src/forwarding/placement.js";
+import { createQuarantineGuard } from "../../src/forwarding/quarantineGuard.js";
+import type { RequestContext } from "../../src/forwarding/requestContext.js";
+import type { ServiceId, TargetId } from "../../src/model/names.js";
+import { VirtualClock } from "../support/virtualTime.js";
+
+const fingerprints = { content: "deadly" as Fingerprint, exact: "deadly/any" as Fingerprint };
+
+/** A guard at a host where the quarantine of the request has just ended; its placer always has a slot. */
+async function setUp(reply: TrialReply, replyAfterMs = 5) {
+    const clock = new VirtualClock();
+    const crashEvidence = new CrashEvidence();
+    for (const target of [1, 2, 3]) {
+        await clock.advance(2_000);
+        crashEvidence.merge({ completions: [], crashes: [{
+            targetId: `t-${String(target)}` as TargetId, bornWallMs: target, serviceId: "plain" as ServiceId, agoMs: 0,
+            requests: [{ ...fingerprints, sentAgoMs: 50 }], others: { asked: 14, down: [] },
+        }] }, clock.now().monoMs);
+    }
+    await clock.advance(15_000);
+    const asked: TrialParams[] = [];
+    const released: WorkEnd[] = [];
+    const slot = { kind: "placed", expectedMs: 99.6, release: (end: WorkEnd) => released.push(end) } as unknown as TargetSlot;
+    let placedCount = 0;
+    const guard = createQuarantineGuard({
+        clock, crashEvidence,
+        placer: { place: () => {
+            placedCount += 1;
+            return Promise.resolve(slot);
+        } },
+        requestTrial: async (params) => {
+            asked.push(params);
+            await clock.sleep(replyAfterMs);
+            return reply;
+        },
+    });
+    const context = {
+        call: { clientLeft: new AbortController().signal }, getFingerprints: () => fingerprints, deadlineMs: clock.now().monoMs + 2_000,
+    } as unknown as RequestContext;
+    const place = async (): Promise<Placement> => {
+        const placement = guard.place(context, undefined);
+        await clock.advance(Math.max(10, replyAfterMs));
+        return placement;
+    };
+    return { clock, guard, context, place, asked, released, placedCount: () => placedCount };
+}
+
+describe("quarantine guard, when a quarantine has ended", () => {
+    it("sends the request in a slot that is for its trial, if the coordinator grants one", async () => {
+        const { place, asked, released } = await setUp({ kind: "granted" });
+        expect(await place()).to.deep.include({ kind: "placed", isTrial: true });
+        expect(asked).to.deep.equal([{ ...fingerprints, expectedMs: 100, deadlineLeftMs: 2_000 }]);
+        expect(released).to.deep.equal([]);
+    });
+
+    it("refuses it with the time that the coordinator names, and returns the slot", async () => {
+        const { place, released } = await setUp({ kind: "refused", retryAfterMs: 350 });
+        expect(await place()).to.deep.equal({
+            kind: "refused", refusal: { reason: "quarantined", retryAfterMs: 350, fingerprint: fingerprints.content },
+        });
+        expect(released).to.deep.equal([{ kind: "dropped" }]);
+    });
+
+    it("refuses it without a coordinator, and for a second at once, without a slot", async () => {
+        const { place, guard, context, clock, placedCount } = await setUp({ kind: "unavailable" });
+        expect((await place() as { refusal: object }).refusal).to.deep.include({ reason: "quarantined", retryAfterMs: 1_000 });
+        expect(guard.refusalOf(context)).to.deep.include({ reason: "quarantined" });
+        expect(guard.refusalOf(context)?.retryAfterMs).to.be.within(900, 1_000);
+        expect(placedCount()).to.equal(1);
+        await clock.advance(1_000);
+        expect(guard.refusalOf(context)).to.equal(undefined);
+    });
+
+    it("does not use a grant that arrives late, as at a host that was frozen", async () => {
+        const { place, released } = await setUp({ kind: "granted" }, 600);
+        expect((await place()).kind).to.equal("refused");
+        expect(released).to.deep.equal([{ kind: "dropped" }]);
+    });
+});
--- a/test/world/crashForwarder.ts
+++ b/test/world/crashForwarder.ts
@@ -24,6 +24,8 @@
 export interface RequestKind {
     content: string;
     isDeadly: boolean;
+    /** If deadly: time from the start of the load after which it does not crash targets any more; undefined for never. */
+    crashesForMs?: number;
     isIdempotent: boolean;
     /** True if all requests of the kind go to the owner of one key. */
     hasKey: boolean;
@@ -52,7 +54,9 @@
             addJitter: (delayMs) => delayMs * (0.9 + random() * 0.4),
             waitingRefused: neverStops,
         });
-        this.guard = createQuarantineGuard({ placer, crashEvidence, clock: process.clock });
+        this.guard = createQuarantineGuard({
+            placer, crashEvidence, clock: process.clock, requestTrial: (params) => run.node.requestTrial(params),
+        });
     }
 
     /** Returns the state of a new request. */
--- a/test/world/crashLoad.ts
+++ b/test/world/crashLoad.ts
@@ -36,6 +36,7 @@
     incarnation: number;
     /** Time at which the host sent it, by the host's clock. */
     sentMs: number;
+    isTrial: boolean;
     end: (end: AttemptEnd) => void;
 }
 
@@ -44,6 +45,8 @@
     content: string;
     atMs: number;
     isInTouch: boolean;
+    /** True if it was sent as a trial after a quarantine. */
+    isTrial: boolean;
 }
 
 /** Sends requests to random hosts until stopped. */
@@ -61,10 +64,13 @@
     /** Times of the crashes at which requests with a content were, and of their last completion. */
     private readonly lossesMs = new Map<string, number[]>();
     private readonly completions = new Map<string, { atMs: number; run: HostRun }>();
+    private readonly firstCompletionsMs = new Map<string, number>();
+    private readonly startedMs: number;
     private readonly disturbedMs = new Map<HostId, number>();
     private isStopped = false;
 
     constructor(private readonly world: World, kinds: readonly RequestKind[]) {
+        this.startedMs = this.nowMs;
         kinds.forEach((kind) => void this.sendAll(kind));
     }
 
@@ -99,6 +105,18 @@
         return this.deliveries.filter((one) => one.content === content && one.isInTouch && one.atMs > thirdMs + stableWindowMs).length;
     }
 
+    /** Returns whether a request was sent as a trial twice within a time. */
+    hasTrialsWithin(content: string, periodMs: number): boolean {
+        const trials = this.deliveries.filter((one) => one.content === content && one.isTrial);
+        return trials.some(({ atMs }, index) => index > 0 && atMs - (trials[index - 1] as Delivery).atMs < periodMs);
+    }
+
+    /** Returns the time from the last crash with a request to its first completion. */
+    timeToCompletionMs(content: string): number {
+        const completedMs = this.firstCompletionsMs.get(content) ?? Number.POSITIVE_INFINITY;
+        return completedMs - (this.lossesMs.get(content)?.filter((atMs) => atMs < completedMs).at(-1) ?? 0);
+    }
+
     private isRunning(run: HostRun): boolean {
         return [...this.world.hosts.runs.values()].includes(run);
     }
@@ -188,23 +206,24 @@
         }
         const sentMs = run.process.clock.now().monoMs;
         return new Promise((end) => {
-            const attempt: Attempt = { kind, hostId, run, target, incarnation: bornWallMs, sentMs, end };
+            const attempt: Attempt = { kind, hostId, run, target, incarnation: bornWallMs, sentMs, isTrial: slot.isTrial === true, end };
             this.running.add(attempt);
             void this.runAtTarget(attempt);
         });
     }
 
     private async runAtTarget(attempt: Attempt): Promise<void> {
-        const { kind, hostId, run, target, incarnation, end } = attempt;
-        if (kind.isDeadly) {
+        const { kind, hostId, run, target, incarnation, isTrial, end } = attempt;
+        const isCrashing = kind.isDeadly && this.nowMs - this.startedMs < (kind.crashesForMs ?? Number.POSITIVE_INFINITY);
+        if (isCrashing || isTrial) {
             const isInTouch = this.nowMs - (this.disturbedMs.get(hostId) ?? Number.NEGATIVE_INFINITY) > stableWindowMs;
-            this.deliveries.push({ content: kind.content, atMs: this.nowMs, isInTouch });
+            this.deliveries.push({ content: kind.content, atMs: this.nowMs, isInTouch, isTrial });
         }
-        await this.world.clock.sleep(kind.isDeadly ? crashAfterMs : this.world.random.integerUpTo(runMs * 2));
+        await this.world.clock.sleep(isCrashing ? crashAfterMs : this.world.random.integerUpTo(runMs * 2));
         if (!this.running.has(attempt) || target.incarnation !== incarnation) {
             return;
         }
-        if (kind.isDeadly) {
+        if (isCrashing) {
             this.crashes.push({ content: kind.content, atMs: this.nowMs });
             this.crashTarget(target);
             return;
@@ -212,6 +231,7 @@
         this.running.delete(attempt);
         await run.process.clock.sleep(networkDelayMs);
         this.answeredCount += 1;
+        this.firstCompletionsMs.set(kind.content, this.firstCompletionsMs.get(kind.content) ?? this.nowMs);
         this.completions.set(kind.content, { atMs: this.nowMs, run });
         run.crashObserver.attemptCompleted(() => fingerprintsOf(kind.content));
         const answer = { head: { status: 200, reasonPhrase: "OK", rawHeaders: [], bodyBytes: 0 }, body: Buffer.alloc(0) };
--- a/test/world/crashRuns.ts
+++ b/test/world/crashRuns.ts
@@ -1,5 +1,6 @@
 /**
- * Plays requests that crash targets against many simulated hosts, with random faults. Usage: tsx test/world/crashRuns.ts RUNS SEED
+ * Plays requests that crash targets against many simulated hosts, with random faults. Usage: tsx test/world/crashRuns.ts RUNS SEED, and
+ * `trace` for the hosts' logs or `ends` for runs in which several requests wait for the end of their quarantines
  */
 import { pathToFileURL } from "node:url";
 import type { HostId } from "../../src/model/names.js";
@@ -10,21 +11,24 @@
 
 const startUpMs = 4_000;
 const faultsPerRun = 10;
-const maxTimeBetweenFaultsMs = 2_500;
 
 /** Time after the last fault; quarantines end within it. */
 const settleMs = 30_000;
 const allowedLateDeliveries = 3;
+
+/** The shortest quarantine is 15 s; hosts send a granted trial within a second. */
+const minTimeBetweenTrialsMs = 14_000;
 const innocentContents = 30;
 
 /** Which requests crash targets in a run: any few, or many for a service without keys. */
 export type DeadlyKind = "any" | "many without key";
 
 /** Kinds of requests of a run: deadly ones of a type that is drawn, and innocent ones of which some are frequent. */
-function requestKinds(random: SeededRandom, deadlyContents: readonly string[], deadlyKind: DeadlyKind): RequestKind[] {
+function requestKinds(random: SeededRandom, { deadlyContents, deadlyKind, healsAfterMs }: CrashPlan): RequestKind[] {
     const deadly = deadlyContents.map((content): RequestKind => ({
         content, isDeadly: true, isIdempotent: random.chance(0.6), hasKey: random.chance(0.5) && deadlyKind === "any",
         perSecond: random.pick(deadlyKind === "any" ? [1, 3, 6] : [6, 15, 30]),
+        ...healsAfterMs === undefined ? {} : { crashesForMs: healsAfterMs },
     }));
     const innocent = Array.from({ length: innocentContents }, (_, index): RequestKind => ({
         content: `innocent-${String(index)}`, isDeadly: false, isIdempotent: random.chance(0.7), hasKey: random.chance(0.5),
@@ -151,54 +155,98 @@
     refused: number;
     innocentRefused: number;
     crashes: number;
+    /** Number of runs after a quarantine. */
+    trials: number;
+    /** Deliveries of each deadly request that the platform's rule counts. */
+    lateDeliveries: number[];
+    /** Longest time from the last crash with one of the deadly requests to its first completion. */
+    completedAfterMs: number;
     steps: string[];
     logLines: string[];
 }
 
+/** What happens in a run. */
+export interface CrashPlan {
+    /** Number of hosts at the start. */
+    hostCount: number;
+    targetCount: number;
+    /** Names of the faults to select from. */
+    faultNames: readonly string[];
+    /** Time from the start of the load from which faults occur. */
+    faultsFromMs: number;
+    maxTimeBetweenFaultsMs: number;
+    /** Contents of the requests that crash targets. */
+    deadlyContents: readonly string[];
+    deadlyKind: DeadlyKind;
+    /** Time after which they crash none any more; undefined for never. */
+    healsAfterMs?: number;
+}
+
+/** Returns the plan that is drawn for a seed: 3 to 24 hosts with all faults. */
+export function planOf(seed: number, changes: Partial<CrashPlan> = {}): CrashPlan {
+    return {
+        hostCount: 3 + seed % 22, targetCount: 8 + seed % 13,
+        faultNames: Object.keys(crashFaults), faultsFromMs: 0, maxTimeBetweenFaultsMs: 2_500,
+        deadlyContents: ["deadly-1", "deadly-2"], deadlyKind: "any", ...changes,
+    };
+}
+
+/** Several requests at a time, each of which comes so often that all hosts have one when a quarantine ends. */
+export const quarantineEnds: Partial<CrashPlan> = {
+    deadlyContents: ["deadly-1", "deadly-2", "deadly-3"], deadlyKind: "many without key",
+};
+
+/** Time between faults with which some happen when quarantines end. */
+export const faultsDuringQuarantinesMs = 6_000;
+
 /**
  * Plays one run.
  * @param seed seed of all random decisions
- * @param hostCount number of hosts at the start
- * @param targetCount number of targets
- * @param names names of the faults to select from
- * @param deadlyContents contents of the requests that crash targets
- * @param deadlyKind whether some of these have keys
+ * @param plan what happens
  */
-export async function playCrashRun(
-    seed: number, hostCount: number, targetCount: number, names: readonly string[] = Object.keys(crashFaults),
-    deadlyContents: readonly string[] = ["deadly-1", "deadly-2"], deadlyKind: DeadlyKind = "any",
-): Promise<CrashRunResult> {
+export async function playCrashRun(seed: number, plan: CrashPlan = planOf(seed)): Promise<CrashRunResult> {
+    const { hostCount, targetCount, faultNames, maxTimeBetweenFaultsMs, deadlyContents } = plan;
     const world = new World(seed, targetCount, hostCount);
     const random = new SeededRandom(seed + 1);
     await world.clock.advance(startUpMs);
-    const load = new CrashLoad(world, requestKinds(random, deadlyContents, deadlyKind));
+    const load = new CrashLoad(world, requestKinds(random, plan));
     const steps: string[] = [];
+    await world.clock.advance(plan.faultsFromMs);
     for (let count = 0; count < faultsPerRun; count++) {
         await world.clock.advance(random.integerUpTo(maxTimeBetweenFaultsMs));
-        if (names.length > 0) {
-            const name = random.pick(names);
+        if (faultNames.length > 0) {
+            const name = random.pick(faultNames);
             steps.push(`${world.clock.now().monoMs.toFixed(0)} ${name}`);
             crashFaults[name]?.({ world, load, random });
         }
     }
     await world.clock.advance(settleMs);
     load.stop();
-    const late = deadlyContents.map((content) => ({ content, count: load.countLateDeliveries(content) }));
     world.stop();
+    const late = deadlyContents.map((content) => ({ content, count: load.countLateDeliveries(content) }));
     return {
         seed, steps, logLines: world.hosts.logLines, answered: load.answeredCount, refused: load.refusedCount,
         innocentRefused: load.innocentRefusedCount, crashes: load.crashes.length,
+        lateDeliveries: late.map(({ count }) => count),
+        completedAfterMs: Math.max(...deadlyContents.map((content) => load.timeToCompletionMs(content))),
+        trials: load.deliveries.filter(({ isTrial }) => isTrial).length,
         violations: [
             ...late.filter(({ count }) => count > allowedLateDeliveries).map(({ content, count }) => `${content}: ${String(count)} late deliveries`),
+            ...deadlyContents.filter((content) => load.hasTrialsWithin(content, minTimeBetweenTrialsMs))
+                .map((content) => `${content}: two trials after one quarantine`),
             ...[...load.wronglyRefused].map((content) => `${content} was refused`),
         ],
     };
 }
 
-async function main(runCount: number, firstSeed: number, withTrace: boolean): Promise<void> {
+async function main(runCount: number, firstSeed: number, options: readonly string[]): Promise<void> {
+    const withTrace = options.includes("trace");
+    const changes = options.includes("ends") ? { ...quarantineEnds, maxTimeBetweenFaultsMs: faultsDuringQuarantinesMs } : {};
     let failedCount = 0;
+    let trialCount = 0;
     for (let seed = firstSeed; seed < firstSeed + runCount; seed++) {
-        const result = await playCrashRun(seed, 3 + seed % 22, 8 + seed % 13);
+        const result = await playCrashRun(seed, planOf(seed, changes));
+        trialCount += result.trials;
         failedCount += result.violations.length > 0 ? 1 : 0;
         if (result.violations.length > 0 || withTrace) {
             const { answered, refused, innocentRefused, crashes, violations, steps } = result;
@@ -209,11 +257,11 @@
             process.stdout.write(`${result.logLines.join("\n")}\n`);
         }
     }
-    process.stdout.write(`${String(failedCount)} of ${String(runCount)} runs are bad\n`);
+    process.stdout.write(`${String(failedCount)} of ${String(runCount)} runs are bad; ${String(trialCount)} trials\n`);
 }
 
 if (import.meta.url === pathToFileURL(process.argv[1] ?? "").href) {
-    const [runCount, firstSeed, trace] = process.argv.slice(2);
-    await main(Number(runCount), Number(firstSeed), trace === "trace");
+    const [runCount, firstSeed, ...options] = process.argv.slice(2);
+    await main(Number(runCount), Number(firstSeed), options);
     process.exit(0);
 }
