A host without contact to the coordinator sends no suspected requests

Callers would see: while hosts are cut from each other, or their coordinator is frozen, a request that is suspected (two crashes) and not quarantined yet goes on ending targets for seconds, one or more at each host.

Cause: that a suspect runs alone holds at one queue; hosts that don't reach each other keep a queue each, and learn of each other's crashes only through the store, after 0.7 s and more. Class: as for the end of a quarantine, a bound over the whole cluster that each host keeps by itself.

Fix: a host that has heard nothing from the coordinator for 600 ms (updates come every 300 ms) refuses suspects, with Retry-After 1 s, until it hears again. Requests that are not suspected are not affected.

--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -35,6 +35,9 @@
 /** A coordinator that has sent nothing for this long counts as lost. */
 const coordinatorTimeoutMs = 900;
 
+/** Two updates of the coordinator are less than this apart, unless it or the path to it is disturbed. */
+const contactValidMs = 600;
+
 /** A host that does not coordinate reads the store itself once its state may be older than this. */
 const staleAfterMs = 1_400;
 
@@ -83,6 +86,8 @@
     /** Takes this host out of the cluster; if it coordinates, asks other hosts in turn to take over. */
     handOver(): Promise<void>;
     isCoordinating(): boolean;
+    /** Tells whether this host coordinates, or has heard from the coordinator that it follows a moment ago. */
+    isInContact(nowMs: number): boolean;
     /** Asks the coordinator whether a request may run once after its quarantine. */
     requestTrial(params: TrialParams): Promise<TrialReply>;
     /** Time since the store last confirmed the state that this host acts on. */
@@ -372,6 +377,8 @@
             }
         },
         isCoordinating: () => coordinator !== undefined,
+        isInContact: (atMs) => coordinator !== undefined
+            || (coordinatorConnection !== undefined && atMs - coordinatorConnection.lastReceivedAtMs < contactValidMs),
         requestTrial: async (params) => {
             if (coordinator !== undefined) {
                 return coordinator.grantTrial(params);
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -59,6 +59,8 @@
     crashEvidence: CrashEvidence;
     /** Asks the coordinator whether a request may run once after its quarantine. */
     requestTrial: QuarantineGuardDependencies["requestTrial"];
+    /** Tells whether this host learns at once what other hosts learn of crashes. */
+    isInContact: QuarantineGuardDependencies["isInContact"];
     clock: Clock;
     dataCentreId: DataCentreId;
     /** Time for which a target still receives new requests after this host learned that the target is shutting down. */
--- a/src/forwarding/quarantineGuard.ts
+++ b/src/forwarding/quarantineGuard.ts
@@ -12,7 +12,7 @@
 import type { Placement, Placer, TargetSlot } from "./placement.js";
 import type { RequestContext } from "./requestContext.js";
 
-/** Time for which no trial is asked for after the coordinator could not be asked, or could not record one. */
+/** Time after which requests may come back if there is no coordinator to ask, or if it can't write to the store. */
 const retryAfterUnavailableMs = 1_000;
 
 /** Dependencies of a guard. */
@@ -21,6 +21,8 @@
     crashEvidence: CrashEvidence;
     /** Asks the coordinator for a trial. */
     requestTrial: (params: TrialParams) => Promise<TrialReply>;
+    /** Tells whether this host learns at once what other hosts learn of crashes. */
+    isInContact: (nowMs: number) => boolean;
     clock: Clock;
 }
 
@@ -43,18 +45,26 @@
 }
 
 /** Creates the guard. */
-export function createQuarantineGuard({ placer, crashEvidence, requestTrial, clock }: QuarantineGuardDependencies): QuarantineGuard {
+export function createQuarantineGuard({ placer, crashEvidence, requestTrial, isInContact, clock }: QuarantineGuardDependencies): QuarantineGuard {
     const nowMs = () => clock.now().monoMs;
     let noTrialsUntilMs = Number.NEGATIVE_INFINITY;
 
     const refusalOf = (context: RequestContext): Refusal | undefined => {
         const standing = standingOfRequest(crashEvidence, context, nowMs());
+        if (standing.kind === "clear") {
+            return undefined;
+        }
         if (standing.kind === "quarantined") {
             return { reason: "quarantined", retryAfterMs: standing.remainingMs, fingerprint: standing.fingerprint };
         }
+        const { kind, fingerprint } = standing;
         const noTrialsMs = noTrialsUntilMs - nowMs();
-        return standing.kind === "trial-due" && noTrialsMs > 0
-            ? { reason: "quarantined", retryAfterMs: noTrialsMs, fingerprint: standing.fingerprint }
+        if (kind === "trial-due" && noTrialsMs > 0) {
+            return { reason: "quarantined", retryAfterMs: noTrialsMs, fingerprint };
+        }
+        // A host that is cut off does not know of the latest crashes, and keeps queues that others keep too.
+        return kind === "suspected" && !isInContact(nowMs())
+            ? { reason: "quarantined", retryAfterMs: retryAfterUnavailableMs, fingerprint }
             : undefined;
     };
 
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -154,6 +154,7 @@
         crashObserver: from.resolve(tokens.crashObserver),
         crashEvidence: from.resolve(tokens.crashEvidence),
         requestTrial: (params) => from.resolve(tokens.node).requestTrial(params),
+        isInContact: (nowMs) => from.resolve(tokens.node).isInContact(nowMs),
         pool: from.resolve(tokens.pool),
         dialect: from.resolve(tokens.targetDialect),
         clock: from.resolve(tokens.clock),
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -154,6 +154,7 @@
         },
         crashEvidence: new CrashEvidence(),
         requestTrial: () => Promise.resolve({ kind: "unavailable" }),
+        isInContact: () => true,
         dataCentreId, drainMs: 100,
         random: () => 0.5,
         ...overrides,
--- a/test/forwarding/quarantineGuard.spec.ts
+++ b/test/forwarding/quarantineGuard.spec.ts
@@ -11,11 +11,11 @@
 
 const fingerprints = { content: "deadly" as Fingerprint, exact: "deadly/any" as Fingerprint };
 
-/** A guard at a host where the quarantine of the request has just ended; its placer always has a slot. */
-async function setUp(reply: TrialReply, replyAfterMs = 5) {
+/** A guard at a host where the quarantine of the request has just ended after three crashes; its placer always has a slot. */
+async function setUp(reply: TrialReply, replyAfterMs = 5, crashCount = 3, isInContact: () => boolean = () => true) {
     const clock = new VirtualClock();
     const crashEvidence = new CrashEvidence();
-    for (const target of [1, 2, 3]) {
+    for (let target = 1; target <= crashCount; target++) {
         await clock.advance(2_000);
         crashEvidence.merge({ completions: [], crashes: [{
             targetId: `t-${String(target)}` as TargetId, bornWallMs: target, serviceId: "plain" as ServiceId, agoMs: 0,
@@ -28,7 +28,7 @@
     const slot = { kind: "placed", expectedMs: 99.6, release: (end: WorkEnd) => released.push(end) } as unknown as TargetSlot;
     let placedCount = 0;
     const guard = createQuarantineGuard({
-        clock, crashEvidence,
+        clock, crashEvidence, isInContact,
         placer: { place: () => {
             placedCount += 1;
             return Promise.resolve(slot);
@@ -82,3 +82,17 @@
         expect(released).to.deep.equal([{ kind: "dropped" }]);
     });
 });
+
+describe("quarantine guard, for a request that is suspected", () => {
+    it("sends it, but not while this host has no contact with the coordinator", async () => {
+        let isInContact = false;
+        const { place, guard, context, released, asked } = await setUp({ kind: "unavailable" }, 5, 2, () => isInContact);
+        expect(guard.refusalOf(context)).to.deep.equal({ reason: "quarantined", retryAfterMs: 1_000, fingerprint: fingerprints.content });
+        expect((await place()).kind).to.equal("refused");
+        expect(released).to.deep.equal([{ kind: "dropped" }]);
+        isInContact = true;
+        expect(guard.refusalOf(context)).to.equal(undefined);
+        expect((await place()).kind).to.equal("placed");
+        expect(asked).to.deep.equal([]);
+    });
+});
--- a/test/world/crashForwarder.ts
+++ b/test/world/crashForwarder.ts
@@ -56,6 +56,7 @@
         });
         this.guard = createQuarantineGuard({
             placer, crashEvidence, clock: process.clock, requestTrial: (params) => run.node.requestTrial(params),
+            isInContact: (nowMs) => run.node.isInContact(nowMs),
         });
     }
 
