--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -3,6 +3,8 @@
 import type { AdmissionServer } from "../admission/admissionServer.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { CrashObserver } from "../crashes/crashObserver.js";
+import type { TrialParams, TrialReply } from "../crashes/trial.js";
+import { trialGrantValidMs } from "../crashes/trial.js";
 import type { Failure } from "../model/failure.js";
 import { describeFailure } from "../model/failure.js";
 import type { Address, Offset } from "../model/names.js";
@@ -39,6 +41,9 @@
 /** A coordinator that has sent nothing for this long counts as lost. */
 const coordinatorTimeoutMs = 900;
 
+/** Two updates of the coordinator are less than this apart, unless it or the path to it is disturbed. */
+const contactValidMs = 600;
+
 /** A host that does not coordinate reads the store itself once its state may be older than this. */
 const staleAfterMs = 1_400;
 
@@ -87,6 +92,10 @@
     /** Takes this host out of the cluster; if it coordinates, asks other hosts in turn to take over. */
     handOver(): Promise<void>;
     isCoordinating(): boolean;
+    /** Tells whether this host coordinates, or has heard from the coordinator that it follows a moment ago. */
+    isInContact(nowMs: number): boolean;
+    /** Asks the coordinator whether a request may run once after its quarantine. */
+    requestTrial(params: TrialParams): Promise<TrialReply>;
     /** Time since the store last confirmed the state that this host acts on. */
     knowledgeAgeMs(nowMs: number): number;
     /** Time since it was last confirmed that no newer configuration is in force; see `ConfigAge.ageMs`. */
@@ -103,7 +112,8 @@
     /** Monotonic time at which this host sent its last complete reading of the store. */
     let lastReadAtMs = Number.NEGATIVE_INFINITY;
     let isLeaving = false;
-    let isFollowing = false;
+    /** Connection to the coordinator that this host follows. */
+    let coordinatorConnection: PeerConnection | undefined;
     /** Latest term that its coordinator announced to this host; it may be later than the ledger's. */
     let announcedTerm: TermRecord | undefined;
 
@@ -171,7 +181,7 @@
             claims.recordEndedRun(reply.value.runId === term.runId ? undefined : term.runId);
             return "lost";
         }
-        isFollowing = true;
+        coordinatorConnection = connection;
         configAge.recordJoined();
         log.info("following coordinator", { coordinator: term.hostId, term: term.term });
         newsReceiver.assumeConfirmedNow();
@@ -340,6 +350,8 @@
                 }
             },
             [clusterMethods.resign]: (): ResignReply => coordinator?.resign() ?? { resigned: false },
+            [clusterMethods.trial]: (params: TrialParams): Promise<TrialReply> | TrialReply =>
+                coordinator?.grantTrial(params) ?? { kind: "unavailable" },
             [clusterMethods.succeed]: ({ address }: { address: Address }) => {
                 void takeOverFrom(address);
             },
@@ -354,7 +366,7 @@
             watchCrashRecords(view, crashEvidence, clock);
             void recordWhileAlone({
                 store: dependencies.store, evidence: crashEvidence, observer: crashObserver, self: self.hostId, clock, log,
-                isConnected: () => coordinator !== undefined || isFollowing,
+                isConnected: () => coordinator !== undefined || coordinatorConnection !== undefined,
             }, signal);
             while (!signal.aborted && !await readAllTopics()) {
                 await clock.sleep(retryDelayMs, signal);
@@ -367,7 +379,7 @@
                 }
                 const isOther = term !== undefined && term.hostId !== self.hostId;
                 const end = isOther ? await follow(term, signal) : "lost";
-                isFollowing = false;
+                coordinatorConnection = undefined;
                 if (end !== "closed" && latestTerm()?.term === term?.term) {
                     await runSuccession(term, signal);
                 }
@@ -389,6 +401,15 @@
             }
         },
         isCoordinating: () => coordinator !== undefined,
+        isInContact: (atMs) => coordinator !== undefined
+            || (coordinatorConnection !== undefined && atMs - coordinatorConnection.lastReceivedAtMs < contactValidMs),
+        requestTrial: async (params) => {
+            if (coordinator !== undefined) {
+                return coordinator.grantTrial(params);
+            }
+            const reply = await coordinatorConnection?.call<TrialReply>(clusterMethods.trial, params, trialGrantValidMs);
+            return reply?.isOk() === true ? reply.value : { kind: "unavailable" };
+        },
         knowledgeAgeMs,
         configAgeMs,
         describe: () => ({
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -3,12 +3,12 @@
 import type { AdmissionClient } from "../admission/admissionClient.js";
 import type { RetryBudgets } from "../admission/retryBudgets.js";
 import type { CrashObserver } from "../crashes/crashObserver.js";
-import type { CrashEvidence, Standing } from "../crashes/crashEvidence.js";
+import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { ClientCall, Refusal } from "../entry/clientCall.js";
 import { RequestNotRunError } from "../entry/clientCall.js";
 import type { LoadMeter } from "../ownership/loadMeter.js";
 import type { DataCentreId } from "../model/names.js";
-import { linkAborts, Signal } from "../model/signal.js";
+import { Signal } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import type { RequestLog } from "../observe/requestLog.js";
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
@@ -24,8 +24,10 @@
 import { ClientWaitEstimator } from "./clientWaitEstimator.js";
 import type { RequestContext } from "./requestContext.js";
 import { prepareRequest } from "./requestPreparation.js";
-import type { Placement, TargetSlot } from "./placement.js";
+import type { TargetSlot } from "./placement.js";
 import { createPlacer, retryAfterStoppingMs, retryAfterUnreachableMs } from "./placement.js";
+import type { QuarantineGuardDependencies } from "./quarantineGuard.js";
+import { createQuarantineGuard, standingOfRequest } from "./quarantineGuard.js";
 import type { RetryTerms } from "./retryPolicy.js";
 import { nextStep } from "./retryPolicy.js";
 import type { RetryReservation } from "./retryReservation.js";
@@ -55,6 +57,10 @@
     requestLog: RequestLog;
     crashObserver: CrashObserver;
     crashEvidence: CrashEvidence;
+    /** Asks the coordinator whether a request may run once after its quarantine. */
+    requestTrial: QuarantineGuardDependencies["requestTrial"];
+    /** Tells whether this host learns at once what other hosts learn of crashes. */
+    isInContact: QuarantineGuardDependencies["isInContact"];
     clock: Clock;
     dataCentreId: DataCentreId;
     /** Time since it was last confirmed that no newer configuration is in force. */
@@ -95,10 +101,14 @@
     const addJitter = (delayMs: number) => delayMs * (0.9 + dependencies.random() * 0.4);
     const pauses = new TargetPauses();
     const rateLimits = new StatedRateLimits();
-    const standingOf = ({ getFingerprints }: RequestContext, atMs: number): Standing =>
-        crashEvidence.isEmpty ? { kind: "clear" } : crashEvidence.standingOf(getFingerprints(), atMs);
     const placer = createPlacer({
-        ...dependencies, workTimes, pauses, rateLimits, standingOf, addJitter, waitingRefused: waitingRefused.signal,
+        ...dependencies, workTimes, pauses, rateLimits, addJitter, waitingRefused: waitingRefused.signal,
+        standingOf: (context, atMs) => standingOfRequest(crashEvidence, context, atMs),
+    });
+    const quarantineGuard = createQuarantineGuard({
+        ...dependencies, placer, shutdownStarted,
+        stopRefusalOf: ({ deadlineMs }) =>
+            deadlineMs > cutAtMs ? { reason: "stopping", retryAfterMs: addJitter(retryAfterStoppingMs) } : undefined,
     });
 
     const onNotice = ({ targetId, bornWallMs }: TargetEntry, { isLeaving, pauseMs, rateLimit }: TargetNotice, sentMs: number) => {
@@ -127,19 +137,6 @@
         call.refuse(refusal);
     };
 
-    const quarantineRefusal = (context: RequestContext): Refusal | undefined => {
-        const standing = standingOf(context, nowMs());
-        return standing.kind === "quarantined"
-            ? { reason: "quarantined", retryAfterMs: standing.remainingMs, fingerprint: standing.fingerprint }
-            : undefined;
-    };
-
-    const stopRefusal = ({ deadlineMs }: RequestContext): Refusal | undefined =>
-        deadlineMs > cutAtMs ? { reason: "stopping", retryAfterMs: addJitter(retryAfterStoppingMs) } : undefined;
-
-    /** Returns the refusal of a request that must not be sent to a target at present, wherever there is a slot for it. */
-    const findRefusal = (context: RequestContext): Refusal | undefined => stopRefusal(context) ?? quarantineRefusal(context);
-
     /** Prepares a call; refuses it at once if it can't be forwarded. */
     const prepare = async (call: ClientCall): Promise<RequestContext | undefined> => {
         const prepared = await prepareRequest(
@@ -150,7 +147,7 @@
             return undefined;
         }
         const { context } = prepared;
-        const refusal = findRefusal(context);
+        const refusal = quarantineGuard.refusalOf(context);
         if (refusal !== undefined) {
             refuse(call, refusal, context);
             return undefined;
@@ -168,7 +165,9 @@
     const runAttempt = async (context: RequestContext, slot: TargetSlot, reservation: RetryReservation): Promise<AttemptEnd> => {
         const remainingMs = context.deadlineMs - nowMs();
         const giveUpAfterMs = Math.max(minGiveUpMs, slot.expectedMs * giveUpRatio);
-        const mayRetry = context.route.idempotent && context.body !== undefined && giveUpAfterMs + slot.expectedMs < remainingMs;
+        const isTrial = slot.isTrial === true;
+        const isRepeatable = context.route.idempotent && context.body !== undefined;
+        const mayRetry = isRepeatable && !isTrial && giveUpAfterMs + slot.expectedMs < remainingMs;
         context.triedTargetIds.add(slot.target.targetId);
         context.attemptCount += 1;
         return attempt({ ...dependencies, onNotice, onUnproven }, {
@@ -180,7 +179,7 @@
             giveUpPolicy: mayRetry ? { afterMs: giveUpAfterMs, mayGiveUp: () => reservation.reserve() } : undefined,
             reuse: context.route.idempotent ? reuseForIdempotent : reuseForNonIdempotent(context.rejectedOn),
             rejectedOn: context.rejectedOn,
-            cancelIfClientLeaves: context.route.idempotent,
+            cancelIfClientLeaves: context.route.idempotent && !isTrial,
         });
     };
 
@@ -267,59 +266,6 @@
             context);
     };
 
-    /** Waits for a slot; the wait ends when the request must be refused, or its client leaves. */
-    const placeWhileAllowed = async (context: RequestContext): Promise<Placement> => {
-        const waitAbort = linkAborts(context.call.clientLeft);
-        const onChange = () => {
-            if (findRefusal(context) !== undefined) {
-                waitAbort.abort();
-            }
-        };
-        const stopListening = [crashEvidence.changed.listen(onChange), shutdownStarted.listen(onChange)];
-        try {
-            return await placer.place(context, waitAbort.signal);
-        }
-        finally {
-            stopListening.forEach((stop) => {
-                stop();
-            });
-            waitAbort.release();
-        }
-    };
-
-    /** As `findRefusal`, for a request that has a placement; on an unexpected error its slot is given back. */
-    const findRefusalOfPlaced = (context: RequestContext, placement: Placement): Refusal | undefined => {
-        try {
-            return findRefusal(context);
-        }
-        catch (error) {
-            if (placement.kind === "placed") {
-                placement.release({ kind: "dropped" });
-            }
-            throw error;
-        }
-    };
-
-    /** Finds a slot, unless the request must be refused before there is one. */
-    const placeUnlessRefused = async (context: RequestContext, reservedSlot: TargetSlot | undefined): Promise<Placement> => {
-        for (;;) {
-            const placement = reservedSlot ?? await placeWhileAllowed(context);
-            const refusal = findRefusalOfPlaced(context, placement);
-            if (refusal !== undefined && placement.kind === "placed") {
-                placement.release({ kind: "dropped" });
-            }
-            if (context.call.clientLeft.aborted && placement.kind !== "placed") {
-                return { kind: "client-left" };
-            }
-            if (refusal !== undefined) {
-                return { kind: "refused", refusal };
-            }
-            if (placement.kind !== "client-left") {
-                return placement;
-            }
-        }
-    };
-
     /** Logs that a request is sent again in a slot that is reserved for it; on an unexpected error the slot is given back. */
     const recordRetry = ({ call, route }: RequestContext, { target }: TargetSlot, end: AttemptEnd, reservedSlot: TargetSlot) => {
         try {
@@ -335,7 +281,7 @@
         let possiblyExecuted: AttemptEnd | undefined;
         let reservedSlot: TargetSlot | undefined;
         for (;;) {
-            const placement = await placeUnlessRefused(context, reservedSlot);
+            const placement = await quarantineGuard.place(context, reservedSlot);
             if (placement.kind === "client-left") {
                 requestLog.clientLeft(context.call, context.route, context.triedTargetIds);
                 return;
--- a/src/ownership/ledger.ts
+++ b/src/ownership/ledger.ts
@@ -8,15 +8,17 @@
 import * as z from "zod/mini";
 import type { ConfigDocument } from "../config/documentSchema.js";
 import { publishedDocumentSchema } from "../config/documentSchema.js";
-import type { CompletionRecord, CrashRecord, QuarantineReleaseRecord } from "../crashes/crashRecords.js";
-import { completionKeyOf, crashKeyOf, quarantineReleaseKeyOf } from "../crashes/crashRecords.js";
+import type { CompletionRecord, CrashRecord, QuarantineReleaseRecord, TrialRecord } from "../crashes/crashRecords.js";
+import { completionKeyOf, crashKeyOf, quarantineReleaseKeyOf, trialKeyOf } from "../crashes/crashRecords.js";
 import type { JsonLimits } from "../model/boundedJson.js";
 import { describeJsonRejection, parseBoundedJson } from "../model/boundedJson.js";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Address, HostId, KeyRange, Offset, RunId, ServiceId, TargetId, Term } from "../model/names.js";
 import { validate } from "../model/schemaIssues.js";
-import { addressSchema, countSchema, idSchema, keySchema, nameSchema, wallMsSchema } from "../model/valueSchemas.js";
+import {
+    addressSchema, countSchema, durationMsSchema, idSchema, keySchema, nameSchema, positiveCountSchema, wallMsSchema,
+} from "../model/valueSchemas.js";
 import type { NewRecord, StoreRecord } from "../store/storePort.js";
 
 /** A term with its coordinator. */
@@ -57,7 +59,7 @@
 }
 
 export type LedgerRecord = TermRecord | OwnershipRecord | DocumentRecord | DrainRecord | CrashRecord | CompletionRecord
-    | QuarantineReleaseRecord;
+    | TrialRecord | QuarantineReleaseRecord;
 
 /** A change of one key; `record` is undefined when the key was removed. */
 export interface LedgerChange {
@@ -97,6 +99,10 @@
         reason: noteSchema, publishedWallMs: wallMsSchema,
     }),
     z.object({ kind: z.literal("drain"), targetIds: z.array(idSchema).check(z.maxLength(maxListedTargets)) }),
+    z.object({
+        kind: z.literal("trial"), fingerprint: idSchema, number: positiveCountSchema, excessCount: countSchema,
+        expectedMs: durationMsSchema, outcomeWithinMs: durationMsSchema, grantedWallMs: wallMsSchema,
+    }),
     z.object({
         kind: z.literal("ownership"), targetId: idSchema, serviceId: nameSchema, address: ownerAddressSchema, ranges: rangesSchema,
     }),
@@ -131,6 +137,7 @@
     "ownership": ({ targetId }) => ownershipKeyOf(targetId),
     "crash": (record) => crashKeyOf(record, record.recordedBy),
     "completion": ({ fingerprint }) => completionKeyOf(fingerprint),
+    "trial": ({ fingerprint }) => trialKeyOf(fingerprint),
     "quarantine-release": ({ fingerprint }) => quarantineReleaseKeyOf(fingerprint),
 };
 
@@ -244,6 +251,11 @@
         return this.records().filter((record) => record.kind === "completion");
     }
 
+    /** Returns the recorded trials of quarantined requests. */
+    trials(): TrialRecord[] {
+        return this.records().filter((record) => record.kind === "trial");
+    }
+
     /** Returns the requests that operators released from quarantine. */
     quarantineReleases(): QuarantineReleaseRecord[] {
         return this.records().filter((record) => record.kind === "quarantine-release");
--- a/test/forwarding/forwarderUnderTest.ts
+++ b/test/forwarding/forwarderUnderTest.ts
@@ -159,6 +159,8 @@
             attemptLost: () => Promise.resolve(), attemptCompleted: () => undefined,
         },
         crashEvidence: new CrashEvidence(),
+        requestTrial: () => Promise.resolve({ kind: "unavailable" }),
+        isInContact: () => true,
         dataCentreId, drainMs: 100, configAgeMs: () => 0,
         random: () => 0.5,
         ...overrides,
--- a/test/forwarding/unexpectedErrors.spec.ts
+++ b/test/forwarding/unexpectedErrors.spec.ts
@@ -130,6 +130,7 @@
             } });
         };
         return {
+            requestTrial: () => Promise.resolve({ kind: "unavailable" }), isInContact: () => true,
             view, clock, dataCentreId, drainMs: 100, configAgeMs: () => 0,
             pool: createConnectionPool(clock, () => undefined),
             dialect: {
--- a/test/ownership/oddLedgerRecords.spec.ts
+++ b/test/ownership/oddLedgerRecords.spec.ts
@@ -40,6 +40,9 @@
         atWallMs: nowWallMs, requests: [{ content: "abc_-", exact: "def", sentWallMs: nowWallMs }],
     },
     "completion/abc": { kind: "completion", fingerprint: "abc", atWallMs: nowWallMs },
+    "trial/abc": {
+        kind: "trial", fingerprint: "abc", number: 1, excessCount: 0, expectedMs: 350, outcomeWithinMs: 3_000, grantedWallMs: nowWallMs,
+    },
     "quarantine-release/abc": { kind: "quarantine-release", fingerprint: "abc", releasedWallMs: nowWallMs, author: "ops", reason: "harmless now" },
 };
 
@@ -66,6 +69,7 @@
     ["crash/t-1/1700000000000/h1", "requests", [{ content: "a\nb", exact: "b", sentWallMs: 1 }]],
     ["crash/t-1/1700000000000/h1", "others", { asked: -1, down: [] }], ["crash/t-1/1700000000000/h1", "recordedBy", "h2"],
     ["completion/abc", "atWallMs", "soon"], ["completion/abc", "fingerprint", ""], ["quarantine-release/abc", "reason", "r".repeat(10_001)],
+    ["trial/abc", "number", 0], ["trial/abc", "grantedWallMs", maxWallMs + 1], ["trial/abc", "outcomeWithinMs", 1e300],
 ];
 
 const oddTexts: readonly [key: string, name: string, value: string][] = [
@@ -87,6 +91,8 @@
         case "ownership": return record.ranges.every(({ from, to }, index) => from >= 0 && from <= to && to <= 65_535
             && record.ranges.every((other, at) => at === index || other.to < from || to < other.from));
         case "crash": return isTime(record.atWallMs) && isTime(record.bornWallMs) && record.requests.every(({ sentWallMs }) => isTime(sentWallMs));
+        case "trial": return isTime(record.grantedWallMs) && record.number >= 1 && record.excessCount >= 0
+            && [record.expectedMs, record.outcomeWithinMs].every((ms) => ms >= 0 && ms < 2 ** 31);
         case "completion": return isTime(record.atWallMs);
         case "quarantine-release": return isTime(record.releasedWallMs);
     }
