--- a/test/admission/admissionClient.spec.ts
+++ b/test/admission/admissionClient.spec.ts
@@ -119,8 +119,8 @@
         const group: Group = { kind: "service", serviceId: "s" as ServiceId };
         const rateLimits = [{ targetId: "k1" as TargetId, bornWallMs: 1, requestsPerSecond: 5, ageMs: 0 }];
         await enter(group, { workMs: 10.4, avoid: ["k2" as TargetId], suspect: "deadly" as Fingerprint, rateLimits });
-        expect({ ...sent.at(-1), sender: "self", ticket: "any" }).to.deep.equal({
-            ticket: "any", group, priority: 1, workMs: 10, near: here, avoid: ["k2"], suspect: "deadly", rateLimits,
+        expect({ ...sent.at(-1), ticket: "any" }).to.deep.equal({
+            ticket: "any", sender: "self", group, priority: 1, workMs: 10, near: here, avoid: ["k2"], suspect: "deadly", rateLimits,
             targetLeftMs: 1_000, deadlineLeftMs: 2_000,
         });
     });
