--- a/src/ownership/ledger.ts
+++ b/src/ownership/ledger.ts
@@ -139,9 +139,11 @@
     return `document/${String(version)}`;
 }
 
+const ownershipPrefix = "ownership/";
+
 /** Returns the key of a target's ownership record. */
 export function ownershipKeyOf(targetId: TargetId): string {
-    return `ownership/${targetId}`;
+    return `${ownershipPrefix}${targetId}`;
 }
 
 /**
@@ -185,6 +187,7 @@
     private readonly changes = new Map<string, LedgerChange>();
     private end = 0 as Offset;
     private hasOddTerm = false;
+    private hasOddOwnership = false;
 
     /** Offset after the last applied record. */
     get upTo(): Offset {
@@ -202,9 +205,15 @@
         return this.hasOddTerm && this.term === undefined;
     }
 
-    /** Remembers that a record of the term could not be decoded. */
-    markTermUnreadable(): void {
-        this.hasOddTerm = true;
+    /** True if keys may be assigned to a target by a record that this host could never decode. */
+    get isOwnershipUnreadable(): boolean {
+        return this.hasOddOwnership;
+    }
+
+    /** Remembers that a record could not be decoded. What this host knew under its key before stays in force. */
+    markUnreadable(key: string): void {
+        this.hasOddTerm ||= key === termKey;
+        this.hasOddOwnership ||= key.startsWith(ownershipPrefix) && !this.changes.has(key);
     }
 
     /** Returns the stored versions of the configuration document, newest first. */
@@ -285,13 +294,16 @@
      * Replaces the content by a snapshot, unless the snapshot is older.
      * @param changes newest change of every key
      * @param upTo offset after the last one that the snapshot covers
+     * @param unreadableKeys keys whose records in the snapshot could not be decoded; what is known under them stays
      * @returns whether the content was replaced
      */
-    replace(changes: readonly LedgerChange[], upTo: Offset): boolean {
+    replace(changes: readonly LedgerChange[], upTo: Offset, unreadableKeys: readonly string[] = []): boolean {
         if (upTo < this.end) {
             return false;
         }
+        const kept = unreadableKeys.flatMap((key) => this.changes.get(key) ?? []);
         this.changes.clear();
+        kept.forEach((change) => this.changes.set(change.key, change));
         changes.forEach((change) => this.changes.set(change.key, change));
         this.end = upTo;
         return true;
--- a/src/ownership/ownershipManager.ts
+++ b/src/ownership/ownershipManager.ts
@@ -212,7 +212,8 @@
         const owner = new OwnerMap(view.ledger.ownerships()).ownerOf(serviceId, range.from);
         const manager = owner === undefined ? undefined : leaseManagers.get(owner);
         const freeAtMs = await manager?.abandon(range) ?? Number.NEGATIVE_INFINITY;
-        return owner === undefined || manager?.isCertainlyFree === true
+        const wasNeverOwned = owner === undefined && !view.ledger.isOwnershipUnreadable;
+        return wasNeverOwned || manager?.isCertainlyFree === true
             ? freeAtMs
             : Math.max(freeAtMs, dependencies.predecessor.grantsUntilMs);
     };
--- a/src/store/clusterView.ts
+++ b/src/store/clusterView.ts
@@ -152,8 +152,8 @@
     }
 
     /** Replaces the ledger with a snapshot; see `Ledger.replace`. */
-    replaceLedger(changes: readonly LedgerChange[], upTo: Offset): void {
-        if (this.ledger.replace(changes, upTo)) {
+    replaceLedger(changes: readonly LedgerChange[], upTo: Offset, unreadableKeys: readonly string[]): void {
+        if (this.ledger.replace(changes, upTo, unreadableKeys)) {
             this.ledgerChanged.fire();
         }
     }
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -7,7 +7,7 @@
 import type { RoutingConfig } from "../model/routing.js";
 import { isId } from "../model/valueSchemas.js";
 import type { LedgerChange } from "../ownership/ledger.js";
-import { decodeLedgerRecord, termKey } from "../ownership/ledger.js";
+import { decodeLedgerRecord } from "../ownership/ledger.js";
 import type { Clock } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import type { ClusterView } from "./clusterView.js";
@@ -76,7 +76,8 @@
         },
         ledger: (records, upTo) => {
             const changes = decodeLedger(records);
-            view.replaceLedger(changes, upTo);
+            const decodedKeys = new Set(changes.map(({ key }) => key));
+            view.replaceLedger(changes, upTo, records.map(({ key }) => key).filter((key) => !decodedKeys.has(key)));
             return { ...emptyReading, ledger: changes };
         },
     };
@@ -151,9 +152,7 @@
         const decoded = decodeSafely(record.key, () => decodeLedgerRecord(record));
         if (decoded.isErr()) {
             log.warn("ledger record cannot be decoded", { key: record.key, offset: record.offset, why: decoded.error.message });
-            if (record.key === termKey) {
-                view.ledger.markTermUnreadable();
-            }
+            view.ledger.markUnreadable(record.key);
         }
         return decoded.isOk() ? [decoded.value] : [];
     });
--- a/test/ownership/oddLedgerRecords.spec.ts
+++ b/test/ownership/oddLedgerRecords.spec.ts
@@ -173,3 +173,42 @@
         expect(claims.takeClaimedTerm().predecessor.grantsUntilMs).to.equal(0);
     });
 });
+
+describe("an odd record of ownership", () => {
+    const owned = (targetId: string, from: number, to: number, offset: number): StoreRecord => ({
+        key: `ownership/${targetId}`, offset: offset as Offset,
+        value: Buffer.from(JSON.stringify({
+            kind: "ownership", targetId, serviceId: "leases", address: "10.0.0.9:8080", ranges: [{ from, to }],
+        })),
+    });
+
+    /** A host that reads a ledger of which only a snapshot is left after the first reading. */
+    const createSnapshotReader = (ledger: StoreRecord[]) => {
+        const view = new ClusterView();
+        const store = {
+            snapshot: () => Promise.resolve(ok({ records: ledger, upTo: ledger.length as Offset })),
+            read: () => Promise.resolve(ok({ kind: "expired" as const })),
+        } as unknown as StorePort;
+        const log = { info: () => undefined, warn: () => undefined, error: () => undefined };
+        return { view, reader: createTopicReader({ store, decoders: {} as never, view, clock: new VirtualClock(), log }) };
+    };
+
+    it("leaves the earlier owner in force at a host that knows it, also when the host has to read a snapshot", async () => {
+        const ledger = [owned("t-1", 0, 9, 0), owned("t-2", 10, 19, 1)];
+        const { view, reader } = createSnapshotReader(ledger);
+        await reader.read("ledger", 0);
+        ledger[0] = { ...owned("t-1", 9, 0, 2) };
+        await reader.read("ledger", 0);
+        expect(view.ledger.ownerships().map(({ targetId, ranges }) => [targetId, ranges])).to.have.deep.members([
+            ["t-1", [{ from: 0, to: 9 }]], ["t-2", [{ from: 10, to: 19 }]],
+        ]);
+        expect(view.ledger.isOwnershipUnreadable).to.equal(false);
+    });
+
+    it("is noticed by a host that starts, since its keys may be leased", async () => {
+        const { view, reader } = createSnapshotReader([owned("t-1", 9, 0, 0), owned("t-2", 10, 19, 1)]);
+        await reader.read("ledger", 0);
+        expect(view.ledger.ownerships().map(({ targetId }) => targetId)).to.deep.equal(["t-2"]);
+        expect(view.ledger.isOwnershipUnreadable).to.equal(true);
+    });
+});
--- a/test/ownership/ownershipManager.spec.ts
+++ b/test/ownership/ownershipManager.spec.ts
@@ -27,17 +27,22 @@
 
 /**
  * Starts a manager with two targets: `old`, which is leaving and owns all keys, and `new`. The first releases fail, either at once as on
- * an overloaded target that resets connections, or after a time.
+ * an overloaded target that resets connections, or after a time. Instead, no target may own the keys, or a record may be unreadable.
  */
-function setUp(failingReleases: number, failAfterMs = 1) {
+function setUp(failingReleases: number, failAfterMs = 1, owner: "old" | "unreadable" | "none" = "old") {
     const clock = new VirtualClock();
     const view = new ClusterView();
     const config = { services: [{ serviceId: service, sharded: true }], routes: [] } as unknown as RoutingConfig;
     view.applyConfig(config, 0 as Offset, 1 as Offset);
-    view.applyLedger([{
-        offset: 0 as Offset, key: ownershipKeyOf("old" as TargetId),
-        record: { kind: "ownership", targetId: "old" as TargetId, serviceId: service, address: "old:1" as Address, ranges: [allKeys] },
-    }], 0 as Offset, 1 as Offset);
+    if (owner === "old") {
+        view.applyLedger([{
+            offset: 0 as Offset, key: ownershipKeyOf("old" as TargetId),
+            record: { kind: "ownership", targetId: "old" as TargetId, serviceId: service, address: "old:1" as Address, ranges: [allKeys] },
+        }], 0 as Offset, 1 as Offset);
+    }
+    if (owner === "unreadable") {
+        view.ledger.markUnreadable(ownershipKeyOf("old" as TargetId));
+    }
     view.applyTargets([
         { targetId: "old" as TargetId, offset: 0 as Offset, entry: entry("old", "draining") },
         { targetId: "new" as TargetId, offset: 1 as Offset, entry: entry("new", "ready") },
@@ -106,3 +111,21 @@
         end();
     });
 });
+
+describe("assignment of keys without a known owner", () => {
+    it("waits until leases of earlier coordinators have ended if a record of ownership can't be read", async () => {
+        const { clock, ownerOf, end } = setUp(0, 1, "unreadable");
+        await clock.advance(11_000);
+        expect(ownerOf()).to.equal(undefined);
+        await clock.advance(4_000);
+        expect(ownerOf()).to.equal("new");
+        end();
+    });
+
+    it("does not wait if no target has owned them", async () => {
+        const { clock, ownerOf, end } = setUp(0, 1, "none");
+        await clock.advance(4_000);
+        expect(ownerOf()).to.equal("new");
+        end();
+    });
+});
