Targets that are cut off for long no longer excuse the request that crashes others

Cause: a crash doesn't count against what was there if too many other targets are down, since one cause may have ended them all. Targets that had been unreachable for seconds counted too. Class: a state is taken for an event.

Fix: only targets that went down within half a second of the crash, as far as the surveys show, can have the same cause. crashAssessment.spec: the new test failed before (nobody was found responsible). The test of targets that end together with nothing at them used the same processes in each wave, which can't end twice; it names new ones now, and nobody is blamed as before.

--- a/src/crashes/crashAssessment.ts
+++ b/src/crashes/crashAssessment.ts
@@ -8,6 +8,7 @@
  */
 import type { ServiceId, TargetId } from "../model/names.js";
 import type { Survey, TargetProcess } from "./crashReport.js";
+import { processKeyOf } from "./crashReport.js";
 import type { Fingerprint, RequestFingerprints } from "./requestFingerprint.js";
 
 /** The end of a target's process. Times are monotonic milliseconds of this host. */
@@ -166,12 +167,19 @@
     singledOut: ReadonlySet<Fingerprint> = new Set();
     /** Birth of the latest process of each target of which a crash is known; the service directory may still list an earlier process. */
     private readonly lastBornMs = new Map<TargetId, number>();
+    /** Time at which each process that did not accept a connection was first seen so. */
+    private readonly downSinceMs = new Map<string, number>();
 
     constructor(crashes: readonly Crash[]) {
         this.inOrder = [...crashes].sort((left, right) => left.atMs - right.atMs);
         for (const { targetId, bornWallMs } of crashes) {
             this.lastBornMs.set(targetId, Math.max(bornWallMs, this.lastBornMs.get(targetId) ?? 0));
         }
+        for (const { atMs, others } of this.inOrder) {
+            for (const process of others.down) {
+                this.downSinceMs.set(processKeyOf(process), this.downSinceMs.get(processKeyOf(process)) ?? atMs);
+            }
+        }
     }
 
     /** Tells whether a crash may have a cause that has nothing to do with a request that was there. */
@@ -194,13 +202,22 @@
         return [...this.suspectsAt.get(crash) ?? [], ...singledOut];
     }
 
-    /** Tells whether too many other targets were down without a crash that is known. */
+    /** Tells whether too many other targets went down at the time of a crash without a crash of theirs that is known. */
     private areTooManyDown(crash: Crash): boolean {
         const { asked, down } = crash.others;
-        const unknownCount = down.filter(({ targetId, bornWallMs }) => (this.lastBornMs.get(targetId) ?? 0) < bornWallMs).length;
+        const unknownCount = down.filter((process) => !this.hasKnownCrash(process) && !this.wasDownBefore(process, crash)).length;
         return unknownCount > Math.max(minToleratedDown, asked * toleratedDownShare);
     }
 
+    private hasKnownCrash({ targetId, bornWallMs }: TargetProcess): boolean {
+        return (this.lastBornMs.get(targetId) ?? 0) >= bornWallMs;
+    }
+
+    /** Tells whether a process was down too early for one cause with a crash; for example, it is cut off from the hosts. */
+    private wasDownBefore(process: TargetProcess, { atMs }: Crash): boolean {
+        return (this.downSinceMs.get(processKeyOf(process)) ?? atMs) < atMs - simultaneousMs;
+    }
+
     /** Returns the position of the first crash, of any service, around the time of a crash, and the position after the last one. */
     private simultaneousPositions({ atMs }: Crash): [first: number, end: number] {
         return [this.firstPositionFrom(atMs - simultaneousMs), this.firstPositionFrom(atMs + simultaneousMs + 1)];
--- a/src/crashes/crashEvidence.ts
+++ b/src/crashes/crashEvidence.ts
@@ -4,6 +4,7 @@
 import type { Crash, Suspicion } from "./crashAssessment.js";
 import { assessCrashes, distinctFingerprints, quarantineExcess, suspectedCrashCount } from "./crashAssessment.js";
 import type { CompletionReport, CrashEvidenceUpdate, CrashReport, TargetProcess } from "./crashReport.js";
+import { processKeyOf } from "./crashReport.js";
 import type { Fingerprint, RequestFingerprints } from "./requestFingerprint.js";
 import type { Trial, TrialReport, TrialTerms } from "./trial.js";
 import { quarantineRemainingMs } from "./trial.js";
@@ -50,7 +51,7 @@
 export class CrashEvidence {
     /** Fires when anything new is known. */
     readonly changed = new Signal();
-    /** By process; see `keyOf`. */
+    /** By process; see `processKeyOf`. */
     private readonly crashes = new Map<string, Crash>();
     private readonly completedMs = new Map<Fingerprint, number>();
     /** The last trial of requests with each fingerprint. */
@@ -77,13 +78,13 @@
 
     /** Returns the time since a crash, or undefined if it is not known. */
     crashAgeMs(process: TargetProcess, nowMs: number): number | undefined {
-        const crash = this.crashes.get(keyOf(process));
+        const crash = this.crashes.get(processKeyOf(process));
         return crash === undefined ? undefined : ageMs(crash.atMs, nowMs);
     }
 
     /** Tells whether a request was run to its end after a crash at which it was. */
     isClearedSince(process: TargetProcess, { content, exact }: RequestFingerprints): boolean {
-        const atMs = this.crashes.get(keyOf(process))?.atMs ?? Number.POSITIVE_INFINITY;
+        const atMs = this.crashes.get(processKeyOf(process))?.atMs ?? Number.POSITIVE_INFINITY;
         return [content, exact].every((fingerprint) => (this.completedMs.get(fingerprint) ?? Number.NEGATIVE_INFINITY) > atMs);
     }
 
@@ -190,7 +191,7 @@
     }
 
     private mergeCrash(report: CrashReport, nowMs: number): boolean {
-        const id = keyOf(report);
+        const id = processKeyOf(report);
         const known = this.crashes.get(id);
         const reported = toCrash(report, nowMs);
         const crash = known === undefined ? reported : joinCrashes(known, reported);
@@ -258,10 +259,6 @@
     }
 }
 
-function keyOf({ targetId, bornWallMs }: TargetProcess): string {
-    return `${targetId}/${String(bornWallMs)}`;
-}
-
 function toReport({ targetId, bornWallMs, serviceId, atMs, requests, others }: Crash, nowMs: number): CrashReport {
     return {
         targetId, bornWallMs, serviceId, others,
@@ -286,7 +283,7 @@
 /** Adds what another report says about a known crash; returns the same object if that is nothing new. */
 function joinCrashes(known: Crash, { atMs, requests, others }: Crash): Crash {
     const added = requests.filter(({ exact }) => known.requests.every((request) => request.exact !== exact));
-    const down = [...new Map([...known.others.down, ...others.down].map((process) => [keyOf(process), process])).values()];
+    const down = [...new Map([...known.others.down, ...others.down].map((process) => [processKeyOf(process), process])).values()];
     const isSurveyNews = others.asked > known.others.asked || down.length > known.others.down.length;
     const isEarlier = known.atMs - atMs > crashTimeToleranceMs;
     if ((added.length === 0 || known.requests.length >= maxRequestsPerCrash) && !isSurveyNews && !isEarlier) {
--- a/src/crashes/crashReport.ts
+++ b/src/crashes/crashReport.ts
@@ -9,6 +9,11 @@
 /** One process of a target. A later process of the same target was born later. */
 export type TargetProcess = Pick<TargetEntry, "targetId" | "bornWallMs">;
 
+/** Returns a key that no other process has. */
+export function processKeyOf({ targetId, bornWallMs }: TargetProcess): string {
+    return `${targetId}/${String(bornWallMs)}`;
+}
+
 /** What other targets of the same service did when a target's process had ended. */
 export interface Survey {
     /** Number of targets asked. */
--- a/test/crashes/crashAssessment.spec.ts
+++ b/test/crashes/crashAssessment.spec.ts
@@ -15,13 +15,13 @@
 /** Time from the sending of a request to the crash of its target. */
 const runMs = 50;
 
-/** A crash at `seconds` of target `target`, while `down` others were down. */
-function crash(seconds: number, target: number, requests: readonly string[], down: readonly number[] = []): Crash {
+/** A crash at `seconds` of target `target`, while processes of the targets `down` were down, which had started at `downBornMs`. */
+function crash(seconds: number, target: number, requests: readonly string[], down: readonly number[] = [], downBornMs = 1_000_000): Crash {
     const processOf = (index: number, run: number) => ({ targetId: `t-${String(index)}` as TargetId, bornWallMs: run });
     return {
         ...processOf(target, 1_000 + seconds), serviceId, atMs: seconds * 1_000,
         requests: requests.map((content) => ({ ...request(content), sentMs: seconds * 1_000 - runMs })),
-        others: { asked: targetCount - 1, down: down.map((other) => processOf(other, 1_000_000)) },
+        others: { asked: targetCount - 1, down: down.map((other) => processOf(other, downBornMs)) },
     };
 }
 
@@ -76,7 +76,14 @@
 
     it("nobody, if many targets end with nothing at them but one request", () => {
         const idleDown = [5, 6, 7, 8, 9, 10];
-        expect(quarantined([0, 5, 10, 15].map((seconds, target) => crash(seconds, target, ["slow"], idleDown)))).to.deep.equal([]);
+        const waves = [0, 5, 10, 15].map((seconds, target) => crash(seconds, target, ["slow"], idleDown, 1_000_000 + seconds));
+        expect(quarantined(waves)).to.deep.equal([]);
+    });
+
+    it("a request that crashes targets while the same others are cut off from all hosts", () => {
+        const crashes = [0, 3, 6, 9].map((seconds, target) => crash(seconds, target, ["deadly", `a${String(target)}`], [5, 6, 7, 8, 9, 10]));
+        expect(quarantined(crashes.slice(0, 3))).to.deep.equal([]);
+        expect(quarantined(crashes)).to.deep.equal(["deadly"]);
     });
 
     it("nobody, by any sequence of simultaneous ends of at least half of the targets", () => {
