--- a/src/forwarding/quarantineGuard.ts
+++ b/src/forwarding/quarantineGuard.ts
@@ -65,7 +65,7 @@
             return { reason: "quarantined", retryAfterMs: noTrialsMs, fingerprint };
         }
         // A host that is cut off does not know of the latest crashes, and keeps queues that others keep too.
-        return kind === "suspected" && !isInContact(nowMs())
+        return standing.kind === "suspected" && standing.unexplainedCount > 0 && !isInContact(nowMs())
             ? { reason: "quarantined", retryAfterMs: retryAfterUnavailableMs, fingerprint }
             : undefined;
     };
--- a/test/forwarding/quarantineGuard.spec.ts
+++ b/test/forwarding/quarantineGuard.spec.ts
@@ -11,15 +11,20 @@
 
 const fingerprints = { content: "deadly" as Fingerprint, exact: "deadly/any" as Fingerprint };
 
+const otherTargets = Array.from({ length: 14 }, (_, index) => ({ targetId: `other-${String(index)}` as TargetId, bornWallMs: 1 }));
+
 /** A guard at a host where the quarantine of the request has just ended after three crashes; its placer always has a slot. */
-async function setUp(reply: TrialReply, replyAfterMs = 5, crashCount = 3, isInContact: () => boolean = () => true) {
+async function setUp(
+    reply: TrialReply, replyAfterMs = 5, crashCount = 3, isInContact: () => boolean = () => true, areAllDown = false,
+) {
+    const others = { asked: 14, down: areAllDown ? otherTargets : [] };
     const clock = new VirtualClock();
     const crashEvidence = new CrashEvidence();
     for (let target = 1; target <= crashCount; target++) {
         await clock.advance(2_000);
         crashEvidence.merge({ completions: [], crashes: [{
             targetId: `t-${String(target)}` as TargetId, bornWallMs: target, serviceId: "plain" as ServiceId, agoMs: 0,
-            requests: [{ ...fingerprints, sentAgoMs: 50 }], others: { asked: 14, down: [] },
+            requests: [{ ...fingerprints, sentAgoMs: 50 }], others,
         }] }, clock.now().monoMs);
     }
     await clock.advance(15_000);
@@ -95,4 +100,9 @@
         expect((await place()).kind).to.equal("placed");
         expect(asked).to.deep.equal([]);
     });
+
+    it("sends it without contact too if it was only at crashes that have another cause", async () => {
+        const { place } = await setUp({ kind: "unavailable" }, 5, 2, () => false, true);
+        expect((await place()).kind).to.equal("placed");
+    });
 });
