The coordinator writes its records anew after another program has overwritten them

Callers saw 503 (owner-unknown) at a host that had started after another program had overwritten a record of ownership: such a host knew no owner for these keys until they moved.

Cause: hosts that knew the record went on with it, and nothing brought it back into the store. Operators' records are not written anew, since a later version may have changed their form.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -9,6 +9,7 @@
 import type { MemberListVersion } from "./memberList.js";
 import { MemberList } from "./memberList.js";
 import type { Member, Membership } from "./membership.js";
+import { repairRecords } from "./recordRepair.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { CrashEvidenceUpdate } from "../crashes/crashReport.js";
 import { CrashUpdateQueue } from "../crashes/crashReport.js";
@@ -317,6 +318,7 @@
             void recordCrashes({
                 view, evidence: crashEvidence, self: membership.self.hostId, writer, clock, log,
             }, linkedAbort.signal);
+            void repairRecords({ view, writer, clock, log }, linkedAbort.signal);
             await confirmTerm(linkedAbort.signal);
             stop.abort();
             linkedAbort.release();
--- a/src/ownership/ledger.ts
+++ b/src/ownership/ledger.ts
@@ -182,12 +182,15 @@
     });
 }
 
+/** Limit on the keys of unreadable records that are remembered; more are not written by mistake. */
+const maxUnreadableKeys = 10_000;
+
 /** Newest known change of each key of the ledger. */
 export class Ledger {
     private readonly changes = new Map<string, LedgerChange>();
     private end = 0 as Offset;
-    private hasOddTerm = false;
-    private hasOddOwnership = false;
+    /** Offsets of the records under keys of coordinators that could not be decoded, unless a later one could. */
+    private readonly unreadable = new Map<string, Offset>();
 
     /** Offset after the last applied record. */
     get upTo(): Offset {
@@ -202,18 +205,35 @@
 
     /** True if there is a record of the term in force, but this host has read none that it can decode; then `term` is undefined. */
     get isTermUnreadable(): boolean {
-        return this.hasOddTerm && this.term === undefined;
+        return this.unreadable.has(termKey) && this.term === undefined;
     }
 
     /** True if keys may be assigned to a target by a record that this host could never decode. */
     get isOwnershipUnreadable(): boolean {
-        return this.hasOddOwnership;
+        return [...this.unreadable.keys()].some((key) => key !== termKey && !this.changes.has(key));
     }
 
     /** Remembers that a record could not be decoded. What this host knew under its key before stays in force. */
-    markUnreadable(key: string): void {
-        this.hasOddTerm ||= key === termKey;
-        this.hasOddOwnership ||= key.startsWith(ownershipPrefix) && !this.changes.has(key);
+    markUnreadable(key: string, offset: Offset): void {
+        const isKeyOfCoordinators = key === termKey || key.startsWith(ownershipPrefix);
+        if (isKeyOfCoordinators && offset > (this.changes.get(key)?.offset ?? -1) && this.unreadable.size < maxUnreadableKeys) {
+            this.unreadable.set(key, offset);
+        }
+    }
+
+    /** Returns what is in force under keys of coordinators although the newest records there could not be decoded. */
+    overwritten(): { key: string; record: LedgerRecord }[] {
+        return [...this.unreadable.keys()].flatMap((key) => {
+            const record = this.changes.get(key)?.record;
+            return record === undefined ? [] : [{ key, record }];
+        });
+    }
+
+    private set(change: LedgerChange): void {
+        this.changes.set(change.key, change);
+        if (change.offset > (this.unreadable.get(change.key) ?? Number.POSITIVE_INFINITY)) {
+            this.unreadable.delete(change.key);
+        }
     }
 
     /** Returns the stored versions of the configuration document, newest first. */
@@ -282,7 +302,7 @@
         let changed = false;
         for (const change of changes) {
             if (change.offset >= this.end) {
-                this.changes.set(change.key, change);
+                this.set(change);
                 changed = true;
             }
         }
@@ -303,8 +323,12 @@
         }
         const kept = unreadableKeys.flatMap((key) => this.changes.get(key) ?? []);
         this.changes.clear();
-        kept.forEach((change) => this.changes.set(change.key, change));
-        changes.forEach((change) => this.changes.set(change.key, change));
+        kept.forEach((change) => {
+            this.set(change);
+        });
+        changes.forEach((change) => {
+            this.set(change);
+        });
         this.end = upTo;
         return true;
     }
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -152,7 +152,7 @@
         const decoded = decodeSafely(record.key, () => decodeLedgerRecord(record));
         if (decoded.isErr()) {
             log.warn("ledger record cannot be decoded", { key: record.key, offset: record.offset, why: decoded.error.message });
-            view.ledger.markUnreadable(record.key);
+            view.ledger.markUnreadable(record.key, record.offset);
         }
         return decoded.isOk() ? [decoded.value] : [];
     });
--- a/test/ownership/ownershipManager.spec.ts
+++ b/test/ownership/ownershipManager.spec.ts
@@ -41,7 +41,7 @@
         }], 0 as Offset, 1 as Offset);
     }
     if (owner === "unreadable") {
-        view.ledger.markUnreadable(ownershipKeyOf("old" as TargetId));
+        view.ledger.markUnreadable(ownershipKeyOf("old" as TargetId), 0 as Offset);
     }
     view.applyTargets([
         { targetId: "old" as TargetId, offset: 0 as Offset, entry: entry("old", "draining") },
