--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -10,6 +10,7 @@
 import { MemberList } from "./memberList.js";
 import { createTrialGranter } from "./trialGrants.js";
 import type { Member, Membership } from "./membership.js";
+import { repairRecords } from "./recordRepair.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { CrashEvidenceUpdate } from "../crashes/crashReport.js";
 import { CrashUpdateQueue } from "../crashes/crashReport.js";
@@ -323,6 +324,7 @@
             void recordCrashes({
                 view, evidence: crashEvidence, self: membership.self.hostId, writer, clock, log,
             }, linkedAbort.signal);
+            void repairRecords({ view, writer, clock, log }, linkedAbort.signal);
             await confirmTerm(linkedAbort.signal);
             stop.abort();
             linkedAbort.release();
