The time limit for a header section begins with its first byte, and does not run while the host can't read

What callers saw: 408 on a connection that they had opened and not used yet, though the limit on idle connections was not reached; and 408 for a request that was wholly received by a host whose event loop had been blocked for longer than the limit.

Cause: Node.js counts from the opening of a connection, and checks the time before it reads what has arrived meanwhile.

After the limit the listener lets the event loop poll its sockets once more. A connection on which nothing was received stays open for the idle time and is then closed without an answer; if bytes came meanwhile, the rest has the limit once more; otherwise the answer is 408 as before.

--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -5,6 +5,7 @@
 import { setImmediate as nextTurn } from "node:timers/promises";
 import type { ClientDialect } from "../forwarding/dialect.js";
 import type { ClientLimits } from "../model/routing.js";
+import { abortReason } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import type { ClientCall } from "./clientCall.js";
 import type { ClientConnection, Denial, DenialReason, ParserError } from "./clientConnection.js";
@@ -15,6 +16,9 @@
 
 const connectionCheckIntervalMs = 500;
 
+/** Code of the error that Node.js reports for a header section that is not complete in time. */
+const headerTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
+
 /** Limits applied until a configuration is known. */
 const initialLimits: ClientLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 10_000, idleTimeoutMs: 15_000 };
 
@@ -102,7 +106,16 @@
             socket.destroy();
             return;
         }
-        if (!connection.isInputEnded) {
+        if (error.code === headerTimeoutCode) {
+            void onHeaderTimeout(connection, error);
+        }
+        else {
+            denyInput(connection, error);
+        }
+    };
+
+    const denyInput = (connection: ClientConnection, error: ParserError) => {
+        if (!connection.isInputEnded && connection.socket.writable) {
             connection.isInputEnded = true;
             const reason = denialReasonOf(error, connection, configuredLimits);
             recordDenial(connection, reason, error);
@@ -110,6 +123,33 @@
         }
     };
 
+    /**
+     * Decides on a header section that was not complete in time. Node.js counts the time from the opening of a connection, also while the
+     * host has not read what it received.
+     */
+    const onHeaderTimeout = async (connection: ClientConnection, error: ParserError) => {
+        const { socket, requestCount } = connection;
+        const { bytesRead } = socket;
+        const closed = new AbortController();
+        socket.once("close", () => {
+            closed.abort(abortReason);
+        });
+        await waitTwoTurns();
+        if (socket.bytesRead === 0) {
+            await dependencies.clock.sleep(connection.openedMs + limits().idleTimeoutMs - nowMs(), closed.signal);
+            if (socket.bytesRead === 0) {
+                socket.end();
+            }
+            return;
+        }
+        if (socket.bytesRead > bytesRead && connection.requestCount === requestCount) {
+            await dependencies.clock.sleep(limits().headerTimeoutMs, closed.signal);
+        }
+        if (connection.requestCount === requestCount) {
+            denyInput(connection, error);
+        }
+    };
+
     const onRequest = (request: IncomingMessage, response: ServerResponse, beforeRead: () => void) => {
         if (lacksHostHeader(request)) {
             deny(request, response, "no-host-header");
