--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -132,7 +132,7 @@
         deadlineMs > cutAtMs ? { reason: "stopping", retryAfterMs: addJitter(retryAfterStoppingMs) } : undefined;
 
     /** Returns the refusal of a request that must not be sent to a target at present, wherever there is a slot for it. */
-    const findRefusal = (context: RequestContext): Refusal | undefined => stopRefusal(context) ?? quarantineRefusal(context);
+    const findRefusal = (context: RequestContext): Refusal | undefined => quarantineRefusal(context) ?? stopRefusal(context);
 
     /** Prepares a call; refuses it at once if it can't be forwarded. */
     const prepare = async (call: ClientCall): Promise<RequestContext | undefined> => {
