--- a/src/forwarding/quarantineGuard.ts
+++ b/src/forwarding/quarantineGuard.ts
@@ -75,7 +75,7 @@
             : undefined;
     };
 
-    const refusalOf = (context: RequestContext): Refusal | undefined => stopRefusalOf(context) ?? quarantineRefusalOf(context);
+    const refusalOf = (context: RequestContext): Refusal | undefined => quarantineRefusalOf(context) ?? stopRefusalOf(context);
 
     /** Waits for a slot; the wait ends when the request must be refused, or its client leaves. */
     const placeWhileAllowed = async (context: RequestContext): Promise<Placement> => {
