Without contact to the coordinator, only strongly suspected requests are refused

Refused are suspects with three crashes or more since their last completion, at least one of which has no other cause: as many as lead to a quarantine if no other suspect was there.

--- a/src/crashes/crashEvidence.ts
+++ b/src/crashes/crashEvidence.ts
@@ -26,7 +26,7 @@
 export type Standing =
     | { kind: "clear" }
     /** It may run, but not together with another suspected request. */
-    | { kind: "suspected"; fingerprint: Fingerprint; crashCount: number }
+    | { kind: "suspected"; fingerprint: Fingerprint; crashCount: number; unexplainedCount: number }
     /** Its quarantine has ended: it may run once, if the coordinator grants a trial. */
     | { kind: "trial-due"; fingerprint: Fingerprint; crashCount: number }
     | { kind: "quarantined"; fingerprint: Fingerprint; crashCount: number; remainingMs: number };
@@ -240,10 +240,10 @@
         if (suspicion === undefined || suspicion.crashCount < suspectedCrashCount) {
             return clear;
         }
-        const { crashCount, lastCrashMs } = suspicion;
+        const { crashCount, unexplainedCount, lastCrashMs } = suspicion;
         const excessCount = quarantineExcess(suspicion);
         if (excessCount < 0) {
-            return { kind: "suspected", fingerprint, crashCount };
+            return { kind: "suspected", fingerprint, crashCount, unexplainedCount };
         }
         const remainingMs = quarantineRemainingMs({ lastCrashMs, excessCount, trial: this.lastTrialOf(fingerprint) }, nowMs);
         return remainingMs > 0
--- a/src/forwarding/quarantineGuard.ts
+++ b/src/forwarding/quarantineGuard.ts
@@ -15,6 +15,9 @@
 /** Time after which requests may come back if there is no coordinator to ask, or if it can't write to the store. */
 const retryAfterUnavailableMs = 1_000;
 
+/** Number of crashes from which on a suspected request is not sent by a host that is cut off. */
+const strongSuspicionCrashCount = 3;
+
 /** Dependencies of a guard. */
 export interface QuarantineGuardDependencies {
     placer: Pick<Placer, "place">;
@@ -44,6 +47,11 @@
     return crashEvidence.isEmpty ? { kind: "clear" } : crashEvidence.standingOf(getFingerprints(), nowMs);
 }
 
+/** Tells whether a request was at so many crashes without a completion that it would be quarantined if fewer others had been there. */
+function isStronglySuspected(standing: Standing): boolean {
+    return standing.kind === "suspected" && standing.crashCount >= strongSuspicionCrashCount && standing.unexplainedCount > 0;
+}
+
 /** Creates the guard. */
 export function createQuarantineGuard(
     { placer, crashEvidence, requestTrial, isInContact, clock }: QuarantineGuardDependencies,
@@ -65,7 +73,7 @@
             return { reason: "quarantined", retryAfterMs: noTrialsMs, fingerprint };
         }
         // A host that is cut off does not know of the latest crashes, and keeps queues that others keep too.
-        return kind === "suspected" && !isInContact(nowMs())
+        return isStronglySuspected(standing) && !isInContact(nowMs())
             ? { reason: "quarantined", retryAfterMs: retryAfterUnavailableMs, fingerprint }
             : undefined;
     };
--- a/test/forwarding/quarantineGuard.spec.ts
+++ b/test/forwarding/quarantineGuard.spec.ts
@@ -11,15 +11,29 @@
 
 const fingerprints = { content: "deadly" as Fingerprint, exact: "deadly/any" as Fingerprint };
 
-/** A guard at a host where the quarantine of the request has just ended after three crashes; its placer always has a slot. */
-async function setUp(reply: TrialReply, replyAfterMs = 5, crashCount = 3, isInContact: () => boolean = () => true) {
+const rival = { content: "rival" as Fingerprint, exact: "rival/any" as Fingerprint };
+const otherTargets = Array.from({ length: 14 }, (_, index) => ({ targetId: `other-${String(index)}` as TargetId, bornWallMs: 1 }));
+
+/** What a host has seen of the request: crashes with it, beside another suspect each time if it has a rival. */
+interface Past {
+    crashCount: number;
+    hasRival: boolean;
+    /** True if all other targets are down too. */
+    areAllDown: boolean;
+}
+
+const justQuarantined: Past = { crashCount: 3, hasRival: false, areAllDown: false };
+
+/** A guard at a host that has seen crashes with the request 15 s ago and earlier; its placer always has a slot. */
+async function setUp(reply: TrialReply, replyAfterMs = 5, past = justQuarantined, isInContact: () => boolean = () => true) {
+    const others = { asked: 14, down: past.areAllDown ? otherTargets : [] };
+    const requests = [fingerprints, ...past.hasRival ? [rival] : []].map((request) => ({ ...request, sentAgoMs: 50 }));
     const clock = new VirtualClock();
     const crashEvidence = new CrashEvidence();
-    for (let target = 1; target <= crashCount; target++) {
+    for (let target = 1; target <= past.crashCount; target++) {
         await clock.advance(2_000);
         crashEvidence.merge({ completions: [], crashes: [{
-            targetId: `t-${String(target)}` as TargetId, bornWallMs: target, serviceId: "plain" as ServiceId, agoMs: 0,
-            requests: [{ ...fingerprints, sentAgoMs: 50 }], others: { asked: 14, down: [] },
+            targetId: `t-${String(target)}` as TargetId, bornWallMs: target, serviceId: "plain" as ServiceId, agoMs: 0, requests, others,
         }] }, clock.now().monoMs);
     }
     await clock.advance(15_000);
@@ -84,9 +98,12 @@
 });
 
 describe("quarantine guard, for a request that is suspected", () => {
-    it("sends it, but not while this host has no contact with the coordinator", async () => {
+    const strongSuspicion: Past = { crashCount: 3, hasRival: true, areAllDown: false };
+    const isNotInContact = () => false;
+
+    it("sends it, but after three crashes not while this host has no contact with the coordinator", async () => {
         let isInContact = false;
-        const { place, guard, context, released, asked } = await setUp({ kind: "unavailable" }, 5, 2, () => isInContact);
+        const { place, guard, context, released, asked } = await setUp({ kind: "unavailable" }, 5, strongSuspicion, () => isInContact);
         expect(guard.refusalOf(context)).to.deep.equal({ reason: "quarantined", retryAfterMs: 1_000, fingerprint: fingerprints.content });
         expect((await place()).kind).to.equal("refused");
         expect(released).to.deep.equal([{ kind: "dropped" }]);
@@ -95,4 +112,11 @@
         expect((await place()).kind).to.equal("placed");
         expect(asked).to.deep.equal([]);
     });
+
+    it("sends it without contact too after two crashes, or if all its crashes have another cause", async () => {
+        for (const past of [{ ...strongSuspicion, crashCount: 2 }, { ...strongSuspicion, areAllDown: true }]) {
+            const { place } = await setUp({ kind: "unavailable" }, 5, past, isNotInContact);
+            expect((await place()).kind).to.equal("placed");
+        }
+    });
 });
