A configuration counts as confirmed by readings of the configuration only

While the store refuses readings of the configuration topic and answers those of the others ("down partly"), every host would blame requests for routes of a newer configuration: 404 `no-route`, as if the older one were known to be in force. The cause: the coordinator's word on its configuration (`storeAgeMs`) is the age of its term and of the targets, so a configuration that it had not read for any time was confirmed to all hosts every 0.3 s. Now the coordinator states the age of its last reading of the configuration beside the offset (`configAgeMs` in the news), and judges by it itself.

Evidence: configAge.spec, "grows at all hosts while the store refuses readings of the configuration only" failed before (ages at all four hosts below 2,000 ms after 4 s) and passes now. News grow by one number.

--- a/src/cluster/configAge.ts
+++ b/src/cluster/configAge.ts
@@ -19,7 +19,7 @@
      * Called with each update of a coordinator.
      * @param coordinatorOffset offset of the coordinator's configuration
      * @param knownOffset offset of this host's configuration
-     * @param storeConfirmedAtMs monotonic time at which the store last confirmed the coordinator's state
+     * @param storeConfirmedAtMs monotonic time at which the store last confirmed the coordinator's configuration
      */
     recordNews(coordinatorOffset: Offset, knownOffset: Offset, storeConfirmedAtMs: number): void {
         this.coordinatorOffset = coordinatorOffset;
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -51,6 +51,9 @@
 /** Leases of the longest permitted duration are granted once the store has not confirmed the term for this long. */
 const longLeasesAfterMs = 1_000;
 
+/** Longest age that news state; older knowledge is of no use. */
+const maxStatedAgeMs = 1_000_000;
+
 /** A coordinator that resigned resumes after this time if no other host has taken over. */
 const resignationTimeoutMs = 1_200;
 
@@ -93,6 +96,8 @@
     grantTrial(params: TrialParams): Promise<TrialReply>;
     /** Time since the store last confirmed the term, or since the targets were last read, whichever is longer. */
     storeAgeMs(now: Instant): number;
+    /** Time since the store last confirmed that no newer configuration is in force. */
+    configAgeMs(nowMs: number): number;
     describe(): object;
 }
 
@@ -108,6 +113,7 @@
     const announcedLeaving = new Map<TargetId, number>();
     let resignedAtMs: number | undefined;
     let targetsConfirmedAt: Instant | undefined;
+    let configConfirmedAtMs = Number.NEGATIVE_INFINITY;
     let isLedgerReadFailing = false;
     /** Changes of the ledger that were not sent to the hosts yet, and the offset from which they are complete. */
     let unsentLedger: { changes: LedgerChange[]; from: Offset } | undefined;
@@ -150,7 +156,8 @@
 
     const createNews = (extra: Partial<News> = {}): News => ({
         term: dependencies.term,
-        storeAgeMs: Math.round(Math.min(1e6, storeAgeMs(clock.now()))),
+        storeAgeMs: Math.round(Math.min(maxStatedAgeMs, storeAgeMs(clock.now()))),
+        configAgeMs: Math.round(Math.min(maxStatedAgeMs, configAgeMs(clock.now().monoMs))),
         configOffset: view.config?.offset ?? -1 as Offset,
         targetsUpTo: view.targetsUpTo,
         targetsDigest: view.targets.digest(),
@@ -164,6 +171,8 @@
         return Math.max(authority.ageMs(now), targetsAgeMs);
     };
 
+    const configAgeMs = (nowMs: number): number => nowMs - configConfirmedAtMs;
+
     /** Sends an update to all followers. It includes the unsent changes of the ledger, since it states the ledger's end. */
     const broadcast = (news: News) => {
         const message = unsentLedger === undefined ? news : { ...news, ledger: unsentLedger.changes, ledgerFrom: unsentLedger.from };
@@ -316,9 +325,15 @@
                 deferrable: [ownershipManager.noticeChanged, ledgerChangesQueued, evidenceQueued],
                 send: sendNotice,
             }, linkedAbort.signal);
-            void watchConfig({ reader, view, clock, onChanged: () => {
-                broadcast(createNews());
-            } }, linkedAbort.signal);
+            void watchConfig({
+                reader, view, clock,
+                onConfirmed: (atMs) => {
+                    configConfirmedAtMs = atMs;
+                },
+                onChanged: () => {
+                    broadcast(createNews());
+                },
+            }, linkedAbort.signal);
             void readTargets(linkedAbort.signal);
             void recordCrashes({
                 view, evidence: crashEvidence, self: membership.self.hostId, writer, clock, log,
@@ -371,6 +386,7 @@
         },
         grantTrial: (params) => trialGranter.grant(params),
         storeAgeMs,
+        configAgeMs,
         describe: () => ({
             term: dependencies.term, resigned: resignedAtMs !== undefined, authorityAgeMs: Math.round(authority.ageMs(clock.now())),
             followers: [...followers.values()].map(({ member }) => member.hostId),
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -53,6 +53,8 @@
     term: Term;
     /** Time since the store last confirmed the coordinator's state. */
     storeAgeMs: number;
+    /** Time since the store last confirmed the coordinator's configuration; absent in messages of earlier versions. */
+    configAgeMs?: number;
     /** Offset of the configuration that the coordinator applies; -1 if it has none. */
     configOffset: Offset;
     /** Offset up to which the coordinator has read the targets topic. */
--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -85,7 +85,7 @@
             membership.update(members);
         }
         const configOffset = view.config?.offset ?? -1 as Offset;
-        configAge.recordNews(news.configOffset, configOffset, nowMs() - news.storeAgeMs);
+        configAge.recordNews(news.configOffset, configOffset, nowMs() - (news.configAgeMs ?? Number.POSITIVE_INFINITY));
         if (news.configOffset > configOffset) {
             void fetchConfig(from);
         }
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -150,7 +150,7 @@
 
     const configAgeMs = (atMs: number) => {
         const ageMs = configAge.ageMs(view.config?.offset ?? -1 as Offset, atMs);
-        return coordinator === undefined || !Number.isFinite(ageMs) ? ageMs : Math.min(ageMs, coordinator.storeAgeMs(clock.now()));
+        return coordinator === undefined || !Number.isFinite(ageMs) ? ageMs : Math.min(ageMs, coordinator.configAgeMs(atMs));
     };
 
     /** Delay before the store is tried again. It grows with the cluster, so that the rate of all hosts together is bounded. */
@@ -258,7 +258,7 @@
         await newCoordinator.run(linkedAbort.signal);
         linkedAbort.release();
         stop.abort();
-        configAge.confirm(nowMs() - newCoordinator.storeAgeMs(clock.now()));
+        configAge.confirm(nowMs() - newCoordinator.configAgeMs(nowMs()));
         coordinator = undefined;
         lastReadAtMs = nowMs();
         log.info("stopped coordinating", { term: term.term, now: view.ledger.term?.hostId });
--- a/test/cluster/configAge.spec.ts
+++ b/test/cluster/configAge.spec.ts
@@ -99,4 +99,32 @@
         expect(versionAt(starting)).to.equal(7);
         expect(ageAt(starting)).to.be.below(maxConfirmedAgeMs);
     });
+
+    it("grows at all hosts while the store refuses readings of the configuration only, and falls once it answers them", async () => {
+        world.store.refusedTopics.add("configuration");
+        world.store.put("configuration", "config", { version: 7, routes: [], services: [] });
+        await world.clock.advance(4_000);
+        for (let second = 0; second < 5; second++) {
+            expect(world.hostIds.map(ageAt).every((ageMs) => ageMs > maxConfirmedAgeMs), `at ${String(second)} s`).to.equal(true);
+            await world.clock.advance(1_000);
+        }
+        world.store.refusedTopics.clear();
+        await world.clock.advance(2_000);
+        expect(world.hostIds.map(versionAt)).to.deep.equal([7, 7, 7, 7]);
+        expect(Math.max(...world.hostIds.map(ageAt))).to.be.below(maxConfirmedAgeMs);
+    });
+
+    it("stays low at all hosts while one configuration follows another", async () => {
+        const { config } = world.hosts.runs.get(world.hostIds[0]!)!.view.config!;
+        let largest = 0;
+        for (let version = 2; version < 30; version++) {
+            world.store.put("configuration", "config", { ...config, version });
+            await world.clock.advance(100 + version * 37, () => {
+                largest = Math.max(largest, ...world.hostIds.map(ageAt).filter(Number.isFinite));
+            });
+        }
+        await world.clock.advance(1_000);
+        expect(world.hostIds.map(versionAt)).to.deep.equal([29, 29, 29, 29]);
+        expect(largest).to.be.below(maxConfirmedAgeMs);
+    });
 });
--- a/test/cluster/configWatch.spec.ts
+++ b/test/cluster/configWatch.spec.ts
@@ -38,7 +38,7 @@
         return ok({ targets: [], ledger: [] });
     };
     const stop = new AbortController();
-    void watchConfig({ reader: { read }, view, clock, onChanged: () => {
+    void watchConfig({ reader: { read }, view, clock, onConfirmed: () => undefined, onChanged: () => {
         appliedAtMs = sinceStartMs();
     } }, stop.signal);
     return { clock, appliedAtMs: () => appliedAtMs, calls: () => calls, end: () => {
--- a/test/world/virtualStore.ts
+++ b/test/world/virtualStore.ts
@@ -30,6 +30,8 @@
 export class VirtualStore {
     /** Hosts whose calls are answered with status 503. */
     readonly refusedHosts = new Set<HostId>();
+    /** Topics of which readings are answered with status 503. */
+    readonly refusedTopics = new Set<TopicName>();
     /** Hosts whose calls are not answered. */
     readonly disconnectedHosts = new Set<HostId>();
     /** While true, no call of a host is answered. */
@@ -63,7 +65,7 @@
      */
     createStorePort(hostId: HostId, process: VirtualProcess): StorePort {
         const call = async <T>(
-            step: "store-read" | "store-append", operation: () => Promise<T | undefined>,
+            step: "store-read" | "store-append", operation: () => Promise<T | undefined>, topic?: TopicName,
         ): Promise<Result<T, Failure>> => {
             const timeOut = async () => {
                 await this.clock.sleep(callTimeoutMs);
@@ -75,7 +77,7 @@
                 return timeOut();
             }
             await this.clock.sleep(responseDelayMs);
-            if (this.refusedHosts.has(hostId)) {
+            if (this.refusedHosts.has(hostId) || (topic !== undefined && this.refusedTopics.has(topic))) {
                 await process.waitUntilRunning();
                 return err(failure("refused", step, "store", "status 503"));
             }
@@ -87,8 +89,8 @@
             return ok(result);
         };
         return {
-            snapshot: (topic) => call("store-read", () => Promise.resolve(this.snapshot(topic))),
-            read: (topic, from, waitMs) => call("store-read", () => this.read(topic, from, waitMs)),
+            snapshot: (topic) => call("store-read", () => Promise.resolve(this.snapshot(topic)), topic),
+            read: (topic, from, waitMs) => call("store-read", () => this.read(topic, from, waitMs), topic),
             append: (records, expectedEnd) => call("store-append", () => this.append(records, expectedEnd)),
         };
     }
