A host that can't decode the newest configuration does not judge by an older one

If the newest configuration can't be decoded (a row out of range spoils all of it; another version of the router), hosts keep the one before, and would blame requests by it, 404 `no-route`, for as long as the record stands: the offset moves on, so every reading confirmed the older one. The cause: a record that was read counted as known. Now the view remembers the offset of a configuration that it couldn't decode; until a later one applies, the configuration's age is infinite at that host, and if it coordinates, at the hosts that follow. Requests that the older configuration allows are served by it as before.

Evidence: configAge.spec, "is high at all hosts while the newest configuration cannot be decoded", failed before and passes now.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -96,7 +96,7 @@
     grantTrial(params: TrialParams): Promise<TrialReply>;
     /** Time since the store last confirmed the term, or since the targets were last read, whichever is longer. */
     storeAgeMs(now: Instant): number;
-    /** Time since the store last confirmed that no newer configuration is in force. */
+    /** Time since the store last confirmed that no newer configuration is in force; infinite if the newest one can't be decoded. */
     configAgeMs(nowMs: number): number;
     describe(): object;
 }
@@ -171,7 +171,7 @@
         return Math.max(authority.ageMs(now), targetsAgeMs);
     };
 
-    const configAgeMs = (nowMs: number): number => nowMs - configConfirmedAtMs;
+    const configAgeMs = (nowMs: number): number => view.isConfigUnreadable ? Number.POSITIVE_INFINITY : nowMs - configConfirmedAtMs;
 
     /** Sends an update to all followers. It includes the unsent changes of the ledger, since it states the ledger's end. */
     const broadcast = (news: News) => {
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -149,6 +149,9 @@
         coordinator === undefined ? atMs - Math.max(lastReadAtMs, newsReceiver.confirmedAtMs) : coordinator.storeAgeMs(clock.now());
 
     const configAgeMs = (atMs: number) => {
+        if (view.isConfigUnreadable) {
+            return Number.POSITIVE_INFINITY;
+        }
         const ageMs = configAge.ageMs(view.config?.offset ?? -1 as Offset, atMs);
         return coordinator === undefined || !Number.isFinite(ageMs) ? ageMs : Math.min(ageMs, coordinator.configAgeMs(atMs));
     };
--- a/src/store/clusterView.ts
+++ b/src/store/clusterView.ts
@@ -40,6 +40,7 @@
     /** Compiled from the router's own configuration document. */
     private documentConfig: ActiveConfig | undefined;
     private configReadUpTo = noOffset;
+    private unreadableConfigOffset = noOffset;
     private targetsReadUpTo = noOffset;
     private targetChangeCount = 0;
 
@@ -61,6 +62,11 @@
         return this.platformConfig === undefined && this.config !== undefined;
     }
 
+    /** True if the platform's newest configuration could not be decoded; then another one than `config` is in force. */
+    get isConfigUnreadable(): boolean {
+        return this.unreadableConfigOffset > (this.platformConfig?.offset ?? noOffset);
+    }
+
     /** Offset up to which the configuration topic was read; negative before the first reading. */
     get configUpTo(): Offset {
         return this.configReadUpTo;
@@ -93,6 +99,11 @@
         return true;
     }
 
+    /** Remembers that a configuration of the platform could not be decoded. */
+    markConfigUnreadable(offset: Offset): void {
+        this.unreadableConfigOffset = Math.max(this.unreadableConfigOffset, offset) as Offset;
+    }
+
     /** Applies the configuration compiled from the router's own configuration document. */
     applyDocumentConfig(config: RoutingConfig): void {
         this.documentConfig = toActiveConfig(config, noOffset);
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -133,6 +133,7 @@
             const decoded = value === undefined ? undefined : decodeSafely(key, () => decoders.configuration(key, value));
             if (decoded?.isErr() === true) {
                 log.warn("configuration record cannot be decoded", { key, offset, why: decoded.error.message });
+                view.markConfigUnreadable(offset);
             }
             const config = decoded?.unwrapOr(undefined);
             return config === undefined ? [] : [{ config, offset }];
--- a/test/cluster/configAge.spec.ts
+++ b/test/cluster/configAge.spec.ts
@@ -127,4 +127,15 @@
         expect(world.hostIds.map(versionAt)).to.deep.equal([29, 29, 29, 29]);
         expect(largest).to.be.below(maxConfirmedAgeMs);
     });
+
+    it("is high at all hosts while the newest configuration cannot be decoded, until there is a newer one", async () => {
+        const { config } = world.hosts.runs.get(world.hostIds[0]!)!.view.config!;
+        world.store.put("configuration", "config", { ...config, version: "of another kind" });
+        await world.clock.advance(2_000);
+        expect(world.hostIds.map(ageAt).every((ageMs) => ageMs > maxConfirmedAgeMs)).to.equal(true);
+        world.store.put("configuration", "config", { ...config, version: 8 });
+        await world.clock.advance(2_000);
+        expect(world.hostIds.map(versionAt)).to.deep.equal([8, 8, 8, 8]);
+        expect(Math.max(...world.hostIds.map(ageAt))).to.be.below(maxConfirmedAgeMs);
+    });
 });
--- a/test/world/virtualHosts.ts
+++ b/test/world/virtualHosts.ts
@@ -18,6 +18,7 @@
 import type { Failure } from "../../src/model/failure.js";
 import { failure } from "../../src/model/failure.js";
 import type { Address, DataCentreId, HostId, RunId } from "../../src/model/names.js";
+import type { RoutingConfig } from "../../src/model/routing.js";
 import type { Log } from "../../src/observe/log.js";
 import { createMetrics } from "../../src/observe/metrics.js";
 import { LoadMeter } from "../../src/ownership/loadMeter.js";
@@ -66,7 +67,10 @@
 
 /** Decodes entries, which the simulated store holds as JSON. */
 const decoders: RecordDecoders = {
-    configuration: (_key, value) => ok(JSON.parse(value.toString()) as never),
+    configuration: (key, value) => {
+        const config = JSON.parse(value.toString()) as RoutingConfig;
+        return typeof config.version === "number" ? ok(config) : err(failure("invalid", "parse", key, "version is not a number"));
+    },
     target: (_key, value) => ok(JSON.parse(value.toString()) as never),
 };
 
