Requests for trials are believed only within what their values can mean

A host that asks for a trial with a time that is no number (another version; an expected work time that its queue's host left out) would get it, but the record in the ledger has `null` there: no other host can decode it, so none of them counts the request as being tried, and a later coordinator grants another run. The cause: of all messages between hosts that change the ledger, `trial` was passed on unchecked. Now it is checked as `follow` and `announce` are, and the asking host gets the failure, which it treats as no coordinator.

--- a/src/cluster/messageChecks.ts
+++ b/src/cluster/messageChecks.ts
@@ -5,6 +5,7 @@
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import * as z from "zod/mini";
+import type { TrialParams } from "../crashes/trial.js";
 import type { TargetPressure } from "../ownership/targetPressure.js";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
@@ -34,6 +35,9 @@
 const processFields = { targetId: idSchema, bornWallMs: wallMsSchema };
 const processesSchema = z.array(z.object(processFields));
 
+/** Time left until a deadline; negative once it has passed. */
+const leftMsSchema = z.number().check(z.gte(-1e9), z.lte(1e9));
+
 /** Ages of crashes may be negative by what clocks of two hosts differ. */
 const agoMsSchema = z.number().check(z.gte(-1e13), z.lte(1e13));
 
@@ -70,6 +74,8 @@
     members: z.optional(z.object({ term: z.int(), version: countSchema })),
 });
 
+const trialSchema = z.object({ content: idSchema, exact: idSchema, expectedMs: durationMsSchema, deadlineLeftMs: leftMsSchema });
+
 const maxSlowness = 1_000_000;
 const maxRequestsPerSecond = 1_000_000_000;
 
@@ -102,6 +108,7 @@
     report(message: unknown, peer: string): Report | undefined;
     follow(message: unknown, peer: string): Result<FollowParams, Failure>;
     configuration(message: unknown, peer: string): Result<ConfigurationReply, Failure>;
+    trial(message: unknown, peer: string): Result<TrialParams, Failure>;
     /** Returns an announced term. */
     term(message: unknown, peer: string): Result<TermRecord, Failure>;
 }
@@ -183,6 +190,7 @@
         follow: (message, peer) => checkWhole(followSchema, message, peer).map((params) => params as unknown as FollowParams),
         configuration: (message, peer) =>
             checkWhole(configurationSchema, message, peer).map((reply) => reply as unknown as ConfigurationReply),
+        trial: (message, peer) => checkWhole(trialSchema, message, peer).map((params) => params as unknown as TrialParams),
         term: (message, peer) => parseLedgerRecord(termKey, message).mapErr((why) => failure("invalid", "peer-call", peer, why))
             .andThen((record) => record.kind === "term" ? ok(record) : err(failure("invalid", "peer-call", peer, "is no term"))),
     };
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -353,8 +353,8 @@
                 }
             },
             [clusterMethods.resign]: (): ResignReply => coordinator?.resign() ?? { resigned: false },
-            [clusterMethods.trial]: (params: TrialParams): Promise<TrialReply> | TrialReply =>
-                coordinator?.grantTrial(params) ?? { kind: "unavailable" },
+            [clusterMethods.trial]: (params: TrialParams, from: PeerConnection): Promise<TrialReply> | TrialReply =>
+                coordinator?.grantTrial(unwrapOrThrow(checks.trial(params, from.address))) ?? { kind: "unavailable" },
             [clusterMethods.succeed]: ({ address }: { address: Address }) => {
                 void takeOverFrom(address);
             },
--- a/test/cluster/oddMessages.spec.ts
+++ b/test/cluster/oddMessages.spec.ts
@@ -156,6 +156,7 @@
             const results = [
                 checks.news(replaceValues(news, random), "peer"), checks.report(replaceValues({ ...report, loads: [] }, random), "peer"),
                 checks.follow(replaceValues({ member: self, ledgerUpTo: 1, targetsFrom: 0 }, random), "peer").unwrapOr(undefined),
+                checks.trial(replaceValues({ content: "a", exact: "b", expectedMs: 20, deadlineLeftMs: 900 }, random), "peer").unwrapOr(undefined),
                 checks.term(replaceValues({ kind: "term", term: 3, hostId: "h", runId: "r", peerAddress: "h:1" }, random), "peer").unwrapOr(undefined),
                 checks.configuration(replaceValues({ offset: 1, config: { version: 1, routes: [], services: [], limits: {} } }, random), "peer")
                     .unwrapOr(undefined),
--- a/test/cluster/trialGrants.spec.ts
+++ b/test/cluster/trialGrants.spec.ts
@@ -3,6 +3,7 @@
 import { err, ok } from "neverthrow";
 import { watchCrashRecords } from "../../src/cluster/crashRecording.js";
 import type { TrialGranter } from "../../src/cluster/trialGrants.js";
+import { createMessageChecks } from "../../src/cluster/messageChecks.js";
 import { createTrialGranter } from "../../src/cluster/trialGrants.js";
 import { CrashEvidence } from "../../src/crashes/crashEvidence.js";
 import type { Fingerprint } from "../../src/crashes/requestFingerprint.js";
@@ -117,6 +118,23 @@
         expect((await ask(createGranter(host))).map(({ kind }) => kind)).to.deep.equal(["refused"]);
     });
 
+    it("to nobody who asks with times that are none, and to the next one who asks", async () => {
+        await clock.advance(16_000);
+        const granter = createGranter(host);
+        const checks = createMessageChecks(silentLog);
+        const handle = async (message: unknown) => {
+            const checked = checks.trial(message, "peer");
+            return checked.isOk() ? granter.grant(checked.value) : undefined;
+        };
+        const odd = [Number.NaN, Number.POSITIVE_INFINITY, 5n, "5", undefined].flatMap((value) => [
+            { ...request, expectedMs: value }, { ...request, deadlineLeftMs: value },
+        ]);
+        expect(await Promise.all([...odd, { ...request, content: "" }, undefined].map(handle))).to.deep.equal(
+            Array.from({ length: odd.length + 2 }, () => undefined));
+        expect(granter.written).to.deep.equal([]);
+        expect((await ask(granter)).map(({ kind }) => kind)).to.deep.equal(["granted"]);
+    });
+
     it("that a later coordinator knows, also one with a clock that is half a minute ahead", async () => {
         await clock.advance(16_000);
         const ahead: Clock = {
