A trial that could not be recorded because of an unexpected error may be asked for again

If recording a trial ends by an unexpected error, its fingerprints stayed among those that are being recorded: this coordinator refused every later request for that trial, 503 every 0.5 s, although none had run. The cause: they were taken out only after a result. Now they are taken out whatever the end. Evidence: "to the next one who asks after an unexpected error" (trialGrants.spec) failed before (`refused`) and passes now.

--- a/src/cluster/trialGrants.ts
+++ b/src/cluster/trialGrants.ts
@@ -1,9 +1,11 @@
 /** Grants trials of quarantined requests; see `trial.ts`. Only the coordinator does so, and only while the store confirms its term. */
+import type { Result } from "neverthrow";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import { trialKeyOf } from "../crashes/crashRecords.js";
 import type { Fingerprint } from "../crashes/requestFingerprint.js";
 import type { TrialParams, TrialReply } from "../crashes/trial.js";
 import { trialGrantValidMs, trialTimes } from "../crashes/trial.js";
+import type { Failure } from "../model/failure.js";
 import { describeFailure } from "../model/failure.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
@@ -12,6 +14,8 @@
 /** Retry delay of a request whose trial this coordinator can't decide on: the asking host knows more or less than it does. */
 const retryAfterOtherNewsMs = 500;
 
+type DueTrial = ReturnType<CrashEvidence["dueTrials"]>[number];
+
 /** Dependencies of `createTrialGranter`. */
 export interface TrialGranterDependencies {
     evidence: CrashEvidence;
@@ -37,6 +41,20 @@
         return { kind: "refused", retryAfterMs: standing.kind === "quarantined" ? Math.ceil(standing.remainingMs) : retryAfterOtherNewsMs };
     };
 
+    /** Writes the records; until they are written no other trial of these requests is granted. */
+    const recordTrials = async (due: readonly DueTrial[], params: TrialParams, now: Instant): Promise<Result<void, Failure>> => {
+        due.forEach(({ fingerprint }) => pending.add(fingerprint));
+        try {
+            return await writer.record(due.map((trial) => ({
+                key: trialKeyOf(trial.fingerprint),
+                record: { kind: "trial" as const, ...trial, ...trialTimes(params), grantedWallMs: Math.round(now.wallMs) },
+            })));
+        }
+        finally {
+            due.forEach(({ fingerprint }) => pending.delete(fingerprint));
+        }
+    };
+
     return {
         grant: async (params) => {
             const now = clock.now();
@@ -48,12 +66,7 @@
             if (!mayAct(now)) {
                 return { kind: "unavailable" };
             }
-            fingerprints.forEach((fingerprint) => pending.add(fingerprint));
-            const result = await writer.record(due.map((trial) => ({
-                key: trialKeyOf(trial.fingerprint),
-                record: { kind: "trial" as const, ...trial, ...trialTimes(params), grantedWallMs: Math.round(now.wallMs) },
-            })));
-            fingerprints.forEach((fingerprint) => pending.delete(fingerprint));
+            const result = await recordTrials(due, params, now);
             const tookMs = Math.round(clock.now().monoMs - now.monoMs);
             const isInTime = tookMs <= trialGrantValidMs;
             log.info("trial of a quarantined request", {
--- a/test/cluster/trialGrants.spec.ts
+++ b/test/cluster/trialGrants.spec.ts
@@ -135,6 +135,22 @@
         expect((await ask(granter)).map(({ kind }) => kind)).to.deep.equal(["granted"]);
     });
 
+    it("to the next one who asks after an unexpected error", async () => {
+        await clock.advance(16_000);
+        let errorCount = 0;
+        const granter = createGranter(host, 5, () => {
+            errorCount += 1;
+            if (errorCount === 1) {
+                throw new Error("unexpected");
+            }
+            return ok(undefined);
+        });
+        const failed = granter.grant(request).catch((error: unknown) => String(error));
+        await clock.advance(1_000);
+        expect(await failed).to.equal("Error: unexpected");
+        expect((await ask(granter)).map(({ kind }) => kind)).to.deep.equal(["granted"]);
+    });
+
     it("that a later coordinator knows, also one with a clock that is half a minute ahead", async () => {
         await clock.advance(16_000);
         const ahead: Clock = {
