Failing tests: a configuration written after the store's return, and an unexpected error of the ledger writer

configAge.spec: the store comes back from an older copy and the operator's next configuration stands at an offset that hosts have read already. They ignore it, and each reading confirms the older one, so that requests for new routes would be blamed with 404. The simulated store answers a reading beyond its end as the platform's does (410). An end of the topic before what was read could count as doubt; tried, but then the configuration that the copy lacks could never be confirmed by the hosts that know it, which another test asks for.

ledgerWriter.spec: if an append, or a listener of the ledger's changes, throws, `processQueue` ends while `isProcessing` stays true: 0 of 2 calls are answered after 6 s. Settling them as `lost` is right only if this process never writes again, so the coordinator has to give up its term; not mended here.

--- a/test/cluster/configAge.spec.ts
+++ b/test/cluster/configAge.spec.ts
@@ -138,4 +138,16 @@
         expect(world.hostIds.map(versionAt)).to.deep.equal([8, 8, 8, 8]);
         expect(Math.max(...world.hostIds.map(ageAt))).to.be.below(maxConfirmedAgeMs);
     });
+
+    it("is high at hosts that don't know the configuration published after the store came back from an older copy", async () => {
+        const { config } = world.hosts.runs.get(world.hostIds[0]!)!.view.config!;
+        world.store.put("configuration", "config", { ...config, version: 7 });
+        await world.clock.advance(3_000);
+        world.store.loseNewest("configuration", 1);
+        await world.clock.advance(1_000);
+        world.store.put("configuration", "config", { ...config, version: 8 });
+        await world.clock.advance(3_000);
+        const believed = world.hostIds.filter((hostId) => versionAt(hostId) < 8 && ageAt(hostId) <= maxConfirmedAgeMs);
+        expect(believed).to.deep.equal([]);
+    });
 });
--- a/test/ownership/ledgerWriter.spec.ts
+++ b/test/ownership/ledgerWriter.spec.ts
@@ -77,6 +77,25 @@
         expect(outcomes).to.deep.equal(["queued refused 150", "later refused 210", "sent done 400", "needed done 405"]);
     });
 
+    it("answers its callers after an unexpected error, those that wait and those that come later", async () => {
+        const { clock, writer } = setUp((sent) => {
+            if (sent === 1) {
+                throw new Error("unexpected");
+            }
+            return Promise.resolve(ok({ kind: "appended", offset: sent as Offset }));
+        });
+        let answerCount = 0;
+        const assign = async () => {
+            await writer.assign([assignment], "wait");
+            answerCount += 1;
+        };
+        void assign();
+        await clock.advance(1_000);
+        void assign();
+        await clock.advance(5_000);
+        expect(answerCount).to.equal(2);
+    });
+
     it("records assignments that come within a short time together, and the first one at once", async () => {
         let appends = 0;
         const { clock, writer } = setUp(async () => {
--- a/test/world/virtualStore.ts
+++ b/test/world/virtualStore.ts
@@ -117,6 +117,9 @@
 
     private async read(name: TopicName, from: Offset, waitMs: number): Promise<ReadOutcome> {
         const topic = this.getTopic(name);
+        if (from > topic.records.length) {
+            return { kind: "expired" };
+        }
         if (from >= topic.records.length && waitMs > 0) {
             await waitFor(this.clock, waitMs, [topic.recordAdded]);
         }
