--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -149,8 +149,11 @@
         coordinator === undefined ? atMs - Math.max(lastReadAtMs, newsReceiver.confirmedAtMs) : coordinator.storeAgeMs(clock.now());
 
     const configAgeMs = (atMs: number) => {
+        if (view.isConfigUnreadable) {
+            return Number.POSITIVE_INFINITY;
+        }
         const ageMs = configAge.ageMs(view.config?.offset ?? -1 as Offset, atMs);
-        return coordinator === undefined || !Number.isFinite(ageMs) ? ageMs : Math.min(ageMs, coordinator.storeAgeMs(clock.now()));
+        return coordinator === undefined || !Number.isFinite(ageMs) ? ageMs : Math.min(ageMs, coordinator.configAgeMs(atMs));
     };
 
     /** Delay before the store is tried again. It grows with the cluster, so that the rate of all hosts together is bounded. */
@@ -258,7 +261,7 @@
         await newCoordinator.run(linkedAbort.signal);
         linkedAbort.release();
         stop.abort();
-        configAge.confirm(nowMs() - newCoordinator.storeAgeMs(clock.now()));
+        configAge.confirm(nowMs() - newCoordinator.configAgeMs(nowMs()));
         coordinator = undefined;
         lastReadAtMs = nowMs();
         log.info("stopped coordinating", { term: term.term, now: view.ledger.term?.hostId });
@@ -350,8 +353,8 @@
                 }
             },
             [clusterMethods.resign]: (): ResignReply => coordinator?.resign() ?? { resigned: false },
-            [clusterMethods.trial]: (params: TrialParams): Promise<TrialReply> | TrialReply =>
-                coordinator?.grantTrial(params) ?? { kind: "unavailable" },
+            [clusterMethods.trial]: (params: TrialParams, from: PeerConnection): Promise<TrialReply> | TrialReply =>
+                coordinator?.grantTrial(unwrapOrThrow(checks.trial(params, from.address))) ?? { kind: "unavailable" },
             [clusterMethods.succeed]: ({ address }: { address: Address }) => {
                 void takeOverFrom(address);
             },
