--- a/test/forwarding/quarantineGuard.spec.ts
+++ b/test/forwarding/quarantineGuard.spec.ts
@@ -13,13 +13,16 @@
 const fingerprints = { content: "deadly" as Fingerprint, exact: "deadly/any" as Fingerprint };
 
 const rival = { content: "rival" as Fingerprint, exact: "rival/any" as Fingerprint };
-const otherTargets = Array.from({ length: 14 }, (_, index) => ({ targetId: `other-${String(index)}` as TargetId, bornWallMs: 1 }));
+/** One process of each other target. */
+function processesOfOthers(bornWallMs: number) {
+    return Array.from({ length: 14 }, (_, index) => ({ targetId: `other-${String(index)}` as TargetId, bornWallMs }));
+}
 
 /** What a host has seen of the request: crashes with it, beside another suspect each time if it has a rival. */
 interface Past {
     crashCount: number;
     hasRival: boolean;
-    /** True if all other targets are down too. */
+    /** True if the processes of all other targets end with each crash. */
     areAllDown: boolean;
 }
 
@@ -27,14 +30,14 @@
 
 /** A guard at a host that has seen crashes with the request 15 s ago and earlier; its placer always has a slot. */
 async function setUp(reply: TrialReply, replyAfterMs = 5, past = justQuarantined, isInContact: () => boolean = () => true) {
-    const others = { asked: 14, down: past.areAllDown ? otherTargets : [] };
     const requests = [fingerprints, ...past.hasRival ? [rival] : []].map((request) => ({ ...request, sentAgoMs: 50 }));
     const clock = new VirtualClock();
     const crashEvidence = new CrashEvidence();
     for (let target = 1; target <= past.crashCount; target++) {
         await clock.advance(2_000);
         crashEvidence.merge({ completions: [], crashes: [{
-            targetId: `t-${String(target)}` as TargetId, bornWallMs: target, serviceId: "plain" as ServiceId, agoMs: 0, requests, others,
+            targetId: `t-${String(target)}` as TargetId, bornWallMs: target, serviceId: "plain" as ServiceId, agoMs: 0, requests,
+            others: { asked: 14, down: past.areAllDown ? processesOfOthers(target) : [] },
         }] }, clock.now().monoMs);
     }
     await clock.advance(15_000);
