A field whose name ends with a space is denied with 400

Node.js accepts `Shard-Key : 1` and hands on a field named "shard-key ", so this host did not know it as the key's, and passed it on as it was; a target that is as lenient would take it for the key (RFC 9112, section 5.1, asks for 400). Now the listener denies it as malformed, and closes the connection. Evidence: "are denied at once: with a space after a field's name" (requestsAtLimits.spec) failed before (200) and passes now; 134 tests of test/entry pass.

--- a/src/entry/clientConnection.ts
+++ b/src/entry/clientConnection.ts
@@ -22,7 +22,7 @@
 
 /** Why input on a connection is answered by the listener, without a `ClientCall`. */
 export type DenialReason =
-    /** The parser rejected the input. */
+    /** The parser rejected the input; `malformed` also if a field's name ends with a space, which the parser accepts. */
     | "malformed" | "header-too-large" | "header-late"
     /** The client ended its side in the middle of a request. */
     | "incomplete"
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -27,6 +27,7 @@
 
 /** Headers of the listener's answers to requests with a valid header section. */
 const denialHeaders: Partial<Record<DenialReason, http.OutgoingHttpHeaders>> = {
+    "malformed": { "Connection": "close" },
     "no-host-header": { "Connection": "close" },
     // The client may hold back the body, or send it.
     "unknown-expectation": { "Connection": "close" },
@@ -115,8 +116,9 @@
     };
 
     const onRequest = (request: IncomingMessage, response: ServerResponse, beforeRead: () => void) => {
-        if (lacksHostHeader(request)) {
-            deny(request, response, "no-host-header");
+        const reason = denialReasonOfHeaders(request);
+        if (reason !== undefined) {
+            deny(request, response, reason);
             return;
         }
         const connection = connectionOf(request.socket);
@@ -169,7 +171,7 @@
         });
     });
     server.on("checkExpectation", (request, response) => {
-        deny(request, response, lacksHostHeader(request) ? "no-host-header" : "unknown-expectation");
+        deny(request, response, denialReasonOfHeaders(request) ?? "unknown-expectation");
     });
     server.on("clientError", onParserError);
     applyLimits(server, initialLimits);
@@ -223,8 +225,13 @@
     await nextTurn();
 }
 
-function lacksHostHeader(request: IncomingMessage): boolean {
-    return request.httpVersion === "1.1" && request.headers.host === undefined;
+/** Returns why the header section is denied, although the parser accepts it. */
+function denialReasonOfHeaders({ httpVersion, headers, rawHeaders }: IncomingMessage): DenialReason | undefined {
+    if (rawHeaders.some((name, index) => index % 2 === 0 && name.endsWith(" "))) {
+        // A target might take the field for another one than this host does (RFC 9112, section 5.1).
+        return "malformed";
+    }
+    return httpVersion === "1.1" && headers.host === undefined ? "no-host-header" : undefined;
 }
 
 function applyLimits(server: Server & { maxHeaderSize?: number }, limits: ClientLimits): void {
--- a/test/entry/requestsAtLimits.spec.ts
+++ b/test/entry/requestsAtLimits.spec.ts
@@ -128,6 +128,7 @@
         ["without Host", `GET /a/x HTTP/1.1${crlf}Request-Id: r${crlf}${crlf}`, 400],
         ["with two lengths", headOf("r", "POST", `Content-Length: 3${crlf}Content-Length: 4${crlf}`), 400],
         ["with a length and chunks", headOf("r", "POST", `Content-Length: 3${crlf}Transfer-Encoding: chunked${crlf}`), 400],
+        ["with a space after a field's name", headOf("r", "GET", `Shard-Key : 1${crlf}`), 400],
         ["with a length that is no number", headOf("r", "POST", `Content-Length: 3x${crlf}`), 400],
         ["with too long headers", headOf("r", "GET", `f: ${"x".repeat(limits.maxHeaderBytes + 2_000)}${crlf}`), 431],
     ];
