A header section is not blamed by a limit that may not be in force any more

A host that is cut off from store and coordinator answers 503 `config-unconfirmed` where its configuration denies a request, but the listener went on answering 431 by that configuration's limit, also if a newer one had raised it. The cause: the age of the configuration was asked where requests are prepared, not where their header sections are denied. Now the listener asks too (`areLimitsConfirmed`, the same 2 s), and answers 503 `limits-unknown` with a time to come back.

Evidence: changedLimits.spec, "do not blame a request while the host can't know that its limit is still in force", failed before (431) and passes now. The other listeners in tests know their limits, as before.

--- a/src/entry/clientConnection.ts
+++ b/src/entry/clientConnection.ts
@@ -102,7 +102,7 @@
 
 /**
  * Returns why input that the parser rejected is denied.
- * @param limits limits in force; undefined until a configuration is known
+ * @param limits limits in force; undefined if they are not known
  */
 export function denialReasonOf(error: ParserError, connection: ClientConnection, limits: ClientLimits | undefined): DenialReason {
     const reason = denialByParserCode[error.code ?? ""] ?? "malformed";
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -40,6 +40,8 @@
     clock: Clock;
     /** Answers a request. */
     serve: (call: ClientCall) => Promise<void>;
+    /** Tells whether the limits are known to be those of the configuration in force. */
+    areLimitsConfirmed: (nowMs: number) => boolean;
     /** Called for each answer to input that is not passed to `serve`. */
     onDenied: (denial: Denial) => void;
     /** Called with any error that `serve` throws, and the call. */
@@ -109,7 +111,8 @@
         }
         if (!connection.isInputEnded) {
             connection.isInputEnded = true;
-            const reason = denialReasonOf(error, connection, configuredLimits);
+            const confirmedLimits = dependencies.areLimitsConfirmed(nowMs()) ? configuredLimits : undefined;
+            const reason = denialReasonOf(error, connection, confirmedLimits);
             recordDenial(connection, reason, error);
             void endAfterResponses(connection, reason);
         }
--- a/src/forwarding/requestPreparation.ts
+++ b/src/forwarding/requestPreparation.ts
@@ -17,7 +17,7 @@
  * A configuration that was not confirmed for this long may have been replaced. A host that reaches the store or the coordinator confirms
  * it more often.
  */
-const maxConfigAgeMs = 2_000;
+export const maxConfigAgeMs = 2_000;
 
 /** Dependencies of `prepareRequest`. */
 export interface RequestPreparationDependencies {
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -19,6 +19,7 @@
 import type { ClientDialect } from "../entry/clientDialect.js";
 import type { TargetDialect } from "../forwarding/dialect.js";
 import { createForwarder } from "../forwarding/forwarder.js";
+import { maxConfigAgeMs } from "../forwarding/requestPreparation.js";
 import { probeTarget } from "../forwarding/targetProbe.js";
 import type { RunId } from "../model/names.js";
 import { createDenialRecorder } from "../observe/denialRecorder.js";
@@ -174,6 +175,7 @@
             dialects: from.resolve(tokens.clientDialects),
             clock: from.resolve(tokens.clock),
             serve: (call) => from.resolve(tokens.forwarder).serve(call),
+            areLimitsConfirmed: (nowMs) => from.resolve(tokens.node).configAgeMs(nowMs) <= maxConfigAgeMs,
             onDenied: createDenialRecorder(log, from.resolve(tokens.metrics)),
             onUnexpectedError: (error, { requestId, method, path }) => {
                 const cause = error instanceof Error ? error.cause ?? error : error;
--- a/test/entry/changedLimits.spec.ts
+++ b/test/entry/changedLimits.spec.ts
@@ -47,6 +47,16 @@
         expect((await client.readAnswer()).status).to.equal(503);
     });
 
+    it("do not blame a request while the host can't know that its limit is still in force", async () => {
+        await start(limits);
+        listener.areLimitsConfirmed = false;
+        await client.write(requestOf("r-1", 60_000));
+        const answer = await client.readAnswer();
+        expect(answer.status).to.equal(503);
+        expect(Number(answer.headers["retry-after"])).to.be.above(0);
+        expect(listener.denials.map(({ reason }) => reason)).to.deep.equal(["limits-unknown"]);
+    });
+
     it("still deny a header section over the limit that was always in force, and over the new one", async () => {
         await start(limits);
         await client.write(requestOf("r-1", limits.maxHeaderBytes + 2_000));
--- a/test/entry/clientHttp.spec.ts
+++ b/test/entry/clientHttp.spec.ts
@@ -26,6 +26,7 @@
 async function countServedAfterLeaving(request: string): Promise<number> {
     let served = 0;
     const clients = createClientHttp({
+        areLimitsConfirmed: () => true,
         dialects: [platformClientDialect], clock,
         serve: async (call) => {
             await call.body.collect();
--- a/test/entry/denials.spec.ts
+++ b/test/entry/denials.spec.ts
@@ -24,6 +24,7 @@
     beforeEach(async () => {
         denials = [];
         clients = createClientHttp({
+            areLimitsConfirmed: () => true,
             dialects: [platformClientDialect], clock,
             serve: (call) => {
                 call.answer({ status: 200, reasonPhrase: "OK", rawHeaders: [], bodyBytes: okBody.length }, okBody);
--- a/test/entry/listenerUnderTest.ts
+++ b/test/entry/listenerUnderTest.ts
@@ -122,6 +122,8 @@
     servedIds: string[];
     denials: Denial[];
     errors: unknown[];
+    /** What the host knows of its limits; true at first. */
+    areLimitsConfirmed: boolean;
 }
 
 /**
@@ -139,8 +141,9 @@
     const servedIds: string[] = [];
     const denials: Denial[] = [];
     const errors: unknown[] = [];
+    const knowledge = { areLimitsConfirmed: true };
     const clients = createClientHttp({
-        dialects: [platformClientDialect], clock,
+        dialects: [platformClientDialect], clock, areLimitsConfirmed: () => knowledge.areLimitsConfirmed,
         serve: async (call) => {
             if (routes.find(call.hostName, call.path, call.method) === undefined) {
                 call.refuse({ reason: "no-route", retryAfterMs: undefined });
@@ -158,5 +161,5 @@
     }
     const port = await freePort();
     await clients.listen(`127.0.0.1:${String(port)}`);
-    return { clients, port, servedIds, denials, errors };
+    return Object.assign(knowledge, { clients, port, servedIds, denials, errors });
 }
--- a/test/forwarding/unexpectedErrors.spec.ts
+++ b/test/forwarding/unexpectedErrors.spec.ts
@@ -81,6 +81,7 @@
         const dependencies = this.createDependencies(view, grants);
         const forwarder = createForwarder({ ...dependencies, ...override(dependencies) });
         const listener = createClientHttp({
+            areLimitsConfirmed: () => true,
             dialects: [dialect], clock,
             serve: (call) => forwarder.serve(call),
             onDenied: () => undefined,
