A withdrawn request does not make its host avoid the queue's host

Cause: the queue's host drops a withdrawn request and never answers it; the call timed out at the request's deadline, and the admission client took the queue's host for lost. It does so no more if the request was withdrawn.

Evidence: the new test of admissionClient.spec fails without the change (the host is not asked again).

--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -88,14 +88,17 @@
         return candidates;
     };
 
-    const requestSlot = async (member: Member, params: EnterParams): Promise<QueueReply | undefined> => {
+    const requestSlot = async (member: Member, params: EnterParams, signal: AbortSignal): Promise<QueueReply | undefined> => {
         const reply = isSelf(member)
             ? ok(await localServer.enter(params, membership.self.hostId))
             : await requestSlotFromPeer(member, params);
         if (reply.isOk() && !("unready" in reply.value)) {
             return reply.value;
         }
-        membership.suspect(member.peerAddress, clock.now().monoMs + suspicionMs);
+        // A host does not answer requests that were withdrawn.
+        if (!signal.aborted) {
+            membership.suspect(member.peerAddress, clock.now().monoMs + suspicionMs);
+        }
         return undefined;
     };
 
@@ -127,7 +130,7 @@
             requestSlot(member, {
                 ...params, ticket, workMs: Math.round(params.workMs),
                 targetLeftMs: Math.round(softDeadlineMs - nowMs), deadlineLeftMs: Math.round(deadlineMs - nowMs),
-            }),
+            }, signal),
             withdrawn.promise,
         ]);
         withdrawn.release();
--- a/test/admission/admissionClient.spec.ts
+++ b/test/admission/admissionClient.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { ok } from "neverthrow";
+import { err, ok } from "neverthrow";
 import type { SlotRequest } from "../../src/admission/admissionClient.js";
 import { createAdmissionClient } from "../../src/admission/admissionClient.js";
 import type { Ticket } from "../../src/admission/admissionRequest.js";
@@ -10,6 +10,7 @@
 import type { Member } from "../../src/cluster/membership.js";
 import { Membership } from "../../src/cluster/membership.js";
 import type { PeerLinks } from "../../src/cluster/peerLinks.js";
+import { failure } from "../../src/model/failure.js";
 import type { Address, DataCentreId, HostId, RunId, ServiceId, TargetId } from "../../src/model/names.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 import { VirtualClock } from "../support/virtualTime.js";
@@ -21,7 +22,7 @@
 }
 
 /** Creates a client on a host that knows no targets yet; its peers answer `enter` with the given replies. */
-function setUp(replies: Record<string, EnterReply>, cpuShareOf: (name: string) => number = () => 1) {
+function setUp(replies: Record<string, EnterReply | "none">, cpuShareOf: (name: string) => number = () => 1) {
     const clock = new VirtualClock();
     const membership = new Membership(member("self"));
     membership.update(Object.keys(replies).map((name) => member(name, cpuShareOf(name))));
@@ -37,7 +38,10 @@
             const name = address.split(":")[0] ?? "";
             askedHosts.push(name);
             sent.push(params);
-            return Promise.resolve(ok(replies[name]));
+            const reply = replies[name];
+            return reply === "none"
+                ? clock.sleep(params.deadlineLeftMs + 200).then(() => err(failure("lost", "peer-call", name, "no answer")))
+                : Promise.resolve(ok(reply));
         },
         notify: () => undefined,
     } as unknown as PeerLinks;
@@ -49,10 +53,10 @@
             return `t${String(tickets)}` as Ticket;
         },
     });
-    const enter = (group: Group = { kind: "service", serviceId: "s" as ServiceId }, more: Partial<SlotRequest> = {}) => client.enter({
+    const enter = (group: Group = { kind: "service", serviceId: "s" as ServiceId }, more: Partial<SlotRequest> = {}, signal = new AbortController().signal) => client.enter({
         group, priority: 1, workMs: 10, near: here, avoid: [],
         softDeadlineMs: clock.now().monoMs + 1_000, deadlineMs: clock.now().monoMs + 2_000, ...more,
-    }, new AbortController().signal);
+    }, signal);
     return { enter, askedHosts, sent, membership, clock };
 }
 
@@ -125,6 +129,20 @@
         });
     });
 
+    it("does not take the queue's host for lost because it does not answer a request that was withdrawn", async () => {
+        const { enter, askedHosts, clock } = setUp({ silent: "none" });
+        const group: Group = { kind: "service", serviceId: "s" as ServiceId };
+        const withdrawal = new AbortController();
+        const decision = enter(group, {}, withdrawal.signal);
+        await clock.advance(10);
+        withdrawal.abort();
+        expect(await decision).to.deep.include({ kind: "refused", reason: "withdrawn" });
+        await clock.advance(2_300);
+        void enter(group);
+        await clock.advance(10);
+        expect(askedHosts).to.deep.equal(["silent", "silent"]);
+    });
+
     it("refuses a request when no host can keep the queue", async () => {
         const { enter } = setUp({ fresh: { unready: true } });
         const decision = await enter();
