A configuration is taken by its version, also at an offset that was read before

Callers would see: after a drill in which the store comes back from a copy some seconds old, the operator's next configuration stands at an offset that hosts have read already. They ignored it, each reading confirmed the older one, and requests for its new routes got 404 from all hosts, for as long as no later offset was written.

Fix: the version decides, as the operator counts it; the offset only between records of one version.

--- a/src/cluster/configAge.ts
+++ b/src/cluster/configAge.ts
@@ -1,10 +1,8 @@
 /** Tracks when it was last confirmed that this host knows the configuration in force. */
-import type { Offset } from "../model/names.js";
-
 /** Confirmations of a host's configuration. */
 export class ConfigAge {
     private confirmedAtMs = Number.NEGATIVE_INFINITY;
-    private coordinatorOffset = -1 as Offset;
+    private coordinatorVersion = Number.NEGATIVE_INFINITY;
     private hasJoined = false;
 
     /**
@@ -17,13 +15,13 @@
 
     /**
      * Called with each update of a coordinator.
-     * @param coordinatorOffset offset of the coordinator's configuration
-     * @param knownOffset offset of this host's configuration
+     * @param coordinatorVersion version of the coordinator's configuration
+     * @param knownVersion version of this host's configuration
      * @param storeConfirmedAtMs monotonic time at which the store last confirmed the coordinator's configuration
      */
-    recordNews(coordinatorOffset: Offset, knownOffset: Offset, storeConfirmedAtMs: number): void {
-        this.coordinatorOffset = coordinatorOffset;
-        if (coordinatorOffset <= knownOffset) {
+    recordNews(coordinatorVersion: number, knownVersion: number, storeConfirmedAtMs: number): void {
+        this.coordinatorVersion = coordinatorVersion;
+        if (coordinatorVersion <= knownVersion) {
             this.confirm(storeConfirmedAtMs);
         }
     }
@@ -36,10 +34,10 @@
     /**
      * Returns the time since the last confirmation. It is infinite until this host has joined the other hosts, and while the coordinator
      * has a newer configuration: a store that was restored from an older copy can hold an older configuration than they know.
-     * @param knownOffset offset of this host's configuration
+     * @param knownVersion version of this host's configuration
      * @param nowMs current monotonic time
      */
-    ageMs(knownOffset: Offset, nowMs: number): number {
-        return this.hasJoined && this.coordinatorOffset <= knownOffset ? nowMs - this.confirmedAtMs : Number.POSITIVE_INFINITY;
+    ageMs(knownVersion: number, nowMs: number): number {
+        return this.hasJoined && this.coordinatorVersion <= knownVersion ? nowMs - this.confirmedAtMs : Number.POSITIVE_INFINITY;
     }
 }
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -160,6 +160,7 @@
         storeAgeMs: Math.round(Math.min(maxStatedAgeMs, storeAgeMs(clock.now()))),
         configAgeMs: Math.round(Math.min(maxStatedAgeMs, configAgeMs(clock.now().monoMs))),
         configOffset: view.config?.offset ?? -1 as Offset,
+        configVersion: view.platformConfigVersion,
         targetsUpTo: view.targetsUpTo,
         targetsDigest: view.targets.digest(),
         ledgerUpTo: view.ledger.upTo,
--- a/src/cluster/messageChecks.ts
+++ b/src/cluster/messageChecks.ts
@@ -56,6 +56,7 @@
 
 const newsFields = z.object({
     term: z.int().check(z.gte(1)), storeAgeMs: durationMsSchema, configAgeMs: z.optional(durationMsSchema), configOffset: offsetSchema,
+    configVersion: z.optional(z.int().check(z.gte(-1))),
     targetsUpTo: offsetSchema, targetsDigest: z.int(),
     ledgerUpTo: offsetSchema, ledgerFrom: z.optional(offsetSchema), membersVersion: countSchema,
     targets: z.optional(z.array(z.unknown())), ledger: z.optional(z.array(z.unknown())), notice: z.optional(z.unknown()),
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -57,6 +57,8 @@
     configAgeMs?: number;
     /** Offset of the configuration that the coordinator applies; -1 if it has none. */
     configOffset: Offset;
+    /** Version of the platform's configuration that the coordinator applies, -1 without one; absent in messages of earlier versions. */
+    configVersion?: number;
     /** Offset up to which the coordinator has read the targets topic. */
     targetsUpTo: Offset;
     /** See `TargetDirectory.digest`. */
--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -84,10 +84,10 @@
         if (members !== undefined) {
             membership.update(members);
         }
-        const configOffset = view.config?.offset ?? -1 as Offset;
-        configAge.recordNews(news.configOffset, configOffset, nowMs() - (news.configAgeMs ?? Number.POSITIVE_INFINITY));
-        if (news.configOffset > configOffset) {
-            void fetchConfig(from);
+        const coordinatorVersion = configVersionOf(news);
+        configAge.recordNews(coordinatorVersion, view.platformConfigVersion, nowMs() - (news.configAgeMs ?? Number.POSITIVE_INFINITY));
+        if (coordinatorVersion > view.platformConfigVersion) {
+            void fetchConfig(from, coordinatorVersion);
         }
         const targetsDiffer = news.targetsDigest !== view.targets.digest() && nowMs() - allTargetsRequestedAtMs > allTargetsRequestGapMs;
         if (news.ledgerUpTo > view.ledger.upTo || targetsDiffer || memberList.isBehind(news.term, news.membersVersion)) {
@@ -120,11 +120,16 @@
         return from.call<FollowReply>(clusterMethods.follow, params, callTimeoutMs);
     };
 
-    /** Reads the configuration from the store, which is its primary source, or from the coordinator if that brought nothing new. */
-    const fetchConfig = async (from: PeerConnection) => {
-        const previousOffset = view.config?.offset;
+    /** Returns the version of the coordinator's configuration. A host of an earlier version of the router states its offset only. */
+    const configVersionOf = ({ configVersion, configOffset }: News): number => {
+        const isLater = configOffset > (view.config?.offset ?? -1);
+        return configVersion ?? (isLater ? Number.POSITIVE_INFINITY : view.platformConfigVersion);
+    };
+
+    /** Reads the configuration from the store, which is its primary source, or from the coordinator if it is not there. */
+    const fetchConfig = async (from: PeerConnection, coordinatorVersion: number) => {
         await reader.read("configuration", 0);
-        if (view.config?.offset !== previousOffset) {
+        if (view.platformConfigVersion >= coordinatorVersion) {
             return;
         }
         const reply = await from.call<ConfigurationReply | undefined>(clusterMethods.configuration, {}, callTimeoutMs);
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -7,7 +7,7 @@
 import { trialGrantValidMs } from "../crashes/trial.js";
 import type { Failure } from "../model/failure.js";
 import { describeFailure } from "../model/failure.js";
-import type { Address, Offset } from "../model/names.js";
+import type { Address } from "../model/names.js";
 import { linkAborts, Signal, waitFor } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import { isDurationMs } from "../model/valueSchemas.js";
@@ -152,7 +152,7 @@
         if (view.isConfigUnreadable) {
             return Number.POSITIVE_INFINITY;
         }
-        const ageMs = configAge.ageMs(view.config?.offset ?? -1 as Offset, atMs);
+        const ageMs = configAge.ageMs(view.platformConfigVersion, atMs);
         return coordinator === undefined || !Number.isFinite(ageMs) ? ageMs : Math.min(ageMs, coordinator.configAgeMs(atMs));
     };
 
--- a/src/store/clusterView.ts
+++ b/src/store/clusterView.ts
@@ -12,6 +12,7 @@
 import { TargetDirectory } from "./targetDirectory.js";
 
 const noOffset = -1 as Offset;
+const noVersion = -1;
 
 /** A configuration with the tables derived from it. */
 export interface ActiveConfig {
@@ -67,6 +68,11 @@
         return this.unreadableConfigOffset > (this.platformConfig?.offset ?? noOffset);
     }
 
+    /** Version of the platform's configuration that applies; negative if there is none. */
+    get platformConfigVersion(): number {
+        return this.platformConfig?.config.version ?? noVersion;
+    }
+
     /** Offset up to which the configuration topic was read; negative before the first reading. */
     get configUpTo(): Offset {
         return this.configReadUpTo;
@@ -78,7 +84,8 @@
     }
 
     /**
-     * Applies a configuration of the platform, unless one with the same or a later offset, or a higher version, already applies.
+     * Applies a configuration of the platform, unless one of a higher version, or the same one, already applies. Versions decide, since
+     * offsets go back when the store is restored from an older copy.
      * @param config the configuration, or undefined when the records read held none
      * @param offset offset of its record
      * @param upTo offset up to which the topic has now been read
@@ -87,8 +94,7 @@
     applyConfig(config: RoutingConfig | undefined, offset: Offset, upTo: Offset): boolean {
         const isFirstReading = this.configReadUpTo === noOffset;
         this.configReadUpTo = Math.max(this.configReadUpTo, upTo) as Offset;
-        if (config === undefined || offset <= (this.platformConfig?.offset ?? noOffset)
-            || config.version < (this.platformConfig?.config.version ?? 0)) {
+        if (config === undefined || !this.isNewer(config, offset)) {
             if (isFirstReading && this.isDocumentConfig) {
                 this.configChanged.fire();
             }
@@ -99,6 +105,22 @@
         return true;
     }
 
+    private isNewer({ version }: RoutingConfig, offset: Offset): boolean {
+        const { platformConfig } = this;
+        return platformConfig === undefined || version > platformConfig.config.version
+            || (version === platformConfig.config.version && offset > platformConfig.offset);
+    }
+
+    /**
+     * Sets the position from which the configuration topic is read on, after a snapshot of it. A store that was restored from an older
+     * copy no longer has the position that was reached before.
+     * @param upTo offset up to which the snapshot reflects the topic
+     */
+    restartConfigReading(upTo: Offset): void {
+        this.configReadUpTo = upTo;
+        this.unreadableConfigOffset = noOffset;
+    }
+
     /** Remembers that a configuration of the platform could not be decoded. */
     markConfigUnreadable(offset: Offset): void {
         this.unreadableConfigOffset = Math.max(this.unreadableConfigOffset, offset) as Offset;
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -67,7 +67,10 @@
     };
 
     const applySnapshot: Record<TopicName, (records: readonly StoreRecord[], upTo: Offset) => Reading> = {
-        configuration: (records, upTo) => applyRecords.configuration(records, upTo),
+        configuration: (records, upTo) => {
+            view.restartConfigReading(upTo);
+            return applyRecords.configuration(records, upTo);
+        },
         targets: (records, upTo) => {
             const changes = decodeTargets(records);
             const presentIds = new Set(changes.filter(({ entry }) => entry !== undefined).map(({ targetId }) => targetId));
--- a/test/store/topicReader.spec.ts
+++ b/test/store/topicReader.spec.ts
@@ -114,4 +114,29 @@
         expect(await put(4)).to.equal(5);
         expect(await put(9)).to.equal(9);
     });
+
+    it("applies a configuration that stands at an offset that it has read already, after the store came back from an older copy", async () => {
+        const { clock, store, view } = setUp();
+        const reader = createTopicReader({
+            store: store.createStorePort(host, new VirtualProcess(clock)), decoders, view, clock,
+            log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+        });
+        const read = async () => {
+            const reading = reader.read("configuration", 0);
+            await clock.advance(50);
+            await reading;
+            return view.config?.config.version;
+        };
+        const put = (version: number) => {
+            store.put("configuration", "config", { version, routes: [], services: [] });
+        };
+        [3, 5, 7].forEach(put);
+        expect(await read()).to.equal(7);
+        store.loseNewest("configuration", 2);
+        expect(await read()).to.equal(7);
+        put(8);
+        const callCount = store.callCount;
+        expect(await read()).to.equal(8);
+        expect(store.callCount - callCount).to.equal(1);
+    });
 });
