Followers fetch a configuration that is written again under its version

Found by the whole test run after: a configuration with the same version at a later offset was applied by the coordinator only. Hosts compare the offset too where versions are equal, as before. plannedStop.spec and repeatedRejections.spec failed before (the new routes were not served within 15 s) and pass now.

--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -86,7 +86,8 @@
         }
         const coordinatorVersion = configVersionOf(news);
         configAge.recordNews(coordinatorVersion, view.platformConfigVersion, nowMs() - (news.configAgeMs ?? Number.POSITIVE_INFINITY));
-        if (coordinatorVersion > view.platformConfigVersion) {
+        const isWrittenAgain = coordinatorVersion === view.platformConfigVersion && news.configOffset > (view.config?.offset ?? -1);
+        if (coordinatorVersion > view.platformConfigVersion || isWrittenAgain) {
             void fetchConfig(from, coordinatorVersion);
         }
         const targetsDiffer = news.targetsDigest !== view.targets.digest() && nowMs() - allTargetsRequestedAtMs > allTargetsRequestGapMs;
