Node in parts: following, taking over, direct reading, ages, reports, handlers

No change of behaviour. node.ts held all of these beside the choice of its role. Each is a module now: following, takeover, directReader (reads the store without a coordinator), stateAges, hostReports, nodeHandlers and knownTerm (the latest term from ledger or announcement). The flag of a leaving node is the membership's, which the same function set at the same moment; the time without updates after which a coordinator is lost stands in succession.ts, since following and taking over both use it.

--- /dev/null
+++ b/src/cluster/directReader.ts
@@ -0,0 +1,75 @@
+/** Reads the store directly at a host that gets no current state from a coordinator. */
+import type { Clock } from "../model/time.js";
+import type { OwnerLookup } from "../ownership/ownerLookup.js";
+import type { TopicReader } from "../store/topicReader.js";
+import type { ConfigAge } from "./configAge.js";
+import type { Membership } from "./membership.js";
+
+/** Period at which this host checks whether its state is stale, and reads the store while it is. */
+const directReadPeriodMs = 250;
+
+/** Largest cluster in which each host retries an unavailable store at the normal period; in larger ones hosts retry less often. */
+const fullRateHostCount = 8;
+
+/** Dependencies of a direct reader. */
+export interface DirectReaderDependencies {
+    reader: TopicReader;
+    owners: OwnerLookup;
+    membership: Membership;
+    configAge: ConfigAge;
+    clock: Clock;
+}
+
+/** Reads the store on behalf of this host alone. */
+export interface DirectReader {
+    /** Monotonic time at which this host sent its last complete reading of the store. */
+    readonly lastReadAtMs: number;
+    /** Counts the state as read at the given monotonic time. */
+    recordRead(atMs: number): void;
+    /** Reads every topic from the store; resolves to whether all could be read. */
+    readAllTopics(): Promise<boolean>;
+    /** Delay before the store is tried again. It grows with the cluster, so that the rate of all hosts together is bounded. */
+    retryDelayMs(): number;
+    /** Reads the store whenever this host's state is stale, until `signal` aborts. */
+    readWhenStale(isStale: (nowMs: number) => boolean, signal: AbortSignal): Promise<void>;
+}
+
+/** Creates the reader. */
+export function createDirectReader({ reader, owners, membership, configAge, clock }: DirectReaderDependencies): DirectReader {
+    let lastReadAtMs = Number.NEGATIVE_INFINITY;
+    const nowMs = () => clock.now().monoMs;
+
+    const readAllTopics = async (): Promise<boolean> => {
+        const askedAtMs = nowMs();
+        // All hosts try while the store is unavailable, so the other topics are read only if this first call succeeds.
+        const ledger = await reader.read("ledger", 0);
+        const others = ledger.isErr() ? [] : await Promise.all([reader.read("targets", 0), reader.read("configuration", 0)]);
+        owners.refresh();
+        const isComplete = [ledger, ...others].every((reading) => reading.isOk());
+        if (isComplete) {
+            lastReadAtMs = Math.max(lastReadAtMs, askedAtMs);
+            configAge.confirm(askedAtMs);
+        }
+        return isComplete;
+    };
+
+    const retryDelayMs = () => directReadPeriodMs * Math.max(1, membership.members().length / fullRateHostCount);
+
+    return {
+        get lastReadAtMs() {
+            return lastReadAtMs;
+        },
+        recordRead: (atMs) => {
+            lastReadAtMs = atMs;
+        },
+        readAllTopics,
+        retryDelayMs,
+        readWhenStale: async (isStale, signal) => {
+            let pauseMs = directReadPeriodMs;
+            while (!signal.aborted) {
+                await clock.sleep(pauseMs, signal);
+                pauseMs = isStale(nowMs()) && !await readAllTopics() ? retryDelayMs() : directReadPeriodMs;
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/cluster/stateAges.ts
@@ -0,0 +1,52 @@
+/** How old the state and the configuration are that a host acts on. */
+import type { Clock } from "../model/time.js";
+import type { ClusterView } from "../store/clusterView.js";
+import type { ConfigAge } from "./configAge.js";
+import type { Coordinator } from "./coordinator.js";
+import type { DirectReader } from "./directReader.js";
+import type { NewsReceiver } from "./newsReceiver.js";
+
+/** A host that does not coordinate reads the store itself once its state may be older than this. */
+const staleAfterMs = 1_400;
+
+/** Dependencies of the ages. */
+export interface StateAgesDependencies {
+    view: ClusterView;
+    configAge: ConfigAge;
+    directReader: Pick<DirectReader, "lastReadAtMs">;
+    newsReceiver: Pick<NewsReceiver, "confirmedAtMs">;
+    clock: Clock;
+    /** The coordinator at this host, while it coordinates. */
+    coordinator: () => Coordinator | undefined;
+}
+
+/** Ages at one host. */
+export interface StateAges {
+    /** Time since the store last confirmed the state that this host acts on. */
+    knowledgeAgeMs(nowMs: number): number;
+    /** Time since it was last confirmed that no newer configuration is in force; see `ConfigAge.ageMs`. */
+    configAgeMs(nowMs: number): number;
+    /** Tells whether this host has to read the store itself, because no coordinator updates its state. */
+    isStale(nowMs: number): boolean;
+}
+
+/** Creates the ages. */
+export function createStateAges(
+    { view, configAge, directReader, newsReceiver, clock, coordinator }: StateAgesDependencies,
+): StateAges {
+    const knowledgeAgeMs = (nowMs: number) =>
+        coordinator()?.storeAgeMs(clock.now()) ?? nowMs - Math.max(directReader.lastReadAtMs, newsReceiver.confirmedAtMs);
+
+    return {
+        knowledgeAgeMs,
+        configAgeMs: (nowMs) => {
+            if (view.isConfigUnreadable) {
+                return Number.POSITIVE_INFINITY;
+            }
+            const ageMs = configAge.ageMs(view.platformConfigVersion, nowMs);
+            const coordinatorAgeMs = coordinator()?.configAgeMs(nowMs);
+            return coordinatorAgeMs === undefined || !Number.isFinite(ageMs) ? ageMs : Math.min(ageMs, coordinatorAgeMs);
+        },
+        isStale: (nowMs) => coordinator() === undefined && knowledgeAgeMs(nowMs) > staleAfterMs,
+    };
+}
--- a/src/cluster/succession.ts
+++ b/src/cluster/succession.ts
@@ -16,6 +16,9 @@
     /** It cannot be reached, does not answer, or no longer coordinates. */
     | "lost";
 
+/** A coordinator that has sent nothing for this long counts as lost. */
+export const coordinatorTimeoutMs = 900;
+
 /** Time between the claims of two hosts with consecutive ranks. */
 export const claimStaggerMs = 120;
 
--- /dev/null
+++ b/src/cluster/takeover.ts
@@ -0,0 +1,93 @@
+/** Takes over the coordinator's role: from a coordinator that resigns, or from one that was lost. */
+import type { Address } from "../model/names.js";
+import { waitFor } from "../model/signal.js";
+import type { Clock } from "../model/time.js";
+import { isDurationMs } from "../model/valueSchemas.js";
+import type { TermRecord } from "../ownership/ledger.js";
+import type { TopicReader } from "../store/topicReader.js";
+import type { DirectReader } from "./directReader.js";
+import type { KnownTerm } from "./knownTerm.js";
+import type { Member, Membership } from "./membership.js";
+import type { ResignReply } from "./messages.js";
+import { clusterMethods } from "./messages.js";
+import type { PeerConnection } from "./peerConnection.js";
+import type { PeerLinks } from "./peerLinks.js";
+import { claimTimeMs, coordinatorTimeoutMs, successionRank } from "./succession.js";
+import type { TermClaims } from "./termClaims.js";
+
+const callTimeoutMs = 500;
+
+/** Dependencies of a takeover. */
+export interface TakeoverDependencies {
+    self: Member;
+    membership: Membership;
+    links: PeerLinks;
+    reader: TopicReader;
+    directReader: Pick<DirectReader, "retryDelayMs">;
+    claims: TermClaims;
+    knownTerm: KnownTerm;
+    clock: Clock;
+}
+
+/** Ways in which this host becomes the coordinator. */
+export interface Takeover {
+    /** Asks the coordinator to resign, and claims the next term if it did; resolves to whether the store acknowledged the claim. */
+    takeOver(coordinator: PeerConnection): Promise<boolean>;
+    /** Takes over from a coordinator that is leaving and has asked this host to do so. */
+    takeOverFrom(address: Address): Promise<void>;
+    /** Waits until another host has claimed a new term, or claims it when it is this host's turn. */
+    succeed(lostTerm: TermRecord | undefined, signal: AbortSignal): Promise<void>;
+}
+
+/** Creates the takeover. */
+export function createTakeover(
+    { self, membership, links, reader, directReader, claims, knownTerm, clock }: TakeoverDependencies,
+): Takeover {
+    const nowMs = () => clock.now().monoMs;
+
+    const takeOver = async (coordinator: PeerConnection): Promise<boolean> => {
+        const reply = await coordinator.call<ResignReply>(clusterMethods.resign, {}, callTimeoutMs);
+        if (reply.isErr() || !reply.value.resigned || !isDurationMs(reply.value.grantsLastMs)) {
+            return false;
+        }
+        return claims.claim({ grantsLastMs: reply.value.grantsLastMs, receivedAtMs: nowMs() });
+    };
+
+    const countReachable = async (others: readonly Member[]): Promise<number> => {
+        const replies = await Promise.all(others.map(({ peerAddress }) => links.call(peerAddress, "probe", {}, callTimeoutMs)));
+        return replies.filter((reply) => reply.isOk()).length;
+    };
+
+    return {
+        takeOver,
+        takeOverFrom: async (address) => {
+            const connection = await links.connect(address);
+            if (connection.isOk() && !membership.isLeaving) {
+                await takeOver(connection.value);
+            }
+        },
+        succeed: async (lostTerm, signal) => {
+            const lostAtMs = nowMs();
+            const others = membership.members().filter(({ hostId }) => hostId !== self.hostId && hostId !== lostTerm?.hostId);
+            const reachableCount = await countReachable(others);
+            const rank = lostTerm?.hostId === self.hostId ? 0 : successionRank(self, others);
+            const claimAtMs = claimTimeMs({ lostAtMs, rank, knownPeerCount: others.length, reachablePeerCount: reachableCount });
+            while (!signal.aborted && !membership.isLeaving) {
+                const isRead = (await reader.read("ledger", 0)).isOk();
+                if (knownTerm.latest?.term !== lostTerm?.term) {
+                    return;
+                }
+                if (isRead && nowMs() >= claimAtMs) {
+                    await claims.claim();
+                    return;
+                }
+                // The host that claims the term announces it, so the store need not be read again before this host's turn.
+                const pauseMs = isRead ? Math.max(1, claimAtMs - nowMs()) : directReader.retryDelayMs();
+                await waitFor(clock, pauseMs, [knownTerm.announced], signal);
+                if (lostTerm !== undefined && nowMs() > claimAtMs + coordinatorTimeoutMs) {
+                    return;
+                }
+            }
+        },
+    };
+}
