Set-ups of the fleet's and the listener's specs stand once

scriptedFleet (a host with a scripted target) serves brokenResponses and unprovenResponses; connectedClient (a listener with a client for each test) serves unreadBodies, unusualRequests and requestsAtLimits. No check changed.

--- a/test/entry/requestsAtLimits.spec.ts
+++ b/test/entry/requestsAtLimits.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { useConnectedClient } from "./connectedClient.js";
 import { RawClient } from "./listenerClient.js";
 import type { ListenerUnderTest } from "./listenerUnderTest.js";
 import { expectedBody, limits, startListener } from "./listenerUnderTest.js";
@@ -34,14 +35,8 @@
     let listener: ListenerUnderTest;
     let client: RawClient;
 
-    beforeEach(async () => {
-        listener = await startListener();
-        client = await RawClient.connect(listener.port);
-    });
-
-    afterEach(() => {
-        client.socket.destroy();
-        listener.clients.close();
+    useConnectedClient((connected) => {
+        ({ listener, client } = connected);
     });
 
     async function expectServed(id: string, body = ""): Promise<void> {
--- a/test/entry/unreadBodies.spec.ts
+++ b/test/entry/unreadBodies.spec.ts
@@ -1,7 +1,8 @@
 import { expect } from "chai";
-import { RawClient } from "./listenerClient.js";
+import { useConnectedClient } from "./connectedClient.js";
+import type { RawClient } from "./listenerClient.js";
 import type { ListenerUnderTest } from "./listenerUnderTest.js";
-import { expectedBody, limits, startListener, treatmentHeader } from "./listenerUnderTest.js";
+import { expectedBody, limits, treatmentHeader } from "./listenerUnderTest.js";
 
 const treatments = [["refused", 503], ["refused-while-read", 503], ["answered-early", 200]] as const;
 
@@ -16,14 +17,8 @@
     let listener: ListenerUnderTest;
     let client: RawClient;
 
-    beforeEach(async () => {
-        listener = await startListener();
-        client = await RawClient.connect(listener.port);
-    });
-
-    afterEach(() => {
-        client.socket.destroy();
-        listener.clients.close();
+    useConnectedClient((connected) => {
+        ({ listener, client } = connected);
     });
 
     const framings = [
--- a/test/entry/unusualRequests.spec.ts
+++ b/test/entry/unusualRequests.spec.ts
@@ -1,7 +1,8 @@
 import { expect } from "chai";
-import { RawClient } from "./listenerClient.js";
+import { useConnectedClient } from "./connectedClient.js";
+import type { RawClient } from "./listenerClient.js";
 import type { ListenerUnderTest } from "./listenerUnderTest.js";
-import { expectedBody, startListener } from "./listenerUnderTest.js";
+import { expectedBody } from "./listenerUnderTest.js";
 
 const noBody = Buffer.alloc(0);
 
@@ -9,14 +10,8 @@
     let listener: ListenerUnderTest;
     let client: RawClient;
 
-    beforeEach(async () => {
-        listener = await startListener();
-        client = await RawClient.connect(listener.port);
-    });
-
-    afterEach(() => {
-        client.socket.destroy();
-        listener.clients.close();
+    useConnectedClient((connected) => {
+        ({ listener, client } = connected);
     });
 
     it("are served with more than 2,000 header fields before Host, within the limit on bytes", async () => {
--- a/test/fleet/brokenResponses.spec.ts
+++ b/test/fleet/brokenResponses.spec.ts
@@ -1,21 +1,13 @@
 import type net from "node:net";
 import { expect } from "chai";
-import { topics } from "../../platform/names.js";
 import type { ClientAnswer, FleetHost } from "./fleet.js";
-import { buildRoutingConfig, Fleet, plainService, send, sleep } from "./fleet.js";
+import { send, sleep } from "./fleet.js";
+import { useScriptedFleet, writePath } from "./scriptedFleet.js";
 import type { ScriptedTarget } from "./scriptedTarget.js";
-import { signedAnswer, startScriptedTarget } from "./scriptedTarget.js";
+import { signedAnswer } from "./scriptedTarget.js";
 
-const writePath = "/write/";
 const concurrency = 4;
 
-/** A configuration with a route to the service without keys whose requests must not run twice. */
-function buildConfig(): object {
-    const config = buildRoutingConfig(1) as { routes: { rows: unknown[][] } };
-    config.routes.rows.push(["r-write", "fleet.example", writePath, "unsafe", 3_000, 500, 1, plainService, 1, undefined]);
-    return config;
-}
-
 const signed = (id: string, status: number, rest: string) =>
     `HTTP/1.1 ${String(status)} Some\r\nRequest-Id: ${id}\r\nResponse-Signature: s\r\n${rest}`;
 
@@ -68,22 +60,11 @@
 
 describe("a response that breaks off", function () {
     this.timeout(60_000);
-    let fleet: Fleet;
     let target: ScriptedTarget;
     let host: FleetHost;
 
-    before(async () => {
-        fleet = await Fleet.start(1, 1, 0);
-        fleet.store.put(topics.configuration, "config", buildConfig());
-        target = await startScriptedTarget(fleet.store, "scripted", plainService);
-        [host] = fleet.hosts as [FleetHost];
-        await fleet.waitUntil("the scripted target is used", async () =>
-            (await send(host, { id: `first-${String(performance.now())}`, path: `${writePath}x`, method: "POST" })).status === 200);
-    });
-
-    after(async () => {
-        target.stop();
-        await fleet.stop();
+    useScriptedFleet((started) => {
+        ({ target, host } = started);
     });
 
     const write = (id: string, method = "POST"): Promise<ClientAnswer> =>
--- a/test/fleet/unprovenResponses.spec.ts
+++ b/test/fleet/unprovenResponses.spec.ts
@@ -1,21 +1,13 @@
 import type net from "node:net";
 import { expect } from "chai";
-import { topics } from "../../platform/names.js";
-import type { ClientAnswer, FleetHost } from "./fleet.js";
-import { buildRoutingConfig, Fleet, fetchAdminPage, paths, plainService, send, sleep } from "./fleet.js";
+import type { ClientAnswer, Fleet, FleetHost } from "./fleet.js";
+import { fetchAdminPage, paths, send, sleep } from "./fleet.js";
+import { useScriptedFleet, writePath } from "./scriptedFleet.js";
 import type { ScriptedTarget } from "./scriptedTarget.js";
-import { answerBytes, signedAnswer, startScriptedTarget } from "./scriptedTarget.js";
+import { answerBytes, signedAnswer } from "./scriptedTarget.js";
 
-const writePath = "/write/";
 const bytesStreamed = 300_000;
 
-/** A configuration with a route to the service without keys whose requests must not run twice. */
-function buildConfig(): object {
-    const config = buildRoutingConfig(1) as { routes: { rows: unknown[][] } };
-    config.routes.rows.push(["r-write", "fleet.example", writePath, "unsafe", 3_000, 500, 1, plainService, 1, undefined]);
-    return config;
-}
-
 /** What a target writes in response to a request. */
 type Write = (socket: net.Socket, requestId: string) => void;
 
@@ -75,18 +67,8 @@
     let target: ScriptedTarget;
     let host: FleetHost;
 
-    before(async () => {
-        fleet = await Fleet.start(1, 1, 0);
-        fleet.store.put(topics.configuration, "config", buildConfig());
-        target = await startScriptedTarget(fleet.store, "scripted", plainService);
-        [host] = fleet.hosts as [FleetHost];
-        await fleet.waitUntil("the scripted target is used", async () =>
-            (await send(host, { id: `first-${String(performance.now())}`, path: `${writePath}x`, method: "POST" })).status === 200);
-    });
-
-    after(async () => {
-        target.stop();
-        await fleet.stop();
+    useScriptedFleet((started) => {
+        ({ fleet, target, host } = started);
     });
 
     const request = async (path: string, id: string, write: Write): Promise<ClientAnswer> => {
