--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -7,11 +7,12 @@
 import type { ReuseTerms } from "./connectionReuse.js";
 import type { TargetDialect, TargetNotice } from "./dialect.js";
 import { withoutHeaders, withoutHopByHop } from "../entry/hopByHop.js";
+import type { Exchange } from "./exchange.js";
 import type { Interrupt, InterruptReason, GiveUpPolicy } from "./interrupt.js";
 import { createInterrupt } from "./interrupt.js";
 import type { ResponseHead } from "./responseParser.js";
 import { headerOf } from "./responseParser.js";
-import type { Exchange, TargetConnection } from "./targetConnection.js";
+import type { TargetConnection } from "./targetConnection.js";
 
 /** A response body up to this size is buffered until it is complete, so that the request can be retried if the response breaks off. */
 const maxBufferedAnswerBytes = 262_144;
--- /dev/null
+++ b/src/forwarding/exchange.ts
@@ -0,0 +1,147 @@
+/** A request to a target and its response, on one connection. */
+import type net from "node:net";
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
+import type { Failure } from "../model/failure.js";
+import type { ResponseHead } from "./responseParser.js";
+
+/** Number of unread body bytes at which reading from the target's socket is paused. */
+const maxBufferedBytes = 262_144;
+
+/** A request as it is written to the socket. */
+export interface OutgoingRequest {
+    method: string;
+    /** Request line and headers, including the empty line after them. */
+    head: string;
+    /** The complete body, or undefined if there is none or it is written through `Exchange.write`. */
+    body: Buffer | undefined;
+    /** True if the body is written through `Exchange.write`. */
+    hasMore: boolean;
+    /** Returns whether a response belongs to this request; other responses are skipped. */
+    isAnswer: (head: ResponseHead) => boolean;
+}
+
+/** A request that was sent, and its response. */
+export interface Exchange {
+    /** Waits for the head of the response. */
+    head(): Promise<Result<ResponseHead, Failure>>;
+    /** Waits for the next piece of the response body; undefined marks its end. */
+    read(): Promise<Result<Buffer | undefined, Failure>>;
+    /**
+     * Writes a piece of the request body.
+     * @returns resolves when the socket accepts more data, or when the exchange has ended
+     */
+    write(piece: Buffer): Promise<void>;
+    /** Marks the request body as complete. */
+    finishBody(): void;
+    /** Number of responses to other requests that were skipped. */
+    readonly skippedResponses: number;
+}
+
+interface Waiter {
+    wake: () => void;
+}
+
+/** Buffers the response to one request until it is read. */
+export class ExchangeState implements Exchange {
+    responseHead: ResponseHead | undefined;
+    skippedResponses = 0;
+    bodySent: boolean;
+    private readonly chunks: Buffer[] = [];
+    private bufferedBytes = 0;
+    private ended = false;
+    private lastFailure: Failure | undefined;
+    private reader: Waiter | undefined;
+    private writer: Waiter | undefined;
+
+    constructor(readonly request: OutgoingRequest, private readonly socket: net.Socket) {
+        this.bodySent = !request.hasMore;
+    }
+
+    async head(): Promise<Result<ResponseHead, Failure>> {
+        while (this.responseHead === undefined) {
+            if (this.lastFailure !== undefined) {
+                return err(this.lastFailure);
+            }
+            await this.nextEvent();
+        }
+        return ok(this.responseHead);
+    }
+
+    async read(): Promise<Result<Buffer | undefined, Failure>> {
+        for (;;) {
+            const chunk = this.chunks.shift();
+            if (chunk !== undefined) {
+                this.bufferedBytes -= chunk.length;
+                if (this.bufferedBytes < maxBufferedBytes) {
+                    this.socket.resume();
+                }
+                return ok(chunk);
+            }
+            if (this.ended) {
+                return ok(undefined);
+            }
+            if (this.lastFailure !== undefined) {
+                return err(this.lastFailure);
+            }
+            await this.nextEvent();
+        }
+    }
+
+    write(piece: Buffer): Promise<void> {
+        if (this.ended || this.lastFailure !== undefined || this.socket.write(piece)) {
+            return Promise.resolve();
+        }
+        return new Promise((wake) => {
+            this.writer = { wake };
+        });
+    }
+
+    finishBody(): void {
+        this.bodySent = true;
+    }
+
+    onHead(head: ResponseHead): void {
+        this.responseHead = head;
+        this.wakeReader();
+    }
+
+    onBody(chunk: Buffer): void {
+        this.chunks.push(chunk);
+        this.bufferedBytes += chunk.length;
+        if (this.bufferedBytes >= maxBufferedBytes) {
+            this.socket.pause();
+        }
+        this.wakeReader();
+    }
+
+    onEnd(): void {
+        this.ended = true;
+        this.onDrain();
+        this.wakeReader();
+    }
+
+    onFailure(failed: Failure): void {
+        this.lastFailure = failed;
+        this.onDrain();
+        this.wakeReader();
+    }
+
+    onDrain(): void {
+        const { writer } = this;
+        this.writer = undefined;
+        writer?.wake();
+    }
+
+    private nextEvent(): Promise<void> {
+        return new Promise((wake) => {
+            this.reader = { wake };
+        });
+    }
+
+    private wakeReader(): void {
+        const { reader } = this;
+        this.reader = undefined;
+        reader?.wake();
+    }
+}
--- a/test/forwarding/targetConnection.spec.ts
+++ b/test/forwarding/targetConnection.spec.ts
@@ -1,8 +1,9 @@
 import net from "node:net";
 import { once } from "node:events";
 import { expect } from "chai";
+import type { Exchange } from "../../src/forwarding/exchange.js";
 import { headerOf } from "../../src/forwarding/responseParser.js";
-import type { Exchange, TargetConnection } from "../../src/forwarding/targetConnection.js";
+import type { TargetConnection } from "../../src/forwarding/targetConnection.js";
 import { connectToTarget } from "../../src/forwarding/targetConnection.js";
 import type { Address } from "../../src/model/names.js";
 
