The ledger's decoder and its schemas stand in ledgerDecoder.ts

No change of behaviour: the schemas, the keys by kind, parseLedgerRecord and decodeLedgerRecord were moved from ledger.ts word for word; their users import them from there. In eslint.config.js the one upward import of src/store/topicReader.ts follows the function: it was ownership/ledger.js and is ownership/ledgerDecoder.js, which passes on the type LedgerChange, so that it stays one.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,7 +14,7 @@
     "src/observe/requestLog.ts": ["forwarding/attempt.js", "forwarding/statedRateLimits.js"],
     "src/observe/requestRecorder.ts": ["forwarding/attempt.js", "forwarding/statedRateLimits.js"],
     "src/store/clusterView.ts": ["ownership/ledger.js"],
-    "src/store/topicReader.ts": ["ownership/ledger.js"],
+    "src/store/topicReader.ts": ["ownership/ledgerDecoder.js"],
 };
 
 const noNull = { selector: "Literal[raw='null']", message: "Use undefined." };
--- a/test/cluster/crashRecording.spec.ts
+++ b/test/cluster/crashRecording.spec.ts
@@ -6,7 +6,8 @@
 import type { HostId, Offset, ServiceId, TargetId } from "../../src/model/names.js";
 import type { Clock, Instant } from "../../src/model/time.js";
 import type { LedgerRecord } from "../../src/ownership/ledger.js";
-import { decodeLedgerRecord, encodeLedgerRecord } from "../../src/ownership/ledger.js";
+import { encodeLedgerRecord } from "../../src/ownership/ledger.js";
+import { decodeLedgerRecord } from "../../src/ownership/ledgerDecoder.js";
 import type { DraftedRecord } from "../../src/ownership/ownershipDraft.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 
--- a/test/ownership/ledgerWriter.spec.ts
+++ b/test/ownership/ledgerWriter.spec.ts
@@ -4,7 +4,7 @@
 import type { Failure } from "../../src/model/failure.js";
 import { failure } from "../../src/model/failure.js";
 import type { Address, KeyRange, Offset, ServiceId, TargetId } from "../../src/model/names.js";
-import { decodeLedgerRecord } from "../../src/ownership/ledger.js";
+import { decodeLedgerRecord } from "../../src/ownership/ledgerDecoder.js";
 import { createLedgerWriter } from "../../src/ownership/ledgerWriter.js";
 import type { Assignment } from "../../src/ownership/ownershipDraft.js";
 import { ClusterView } from "../../src/store/clusterView.js";
--- a/test/ownership/oddLedgerRecords.spec.ts
+++ b/test/ownership/oddLedgerRecords.spec.ts
@@ -8,7 +8,7 @@
 import type { Offset, Term } from "../../src/model/names.js";
 import { FenceCounter } from "../../src/ownership/fences.js";
 import type { LedgerRecord, TermRecord } from "../../src/ownership/ledger.js";
-import { decodeLedgerRecord } from "../../src/ownership/ledger.js";
+import { decodeLedgerRecord } from "../../src/ownership/ledgerDecoder.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 import type { NewRecord, StorePort, StoreRecord } from "../../src/store/storePort.js";
 import { createTopicReader } from "../../src/store/topicReader.js";
--- a/test/ownership/records.spec.ts
+++ b/test/ownership/records.spec.ts
@@ -4,7 +4,8 @@
 import { maxKey } from "../../src/model/names.js";
 import { FenceCounter } from "../../src/ownership/fences.js";
 import type { LedgerChange, OwnershipRecord, TermRecord } from "../../src/ownership/ledger.js";
-import { decodeLedgerRecord, encodeLedgerRecord, Ledger, ownershipKeyOf, termKey } from "../../src/ownership/ledger.js";
+import { encodeLedgerRecord, Ledger, ownershipKeyOf, termKey } from "../../src/ownership/ledger.js";
+import { decodeLedgerRecord } from "../../src/ownership/ledgerDecoder.js";
 import { OwnerMap } from "../../src/ownership/ownerMap.js";
 import { draftOwnerships } from "../../src/ownership/ownershipDraft.js";
 import { withoutRange, withRange } from "../../src/ownership/ranges.js";
