--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -11,6 +11,9 @@
 import type { MemberListUpdate, MemberListVersion } from "./memberList.js";
 import type { Member } from "./membership.js";
 
+/** Time within which a host answers a call of another one. */
+export const callTimeoutMs = 500;
+
 /** RPC methods that hosts offer each other. */
 export const clusterMethods = {
     /** A host asks the coordinator for its current state, and for updates from then on. */
--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -13,11 +13,9 @@
 import type { Membership } from "./membership.js";
 import type { MessageChecks } from "./messageChecks.js";
 import type { ConfigurationReply, FollowParams, FollowReply, News } from "./messages.js";
-import { clusterMethods } from "./messages.js";
+import { callTimeoutMs, clusterMethods } from "./messages.js";
 import type { PeerConnection } from "./peerConnection.js";
 
-const callTimeoutMs = 500;
-
 /** Least time between two requests for all targets, made while this host's targets differ from the coordinator's. */
 const allTargetsRequestGapMs = 1_000;
 
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -24,7 +24,7 @@
 import { KnownTerm } from "./knownTerm.js";
 import type { Member, Membership } from "./membership.js";
 import { createMessageChecks } from "./messageChecks.js";
-import { clusterMethods } from "./messages.js";
+import { callTimeoutMs, clusterMethods } from "./messages.js";
 import { createNewsReceiver } from "./newsReceiver.js";
 import { createNodeHandlers } from "./nodeHandlers.js";
 import type { PeerHandlers } from "./peerConnection.js";
@@ -34,7 +34,6 @@
 import { createTakeover } from "./takeover.js";
 import { TermClaims } from "./termClaims.js";
 
-const callTimeoutMs = 500;
 const retryDelayMs = 80;
 
 /** Dependencies of a node. */
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -9,14 +9,12 @@
 import type { KnownTerm } from "./knownTerm.js";
 import type { Member, Membership } from "./membership.js";
 import type { ResignReply } from "./messages.js";
-import { clusterMethods } from "./messages.js";
+import { callTimeoutMs, clusterMethods } from "./messages.js";
 import type { PeerConnection } from "./peerConnection.js";
 import type { PeerLinks } from "./peerLinks.js";
 import { claimTimeMs, coordinatorTimeoutMs, successionRank } from "./succession.js";
 import type { TermClaims } from "./termClaims.js";
 
-const callTimeoutMs = 500;
-
 /** Dependencies of a takeover. */
 export interface TakeoverDependencies {
     self: Member;
--- a/src/forwarding/quarantineGuard.ts
+++ b/src/forwarding/quarantineGuard.ts
@@ -1,6 +1,7 @@
 /**
  * Keeps requests that crash the targets that run them from being sent: they are refused, also while they wait for a slot. After a
- * quarantine one of them may run, if the coordinator grants a trial.
+ * quarantine one of them may run, if the coordinator grants a trial. Requests that a stopping host could not finish are refused in the
+ * same places.
  */
 import type { CrashEvidence, Standing } from "../crashes/crashEvidence.js";
 import type { TrialParams, TrialReply } from "../crashes/trial.js";
