--- a/test/fleet/fleet.ts
+++ b/test/fleet/fleet.ts
@@ -159,8 +159,9 @@
      * Starts a daemon and adds it to the fleet.
      * @param name name of the host
      * @param storeAddress address of the store in the host's settings
+     * @param isCuttable true if the test cuts the host off from targets, see `targetCut.ts`
      */
-    async startHost(name: string, storeAddress = this.store.address): Promise<FleetHost> {
+    async startHost(name: string, storeAddress = this.store.address, isCuttable = false): Promise<FleetHost> {
         const [peerPort, clientPort, readyPort, adminPort] = await this.allocatePorts();
         const settingsFile = join(this.folder, `${name}.toml`);
         const logFile = join(this.folder, `${name}.log`);
@@ -171,8 +172,10 @@
             "[limits]", "cpu_share = 0.5", "memory_mb = 350", "max_fds = 4100",
             "[platform]", `address = "${storeAddress}"`,
         ].join("\n"));
-        const child = spawn(process.execPath, ["target/hornbeam-host.cjs", "--admin-port", String(adminPort)], {
-            env: { PATH: process.env["PATH"], [settingsPathVariable]: settingsFile }, stdio: ["ignore", openSync(logFile, "a"), "inherit"],
+        const preloads = isCuttable ? ["--import", "./test/fleet/targetCutPreload.mjs"] : [];
+        const child = spawn(process.execPath, [...preloads, "target/hornbeam-host.cjs", "--admin-port", String(adminPort)], {
+            env: { PATH: process.env["PATH"], [settingsPathVariable]: settingsFile },
+            stdio: ["ignore", openSync(logFile, "a"), "inherit", ...isCuttable ? ["ipc" as const] : []],
         });
         const started: FleetHost = { name, child, clientPort, readyPort, adminPort, logFile };
         this.hosts.push(started);
