A host finds out, and says, that it is cut off from targets that other hosts reach

Change, observability only: a target that doesn't answer is checked by a connection of this host and asked for at other hosts (RPC `reach`); the belief (open, severed, down; cut off from all) has its evidence in log lines (`reachability: targets out of reach`, `cut off from targets`, `targets in reach again`), a gauge `hornbeam_cut_off_from_targets` and the dump. So far the lease calls of the coordinator ask for checks; nothing is decided by the belief yet.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 
 /** Folders of `src` from top to bottom. A module imports only from its own folder and from those below it. */
 export const layers = [
-    "host", "forwarding", "admission", "cluster", "control", "ownership", "crashes", "store",
+    "host", "forwarding", "admission", "reachability", "cluster", "control", "ownership", "crashes", "store",
     "observe", "entry", "config", "routing", "settings", "adapters", "model",
 ];
 
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -16,6 +16,7 @@
 import { createClientHttp } from "../entry/clientHttp.js";
 import { ownDialect } from "../entry/ownDialect.js";
 import { createConnectionPool } from "../forwarding/connectionPool.js";
+import { connectToTarget } from "../forwarding/targetConnection.js";
 import type { ClientDialect } from "../entry/clientDialect.js";
 import type { TargetDialect } from "../forwarding/dialect.js";
 import { createForwarder } from "../forwarding/forwarder.js";
@@ -31,6 +32,8 @@
 import type { LeasePort } from "../ownership/leasePort.js";
 import { LoadMeter } from "../ownership/loadMeter.js";
 import { OwnerLookup } from "../ownership/ownerLookup.js";
+import { observeLeasePort } from "../reachability/observedLeasePort.js";
+import { createReachabilityMonitor } from "../reachability/reachabilityMonitor.js";
 import { Splitter } from "../routing/splitter.js";
 import type { HostSettings } from "../settings/hostSettings.js";
 import { ClusterView } from "../store/clusterView.js";
@@ -86,7 +89,8 @@
     provide(tokens.targetDialect, () => adapters.targetDialect);
     provide(tokens.decoders, () => adapters.decoders);
     provide(tokens.store, (from) => adapters.createStore(from.resolve(tokens.metrics)));
-    provide(tokens.leases, (from) => adapters.createLeases(from.resolve(tokens.metrics)));
+    provide(tokens.leases, (from) => observeLeasePort(
+        adapters.createLeases(from.resolve(tokens.metrics)), from.resolve(tokens.reachability), from.resolve(tokens.view)));
     provide(tokens.view, () => new ClusterView());
     provide(tokens.owners, (from) => new OwnerLookup(from.resolve(tokens.view), drainMs));
     provide(tokens.loadMeter, () => new LoadMeter());
@@ -127,6 +131,22 @@
     }));
     provide(tokens.retryBudgets, (from) => createRetryBudgets(
         { ratio: settings.retryRatio, extra: settings.extraRetries }, () => from.resolve(tokens.membership).members().length));
+    provide(tokens.reachability, (from) => createReachabilityMonitor({
+        view: from.resolve(tokens.view),
+        membership: from.resolve(tokens.membership),
+        links: from.resolve(tokens.links),
+        connect: async ({ address }, timeoutMs) => {
+            const opened = await connectToTarget(address, timeoutMs);
+            return opened.match((connection) => {
+                from.resolve(tokens.metrics).connections.inc({ kind: "check" });
+                from.resolve(tokens.pool).release(address, connection);
+                return true;
+            }, () => false);
+        },
+        clock: from.resolve(tokens.clock),
+        random: from.resolve(tokens.random),
+        log: from.resolve(tokens.logFactory)("reachability"),
+    }));
     provide(tokens.pool, (from) => createConnectionPool(from.resolve(tokens.clock), () => {
         from.resolve(tokens.metrics).connections.inc({ kind: "request" });
     }));
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -67,7 +67,8 @@
 
     let isStopping = false;
     const peerHandlers = hostContainer.resolve(tokens.peerHandlers);
-    Object.assign(peerHandlers, node.handlers(), hostContainer.resolve(tokens.admissionServer).handlers());
+    const reachability = hostContainer.resolve(tokens.reachability);
+    Object.assign(peerHandlers, node.handlers(), hostContainer.resolve(tokens.admissionServer).handlers(), reachability.handlers());
     registerGauges(hostContainer);
 
     const peers = await listenForPeers(settings.peerAddress, peerHandlers, clock);
@@ -76,6 +77,7 @@
         unreadyReason,
         dump: () => ({
             ...node.describe(), unready: unreadyReason(), pending: clients.pending(), crashes: evidence.describe(clock.now().monoMs),
+            reachability: reachability.describe(),
         }),
         metrics: () => hostContainer.resolve(tokens.metrics).text(),
     });
@@ -84,6 +86,7 @@
     const crashLog = hostContainer.resolve(tokens.logFactory)("crashes");
     void monitorStandings({ evidence, clock, log: crashLog }, tasksAbort.signal);
     void hostContainer.resolve(tokens.pool).run(tasksAbort.signal);
+    void reachability.run(tasksAbort.signal);
     void hostContainer.resolve(tokens.admissionServer).run(tasksAbort.signal);
     void node.run(tasksAbort.signal);
     log.info("started", {
@@ -140,6 +143,8 @@
         hostContainer.resolve(tokens.clientHttp).pending());
     metrics.gauge("hornbeam_idle_connections", "Idle connections to targets.", () =>
         hostContainer.resolve(tokens.pool).idleCount());
+    metrics.gauge("hornbeam_cut_off_from_targets", "1 if this host can't reach targets that other hosts reach, else 0.", () =>
+        hostContainer.resolve(tokens.reachability).isCutOff() ? 1 : 0);
     metrics.gauge("hornbeam_queue_waiting", "Requests that wait in the admission queues on this host.", () =>
         hostContainer.resolve(tokens.admissionServer).pressures().reduce((sum, { waiting }) => sum + waiting, 0));
     const countStandings = (wanted: AdverseStanding["kind"]) => hostContainer.resolve(tokens.crashEvidence)
--- a/src/host/tokens.ts
+++ b/src/host/tokens.ts
@@ -20,6 +20,7 @@
 import type { LogWriter } from "../observe/logWriter.js";
 import type { Metrics } from "../observe/metrics.js";
 import type { RequestLog } from "../observe/requestLog.js";
+import type { ReachabilityMonitor } from "../reachability/reachabilityMonitor.js";
 import type { LeasePort } from "../ownership/leasePort.js";
 import type { LoadMeter } from "../ownership/loadMeter.js";
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
@@ -58,6 +59,7 @@
     /** Starts empty; the handlers are added once the components that serve calls from other hosts exist. */
     peerHandlers: token<PeerHandlers>("peerHandlers"),
     links: token<PeerLinks>("links"),
+    reachability: token<ReachabilityMonitor>("reachability"),
     admissionServer: token<AdmissionServer>("admissionServer"),
     queueHosts: token<QueueHosts>("queueHosts"),
     admission: token<AdmissionClient>("admission"),
--- a/test/world/virtualHosts.ts
+++ b/test/world/virtualHosts.ts
@@ -23,6 +23,8 @@
 import { createMetrics } from "../../src/observe/metrics.js";
 import { LoadMeter } from "../../src/ownership/loadMeter.js";
 import { OwnerLookup } from "../../src/ownership/ownerLookup.js";
+import { observeLeasePort } from "../../src/reachability/observedLeasePort.js";
+import { createReachabilityMonitor } from "../../src/reachability/reachabilityMonitor.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 import type { RecordDecoders } from "../../src/store/recordDecoders.js";
 import { createTopicReader } from "../../src/store/topicReader.js";
@@ -128,20 +130,25 @@
         run.admission = createAdmissionClient({
             localServer: admissionServer, membership, queueHosts, links, clock: process.clock, nextTicket: () => this.nextTicket(hostId),
         });
+        const reachability = createReachabilityMonitor({
+            view, membership, links, clock: process.clock, log, random: () => this.targetOrder.uniform(),
+            connect: async ({ address }) => await this.targets.probe(hostId, address, process) === "listening",
+        });
         run.node = createNode({
             self, view, store, reader, owners, loads, log,
             maxHoldMs: 10_000,
             membership,
             links,
-            leases: this.targets.createLeasePort(hostId, process),
+            leases: observeLeasePort(this.targets.createLeasePort(hostId, process), reachability, view),
             admissionServer, crashEvidence, crashObserver,
             clock: process.clock,
             onMove: () => undefined,
         });
         run.crashObserver = crashObserver;
-        run.handlers = { ...run.node.handlers(), ...admissionServer.handlers() };
+        run.handlers = { ...run.node.handlers(), ...admissionServer.handlers(), ...reachability.handlers() };
         this.runs.set(hostId, run);
         setMaxListeners(0, run.stop.signal);
+        void reachability.run(run.stop.signal);
         void run.node.run(run.stop.signal);
         void admissionServer.run(run.stop.signal);
     }
