A queue that was set up while its target was silent opens once the target answers

Cause: whether a target may get requests is computed when the directory changes, or while a target leaves; a queue that was created while the coordinator called its target silent kept that for as long as the entry stayed as it was. Change: silence counts as a passing state like leaving. Test: admissionServer.spec, "grants slots again once a target answers that was silent when its queue was set up", failed before (refused, no-target).

--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -46,8 +46,8 @@
     pendingReplies: Map<Ticket, (reply: EnterReply) => void>;
     /** Version of the view's targets that the queue has, or -1 for none. */
     viewVersion: number;
-    /** True while a target of the group is leaving: it closes after a while even if the view does not change. */
-    hasLeavingTarget: boolean;
+    /** True while a target of the group is leaving or silent: it closes or opens after a while even if the view does not change. */
+    hasPassingState: boolean;
     /** Monotonic time of the last message for the queue. */
     lastUsedMs: number;
 }
@@ -85,7 +85,7 @@
         const name = groupName(group);
         const managed = queues.get(name) ?? {
             group, queue: new AdmissionQueue(random, group.kind === "target"), pendingReplies: new Map(),
-            viewVersion: -1, hasLeavingTarget: false, lastUsedMs: nowMs,
+            viewVersion: -1, hasPassingState: false, lastUsedMs: nowMs,
         };
         queues.set(name, managed);
         managed.lastUsedMs = nowMs;
@@ -96,10 +96,10 @@
     /** Applies changes of the targets and of this host's share of their rate limits. */
     const refresh = (managed: ManagedQueue, nowMs: number) => {
         managed.queue.setRateLimitShare(queueHosts.rateLimitShare(managed.group), nowMs);
-        if (managed.viewVersion !== view.targetsVersion || managed.hasLeavingTarget) {
+        if (managed.viewVersion !== view.targetsVersion || managed.hasPassingState) {
             const targets = targetsOf(managed.group);
             managed.viewVersion = view.targetsVersion;
-            managed.hasLeavingTarget = targets.some(({ leavingSinceMs }) => leavingSinceMs !== undefined);
+            managed.hasPassingState = targets.some(({ targetId, leavingSinceMs }) => leavingSinceMs !== undefined || isSilent(targetId));
             sendReplies(managed, managed.queue.setTargets(targets.map((target) => toQueueTarget(target, managed.group, nowMs)), nowMs));
         }
     };
@@ -209,7 +209,7 @@
         run: async (signal) => {
             while (!signal.aborted) {
                 const needsFrequentTicks = [...queues.values()]
-                    .some(({ queue, hasLeavingTarget }) => hasLeavingTarget || queue.waitingCount > 0);
+                    .some(({ queue, hasPassingState }) => hasPassingState || queue.waitingCount > 0);
                 await (needsFrequentTicks ? clock.sleep(tickMs, signal) : waitFor(clock, idleTickMs, [requestQueued], signal));
                 const nowMs = clock.now().monoMs;
                 for (const [name, managed] of queues) {
--- a/test/admission/admissionServer.spec.ts
+++ b/test/admission/admissionServer.spec.ts
@@ -70,4 +70,12 @@
         await pair.clock.advance(10);
         expect(decisions).to.deep.equal(["granted"]);
     });
+
+    it("grants slots again once a target answers that was silent when its queue was set up", async () => {
+        const pair = new HostPair();
+        pair.isTargetSilent = true;
+        expect(await pair.enter()).to.include({ kind: "refused", reason: "no-target" });
+        pair.isTargetSilent = false;
+        expect((await pair.enter()).kind).to.equal("granted");
+    });
 });
--- a/test/admission/hostPair.ts
+++ b/test/admission/hostPair.ts
@@ -28,6 +28,8 @@
     readonly clock = new VirtualClock();
     /** Number of messages for the queue so far, including those that its server makes up itself. */
     queueUseCount = 0;
+    /** True while the target counts as silent. */
+    isTargetSilent = false;
     /** True while replies of the queue's host do not arrive. */
     isLosingReplies = false;
     private connected = Promise.resolve();
@@ -80,7 +82,7 @@
     private createServer(hostName: string, view: ClusterView) {
         const queueHosts = new QueueHosts(new Membership(member(hostName)), view);
         return createAdmissionServer({
-            view, clock: this.clock, random: () => 0.5, drainMs: 1_000, isSilent: () => false,
+            view, clock: this.clock, random: () => 0.5, drainMs: 1_000, isSilent: () => this.isTargetSilent,
             queueHosts: {
                 ranked: (ofGroup: Group) => queueHosts.ranked(ofGroup),
                 rateLimitShare: () => {
