A coordinator that is cut off from the targets hands its role to a host that reaches them

Cause: only the coordinator grants leases; when its path broke, every lease ended, and it went on as coordinator and called all targets silent. Class: a decision for all hosts that rests on what one host can reach.

Change: a coordinator that finds itself cut off offers its role, first to the host that said that it reaches the targets; a host that is cut off itself declines, and claims late after a loss. The part that hands over at a planned stop is shared (roleHandover.ts).

--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -26,7 +26,7 @@
     resign: "resign",
     /** A host asks whether a request may run once after its quarantine. */
     trial: "trial",
-    /** A coordinator that is leaving asks a host to take over. */
+    /** A coordinator that is leaving, or cut off from targets, asks a host to take over. */
     succeed: "succeed",
     /** A new coordinator announces its term, so that hosts that cannot read the store learn of it too. */
     announce: "announce",
@@ -99,6 +99,12 @@
     | { resigned: true; grantsLastMs: number }
     | { resigned: false };
 
+/** Answer to `succeed`; absent in messages of earlier versions. */
+export interface SucceedReply {
+    /** False if the host that was asked is no better successor. */
+    accepted: boolean;
+}
+
 /** A configuration with the offset of its record. */
 export interface ConfigurationReply {
     config: RoutingConfig;
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -29,9 +29,11 @@
 import { createNodeHandlers } from "./nodeHandlers.js";
 import type { PeerHandlers } from "./peerConnection.js";
 import type { PeerLinks } from "./peerLinks.js";
+import { createRoleHandover } from "./roleHandover.js";
 import type { StateAges } from "./stateAges.js";
 import { createStateAges } from "./stateAges.js";
 import { createTakeover } from "./takeover.js";
+import type { TargetReach } from "./targetReach.js";
 import { TermClaims } from "./termClaims.js";
 
 const retryDelayMs = 80;
@@ -51,6 +53,7 @@
     admissionServer: AdmissionServer;
     crashEvidence: CrashEvidence;
     crashObserver: Pick<CrashObserver, "takeUnreported" | "observed">;
+    targetReach: TargetReach;
     clock: Clock;
     log: Log;
     onMove: OwnershipManagerDependencies["onMove"];
@@ -89,6 +92,8 @@
         ...dependencies, claims, configAge, knownTerm, newsReceiver, directReader, takeover, createReport: () => createReport(dependencies),
     });
 
+    const roleHandover = createRoleHandover({ ...dependencies, isCoordinating: () => coordinator !== undefined });
+
     const coordinate = async (term: TermRecord, signal: AbortSignal) => {
         const claimed = claims.takeClaimedTerm();
         const newCoordinator = createCoordinator({ ...dependencies, ...claimed, term: term.term });
@@ -101,6 +106,7 @@
         stopCoordinating = stop;
         void reportLocally(newCoordinator, stop.signal);
         void announceTerm(term);
+        void roleHandover.whileCutOff(stop.signal);
         const linkedAbort = linkAborts(signal, stop.signal);
         await newCoordinator.run(linkedAbort.signal);
         linkedAbort.release();
@@ -167,16 +173,7 @@
         },
         handOver: async () => {
             membership.leave();
-            const successors = membership.reachable(nowMs()).filter(({ hostId }) => hostId !== self.hostId)
-                .sort((left, right) => right.cpuShare - left.cpuShare);
-            for (const successor of successors) {
-                if (coordinator === undefined) {
-                    return;
-                }
-                await links.call(successor.peerAddress, clusterMethods.succeed, { address: self.peerAddress }, callTimeoutMs);
-                await waitFor(clock, callTimeoutMs, [view.ledgerChanged]);
-                await clock.sleep(retryDelayMs);
-            }
+            await roleHandover.offer();
         },
         isCoordinating: () => coordinator !== undefined,
         isInContact: (atMs) => coordinator !== undefined || following.isInContact(atMs),
--- a/src/cluster/nodeHandlers.ts
+++ b/src/cluster/nodeHandlers.ts
@@ -9,7 +9,7 @@
 import type { Coordinator } from "./coordinator.js";
 import type { Member } from "./membership.js";
 import type { MessageChecks } from "./messageChecks.js";
-import type { ConfigurationReply, FollowParams, FollowReply, News, Report, ResignReply } from "./messages.js";
+import type { ConfigurationReply, FollowParams, FollowReply, News, Report, ResignReply, SucceedReply } from "./messages.js";
 import { clusterMethods } from "./messages.js";
 import type { NewsReceiver } from "./newsReceiver.js";
 import type { PeerConnection, PeerHandlers } from "./peerConnection.js";
@@ -46,9 +46,7 @@
         [clusterMethods.resign]: (): ResignReply => coordinator()?.resign() ?? { resigned: false },
         [clusterMethods.trial]: (params: TrialParams, from: PeerConnection): Promise<TrialReply> | TrialReply =>
             coordinator()?.grantTrial(unwrapOrThrow(checks.trial(params, from.address))) ?? { kind: "unavailable" },
-        [clusterMethods.succeed]: ({ address }: { address: Address }) => {
-            void takeover.takeOverFrom(address);
-        },
+        [clusterMethods.succeed]: ({ address }: { address: Address }): SucceedReply => ({ accepted: takeover.takeOverFrom(address) }),
         [clusterMethods.announce]: (term: TermRecord, from: PeerConnection) => {
             onTermAnnounced(unwrapOrThrow(checks.term(term, from.address)));
         },
--- a/src/cluster/succession.ts
+++ b/src/cluster/succession.ts
@@ -22,7 +22,7 @@
 /** Time between the claims of two hosts with consecutive ranks. */
 export const claimStaggerMs = 120;
 
-/** Extra delay of a host that cannot reach most of the others either: probably that host itself is isolated. */
+/** Extra delay of a host that cannot reach most of the others either, or not the targets: probably that host itself is isolated. */
 const isolationDelayMs = 2_500;
 
 /** State of a host that has lost the coordinator. */
@@ -35,6 +35,8 @@
     knownPeerCount: number;
     /** Number of those hosts that answered a probe. */
     reachablePeerCount: number;
+    /** True if this host can't reach targets that other hosts reach. */
+    isCutOffFromTargets: boolean;
 }
 
 /**
@@ -42,8 +44,10 @@
  * @param situation state of the host
  * @returns monotonic time in milliseconds
  */
-export function claimTimeMs({ lostAtMs, rank, knownPeerCount, reachablePeerCount }: SuccessionSituation): number {
-    const isIsolated = reachablePeerCount * 2 < knownPeerCount;
+export function claimTimeMs(
+    { lostAtMs, rank, knownPeerCount, reachablePeerCount, isCutOffFromTargets }: SuccessionSituation,
+): number {
+    const isIsolated = reachablePeerCount * 2 < knownPeerCount || isCutOffFromTargets;
     return lostAtMs + rank * claimStaggerMs + (isIsolated ? isolationDelayMs : 0);
 }
 
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -13,6 +13,7 @@
 import type { PeerConnection } from "./peerConnection.js";
 import type { PeerLinks } from "./peerLinks.js";
 import { claimTimeMs, coordinatorTimeoutMs, successionRank } from "./succession.js";
+import type { TargetReach } from "./targetReach.js";
 import type { TermClaims } from "./termClaims.js";
 
 /** Dependencies of a takeover. */
@@ -24,6 +25,7 @@
     directReader: Pick<DirectReader, "retryDelayMs">;
     claims: TermClaims;
     knownTerm: KnownTerm;
+    targetReach: TargetReach;
     clock: Clock;
 }
 
@@ -31,15 +33,18 @@
 export interface Takeover {
     /** Asks the coordinator to resign, and claims the next term if it did; resolves to whether the store acknowledged the claim. */
     takeOver(coordinator: PeerConnection): Promise<boolean>;
-    /** Takes over from a coordinator that is leaving and has asked this host to do so. */
-    takeOverFrom(address: Address): Promise<void>;
+    /**
+     * Takes over from a coordinator that is leaving, or cut off from targets, and has asked this host to do so.
+     * @returns false if this host is no better successor
+     */
+    takeOverFrom(address: Address): boolean;
     /** Waits until another host has claimed a new term, or claims it when it is this host's turn. */
     succeed(lostTerm: TermRecord | undefined, signal: AbortSignal): Promise<void>;
 }
 
 /** Creates the takeover. */
 export function createTakeover(
-    { self, membership, links, reader, directReader, claims, knownTerm, clock }: TakeoverDependencies,
+    { self, membership, links, reader, directReader, claims, knownTerm, targetReach, clock }: TakeoverDependencies,
 ): Takeover {
     const nowMs = () => clock.now().monoMs;
 
@@ -58,18 +63,22 @@
 
     return {
         takeOver,
-        takeOverFrom: async (address) => {
-            const connection = await links.connect(address);
-            if (connection.isOk() && !membership.isLeaving) {
-                await takeOver(connection.value);
+        takeOverFrom: (address) => {
+            if (membership.isLeaving || targetReach.isCutOff()) {
+                return false;
             }
+            void links.connect(address).then((connection) => connection.isOk() && !membership.isLeaving && takeOver(connection.value));
+            return true;
         },
         succeed: async (lostTerm, signal) => {
             const lostAtMs = nowMs();
             const others = membership.members().filter(({ hostId }) => hostId !== self.hostId && hostId !== lostTerm?.hostId);
             const reachableCount = await countReachable(others);
             const rank = lostTerm?.hostId === self.hostId ? 0 : successionRank(self, others);
-            const claimAtMs = claimTimeMs({ lostAtMs, rank, knownPeerCount: others.length, reachablePeerCount: reachableCount });
+            const claimAtMs = claimTimeMs({
+                lostAtMs, rank, knownPeerCount: others.length, reachablePeerCount: reachableCount,
+                isCutOffFromTargets: targetReach.isCutOff(),
+            });
             while (!signal.aborted && !membership.isLeaving) {
                 const isRead = (await reader.read("ledger", 0)).isOk();
                 if (knownTerm.latest?.term !== lostTerm?.term) {
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -220,6 +220,7 @@
         admissionServer: from.resolve(tokens.admissionServer),
         crashEvidence: from.resolve(tokens.crashEvidence),
         crashObserver: from.resolve(tokens.crashObserver),
+        targetReach: from.resolve(tokens.reachability),
         clock: from.resolve(tokens.clock),
         log: from.resolve(tokens.logFactory)("cluster"),
         onMove: (move, outcome) => {
--- a/test/cluster/cluster.spec.ts
+++ b/test/cluster/cluster.spec.ts
@@ -18,16 +18,23 @@
 }
 
 describe("succession", () => {
+    const isCutOffFromTargets = false;
+
     it("staggers the claims of hosts by rank", () => {
-        const at = (rank: number) => claimTimeMs({ lostAtMs: 1_000, rank, knownPeerCount: 4, reachablePeerCount: 4 });
+        const at = (rank: number) => claimTimeMs({ lostAtMs: 1_000, rank, knownPeerCount: 4, reachablePeerCount: 4, isCutOffFromTargets });
         expect(at(0)).to.equal(1_000);
         expect(at(1) - at(0)).to.be.above(50);
         expect(at(2) - at(1)).to.equal(at(1) - at(0));
     });
 
     it("delays the claim of a host that reaches fewer than half of the others", () => {
-        expect(claimTimeMs({ lostAtMs: 0, rank: 0, knownPeerCount: 6, reachablePeerCount: 2 })).to.be.above(2_000);
-        expect(claimTimeMs({ lostAtMs: 0, rank: 0, knownPeerCount: 0, reachablePeerCount: 0 })).to.equal(0);
+        expect(claimTimeMs({ lostAtMs: 0, rank: 0, knownPeerCount: 6, reachablePeerCount: 2, isCutOffFromTargets })).to.be.above(2_000);
+        expect(claimTimeMs({ lostAtMs: 0, rank: 0, knownPeerCount: 0, reachablePeerCount: 0, isCutOffFromTargets })).to.equal(0);
+    });
+
+    it("delays the claim of a host that is cut off from the targets", () => {
+        const situation = { lostAtMs: 0, rank: 0, knownPeerCount: 4, reachablePeerCount: 4 };
+        expect(claimTimeMs({ ...situation, isCutOffFromTargets: true })).to.be.above(2_000);
     });
 });
 
--- a/test/world/virtualHosts.ts
+++ b/test/world/virtualHosts.ts
@@ -140,6 +140,7 @@
             membership,
             links,
             leases: observeLeasePort(this.targets.createLeasePort(hostId, process), reachability, view),
+            targetReach: reachability,
             admissionServer, crashEvidence, crashObserver,
             clock: process.clock,
             onMove: () => undefined,
--- a/test/world/world.spec.ts
+++ b/test/world/world.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { hasFailed, playRun } from "./runs.js";
-import { allFaultNames, World } from "./world.js";
+import { allFaultNames, faultNamesWithLimits, World } from "./world.js";
 
 /** Seeds that once failed, with the cause. */
 const regressionSeeds: [seed: number, cause: string][] = [
@@ -39,12 +39,39 @@
 
     it("seeds 6000 and up: the same beside targets that state rate limits, whose leases are renewed less often and last longer", async () => {
         for (let seed = 6_000; seed < 6_000 + extraSeedCount; seed++) {
+            const result = await playRun(seed, faultNamesWithLimits);
+            expect(hasFailed(result), `seed ${String(seed)}: ${result.violations[0] ?? `share of keys held ${String(result.heldShareAfter)}`}`).to.equal(false);
+        }
+    }).timeout(60_000);
+
+    it("seeds 7000 and up: the same beside hosts that are cut off from all targets", async () => {
+        for (let seed = 7_000; seed < 7_000 + extraSeedCount; seed++) {
             const result = await playRun(seed, allFaultNames);
             expect(hasFailed(result), `seed ${String(seed)}: ${result.violations[0] ?? `share of keys held ${String(result.heldShareAfter)}`}`).to.equal(false);
         }
     }).timeout(60_000);
 });
 
+describe("a coordinator that is cut off from all targets", () => {
+    for (const { spared, seed } of [{ spared: 2, seed: 91 }, { spared: 1, seed: 92 }, { spared: 1, seed: 93 }]) {
+        it(`lets no lease end while ${String(spared)} of 4 hosts reach the targets (seed ${String(seed)})`, async () => {
+            const world = new World(seed, 4, 4);
+            await world.clock.advance(6_000);
+            const [coordinator] = world.hosts.coordinators();
+            const others = world.hostIds.filter((hostId) => hostId !== coordinator);
+            world.cutFromTargets([coordinator!, ...others.slice(spared)], true);
+            let leastHeld = 1;
+            for (let count = 0; count < 100; count++) {
+                await world.clock.advance(100);
+                leastHeld = Math.min(leastHeld, world.targets.heldShare());
+            }
+            expect(leastHeld).to.equal(1);
+            expect(world.targets.violations).to.deep.equal([]);
+            world.stop();
+        });
+    }
+});
+
 describe("a store that refuses every host", () => {
     const hostCount = 3;
 
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -51,6 +51,18 @@
         return target;
     }
 
+    /** Cuts hosts off from all targets, or ends such a cut. */
+    cutFromTargets(hostIds: readonly HostId[], isCut: boolean): void {
+        for (const link of hostIds.flatMap((hostId) => this.targets.all().map(({ targetId }) => `${hostId}>${targetId}`))) {
+            if (isCut) {
+                this.targets.blockedLinks.add(link);
+            }
+            else {
+                this.targets.blockedLinks.delete(link);
+            }
+        }
+    }
+
     /** Records work on random keys at every host, about 40 % of it on one hot key. */
     addLoad(): void {
         const hotKey = this.random.integerUpTo(maxKey) as Key;
@@ -200,6 +212,13 @@
             target.requestsPerSecond = undefined;
         });
     },
+    cutHostsFromTargets: (world) => {
+        const hosts = world.hostIds.filter(() => world.random.chance(0.5));
+        world.cutFromTargets(hosts, true);
+        void world.clock.sleep(1_000 + world.random.integerUpTo(12_000)).then(() => {
+            world.cutFromTargets(hosts, false);
+        });
+    },
     addLoad: (world) => {
         world.addLoad();
         world.addLoad();
@@ -213,4 +232,7 @@
 export const allFaultNames = Object.keys(faults);
 
 /** Names of the faults that the regression seeds select from. Their order decides which of them a seed selects. */
-export const faultNames = allFaultNames.filter((name) => name !== "limitTarget");
+export const faultNames = allFaultNames.filter((name) => name !== "limitTarget" && name !== "cutHostsFromTargets");
+
+/** The same, with rate limits. */
+export const faultNamesWithLimits = allFaultNames.filter((name) => name !== "cutHostsFromTargets");
