A host that is cut off from targets reaches them through a host that isn't

Cause: a host knew one way to a target; it waited 400 ms for each connection, sent again to the same address, and held a slot of the target meanwhile, so the others were refused as `overloaded`. Class: a failed connection has two suspects, target and path, and only the target was ever blamed.

Change: a connection that isn't open after 150 ms, or fails, has the target checked; if other hosts reach it, another host opens the connection and passes the bytes on (RPC `relay`; the peers' connection carries the target's data from then on). So the promises stay with the host that took the request: ids, headers, deadlines, slots, retries, the end of a client. Near hosts first, spread by hash. Idle connections over a broken path aren't used while nothing arrives on any; relayed ones aren't used once the path is sound. A reset of the target stays a reset (an answer without a length must not look whole). Probes for crashes go the same way, so that a cut doesn't look like crashes.

--- a/src/cluster/peerConnection.ts
+++ b/src/cluster/peerConnection.ts
@@ -38,6 +38,11 @@
     call<T>(method: string, params: object, timeoutMs: number): Promise<Result<T, Failure>>;
     /** Sends a message that has no result. */
     notify(method: string, params: object): void;
+    /**
+     * Ends the exchange of messages and returns the socket, which both hosts use for other data from then on; its two directions end
+     * independently. The answer to a call that is being handled is still sent before that.
+     */
+    detach(): net.Socket;
     destroy(): void;
 }
 
@@ -150,6 +155,12 @@
                 rpc.notify(method, params);
             }
         },
+        detach: () => {
+            socket.removeAllListeners("data");
+            socket.pause();
+            socket.allowHalfOpen = true;
+            return socket;
+        },
         destroy: () => socket.destroy(),
     };
 
--- a/src/forwarding/connectionPool.ts
+++ b/src/forwarding/connectionPool.ts
@@ -6,7 +6,7 @@
 import type { Clock } from "../model/time.js";
 import type { ReuseTerms } from "./connectionReuse.js";
 import type { TargetConnection } from "./targetConnection.js";
-import { connectToTarget } from "./targetConnection.js";
+import type { TargetConnector } from "./targetConnector.js";
 
 /** Keep-alive time assumed for a target that states none; targets close idle connections without notice. */
 const defaultKeepAliveMs = 5_000;
@@ -17,7 +17,6 @@
 /** A longer keep-alive time of a target is not relied on. */
 const maxKeepAliveMs = 600_000;
 
-const connectTimeoutMs = 400;
 const sweepIntervalMs = 1_000;
 
 /** Limit on the idle connections to one target. */
@@ -49,9 +48,12 @@
 /**
  * Creates a pool.
  * @param clock source of the current time
+ * @param connector opens connections, and tells which of the idle ones may be used
  * @param onOpened called for each new connection, for metrics
  */
-export function createConnectionPool(clock: Clock, onOpened: (address: Address) => void): ConnectionPool {
+export function createConnectionPool(
+    clock: Clock, connector: Pick<TargetConnector, "connect" | "mayReuse">, onOpened: (address: Address) => void,
+): ConnectionPool {
     const idleByAddress = new Map<Address, IdleConnection[]>();
 
     const idleListOf = (address: Address): IdleConnection[] => {
@@ -96,14 +98,15 @@
         acquire: async (address, { maxIdleMs, isAllowed, isPreferred }) => {
             const list = idleListOf(address);
             const nowMs = clock.now().monoMs;
-            const isCandidate = (idle: IdleConnection) => isUsable(idle, maxIdleMs, nowMs) && isAllowed(idle.connection);
+            const isCandidate = (idle: IdleConnection) => isUsable(idle, maxIdleMs, nowMs) && isAllowed(idle.connection)
+                && connector.mayReuse(address, idle.connection);
             const preferred = list.findLastIndex((idle) => isPreferred(idle.connection) && isCandidate(idle));
             const index = preferred < 0 ? list.findLastIndex(isCandidate) : preferred;
             const [found] = index < 0 ? [] : list.splice(index, 1);
             if (found !== undefined) {
                 return ok(found.connection);
             }
-            const opened = await connectToTarget(address, connectTimeoutMs);
+            const opened = await connector.connect(address);
             return opened.map((connection) => {
                 onOpened(address);
                 return connection;
--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -4,7 +4,7 @@
 import { err, ok } from "neverthrow";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
-import type { Address } from "../model/names.js";
+import type { Address, HostId } from "../model/names.js";
 import { parseAddress } from "../model/valueSchemas.js";
 import type { Exchange, OutgoingRequest } from "./exchange.js";
 import { ExchangeState } from "./exchange.js";
@@ -21,6 +21,8 @@
     readonly reusable: boolean;
     /** Idle time after which the target closes the connection, from its Keep-Alive header; undefined if it sent none. */
     readonly keepAliveMs: number | undefined;
+    /** Host through which the connection passes; undefined if it leads to the target directly. */
+    readonly relay: HostId | undefined;
     /** True once a rejection that doesn't name its request has arrived. */
     readonly hasUnnamedRejection: boolean;
     /** Records that a rejection that doesn't name its request has arrived. */
@@ -40,7 +42,18 @@
  * @param timeoutMs time within which the connection must be open
  * @returns the connection, or a failure of kind `unreachable`
  */
-export function connectToTarget(address: Address, timeoutMs: number): Promise<Result<TargetConnection, Failure>> {
+export async function connectToTarget(address: Address, timeoutMs: number): Promise<Result<TargetConnection, Failure>> {
+    const opened = await openTargetSocket(address, timeoutMs);
+    return opened.map((socket) => createTargetConnection(socket, address, undefined));
+}
+
+/**
+ * Opens a socket to a target.
+ * @param address the target's address
+ * @param timeoutMs time within which it must be open
+ * @returns the socket, whose two directions end independently, or a failure of kind `unreachable`
+ */
+export function openTargetSocket(address: Address, timeoutMs: number): Promise<Result<net.Socket, Failure>> {
     const endpoint = parseAddress(address);
     if (endpoint === undefined) {
         return Promise.resolve(err(failure("unreachable", "connect", address, "the address has no host or no valid port")));
@@ -60,12 +73,29 @@
         socket.once("connect", () => {
             clearTimeout(timer);
             socket.off("error", onError);
-            resolve(ok(createTargetConnection(socket, address)));
+            resolve(ok(socket));
         });
     });
 }
 
-function createTargetConnection(socket: net.Socket, address: Address): TargetConnection {
+/**
+ * Finds out whether the end of a target's data is an orderly end. Node.js reports a reset as an orderly end if data arrived just before it.
+ * A write tells the two apart: it fails after a reset. The empty line does no harm, since servers ignore empty lines between requests.
+ * @param socket socket on which the end has arrived
+ * @param onKnown called with whether the end is orderly
+ */
+export function checkOrderlyEnd(socket: net.Socket, onKnown: (isOrderly: boolean) => void): void {
+    socket.write("\r\n", (error) => {
+        onKnown(!error);
+    });
+}
+
+/**
+ * Creates a connection on an open socket.
+ * @param address the target's address
+ * @param relay host at the other end of the socket that passes everything on; undefined if that is the target itself
+ */
+export function createTargetConnection(socket: net.Socket, address: Address, relay: HostId | undefined): TargetConnection {
     let current: ExchangeState | undefined;
     let reusable = true;
     let keepAliveMs: number | undefined;
@@ -161,14 +191,12 @@
             onEnd();
             return;
         }
-        // Node.js reports a reset as an orderly end if data arrived just before it. A write tells the two apart: it fails after a
-        // reset. The empty line does no harm, since servers ignore empty lines between requests.
-        socket.write("\r\n", (error) => {
-            if (error) {
-                closeConnection("reset by the target");
+        checkOrderlyEnd(socket, (isOrderly) => {
+            if (isOrderly) {
+                onEnd();
             }
             else {
-                onEnd();
+                closeConnection("reset by the target");
             }
         });
     });
@@ -187,7 +215,10 @@
         });
     });
 
+    socket.resume();
+
     return {
+        relay,
         get reusable() {
             return reusable && current === undefined;
         },
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -16,7 +16,9 @@
 import { createClientHttp } from "../entry/clientHttp.js";
 import { ownDialect } from "../entry/ownDialect.js";
 import { createConnectionPool } from "../forwarding/connectionPool.js";
+import { createRelayServer } from "../forwarding/relayServer.js";
 import { connectToTarget } from "../forwarding/targetConnection.js";
+import { createTargetConnector } from "../forwarding/targetConnector.js";
 import type { ClientDialect } from "../entry/clientDialect.js";
 import type { TargetDialect } from "../forwarding/dialect.js";
 import { createForwarder } from "../forwarding/forwarder.js";
@@ -147,7 +149,25 @@
         random: from.resolve(tokens.random),
         log: from.resolve(tokens.logFactory)("reachability"),
     }));
-    provide(tokens.pool, (from) => createConnectionPool(from.resolve(tokens.clock), () => {
+    provide(tokens.connector, (from) => createTargetConnector({
+        view: from.resolve(tokens.view),
+        reachability: from.resolve(tokens.reachability),
+        clock: from.resolve(tokens.clock),
+        log: from.resolve(tokens.logFactory)("relay"),
+        onRelayed: () => {
+            from.resolve(tokens.metrics).relayedConnections.inc({ side: "asked" });
+        },
+    }));
+    provide(tokens.relayServer, (from) => createRelayServer({
+        view: from.resolve(tokens.view),
+        reachability: from.resolve(tokens.reachability),
+        isShuttingDown: () => from.resolve(tokens.membership).isLeaving,
+        log: from.resolve(tokens.logFactory)("relay"),
+        onRelayed: () => {
+            from.resolve(tokens.metrics).relayedConnections.inc({ side: "given" });
+        },
+    }));
+    provide(tokens.pool, (from) => createConnectionPool(from.resolve(tokens.clock), from.resolve(tokens.connector), () => {
         from.resolve(tokens.metrics).connections.inc({ kind: "request" });
     }));
     provide(tokens.requestLog, (from) => createRequestRecorder({
@@ -166,7 +186,7 @@
         view: from.resolve(tokens.view),
         clock: from.resolve(tokens.clock),
         random: from.resolve(tokens.random),
-        probe: (address) => probeTarget(from.resolve(tokens.pool), address),
+        probe: (address) => probeTarget(from.resolve(tokens.pool), from.resolve(tokens.connector), address),
         log: from.resolve(tokens.logFactory)("crashes"),
         metrics: from.resolve(tokens.metrics),
     }));
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -68,7 +68,9 @@
     let isStopping = false;
     const peerHandlers = hostContainer.resolve(tokens.peerHandlers);
     const reachability = hostContainer.resolve(tokens.reachability);
-    Object.assign(peerHandlers, node.handlers(), hostContainer.resolve(tokens.admissionServer).handlers(), reachability.handlers());
+    Object.assign(
+        peerHandlers, node.handlers(), hostContainer.resolve(tokens.admissionServer).handlers(), reachability.handlers(),
+        hostContainer.resolve(tokens.relayServer).handlers());
     registerGauges(hostContainer);
 
     const peers = await listenForPeers(settings.peerAddress, peerHandlers, clock);
@@ -145,6 +147,8 @@
         hostContainer.resolve(tokens.pool).idleCount());
     metrics.gauge("hornbeam_cut_off_from_targets", "1 if this host can't reach targets that other hosts reach, else 0.", () =>
         hostContainer.resolve(tokens.reachability).isCutOff() ? 1 : 0);
+    metrics.gauge("hornbeam_relayed_connections", "Connections that this host relays for other hosts.", () =>
+        hostContainer.resolve(tokens.relayServer).openCount());
     metrics.gauge("hornbeam_queue_waiting", "Requests that wait in the admission queues on this host.", () =>
         hostContainer.resolve(tokens.admissionServer).pressures().reduce((sum, { waiting }) => sum + waiting, 0));
     const countStandings = (wanted: AdverseStanding["kind"]) => hostContainer.resolve(tokens.crashEvidence)
--- a/src/host/tokens.ts
+++ b/src/host/tokens.ts
@@ -19,6 +19,8 @@
 import type { LogFactory } from "../observe/log.js";
 import type { LogWriter } from "../observe/logWriter.js";
 import type { Metrics } from "../observe/metrics.js";
+import type { RelayServer } from "../forwarding/relayServer.js";
+import type { TargetConnector } from "../forwarding/targetConnector.js";
 import type { RequestLog } from "../observe/requestLog.js";
 import type { ReachabilityMonitor } from "../reachability/reachabilityMonitor.js";
 import type { LeasePort } from "../ownership/leasePort.js";
@@ -60,6 +62,8 @@
     peerHandlers: token<PeerHandlers>("peerHandlers"),
     links: token<PeerLinks>("links"),
     reachability: token<ReachabilityMonitor>("reachability"),
+    connector: token<TargetConnector>("connector"),
+    relayServer: token<RelayServer>("relayServer"),
     admissionServer: token<AdmissionServer>("admissionServer"),
     queueHosts: token<QueueHosts>("queueHosts"),
     admission: token<AdmissionClient>("admission"),
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -14,6 +14,7 @@
     readonly moves: Counter<"reason" | "outcome">;
     readonly storeCalls: Counter<"path" | "outcome">;
     readonly connections: Counter<"kind">;
+    readonly relayedConnections: Counter<"side">;
     readonly leaseCalls: Counter<"target" | "call">;
     readonly lostAttempts: Counter<"target" | "process">;
     /** Adds a gauge whose value is read when the metrics are exported. */
@@ -64,6 +65,11 @@
             name: "hornbeam_connections_total", help: "Connections opened to targets, by their use.",
             labelNames: ["kind"], registers,
         }),
+        relayedConnections: new Counter({
+            name: "hornbeam_relayed_connections_total",
+            help: "Connections to targets that pass through another host, by side: asked for by this host, or given to another one.",
+            labelNames: ["side"], registers,
+        }),
         leaseCalls: new Counter({
             name: "hornbeam_lease_calls_total", help: "Calls that grant, renew or release leases, by target.",
             labelNames: ["target", "call"], registers,
--- a/test/forwarding/forwarderUnderTest.ts
+++ b/test/forwarding/forwarderUnderTest.ts
@@ -17,6 +17,7 @@
 import type { RequestLog } from "../../src/observe/requestLog.js";
 import { Splitter } from "../../src/routing/splitter.js";
 import { ClusterView } from "../../src/store/clusterView.js";
+import { directConnector } from "./openPaths.js";
 
 export const systemClock = createSystemClock();
 const dataCentreId = "dc-1" as DataCentreId;
@@ -134,7 +135,7 @@
     };
     return createForwarder({
         view,
-        pool: createConnectionPool(systemClock, () => undefined),
+        pool: createConnectionPool(systemClock, directConnector, () => undefined),
         dialect: {
             reservedHeaders: new Set(), headersFor: () => [], isAnswerTo: () => true, namesRequest: () => true,
             classify: (head) => headerOf(head.rawHeaders, "not-run") === undefined ? "answer" : "not-run",
--- /dev/null
+++ b/test/forwarding/relay.spec.ts
@@ -0,0 +1,196 @@
+import { once } from "node:events";
+import net from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import { createSystemClock } from "../../src/adapters/systemClock.js";
+import { Membership } from "../../src/cluster/membership.js";
+import { listenForPeers } from "../../src/cluster/peerConnection.js";
+import { createRelayServer } from "../../src/forwarding/relayServer.js";
+import type { TargetConnection } from "../../src/forwarding/targetConnection.js";
+import { createTargetConnector } from "../../src/forwarding/targetConnector.js";
+import type { Address, DataCentreId, HostId, Offset, RunId, ServiceId, TargetId } from "../../src/model/names.js";
+import { Helpers } from "../../src/reachability/helpers.js";
+import type { ReachabilityMonitor } from "../../src/reachability/reachabilityMonitor.js";
+import { ClusterView } from "../../src/store/clusterView.js";
+
+const clock = createSystemClock();
+const targetId = "t-1" as TargetId;
+const dataCentreId = "here" as DataCentreId;
+const silentLog = { info: () => undefined, warn: () => undefined, error: () => undefined };
+const largeBytes = 3_000_000;
+
+function viewOf(address: string): ClusterView {
+    const view = new ClusterView();
+    view.applyTargets([{ targetId, offset: 0 as Offset, entry: {
+        targetId, serviceId: "s" as ServiceId, address: address as Address, dataCentreId, slots: 1, state: "ready", bornWallMs: 1, sequence: 1,
+        warmingUp: false,
+    } }], 1 as Offset, 0);
+    return view;
+}
+
+function portOf(server: net.Server): number {
+    return (server.address() as net.AddressInfo).port;
+}
+
+/** A target, a host that reaches it, and a host that is cut off from it. */
+class RelayUnderTest {
+    isHelperCutOff = false;
+    isHelperStopping = false;
+    readonly sockets: net.Socket[] = [];
+    private readonly servers: net.Server[] = [];
+    readonly failures: string[] = [];
+    relay!: ReturnType<typeof createRelayServer>;
+    private address = "";
+    private helperAddress = "";
+
+    async start(respond: (socket: net.Socket) => void): Promise<void> {
+        const target = net.createServer({ allowHalfOpen: true }, (socket) => {
+            this.sockets.push(socket);
+            socket.on("error", () => undefined);
+            respond(socket);
+        });
+        target.listen(0, "127.0.0.1");
+        await once(target, "listening");
+        this.address = `127.0.0.1:${String(portOf(target))}`;
+        this.relay = createRelayServer({
+            view: viewOf(this.address), reachability: { isCutOff: () => this.isHelperCutOff, recordHeard: () => undefined },
+            isShuttingDown: () => this.isHelperStopping, log: silentLog, onRelayed: () => undefined,
+        });
+        const peers = await listenForPeers("127.0.0.1:0", this.relay.handlers(), clock);
+        this.helperAddress = `127.0.0.1:${String(portOf(peers))}`;
+        this.servers.push(target, peers);
+    }
+
+    /** Connects from the host that is cut off. */
+    async connect(knownAddress = this.address): Promise<TargetConnection> {
+        const self = { hostId: "cut" as HostId, runId: "r" as RunId, peerAddress: "127.0.0.1:1" as Address, dataCentreId, cpuShare: 1 };
+        const membership = new Membership(self);
+        membership.update([{ ...self, hostId: "helper" as HostId, peerAddress: this.helperAddress as Address }]);
+        const reachability = {
+            pathTo: () => "severed", helpers: new Helpers(membership), hasBrokenPaths: () => true,
+            recordHelperFailure: (_target: TargetId, _helper: object, isTargetDown: boolean) => {
+                this.failures.push(isTargetDown ? "target down" : "helper");
+            },
+        } as unknown as ReachabilityMonitor;
+        const connector = createTargetConnector({
+            view: viewOf(knownAddress), reachability, clock, log: silentLog, onRelayed: () => undefined,
+        });
+        const connected = await connector.connect(knownAddress as Address);
+        if (connected.isErr()) {
+            throw new Error(connected.error.message);
+        }
+        return connected.value;
+    }
+
+    stop(): void {
+        this.sockets.forEach((socket) => socket.destroy());
+        this.servers.forEach((server) => server.close());
+    }
+}
+
+async function get(connection: TargetConnection, body = Buffer.alloc(0)): Promise<{ status: number; bytes: number } | string> {
+    const exchange = connection.start({
+        method: "POST", head: `POST / HTTP/1.1\r\nContent-Length: ${String(body.length)}\r\n\r\n`, body, hasMore: false, isAnswer: () => true,
+    });
+    const head = await exchange.head();
+    if (head.isErr()) {
+        return head.error.message;
+    }
+    let bytes = 0;
+    for (;;) {
+        const piece = await exchange.read();
+        if (piece.isErr()) {
+            return piece.error.message;
+        }
+        if (piece.value === undefined) {
+            return { status: head.value.status, bytes };
+        }
+        bytes += piece.value.length;
+    }
+}
+
+describe("a connection that another host relays", () => {
+    let under: RelayUnderTest;
+
+    beforeEach(() => {
+        under = new RelayUnderTest();
+    });
+
+    afterEach(() => {
+        under.stop();
+    });
+
+    it("carries large bodies in both directions, and several requests", async () => {
+        let received = 0;
+        await under.start((socket) => socket.on("data", (bytes: Buffer) => {
+            received += bytes.length;
+            if (received % largeBytes < 1_000 && received >= largeBytes) {
+                received = 0;
+                socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${String(largeBytes)}\r\n\r\n`);
+                socket.write(Buffer.alloc(largeBytes, "x"));
+            }
+        }));
+        const connection = await under.connect();
+        expect(connection.relay).to.equal("helper");
+        for (let count = 0; count < 3; count++) {
+            expect(await get(connection, Buffer.alloc(largeBytes, "y"))).to.deep.equal({ status: 200, bytes: largeBytes });
+        }
+        expect(under.relay.openCount()).to.equal(1);
+    });
+
+    it("passes an answer without a length on as whole only if the target ends it orderly", async () => {
+        await under.start((socket) => socket.once("data", () => {
+            socket.write("HTTP/1.1 200 OK\r\n\r\nab");
+            socket.end();
+        }));
+        expect(await get(await under.connect())).to.deep.equal({ status: 200, bytes: 2 });
+    });
+
+    it("passes the reset of an answer without a length on as a failure", async () => {
+        await under.start((socket) => socket.once("data", () => {
+            socket.write("HTTP/1.1 200 OK\r\n\r\nab", () => socket.resetAndDestroy());
+        }));
+        expect(await get(await under.connect())).to.be.a("string");
+    });
+
+    it("ends at the target when the host that asked for it closes it", async () => {
+        await under.start(() => undefined);
+        const connection = await under.connect();
+        while (under.sockets.length === 0) {
+            await sleep(5);
+        }
+        const closed = once(under.sockets[0]!, "end");
+        under.sockets[0]!.resume();
+        connection.destroy();
+        await closed;
+        under.sockets[0]!.end();
+        await connection.closed;
+        await sleep(20);
+        expect(under.relay.openCount()).to.equal(0);
+    });
+
+    it("leads to the target's address as the helper knows it, whatever the other host names", async () => {
+        await under.start((socket) => socket.on("data", () => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+        expect(await get(await under.connect("127.0.0.1:9"))).to.deep.equal({ status: 200, bytes: 0 });
+    });
+
+    for (const state of ["isHelperCutOff", "isHelperStopping"] as const) {
+        it(`is refused by a helper that can't give it (${state})`, async () => {
+            await under.start(() => undefined);
+            under[state] = true;
+            expect(await under.connect().then(() => "connected", String)).to.match(/cut-off|stopping/);
+            expect(under.failures).to.deep.equal(["helper"]);
+            expect(under.sockets).to.have.length(0);
+        });
+    }
+
+    it("is refused, without harm to the process, for what is no target", async () => {
+        await under.start(() => undefined);
+        const handle = under.relay.handlers()["relay"] as unknown as (params: object, from: object) => Promise<object>;
+        expect(await handle({ targetId: "t-unknown" }, { address: "peer" })).to.deep.equal({ refused: "unknown-target" });
+        for (const params of [{}, { targetId: 7 }, { targetId: ["t-1"] }]) {
+            expect(await handle(params, { address: "peer" }).then(() => "accepted", String)).to.include("targetId");
+        }
+        expect(under.relay.openCount()).to.equal(0);
+    });
+});
--- a/test/forwarding/unexpectedErrors.spec.ts
+++ b/test/forwarding/unexpectedErrors.spec.ts
@@ -18,6 +18,7 @@
 import { Signal } from "../../src/model/signal.js";
 import { Splitter } from "../../src/routing/splitter.js";
 import { ClusterView } from "../../src/store/clusterView.js";
+import { directConnector } from "./openPaths.js";
 
 const clock = createSystemClock();
 const serviceId = "plain" as ServiceId;
@@ -133,7 +134,7 @@
         return {
             requestTrial: () => Promise.resolve({ kind: "unavailable" }), isInContact: () => true,
             view, clock, dataCentreId, drainMs: 100, configAgeMs: () => 0,
-            pool: createConnectionPool(clock, () => undefined),
+            pool: createConnectionPool(clock, directConnector, () => undefined),
             dialect: {
                 reservedHeaders: new Set(), headersFor: () => [], isAnswerTo: () => true, namesRequest: () => true,
                 classify: () => "answer",
@@ -324,8 +325,8 @@
         it(`is unreachable, and never raises an error: ${JSON.stringify(address)}`, async () => {
             const connected = await connectToTarget(address as Address, 300);
             expect(connected._unsafeUnwrapErr()).to.include({ kind: "unreachable", step: "connect", peer: address, refused: false });
-            const pool = createConnectionPool(clock, () => undefined);
-            expect(await probeTarget(pool, address as Address)).to.equal("no-answer");
+            const pool = createConnectionPool(clock, directConnector, () => undefined);
+            expect(await probeTarget(pool, directConnector, address as Address)).to.equal("no-answer");
             expect((await pool.acquire(address as Address, { ...reuseForIdempotent, maxIdleMs: 0 })).isErr()).to.equal(true);
         });
     }
--- a/test/world/virtualHosts.ts
+++ b/test/world/virtualHosts.ts
@@ -271,6 +271,9 @@
                 notify: (method: string, params: object) => {
                     void deliver(method, params);
                 },
+                detach: () => {
+                    throw new Error("the simulated network carries messages only");
+                },
                 destroy: () => {
                     connection.close();
                 },
