An attempt whose path to its target is broken gives its slot back, and doesn't count against the target

Cause: what a cut host was granted in a queue stayed taken until its attempt timed out, up to the request's deadline, and its end counted as a slow answer of the target for all hosts. Class: what one host sees over its own path counted as a property of the target.

Change: an attempt on a direct connection that waits longer than 300 ms and twice its expected time, while nothing arrives from any target, has its target checked; if other hosts reach it, the attempt ends and is sent again over another path where it may be. One that may not be sent again goes on until its deadline, since its answer may still come, but its slot is free. Ends without a response over a broken path tell the queue nothing. Log line `request: cut off from target`.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -10,6 +10,8 @@
 import type { Exchange } from "./exchange.js";
 import type { Interrupt, InterruptReason, GiveUpPolicy } from "./interrupt.js";
 import { createInterrupt } from "./interrupt.js";
+import type { StopWatching, TargetPaths } from "./pathWatch.js";
+import { watchPath } from "./pathWatch.js";
 import type { ResponseHead } from "./responseParser.js";
 import { headerOf } from "./responseParser.js";
 import type { TargetConnection } from "./targetConnection.js";
@@ -72,6 +74,8 @@
     clock: Clock;
     /** Called with the notice in the head of each response, and the monotonic time at which the request was sent. */
     onNotice: (target: TargetEntry, notice: TargetNotice, sentMs: number) => void;
+    /** What is known of this host's paths to targets. */
+    paths: TargetPaths;
     /** Called with the status of each response that proves neither that the target ran the request nor that it didn't. */
     onUnproven: (target: TargetEntry, call: ClientCall, status: number) => void;
 }
@@ -82,6 +86,8 @@
     target: TargetEntry;
     /** The complete body, or undefined if it is streamed from the client. */
     body: Buffer | undefined;
+    /** Expected duration of the attempt. */
+    expectedMs: number;
     /** Time left for the request, as announced to the target. */
     budgetMs: number;
     /** The attempt ends after this time. */
@@ -94,6 +100,8 @@
     rejectedOn: Set<TargetConnection>;
     /** False if the attempt is to continue after the client has left. */
     cancelIfClientLeaves: boolean;
+    /** Called when this host is cut off from the target while it waits for the response; returns whether the attempt ends. */
+    endsWithPath: () => boolean;
 }
 
 /**
@@ -120,7 +128,7 @@
         progress.connection = opened.value;
         const end = await sendAndReceive(dependencies, request, opened.value, interrupt, progress);
         dependencies.pool.release(target.address, opened.value);
-        if (end.kind === "timed-out" || end.kind === "given-up") {
+        if (end.kind === "timed-out" || end.kind === "given-up" || isPathLost(end)) {
             dependencies.pool.closeIdle(target.address);
         }
         return end;
@@ -133,6 +141,10 @@
     }
 }
 
+function isPathLost(end: AttemptEnd): boolean {
+    return end.kind === "lost" && end.why === pathLost;
+}
+
 /** Ends an attempt by an unexpected error: what may have been sent is lost, and nothing more is read from the connection. */
 function endByError({ call, target }: AttemptRequest, { connection, isSent, isStreaming }: AttemptProgress, error: unknown): AttemptEnd {
     connection?.destroy();
@@ -144,16 +156,20 @@
     return { kind: isSent ? "lost" : "unreachable", why, error };
 }
 
+const pathLost = "this host is cut off from the target";
+
 const endBeforeSending: { [Reason in InterruptReason]: AttemptEnd } = {
     "client-left": { kind: "client-left" },
     "timed-out": { kind: "unreachable", why: "connection was not opened in time" },
     "given-up": { kind: "given-up", wasSent: false },
+    "path-lost": { kind: "unreachable", why: pathLost },
 };
 
 const endAfterSending: { [Reason in InterruptReason | "body-broken"]: AttemptEnd } = {
     "client-left": { kind: "client-left" },
     "timed-out": { kind: "timed-out" },
     "given-up": { kind: "given-up", wasSent: true },
+    "path-lost": { kind: "lost", why: pathLost },
     "body-broken": { kind: "body-broken" },
 };
 
@@ -164,6 +180,30 @@
     const startedMs = dependencies.clock.now().monoMs;
     const requestHead = requestHeadOf(dependencies.dialect, request);
     progress.isSent = true;
+    const stopWatching = connection.relay === undefined ? watchForLoss(dependencies, request, interrupt) : () => undefined;
+    try {
+        return await exchangeMessages(dependencies, request, connection, interrupt, progress, startedMs, requestHead);
+    }
+    finally {
+        stopWatching();
+    }
+}
+
+/** Ends the attempt, if it may, once this host is cut off from its target. */
+function watchForLoss(
+    { paths }: AttemptDependencies, { target, expectedMs, endsWithPath }: AttemptRequest, interrupt: Interrupt,
+): StopWatching {
+    return watchPath(paths, target, expectedMs, () => {
+        if (endsWithPath()) {
+            interrupt.losePath();
+        }
+    });
+}
+
+async function exchangeMessages(
+    dependencies: AttemptDependencies, request: AttemptRequest, connection: TargetConnection, interrupt: Interrupt,
+    progress: AttemptProgress, startedMs: number, requestHead: string,
+): Promise<AttemptEnd> {
     const exchange = connection.start({
         method: request.call.method,
         head: requestHead,
@@ -181,6 +221,9 @@
     if (head.isErr()) {
         return { kind: "lost", why: head.error.message };
     }
+    if (connection.relay === undefined) {
+        dependencies.paths.recordHeard(request.target.targetId);
+    }
     dependencies.onNotice(request.target, dependencies.dialect.noticeOf(head.value), startedMs);
     const end = await receiveResponse(dependencies, request, exchange, head.value, interrupt, progress);
     if (end.kind === "turned-away") {
--- a/src/forwarding/attemptEnds.ts
+++ b/src/forwarding/attemptEnds.ts
@@ -11,6 +11,11 @@
     return end.kind === "lost" || end.kind === "timed-out" || end.kind === "answered" || (end.kind === "given-up" && end.wasSent);
 }
 
+/** Tells whether nothing of a response arrived, so that the path may be to blame as well as the target. */
+export function isWithoutResponse(end: AttemptEnd): boolean {
+    return end.kind === "unreachable" || end.kind === "lost" || end.kind === "timed-out" || end.kind === "given-up";
+}
+
 /** Chooses between two attempts that may have run: a complete response is kept over an attempt without one. */
 export function moreInformativeEnd(earlier: AttemptEnd | undefined, later: AttemptEnd): AttemptEnd {
     return earlier?.kind === "answered" && later.kind !== "answered" ? earlier : later;
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -2,6 +2,7 @@
 import { setMaxListeners } from "node:events";
 import type { AdmissionClient } from "../admission/admissionClient.js";
 import type { RetryBudgets } from "../admission/retryBudgets.js";
+import type { WorkEnd } from "../admission/targetRecord.js";
 import type { CrashObserver } from "../crashes/crashObserver.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { ClientCall, Refusal } from "../entry/clientCall.js";
@@ -18,7 +19,7 @@
 import type { AttemptEnd, AttemptDependencies } from "./attempt.js";
 import { attempt, describeEnd } from "./attempt.js";
 import type { Answered } from "./attemptEnds.js";
-import { mayHaveRun, moreInformativeEnd, reasonIfNotRun, reasonIfRun, workEndOf } from "./attemptEnds.js";
+import { isWithoutResponse, mayHaveRun, moreInformativeEnd, reasonIfNotRun, reasonIfRun, workEndOf } from "./attemptEnds.js";
 import { reuseForIdempotent, reuseForNonIdempotent } from "./connectionReuse.js";
 import type { TargetNotice } from "./dialect.js";
 import { ClientWaitEstimator } from "./clientWaitEstimator.js";
@@ -177,9 +178,19 @@
             budgetMs: remainingMs,
             timeoutMs: remainingMs,
             giveUpPolicy: mayRetry ? { afterMs: giveUpAfterMs, mayGiveUp: () => reservation.reserve() } : undefined,
+            expectedMs: slot.expectedMs,
             reuse: context.route.idempotent ? reuseForIdempotent : reuseForNonIdempotent(context.rejectedOn),
             rejectedOn: context.rejectedOn,
             cancelIfClientLeaves: context.route.idempotent && !isTrial,
+            endsWithPath: () => {
+                const isEnded = isRepeatable && !isTrial;
+                requestLog.pathLost(context.call, slot.target.targetId, isEnded);
+                if (!isEnded && !isTrial) {
+                    // What arrives of it before its deadline is still passed on, but the target is idle for the other hosts.
+                    slot.release({ kind: "dropped" });
+                }
+                return isEnded;
+            },
         });
     };
 
@@ -202,12 +213,18 @@
         finally {
             retrySlot = reservation.close(isRecorded && end.kind === "given-up");
             if (retrySlot !== slot) {
-                slot.release(workEndOf(end, nowMs() - startedMs));
+                slot.release(workEndOfAttempt(slot.target, end, nowMs() - startedMs));
             }
         }
         return { end, retrySlot };
     };
 
+    /** What an attempt over a broken path saw says nothing of its target. */
+    const workEndOfAttempt = ({ targetId }: TargetEntry, end: AttemptEnd, tookMs: number): WorkEnd => {
+        const isPathBroken = dependencies.paths.pathTo(targetId) === "severed";
+        return isPathBroken && isWithoutResponse(end) ? { kind: "dropped" } : workEndOf(end, tookMs);
+    };
+
     const observeEnd = ({ call, getFingerprints }: RequestContext, target: TargetEntry, sentMs: number, end: AttemptEnd) => {
         if (end.kind === "lost" || end.kind === "broken-off") {
             const why = describeEnd(end);
--- a/src/forwarding/interrupt.ts
+++ b/src/forwarding/interrupt.ts
@@ -1,7 +1,7 @@
-/** Interrupts an attempt when its client leaves, its timeout expires, or it is given up for a retry. */
+/** Interrupts an attempt: its client leaves, its timeout expires, it is given up for a retry, or this host is cut off from its target. */
 
 /** Why an attempt is interrupted. */
-export type InterruptReason = "timed-out" | "client-left" | "given-up";
+export type InterruptReason = "timed-out" | "client-left" | "given-up" | "path-lost";
 
 /** When an attempt may be given up for a retry. */
 export interface GiveUpPolicy {
@@ -24,6 +24,8 @@
 export interface Interrupt {
     /** Resolves with the reason when the attempt must end. */
     readonly raised: Promise<InterruptReason>;
+    /** Ends the attempt because this host is cut off from its target. */
+    losePath(): void;
     /** Rules out that the attempt is given up for a retry from now on. */
     preventGiveUp(): void;
     /** Removes timers and listeners; must be called when the attempt has ended. */
@@ -36,6 +38,7 @@
  */
 export function createInterrupt({ clientLeft, timeoutMs, giveUpPolicy }: InterruptTerms): Interrupt {
     let release: () => void = () => undefined;
+    let losePath: () => void = () => undefined;
     let isGiveUpPrevented = false;
     const raised = new Promise<InterruptReason>((resolve) => {
         const timer = setTimeout(resolve, Math.max(1, timeoutMs), "timed-out");
@@ -47,6 +50,9 @@
         const giveUpTimer = giveUpPolicy === undefined ? undefined : setTimeout(() => {
             void giveUpIfAllowed(giveUpPolicy);
         }, Math.max(1, giveUpPolicy.afterMs));
+        losePath = () => {
+            resolve("path-lost");
+        };
         const onClientLeft = () => {
             resolve("client-left");
         };
@@ -62,6 +68,9 @@
     });
     return {
         raised,
+        losePath: () => {
+            losePath();
+        },
         preventGiveUp: () => {
             isGiveUpPrevented = true;
         },
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -40,7 +40,7 @@
     isRateLimited: boolean;
     /** Set if the request runs to find out whether it still crashes its target, which it may do once. */
     isTrial?: true;
-    /** Returns the slot to the queue; `end` says how the request ended. */
+    /** Returns the slot to the queue, once; `end` says how the request ended. */
     release: (end: WorkEnd) => void;
 }
 
@@ -250,10 +250,14 @@
                 decision.leave({ kind: "dropped" });
                 return noTargetRefusal();
             }
+            let isReleased = false;
             return {
                 kind: "placed", target, expectedMs: decision.expectedMs, isRateLimited: decision.isRateLimited,
                 release: (end) => {
-                    decision.leave(end, rateLimits.find(target, nowMs()));
+                    if (!isReleased) {
+                        isReleased = true;
+                        decision.leave(end, rateLimits.find(target, nowMs()));
+                    }
                 },
             };
         }
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -203,6 +203,7 @@
         requestTrial: (params) => from.resolve(tokens.node).requestTrial(params),
         isInContact: (nowMs) => from.resolve(tokens.node).isInContact(nowMs),
         pool: from.resolve(tokens.pool),
+        paths: from.resolve(tokens.reachability),
         dialect: from.resolve(tokens.targetDialect),
         clock: from.resolve(tokens.clock),
         dataCentreId: settings.dataCentreId, drainMs,
--- a/src/observe/requestLog.ts
+++ b/src/observe/requestLog.ts
@@ -15,6 +15,8 @@
     retried(call: ClientCall, route: Route, targetId: TargetId, end: AttemptEnd): void;
     /** An attempt at a target has ended. */
     attemptEnded(targetId: TargetId, end: AttemptEnd): void;
+    /** This host is cut off from a target at which `call` waits for its response; `isEnded` tells whether the attempt ends with that. */
+    pathLost(call: ClientCall, targetId: TargetId, isEnded: boolean): void;
     /** The response of a target to `call` proves neither that the request ran nor that it didn't. */
     responseUnproven(call: ClientCall, targetId: TargetId, status: number): void;
     /** A response broke off after a part of it had been sent to the client; `why` says how. */
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -74,6 +74,9 @@
                 });
             }
         },
+        pathLost: (call, targetId, isEnded) => {
+            log.info("cut off from target", { ...commonFields(call), target: targetId, ended: isEnded });
+        },
         responseUnproven: (call, targetId, status) => {
             metrics.unprovenResponses.inc({ target: targetId, status: String(status) });
             log.warn("response without proof", { ...commonFields(call), target: targetId, status });
--- a/test/forwarding/forwarderUnderTest.ts
+++ b/test/forwarding/forwarderUnderTest.ts
@@ -17,7 +17,7 @@
 import type { RequestLog } from "../../src/observe/requestLog.js";
 import { Splitter } from "../../src/routing/splitter.js";
 import { ClusterView } from "../../src/store/clusterView.js";
-import { directConnector } from "./openPaths.js";
+import { directConnector, openPaths } from "./openPaths.js";
 
 export const systemClock = createSystemClock();
 const dataCentreId = "dc-1" as DataCentreId;
@@ -88,7 +88,7 @@
 export const silentRequestLog: RequestLog = {
     answered: () => undefined, refused: () => undefined, retried: () => undefined, brokenOff: () => undefined, clientLeft: () => undefined,
     targetLeaving: () => undefined, targetPauseRequested: () => undefined,
-    attemptEnded: () => undefined, responseUnproven: () => undefined, targetRateLimitChanged: () => undefined,
+    attemptEnded: () => undefined, pathLost: () => undefined, responseUnproven: () => undefined, targetRateLimitChanged: () => undefined,
 };
 
 const config: RoutingConfig = {
@@ -136,6 +136,7 @@
     return createForwarder({
         view,
         pool: createConnectionPool(systemClock, directConnector, () => undefined),
+        paths: openPaths,
         dialect: {
             reservedHeaders: new Set(), headersFor: () => [], isAnswerTo: () => true, namesRequest: () => true,
             classify: (head) => headerOf(head.rawHeaders, "not-run") === undefined ? "answer" : "not-run",
--- a/test/forwarding/openPaths.ts
+++ b/test/forwarding/openPaths.ts
@@ -1,4 +1,5 @@
 /** Paths to targets that are all open, for tests of hosts that are not cut off. */
+import type { TargetPaths } from "../../src/forwarding/pathWatch.js";
 import { connectToTarget } from "../../src/forwarding/targetConnection.js";
 import type { TargetConnector } from "../../src/forwarding/targetConnector.js";
 
@@ -7,3 +8,8 @@
     connect: (address, timeoutMs = 400) => connectToTarget(address, timeoutMs),
     mayReuse: () => true,
 };
+
+/** Finds every path open. */
+export const openPaths: TargetPaths = {
+    pathTo: () => "open", isQuiet: () => false, recordHeard: () => undefined, check: () => Promise.resolve(),
+};
--- a/test/forwarding/unexpectedErrors.spec.ts
+++ b/test/forwarding/unexpectedErrors.spec.ts
@@ -18,7 +18,7 @@
 import { Signal } from "../../src/model/signal.js";
 import { Splitter } from "../../src/routing/splitter.js";
 import { ClusterView } from "../../src/store/clusterView.js";
-import { directConnector } from "./openPaths.js";
+import { directConnector, openPaths } from "./openPaths.js";
 
 const clock = createSystemClock();
 const serviceId = "plain" as ServiceId;
@@ -135,6 +135,7 @@
             requestTrial: () => Promise.resolve({ kind: "unavailable" }), isInContact: () => true,
             view, clock, dataCentreId, drainMs: 100, configAgeMs: () => 0,
             pool: createConnectionPool(clock, directConnector, () => undefined),
+            paths: openPaths,
             dialect: {
                 reservedHeaders: new Set(), headersFor: () => [], isAnswerTo: () => true, namesRequest: () => true,
                 classify: () => "answer",
@@ -148,7 +149,7 @@
             requestLog: {
                 answered: () => undefined, refused: () => undefined, retried: () => undefined, clientLeft: () => undefined,
                 targetLeaving: () => undefined, targetPauseRequested: () => undefined, targetRateLimitChanged: () => undefined,
-                responseUnproven: () => undefined, brokenOff: () => undefined,
+                responseUnproven: () => undefined, brokenOff: () => undefined, pathLost: () => undefined,
                 attemptEnded: (_targetId, end) => {
                     this.attemptEnds.push("why" in end ? `${end.kind}: ${end.why}` : end.kind);
                 },
