Ledger writer outlives unexpected errors and answers its callers

Cause: the loop over the queue ended with the error and left `isProcessing` set, so nothing was ever sent again. Change: an error of the store's client counts as an append without an answer, which is retried at the same end of the ledger. An error before anything was sent (drafting, encoding) refuses that batch. An error in what follows from records in force (listeners, `onWritten`) is logged and changes nothing about their outcome. Each leaves a line with step, end and stack.

--- a/src/ownership/ledgerWriter.ts
+++ b/src/ownership/ledgerWriter.ts
@@ -14,31 +14,24 @@
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import type { ClusterView } from "../store/clusterView.js";
-import type { AppendOutcome, StorePort } from "../store/storePort.js";
+import type { AppendOutcome, NewRecord, StorePort } from "../store/storePort.js";
 import type { TopicReader } from "../store/topicReader.js";
 import type { LedgerChange } from "./ledger.js";
 import { encodeLedgerRecord } from "./ledger.js";
 import type { Assignment, DraftedRecord } from "./ownershipDraft.js";
 import { draftOwnerships } from "./ownershipDraft.js";
+import { StoreResponse } from "./storeResponse.js";
 
 /** The delay between attempts doubles from the first to the second value, since the store may be unavailable for seconds. */
 const firstRetryMs = 40;
 const maxRetryMs = 320;
 
-/** An append that takes longer than this multiple of the last answered one's time, within bounds, shows that the store is failing. */
-const slowAppendRatio = 3;
-const minSlowAppendMs = 150;
-const maxSlowAppendMs = 900;
-
 /** Minimum time between two appends. */
 const appendIntervalMs = 40;
 
 /** An append without an answer may have taken effect, so the ledger is read again at this interval. */
 const rereadIntervalMs = 250;
 
-/** After an append that failed or was not answered, the store counts as failing for this long; then it is tried again. */
-const failureCountsForMs = 1_000;
-
 const storeUnavailable = failure("refused", "store-append", "ledger", "the store is unavailable: an append failed or has no answer");
 
 /** Dependencies and callbacks of the ledger writer. */
@@ -67,6 +60,12 @@
     records: readonly DraftedRecord[];
 }
 
+/** Records as they are compared with those in the ledger, and as they are sent. */
+interface Draft {
+    records: readonly DraftedRecord[];
+    encoded: readonly NewRecord[];
+}
+
 interface QueuedChanges extends LedgerChanges {
     onStoreFailure: StoreFailurePolicy;
     settle: (result: Result<void, Failure>) => void;
@@ -95,11 +94,17 @@
     const { store, reader, view, clock, log } = dependencies;
     let queue: QueuedChanges[] = [];
     let isProcessing = false;
-    let pendingAppend: { sentMs: number } | undefined;
-    let failedMs = Number.NEGATIVE_INFINITY;
-    let slowAppendMs = minSlowAppendMs;
+    const response = new StoreResponse();
     let lastSentMs = Number.NEGATIVE_INFINITY;
 
+    /** Logs an error that none of the steps is expected to throw. */
+    const unexpected = (step: string, kind: Failure["kind"], error: unknown): Failure => {
+        log.error("unexpected error while the ledger was written", {
+            step, end: view.ledger.upTo, why: error instanceof Error ? error.stack : String(error),
+        });
+        return failure(kind, "store-append", "ledger", `unexpected error: ${String(error)}`);
+    };
+
     const processQueue = async () => {
         isProcessing = true;
         while (queue.length > 0) {
@@ -130,29 +135,44 @@
 
     /** Refuses optional changes when an append is not answered in time. */
     const watchForSlowAppend = async (answered: AbortSignal) => {
-        await clock.sleep(slowAppendMs, answered);
+        await clock.sleep(response.slowAppendMs, answered);
         if (!answered.aborted) {
             refuseOptional();
         }
     };
 
+    /** Sends an append. After an unexpected error it is unknown whether it takes effect. */
+    const sendAppend = async (records: readonly NewRecord[], expectedEnd: Offset): Promise<Result<AppendOutcome, Failure>> => {
+        try {
+            return await store.append(records, expectedEnd);
+        }
+        catch (error) {
+            return err(unexpected("append", "lost", error));
+        }
+    };
+
+    /** Runs a step; returns a failure of the given kind after an unexpected error. */
+    const runStep = <T>(step: string, kind: Failure["kind"], run: () => T): Result<T, Failure> => {
+        try {
+            return ok(run());
+        }
+        catch (error) {
+            return err(unexpected(step, kind, error));
+        }
+    };
+
     /** Resolves when the append is answered, or when a reading of the ledger shows that it took effect. */
-    const appendOnce = async (records: readonly DraftedRecord[], expectedEnd: Offset, nowMs: number): Promise<AppendResult> => {
+    const appendOnce = async ({ records, encoded }: Draft, expectedEnd: Offset, nowMs: number): Promise<AppendResult> => {
         const finished = new AbortController();
-        pendingAppend = { sentMs: nowMs };
+        response.recordSent(nowMs);
         lastSentMs = nowMs;
         void watchForSlowAppend(finished.signal);
         const outcome = await Promise.race([
-            store.append(records.map(({ key, record }) => encodeLedgerRecord(key, record)), expectedEnd),
+            sendAppend(encoded, expectedEnd),
             seenInLedger(records, expectedEnd, finished.signal),
         ]);
         finished.abort();
-        pendingAppend = undefined;
-        if (outcome !== "seen" && outcome.isOk()) {
-            const tookMs = clock.now().monoMs - nowMs;
-            slowAppendMs = Math.min(maxSlowAppendMs, Math.max(minSlowAppendMs, tookMs * slowAppendRatio));
-        }
-        failedMs = outcome === "seen" || outcome.isErr() ? clock.now().monoMs : Number.NEGATIVE_INFINITY;
+        response.recordOutcome(outcome !== "seen" && outcome.isOk(), clock.now().monoMs);
         return outcome;
     };
 
@@ -172,19 +192,15 @@
         void poll();
     });
 
-    const isStoreResponding = (nowMs: number): boolean =>
-        nowMs - failedMs > failureCountsForMs && (pendingAppend === undefined || nowMs - pendingAppend.sentMs < slowAppendMs);
-
     /**
      * Appends until the outcome is known. An append without an answer may still take effect later; the retry expects the same end of the
      * ledger, so only one of the two can succeed.
      */
-    const appendUntilKnown = async ({ assignments, records: independent }: LedgerChanges): Promise<Result<void, Failure>> => {
+    const appendUntilKnown = async (changes: LedgerChanges): Promise<Result<void, Failure>> => {
         let unanswered: { from: Offset; sentAt: Instant } | undefined;
         let retryMs = firstRetryMs;
         for (;;) {
             const now = clock.now();
-            const records = [...draftOwnerships(view.ledger, assignments), ...independent];
             if (dependencies.isSuperseded()) {
                 return err(failure(unanswered === undefined ? "refused" : "lost", "store-append", "ledger", "another term is in force"));
             }
@@ -195,8 +211,20 @@
                 await clock.sleep(retryMs);
                 continue;
             }
+            const drafted = runStep("draft", "refused", (): Draft => {
+                const records = [...draftOwnerships(view.ledger, changes.assignments), ...changes.records];
+                return { records, encoded: records.map(({ key, record }) => encodeLedgerRecord(key, record)) };
+            });
+            if (drafted.isErr()) {
+                if (unanswered === undefined) {
+                    return err(drafted.error);
+                }
+                await clock.sleep(maxRetryMs);
+                continue;
+            }
+            const { records } = drafted.value;
             const expectedEnd = view.ledger.upTo;
-            const outcome = await appendOnce(records, expectedEnd, now.monoMs);
+            const outcome = await appendOnce(drafted.value, expectedEnd, now.monoMs);
             if (outcome === "seen") {
                 log.info("unanswered append found in ledger", { end: expectedEnd, afterMs: Math.round(clock.now().monoMs - now.monoMs) });
                 reportRead(expectedEnd, now);
@@ -227,13 +255,20 @@
     const applyAppended = (records: readonly DraftedRecord[], offset: Offset, sentAt: Instant) => {
         const changes = records.map((record, index) => ({ ...record, offset: offset + index as Offset }));
         const upTo = offset + records.length as Offset;
-        view.applyLedger(changes, offset, upTo);
-        dependencies.onWritten(changes, offset, upTo, sentAt);
+        // The records are in force, whatever goes wrong in what follows from them.
+        runStep("apply", "lost", () => {
+            view.applyLedger(changes, offset, upTo);
+        });
+        runStep("report", "lost", () => {
+            dependencies.onWritten(changes, offset, upTo, sentAt);
+        });
     };
 
     /** Reports an append that was found by reading the ledger, with all changes from its offset on. */
     const reportRead = (from: Offset, sentAt: Instant) => {
-        dependencies.onWritten(view.ledger.all().filter(({ offset }) => offset >= from), from, view.ledger.upTo, sentAt);
+        runStep("report", "lost", () => {
+            dependencies.onWritten(view.ledger.all().filter(({ offset }) => offset >= from), from, view.ledger.upTo, sentAt);
+        });
     };
 
     const isInForce = (records: readonly DraftedRecord[], from: Offset): boolean => records.every(({ key, record }) => {
@@ -246,7 +281,7 @@
             settle(ok(undefined));
             return;
         }
-        if (onStoreFailure === "refuse" && !isStoreResponding(clock.now().monoMs)) {
+        if (onStoreFailure === "refuse" && !response.isResponding(clock.now().monoMs)) {
             settle(err(storeUnavailable));
             return;
         }
@@ -259,6 +294,6 @@
     return {
         assign: (assignments, onStoreFailure) => enqueue({ assignments, records: [] }, onStoreFailure),
         record: (records) => enqueue({ assignments: [], records }, "refuse"),
-        isStoreResponding,
+        isStoreResponding: (nowMs) => response.isResponding(nowMs),
     };
 }
--- a/test/ownership/ledgerWriter.spec.ts
+++ b/test/ownership/ledgerWriter.spec.ts
@@ -96,6 +96,49 @@
         expect(answerCount).to.equal(2);
     });
 
+    it("answers its callers when what follows from written records fails, and sends the records once", async () => {
+        const clock = new VirtualClock();
+        const view = new ClusterView();
+        const errors: unknown[] = [];
+        let sent = 0;
+        let reported = 0;
+        view.ledgerChanged.listen(() => {
+            throw new Error("unexpected");
+        });
+        const writer = createLedgerWriter({
+            clock, view,
+            store: { append: () => Promise.resolve(ok({ kind: "appended", offset: sent++ as Offset })) } as unknown as StorePort,
+            reader: { read: () => Promise.resolve(ok({ targets: [], ledger: [] })) },
+            log: { info: () => undefined, warn: () => undefined, error: (_event, fields) => errors.push(fields?.["step"]) },
+            mayWrite: () => true, isSuperseded: () => false,
+            onWritten: () => {
+                reported += 1;
+                throw new Error("unexpected");
+            },
+        });
+        const results: boolean[] = [];
+        for (let index = 0; index < 2; index++) {
+            void writer.assign([assignment], "wait").then((result) => results.push(result.isOk()));
+            await clock.advance(1_000);
+        }
+        expect(results).to.deep.equal([true, true]);
+        expect([sent, reported]).to.deep.equal([2, 2]);
+        expect(errors).to.deep.equal(["apply", "report", "apply", "report"]);
+    });
+
+    it("refuses records that can't be encoded, and writes those that come later", async () => {
+        const { clock, writer } = setUp((sent) => Promise.resolve(ok({ kind: "appended", offset: sent as Offset })));
+        const results: string[] = [];
+        const record = (value: unknown) => {
+            void writer.record([{ key: "crash/t", record: value as never }]).then((result) => results.push(result.isOk() ? "written" : result.error.kind));
+        };
+        record({ kind: "crash", atWallMs: 1n });
+        await clock.advance(1_000);
+        record({ kind: "crash", atWallMs: 1 });
+        await clock.advance(1_000);
+        expect(results).to.deep.equal(["refused", "written"]);
+    });
+
     it("records assignments that come within a short time together, and the first one at once", async () => {
         let appends = 0;
         const { clock, writer } = setUp(async () => {
