A crash that is noticed while others are recorded is recorded at once

Cause: the task that records crashes waited for the next change of the evidence only after its append and its pause of 100 ms; a change within these was missed until the next one, or until the check every 10 s (a lost wake-up). Change: a listener notes changes from the draft on; if there was one, the task drafts again without waiting. Appends stay 100 ms apart. Test: failed before (the third crash missing 200 ms after it), passes now.

--- a/src/cluster/crashRecording.ts
+++ b/src/cluster/crashRecording.ts
@@ -121,7 +121,12 @@
 export async function recordCrashes(
     { view, evidence, self, writer, clock, log }: CrashRecordingDependencies, signal: AbortSignal,
 ): Promise<void> {
+    let hasChanged = false;
+    const stopListening = evidence.changed.listen(() => {
+        hasChanged = true;
+    });
     while (!signal.aborted) {
+        hasChanged = false;
         const changes = draftCrashRecords(view.ledger, evidence, self, clock.now());
         if (changes.length > 0) {
             const result = await writer.record(changes);
@@ -130,8 +135,11 @@
             });
         }
         await clock.sleep(appendGapMs, signal);
-        await waitFor(clock, checkPeriodMs, [evidence.changed], signal);
+        if (!hasChanged) {
+            await waitFor(clock, checkPeriodMs, [evidence.changed], signal);
+        }
     }
+    stopListening();
 }
 
 /** Dependencies of `recordWhileAlone`. */
--- a/test/cluster/crashRecording.spec.ts
+++ b/test/cluster/crashRecording.spec.ts
@@ -1,15 +1,19 @@
 import { expect } from "chai";
-import { draftCrashRecords, watchCrashRecords } from "../../src/cluster/crashRecording.js";
+import { ok } from "neverthrow";
+import { draftCrashRecords, recordCrashes, watchCrashRecords } from "../../src/cluster/crashRecording.js";
 import { CrashEvidence } from "../../src/crashes/crashEvidence.js";
 import type { CrashReport } from "../../src/crashes/crashReport.js";
 import type { Fingerprint, RequestFingerprints } from "../../src/crashes/requestFingerprint.js";
 import type { HostId, Offset, ServiceId, TargetId } from "../../src/model/names.js";
 import type { Clock, Instant } from "../../src/model/time.js";
+import type { Log } from "../../src/observe/log.js";
 import type { LedgerRecord } from "../../src/ownership/ledger.js";
 import { encodeLedgerRecord } from "../../src/ownership/ledger.js";
 import { decodeLedgerRecord } from "../../src/ownership/ledgerDecoder.js";
+import type { LedgerWriter } from "../../src/ownership/ledgerWriter.js";
 import type { DraftedRecord } from "../../src/ownership/ownershipDraft.js";
 import { ClusterView } from "../../src/store/clusterView.js";
+import { VirtualClock } from "../support/virtualTime.js";
 
 const self = "h1" as HostId;
 const deadly = request("deadly");
@@ -74,6 +78,31 @@
         expect(view.ledger.crashes()).to.deep.equal([]);
     });
 
+    it("are written at once, also for a crash that comes to be known while others are being recorded", async () => {
+        const clock = new VirtualClock();
+        const evidence = new CrashEvidence();
+        const view = new ClusterView();
+        const stop = new AbortController();
+        const addCrash = (target: number) => evidence.merge({ crashes: [report(target, ["deadly"])], completions: [] }, clock.now().monoMs);
+        const writer = {
+            record: async (records: readonly DraftedRecord[]) => {
+                await clock.sleep(5);
+                append(view, records);
+                return ok(undefined);
+            },
+        } as unknown as LedgerWriter;
+        const log: Log = { info: () => undefined, warn: () => undefined, error: () => undefined };
+        addCrash(1);
+        await clock.advance(1_000);
+        addCrash(2);
+        void recordCrashes({ view, evidence, self, writer, clock, log }, stop.signal);
+        await clock.advance(60);
+        addCrash(3);
+        await clock.advance(200);
+        stop.abort();
+        expect(view.ledger.crashes().map(({ targetId }) => targetId)).to.have.members(["t-1", "t-2", "t-3"]);
+    });
+
     it("are bounded in number", () => {
         const evidence = new CrashEvidence();
         for (let index = 0; index < 120; index++) {
