Records of crashes that the store refused are written again after a second

What could happen: an append of crashes that failed (the store unavailable for a moment) was tried again only with the next change of the evidence, or after 10 s. Found by reading. Change: after a failure the task waits 1 s at most. The ledger writer refuses without a call while the store counts as failing. Test: failed before (nothing recorded 2 s after one refusal), passes now.

--- a/src/cluster/crashRecording.ts
+++ b/src/cluster/crashRecording.ts
@@ -40,6 +40,9 @@
 /** Interval at which records are checked for what has become too old. */
 const checkPeriodMs = 10_000;
 
+/** Time after which an append of crashes that failed is tried again. */
+const retryMs = 1_000;
+
 /** Minimum time between two appends of crashes. */
 const appendGapMs = 100;
 
@@ -127,16 +130,18 @@
     });
     while (!signal.aborted) {
         hasChanged = false;
+        let waitMs = checkPeriodMs;
         const changes = draftCrashRecords(view.ledger, evidence, self, clock.now());
         if (changes.length > 0) {
             const result = await writer.record(changes);
+            waitMs = result.isOk() ? checkPeriodMs : retryMs;
             log.info("crashes recorded", {
                 keys: changes.map(({ key }) => key), outcome: result.isOk() ? "recorded" : describeFailure(result.error),
             });
         }
         await clock.sleep(appendGapMs, signal);
         if (!hasChanged) {
-            await waitFor(clock, checkPeriodMs, [evidence.changed], signal);
+            await waitFor(clock, waitMs, [evidence.changed], signal);
         }
     }
     stopListening();
--- a/test/cluster/crashRecording.spec.ts
+++ b/test/cluster/crashRecording.spec.ts
@@ -1,9 +1,12 @@
 import { expect } from "chai";
-import { ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
 import { draftCrashRecords, recordCrashes, watchCrashRecords } from "../../src/cluster/crashRecording.js";
 import { CrashEvidence } from "../../src/crashes/crashEvidence.js";
 import type { CrashReport } from "../../src/crashes/crashReport.js";
 import type { Fingerprint, RequestFingerprints } from "../../src/crashes/requestFingerprint.js";
+import type { Failure } from "../../src/model/failure.js";
+import { failure } from "../../src/model/failure.js";
 import type { HostId, Offset, ServiceId, TargetId } from "../../src/model/names.js";
 import type { Clock, Instant } from "../../src/model/time.js";
 import type { Log } from "../../src/observe/log.js";
@@ -16,6 +19,7 @@
 import { VirtualClock } from "../support/virtualTime.js";
 
 const self = "h1" as HostId;
+const silentLog: Log = { info: () => undefined, warn: () => undefined, error: () => undefined };
 const deadly = request("deadly");
 
 function request(content: string): RequestFingerprints {
@@ -78,29 +82,52 @@
         expect(view.ledger.crashes()).to.deep.equal([]);
     });
 
-    it("are written at once, also for a crash that comes to be known while others are being recorded", async () => {
-        const clock = new VirtualClock();
-        const evidence = new CrashEvidence();
-        const view = new ClusterView();
-        const stop = new AbortController();
-        const addCrash = (target: number) => evidence.merge({ crashes: [report(target, ["deadly"])], completions: [] }, clock.now().monoMs);
-        const writer = {
-            record: async (records: readonly DraftedRecord[]) => {
+    describe("of a coordinator", () => {
+        /** Records crashes of "deadly", of which two are known at the start; each append has the outcome that a test sets by its number. */
+        function setUp(outcomeOf: (sent: number) => Result<void, Failure> = () => ok(undefined)) {
+            const clock = new VirtualClock();
+            const evidence = new CrashEvidence();
+            const view = new ClusterView();
+            let sent = 0;
+            const record = async (records: readonly DraftedRecord[]) => {
                 await clock.sleep(5);
-                append(view, records);
-                return ok(undefined);
-            },
-        } as unknown as LedgerWriter;
-        const log: Log = { info: () => undefined, warn: () => undefined, error: () => undefined };
-        addCrash(1);
-        await clock.advance(1_000);
-        addCrash(2);
-        void recordCrashes({ view, evidence, self, writer, clock, log }, stop.signal);
-        await clock.advance(60);
-        addCrash(3);
-        await clock.advance(200);
-        stop.abort();
-        expect(view.ledger.crashes().map(({ targetId }) => targetId)).to.have.members(["t-1", "t-2", "t-3"]);
+                sent += 1;
+                const outcome = outcomeOf(sent);
+                if (outcome.isOk()) {
+                    append(view, records);
+                }
+                return outcome;
+            };
+            const addCrash = (target: number) => evidence.merge({ crashes: [report(target, ["deadly"])], completions: [] }, clock.now().monoMs);
+            const stop = new AbortController();
+            const start = async () => {
+                addCrash(1);
+                await clock.advance(1_000);
+                addCrash(2);
+                const writer = { record } as unknown as LedgerWriter;
+                void recordCrashes({ view, evidence, self, writer, clock, log: silentLog }, stop.signal);
+            };
+            return { clock, view, addCrash, start, stop };
+        }
+
+        it("are written at once, also for a crash that comes to be known while others are being recorded", async () => {
+            const { clock, view, addCrash, start, stop } = setUp();
+            await start();
+            await clock.advance(60);
+            addCrash(3);
+            await clock.advance(200);
+            stop.abort();
+            expect(view.ledger.crashes().map(({ targetId }) => targetId)).to.have.members(["t-1", "t-2", "t-3"]);
+        });
+
+        it("are written within two seconds after the store has refused them, though nothing else happens", async () => {
+            const { clock, view, start, stop } = setUp((sent) =>
+                sent === 1 ? err(failure("refused", "store-append", "ledger", "the store is unavailable")) : ok(undefined));
+            await start();
+            await clock.advance(2_000);
+            stop.abort();
+            expect(view.ledger.crashes().map(({ targetId }) => targetId)).to.have.members(["t-1", "t-2"]);
+        });
     });
 
     it("are bounded in number", () => {
