A request's first crash is in the ledger too, so that it outlasts all hosts

Cause: the ledger had only crashes at which a suspected request was, thus from the second known one on. Each restart of all hosts began anew. Evidence: the trace has crashes of deadly-2 at 5,580, 8,532, 10,936, 13,569 and 18,142 ms; none was in the ledger until 23,639. Change: the coordinator also records a crash of the last minute at which no suspect was, unless others of the service came within half a second (one cause), or all its requests were run to their end since. Calls to the store: one append for such a crash. Changes by which no reader of the ledger would draw another conclusion (removals; requests of one crash that were run to their end) no longer cost an append of their own: they wait for the next urgent one, or 10 s. New: crashes with one cause, and completions, cost no append of their own.

--- a/src/cluster/crashRecording.ts
+++ b/src/cluster/crashRecording.ts
@@ -1,11 +1,15 @@
 /**
- * Keeps evidence of crashes in the ledger: the coordinator records what concerns suspected requests, and a host that follows no coordinator
- * records what it observes itself, so that hosts which can't reach each other learn from each other through the store.
+ * Keeps evidence of crashes in the ledger: the coordinator records what concerns suspected requests, and each recent crash, since all
+ * hosts may end before the next one; a host that follows no coordinator records what it observes itself, so that hosts which can't reach
+ * each other learn from each other through the store.
  */
+import { maxCoincidentCrashes, simultaneousMs, suspectedCrashCount } from "../crashes/crashAssessment.js";
 import type { CrashEvidenceUpdate, CrashReport, TargetProcess } from "../crashes/crashReport.js";
+import { processKeyOf } from "../crashes/crashReport.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { CrashObserver } from "../crashes/crashObserver.js";
 import type { CrashRecord } from "../crashes/crashRecords.js";
+import type { Fingerprint } from "../crashes/requestFingerprint.js";
 import {
     completionKeyOf, crashKeyOf, quarantineReleaseKeyOf, toCompletionRecord, toCompletionReport, toCrashRecord, toCrashReport,
     toTrialReport, trialKeyOf,
@@ -53,6 +57,12 @@
 const aloneAfterMs = 700;
 const aloneCheckPeriodMs = 200;
 
+/** A change of the ledger that the evidence calls for. */
+export interface CrashRecordChange extends DraftedRecord {
+    /** False if the change may wait until others are written, since it changes no request's standing. */
+    isUrgent: boolean;
+}
+
 /**
  * Drafts the changes of the ledger that the evidence calls for.
  * @param ledger the current ledger
@@ -60,32 +70,46 @@
  * @param recordedBy this host
  * @param now current time
  */
-export function draftCrashRecords(ledger: Ledger, evidence: CrashEvidence, recordedBy: HostId, now: Instant): DraftedRecord[] {
+export function draftCrashRecords(ledger: Ledger, evidence: CrashEvidence, recordedBy: HostId, now: Instant): CrashRecordChange[] {
     const recorded = ledger.crashes();
-    const wanted = evidence.crashesOfSuspects(now.monoMs).slice(0, maxRecordedCrashes);
+    const ofSuspects = evidence.crashesOfSuspects(now.monoMs);
+    const wanted = [...ofSuspects, ...otherRecentCrashes(ofSuspects, evidence, now.monoMs)].slice(0, maxRecordedCrashes);
     const isRecorded = (report: CrashReport) => recorded.some((record) => isSameProcess(record, report));
     const added = wanted.filter((report) => !isRecorded(report))
         .map((report) => toCrashRecord(report, recordedBy, now))
-        .map((record) => ({ key: crashKeyOf(record, recordedBy), record: { ...record, requests: notCleared(record, evidence) } }));
+        .map((record) => ({ ...record, requests: notCleared(record, evidence) }))
+        .map((record) => ({ key: crashKeyOf(record, recordedBy), record, isUrgent: true }));
     const oldCrashes = recorded
         .filter((record) => !wanted.some((report) => isSameProcess(record, report)) && isOutdated(record.atWallMs, minRetentionMs, now))
-        .map((record) => ({ key: crashKeyOf(record, record.recordedBy), record: undefined }));
-    const outdated = recorded.flatMap((record) => withoutCleared(record, evidence));
+        .map((record) => crashKeyOf(record, record.recordedBy));
     const oldReleases = ledger.quarantineReleases()
         .filter(({ releasedWallMs }) => isOutdated(releasedWallMs, maxRetentionMs, now))
-        .map(({ fingerprint }) => ({ key: quarantineReleaseKeyOf(fingerprint), record: undefined }));
+        .map(({ fingerprint }) => quarantineReleaseKeyOf(fingerprint));
     const oldCompletions = ledger.completions()
         .filter(({ atWallMs }) => isOutdated(atWallMs, minRetentionMs, now))
-        .map(({ fingerprint }) => ({ key: completionKeyOf(fingerprint), record: undefined }));
-    return [...added, ...outdated, ...oldCrashes, ...oldCompletions, ...oldReleases, ...draftOldTrials(ledger, evidence, now)];
+        .map(({ fingerprint }) => completionKeyOf(fingerprint));
+    const removed = [...oldCrashes, ...oldCompletions, ...oldReleases, ...findOldTrials(ledger, evidence, now)]
+        .map((key) => ({ key, record: undefined, isUrgent: false }));
+    return [...added, ...draftCleared(recorded, evidence), ...removed];
 }
 
-function draftOldTrials(ledger: Ledger, evidence: CrashEvidence, now: Instant): DraftedRecord[] {
+/** Lists the recent crashes that may be a request's first one: no suspect was there, and others did not crash for the same reason. */
+function otherRecentCrashes(ofSuspects: readonly CrashReport[], evidence: CrashEvidence, nowMs: number): CrashReport[] {
+    const known = new Set(ofSuspects.map(processKeyOf));
+    const { crashes } = evidence.snapshot(nowMs);
+    const coincidentCount = (crash: CrashReport) => crashes.filter((other) => other.serviceId === crash.serviceId
+        && other.targetId !== crash.targetId && Math.abs(other.agoMs - crash.agoMs) <= simultaneousMs).length;
+    return crashes.filter((crash) => crash.agoMs <= minRetentionMs && !known.has(processKeyOf(crash))
+        && coincidentCount(crash) <= maxCoincidentCrashes
+        && crash.requests.some((request) => !evidence.isClearedSince(crash, request)));
+}
+
+function findOldTrials(ledger: Ledger, evidence: CrashEvidence, now: Instant): string[] {
     const suspected = new Set(evidence.adverseStandings(now.monoMs).map(({ fingerprint }) => fingerprint));
     return ledger.trials()
         .filter(({ fingerprint, grantedWallMs }) =>
             now.wallMs - grantedWallMs > (suspected.has(fingerprint) ? maxRetentionMs : minRetentionMs))
-        .map(({ fingerprint }) => ({ key: trialKeyOf(fingerprint), record: undefined }));
+        .map(({ fingerprint }) => trialKeyOf(fingerprint));
 }
 
 /** Tells whether a record is too old, or so far in the future that no clock can be that wrong; the latter would stay forever. */
@@ -98,12 +122,28 @@
     return record.requests.filter((request) => !evidence.isClearedSince(record, request));
 }
 
-/** Drafts a record anew if it has requests that were run to their end since. */
-function withoutCleared(record: CrashRecord, evidence: CrashEvidence): DraftedRecord[] {
-    const requests = notCleared(record, evidence);
-    return requests.length === record.requests.length
-        ? []
-        : [{ key: crashKeyOf(record, record.recordedBy), record: { ...record, requests } }];
+/** Drafts the records anew that have requests which were run to their end since; urgent if a host would suspect these by the records. */
+function draftCleared(recorded: readonly CrashRecord[], evidence: CrashEvidence): CrashRecordChange[] {
+    const crashCounts = countCrashes(recorded);
+    return recorded.flatMap((record) => {
+        const requests = notCleared(record, evidence);
+        const isUrgent = record.requests.some((request) =>
+            (crashCounts.get(request.content) ?? 0) >= suspectedCrashCount && !requests.includes(request));
+        return requests.length === record.requests.length
+            ? []
+            : [{ key: crashKeyOf(record, record.recordedBy), record: { ...record, requests }, isUrgent }];
+    });
+}
+
+/** Returns the number of recorded crashes at which requests with each content were. */
+function countCrashes(recorded: readonly CrashRecord[]): Map<Fingerprint, number> {
+    const targets = new Map<Fingerprint, Set<string>>();
+    for (const record of recorded) {
+        for (const { content } of record.requests) {
+            targets.set(content, (targets.get(content) ?? new Set()).add(processKeyOf(record)));
+        }
+    }
+    return new Map([...targets].map(([content, processes]) => [content, processes.size]));
 }
 
 function isSameProcess(left: TargetProcess, right: TargetProcess): boolean {
@@ -124,6 +164,7 @@
 export async function recordCrashes(
     { view, evidence, self, writer, clock, log }: CrashRecordingDependencies, signal: AbortSignal,
 ): Promise<void> {
+    let checkedMs = Number.NEGATIVE_INFINITY;
     let hasChanged = false;
     const stopListening = evidence.changed.listen(() => {
         hasChanged = true;
@@ -131,8 +172,12 @@
     while (!signal.aborted) {
         hasChanged = false;
         let waitMs = checkPeriodMs;
-        const changes = draftCrashRecords(view.ledger, evidence, self, clock.now());
-        if (changes.length > 0) {
+        const now = clock.now();
+        const isCheckDue = now.monoMs - checkedMs >= checkPeriodMs;
+        checkedMs = isCheckDue ? now.monoMs : checkedMs;
+        const drafted = draftCrashRecords(view.ledger, evidence, self, now);
+        if (drafted.some(({ isUrgent }) => isUrgent || isCheckDue)) {
+            const changes = drafted.map(({ key, record }) => ({ key, record }));
             const result = await writer.record(changes);
             waitMs = result.isOk() ? checkPeriodMs : retryMs;
             log.info("crashes recorded", {
--- a/src/crashes/crashAssessment.ts
+++ b/src/crashes/crashAssessment.ts
@@ -44,10 +44,10 @@
 const undistinguishedCrashCount = 5;
 
 /** Crashes within this time of each other may have one cause. */
-const simultaneousMs = 500;
+export const simultaneousMs = 500;
 
 /** Limits up to which simultaneous crashes may be a coincidence: those without a suspect, and the suspects at the others. */
-const maxCoincidentCrashes = 1;
+export const maxCoincidentCrashes = 1;
 const maxCoincidentSuspects = 2;
 
 /** Share of a service's targets that may be down for unknown reasons while a crash still counts against the requests at its target. */
