--- a/src/cluster/peerConnection.ts
+++ b/src/cluster/peerConnection.ts
@@ -6,6 +6,7 @@
 import { Packr, Unpackr } from "msgpackr";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
+import { listen } from "../adapters/listening.js";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Clock } from "../model/time.js";
@@ -75,17 +76,15 @@
  * Listens for connections of other hosts.
  * @param address where to listen
  * @param handlers methods that this host offers on each connection
+ * @param retryForMs how long an address that is in use is tried again
  */
-export async function listenForPeers(address: string, handlers: PeerHandlers, clock: Clock): Promise<net.Server> {
+export async function listenForPeers(
+    address: string, handlers: PeerHandlers, clock: Clock, retryForMs: number,
+): Promise<Result<net.Server, Failure>> {
     const server = net.createServer({ noDelay: true }, (socket) => {
         createConnection(socket, `${socket.remoteAddress ?? ""}:${String(socket.remotePort ?? 0)}`, handlers, clock);
     });
-    const [host, port] = address.split(":");
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(Number(port), host, resolve);
-    });
-    return server;
+    return (await listen(server, address, clock, retryForMs)).map(() => server);
 }
 
 function createConnection(socket: net.Socket, address: string, handlers: PeerHandlers, clock: Clock): PeerConnection {
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -3,7 +3,10 @@
 import http from "node:http";
 import type { Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
+import type { Result } from "neverthrow";
+import { listen } from "../adapters/listening.js";
 import type { ClientDialect } from "./clientDialect.js";
+import type { Failure } from "../model/failure.js";
 import type { ClientLimits } from "../model/routing.js";
 import { abortReason } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
@@ -57,8 +60,9 @@
     /**
      * Starts to accept connections.
      * @param address IP address and port, such as `10.0.0.7:8080`
+     * @param retryForMs how long an address that is in use is tried again
      */
-    listen(address: string): Promise<void>;
+    listen(address: string, retryForMs: number): Promise<Result<undefined, Failure>>;
     /** Applies the limits of a configuration. */
     setLimits(limits: ClientLimits): void;
     /** From now on, every response asks the client to close its connection. */
@@ -220,13 +224,7 @@
     applyLimits(server, initialLimits);
 
     return {
-        listen: (address) => {
-            const [host, port] = address.split(":");
-            return new Promise((resolve, reject) => {
-                server.once("error", reject);
-                server.listen(Number(port), host, resolve);
-            });
-        },
+        listen: (address, retryForMs) => listen(server, address, dependencies.clock, retryForMs),
         setLimits: (newLimits) => {
             configuredLimits = newLimits;
             applyLimits(server, newLimits);
--- a/src/host/adminHttp.ts
+++ b/src/host/adminHttp.ts
@@ -50,17 +50,3 @@
         response.writeHead(isReady() ? 200 : 503, { "Content-Length": "0" }).end();
     });
 }
-
-/**
- * Makes a server listen at an address.
- * @param server the server
- * @param address IP address and port
- * @returns resolves when the server listens; rejects with the error of the server if it cannot
- */
-export function listen(server: http.Server, address: string): Promise<void> {
-    const [host, port] = address.split(":");
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(Number(port), host, resolve);
-    });
-}
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -1,11 +1,16 @@
 /** Startup and graceful shutdown of a host. */
 import { setMaxListeners } from "node:events";
+import type net from "node:net";
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
 import type { DependencyContainer } from "tsyringe";
 import { listenForPeers } from "../cluster/peerConnection.js";
 import type { AdverseStanding } from "../crashes/crashEvidence.js";
 import { monitorStandings } from "../crashes/standingMonitor.js";
-import { createAdminHttp, createReadyHttp, listen } from "./adminHttp.js";
+import { listen } from "../adapters/listening.js";
+import { createAdminHttp, createReadyHttp } from "./adminHttp.js";
 import { watchDocument } from "./documentWatcher.js";
+import { startListeners } from "./listeners.js";
 import { tokens } from "./tokens.js";
 
 /** The load balancer removes a host after two failed readiness checks; new connections may arrive until then. */
@@ -35,8 +40,9 @@
 /**
  * Starts a host.
  * @param hostContainer container with the components of the host
+ * @returns the host, or an error if it cannot listen at all of its addresses; the log then says why
  */
-export async function startDaemon(hostContainer: DependencyContainer): Promise<Daemon> {
+export async function startDaemon(hostContainer: DependencyContainer): Promise<Result<Daemon, "cannot-listen">> {
     const settings = hostContainer.resolve(tokens.settings);
     const clock = hostContainer.resolve(tokens.clock);
     const log = hostContainer.resolve(tokens.logFactory)("host");
@@ -70,7 +76,6 @@
     Object.assign(peerHandlers, node.handlers(), hostContainer.resolve(tokens.admissionServer).handlers());
     registerGauges(hostContainer);
 
-    const peers = await listenForPeers(settings.peerAddress, peerHandlers, clock);
     const ready = createReadyHttp(() => unreadyReason() === undefined);
     const admin = createAdminHttp({
         unreadyReason,
@@ -79,7 +84,20 @@
         }),
         metrics: () => hostContainer.resolve(tokens.metrics).text(),
     });
-    await Promise.all([listen(ready, settings.readyAddress), listen(admin, settings.adminAddress), clients.listen(settings.clientAddress)]);
+    let peers: net.Server | undefined;
+    // The platform kills a previous process of this host, which may still hold the addresses, at the end of the time for its shutdown.
+    const areListening = await startListeners([
+        { purpose: "clients", address: settings.clientAddress, start: clients.listen },
+        { purpose: "ready", address: settings.readyAddress, start: (address, retryForMs) => listen(ready, address, clock, retryForMs) },
+        { purpose: "admin", address: settings.adminAddress, start: (address, retryForMs) => listen(admin, address, clock, retryForMs) },
+        { purpose: "peers", address: settings.peerAddress, start: async (address, retryForMs) =>
+            (await listenForPeers(address, peerHandlers, clock, retryForMs)).map((server) => {
+                peers = server;
+            }) },
+    ], settings.stopTimeoutMs, log);
+    if (!areListening) {
+        return err("cannot-listen");
+    }
     void watchDocument(view, clock, log, tasksAbort.signal);
     const crashLog = hostContainer.resolve(tokens.logFactory)("crashes");
     void monitorStandings({ evidence, clock, log: crashLog }, tasksAbort.signal);
@@ -91,7 +109,7 @@
         admin: settings.adminAddress, store: settings.storeAddress, dataCentre: settings.dataCentreId,
     });
 
-    return {
+    return ok({
         stop: async () => {
             const startedMs = clock.now().monoMs;
             isStopping = true;
@@ -99,7 +117,9 @@
             clients.startClosingConnections();
             hostContainer.resolve(tokens.forwarder).startShutdown(deadlineMs - lastEndBeforeDeadlineMs);
             log.info("stopping", { pending: clients.pending(), coordinating: node.isCoordinating() });
-            void node.handOver();
+            node.handOver().catch((error: unknown) => {
+                log.error("handing over failed", { why: error instanceof Error ? error.stack : String(error) });
+            });
             await clock.sleep(Math.min(balancerRemovalMs, settings.stopTimeoutMs / 2));
             clients.stopAccepting();
             const isBusy = () => clients.pending() > 0 || node.isCoordinating();
@@ -116,11 +136,10 @@
             clients.close();
             ready.close();
             admin.close();
-            peers.close();
+            peers?.close();
             hostContainer.resolve(tokens.links).close();
-            await hostContainer.resolve(tokens.logWriter).flush();
         },
-    };
+    });
 }
 
 function registerGauges(hostContainer: DependencyContainer): void {
--- a/src/model/failure.ts
+++ b/src/model/failure.ts
@@ -3,7 +3,7 @@
 /** Steps that can fail. `fold` is the decoding of a ledger record, `parse` that of a target's entry or a configuration. */
 export type Step =
     | "connect" | "forward" | "grant" | "release" | "store-append" | "store-read" | "peer-call" | "admin-call"
-    | "publish" | "settings" | "parse" | "fold";
+    | "publish" | "settings" | "listen" | "parse" | "fold";
 
 /** A failed step. `kind` decides what the caller may do next, such as retry. The fields appear in the JSON output of hornbeamctl. */
 export interface Failure {
--- a/test/cluster/cluster.spec.ts
+++ b/test/cluster/cluster.spec.ts
@@ -72,11 +72,12 @@
     it("carry calls and notifications in both directions, in order", async () => {
         const received: number[] = [];
         const address = `127.0.0.1:${String(await Fleet.freePort())}`;
-        const server = await listenForPeers(address, {
+        const listening = await listenForPeers(address, {
             double: ({ value }: { value: number }) => value * 2,
             note: ({ value }: { value: number }) => received.push(value),
             ask: async (_params: object, from) => (await from.call<string>("name", {}, 500)).unwrapOr("none"),
-        }, clock);
+        }, clock, 0);
+        const server = listening._unsafeUnwrap();
         const connection = (await connectToPeer(address, { name: () => "caller" }, clock))._unsafeUnwrap();
         for (let value = 0; value < 20; value++) {
             connection.notify("note", { value });
@@ -90,12 +91,13 @@
 
     it("fail calls at once when the connection closes, and on timeout when the peer does not answer", async () => {
         const address = `127.0.0.1:${String(await Fleet.freePort())}`;
-        const server = await listenForPeers(address, {
+        const listening = await listenForPeers(address, {
             never: () => new Promise(() => undefined),
             end: (_params: object, from) => {
                 from.destroy();
             },
-        }, clock);
+        }, clock, 0);
+        const server = listening._unsafeUnwrap();
         const links = createPeerLinks({}, clock);
         const silent = await links.call(address as Address, "never", {}, 50);
         expect(silent._unsafeUnwrapErr().kind).to.equal("lost");
--- a/test/entry/clientHttp.spec.ts
+++ b/test/entry/clientHttp.spec.ts
@@ -37,7 +37,7 @@
         onDenied: () => undefined, onUnexpectedError: () => undefined,
     });
     const port = await freePort();
-    await clients.listen(`127.0.0.1:${String(port)}`);
+    (await clients.listen(`127.0.0.1:${String(port)}`, 0))._unsafeUnwrap();
     const client = spawn(process.execPath, ["-e", clientScript, String(port)]);
     await once(client.stdout, "data");
     client.stdin.write(request);
--- a/test/entry/denials.spec.ts
+++ b/test/entry/denials.spec.ts
@@ -35,7 +35,7 @@
         });
         clients.setLimits(limits);
         port = await freePort();
-        await clients.listen(`127.0.0.1:${String(port)}`);
+        (await clients.listen(`127.0.0.1:${String(port)}`, 0))._unsafeUnwrap();
     });
 
     afterEach(() => {
--- a/test/entry/listenerUnderTest.ts
+++ b/test/entry/listenerUnderTest.ts
@@ -160,6 +160,6 @@
         clients.setLimits(initial);
     }
     const port = await freePort();
-    await clients.listen(`127.0.0.1:${String(port)}`);
+    (await clients.listen(`127.0.0.1:${String(port)}`, 0))._unsafeUnwrap();
     return Object.assign(knowledge, { clients, port, servedIds, denials, errors });
 }
--- a/test/fleet/fleet.ts
+++ b/test/fleet/fleet.ts
@@ -21,6 +21,9 @@
 const defaultBudgetMs = 4_000;
 const answerToleranceMs = 1_000;
 
+/** Time between SIGTERM and SIGKILL that the settings state to the daemons. */
+export const graceMs = 6_000;
+
 /** Status of a request that the host neither answered nor dropped by the client's deadline plus `answerToleranceMs`. */
 export const unansweredStatus = -1;
 
@@ -45,13 +48,26 @@
     agent?: http.Agent;
 }
 
-/** A running daemon. */
-export interface FleetHost {
-    name: string;
-    child: ChildProcess;
+/** Ports that a daemon listens on. */
+export interface HostPorts {
+    peerPort: number;
     clientPort: number;
     readyPort: number;
     adminPort: number;
+}
+
+/** How a daemon is started. */
+export interface HostStartOptions {
+    /** Called with the daemon's ports before it starts. */
+    beforeStart?: (ports: HostPorts) => Promise<void>;
+    /** Arguments of Node.js that run another program in place of the daemon. */
+    program?: string[];
+}
+
+/** A running daemon. */
+export interface FleetHost extends HostPorts {
+    name: string;
+    child: ChildProcess;
     logFile: string;
 }
 
@@ -159,22 +175,25 @@
      * Starts a daemon and adds it to the fleet.
      * @param name name of the host
      * @param storeAddress address of the store in the host's settings
+     * @param options how the daemon is started
      */
-    async startHost(name: string, storeAddress = this.store.address): Promise<FleetHost> {
-        const [peerPort, clientPort, readyPort, adminPort] = await this.allocatePorts();
+    async startHost(name: string, storeAddress = this.store.address, options: HostStartOptions = {}): Promise<FleetHost> {
+        const ports = await this.allocatePorts();
+        const { peerPort, clientPort, readyPort, adminPort } = ports;
+        await options.beforeStart?.(ports);
         const settingsFile = join(this.folder, `${name}.toml`);
         const logFile = join(this.folder, `${name}.log`);
         writeFileSync(settingsFile, [
             `node_name = "${name}"`, `ip = "${host}"`, "zone = \"here\"", `internal_port_range = [${String(peerPort)},${String(peerPort)}]`,
-            "heartbeat_ms = 300", "bounds = [\"drain_ms=2000\",\"grace_s=6\",\"retry_budget_ratio=0.2\",\"budget_extra_retries=20\"]",
+            "heartbeat_ms = 300", `bounds = ["drain_ms=2000","grace_s=${String(graceMs / 1_000)}","retry_budget_ratio=0.2","budget_extra_retries=20"]`,
             "[listen]", `front = "${host}:${String(clientPort)}"`, `ready = "${host}:${String(readyPort)}"`,
             "[limits]", "cpu_share = 0.5", "memory_mb = 350", "max_fds = 4100",
             "[platform]", `address = "${storeAddress}"`,
         ].join("\n"));
-        const child = spawn(process.execPath, ["target/hornbeam-host.cjs", "--admin-port", String(adminPort)], {
+        const child = spawn(process.execPath, [...options.program ?? ["target/hornbeam-host.cjs"], "--admin-port", String(adminPort)], {
             env: { PATH: process.env["PATH"], [settingsPathVariable]: settingsFile }, stdio: ["ignore", openSync(logFile, "a"), "inherit"],
         });
-        const started: FleetHost = { name, child, clientPort, readyPort, adminPort, logFile };
+        const started: FleetHost = { name, child, ...ports, logFile };
         this.hosts.push(started);
         return started;
     }
@@ -182,6 +201,9 @@
     /** Sends a signal that ends a daemon, waits for its exit and removes it from the fleet. */
     async endHost(daemon: FleetHost, signal: NodeJS.Signals): Promise<void> {
         this.hosts.splice(this.hosts.indexOf(daemon), 1);
+        if (hasEnded(daemon)) {
+            return;
+        }
         const ended = once(daemon.child, "exit");
         daemon.child.kill(signal);
         await ended;
@@ -225,12 +247,12 @@
         await this.store.stop();
     }
 
-    private async allocatePorts(): Promise<[number, number, number, number]> {
+    private async allocatePorts(): Promise<HostPorts> {
         for (;;) {
             const first = this.nextPort;
             this.nextPort += portsPerHost;
-            const ports = [first, first + 1, first + 2, first + 3] as [number, number, number, number];
-            if ((await Promise.all(ports.map(isFree))).every(Boolean)) {
+            const ports: HostPorts = { peerPort: first, clientPort: first + 1, readyPort: first + 2, adminPort: first + 3 };
+            if ((await Promise.all(Object.values(ports).map(isFree))).every(Boolean)) {
                 return ports;
             }
         }
@@ -270,6 +292,11 @@
     });
 }
 
+/** Tells whether the process of a host has ended. */
+export function hasEnded({ child }: FleetHost): boolean {
+    return typeof child.exitCode === "number" || typeof child.signalCode === "string";
+}
+
 /** Asks a host whether it accepts requests of clients. */
 export async function isReady(daemon: FleetHost): Promise<boolean> {
     return new Promise((resolve) => {
--- a/test/forwarding/unexpectedErrors.spec.ts
+++ b/test/forwarding/unexpectedErrors.spec.ts
@@ -88,7 +88,7 @@
             onUnexpectedError: (error) => this.errors.push(error),
         });
         this.port = await freePort();
-        await listener.listen(`127.0.0.1:${String(this.port)}`);
+        (await listener.listen(`127.0.0.1:${String(this.port)}`, 0))._unsafeUnwrap();
         this.stops.push(() => target.close(), () => {
             listener.close();
         });
