A task of the host that ends unexpectedly is started again, or the host stops with exit code 4

What was seen: the host's tasks ran as `void task.run(signal)`. When one failed, "host: unhandled rejection" was all that said so, and the host went on without it: without its cluster node it still called itself ready, without its admission queues' ticks waiting requests had no end.

Change: src/observe/tasks.ts runs tasks and decides what follows an unexpected end, each with a line "task ended unexpectedly" (task, outcome, why): - cluster node (and with it the confirmation of a coordinator's term) and admission queues: their state may be wrong after an error, so the host stops in order, as on SIGTERM, and ends with code 4; the platform starts it anew; - loops that keep no state which an error may leave wrong (pool, document, standings, direct reading, records, own reports, the coordinator's ownership, updates, configuration and targets, the leases of each target) are started again after 0.5 s. Ending the host for those would let one odd record in the store end every coordinator in turn. A coordinator whose term fails no longer counts as coordinating, and stops its tasks.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -6,6 +6,8 @@
 import { linkAborts } from "../model/signal.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
+import type { Task } from "../observe/tasks.js";
+import { runRestartedTasks } from "../observe/tasks.js";
 import { FenceCounter } from "../ownership/fences.js";
 import type { LeasePort } from "../ownership/leasePort.js";
 import { defaultHoldMs } from "../ownership/leaseTerms.js";
@@ -150,30 +152,31 @@
     };
 
     const startTasks = (signal: AbortSignal) => {
-        void ownershipManager.run(signal);
-        void paceNews({
+        const pacing = {
             clock, urgent: ownershipManager.moveStarted,
             deferrable: [ownershipManager.noticeChanged, news.ledgerChangesQueued, news.evidenceQueued],
             send: sendNotice,
-        }, signal);
-        void watchConfig({
-            reader, view, clock,
-            onConfirmed: (atMs) => {
-                configConfirmedAtMs = atMs;
-            },
-            onChanged: () => {
-                news.broadcast({});
-            },
-        }, signal);
-        void watchTargets({
-            reader, clock, isSuperseded,
-            onRead: (askedAt, changes) => {
-                targetsConfirmedAt = askedAt;
-                broadcastTargets(changes);
-            },
-        }, signal);
-        void recordCrashes({ view, evidence: crashEvidence, self: membership.self.hostId, writer, clock, log }, signal);
-        void repairRecords({ view, writer, clock, log }, signal);
+        };
+        const onConfigConfirmed = (atMs: number) => {
+            configConfirmedAtMs = atMs;
+        };
+        const onConfigChanged = () => {
+            news.broadcast({});
+        };
+        const onTargetsRead = (askedAt: Instant, changes: readonly TargetChange[]) => {
+            targetsConfirmedAt = askedAt;
+            broadcastTargets(changes);
+        };
+        const runs: Record<string, Task["run"]> = {
+            "ownership": ownershipManager.run,
+            "updates of followers": (stop) => paceNews(pacing, stop),
+            "configuration": (stop) => watchConfig({ reader, view, clock, onConfirmed: onConfigConfirmed, onChanged: onConfigChanged }, stop),
+            "targets": (stop) => watchTargets({ reader, clock, isSuperseded, onRead: onTargetsRead }, stop),
+            "records of crashes": (stop) =>
+                recordCrashes({ view, evidence: crashEvidence, self: membership.self.hostId, writer, clock, log }, stop),
+            "repair of records": (stop) => repairRecords({ view, writer, clock, log }, stop),
+        };
+        void runRestartedTasks(runs, clock, log, signal);
     };
 
     return {
@@ -184,11 +187,15 @@
             setMaxListeners(0, linkedAbort.signal);
             owners.refresh();
             startTasks(linkedAbort.signal);
-            await heldTerm.keepConfirmed(linkedAbort.signal);
-            stop.abort();
-            linkedAbort.release();
-            heldTerm.drop();
-            followers.disconnectAll();
+            try {
+                await heldTerm.keepConfirmed(linkedAbort.signal);
+            }
+            finally {
+                stop.abort();
+                linkedAbort.release();
+                heldTerm.drop();
+                followers.disconnectAll();
+            }
         },
         follow: (params, from) => {
             followers.add(params.member, from);
--- a/src/cluster/newsPacing.ts
+++ b/src/cluster/newsPacing.ts
@@ -32,15 +32,19 @@
     const endListening = urgent.listen(() => {
         isUrgent = true;
     });
-    while (!signal.aborted) {
-        const sentAtMs = clock.now().monoMs;
-        isUrgent = false;
-        send();
-        await waitFor(clock, maxGapMs, [urgent, ...deferrable], signal);
-        const leftMs = sentAtMs + minGapMs - clock.now().monoMs;
-        if (leftMs > 0 && !isUrgent) {
-            await waitFor(clock, leftMs, [urgent], signal);
+    try {
+        while (!signal.aborted) {
+            const sentAtMs = clock.now().monoMs;
+            isUrgent = false;
+            send();
+            await waitFor(clock, maxGapMs, [urgent, ...deferrable], signal);
+            const leftMs = sentAtMs + minGapMs - clock.now().monoMs;
+            if (leftMs > 0 && !isUrgent) {
+                await waitFor(clock, leftMs, [urgent], signal);
+            }
         }
     }
-    endListening();
+    finally {
+        endListening();
+    }
 }
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -6,6 +6,7 @@
 import { linkAborts, waitFor } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import type { Log } from "../observe/log.js";
+import { runRestartedTasks } from "../observe/tasks.js";
 import type { TermRecord } from "../ownership/ledger.js";
 import type { LeasePort } from "../ownership/leasePort.js";
 import type { LoadMeter } from "../ownership/loadMeter.js";
@@ -99,14 +100,18 @@
         });
         const stop = new AbortController();
         stopCoordinating = stop;
-        void reportLocally(newCoordinator, stop.signal);
+        void runRestartedTasks({ "own reports": (ended) => reportLocally(newCoordinator, ended) }, clock, log, stop.signal);
         void announceTerm(term);
         const linkedAbort = linkAborts(signal, stop.signal);
-        await newCoordinator.run(linkedAbort.signal);
-        linkedAbort.release();
-        stop.abort();
-        configAge.confirm(nowMs() - newCoordinator.configAgeMs(nowMs()));
-        coordinator = undefined;
+        try {
+            await newCoordinator.run(linkedAbort.signal);
+        }
+        finally {
+            linkedAbort.release();
+            stop.abort();
+            configAge.confirm(nowMs() - newCoordinator.configAgeMs(nowMs()));
+            coordinator = undefined;
+        }
         directReader.recordRead(nowMs());
         log.info("stopped coordinating", { term: term.term, now: view.ledger.term?.hostId });
     };
@@ -141,12 +146,15 @@
             self, view, checks, newsReceiver, takeover, coordinator: () => coordinator, onTermAnnounced: handleAnnouncedTerm,
         }),
         run: async (signal) => {
-            void directReader.readWhenStale(ages.isStale, signal);
             watchCrashRecords(view, crashEvidence, clock);
-            void recordWhileAlone({
+            const aloneRecording = {
                 store: dependencies.store, evidence: crashEvidence, observer: crashObserver, self: self.hostId, clock, log,
                 isConnected: () => coordinator !== undefined || following.isConnected,
-            }, signal);
+            };
+            void runRestartedTasks({
+                "direct reading": (stop) => directReader.readWhenStale(ages.isStale, stop),
+                "records without a coordinator": (stop) => recordWhileAlone(aloneRecording, stop),
+            }, clock, log, signal);
             while (!signal.aborted && !await directReader.readAllTopics()) {
                 await clock.sleep(retryDelayMs, signal);
             }
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -7,6 +7,8 @@
 import { listenForPeers } from "../cluster/peerConnection.js";
 import type { AdverseStanding } from "../crashes/crashEvidence.js";
 import { monitorStandings } from "../crashes/standingMonitor.js";
+import type { EndedTask } from "../observe/tasks.js";
+import { runTasks } from "../observe/tasks.js";
 import { listen } from "../adapters/listening.js";
 import { createAdminHttp, createReadyHttp } from "./adminHttp.js";
 import { watchDocument } from "./documentWatcher.js";
@@ -35,6 +37,8 @@
      * is pending and this host does not coordinate any more, or shortly before the platform kills the process.
      */
     stop(): Promise<void>;
+    /** Resolves to the first task without which the host is of no use that ends before the host stops. */
+    readonly taskEnded: Promise<EndedTask>;
 }
 
 /**
@@ -98,18 +102,29 @@
     if (!areListening) {
         return err("cannot-listen");
     }
-    void watchDocument(view, clock, log, tasksAbort.signal);
     const crashLog = hostContainer.resolve(tokens.logFactory)("crashes");
-    void monitorStandings({ evidence, clock, log: crashLog }, tasksAbort.signal);
-    void hostContainer.resolve(tokens.pool).run(tasksAbort.signal);
-    void hostContainer.resolve(tokens.admissionServer).run(tasksAbort.signal);
-    void node.run(tasksAbort.signal);
+    const pool = hostContainer.resolve(tokens.pool);
+    const admissionServer = hostContainer.resolve(tokens.admissionServer);
+    const endedTask = runTasks([
+        { name: "cluster node", isEssential: true, run: node.run },
+        { name: "admission queues", isEssential: true, run: admissionServer.run },
+        { name: "connection pool", isEssential: false, run: pool.run },
+        { name: "configuration document", isEssential: false, run: (signal) => watchDocument(view, clock, log, signal) },
+        { name: "standings of requests", isEssential: false, run: (signal) => monitorStandings({ evidence, clock, log: crashLog }, signal) },
+    ], clock, log, tasksAbort.signal);
     log.info("started", {
         run: hostContainer.resolve(tokens.membership).self.runId, clients: settings.clientAddress, peers: settings.peerAddress,
         admin: settings.adminAddress, store: settings.storeAddress, dataCentre: settings.dataCentreId,
     });
 
     return ok({
+        taskEnded: new Promise((resolve) => {
+            void endedTask.then((ended) => {
+                if (ended !== undefined) {
+                    resolve(ended);
+                }
+            });
+        }),
         stop: async () => {
             const startedMs = clock.now().monoMs;
             isStopping = true;
--- a/src/host/hostProcess.ts
+++ b/src/host/hostProcess.ts
@@ -14,6 +14,8 @@
     invalidSettings: 2,
     /** An address to listen at cannot be used. */
     cannotListen: 3,
+    /** A task without which the host is of no use ended unexpectedly; the host was then stopped in order. */
+    taskEnded: 4,
 } as const;
 
 /** Limit on the time for writing the last log lines, since the reader of standard output may have stopped. */
@@ -69,6 +71,7 @@
         process.on("SIGTERM", () => {
             void stop(daemon, exitCodes.stopped);
         });
+        void daemon.taskEnded.then(() => stop(daemon, exitCodes.taskEnded));
     }
     catch (error) {
         log.error("start failed", { why: describeError(error) });
--- a/src/ownership/leaseManagerSet.ts
+++ b/src/ownership/leaseManagerSet.ts
@@ -2,6 +2,7 @@
 import type { KeyRange, ServiceId, TargetId } from "../model/names.js";
 import { linkAborts } from "../model/signal.js";
 import type { TargetEntry } from "../model/target.js";
+import { runRestartedTasks } from "../observe/tasks.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { LeaseManagerDependencies } from "./leaseManager.js";
 import type { RangeHandover } from "./leaseTable.js";
@@ -48,7 +49,9 @@
         const stop = new AbortController();
         managers.set(targetId, { manager, stop });
         const linked = linkAborts(signal, stop.signal);
-        void manager.run(linked.signal).then(linked.release);
+        void runRestartedTasks(
+            { [`leases of ${targetId}`]: (stopped) => manager.run(stopped) }, dependencies.clock, dependencies.log, linked.signal,
+        ).then(linked.release);
         manager.changed.listen(onChange);
     };
 
