--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -1,11 +1,18 @@
 /** Startup and graceful shutdown of a host. */
 import { setMaxListeners } from "node:events";
+import type net from "node:net";
+import type { Result } from "neverthrow";
+import { err, ok } from "neverthrow";
 import type { DependencyContainer } from "tsyringe";
 import { listenForPeers } from "../cluster/peerConnection.js";
 import type { AdverseStanding } from "../crashes/crashEvidence.js";
 import { monitorStandings } from "../crashes/standingMonitor.js";
-import { createAdminHttp, createReadyHttp, listen } from "./adminHttp.js";
+import type { EndedTask } from "../observe/tasks.js";
+import { runTasks } from "../observe/tasks.js";
+import { listen } from "../adapters/listening.js";
+import { createAdminHttp, createReadyHttp } from "./adminHttp.js";
 import { watchDocument } from "./documentWatcher.js";
+import { startListeners } from "./listeners.js";
 import { tokens } from "./tokens.js";
 
 /** The load balancer removes a host after two failed readiness checks; new connections may arrive until then. */
@@ -30,13 +37,16 @@
      * is pending and this host does not coordinate any more, or shortly before the platform kills the process.
      */
     stop(): Promise<void>;
+    /** Resolves to the first task without which the host is of no use that ends before the host stops. */
+    readonly taskEnded: Promise<EndedTask>;
 }
 
 /**
  * Starts a host.
  * @param hostContainer container with the components of the host
+ * @returns the host, or an error if it cannot listen at all of its addresses; the log then says why
  */
-export async function startDaemon(hostContainer: DependencyContainer): Promise<Daemon> {
+export async function startDaemon(hostContainer: DependencyContainer): Promise<Result<Daemon, "cannot-listen">> {
     const settings = hostContainer.resolve(tokens.settings);
     const clock = hostContainer.resolve(tokens.clock);
     const log = hostContainer.resolve(tokens.logFactory)("host");
@@ -73,7 +83,6 @@
         hostContainer.resolve(tokens.relayServer).handlers());
     registerGauges(hostContainer);
 
-    const peers = await listenForPeers(settings.peerAddress, peerHandlers, clock);
     const ready = createReadyHttp(() => unreadyReason() === undefined);
     const admin = createAdminHttp({
         unreadyReason,
@@ -83,20 +92,44 @@
         }),
         metrics: () => hostContainer.resolve(tokens.metrics).text(),
     });
-    await Promise.all([listen(ready, settings.readyAddress), listen(admin, settings.adminAddress), clients.listen(settings.clientAddress)]);
-    void watchDocument(view, clock, log, tasksAbort.signal);
+    let peers: net.Server | undefined;
+    // The platform kills a previous process of this host, which may still hold the addresses, at the end of the time for its shutdown.
+    const areListening = await startListeners([
+        { purpose: "clients", address: settings.clientAddress, start: clients.listen },
+        { purpose: "ready", address: settings.readyAddress, start: (address, retryForMs) => listen(ready, address, clock, retryForMs) },
+        { purpose: "admin", address: settings.adminAddress, start: (address, retryForMs) => listen(admin, address, clock, retryForMs) },
+        { purpose: "peers", address: settings.peerAddress, start: async (address, retryForMs) =>
+            (await listenForPeers(address, peerHandlers, clock, retryForMs)).map((server) => {
+                peers = server;
+            }) },
+    ], settings.stopTimeoutMs, log);
+    if (!areListening) {
+        return err("cannot-listen");
+    }
     const crashLog = hostContainer.resolve(tokens.logFactory)("crashes");
-    void monitorStandings({ evidence, clock, log: crashLog }, tasksAbort.signal);
-    void hostContainer.resolve(tokens.pool).run(tasksAbort.signal);
-    void reachability.run(tasksAbort.signal);
-    void hostContainer.resolve(tokens.admissionServer).run(tasksAbort.signal);
-    void node.run(tasksAbort.signal);
+    const pool = hostContainer.resolve(tokens.pool);
+    const admissionServer = hostContainer.resolve(tokens.admissionServer);
+    const endedTask = runTasks([
+        { name: "cluster node", isEssential: true, run: node.run },
+        { name: "admission queues", isEssential: true, run: admissionServer.run },
+        { name: "reachability of targets", isEssential: false, run: reachability.run },
+        { name: "connection pool", isEssential: false, run: pool.run },
+        { name: "configuration document", isEssential: false, run: (signal) => watchDocument(view, clock, log, signal) },
+        { name: "standings of requests", isEssential: false, run: (signal) => monitorStandings({ evidence, clock, log: crashLog }, signal) },
+    ], clock, log, tasksAbort.signal);
     log.info("started", {
         run: hostContainer.resolve(tokens.membership).self.runId, clients: settings.clientAddress, peers: settings.peerAddress,
         admin: settings.adminAddress, store: settings.storeAddress, dataCentre: settings.dataCentreId,
     });
 
-    return {
+    return ok({
+        taskEnded: new Promise((resolve) => {
+            void endedTask.then((ended) => {
+                if (ended !== undefined) {
+                    resolve(ended);
+                }
+            });
+        }),
         stop: async () => {
             const startedMs = clock.now().monoMs;
             isStopping = true;
@@ -104,7 +137,9 @@
             clients.startClosingConnections();
             hostContainer.resolve(tokens.forwarder).startShutdown(deadlineMs - lastEndBeforeDeadlineMs);
             log.info("stopping", { pending: clients.pending(), coordinating: node.isCoordinating() });
-            void node.handOver();
+            node.handOver().catch((error: unknown) => {
+                log.error("handing over failed", { why: error instanceof Error ? error.stack : String(error) });
+            });
             await clock.sleep(Math.min(balancerRemovalMs, settings.stopTimeoutMs / 2));
             clients.stopAccepting();
             const isBusy = () => clients.pending() > 0 || node.isCoordinating();
@@ -121,11 +156,10 @@
             clients.close();
             ready.close();
             admin.close();
-            peers.close();
+            peers?.close();
             hostContainer.resolve(tokens.links).close();
-            await hostContainer.resolve(tokens.logWriter).flush();
         },
-    };
+    });
 }
 
 function registerGauges(hostContainer: DependencyContainer): void {
--- a/test/fleet/targetCut.spec.ts
+++ b/test/fleet/targetCut.spec.ts
@@ -46,7 +46,7 @@
         fleet = await Fleet.start(0, 4, 3, false);
         fleet.store.put(topics.configuration, "config", buildRoutingConfig(1));
         for (let index = 0; index < hostCount; index++) {
-            await fleet.startHost(`h${String(index)}`, undefined, true);
+            await fleet.startHost(`h${String(index)}`, undefined, { isCuttable: true });
         }
         await fleet.waitUntilServing();
     });
--- a/test/forwarding/relay.spec.ts
+++ b/test/forwarding/relay.spec.ts
@@ -56,7 +56,7 @@
             view: viewOf(this.address), reachability: { isCutOff: () => this.isHelperCutOff, recordHeard: () => undefined },
             isShuttingDown: () => this.isHelperStopping, log: silentLog, onRelayed: () => undefined,
         });
-        const peers = await listenForPeers("127.0.0.1:0", this.relay.handlers(), clock);
+        const peers = (await listenForPeers("127.0.0.1:0", this.relay.handlers(), clock, 0))._unsafeUnwrap();
         this.helperAddress = `127.0.0.1:${String(portOf(peers))}`;
         this.servers.push(target, peers);
     }
