--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -9,10 +9,13 @@
 import { FenceCounter } from "../ownership/fences.js";
 import type { LeasePort } from "../ownership/leasePort.js";
 import { defaultHoldMs } from "../ownership/leaseTerms.js";
+import type { TermRecord } from "../ownership/ledger.js";
 import { createLedgerWriter } from "../ownership/ledgerWriter.js";
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
-import type { OwnershipManager, OwnershipManagerDependencies, Predecessor } from "../ownership/ownershipManager.js";
+import type { OwnershipManager, OwnershipManagerDependencies } from "../ownership/ownershipManager.js";
 import { createOwnershipManager } from "../ownership/ownershipManager.js";
+import type { Predecessor } from "../ownership/predecessor.js";
+import { authorityMs } from "../ownership/termAuthority.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { StorePort } from "../store/storePort.js";
 import type { TargetChange } from "../store/targetDirectory.js";
@@ -28,6 +31,8 @@
 import type { PeerConnection } from "./peerConnection.js";
 import { repairRecords } from "./recordRepair.js";
 import { watchTargets } from "./targetsWatch.js";
+import type { TermHeldBefore } from "./termClaims.js";
+import { settleTerm } from "./termSettling.js";
 import { createTrialGranter } from "./trialGrants.js";
 
 /** Keys are not moved for balance once the store has not confirmed the term for this long. */
@@ -38,7 +43,7 @@
 
 /** Dependencies and initial state of a coordinator. */
 export interface CoordinatorDependencies {
-    term: Term;
+    term: TermRecord;
     /** Time at which the call that confirmed the term was sent to the store. */
     confirmedAt: Instant;
     /** Until when an earlier coordinator may still act, and its grants may be valid. */
@@ -54,6 +59,8 @@
     clock: Clock;
     log: Log;
     onMove: OwnershipManagerDependencies["onMove"];
+    /** Claims the next term after the store came back from an older copy. Called before the hosts lose contact. */
+    claimAnew: (held: TermHeldBefore | undefined) => Promise<unknown>;
 }
 
 /** A coordinator of one term. */
@@ -75,7 +82,8 @@
 
 /** Creates a coordinator for a term that the store has confirmed. */
 export function createCoordinator(dependencies: CoordinatorDependencies): Coordinator {
-    const { term, view, clock, log, membership, owners, crashEvidence, reader } = dependencies;
+    const { view, clock, log, membership, owners, crashEvidence, reader, predecessor } = dependencies;
+    const { term } = dependencies.term;
     let targetsConfirmedAt: Instant | undefined;
     let configConfirmedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -87,7 +95,7 @@
     const configAgeMs = (nowMs: number): number => view.isConfigUnreadable ? Number.POSITIVE_INFINITY : nowMs - configConfirmedAtMs;
 
     const heldTerm = createHeldTerm({
-        ...dependencies,
+        ...dependencies, term,
         onLedgerRead: (changes, from) => {
             news.queueLedgerChanges(changes, from);
         },
@@ -115,15 +123,17 @@
 
     const trialGranter = createTrialGranter({ evidence: crashEvidence, writer, mayAct, clock, log });
 
+    const mayGrant = (now: Instant) => mayAct(now) && now.monoMs >= (predecessor.grantsFromMs ?? Number.NEGATIVE_INFINITY);
+
     const ownershipManager: OwnershipManager = createOwnershipManager({
         view, clock, log, writer, leases: dependencies.leases,
         fences: new FenceCounter(term),
-        mayGrant: mayAct,
+        mayGrant,
         mayBalance: (now) => mayAct(now) && !heldTerm.isLedgerReadFailing && heldTerm.ageMs(now) < balancingStopsAfterMs
             && writer.isStoreResponding(now.monoMs),
         holdMs: (now) => heldTerm.ageMs(now) > longLeasesAfterMs ? dependencies.maxHoldMs : defaultHoldMs,
         maxHoldMs: dependencies.maxHoldMs,
-        predecessor: dependencies.predecessor,
+        predecessor,
         onOutdated: () => {
             // Only a later term has higher fencing tokens, so nothing is granted until the store confirms that there is none.
             heldTerm.requestConfirmation();
@@ -174,6 +184,21 @@
         }, signal);
         void recordCrashes({ view, evidence: crashEvidence, self: membership.self.hostId, writer, clock, log }, signal);
         void repairRecords({ view, writer, clock, log }, signal);
+        void settleTerm({ view, writer, clock, log, predecessor }, signal);
+    };
+
+    /**
+     * Returns the term if it was confirmed so recently that it would still be held, had the store not come back from an older copy. Then
+     * the store cannot have lost moves of a later coordinator, who would have begun them only after this one's authority had ended.
+     */
+    const heldBefore = (now: Instant): TermHeldBefore | undefined => {
+        const isSettled = now.monoMs >= (predecessor.grantsFromMs ?? Number.NEGATIVE_INFINITY);
+        return heldTerm.isResigned || !isSettled || heldTerm.ageMs(now) >= authorityMs ? undefined : {
+            term,
+            grants: (nowMs) => ({
+                grantsUntilMs: nowMs + ownershipManager.grantsLastMs(nowMs), grantsUntilMsByTarget: ownershipManager.grantedUntilMs(nowMs),
+            }),
+        };
     };
 
     return {
@@ -183,10 +208,15 @@
             const linkedAbort = linkAborts(signal, stop.signal);
             setMaxListeners(0, linkedAbort.signal);
             owners.refresh();
+            view.ledger.isSoleWriter = true;
             startTasks(linkedAbort.signal);
             await heldTerm.keepConfirmed(linkedAbort.signal);
             stop.abort();
             linkedAbort.release();
+            view.ledger.isSoleWriter = false;
+            if (view.ledger.isTermOutdated && !signal.aborted) {
+                await dependencies.claimAnew(heldBefore(clock.now()));
+            }
             heldTerm.drop();
             followers.disconnectAll();
         },
--- a/src/cluster/heldTerm.ts
+++ b/src/cluster/heldTerm.ts
@@ -36,7 +36,7 @@
     readonly isLedgerReadFailing: boolean;
     /** True while this coordinator has resigned. */
     readonly isResigned: boolean;
-    /** Tells whether another term is in force. */
+    /** Tells whether another term is in force, or this one has to be claimed anew since the store came back from an older copy. */
     isSuperseded(): boolean;
     /** Tells whether this coordinator may write records and grant leases. */
     mayAct(now: Instant): boolean;
@@ -62,7 +62,7 @@
     let resignedAtMs: number | undefined;
     let isLedgerReadFailing = false;
 
-    const isSuperseded = () => view.ledger.term?.term !== term;
+    const isSuperseded = () => view.ledger.term?.term !== term || view.ledger.isTermOutdated;
 
     /**
      * Resumes if no host has taken over. A host that claims the next term later than that can no longer rely on the resignation,
--- a/src/cluster/knownTerm.ts
+++ b/src/cluster/knownTerm.ts
@@ -1,6 +1,8 @@
 /** The latest term that a host knows. */
 import { Signal } from "../model/signal.js";
+import { eraOf } from "../model/storePosition.js";
 import type { TermRecord } from "../ownership/ledger.js";
+import { eraOfTerm } from "../ownership/termNumbers.js";
 import type { ClusterView } from "../store/clusterView.js";
 
 /** The latest term that this host knows, from the ledger or an announcement. */
@@ -18,6 +20,11 @@
         return this.announcedTerm !== undefined && this.announcedTerm.term > (term?.term ?? 0) ? this.announcedTerm : term;
     }
 
+    /** True if the store has come back from an older copy since the latest term was claimed, as far as this host knows. */
+    get isOutdated(): boolean {
+        return this.latest !== undefined && eraOfTerm(this.latest.term) < eraOf(this.view.ledger.upTo);
+    }
+
     /** Records an announced term that is later than the latest one. */
     recordAnnounced(term: TermRecord): void {
         this.announcedTerm = term;
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -37,7 +37,7 @@
 /** Parameters of `follow`: what the host knows already. */
 export interface FollowParams {
     member: Member;
-    /** Changes of the ledger are requested from this offset on. */
+    /** Changes of the ledger are requested from this position on; all of it is sent to a host that knows an earlier era's only. */
     ledgerUpTo: Offset;
     /** Changes of targets are requested from this offset on; 0 for all. */
     targetsFrom: Offset;
@@ -69,7 +69,7 @@
     targets?: readonly TargetChange[];
     /** Offset up to which the coordinator knows the ledger. */
     ledgerUpTo: Offset;
-    /** `ledger` holds every change from this offset on. */
+    /** `ledger` holds every change from this offset on; 0 for the whole ledger. */
     ledgerFrom?: Offset;
     ledger?: readonly LedgerChange[];
     notice?: OwnershipNotice;
--- a/src/cluster/newsSender.ts
+++ b/src/cluster/newsSender.ts
@@ -4,6 +4,7 @@
 import { CrashUpdateQueue } from "../crashes/crashReport.js";
 import type { Offset, TargetId, Term } from "../model/names.js";
 import { Signal } from "../model/signal.js";
+import { eraOf } from "../model/storePosition.js";
 import type { LeavingTarget } from "../model/target.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
@@ -127,10 +128,11 @@
         },
         fullNews: (params, createNotice) => {
             const members = followers.listFor(params.members);
+            const ledgerFrom = eraOf(params.ledgerUpTo) < eraOf(view.ledger.upTo) ? 0 as Offset : params.ledgerUpTo;
             return createNews({
                 targets: view.targets.changesSince(params.targetsFrom),
-                ledger: view.ledger.all().filter(({ offset }) => offset >= params.ledgerUpTo),
-                ledgerFrom: params.ledgerUpTo,
+                ledger: view.ledger.all().filter(({ offset }) => offset >= ledgerFrom),
+                ledgerFrom,
                 ...members === undefined ? {} : { members },
                 leavingTargets: view.targets.leaving(),
                 ...crashEvidence.isEmpty ? {} : { crashEvidence: crashEvidence.snapshot(clock.now().monoMs) },
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -91,7 +91,7 @@
 
     const coordinate = async (term: TermRecord, signal: AbortSignal) => {
         const claimed = claims.takeClaimedTerm();
-        const newCoordinator = createCoordinator({ ...dependencies, ...claimed, term: term.term });
+        const newCoordinator = createCoordinator({ ...dependencies, ...claimed, term, claimAnew: (held) => claims.claimAnew(held) });
         coordinator = newCoordinator;
         configAge.recordJoined();
         log.info("started coordinating", {
@@ -152,7 +152,7 @@
             }
             while (!signal.aborted) {
                 const term = knownTerm.latest;
-                if (term?.runId === self.runId) {
+                if (term?.runId === self.runId && !knownTerm.isOutdated) {
                     await coordinate(term, signal);
                     continue;
                 }
--- a/src/cluster/termClaims.ts
+++ b/src/cluster/termClaims.ts
@@ -1,12 +1,16 @@
 /** Claims terms, and computes until when the coordinator of the previous term may still act. */
-import type { Offset, RunId, Term } from "../model/names.js";
+import type { HostId, Offset, RunId, Term } from "../model/names.js";
+import { hash } from "../model/rendezvous.js";
+import { eraOf, offsetInEra } from "../model/storePosition.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import { maxTimeToExpiryMs } from "../ownership/leaseTerms.js";
 import type { TermRecord } from "../ownership/ledger.js";
 import { encodeLedgerRecord, termKey } from "../ownership/ledger.js";
-import type { Predecessor } from "../ownership/ownershipManager.js";
+import type { DraftedRecord } from "../ownership/ownershipDraft.js";
+import type { Predecessor } from "../ownership/predecessor.js";
 import { authorityMs } from "../ownership/termAuthority.js";
+import { nextTerm } from "../ownership/termNumbers.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { StorePort } from "../store/storePort.js";
 import type { TopicReader } from "../store/topicReader.js";
@@ -15,6 +19,19 @@
 /** A resignation is relied on only if the claim is acknowledged within this time; after a longer time the coordinator may resume. */
 const resignationValidMs = 800;
 
+/** The pause after a failed claim doubles from the first to the second value. */
+const firstRetryMs = 80;
+const maxRetryMs = 1_000;
+
+/** Hashes are below this number. */
+const hashRange = 2 ** 32;
+
+/** Key of records without content, which only make the ledger longer. */
+const paddingKey = "-";
+
+/** Limit on such records in one claim; a copy that is seconds old lacks fewer. */
+const maxPaddingCount = 20_000;
+
 const noPredecessor: Predecessor = { actsUntilMs: 0, grantsUntilMs: 0 };
 
 /** Answer of a coordinator that resigned. */
@@ -25,6 +42,13 @@
     receivedAtMs: number;
 }
 
+/** The term that a coordinator held when the store came back from an older copy. */
+export interface TermHeldBefore {
+    term: Term;
+    /** Returns until when leases granted under it may be in force. */
+    grants(nowMs: number): Pick<Predecessor, "grantsUntilMs" | "grantsUntilMsByTarget">;
+}
+
 /** A term that this host has claimed. */
 export interface ClaimedTerm {
     /** Time at which the call that confirmed the term was sent to the store. */
@@ -47,6 +71,8 @@
 /** Claims terms for this host. */
 export class TermClaims {
     private acknowledgedClaim: ClaimedTerm | undefined;
+    private heldBefore: TermHeldBefore | undefined;
+    private failedCount = 0;
     /** Run of a coordinator whose process has certainly ended, since another process listens at its address. */
     private endedRun: RunId | undefined;
 
@@ -58,29 +84,49 @@
     }
 
     /**
-     * Claims the next term.
+     * Claims the next term after the store came back from an older copy.
+     * @param heldBefore the term of this host's coordinator, if no other coordinator can have moved keys; otherwise undefined
+     * @returns whether the store acknowledged the claim
+     */
+    claimAnew(heldBefore: TermHeldBefore | undefined): Promise<boolean> {
+        this.heldBefore = heldBefore;
+        return this.claim();
+    }
+
+    /**
+     * Claims the next term, and records again what the store has lost. Resolves after a pause if the claim fails.
      * @param resignation answer of the previous coordinator; undefined when it was lost
      * @returns whether the store acknowledged the claim
      */
     async claim(resignation?: Resignation): Promise<boolean> {
         const { self, view, store, reader, clock, log } = this.dependencies;
         const previous = view.ledger.term;
+        const end = view.ledger.upTo;
+        const mayBeUnsettled = view.ledger.isTermOutdated || previous?.unsettled === true;
         const record: TermRecord = {
             kind: "term", term: this.nextTerm(previous), hostId: self.hostId, runId: self.runId, peerAddress: self.peerAddress,
+            ...mayBeUnsettled ? { unsettled: true } : {},
         };
+        const lost = view.ledger.lost();
+        const records = withPadding([{ key: termKey, record }, ...lost], end, view.ledger.highestEnd);
         const sentAt = clock.now();
-        const outcome = await store.append([encodeLedgerRecord(termKey, record)], view.ledger.upTo);
+        const outcome = await store.append(records.map((draft) => encodeLedgerRecord(draft.key, draft.record)), end);
         log.info("term claim attempted", {
-            term: record.term, end: view.ledger.upTo, resigned: resignation !== undefined,
+            term: record.term, end, resigned: resignation !== undefined, recordedAgain: lost.map(({ key }) => key),
             outcome: outcome.isOk() ? outcome.value.kind : outcome.error.message,
         });
         if (outcome.isErr() || outcome.value.kind === "conflict") {
             await reader.read("ledger", 0);
+            await clock.sleep(retryDelayMs(self.hostId, this.failedCount));
+            this.failedCount += 1;
             return false;
         }
-        this.acknowledgedClaim = { confirmedAt: sentAt, predecessor: this.predecessorOf(previous, resignation) };
+        this.failedCount = 0;
+        const predecessor = mayBeUnsettled ? this.predecessorBeforeReturn(previous) : this.predecessorOf(previous, resignation);
+        this.acknowledgedClaim = { confirmedAt: sentAt, predecessor };
         const { offset } = outcome.value;
-        view.applyLedger([{ offset, key: termKey, record }], offset, offset + 1 as Offset);
+        const changes = records.map((draft, index) => ({ ...draft, offset: offset + index as Offset }));
+        view.applyLedger(changes, offset, offset + records.length as Offset);
         return true;
     }
 
@@ -89,8 +135,12 @@
      * counts from now, because it is unknown when it took effect.
      */
     takeClaimedTerm(): ClaimedTerm {
-        const claimed = this.acknowledgedClaim
-            ?? { confirmedAt: this.dependencies.clock.now(), predecessor: this.predecessorWithoutResignation(false) };
+        const { clock, view } = this.dependencies;
+        const isUnsettled = view.ledger.term?.unsettled === true;
+        const claimed = this.acknowledgedClaim ?? {
+            confirmedAt: clock.now(),
+            predecessor: isUnsettled ? this.predecessorBeforeReturn() : this.predecessorWithoutResignation(false),
+        };
         this.acknowledgedClaim = undefined;
         return claimed;
     }
@@ -101,7 +151,20 @@
      */
     private nextTerm(previous: TermRecord | undefined): Term {
         const { ledger } = this.dependencies.view;
-        return (previous?.term ?? (ledger.isTermUnreadable ? ledger.upTo : 0)) + 1 as Term;
+        return nextTerm(previous?.term ?? (ledger.isTermUnreadable ? offsetInEra(ledger.upTo) : 0), eraOf(ledger.upTo));
+    }
+
+    /**
+     * A store that came back from an older copy may have lost the claim of a coordinator that still acts, and the records on which it
+     * granted leases, unless this host is the coordinator that held the term until then.
+     */
+    private predecessorBeforeReturn(previous?: TermRecord): Predecessor {
+        const nowMs = this.dependencies.clock.now().monoMs;
+        if (this.heldBefore !== undefined && this.heldBefore.term === previous?.term) {
+            return { actsUntilMs: nowMs, ...this.heldBefore.grants(nowMs) };
+        }
+        const lost = this.predecessorWithoutResignation(false);
+        return { ...lost, grantsFromMs: lost.grantsUntilMs };
     }
 
     private predecessorOf(previous: TermRecord | undefined, resignation: Resignation | undefined): Predecessor {
@@ -120,3 +183,19 @@
         return { actsUntilMs, grantsUntilMs: actsUntilMs + maxTimeToExpiryMs(this.dependencies.maxHoldMs) };
     }
 }
+
+/** Returns the pause after a failed claim: half of it depends on the host, so that hosts do not try again all at once. */
+function retryDelayMs(hostId: HostId, failedCount: number): number {
+    const longestMs = Math.min(maxRetryMs, firstRetryMs * 2 ** failedCount);
+    return longestMs * (1 + hash(`${hostId} ${String(failedCount)}`) / hashRange) / 2;
+}
+
+/**
+ * Makes an append so long that the ledger ends behind every offset of an earlier era. An append that was sent then and arrives late would
+ * otherwise take effect if the ledger happened to end where it expects.
+ */
+function withPadding(records: readonly DraftedRecord[], end: Offset, highestEnd: number): DraftedRecord[] {
+    const missingCount = highestEnd + 1 - offsetInEra(end) - records.length;
+    const paddingCount = Math.min(maxPaddingCount, Math.max(0, missingCount));
+    return [...records, ...Array.from({ length: paddingCount }, () => ({ key: paddingKey, record: undefined }))];
+}
--- a/src/ownership/ledger.ts
+++ b/src/ownership/ledger.ts
@@ -6,7 +6,11 @@
 import type { ConfigDocument } from "../config/documentSchema.js";
 import type { CompletionRecord, CrashRecord, QuarantineReleaseRecord, TrialRecord } from "../crashes/crashRecords.js";
 import type { Address, HostId, KeyRange, Offset, RunId, ServiceId, TargetId, Term } from "../model/names.js";
+import { eraOf, offsetInEra } from "../model/storePosition.js";
 import type { NewRecord } from "../store/storePort.js";
+import type { LedgerContent } from "./lostRecords.js";
+import { contentOf, hasClaimOfItsEra, isSameRecord, knowsLostRecords, mergeWithReturned } from "./lostRecords.js";
+import { eraOfTerm } from "./termNumbers.js";
 
 /** A term with its coordinator. */
 export interface TermRecord {
@@ -15,6 +19,8 @@
     hostId: HostId;
     runId: RunId;
     peerAddress: Address;
+    /** True while leases that coordinators granted on records which the store has lost may be in force. */
+    unsettled?: true;
 }
 
 /** Keys that are assigned to one target. */
@@ -73,6 +79,11 @@
     return `${ownershipPrefix}${targetId}`;
 }
 
+/** Tells whether only coordinators write records under a key. */
+export function isKeyOfCoordinators(key: string): boolean {
+    return key === termKey || key.startsWith(ownershipPrefix);
+}
+
 /**
  * Encodes a record for the store.
  * @param key key of the record
@@ -87,8 +98,14 @@
 
 /** Newest known change of each key of the ledger. */
 export class Ledger {
-    private readonly changes = new Map<string, LedgerChange>();
+    /** True while this host coordinates: it alone writes owners, so that no copy of the store holds more of them than it knows. */
+    isSoleWriter = false;
+    /** Highest offset at which the ledger ended in any era, as far as this host knows. */
+    highestEnd = 0;
+    private changes = new Map<string, LedgerChange>();
     private end = 0 as Offset;
+    /** What the store holds, while this host knows records that the store has lost; undefined otherwise. */
+    private recorded: Map<string, LedgerChange> | undefined;
     /** Offsets of the records under keys of coordinators that could not be decoded, unless a later one could. */
     private readonly unreadable = new Map<string, Offset>();
 
@@ -103,6 +120,19 @@
         return record?.kind === "term" ? record : undefined;
     }
 
+    /** True if the store has come back from an older copy since the term was claimed; it has to be claimed anew. */
+    get isTermOutdated(): boolean {
+        return this.term !== undefined && eraOfTerm(this.term.term) < eraOf(this.end);
+    }
+
+    /** Returns what is in force although the store has lost it; a record is undefined if its removal was lost. */
+    lost(): { key: string; record: LedgerRecord | undefined }[] {
+        const { recorded } = this;
+        return recorded === undefined ? [] : [...this.changes.values()]
+            .filter((change) => change.key !== termKey && !isSameRecord(change, recorded.get(change.key)))
+            .map(({ key, record }) => ({ key, record }));
+    }
+
     /** True if there is a record of the term in force, but this host has read none that it can decode; then `term` is undefined. */
     get isTermUnreadable(): boolean {
         return this.unreadable.has(termKey) && this.term === undefined;
@@ -115,8 +145,7 @@
 
     /** Remembers that a record could not be decoded. What this host knew under its key before stays in force. */
     markUnreadable(key: string, offset: Offset): void {
-        const isKeyOfCoordinators = key === termKey || key.startsWith(ownershipPrefix);
-        if (isKeyOfCoordinators && offset > (this.changes.get(key)?.offset ?? -1) && this.unreadable.size < maxUnreadableKeys) {
+        if (isKeyOfCoordinators(key) && offset > (this.changes.get(key)?.offset ?? -1) && this.unreadable.size < maxUnreadableKeys) {
             this.unreadable.set(key, offset);
         }
     }
@@ -194,13 +223,17 @@
     }
 
     /**
-     * Applies changes. Changes that are already applied are ignored, and so are all when offsets before them are missing.
+     * Applies changes. Changes that are already applied are ignored, and so are all when offsets before them are missing. Changes of a
+     * later era replace the content if they cover all of it and a term was claimed in that era.
      * @param changes all changes from `from` up to `upTo`
-     * @param from first offset that the changes cover
+     * @param from first offset that the changes cover; 0 for the whole ledger
      * @param upTo offset after the last one that they cover
      * @returns whether any change was new
      */
     apply(changes: readonly LedgerChange[], from: Offset, upTo: Offset): boolean {
+        if (eraOf(upTo) > eraOf(this.end)) {
+            return from === 0 && hasClaimOfItsEra(contentOf(changes, upTo)) && this.replace(changes, upTo);
+        }
         if (from > this.end) {
             return false;
         }
@@ -208,15 +241,27 @@
         for (const change of changes) {
             if (change.offset >= this.end) {
                 this.set(change);
+                this.recorded?.set(change.key, change);
                 changed = true;
             }
         }
         this.end = Math.max(this.end, upTo) as Offset;
+        this.highestEnd = Math.max(this.highestEnd, offsetInEra(upTo));
+        this.dropLostRecords();
         return changed;
     }
 
+    /** Once a term is claimed, its coordinator has recorded what is in force; what it did not record is not. */
+    private dropLostRecords(): void {
+        if (this.recorded !== undefined && hasClaimOfItsEra({ changes: this.recorded, upTo: this.end })) {
+            this.changes = this.recorded;
+            this.recorded = undefined;
+        }
+    }
+
     /**
-     * Replaces the content by a snapshot, unless the snapshot is older.
+     * Replaces the content by a snapshot, unless the snapshot is older. Of a snapshot of a store that came back from an older copy, and
+     * lost records that this host knows, only what is newer is taken.
      * @param changes newest change of every key
      * @param upTo offset after the last one that the snapshot covers
      * @param unreadableKeys keys whose records in the snapshot could not be decoded; what is known under them stays
@@ -226,15 +271,24 @@
         if (upTo < this.end) {
             return false;
         }
-        const kept = unreadableKeys.flatMap((key) => this.changes.get(key) ?? []);
-        this.changes.clear();
+        const known: LedgerContent = { changes: this.changes, upTo: this.end };
+        const returned = contentOf(changes, upTo);
+        this.end = upTo;
+        this.highestEnd = Math.max(this.highestEnd, offsetInEra(upTo));
+        if (eraOf(upTo) > eraOf(known.upTo) && knowsLostRecords(known, returned, this.isSoleWriter)) {
+            this.recorded = returned.changes;
+            this.changes = mergeWithReturned(known.changes, returned.changes);
+            return true;
+        }
+        const kept = unreadableKeys.flatMap((key) => known.changes.get(key) ?? []);
+        this.recorded = undefined;
+        this.changes = new Map();
         kept.forEach((change) => {
             this.set(change);
         });
         changes.forEach((change) => {
             this.set(change);
         });
-        this.end = upTo;
         return true;
     }
 
--- a/src/ownership/ledgerDecoder.ts
+++ b/src/ownership/ledgerDecoder.ts
@@ -44,6 +44,7 @@
 const recordSchema = z.discriminatedUnion("kind", [
     z.object({
         kind: z.literal("term"), term: z.int().check(z.gte(1), z.lte(maxTerm)), hostId: nameSchema, runId: nameSchema, peerAddress: addressSchema,
+        unsettled: z.optional(z.literal(true)),
     }),
     z.object({
         kind: z.literal("document"), version: versionSchema, basedOn: versionSchema, document: publishedDocumentSchema, author: noteSchema,
--- a/src/ownership/ownershipManager.ts
+++ b/src/ownership/ownershipManager.ts
@@ -24,6 +24,8 @@
 import { MovePacing } from "./movePacing.js";
 import type { Move } from "./plannerInput.js";
 import { planMoves } from "./planner.js";
+import type { Predecessor } from "./predecessor.js";
+import { earlierGrantsUntilMs } from "./predecessor.js";
 import { contains, overlaps } from "./ranges.js";
 import type { TargetPressure } from "./targetPressure.js";
 import { TargetStandings } from "./targetStandings.js";
@@ -42,17 +44,6 @@
 /** Share of a service's capacity that requests are expected to use, as long as less work has been reported. */
 const expectedUtilization = 0.3;
 
-/** What earlier coordinators may still do. Times are on this host's monotonic clock. */
-export interface Predecessor {
-    /**
-     * An earlier coordinator may send grants until this time. A target that restarts in the meantime has lost its fencing tokens and
-     * would accept such grants.
-     */
-    actsUntilMs: number;
-    /** Leases granted by earlier coordinators may be in force until this time. */
-    grantsUntilMs: number;
-}
-
 /** Dependencies and callbacks of the ownership manager. */
 export interface OwnershipManagerDependencies {
     view: ClusterView;
@@ -101,6 +92,8 @@
     notice(nowMs: number): OwnershipNotice;
     /** Returns the time from now until no lease granted by this or an earlier coordinator is in force. */
     grantsLastMs(nowMs: number): number;
+    /** Returns until when each target may hold leases that this or an earlier coordinator granted, in monotonic time. */
+    grantedUntilMs(nowMs: number): ReadonlyMap<TargetId, number>;
     /** Returns the state of targets and moves for the dump. */
     describe(nowMs: number): object;
 }
@@ -117,6 +110,8 @@
     const moveStarted = new Signal();
     const replan = new Signal();
 
+    const grantedBeforeUntilMs = (targetId: TargetId) => earlierGrantsUntilMs(dependencies.predecessor, targetId);
+
     const movingRangesOf = (serviceId: ServiceId): KeyRange[] =>
         [...activeMoves].filter((active) => active.serviceId === serviceId).map(({ move }) => move.range);
 
@@ -139,7 +134,7 @@
         noticeChanged.fire();
         replan.fire();
     });
-    const standings = new TargetStandings(view, leaseManagers, dependencies.predecessor.grantsUntilMs, movePacing);
+    const standings = new TargetStandings(view, leaseManagers, grantedBeforeUntilMs, movePacing);
 
     const shardedServices = (): ServiceId[] =>
         [...view.config?.services.values() ?? []].filter(({ sharded }) => sharded).map(({ serviceId }) => serviceId);
@@ -215,7 +210,7 @@
         const wasNeverOwned = owner === undefined && !view.ledger.isOwnershipUnreadable;
         return wasNeverOwned || manager?.isCertainlyFree === true
             ? freeAtMs
-            : Math.max(freeAtMs, dependencies.predecessor.grantsUntilMs);
+            : Math.max(freeAtMs, owner === undefined ? dependencies.predecessor.grantsUntilMs : grantedBeforeUntilMs(owner));
     };
 
     /**
@@ -239,7 +234,7 @@
         const releasedMs = clock.now().monoMs;
         const isFree = released?.kind === "released"
             || (released?.kind === "failed" && move.reason === "leaving"
-                && await awaitExpiry(active, leaseEndMs(released.heldUntilMs, manager)));
+                && await awaitExpiry(active, leaseEndMs(released.heldUntilMs, from)));
         const assigned = isFree ? await recordMove(serviceId, move) : undefined;
         activeMoves.delete(active);
         const handover = released?.kind === "released" ? released.handover : undefined;
@@ -265,13 +260,13 @@
     const freeInMs = (manager: LeaseManager, nowMs: number): number => {
         const heldMs = manager.isCertainlyFree
             ? 0
-            : Math.max(0, Math.max(manager.freeAtMs, dependencies.predecessor.grantsUntilMs) - nowMs);
+            : Math.max(0, Math.max(manager.freeAtMs, grantedBeforeUntilMs(manager.targetId)) - nowMs);
         return writer.isStoreResponding(nowMs) ? heldMs : Math.max(heldMs, minStoreOutageMs);
     };
 
     /** Includes leases granted by earlier coordinators; a target whose process has certainly ended holds none, whoever granted it. */
-    const leaseEndMs = (grantedUntilMs: number, manager: LeaseManager | undefined): number =>
-        manager?.isCertainlyFree === true ? Number.NEGATIVE_INFINITY : Math.max(grantedUntilMs, dependencies.predecessor.grantsUntilMs);
+    const leaseEndMs = (grantedUntilMs: number, from: TargetId): number =>
+        leaseManagers.get(from)?.isCertainlyFree === true ? Number.NEGATIVE_INFINITY : Math.max(grantedUntilMs, grantedBeforeUntilMs(from));
 
     const awaitExpiry = async (active: ActiveMove, untilMs: number): Promise<boolean> => {
         const nowMs = clock.now().monoMs;
@@ -337,6 +332,11 @@
             const latestMs = Math.max(dependencies.predecessor.grantsUntilMs, ...leaseManagers.all().map(({ freeAtMs }) => freeAtMs));
             return Math.max(0, latestMs - nowMs) + maxTimeToExpiryMs(0);
         },
+        grantedUntilMs: (nowMs) => new Map(leaseManagers.all().map(({ targetId, isCertainlyFree, freeAtMs }) => {
+            const isMoving = [...activeMoves].some(({ move }) => move.from === targetId);
+            const pendingUntilMs = isMoving ? nowMs + maxTimeToExpiryMs(dependencies.maxHoldMs) : Number.NEGATIVE_INFINITY;
+            return [targetId, Math.max(freeAtMs, pendingUntilMs, isCertainlyFree ? freeAtMs : grantedBeforeUntilMs(targetId))];
+        })),
         describe: (nowMs) => ({
             targets: leaseManagers.all().map((manager) => ({
                 targetId: manager.targetId, standing: standings.standingOf(manager.targetId, nowMs), ranges: manager.ranges,
--- a/src/ownership/targetStandings.ts
+++ b/src/ownership/targetStandings.ts
@@ -19,12 +19,12 @@
     /**
      * @param view targets and ledger
      * @param leaseManagers lease managers of the targets
-     * @param earlierGrantsUntilMs monotonic time until which leases granted by earlier coordinators may be in force
+     * @param earlierGrantsUntilMs returns until when leases of earlier coordinators at a target may be in force, in monotonic time
      * @param pacing paces the moves away from targets
      */
     constructor(
         private readonly view: ClusterView, private readonly leaseManagers: LeaseManagerSet,
-        private readonly earlierGrantsUntilMs: number, private readonly pacing: MovePacing,
+        private readonly earlierGrantsUntilMs: (targetId: TargetId) => number, private readonly pacing: MovePacing,
     ) {}
 
     /** Records the slowness and the rate limits of targets as reported by a host. */
@@ -38,10 +38,10 @@
     standingOf(targetId: TargetId, nowMs: number): TargetStanding {
         const manager = this.leaseManagers.get(targetId);
         if (manager === undefined) {
-            return nowMs > this.earlierGrantsUntilMs ? "free" : "unsure";
+            return nowMs > this.earlierGrantsUntilMs(targetId) ? "free" : "unsure";
         }
         if (manager.isSilent) {
-            return manager.isCertainlyFree || nowMs > Math.max(manager.freeAtMs, this.earlierGrantsUntilMs) ? "free" : "unsure";
+            return manager.isCertainlyFree || nowMs > Math.max(manager.freeAtMs, this.earlierGrantsUntilMs(targetId)) ? "free" : "unsure";
         }
         if (this.isLeaving(targetId)) {
             return "leaving";
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -5,6 +5,7 @@
 import { failure } from "../model/failure.js";
 import type { Offset, TargetId } from "../model/names.js";
 import type { RoutingConfig } from "../model/routing.js";
+import { eraOf, offsetInEra } from "../model/storePosition.js";
 import { isId } from "../model/valueSchemas.js";
 import type { LedgerChange } from "../ownership/ledgerDecoder.js";
 import { decodeLedgerRecord } from "../ownership/ledgerDecoder.js";
@@ -51,6 +52,7 @@
 /** Creates the reader. */
 export function createTopicReader({ store, decoders, view, clock, log }: TopicReaderDependencies): TopicReader {
     const topicsRead = new Set<TopicName>();
+    const snapshotsInProgress = new Map<TopicName, Promise<unknown>>();
     const deferredRemovals = new Map<TargetId, { offset: Offset; dueAtMs: number }>();
     let lastReadFailureAtMs = Number.NEGATIVE_INFINITY;
     const nowMs = () => clock.now().monoMs;
@@ -61,6 +63,14 @@
             return err(snapshot.error);
         }
         const { records, upTo } = snapshot.value;
+        const before = nextOffsets[topic]();
+        if (topicsRead.has(topic) && eraOf(upTo) > eraOf(before)) {
+            // Entries may have lapsed, or are not written again yet, as after an outage.
+            lastReadFailureAtMs = nowMs();
+            log.warn("store came back from an older copy", {
+                topic, era: eraOf(upTo), end: offsetInEra(upTo), eraBefore: eraOf(before), endBefore: offsetInEra(before),
+            });
+        }
         topicsRead.add(topic);
         log.info("snapshot read", { topic, records: records.length, upTo });
         return ok(applySnapshot[topic](records, upTo));
@@ -74,7 +84,8 @@
         targets: (records, upTo) => {
             const changes = decodeTargets(records);
             const presentIds = new Set(changes.filter(({ entry }) => entry !== undefined).map(({ targetId }) => targetId));
-            const gone = view.targets.findMissing(presentIds, upTo).map((targetId) => ({ targetId, offset: upTo, entry: undefined }));
+            const gone = view.targets.findMissing(presentIds, upTo)
+                .map((targetId) => ({ targetId, offset: upTo, entry: undefined }));
             return { ...emptyReading, targets: applyTargets([...gone, ...changes], upTo) };
         },
         ledger: (records, upTo) => {
@@ -168,18 +179,32 @@
     };
 
     const readNew = async (topic: TopicName, waitMs: number): Promise<Result<Reading, Failure>> => {
+        const from = nextOffsets[topic]();
         const outcome = topicsRead.has(topic)
-            ? await store.read(topic, nextOffsets[topic](), waitMs)
+            ? await store.read(topic, from, waitMs)
             : ok({ kind: "expired" as const });
         if (outcome.isErr()) {
             lastReadFailureAtMs = nowMs();
             return err(outcome.error);
         }
         return outcome.value.kind === "expired"
-            ? readSnapshot(topic)
+            ? readAfterExpiry(topic, from)
             : ok(applyRecords[topic](outcome.value.page.records, outcome.value.page.next));
     };
 
+    /** Reads a snapshot, unless another call has read one of a later era meanwhile; then reads what has come since. */
+    const readAfterExpiry = async (topic: TopicName, from: Offset): Promise<Result<Reading, Failure>> => {
+        await snapshotsInProgress.get(topic);
+        if (topicsRead.has(topic) && eraOf(nextOffsets[topic]()) > eraOf(from)) {
+            return readNew(topic, 0);
+        }
+        const snapshot = readSnapshot(topic);
+        snapshotsInProgress.set(topic, snapshot);
+        return snapshot.finally(() => {
+            snapshotsInProgress.delete(topic);
+        });
+    };
+
     return {
         read: async (topic, waitMs) => {
             try {
