A target known to be gone stays gone when the store comes back from an older copy

What callers saw: a removed target's last entry stands in the copy again, with the sequence number that was read last, so it counted as present and got requests until its removal was written again. Now an entry of the same process counts then only with a higher number.

Test failed before (gone, ready): test/store/topicReader.spec.ts.

--- a/src/store/targetDirectory.ts
+++ b/src/store/targetDirectory.ts
@@ -2,6 +2,7 @@
 import type { Offset, ServiceId, TargetId } from "../model/names.js";
 import type { KnownTarget, LeavingTarget, TargetEntry } from "../model/target.js";
 import { hash } from "../model/rendezvous.js";
+import { eraOf } from "../model/storePosition.js";
 import { isSameEntry } from "../model/target.js";
 
 /** A target that was removed from the directory is kept as gone for this long after it began to leave. */
@@ -20,6 +21,7 @@
     offset: Offset;
     bornWallMs: number;
     sequence: number;
+    isRemoved: boolean;
 }
 
 /** The service directory, as far as it was read. */
@@ -71,13 +73,14 @@
      */
     apply(change: TargetChange, nowMs: number): boolean {
         const latest = this.latestPositions.get(change.targetId);
-        if (latest !== undefined && (change.offset < latest.offset || isOutdated(change.entry, latest))) {
+        if (latest !== undefined && (change.offset < latest.offset || isOutdated(change, latest))) {
             return false;
         }
         this.latestPositions.set(change.targetId, {
             offset: change.offset,
             bornWallMs: change.entry?.bornWallMs ?? latest?.bornWallMs ?? 0,
             sequence: change.entry?.sequence ?? latest?.sequence ?? 0,
+            isRemoved: change.entry === undefined,
         });
         return this.applyEntry(change, nowMs);
     }
@@ -175,12 +178,16 @@
     return { ...target, state: registeredState };
 }
 
-/** True for an entry of an earlier process, or for one older than the newest entry of the same process. */
-function isOutdated(entry: TargetEntry | undefined, latest: ChangePosition): boolean {
-    if (entry === undefined) {
-        return false;
+/**
+ * True for an entry of an earlier process, or for one older than the newest entry of the same process. After the store came back from an
+ * older copy, the newest entry itself may stand there again although it was removed.
+ */
+function isOutdated({ entry, offset }: TargetChange, latest: ChangePosition): boolean {
+    if (entry?.bornWallMs !== latest.bornWallMs) {
+        return entry !== undefined && entry.bornWallMs < latest.bornWallMs;
     }
-    return entry.bornWallMs < latest.bornWallMs || (entry.bornWallMs === latest.bornWallMs && entry.sequence < latest.sequence);
+    const isRemovedSince = latest.isRemoved && eraOf(offset) > eraOf(latest.offset);
+    return entry.sequence < latest.sequence || (isRemovedSince && entry.sequence === latest.sequence);
 }
 
 function groupByService(targets: Iterable<KnownTarget>): Map<ServiceId, KnownTarget[]> {
--- a/test/store/topicReader.spec.ts
+++ b/test/store/topicReader.spec.ts
@@ -97,6 +97,24 @@
         expect(stateOf()).to.equal("gone");
     });
 
+    it("keeps a target gone, or leaving, although it stands in the copy from which the store came back", async () => {
+        for (const lost of [undefined, { ...entry(2), state: "draining" }]) {
+            const { store, read, stateOf } = setUp();
+            store.put("targets", "t", entry(1));
+            await read();
+            const copy = store.takeCopy();
+            store.put("targets", "t", lost);
+            await read();
+            const before = stateOf();
+            store.returnFrom(copy);
+            await read();
+            expect([before, stateOf()]).to.deep.equal(lost === undefined ? ["gone", "gone"] : ["draining", "draining"]);
+            store.put("targets", "t", { ...entry(1), bornWallMs: 2 });
+            await read();
+            expect(stateOf(), "a new start of it").to.equal("ready");
+        }
+    });
+
     it("does not replace a configuration with an older version", async () => {
         const { clock, store, view } = setUp();
         const reader = createTopicReader({
