--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -85,7 +85,7 @@
             const changes = decodeTargets(records);
             const presentIds = new Set(changes.filter(({ entry }) => entry !== undefined).map(({ targetId }) => targetId));
             const gone = view.targets.findMissing(presentIds, upTo)
-                .map((targetId) => ({ targetId, offset: upTo, entry: undefined }));
+                .map((targetId) => ({ targetId, offset: upTo - 1 as Offset, entry: undefined }));
             return { ...emptyReading, targets: applyTargets([...gone, ...changes], upTo) };
         },
         ledger: (records, upTo) => {
--- a/test/store/topicReader.spec.ts
+++ b/test/store/topicReader.spec.ts
@@ -115,6 +115,26 @@
         }
     });
 
+    it("gives a target that the copy lacks the time to write its entry again", async () => {
+        for (const isWrittenAgain of [true, false]) {
+            const { clock, store, read, stateOf } = setUp();
+            await read();
+            const copy = store.takeCopy();
+            store.put("targets", "t", entry(1));
+            await read();
+            store.returnFrom(copy);
+            await read();
+            expect(stateOf()).to.equal("ready");
+            if (isWrittenAgain) {
+                store.put("targets", "t", entry(2));
+                await read();
+            }
+            await clock.advance(2_300);
+            await read();
+            expect(stateOf()).to.equal(isWrittenAgain ? "ready" : "gone");
+        }
+    });
+
     it("does not replace a configuration with an older version", async () => {
         const { clock, store, view } = setUp();
         const reader = createTopicReader({
