The coordinator learns of a store's return from the hosts that read it first

What callers saw: in the simulation with a living coordinator and a store that was away for 0.1 to 1 s without answering, 15 of 24 returns ended the leases of all targets for some 2.5 s. Cause: the coordinator's reading of the ledger had no answer for 1.2 s more, so that another host took over meanwhile, which must wait until all leases that the store may have lost have ended.

Change: reports state the era of the ledger that a host has read. A coordinator that hears of a later one reads the ledger at once, also while an earlier reading has no answer, and claims anew. A host that finds the coordinator cut off, and the era changed, reports first and then waits as before.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -224,8 +224,11 @@
             followers.add(params.member, from);
             return { accepted: true, news: news.fullNews(params, () => ownershipManager.notice(clock.now().monoMs)) };
         },
-        report: ({ loads, pressures, leavingTargets, crashEvidence: observations, leaving }, from) => {
+        report: ({ loads, pressures, leavingTargets, crashEvidence: observations, leaving, storeEra }, from) => {
             const nowMs = clock.now().monoMs;
+            if (storeEra !== undefined) {
+                heldTerm.checkEra(storeEra);
+            }
             followers.recordReport(from, leaving, nowMs);
             news.broadcastLeaving(leavingTargets ?? [], from);
             news.queueEvidence(observations, from === undefined);
--- a/src/cluster/following.ts
+++ b/src/cluster/following.ts
@@ -89,6 +89,9 @@
         if (membership.isLeaving || !isCoordinatorCutOff() || !await directReader.readAllTopics()) {
             return false;
         }
+        if (knownTerm.isOutdated) {
+            connection.notify(clusterMethods.report, createReport());
+        }
         // A store that has just become available again may answer this host shortly before it answers the coordinator.
         await clock.sleep(storeRecoveryGraceMs, signal);
         if (membership.isLeaving || !isCoordinatorCutOff() || knownTerm.latest?.term !== term.term) {
--- a/src/cluster/heldTerm.ts
+++ b/src/cluster/heldTerm.ts
@@ -1,6 +1,7 @@
 /** The term that a coordinator holds: it is confirmed by reading the ledger, and ends when another host claims a later term. */
-import type { Offset, Term } from "../model/names.js";
+import type { Era, Offset, Term } from "../model/names.js";
 import { Signal, waitFor } from "../model/signal.js";
+import { eraOf } from "../model/storePosition.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import type { LedgerChange } from "../ownership/ledger.js";
@@ -48,6 +49,8 @@
     drop(): void;
     /** Drops the term, and asks the store at once to confirm it. */
     requestConfirmation(): void;
+    /** Another host has read the ledger of a later era: reads it at once, also while an earlier reading has no answer. */
+    checkEra(era: Era): void;
     /** This coordinator does not act any more, unless no other host takes over. */
     resign(nowMs: number): void;
     /** Reads the ledger again and again, until `signal` aborts or another term is in force. */
@@ -59,6 +62,13 @@
     const authority = new TermAuthority();
     authority.confirm(confirmedAt);
     const confirmRequested = new Signal();
+    let resolveOutdated: () => void = () => undefined;
+    const outdated = new Promise<undefined>((resolve) => {
+        resolveOutdated = () => {
+            resolve(undefined);
+        };
+    });
+    let isCheckingEra = false;
     let resignedAtMs: number | undefined;
     let isLedgerReadFailing = false;
 
@@ -95,6 +105,18 @@
             authority.drop();
             confirmRequested.fire();
         },
+        checkEra: (era) => {
+            if (era > eraOf(view.ledger.upTo) && !isCheckingEra) {
+                isCheckingEra = true;
+                void reader.read("ledger", 0).then(() => {
+                    isCheckingEra = false;
+                    if (view.ledger.isTermOutdated) {
+                        resolveOutdated();
+                        confirmRequested.fire();
+                    }
+                });
+            }
+        },
         resign: (nowMs) => {
             resignedAtMs = nowMs;
             log.info("coordinator resigned", { term });
@@ -103,7 +125,10 @@
             while (!signal.aborted && !isSuperseded()) {
                 const askedAt = clock.now();
                 const from = view.ledger.upTo;
-                const reading = await reader.read("ledger", 0);
+                const reading = await Promise.race([reader.read("ledger", 0), outdated]);
+                if (reading === undefined) {
+                    return;
+                }
                 isLedgerReadFailing = reading.isErr();
                 if (reading.isOk() && !isSuperseded()) {
                     authority.confirm(askedAt);
--- a/src/cluster/hostReports.ts
+++ b/src/cluster/hostReports.ts
@@ -1,5 +1,6 @@
 /** Composes what a host reports to its coordinator. */
 import type { CrashObserver } from "../crashes/crashObserver.js";
+import { eraOf } from "../model/storePosition.js";
 import type { LoadMeter } from "../ownership/loadMeter.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { Membership } from "./membership.js";
@@ -23,6 +24,7 @@
     const observations = crashObserver.takeUnreported();
     return {
         loads: loads.takeReport(), pressures: admissionServer.pressures(), leaving: membership.isLeaving,
+        storeEra: eraOf(view.ledger.upTo),
         ...leavingTargets.length > 0 ? { leavingTargets } : {},
         ...observations === undefined ? {} : { crashEvidence: observations },
     };
--- a/src/cluster/messageChecks.ts
+++ b/src/cluster/messageChecks.ts
@@ -14,6 +14,7 @@
     addressSchema, countSchema, durationMsSchema, idSchema, isId, keySchema, nameSchema, offsetSchema, positiveCountSchema,
     positiveDurationMsSchema, rateSchema, sequenceSchema, slotsSchema, wallMsSchema, weightSchema,
 } from "../model/valueSchemas.js";
+import { maxEra } from "../model/storePosition.js";
 import type { Log } from "../observe/log.js";
 import type { LedgerChange, TermRecord } from "../ownership/ledger.js";
 import { termKey } from "../ownership/ledger.js";
@@ -187,6 +188,7 @@
                 pressures: checkPressures(fields.pressures, peer),
                 leavingTargets: checkPart("leaving targets", processesSchema, fields.leavingTargets, peer),
                 crashEvidence: checkPart("crash evidence", evidenceSchema, fields.crashEvidence, peer),
+                storeEra: checkPart("era of the store", eraSchema, fields.storeEra, peer),
             } as unknown as Report;
         },
         follow: (message, peer) => checkWhole(followSchema, message, peer).map((params) => params as unknown as FollowParams),
@@ -200,9 +202,11 @@
 
 const reportFields = z.object({
     leaving: z.boolean(), loads: z.array(z.unknown()), pressures: z.array(z.unknown()),
-    leavingTargets: z.optional(z.unknown()), crashEvidence: z.optional(z.unknown()),
+    leavingTargets: z.optional(z.unknown()), crashEvidence: z.optional(z.unknown()), storeEra: z.optional(z.unknown()),
 });
 
+const eraSchema = z.int().check(z.gte(0), z.lte(maxEra));
+
 /** Tells whether a value has the form of a report of loads by key; `KeyLoads.add` checks the numbers, of which there are many. */
 function isLoad(value: unknown): boolean {
     const { serviceId, pairs } = (value ?? {}) as { serviceId?: unknown; pairs?: unknown };
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -1,7 +1,7 @@
 /** Messages between the coordinator and the other hosts. */
 import type { TargetPressure } from "../ownership/targetPressure.js";
 import type { CrashEvidenceUpdate } from "../crashes/crashReport.js";
-import type { Offset, RunId, Term } from "../model/names.js";
+import type { Era, Offset, RunId, Term } from "../model/names.js";
 import type { LeavingTarget } from "../model/target.js";
 import type { RoutingConfig } from "../model/routing.js";
 import type { LedgerChange } from "../ownership/ledger.js";
@@ -90,6 +90,8 @@
     leavingTargets?: readonly LeavingTarget[];
     /** What this host has observed of crashes since its last report; all that it knows in its first report to a coordinator. */
     crashEvidence?: CrashEvidenceUpdate;
+    /** Latest era of the store that the host knows from the ledger; absent in messages of earlier versions. */
+    storeEra?: Era;
     /** True once the host has begun to leave; the coordinator then removes it from the member list, so that it gets no more duties. */
     leaving: boolean;
 }
