A lease manager that may not grant checks 50 times a second, not 1,000 times

What callers saw: nothing directly; while a coordinator may not grant (its term isn't confirmed, or leases of a lost past may be in force, up to 12.3 s), each target's manager woke up every millisecond. Cause: the pause before a lease that is due already is 1 ms.

Test failed before (10,000 checks in 10 s, 1,428 allowed): test/ownership/leaseManager.spec.ts.

--- a/src/ownership/leaseManager.ts
+++ b/src/ownership/leaseManager.ts
@@ -25,6 +25,9 @@
  */
 const endedForMs = 5_000;
 
+/** While no grants may be sent, the manager checks that often whether they may again. */
+const notPermittedPauseMs = 20;
+
 /** Dependencies and callbacks of a target's lease manager. */
 export interface LeaseManagerDependencies {
     leases: LeasePort;
@@ -140,11 +143,12 @@
         while (!signal.aborted) {
             this.renewalInProgress = this.renewDue(signal);
             await this.renewalInProgress;
-            const nowMs = this.dependencies.clock.now().monoMs;
+            const now = this.dependencies.clock.now();
             const pauseMs = this.liveness.isFailing
                 ? this.liveness.retryDelayMs()
-                : this.leases.nextDueMs(nowMs + renewalIntervalMs) - nowMs;
-            await waitFor(this.dependencies.clock, Math.max(1, pauseMs), [this.wake], signal);
+                : this.leases.nextDueMs(now.monoMs + renewalIntervalMs) - now.monoMs;
+            const leastPauseMs = this.dependencies.mayGrant(now) ? 1 : notPermittedPauseMs;
+            await waitFor(this.dependencies.clock, Math.max(leastPauseMs, pauseMs), [this.wake], signal);
         }
         this.sessions.close();
     }
--- a/test/ownership/leaseManager.spec.ts
+++ b/test/ownership/leaseManager.spec.ts
@@ -5,7 +5,7 @@
 import { FenceCounter } from "../../src/ownership/fences.js";
 import { LeaseManager } from "../../src/ownership/leaseManager.js";
 import type { Grant, GrantReply, LeaseSession } from "../../src/ownership/leasePort.js";
-import { maxTimeToExpiryMs, defaultHoldMs } from "../../src/ownership/leaseTerms.js";
+import { defaultHoldMs, maxTimeToExpiryMs, renewalIntervalMs } from "../../src/ownership/leaseTerms.js";
 import type { LeavingTarget } from "../../src/model/target.js";
 import { VirtualClock } from "../support/virtualTime.js";
 
@@ -17,6 +17,7 @@
     const grants: Grant[] = [];
     const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number; holdMs: number; closes: boolean; leaving: boolean; rateLimit?: number } =
         { reply: "granted", reachable: true, opened: 0, holdMs: defaultHoldMs, closes: false, leaving: false };
+    const permission = { isGiven: true, askedCount: 0 };
     const leavingReports: LeavingTarget[] = [];
     const session = (): LeaseSession => {
         let open = true;
@@ -62,7 +63,11 @@
         },
         fences: new FenceCounter(1 as Term), clock,
         log: { info: () => undefined, warn: () => undefined, error: () => undefined },
-        mayGrant: () => true, isRecorded: () => true, holdMs: () => state.holdMs, onOutdated: () => undefined,
+        mayGrant: () => {
+            permission.askedCount += 1;
+            return permission.isGiven;
+        },
+        isRecorded: () => true, holdMs: () => state.holdMs, onOutdated: () => undefined,
         maxHoldMs: 10_000, rateLimitOf: () => state.rateLimit,
         onLeaving: (leaving) => {
             leavingReports.push(leaving);
@@ -74,7 +79,7 @@
     const end = () => {
         stop.abort();
     };
-    return { clock, manager, grants, state, leavingReports, end };
+    return { clock, manager, grants, state, permission, leavingReports, end };
 }
 
 describe("lease manager of a target", () => {
@@ -87,6 +92,21 @@
         end();
     });
 
+    it("does not ask without end whether it may renew, while it may not, and renews soon after it may", async () => {
+        const { clock, manager, grants, permission, end } = setUp();
+        manager.setRanges([range], []);
+        await clock.advance(defaultHoldMs);
+        permission.isGiven = false;
+        await clock.advance(renewalIntervalMs);
+        const [askedCount, grantCount] = [permission.askedCount, grants.length];
+        await clock.advance(10_000);
+        expect(permission.askedCount - askedCount).to.be.at.most(10_000 / renewalIntervalMs * 100);
+        permission.isGiven = true;
+        await clock.advance(100);
+        expect(grants.length).to.be.above(grantCount);
+        end();
+    });
+
     for (const { limit, rangeCount } of [{ limit: 0.7, rangeCount: 1 }, { limit: 2.3, rangeCount: 3 }, { limit: 6, rangeCount: 8 }]) {
         it(`renews ${String(rangeCount)} leases within what a limit of ${String(limit)} a second leaves beside requests`, async () => {
             const { clock, manager, grants, state, end } = setUp();
