After a store's return the wait for lost leases counts from the first answer of the new era

Cause: the wait counted from the claim. No coordinator's term was confirmed by the store after this host saw the new era.

The simulation's tests of a return: no key has two owners, drains stay, no term repeats.

--- a/src/cluster/termClaims.ts
+++ b/src/cluster/termClaims.ts
@@ -136,10 +136,10 @@
      */
     takeClaimedTerm(): ClaimedTerm {
         const { clock, view } = this.dependencies;
-        const isUnsettled = view.ledger.term?.unsettled === true;
+        const { term } = view.ledger;
         const claimed = this.acknowledgedClaim ?? {
             confirmedAt: clock.now(),
-            predecessor: isUnsettled ? this.predecessorBeforeReturn() : this.predecessorWithoutResignation(false),
+            predecessor: term?.unsettled === true ? this.predecessorBeforeReturn(term) : this.predecessorWithoutResignation(false),
         };
         this.acknowledgedClaim = undefined;
         return claimed;
@@ -158,13 +158,17 @@
      * A store that came back from an older copy may have lost the claim of a coordinator that still acts, and the records on which it
      * granted leases, unless this host is the coordinator that held the term until then.
      */
-    private predecessorBeforeReturn(previous?: TermRecord): Predecessor {
-        const nowMs = this.dependencies.clock.now().monoMs;
+    private predecessorBeforeReturn(previous: TermRecord | undefined): Predecessor {
+        const { clock, maxHoldMs, view } = this.dependencies;
+        const nowMs = clock.now().monoMs;
         if (this.heldBefore !== undefined && this.heldBefore.term === previous?.term) {
             return { actsUntilMs: nowMs, ...this.heldBefore.grants(nowMs) };
         }
-        const lost = this.predecessorWithoutResignation(false);
-        return { ...lost, grantsFromMs: lost.grantsUntilMs };
+        // The store confirmed a lost term before it came back. An unsettled one may have been confirmed until now.
+        const confirmedUntilMs = previous?.unsettled === true ? nowMs : view.returnSeenMs(eraOf(view.ledger.upTo)) ?? nowMs;
+        const actsUntilMs = confirmedUntilMs + authorityMs;
+        const grantsUntilMs = actsUntilMs + maxTimeToExpiryMs(maxHoldMs);
+        return { actsUntilMs, grantsUntilMs, grantsFromMs: grantsUntilMs };
     }
 
     private predecessorOf(previous: TermRecord | undefined, resignation: Resignation | undefined): Predecessor {
--- a/src/store/clusterView.ts
+++ b/src/store/clusterView.ts
@@ -1,7 +1,7 @@
 /** The configuration, the targets and the ledger as this host knows them, each with the offset up to which it was read. */
 import type { RouteTable } from "../routing/routeTable.js";
 import { createRouteTable } from "../routing/routeTable.js";
-import type { Offset, ServiceId } from "../model/names.js";
+import type { Era, Offset, ServiceId } from "../model/names.js";
 import type { RoutingConfig, ServiceConfig } from "../model/routing.js";
 import { Signal } from "../model/signal.js";
 import type { LedgerChange } from "../ownership/ledger.js";
@@ -44,6 +44,7 @@
     private unreadableConfigOffset = noOffset;
     private targetsReadUpTo = noOffset;
     private targetChangeCount = 0;
+    private latestReturn: { era: Era; seenMs: number } | undefined;
 
     /** Grows whenever a target changes in anything that the router acts on. */
     get targetsVersion(): number {
@@ -181,6 +182,18 @@
         this.targetsChanged.fire();
     }
 
+    /** Records that this host has seen at a monotonic time that the store came back from an older copy. */
+    recordReturn(era: Era, nowMs: number): void {
+        if (era > (this.latestReturn?.era ?? 0)) {
+            this.latestReturn = { era, seenMs: nowMs };
+        }
+    }
+
+    /** Returns the monotonic time at which this host first saw an era begin; undefined if it has seen no earlier one. */
+    returnSeenMs(era: Era): number | undefined {
+        return this.latestReturn?.era === era ? this.latestReturn.seenMs : undefined;
+    }
+
     /** Applies changes of the ledger; see `Ledger.apply`. */
     applyLedger(changes: readonly LedgerChange[], from: Offset, upTo: Offset): void {
         if (this.ledger.apply(changes, from, upTo)) {
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -67,6 +67,7 @@
         if (topicsRead.has(topic) && eraOf(upTo) > eraOf(before)) {
             // Entries may have lapsed, or are not written again yet, as after an outage.
             lastReadFailureAtMs = nowMs();
+            view.recordReturn(eraOf(upTo), nowMs());
             log.warn("store came back from an older copy", {
                 topic, era: eraOf(upTo), end: offsetInEra(upTo), eraBefore: eraOf(before), endBefore: offsetInEra(before),
             });
