--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -4,6 +4,7 @@
 import type { CrashObserver } from "../crashes/crashObserver.js";
 import type { TrialParams, TrialReply } from "../crashes/trial.js";
 import { linkAborts, waitFor } from "../model/signal.js";
+import { eraOf, offsetInEra } from "../model/storePosition.js";
 import type { Clock } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import type { TermRecord } from "../ownership/ledger.js";
@@ -184,8 +185,8 @@
         knowledgeAgeMs: ages.knowledgeAgeMs,
         configAgeMs: ages.configAgeMs,
         describe: () => ({
-            self, members: membership.members(), term: view.ledger.term, ledgerUpTo: view.ledger.upTo,
-            configVersion: view.config?.config.version, configOffset: view.config?.offset,
+            self, members: membership.members(), term: view.ledger.term, ledgerUpTo: offsetInEra(view.ledger.upTo),
+            storeEra: eraOf(view.ledger.upTo), configVersion: view.config?.config.version, configOffset: view.config?.offset,
             knowledgeAgeMs: Math.round(ages.knowledgeAgeMs(nowMs())), targets: [...view.targets.all()],
             coordinator: coordinator?.describe(),
         }),
--- a/src/cluster/termClaims.ts
+++ b/src/cluster/termClaims.ts
@@ -112,7 +112,7 @@
         const sentAt = clock.now();
         const outcome = await store.append(records.map((draft) => encodeLedgerRecord(draft.key, draft.record)), end);
         log.info("term claim attempted", {
-            term: record.term, end, resigned: resignation !== undefined, recordedAgain: lost.map(({ key }) => key),
+            term: record.term, era: eraOf(end), end: offsetInEra(end), resigned: resignation !== undefined, recordedAgain: lost.map(({ key }) => key),
             outcome: outcome.isOk() ? outcome.value.kind : outcome.error.message,
         });
         if (outcome.isErr() || outcome.value.kind === "conflict") {
--- a/src/control/fleetCommands.ts
+++ b/src/control/fleetCommands.ts
@@ -9,7 +9,7 @@
 import type { CommandResult } from "./output.js";
 import { exitCodes } from "./output.js";
 import { done, failed, refused } from "./results.js";
-import type { ControlSession } from "./session.js";
+import type { ControlSession, HostDump } from "./session.js";
 
 /** Shows the state of every running host. */
 export async function status(session: ControlSession): Promise<CommandResult> {
@@ -28,7 +28,7 @@
             rows: reports.value.map(({ hostId, dump }) => dump.match(
                 (hostDump) => [
                     hostId, hostDump.self.dataCentreId, hostDump.unready ?? "ready", hostDump.configVersion ?? "-",
-                    hostDump.ledgerUpTo, hostDump.knowledgeAgeMs, hostDump.pending,
+                    describeLedger(hostDump), hostDump.knowledgeAgeMs, hostDump.pending,
                     hostDump.coordinator === undefined ? "" : `term ${String(hostDump.coordinator.term)}`,
                 ],
                 (failure) => [hostId, "-", describeFailure(failure), "-", "-", "-", "-", "-"],
@@ -38,6 +38,11 @@
     };
 }
 
+/** Returns the offset that a host has reached, with the store's era if it has ever come back from an older copy. */
+function describeLedger({ ledgerUpTo, storeEra = 0 }: HostDump): number | string {
+    return storeEra === 0 ? ledgerUpTo : `${String(ledgerUpTo)}, era ${String(storeEra)}`;
+}
+
 /** Shows the targets that own keys, with their state at the coordinator. */
 export async function targets(session: ControlSession): Promise<CommandResult> {
     const reports = await session.reports();
--- a/src/control/session.ts
+++ b/src/control/session.ts
@@ -21,6 +21,8 @@
     unready?: string;
     configVersion?: number;
     ledgerUpTo: number;
+    /** How often the store has come back from an older copy; absent in dumps of earlier versions. */
+    storeEra?: number;
     knowledgeAgeMs: number;
     pending: number;
     /** Absent in dumps of earlier versions. */
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -22,6 +22,7 @@
 import { maxConfigAgeMs } from "../forwarding/requestPreparation.js";
 import { probeTarget } from "../forwarding/targetProbe.js";
 import type { RunId } from "../model/names.js";
+import { offsetInEra } from "../model/storePosition.js";
 import { createDenialRecorder } from "../observe/denialRecorder.js";
 import { createLogger } from "../observe/logger.js";
 import { createLogWriter } from "../observe/logWriter.js";
@@ -137,7 +138,7 @@
         configVersion: () => from.resolve(tokens.view).config?.config.version,
         configAgeMs: (nowMs) => from.resolve(tokens.node).configAgeMs(nowMs),
         ledgerStatus: (nowMs) => ({
-            ledgerUpTo: from.resolve(tokens.view).ledger.upTo, ageMs: from.resolve(tokens.node).knowledgeAgeMs(nowMs),
+            ledgerUpTo: offsetInEra(from.resolve(tokens.view).ledger.upTo), ageMs: from.resolve(tokens.node).knowledgeAgeMs(nowMs),
         }),
     }));
     provide(tokens.crashEvidence, () => new CrashEvidence());
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -4,6 +4,7 @@
 import { listenForPeers } from "../cluster/peerConnection.js";
 import type { AdverseStanding } from "../crashes/crashEvidence.js";
 import { monitorStandings } from "../crashes/standingMonitor.js";
+import { eraOf, offsetInEra } from "../model/storePosition.js";
 import { createAdminHttp, createReadyHttp, listen } from "./adminHttp.js";
 import { watchDocument } from "./documentWatcher.js";
 import { tokens } from "./tokens.js";
@@ -128,7 +129,9 @@
     const clock = hostContainer.resolve(tokens.clock);
     const view = hostContainer.resolve(tokens.view);
     metrics.gauge("hornbeam_config_version", "Version of the configuration in force.", () => view.config?.config.version ?? 0);
-    metrics.gauge("hornbeam_ledger_offset", "Ledger offset that this host has reached.", () => view.ledger.upTo);
+    metrics.gauge("hornbeam_ledger_offset", "Ledger offset that this host has reached.", () => offsetInEra(view.ledger.upTo));
+    metrics.gauge("hornbeam_store_era", "How often the store has come back from an older copy, as far as this host has read.", () =>
+        eraOf(view.ledger.upTo));
     metrics.gauge("hornbeam_knowledge_age_ms", "Milliseconds since the store last confirmed the state that this host acts on.", () =>
         Math.min(1e9, hostContainer.resolve(tokens.node).knowledgeAgeMs(clock.now().monoMs)));
     metrics.gauge("hornbeam_term", "Current term.", () => view.ledger.term?.term ?? 0);
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -73,7 +73,7 @@
             });
         }
         topicsRead.add(topic);
-        log.info("snapshot read", { topic, records: records.length, upTo });
+        log.info("snapshot read", { topic, records: records.length, upTo: offsetInEra(upTo) });
         return ok(applySnapshot[topic](records, upTo));
     };
 
--- a/test/control/commands.spec.ts
+++ b/test/control/commands.spec.ts
@@ -114,6 +114,12 @@
         expect((await config.status(openSession({ ...dumps, h2: dumpOf("h2") }), 0)).exitCode).to.equal(exitCodes.done);
     });
 
+    it("shows that the store came back from an older copy, once it has", async () => {
+        await appendTermRecord();
+        const { table } = await fleet.status(openSession({ h1: dumpOf("h1", { storeEra: 0 }), h2: dumpOf("h2", { storeEra: 2 }) }));
+        expect(table?.rows.map((row) => row[4])).to.deep.equal([3, "3, era 2"]);
+    });
+
     it("shows hosts, targets and owners", async () => {
         await appendTermRecord();
         const ranges = [{ from: 0, to: 65_535 } as KeyRange];
