--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -1,7 +1,7 @@
 /** Messages between the coordinator and the other hosts. */
 import type { TargetPressure } from "../ownership/targetPressure.js";
 import type { CrashEvidenceUpdate } from "../crashes/crashReport.js";
-import type { Offset, RunId, Term } from "../model/names.js";
+import type { Era, Offset, RunId, Term } from "../model/names.js";
 import type { LeavingTarget } from "../model/target.js";
 import type { RoutingConfig } from "../model/routing.js";
 import type { LedgerChange } from "../ownership/ledger.js";
@@ -37,7 +37,7 @@
 /** Parameters of `follow`: what the host knows already. */
 export interface FollowParams {
     member: Member;
-    /** Changes of the ledger are requested from this offset on. */
+    /** Changes of the ledger are requested from this position on; all of it is sent to a host that knows an earlier era's only. */
     ledgerUpTo: Offset;
     /** Changes of targets are requested from this offset on; 0 for all. */
     targetsFrom: Offset;
@@ -69,7 +69,7 @@
     targets?: readonly TargetChange[];
     /** Offset up to which the coordinator knows the ledger. */
     ledgerUpTo: Offset;
-    /** `ledger` holds every change from this offset on. */
+    /** `ledger` holds every change from this offset on; 0 for the whole ledger. */
     ledgerFrom?: Offset;
     ledger?: readonly LedgerChange[];
     notice?: OwnershipNotice;
@@ -90,6 +90,8 @@
     leavingTargets?: readonly LeavingTarget[];
     /** What this host has observed of crashes since its last report; all that it knows in its first report to a coordinator. */
     crashEvidence?: CrashEvidenceUpdate;
+    /** Latest era of the store that the host knows from the ledger; absent in messages of earlier versions. */
+    storeEra?: Era;
     /** True once the host has begun to leave; the coordinator then removes it from the member list, so that it gets no more duties. */
     leaving: boolean;
 }
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -4,6 +4,7 @@
 import type { CrashObserver } from "../crashes/crashObserver.js";
 import type { TrialParams, TrialReply } from "../crashes/trial.js";
 import { linkAborts, waitFor } from "../model/signal.js";
+import { eraOf, offsetInEra } from "../model/storePosition.js";
 import type { Clock } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import { runRestartedTasks } from "../observe/tasks.js";
@@ -97,7 +98,7 @@
 
     const coordinate = async (term: TermRecord, signal: AbortSignal) => {
         const claimed = claims.takeClaimedTerm();
-        const newCoordinator = createCoordinator({ ...dependencies, ...claimed, term: term.term });
+        const newCoordinator = createCoordinator({ ...dependencies, ...claimed, term, claimAnew: (held) => claims.claimAnew(held) });
         coordinator = newCoordinator;
         configAge.recordJoined();
         log.info("started coordinating", {
@@ -166,7 +167,7 @@
             }
             while (!signal.aborted) {
                 const term = knownTerm.latest;
-                if (term?.runId === self.runId) {
+                if (term?.runId === self.runId && !knownTerm.isOutdated) {
                     await coordinate(term, signal);
                     continue;
                 }
@@ -189,8 +190,8 @@
         knowledgeAgeMs: ages.knowledgeAgeMs,
         configAgeMs: ages.configAgeMs,
         describe: () => ({
-            self, members: membership.members(), term: view.ledger.term, ledgerUpTo: view.ledger.upTo,
-            configVersion: view.config?.config.version, configOffset: view.config?.offset,
+            self, members: membership.members(), term: view.ledger.term, ledgerUpTo: offsetInEra(view.ledger.upTo),
+            storeEra: eraOf(view.ledger.upTo), configVersion: view.config?.config.version, configOffset: view.config?.offset,
             knowledgeAgeMs: Math.round(ages.knowledgeAgeMs(nowMs())), targets: [...view.targets.all()],
             coordinator: coordinator?.describe(),
         }),
