The store's return from an older copy leaves a log line on each host

Without it nothing on a host told that the store had lost records: a 404 by the configuration before looked like any other one (no-route, small configAgeMs). The line has both eras; storeReturn.spec looks for it, once at each host.

--- a/test/fleet/storeReturn.spec.ts
+++ b/test/fleet/storeReturn.spec.ts
@@ -45,5 +45,8 @@
         fleet.store.faults = noStoreFaults;
         await sleep(configBoundMs);
         expect(await statuses(laterPrefix)).to.deep.equal([200, 200, 200]);
+        const lines = fleet.logs().map((log) => log.split("\n").filter((line) => line.includes("store came back from an older copy")));
+        expect(lines.map(({ length }) => length)).to.deep.equal([1, 1, 1]);
+        expect(JSON.parse(lines[0]?.[0] ?? "")).to.include({ era: "1", earlierEra: "0" });
     });
 });
