--- a/test/entry/unusualRequests.spec.ts
+++ b/test/entry/unusualRequests.spec.ts
@@ -32,6 +32,22 @@
         });
     }
 
+    for (const method of ["QUERY", "get", "VERSION-CONTROL"]) {
+        // The protocol lets routes have any method; that the parser knows only some is no mistake of the client.
+        it(`are not blamed for a method that this host does not implement: ${method}`, async () => {
+            await client.write(Buffer.from(`${method} /a/x HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r-1\r\n\r\n`));
+            const answer = await client.readAnswer();
+            expect(answer).to.include({ status: 501 });
+            expect(answer.headers["connection"]).to.equal("close");
+            expect(listener.denials.map(({ reason, status }) => [reason, status])).to.deep.equal([["unknown-method", 501]]);
+        });
+    }
+
+    it("are not blamed for such a method that arrives in pieces", async () => {
+        await client.write(Buffer.from("GET"), Buffer.from("S"), Buffer.from(" /a/x HTTP/1.1\r\n"));
+        expect((await client.readAnswer()).status).to.equal(501);
+    });
+
     it("have no route if an absolute request target names another host", async () => {
         await client.write(Buffer.from("GET http://other.example/a/x HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r-1\r\n\r\n"));
         expect((await client.readAnswer()).status).to.equal(404);
