A method that the parser doesn't know is answered 501, not blamed with 400

What callers saw: 400 'malformed' for any request with a method outside Node.js' list (QUERY, VERSION-CONTROL, a word of their own), on every host and route, though every configuration allows it: routes name no methods, and the protocol leaves their names open. Cause: the parser's HPE_INVALID_METHOD was taken for bytes that are no request. Such requests can't be forwarded, since the parser reads nothing beyond the method.

--- a/src/entry/clientConnection.ts
+++ b/src/entry/clientConnection.ts
@@ -28,6 +28,8 @@
     | "incomplete"
     /** The header section is too long for this connection, but not known to be too long. It was not read, so the request did not run. */
     | "limits-unknown" | "limit-raised"
+    /** A request whose method the parser does not know, though the protocol allows it. */
+    | "unknown-method"
     /** The header section is valid, but no request that this host accepts. */
     | "no-host-header" | "unknown-expectation";
 
@@ -83,6 +85,7 @@
     "incomplete": 400,
     "limits-unknown": 503,
     "limit-raised": 503,
+    "unknown-method": 501,
     "no-host-header": 400,
     "unknown-expectation": 417,
 };
@@ -92,8 +95,13 @@
     "HPE_HEADER_OVERFLOW": "header-too-large",
     "ERR_HTTP_REQUEST_TIMEOUT": "header-late",
     "HPE_INVALID_EOF_STATE": "incomplete",
+    "HPE_INVALID_METHOD": "unknown-method",
 };
 
+/** A request line, and the beginning of one, with any method. */
+const requestLine = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+ [^ ]+ HTTP\/1\.[01]$/;
+const requestLineStart = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+(?: [^ ]*(?: [HTP/1.0]{0,8})?)?$/;
+
 /** Time in seconds after which the same request may succeed on another connection. */
 const retryAfterSeconds: Partial<Record<DenialReason, number>> = {
     "limits-unknown": 1,
@@ -106,6 +114,9 @@
  */
 export function denialReasonOf(error: ParserError, connection: ClientConnection, limits: ClientLimits | undefined): DenialReason {
     const reason = denialByParserCode[error.code ?? ""] ?? "malformed";
+    if (reason === "unknown-method") {
+        return isAtRequestLine(error) ? reason : "malformed";
+    }
     if (reason !== "header-too-large") {
         return reason;
     }
@@ -115,6 +126,13 @@
     return connection.openedWithMaxHeaderBytes < limits.maxHeaderBytes ? "limit-raised" : reason;
 }
 
+/** Tells whether the parser stopped in a request line, as far as it has arrived. */
+function isAtRequestLine({ rawPacket, bytesParsed = 0 }: ParserError): boolean {
+    const text = rawPacket?.toString("latin1") ?? "";
+    const [line = "", ...others] = text.slice(text.lastIndexOf("\n", bytesParsed - 1) + 1).split("\r\n", 2);
+    return (others.length > 0 ? requestLine : requestLineStart).test(line);
+}
+
 /**
  * Creates the state of a connection.
  * @param socket the connection
