--- a/test/soak/soakChecks.ts
+++ b/test/soak/soakChecks.ts
@@ -17,6 +17,11 @@
 /** Statuses that state that the request has not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Tells whether a status says that the request is wrong. */
+function isDenial(status: number): boolean {
+    return status >= 300 && status < 500 && !notRunStatuses.has(status);
+}
+
 /**
  * Records a violation for each key that two servers hold for longer than `maxOwnerOverlapMs`.
  * @param signal ends the check
@@ -52,6 +57,10 @@
         if (isOrder && notRunStatuses.has(answer.status) && runs > 0) {
             violations.push(`order ${id} was answered ${String(answer.status)}, although it ran`);
         }
+        // All requests of a run are proper, by every configuration.
+        if (isDenial(answer.status)) {
+            violations.push(`${id} was denied with ${String(answer.status)}`);
+        }
         if (answer.status === 200 && (answer.headers["response-signature"] !== `signed-${id}` || !answer.body.startsWith(`answer to ${id} `))) {
             violations.push(`${id} got the answer to another request, or an incomplete answer`);
         }
