--- a/test/fleet/configAfterStoreReturn.spec.ts
+++ b/test/fleet/configAfterStoreReturn.spec.ts
@@ -46,8 +46,10 @@
         await sleep(configBoundMs);
         expect(await statuses(laterPrefix)).to.deep.equal([200, 200, 200]);
         const lines = fleet.logs().map((log) => log.split("\n").filter((line) => line.includes("store came back from an older copy")));
-        for (const returns of lines.map((ofHost) => ofHost.map((line) => JSON.parse(line) as { topic: string; era: number; eraBefore: number }))) {
-            expect(returns.filter(({ topic }) => topic === "configuration").map(({ era, eraBefore }) => [era, eraBefore])).to.deep.equal([[1, 0]]);
+        for (const ofHost of lines) {
+            const returns = ofHost.map((line) => JSON.parse(line) as { topic: string; era: number; eraBefore: number });
+            const ofConfiguration = returns.filter(({ topic }) => topic === "configuration");
+            expect(ofConfiguration.map(({ era, eraBefore }) => [era, eraBefore])).to.deep.equal([[1, 0]]);
             expect(new Set(returns.map(({ topic }) => topic)).size, "a line for each topic that the host reads").to.equal(returns.length);
         }
     });
