A coordinator goes on renewing leases while it waits after a store's return

What callers saw: in the simulation, with a living coordinator and a store that was away for 1.6 to 3 s and came back older, no target held any key for 4 to 5 s (an ordinary outage of that length: 0 s). Cause: its term had not been confirmed for 2 s, so its new term grants nothing for 12.3 s, and the leases of 10 s from the outage ended before.

Change: if the term was confirmed less than the longest lease (10.3 s) before, its lease managers go on under the new term's authority: they renew what stands, each lease on its connection and under its old fencing token, and start, move and revoke nothing. A lost coordinator who moved such a range has shown the owner a higher token, or had to wait until the old leases had ended. What this renews counts when the keys of a target that is lost later become free.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -8,7 +8,7 @@
 import type { Log } from "../observe/log.js";
 import { FenceCounter } from "../ownership/fences.js";
 import type { LeasePort } from "../ownership/leasePort.js";
-import { defaultHoldMs } from "../ownership/leaseTerms.js";
+import { defaultHoldMs, maxTimeToExpiryMs } from "../ownership/leaseTerms.js";
 import type { TermRecord } from "../ownership/ledger.js";
 import { createLedgerWriter } from "../ownership/ledgerWriter.js";
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
@@ -31,7 +31,7 @@
 import type { PeerConnection } from "./peerConnection.js";
 import { repairRecords } from "./recordRepair.js";
 import { watchTargets } from "./targetsWatch.js";
-import type { TermHeldBefore } from "./termClaims.js";
+import type { RenewalPermission, TermHeldBefore } from "./termClaims.js";
 import { settleTerm } from "./termSettling.js";
 import { createTrialGranter } from "./trialGrants.js";
 
@@ -60,7 +60,9 @@
     log: Log;
     onMove: OwnershipManagerDependencies["onMove"];
     /** Claims the next term after the store came back from an older copy. Called before the hosts lose contact. */
-    claimAnew: (held: TermHeldBefore | undefined) => Promise<unknown>;
+    claimAnew: (held: TermHeldBefore | undefined) => Promise<boolean>;
+    /** The term that this host held until the store came back from an older copy, if leases granted under it may be renewed. */
+    heldBefore?: TermHeldBefore | undefined;
 }
 
 /** A coordinator of one term. */
@@ -123,15 +125,21 @@
 
     const trialGranter = createTrialGranter({ evidence: crashEvidence, writer, mayAct, clock, log });
 
+    /** Set once a later term of this host has this one renew its leases. */
+    let renewal: RenewalPermission | undefined;
+
+    const holdMs = (now: Instant) => heldTerm.ageMs(now) > longLeasesAfterMs ? dependencies.maxHoldMs : defaultHoldMs;
+
     const mayGrant = (now: Instant) => mayAct(now) && now.monoMs >= (predecessor.grantsFromMs ?? Number.NEGATIVE_INFINITY);
 
     const ownershipManager: OwnershipManager = createOwnershipManager({
         view, clock, log, writer, leases: dependencies.leases,
         fences: new FenceCounter(term),
-        mayGrant,
+        mayGrant: (now) => renewal === undefined ? mayGrant(now) : renewal.mayRenew(now),
+        mayUseNewFences: () => renewal === undefined,
         mayBalance: (now) => mayAct(now) && !heldTerm.isLedgerReadFailing && heldTerm.ageMs(now) < balancingStopsAfterMs
             && writer.isStoreResponding(now.monoMs),
-        holdMs: (now) => heldTerm.ageMs(now) > longLeasesAfterMs ? dependencies.maxHoldMs : defaultHoldMs,
+        holdMs: (now) => renewal?.holdMs(now) ?? holdMs(now),
         maxHoldMs: dependencies.maxHoldMs,
         predecessor,
         onOutdated: () => {
@@ -159,8 +167,17 @@
         news.broadcastNotice(notice);
     };
 
-    const startTasks = (signal: AbortSignal) => {
-        void ownershipManager.run(signal);
+    /** Has this host's earlier term renew its leases until this one may grant some itself. */
+    const renewLeasesOfHeldTerm = async (signal: AbortSignal) => {
+        const { heldBefore: held } = dependencies;
+        held?.renewLeases({ mayRenew: mayAct, holdMs });
+        await clock.sleep((predecessor.grantsFromMs ?? 0) - clock.now().monoMs, signal);
+        held?.stop();
+    };
+
+    const startTasks = (signal: AbortSignal, leaseSignal: AbortSignal) => {
+        void renewLeasesOfHeldTerm(signal);
+        void ownershipManager.run(signal, leaseSignal);
         void paceNews({
             clock, urgent: ownershipManager.moveStarted,
             deferrable: [ownershipManager.noticeChanged, news.ledgerChangesQueued, news.evidenceQueued],
@@ -188,19 +205,36 @@
     };
 
     /**
-     * Returns the term if it was confirmed so recently that it would still be held, had the store not come back from an older copy. Then
-     * the store cannot have lost moves of a later coordinator, who would have begun them only after this one's authority had ended.
+     * Describes this term after the store has come back from an older copy, if it was confirmed recently. The store may have lost the claim
+     * of a later coordinator, who began moves only after this one's authority had ended, and assigned ranges without a word to their owners
+     * only after the longest lease; so leases may be renewed for as long, under the fencing tokens that such a coordinator has outdated.
      */
-    const heldBefore = (now: Instant): TermHeldBefore | undefined => {
+    const describeHeld = (now: Instant, stopLeases: () => void): TermHeldBefore | undefined => {
         const isSettled = now.monoMs >= (predecessor.grantsFromMs ?? Number.NEGATIVE_INFINITY);
-        return heldTerm.isResigned || !isSettled || heldTerm.ageMs(now) >= authorityMs ? undefined : {
+        const ageMs = heldTerm.ageMs(now);
+        return heldTerm.isResigned || !isSettled || ageMs >= maxTimeToExpiryMs(dependencies.maxHoldMs) ? undefined : {
             term,
-            grants: (nowMs) => ({
-                grantsUntilMs: nowMs + ownershipManager.grantsLastMs(nowMs), grantsUntilMsByTarget: ownershipManager.grantedUntilMs(nowMs),
-            }),
+            canHaveLostMoves: ageMs >= authorityMs,
+            grantsLastMs: () => ownershipManager.grantsLastMs(clock.now().monoMs),
+            grantsUntilMsOf: (targetId) => ownershipManager.grantedUntilMs(targetId, clock.now().monoMs),
+            renewLeases: (permission) => {
+                renewal = permission;
+            },
+            stop: stopLeases,
         };
     };
 
+    /** Claims the next term if the store has come back from an older copy, and ends the leases unless they are to be renewed under it. */
+    const endTerm = async (signal: AbortSignal, leases: AbortController) => {
+        const held = describeHeld(clock.now(), () => {
+            leases.abort();
+        });
+        const isClaimed = view.ledger.isTermOutdated && !signal.aborted && await dependencies.claimAnew(held);
+        if (!isClaimed || held?.canHaveLostMoves !== true) {
+            leases.abort();
+        }
+    };
+
     return {
         term,
         run: async (signal) => {
@@ -208,15 +242,15 @@
             const linkedAbort = linkAborts(signal, stop.signal);
             setMaxListeners(0, linkedAbort.signal);
             owners.refresh();
+            const leases = new AbortController();
+            setMaxListeners(0, leases.signal);
             view.ledger.isSoleWriter = true;
-            startTasks(linkedAbort.signal);
+            startTasks(linkedAbort.signal, leases.signal);
             await heldTerm.keepConfirmed(linkedAbort.signal);
             stop.abort();
             linkedAbort.release();
             view.ledger.isSoleWriter = false;
-            if (view.ledger.isTermOutdated && !signal.aborted) {
-                await dependencies.claimAnew(heldBefore(clock.now()));
-            }
+            await endTerm(signal, leases);
             heldTerm.drop();
             followers.disconnectAll();
         },
--- a/src/cluster/termClaims.ts
+++ b/src/cluster/termClaims.ts
@@ -1,5 +1,5 @@
 /** Claims terms, and computes until when the coordinator of the previous term may still act. */
-import type { HostId, Offset, RunId, Term } from "../model/names.js";
+import type { HostId, Offset, RunId, TargetId, Term } from "../model/names.js";
 import { hash } from "../model/rendezvous.js";
 import { eraOf, offsetInEra } from "../model/storePosition.js";
 import type { Clock, Instant } from "../model/time.js";
@@ -45,8 +45,23 @@
 /** The term that a coordinator held when the store came back from an older copy. */
 export interface TermHeldBefore {
     term: Term;
-    /** Returns until when leases granted under it may be in force. */
-    grants(nowMs: number): Pick<Predecessor, "grantsUntilMs" | "grantsUntilMsByTarget">;
+    /** True if the store may have lost moves of a later coordinator. */
+    canHaveLostMoves: boolean;
+    /** Returns the time from now until all leases granted under it have expired. */
+    grantsLastMs(): number;
+    /** Returns until when a target may hold leases granted under it, in monotonic time. */
+    grantsUntilMsOf(targetId: TargetId): number;
+    /** Renews the leases that stand, each under its fencing token, until `stop` is called. */
+    renewLeases(permission: RenewalPermission): void;
+    /** Ends the renewal. */
+    stop(): void;
+}
+
+/** Permission of a later term to renew the leases of an earlier one. */
+export interface RenewalPermission {
+    mayRenew(now: Instant): boolean;
+    /** Returns the duration of a lease that is renewed now. */
+    holdMs(now: Instant): number;
 }
 
 /** A term that this host has claimed. */
@@ -54,6 +69,8 @@
     /** Time at which the call that confirmed the term was sent to the store. */
     confirmedAt: Instant;
     predecessor: Predecessor;
+    /** The term that this host held before, if its leases are to be renewed. */
+    heldBefore?: TermHeldBefore | undefined;
 }
 
 /** Dependencies of `TermClaims`. */
@@ -112,7 +129,8 @@
         const sentAt = clock.now();
         const outcome = await store.append(records.map((draft) => encodeLedgerRecord(draft.key, draft.record)), end);
         log.info("term claim attempted", {
-            term: record.term, era: eraOf(end), end: offsetInEra(end), resigned: resignation !== undefined, recordedAgain: lost.map(({ key }) => key),
+            term: record.term, era: eraOf(end), end: offsetInEra(end), resigned: resignation !== undefined,
+            recordedAgain: lost.map(({ key }) => key),
             outcome: outcome.isOk() ? outcome.value.kind : outcome.error.message,
         });
         if (outcome.isErr() || outcome.value.kind === "conflict") {
@@ -123,7 +141,8 @@
         }
         this.failedCount = 0;
         const predecessor = mayBeUnsettled ? this.predecessorBeforeReturn(previous) : this.predecessorOf(previous, resignation);
-        this.acknowledgedClaim = { confirmedAt: sentAt, predecessor };
+        this.acknowledgedClaim = { confirmedAt: sentAt, predecessor, heldBefore: this.heldBeforeOf(previous) };
+        this.heldBefore = undefined;
         const { offset } = outcome.value;
         const changes = records.map((draft, index) => ({ ...draft, offset: offset + index as Offset }));
         view.applyLedger(changes, offset, offset + records.length as Offset);
@@ -154,6 +173,11 @@
         return nextTerm(previous?.term ?? (ledger.isTermUnreadable ? offsetInEra(ledger.upTo) : 0), eraOf(ledger.upTo));
     }
 
+    /** Returns the term that this host held before the store came back from an older copy, if that was the latest term. */
+    private heldBeforeOf(previous: TermRecord | undefined): TermHeldBefore | undefined {
+        return this.heldBefore?.term === previous?.term ? this.heldBefore : undefined;
+    }
+
     /**
      * A store that came back from an older copy may have lost the claim of a coordinator that still acts, and the records on which it
      * granted leases, unless this host is the coordinator that held the term until then.
@@ -161,14 +185,19 @@
     private predecessorBeforeReturn(previous: TermRecord | undefined): Predecessor {
         const { clock, maxHoldMs, view } = this.dependencies;
         const nowMs = clock.now().monoMs;
-        if (this.heldBefore !== undefined && this.heldBefore.term === previous?.term) {
-            return { actsUntilMs: nowMs, ...this.heldBefore.grants(nowMs) };
+        const held = this.heldBeforeOf(previous);
+        if (held?.canHaveLostMoves === false) {
+            const grantsUntilMsOf = (targetId: TargetId) => held.grantsUntilMsOf(targetId);
+            return { actsUntilMs: nowMs, grantsUntilMs: nowMs + held.grantsLastMs(), grantsUntilMsOf };
         }
         // The store confirmed a lost term before it came back. An unsettled one may have been confirmed until now.
         const confirmedUntilMs = previous?.unsettled === true ? nowMs : view.returnSeenMs(eraOf(view.ledger.upTo)) ?? nowMs;
         const actsUntilMs = confirmedUntilMs + authorityMs;
         const grantsUntilMs = actsUntilMs + maxTimeToExpiryMs(maxHoldMs);
-        return { actsUntilMs, grantsUntilMs, grantsFromMs: grantsUntilMs };
+        return {
+            actsUntilMs, grantsUntilMs, grantsFromMs: grantsUntilMs,
+            ...held === undefined ? {} : { grantsUntilMsOf: (targetId) => Math.max(grantsUntilMs, held.grantsUntilMsOf(targetId)) },
+        };
     }
 
     private predecessorOf(previous: TermRecord | undefined, resignation: Resignation | undefined): Predecessor {
--- a/src/ownership/leaseManager.ts
+++ b/src/ownership/leaseManager.ts
@@ -36,6 +36,8 @@
     log: Log;
     /** Tells whether grants may be sent now. */
     mayGrant: (now: Instant) => boolean;
+    /** False if only leases that stand may be renewed, each on the connection and under the fencing token of its last renewal. */
+    mayUseNewFences: () => boolean;
     /** Tells whether the ledger assigns a range to a target and no move takes it away. */
     isRecorded: (targetId: TargetId, range: KeyRange) => boolean;
     /** Returns the duration of a lease that is granted now. */
@@ -147,7 +149,7 @@
             const pauseMs = this.liveness.isFailing
                 ? this.liveness.retryDelayMs()
                 : this.leases.nextDueMs(now.monoMs + renewalIntervalMs) - now.monoMs;
-            const leastPauseMs = this.dependencies.mayGrant(now) ? 1 : notPermittedPauseMs;
+            const leastPauseMs = this.dependencies.mayGrant(now) && this.dependencies.mayUseNewFences() ? 1 : notPermittedPauseMs;
             await waitFor(this.dependencies.clock, Math.max(leastPauseMs, pauseMs), [this.wake], signal);
         }
         this.sessions.close();
@@ -162,7 +164,9 @@
     async release(range: KeyRange, timeoutMs: number): Promise<ReleaseOutcome> {
         this.stopRenewing(range);
         await this.renewalInProgress;
-        const outcome = await revokeLease({ ...this.dependencies, targetId: this.targetId, sessions: this.sessions }, range, timeoutMs);
+        const mayGrant = (now: Instant) => this.dependencies.mayGrant(now) && this.dependencies.mayUseNewFences();
+        const { targetId, sessions } = this;
+        const outcome = await revokeLease({ ...this.dependencies, mayGrant, targetId, sessions }, range, timeoutMs);
         if (outcome.kind === "released") {
             this.leases.recordRelease(range);
             return outcome;
@@ -213,7 +217,8 @@
             // No grant is sent to a target without leases, so an open connection counts as an answer.
             this.onAnswer();
         }
-        for (const lease of this.leases.byDueTime()) {
+        const { mayUseNewFences } = this.dependencies;
+        for (const lease of this.leases.byDueTime().filter((one) => one.session === session.value || mayUseNewFences())) {
             if (signal.aborted || !session.value.isOpen || !this.isDue(lease) || !await this.renew(lease, session.value)) {
                 return;
             }
@@ -246,6 +251,9 @@
             return false;
         }
         if (lease.session !== session) {
+            if (!this.dependencies.mayUseNewFences()) {
+                return false;
+            }
             lease.session = session;
             lease.fence = this.dependencies.fences.next();
         }
--- a/src/ownership/ownershipManager.ts
+++ b/src/ownership/ownershipManager.ts
@@ -53,6 +53,8 @@
     clock: Clock;
     log: Log;
     mayGrant: (now: Instant) => boolean;
+    /** See `LeaseManagerDependencies`. */
+    mayUseNewFences: () => boolean;
     /**
      * Tells whether keys may be moved for balance. No target holds a range between its release and the record of its new owner, so the
      * store must respond.
@@ -82,8 +84,12 @@
     readonly noticeChanged: Signal;
     /** Fires when a move begins. */
     readonly moveStarted: Signal;
-    /** Grants, plans and moves until aborted. */
-    run(signal: AbortSignal): Promise<void>;
+    /**
+     * Plans and moves until aborted, and grants.
+     * @param signal ends planning
+     * @param leaseSignal ends the renewal of leases
+     */
+    run(signal: AbortSignal, leaseSignal: AbortSignal): Promise<void>;
     /** Adds the work by key that a host has reported. */
     addLoads(loads: readonly KeyLoadReport[], nowMs: number): void;
     /** Records how slow targets are, as a host has reported it. */
@@ -92,8 +98,8 @@
     notice(nowMs: number): OwnershipNotice;
     /** Returns the time from now until no lease granted by this or an earlier coordinator is in force. */
     grantsLastMs(nowMs: number): number;
-    /** Returns until when each target may hold leases that this or an earlier coordinator granted, in monotonic time. */
-    grantedUntilMs(nowMs: number): ReadonlyMap<TargetId, number>;
+    /** Returns until when a target may hold leases that this or an earlier coordinator granted, in monotonic time. */
+    grantedUntilMs(targetId: TargetId, nowMs: number): number;
     /** Returns the state of targets and moves for the dump. */
     describe(nowMs: number): object;
 }
@@ -117,7 +123,8 @@
 
     const leaseManagerDependencies: LeaseManagerDependencies = {
         leases: dependencies.leases, fences: dependencies.fences, clock, log,
-        mayGrant: dependencies.mayGrant, holdMs: dependencies.holdMs, maxHoldMs: dependencies.maxHoldMs,
+        mayGrant: dependencies.mayGrant, mayUseNewFences: dependencies.mayUseNewFences,
+        holdMs: dependencies.holdMs, maxHoldMs: dependencies.maxHoldMs,
         rateLimitOf: (targetId) => standings.rateLimitOf(targetId, clock.now().monoMs),
         onOutdated: dependencies.onOutdated,
         onLeaving: (leaving) => {
@@ -307,9 +314,9 @@
 
     return {
         noticeChanged, moveStarted,
-        run: async (signal) => {
+        run: async (signal, leaseSignal) => {
             while (!signal.aborted) {
-                leaseManagers.syncTargets(shardedServices(), signal);
+                leaseManagers.syncTargets(shardedServices(), leaseSignal);
                 syncRanges();
                 startPlannedMoves();
                 await waitFor(clock, planIntervalMs, [replan, view.targetsChanged], signal);
@@ -332,11 +339,13 @@
             const latestMs = Math.max(dependencies.predecessor.grantsUntilMs, ...leaseManagers.all().map(({ freeAtMs }) => freeAtMs));
             return Math.max(0, latestMs - nowMs) + maxTimeToExpiryMs(0);
         },
-        grantedUntilMs: (nowMs) => new Map(leaseManagers.all().map(({ targetId, isCertainlyFree, freeAtMs }) => {
+        grantedUntilMs: (targetId, nowMs) => {
+            const manager = leaseManagers.get(targetId);
             const isMoving = [...activeMoves].some(({ move }) => move.from === targetId);
             const pendingUntilMs = isMoving ? nowMs + maxTimeToExpiryMs(dependencies.maxHoldMs) : Number.NEGATIVE_INFINITY;
-            return [targetId, Math.max(freeAtMs, pendingUntilMs, isCertainlyFree ? freeAtMs : grantedBeforeUntilMs(targetId))];
-        })),
+            const earlierUntilMs = manager?.isCertainlyFree === true ? Number.NEGATIVE_INFINITY : grantedBeforeUntilMs(targetId);
+            return Math.max(manager?.freeAtMs ?? Number.NEGATIVE_INFINITY, pendingUntilMs, earlierUntilMs);
+        },
         describe: (nowMs) => ({
             targets: leaseManagers.all().map((manager) => ({
                 targetId: manager.targetId, standing: standings.standingOf(manager.targetId, nowMs), ranges: manager.ranges,
--- a/src/ownership/predecessor.ts
+++ b/src/ownership/predecessor.ts
@@ -10,8 +10,8 @@
     actsUntilMs: number;
     /** Leases granted by earlier coordinators may be in force until this time. */
     grantsUntilMs: number;
-    /** The same for single targets, where an earlier time is known; undefined if it is for none. */
-    grantsUntilMsByTarget?: ReadonlyMap<TargetId, number>;
+    /** Returns the same for one target, where that is known; undefined if it is for none. */
+    grantsUntilMsOf?: (targetId: TargetId) => number;
     /**
      * Set if earlier coordinators may have granted leases on records that the store has lost. Nothing may be granted before this time, by
      * when these leases have expired.
@@ -20,6 +20,6 @@
 }
 
 /** Returns the monotonic time until which leases that earlier coordinators granted to a target may be in force. */
-export function earlierGrantsUntilMs({ grantsUntilMs, grantsUntilMsByTarget }: Predecessor, targetId: TargetId): number {
-    return grantsUntilMsByTarget?.get(targetId) ?? grantsUntilMs;
+export function earlierGrantsUntilMs({ grantsUntilMs, grantsUntilMsOf }: Predecessor, targetId: TargetId): number {
+    return grantsUntilMsOf?.(targetId) ?? grantsUntilMs;
 }
--- a/test/ownership/leaseManager.spec.ts
+++ b/test/ownership/leaseManager.spec.ts
@@ -17,7 +17,7 @@
     const grants: Grant[] = [];
     const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number; holdMs: number; closes: boolean; leaving: boolean; rateLimit?: number } =
         { reply: "granted", reachable: true, opened: 0, holdMs: defaultHoldMs, closes: false, leaving: false };
-    const permission = { isGiven: true, askedCount: 0 };
+    const permission = { isGiven: true, mayUseNewFences: true, askedCount: 0 };
     const leavingReports: LeavingTarget[] = [];
     const session = (): LeaseSession => {
         let open = true;
@@ -67,6 +67,7 @@
             permission.askedCount += 1;
             return permission.isGiven;
         },
+        mayUseNewFences: () => permission.mayUseNewFences,
         isRecorded: () => true, holdMs: () => state.holdMs, onOutdated: () => undefined,
         maxHoldMs: 10_000, rateLimitOf: () => state.rateLimit,
         onLeaving: (leaving) => {
@@ -107,6 +108,27 @@
         end();
     });
 
+    it("renews what stands and sends nothing else, while it may not use new fencing tokens", async () => {
+        const { clock, manager, grants, permission, state, end } = setUp();
+        manager.setRanges([range], []);
+        await clock.advance(defaultHoldMs);
+        permission.mayUseNewFences = false;
+        const grantCount = grants.length;
+        manager.setRanges([range, { from: 100, to: 199 } as KeyRange], []);
+        await clock.advance(3 * renewalIntervalMs);
+        expect(grants.length).to.be.above(grantCount);
+        expect(new Set(grants.map(({ range: { from }, fence }) => `${String(from)} ${String(fence)}`)).size).to.equal(1);
+        expect((await manager.release(range, 500)).kind).to.equal("failed");
+        manager.setRanges([range], []);
+        state.reply = "outdated";
+        await clock.advance(3 * renewalIntervalMs);
+        state.reply = "granted";
+        const refusedCount = grants.length;
+        await clock.advance(3 * renewalIntervalMs);
+        expect(grants.length, "after the target has seen a higher token").to.equal(refusedCount);
+        end();
+    });
+
     for (const { limit, rangeCount } of [{ limit: 0.7, rangeCount: 1 }, { limit: 2.3, rangeCount: 3 }, { limit: 6, rangeCount: 8 }]) {
         it(`renews ${String(rangeCount)} leases within what a limit of ${String(limit)} a second leaves beside requests`, async () => {
             const { clock, manager, grants, state, end } = setUp();
--- a/test/ownership/ownershipManager.spec.ts
+++ b/test/ownership/ownershipManager.spec.ts
@@ -74,12 +74,12 @@
     const manager = createOwnershipManager({
         view, clock, writer, fences: new FenceCounter(1 as Term), leases: { open: () => Promise.resolve(ok(session)) },
         log: { info: () => undefined, warn: () => undefined, error: () => undefined },
-        mayGrant: () => true, mayBalance: () => true, holdMs: () => defaultHoldMs, maxHoldMs: 10_000,
+        mayGrant: () => true, mayUseNewFences: () => true, mayBalance: () => true, holdMs: () => defaultHoldMs, maxHoldMs: 10_000,
         predecessor: { actsUntilMs: 0, grantsUntilMs: 12_000 },
         onOutdated: () => undefined, onMove: () => undefined,
     });
     const stop = new AbortController();
-    void manager.run(stop.signal);
+    void manager.run(stop.signal, stop.signal);
     const ownerOf = () => view.ledger.ownerships().find(({ ranges }) => ranges.length > 0)?.targetId;
     return { clock, ownerOf, released, end: () => {
         stop.abort();
--- a/test/world/storeReturn.spec.ts
+++ b/test/world/storeReturn.spec.ts
@@ -77,6 +77,45 @@
         world.stop();
     });
 
+    it("gives no key two owners if the store has lost the claim and the moves of a coordinator that nobody can ask", async () => {
+        let movedCount = 0;
+        for (const seed of [3, 5, 8, 13, 21, 34]) {
+            const world = new World(seed);
+            await world.clock.advance(settledMs + seed * 7);
+            const copy = world.store.takeCopy();
+            const [first] = world.hosts.coordinators() as [HostId];
+            const isolate = (hostId: HostId) => {
+                world.hostIds.filter((other) => other !== hostId).forEach((other) => {
+                    world.hosts.blockedLinks.add(`${hostId}>${other}`);
+                    world.hosts.blockedLinks.add(`${other}>${hostId}`);
+                });
+                world.store.disconnectedHosts.add(hostId);
+            };
+            isolate(first);
+            for (let elapsedMs = 0; elapsedMs < 4_000 + seed * 100; elapsedMs += 500) {
+                world.addLoad();
+                await world.clock.advance(500);
+            }
+            world.hostIds.filter((hostId) => hostId !== first).forEach((hostId) => {
+                isolate(hostId);
+            });
+            world.store.returnFrom(copy);
+            world.store.disconnectedHosts.delete(first);
+            for (let elapsedMs = 0; elapsedMs < observedMs; elapsedMs += 500) {
+                world.addLoad();
+                await world.clock.advance(500);
+            }
+            movedCount += world.hosts.logLines.filter((line) => line.includes("keys moved") && !line.includes(` ${first} `)).length;
+            expect(world.hosts.coordinators()).to.include(first);
+            expect(world.targets.violations, `seed ${String(seed)}`).to.deep.equal([]);
+            world.heal();
+            await world.clock.advance(observedMs);
+            expect([world.targets.heldShare(), world.targets.violations], `seed ${String(seed)}`).to.deep.equal([1, []]);
+            world.stop();
+        }
+        expect(movedCount, "moves of the lost past").to.be.above(0);
+    });
+
     it("does not undo what operators drained, also at hosts that start later", async () => {
         const world = new World(7);
         await world.clock.advance(settledMs);
