--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -2,7 +2,7 @@
 import { ok } from "neverthrow";
 import type { Member, Membership } from "../cluster/membership.js";
 import type { PeerLinks } from "../cluster/peerLinks.js";
-import type { TargetId } from "../model/names.js";
+import type { HostId, TargetId } from "../model/names.js";
 import type { StatedRateLimit } from "../model/rateLimit.js";
 import type { Clock } from "../model/time.js";
 import type { QueueRefusalReason, Ticket } from "./admissionRequest.js";
@@ -111,7 +111,7 @@
     };
 
     const requestSlotFromPeer = ({ peerAddress }: Member, params: EnterParams) => links.call<EnterReply>(
-        peerAddress, admissionMethods.enter, { ...params, sender: membership.self.hostId }, params.deadlineLeftMs + replyGraceMs);
+        peerAddress, admissionMethods.enter, params, params.deadlineLeftMs + replyGraceMs);
 
     const notifyQueueHost = (member: Member, method: "leave" | "withdraw", params: Pick<LeaveParams, "group" | "ticket" | "rateLimit"> & { end?: WorkEnd }) => {
         if (!isSelf(member)) {
@@ -132,15 +132,10 @@
     const enterAt = async (member: Member, request: SlotRequest, signal: AbortSignal): Promise<SlotDecision | undefined> => {
         const nowMs = clock.now().monoMs;
         const ticket = nextTicket();
-        const { softDeadlineMs, deadlineMs, ...params } = request;
-        const { group } = params;
+        const { group } = request;
         const withdrawn = whenAborted(signal);
         const reply = await Promise.race([
-            requestSlot(member, {
-                ...params, ticket, workMs: Math.round(params.workMs),
-                targetLeftMs: Math.round(softDeadlineMs - nowMs), deadlineLeftMs: Math.round(deadlineMs - nowMs),
-            }, signal),
-            withdrawn.promise,
+            requestSlot(member, toEnterParams(request, ticket, membership.self.hostId, nowMs), signal), withdrawn.promise,
         ]);
         withdrawn.release();
         if (signal.aborted) {
@@ -173,6 +168,22 @@
     };
 }
 
+/** Returns the message for a request. Fields are listed one by one, since copying them all costs processor time for each request. */
+function toEnterParams(request: SlotRequest, ticket: Ticket, sender: HostId, nowMs: number): EnterParams {
+    const { group, priority, workMs, near, avoid, rateLimits, suspect, softDeadlineMs, deadlineMs } = request;
+    const params: EnterParams = {
+        ticket, sender, group, priority, near, avoid,
+        workMs: Math.round(workMs), targetLeftMs: Math.round(softDeadlineMs - nowMs), deadlineLeftMs: Math.round(deadlineMs - nowMs),
+    };
+    if (rateLimits !== undefined) {
+        params.rateLimits = rateLimits;
+    }
+    if (suspect !== undefined) {
+        params.suspect = suspect;
+    }
+    return params;
+}
+
 /** Returns a promise that resolves when a signal aborts; `release` removes the listener. */
 function whenAborted(signal: AbortSignal): { promise: Promise<undefined>; release: () => void } {
     let onAbort: () => void = () => undefined;
--- a/src/entry/httpClientCall.ts
+++ b/src/entry/httpClientCall.ts
@@ -65,8 +65,11 @@
         response.writeHead(status, reasonPhrase, [...rawHeaders, ...length]);
     };
 
+    // Listed one by one: an object that begins with a copy of another one is built slowly, and this one is built for each request.
     return {
-        ...terms,
+        requestId: terms.requestId,
+        budgetMs: terms.budgetMs,
+        key: terms.key,
         method: request.method ?? "GET",
         path,
         statedKey: () => dialect.statedKeyOf?.(path, request.headers),
