The leases of a target are started again after an unexpected error: test on a real daemon

test/fleet/endedTasks.spec.ts: the first three connections to a target fail with an error that the port doesn't announce. The opening of a spare connection, too, may be tried again after such an error; before, no spare one was opened to that target any more.

--- a/src/ownership/targetSessions.ts
+++ b/src/ownership/targetSessions.ts
@@ -63,8 +63,12 @@
             return;
         }
         this.isOpeningSpare = true;
-        this.spareSession = (await this.port.open(this.targetId, this.address)).unwrapOr(undefined);
-        this.isOpeningSpare = false;
+        try {
+            this.spareSession = (await this.port.open(this.targetId, this.address)).unwrapOr(undefined);
+        }
+        finally {
+            this.isOpeningSpare = false;
+        }
     }
 
     /** Returns a connection for a single move: the spare one, or a new one. */
--- a/test/fleet/endedTasks.spec.ts
+++ b/test/fleet/endedTasks.spec.ts
@@ -2,9 +2,10 @@
 import { once } from "node:events";
 import { readFileSync } from "node:fs";
 import { expect } from "chai";
+import { topics } from "../../platform/names.js";
 import { failsAfterMs, failureMessage } from "./failingHostSettings.js";
 import type { FleetHost } from "./fleet.js";
-import { Fleet, graceMs, hasEnded, isReady, paths, send, sleep } from "./fleet.js";
+import { buildRoutingConfig, Fleet, graceMs, hasEnded, isReady, paths, send, sleep } from "./fleet.js";
 
 /** Exit code of a host that cannot go on without a task that has ended, see docs/OPERATIONS.md. */
 const taskEndedExitCode = 4;
@@ -16,6 +17,10 @@
         .map((line) => JSON.parse(line) as { task: string; outcome: string; why: string });
 }
 
+function programOf(task: string): string[] {
+    return ["--import", "tsx", "test/fleet/failingHost.ts", task];
+}
+
 describe("a host in which a task ends unexpectedly", function () {
     this.timeout(60_000);
     let fleet: Fleet;
@@ -29,7 +34,7 @@
     });
 
     const startFailing = (task: string): Promise<FleetHost> =>
-        fleet.startHost(`failing-${task}`, undefined, { program: ["--import", "tsx", "test/fleet/failingHost.ts", task] });
+        fleet.startHost(`failing-${task}`, undefined, { program: programOf(task) });
 
     for (const [task, name] of [["node", "cluster node"], ["queues", "admission queues"]] as const) {
         it(`does not seem alive without its ${name}: it stops in order, cuts no request and ends with exit code 4`, async () => {
@@ -54,6 +59,22 @@
         });
     }
 
+    it("starts the leases of a target again, and serves its keys", async () => {
+        const alone = await Fleet.start(0, 1, 0, false);
+        alone.store.put(topics.configuration, "config", buildRoutingConfig(1));
+        const host = await alone.startHost("failing-leases", undefined, { program: programOf("leases") });
+        try {
+            await alone.waitUntilServing();
+            expect((await send(host, { id: "kept", path: `${paths.read}x`, key: 1 })).status).to.equal(200);
+            const lines = readFileSync(host.logFile, "utf8").split("\n").filter((line) => line.includes("cluster: task ended unexpectedly"))
+                .map((line) => JSON.parse(line) as { task: string; outcome: string });
+            expect(lines[0]).to.include({ task: "leases of k0", outcome: "started again" });
+        }
+        finally {
+            await alone.stop();
+        }
+    });
+
     it("starts a task again that holds no state, and goes on", async () => {
         const host = await startFailing("pool");
         await fleet.waitUntil("the task has failed", () => Promise.resolve(endedTaskLines(host).length > 0));
