A host that ends does so also if nobody reads its log any more

process.exit() waits for the runtime's threads, and the one that writes the log may be blocked by a full pipe for good: a start that had failed lived on, listening nowhere, and an orderly stop waited for the platform's SIGKILL (before as well).

--- a/src/host/hostProcess.ts
+++ b/src/host/hostProcess.ts
@@ -32,7 +32,11 @@
     let isStopping = false;
 
     const exit = async (code: number) => {
-        await Promise.race([hostContainer.resolve(tokens.logWriter).flush(), clock.sleep(lastLinesTimeoutMs)]);
+        const flushed = hostContainer.resolve(tokens.logWriter).flush().then(() => true);
+        if (!await Promise.race([flushed, clock.sleep(lastLinesTimeoutMs).then(() => false)])) {
+            // `process.exit` waits for the thread that writes the lines, which may be blocked for good.
+            process.kill(process.pid, "SIGKILL");
+        }
         process.exit(code);
     };
 
--- a/test/fleet/fleet.ts
+++ b/test/fleet/fleet.ts
@@ -62,6 +62,8 @@
     beforeStart?: (ports: HostPorts) => Promise<void>;
     /** Arguments of Node.js that run another program in place of the daemon. */
     program?: string[];
+    /** File descriptor that the daemon writes its log to, in place of its log file. */
+    output?: number;
 }
 
 /** A running daemon. */
@@ -191,7 +193,7 @@
             "[platform]", `address = "${storeAddress}"`,
         ].join("\n"));
         const child = spawn(process.execPath, [...options.program ?? ["target/hornbeam-host.cjs"], "--admin-port", String(adminPort)], {
-            env: { PATH: process.env["PATH"], [settingsPathVariable]: settingsFile }, stdio: ["ignore", openSync(logFile, "a"), "inherit"],
+            env: { PATH: process.env["PATH"], [settingsPathVariable]: settingsFile }, stdio: ["ignore", options.output ?? openSync(logFile, "a"), "inherit"],
         });
         const started: FleetHost = { name, child, ...ports, logFile };
         this.hosts.push(started);
--- a/test/fleet/occupiedPorts.spec.ts
+++ b/test/fleet/occupiedPorts.spec.ts
@@ -1,7 +1,10 @@
 /** Starts of daemons whose ports are held by another process. */
+import { execFileSync } from "node:child_process";
 import { once } from "node:events";
-import { readFileSync } from "node:fs";
+import { closeSync, mkdtempSync, openSync, readFileSync, writeSync } from "node:fs";
 import net from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { expect } from "chai";
 import type { FleetHost, HostPorts } from "./fleet.js";
 import { Fleet, graceMs, hasEnded, isReady, paths, send, sleep } from "./fleet.js";
@@ -17,6 +20,9 @@
 /** Time allowed for the start of a process and for its end, besides the time for which it waits for its ports. */
 const processTimeMs = 4_000;
 
+/** Bytes that a pipe takes before its writer has to wait. */
+const pipeBytes = 65_536;
+
 /** Listens on a port; returns a function that stops it. */
 async function occupy(port: number): Promise<() => Promise<void>> {
     const holder = net.createServer((socket) => socket.destroy());
@@ -76,6 +82,24 @@
         })));
     });
 
+    it("ends also if nobody reads its log any more", async () => {
+        const fifo = join(mkdtempSync(join(tmpdir(), "hornbeam-")), "log");
+        execFileSync("mkfifo", [fifo]);
+        const output = openSync(fifo, "r+");
+        writeSync(output, Buffer.alloc(pipeBytes));
+        let release = () => Promise.resolve();
+        const host = await fleet.startHost("unread", undefined, {
+            output,
+            beforeStart: async ({ clientPort }) => {
+                release = await occupy(clientPort);
+            },
+        });
+        await fleet.waitUntil("the host has ended", () => Promise.resolve(hasEnded(host)), graceMs + processTimeMs);
+        expect(host.child.exitCode).not.to.equal(0);
+        await release();
+        closeSync(output);
+    });
+
     it("serves as soon as the previous process has left the port within the grace period, for each listener", async () => {
         const hosts = await Promise.all(Object.entries(portByPurpose).map(async ([purpose, portName]) =>
             fleet.startHost(`freed-${purpose}`, undefined, {
