--- a/test/fleet/fleet.ts
+++ b/test/fleet/fleet.ts
@@ -64,6 +64,8 @@
     program?: string[];
     /** True if the test cuts the host off from targets, see `targetCut.ts`. */
     isCuttable?: boolean;
+    /** File descriptor that the daemon writes its log to, in place of its log file. */
+    output?: number;
 }
 
 /** A running daemon. */
@@ -194,9 +196,10 @@
         ].join("\n"));
         const preloads = options.isCuttable === true ? ["--import", "./test/fleet/targetCutPreload.mjs"] : [];
         const program = options.program ?? ["target/hornbeam-host.cjs"];
+        const output = options.output ?? openSync(logFile, "a");
         const child = spawn(process.execPath, [...preloads, ...program, "--admin-port", String(adminPort)], {
             env: { PATH: process.env["PATH"], [settingsPathVariable]: settingsFile },
-            stdio: ["ignore", openSync(logFile, "a"), "inherit", ...options.isCuttable === true ? ["ipc" as const] : []],
+            stdio: ["ignore", output, "inherit", ...options.isCuttable === true ? ["ipc" as const] : []],
         });
         const started: FleetHost = { name, child, ...ports, logFile };
         this.hosts.push(started);
