Hosts on the other side of a cut learn which crashes no longer count against a request

Cause: traced. innocent-2 was at crashes at 5,136, 7,706 and 10,444 ms, and was run to its end at 7,651 and 7,678 in the coordinator's half, after the cut at 7,107. The coordinator left it out of its record of the first crash; the other half knew that crash from before, and a record that does not name a request says nothing about it. So that half counted three crashes, and a host that hears no coordinator refuses such requests. Change: a record of a crash lists the requests that it leaves out (`cleared`). A host that knows the crash counts them as run just after it, by its own clock; no wall clocks are compared. No more appends than before.

--- a/src/cluster/crashRecording.ts
+++ b/src/cluster/crashRecording.ts
@@ -3,7 +3,7 @@
  * hosts may end before the next one; a host that follows no coordinator records what it observes itself, so that hosts which can't reach
  * each other learn from each other through the store.
  */
-import { maxCoincidentCrashes, simultaneousMs, suspectedCrashCount } from "../crashes/crashAssessment.js";
+import { distinctFingerprints, maxCoincidentCrashes, simultaneousMs, suspectedCrashCount } from "../crashes/crashAssessment.js";
 import type { CrashEvidenceUpdate, CrashReport, TargetProcess } from "../crashes/crashReport.js";
 import { processKeyOf } from "../crashes/crashReport.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
@@ -11,8 +11,8 @@
 import type { CrashRecord } from "../crashes/crashRecords.js";
 import type { Fingerprint } from "../crashes/requestFingerprint.js";
 import {
-    completionKeyOf, crashKeyOf, quarantineReleaseKeyOf, toCompletionRecord, toCompletionReport, toCrashRecord, toCrashReport,
-    toTrialReport, trialKeyOf,
+    completionKeyOf, crashKeyOf, quarantineReleaseKeyOf, toClearedReports, toCompletionRecord, toCompletionReport, toCrashRecord,
+    toCrashReport, toTrialReport, trialKeyOf,
 } from "../crashes/crashRecords.js";
 import { describeFailure } from "../model/failure.js";
 import type { HostId, Offset } from "../model/names.js";
@@ -77,7 +77,7 @@
     const isRecorded = (report: CrashReport) => recorded.some((record) => isSameProcess(record, report));
     const added = wanted.filter((report) => !isRecorded(report))
         .map((report) => toCrashRecord(report, recordedBy, now))
-        .map((record) => ({ ...record, requests: notCleared(record, evidence) }))
+        .map((record) => moveCleared(record, evidence))
         .map((record) => ({ key: crashKeyOf(record, recordedBy), record, isUrgent: true }));
     const oldCrashes = recorded
         .filter((record) => !wanted.some((report) => isSameProcess(record, report)) && isOutdated(record.atWallMs, minRetentionMs, now))
@@ -118,20 +118,21 @@
     return ageMs > retentionMs || ageMs < -maxClockErrorMs;
 }
 
-function notCleared(record: CrashRecord, evidence: CrashEvidence): CrashRecord["requests"] {
-    return record.requests.filter((request) => !evidence.isClearedSince(record, request));
+/** Moves the requests that were run to their end since to those that are cleared; returns the same record if there are none. */
+function moveCleared(record: CrashRecord, evidence: CrashEvidence): CrashRecord {
+    const requests = record.requests.filter((request) => !evidence.isClearedSince(record, request));
+    const cleared = distinctFingerprints(record.requests.filter((request) => !requests.includes(request)));
+    return cleared.size === 0 ? record : { ...record, requests, cleared: [...new Set([...record.cleared ?? [], ...cleared])] };
 }
 
 /** Drafts the records anew that have requests which were run to their end since; urgent if a host would suspect these by the records. */
 function draftCleared(recorded: readonly CrashRecord[], evidence: CrashEvidence): CrashRecordChange[] {
     const crashCounts = countCrashes(recorded);
     return recorded.flatMap((record) => {
-        const requests = notCleared(record, evidence);
+        const changed = moveCleared(record, evidence);
         const isUrgent = record.requests.some((request) =>
-            (crashCounts.get(request.content) ?? 0) >= suspectedCrashCount && !requests.includes(request));
-        return requests.length === record.requests.length
-            ? []
-            : [{ key: crashKeyOf(record, record.recordedBy), record: { ...record, requests }, isUrgent }];
+            (crashCounts.get(request.content) ?? 0) >= suspectedCrashCount && !changed.requests.includes(request));
+        return changed === record ? [] : [{ key: crashKeyOf(record, record.recordedBy), record: changed, isUrgent }];
     });
 }
 
@@ -258,10 +259,12 @@
         const isFirstReading = appliedUpTo === 0;
         const records = view.ledger.changesFrom(appliedUpTo).flatMap(({ record }) => record ?? []);
         appliedUpTo = view.ledger.upTo;
-        const crashes = records.filter((record) => record.kind === "crash")
-            .map((record) => toCrashReport(record, evidence.crashAgeMs(record, now.monoMs), now));
-        const completions = records.filter((record) => record.kind === "completion" || record.kind === "quarantine-release")
-            .map((record) => toCompletionReport(record, now));
+        const crashRecords = records.filter((record) => record.kind === "crash");
+        const crashes = crashRecords.map((record) => toCrashReport(record, evidence.crashAgeMs(record, now.monoMs), now));
+        const cleared = crashRecords.flatMap((record) => toClearedReports(record, evidence.crashAgeMs(record, now.monoMs)));
+        const completions = [...cleared, ...records
+            .filter((record) => record.kind === "completion" || record.kind === "quarantine-release")
+            .map((record) => toCompletionReport(record, now))];
         if (crashes.length > 0 || completions.length > 0) {
             evidence.merge({ crashes, completions }, now.monoMs);
         }
--- a/src/crashes/crashRecords.ts
+++ b/src/crashes/crashRecords.ts
@@ -14,7 +14,10 @@
     recordedBy: HostId;
     serviceId: ServiceId;
     atWallMs: number;
+    /** Those that were not run to their end since. */
     requests: readonly { content: Fingerprint; exact: Fingerprint; sentWallMs: number }[];
+    /** Fingerprints of the others, for hosts that knew of the crash before; absent if there are none. */
+    cleared?: readonly Fingerprint[];
     others: Survey;
 }
 
@@ -96,6 +99,16 @@
     return { fingerprint: record.fingerprint, agoMs: Math.max(0, now.wallMs - atWallMs) };
 }
 
+/**
+ * Converts what a record says of requests that were run to their end after the crash. They count as run just after it, since the record
+ * does not say when.
+ * @param record the record
+ * @param knownAgoMs time since the crash as this host knows it; undefined if it does not know the crash, and needs no such reports
+ */
+export function toClearedReports({ cleared }: CrashRecord, knownAgoMs: number | undefined): CompletionReport[] {
+    return knownAgoMs === undefined ? [] : (cleared ?? []).map((fingerprint) => ({ fingerprint, agoMs: Math.max(0, knownAgoMs - 1) }));
+}
+
 /** Converts a report of a completion to a record. */
 export function toCompletionRecord({ fingerprint, agoMs }: CompletionReport, { wallMs }: Instant): CompletionRecord {
     return { kind: "completion", fingerprint, atWallMs: Math.round(wallMs - agoMs) };
--- a/src/ownership/ledgerDecoder.ts
+++ b/src/ownership/ledgerDecoder.ts
@@ -23,6 +23,7 @@
 
 /** Limits on lists in records, above what any host writes. */
 const maxListedRequests = 1_000;
+const maxListedFingerprints = 2 * maxListedRequests;
 const maxListedTargets = 100_000;
 
 /** The number of a later term could not be part of a fencing token, which has to be a safe integer. */
@@ -62,6 +63,7 @@
         others: z.object({ asked: countSchema, down: z.array(z.object(processFields)).check(z.maxLength(maxListedTargets)) }),
         atWallMs: wallMsSchema,
         requests: z.array(z.object({ content: idSchema, exact: idSchema, sentWallMs: wallMsSchema })).check(z.maxLength(maxListedRequests)),
+        cleared: z.optional(z.array(idSchema).check(z.maxLength(maxListedFingerprints))),
     }),
     z.object({ kind: z.literal("completion"), fingerprint: idSchema, atWallMs: wallMsSchema }),
     z.object({
--- a/test/cluster/crashRecording.spec.ts
+++ b/test/cluster/crashRecording.spec.ts
@@ -142,6 +142,25 @@
         expect([1, 2, 3].map(standingAfter)).to.deep.equal(["clear", "suspected", "quarantined"]);
     });
 
+    it("tell a host that knows of crashes, but not of the completions between them, which requests these no longer count against", () => {
+        const view = new ClusterView();
+        const informed = new CrashEvidence();
+        const cutOff = new CrashEvidence();
+        const names = ["unlucky", "unlucky/any"] as Fingerprint[];
+        [informed, cutOff].forEach((evidence) => {
+            addCrashes(evidence, [1_000], ["deadly", "unlucky"]);
+        });
+        informed.merge({ crashes: [], completions: names.map((fingerprint) => ({ fingerprint, agoMs: 0 })) }, 2_000);
+        for (const [target, atMs] of [[1, 4_000], [2, 7_000]] as const) {
+            informed.merge({ crashes: [report(target, ["deadly", "unlucky"])], completions: [] }, atMs);
+        }
+        append(view, draftCrashRecords(view.ledger, informed, self, at(7_000, 1_005_000)));
+        watchCrashRecords(view, cutOff, { now: () => at(7_100), sleep: () => Promise.resolve() });
+        expect(informed.standingOf(request("unlucky"), 7_100)).to.deep.include({ crashCount: 2 });
+        expect(cutOff.standingOf(request("unlucky"), 7_100)).to.deep.include({ crashCount: 2 });
+        expect(cutOff.standingOf(deadly, 7_100)).to.deep.include({ crashCount: 3 });
+    });
+
     it("are not written for crashes that have one cause, unless a suspect was there", () => {
         const evidence = new CrashEvidence();
         for (let target = 1; target <= 3; target++) {
--- a/test/ownership/oddLedgerRecords.spec.ts
+++ b/test/ownership/oddLedgerRecords.spec.ts
@@ -37,7 +37,7 @@
     },
     "crash/t-1/1700000000000/h1": {
         kind: "crash", recordedBy: "h1", targetId: "t-1", bornWallMs: nowWallMs, serviceId: "leases", others: { asked: 3, down: [] },
-        atWallMs: nowWallMs, requests: [{ content: "abc_-", exact: "def", sentWallMs: nowWallMs }],
+        atWallMs: nowWallMs, requests: [{ content: "abc_-", exact: "def", sentWallMs: nowWallMs }], cleared: ["ghi"],
     },
     "completion/abc": { kind: "completion", fingerprint: "abc", atWallMs: nowWallMs },
     "trial/abc": {
@@ -67,6 +67,7 @@
     ["crash/t-1/1700000000000/h1", "atWallMs", -1],
     ["crash/t-1/1700000000000/h1", "requests", Array.from({ length: 1_001 }, () => ({ content: "a", exact: "b", sentWallMs: 1 }))],
     ["crash/t-1/1700000000000/h1", "requests", [{ content: "a\nb", exact: "b", sentWallMs: 1 }]],
+    ["crash/t-1/1700000000000/h1", "cleared", ["a\nb"]], ["crash/t-1/1700000000000/h1", "cleared", Array.from({ length: 2_001 }, () => "a")],
     ["crash/t-1/1700000000000/h1", "others", { asked: -1, down: [] }], ["crash/t-1/1700000000000/h1", "recordedBy", "h2"],
     ["completion/abc", "atWallMs", "soon"], ["completion/abc", "fingerprint", ""], ["quarantine-release/abc", "reason", "r".repeat(10_001)],
     ["trial/abc", "number", 0], ["trial/abc", "grantedWallMs", maxWallMs + 1], ["trial/abc", "outcomeWithinMs", 1e300],
--- a/test/world/crashWorld.spec.ts
+++ b/test/world/crashWorld.spec.ts
@@ -7,6 +7,7 @@
     [2_016, "hosts that were cut from their coordinator told nobody what they had reported last"],
     [3_013, "the same as seed 2008, at 24 hosts"],
     [41_034, "all hosts ended again and again before a request was suspected, and each time all that was known of its first crash was lost"],
+    [80_031, "the completion of an innocent request was not known to the hosts in the other half, which had seen its crashes"],
     [4_012, "hosts that were cut from each other each recorded only what they knew, under the same key"],
 ];
 
