A first crash beside those of a suspected request is in the ledger too

Its first crash, at 6,190 ms, came within half a second of several of deadly-1, and so was taken for one of many with a common cause and not recorded; then all hosts were killed. Change: crashes at which a suspect was don't count as coincident ones, as in the assessment. Test: new, failed before.

--- a/src/cluster/crashRecording.ts
+++ b/src/cluster/crashRecording.ts
@@ -96,11 +96,10 @@
 /** Lists the recent crashes that may be a request's first one: no suspect was there, and others did not crash for the same reason. */
 function otherRecentCrashes(ofSuspects: readonly CrashReport[], evidence: CrashEvidence, nowMs: number): CrashReport[] {
     const known = new Set(ofSuspects.map(processKeyOf));
-    const { crashes } = evidence.snapshot(nowMs);
+    const crashes = evidence.snapshot(nowMs).crashes.filter((crash) => !known.has(processKeyOf(crash)));
     const coincidentCount = (crash: CrashReport) => crashes.filter((other) => other.serviceId === crash.serviceId
         && other.targetId !== crash.targetId && Math.abs(other.agoMs - crash.agoMs) <= simultaneousMs).length;
-    return crashes.filter((crash) => crash.agoMs <= minRetentionMs && !known.has(processKeyOf(crash))
-        && coincidentCount(crash) <= maxCoincidentCrashes
+    return crashes.filter((crash) => crash.agoMs <= minRetentionMs && coincidentCount(crash) <= maxCoincidentCrashes
         && crash.requests.some((request) => !evidence.isClearedSince(crash, request)));
 }
 
--- a/test/cluster/crashRecording.spec.ts
+++ b/test/cluster/crashRecording.spec.ts
@@ -170,6 +170,13 @@
         expect(draftCrashRecords(new ClusterView().ledger, evidence, self, at(5_000)).map(({ key }) => key)).to.deep.equal(["crash/t-0/0/h1"]);
     });
 
+    it("are written for a crash beside those of a suspected request", () => {
+        const evidence = new CrashEvidence();
+        addCrashes(evidence, [1_000, 1_200, 1_400, 1_600], ["deadly"]);
+        evidence.merge({ crashes: [report(9, ["another"])], completions: [] }, 1_500);
+        expect(draftCrashRecords(new ClusterView().ledger, evidence, self, at(1_600)).map(({ key }) => key)).to.include("crash/t-9/9/h1");
+    });
+
     it("cost no append of their own when requests that were at one crash are run to their end", () => {
         const evidence = new CrashEvidence();
         const view = new ClusterView();
