Requests that crash targets beside each other no longer excuse each other for good

Cause: traced. A crash at which nobody was suspected yet counts as one without an explanation, and more than one of these within half a second excuses all that happens then. Each request has two such crashes before it is suspected, so deadly-2 had five crashes, none of which counted. With nine crashes in turn: 0 of 3 counted before. Change: a crash is explained too by a request that was at three crashes, one after the other, without a completion (the number that leads to a quarantine). That more than two different suspects at other targets excuse a request stays, and protects innocents when all targets end. Tests: three requests, nine crashes: failed before. The property tests for innocents pass unchanged.

--- a/src/crashes/crashAssessment.ts
+++ b/src/crashes/crashAssessment.ts
@@ -82,6 +82,8 @@
             }
         }
     }
+    history.repeated = new Set([...suspicions]
+        .filter(([, { crashCount }]) => crashCount >= quarantinedCrashCount).map(([fingerprint]) => fingerprint));
     countUnexplained(counted, history, suspicions);
     // A request that was singled out explains its earlier crashes too, so these don't excuse others any more.
     history.singledOut = new Set([...suspicions].filter(([, { isSingledOut }]) => isSingledOut).map(([fingerprint]) => fingerprint));
@@ -163,6 +165,8 @@
     readonly inOrder: readonly Crash[];
     /** Contents of the requests at a crash that were suspected before it. */
     readonly suspectsAt = new Map<Crash, ReadonlySet<Fingerprint>>();
+    /** Fingerprints that were at so many crashes that these are no coincidence, be it that they or something else caused them. */
+    repeated: ReadonlySet<Fingerprint> = new Set();
     /** Fingerprints that are known to have caused a crash. */
     singledOut: ReadonlySet<Fingerprint> = new Set();
     /** Birth of the latest process of each target of which a crash is known; the service directory may still list an earlier process. */
@@ -196,10 +200,11 @@
         return withoutSuspect.length > maxCoincidentCrashes || suspects.size > maxCoincidentSuspects || this.areTooManyDown(crash);
     }
 
-    /** Lists the contents of the requests at a crash that were suspected before it, or have been singled out since. */
+    /** Lists the contents of the requests at a crash that were suspected before it, or have shown since that they may have caused it. */
     private explanationsOf(crash: Crash): Fingerprint[] {
-        const singledOut = crash.requests.map(({ content }) => content).filter((content) => this.singledOut.has(content));
-        return [...this.suspectsAt.get(crash) ?? [], ...singledOut];
+        const since = crash.requests.map(({ content }) => content)
+            .filter((content) => this.singledOut.has(content) || this.repeated.has(content));
+        return [...this.suspectsAt.get(crash) ?? [], ...since];
     }
 
     /** Tells whether too many other targets went down at the time of a crash without a crash of theirs that is known. */
--- a/test/crashes/crashAssessment.spec.ts
+++ b/test/crashes/crashAssessment.spec.ts
@@ -59,6 +59,12 @@
         expect(quarantined(quickly)).to.have.members(["deadly-1", "deadly-2"]);
     });
 
+    it("three requests that crash targets in turn within a second, though nobody was suspected at the first six crashes", () => {
+        const crashes = Array.from({ length: 9 }, (_, index) =>
+            crash(index * 0.07, index, [`deadly-${String(index % 3 + 1)}`, `other-${String(index)}`]));
+        expect(quarantined(crashes)).to.have.members(["deadly-1", "deadly-2", "deadly-3"]);
+    });
+
     it("one client account's requests, not another's with the same content", () => {
         const crashes = [1, 4, 7].map((seconds, index) => ({
             ...crash(seconds, index, []), requests: [{ ...request("status", "account-1"), sentMs: seconds * 1_000 - runMs }],
