A host that hears no coordinator counts crashes at the same moment too

Cause: traced. It crashed six targets within 150 ms. Only two of these count one after the other, since the others were sent before the first crash was known; a host that hears no coordinator refuses a request from three on. So h2, cut off from all others, sent it at 9,319 ms. Change: such a host goes by the number of processes that ended with the request and no completion since, of which one crash must still have no other explanation. Only hosts without contact refuse more; suspicion and quarantine count as before. Test: three processes within 60 ms: placed before, refused now.

--- a/src/crashes/crashAssessment.ts
+++ b/src/crashes/crashAssessment.ts
@@ -29,7 +29,9 @@
 export interface Suspicion {
     /** Number of crashes at which they were, one after the other. */
     crashCount: number;
-    /** Number of these crashes that nothing else explains. */
+    /** Number of processes that crashed with them, also at the same time. */
+    processCount: number;
+    /** Number of the crashes one after the other that nothing else explains. */
     unexplainedCount: number;
     lastCrashMs: number;
     /** True if at one of the latter crashes they were suspected already, and no other suspected request was there. */
@@ -74,9 +76,15 @@
         history.suspectsAt.set(crash, suspects);
         for (const [fingerprint, request] of lastSentByFingerprint(crash)) {
             const before = suspicions.get(fingerprint);
+            const isSinceCompletion = request.sentMs > countsFromMs(undefined, completedMs.get(fingerprint));
+            const processCount = (before?.processCount ?? 0) + (isSinceCompletion ? 1 : 0);
+            if (before !== undefined) {
+                before.processCount = processCount;
+            }
             if (request.sentMs > countsFromMs(before, completedMs.get(fingerprint))) {
                 suspicions.set(fingerprint, {
-                    crashCount: (before?.crashCount ?? 0) + 1, unexplainedCount: 0, lastCrashMs: crash.atMs, isSingledOut: false,
+                    crashCount: (before?.crashCount ?? 0) + 1, processCount, unexplainedCount: 0, lastCrashMs: crash.atMs,
+                    isSingledOut: false,
                 });
                 counted.push({ crash, fingerprint, request, isAlone: isAloneUnderSuspicion(request, before, suspects) });
             }
--- a/src/crashes/crashEvidence.ts
+++ b/src/crashes/crashEvidence.ts
@@ -27,7 +27,7 @@
 export type Standing =
     | { kind: "clear" }
     /** It may run, but not together with another suspected request. */
-    | { kind: "suspected"; fingerprint: Fingerprint; crashCount: number; unexplainedCount: number }
+    | { kind: "suspected"; fingerprint: Fingerprint; crashCount: number; processCount: number; unexplainedCount: number }
     /** Its quarantine has ended: it may run once, if the coordinator grants a trial. */
     | { kind: "trial-due"; fingerprint: Fingerprint; crashCount: number }
     | { kind: "quarantined"; fingerprint: Fingerprint; crashCount: number; remainingMs: number };
@@ -241,10 +241,10 @@
         if (suspicion === undefined || suspicion.crashCount < suspectedCrashCount) {
             return clear;
         }
-        const { crashCount, unexplainedCount, lastCrashMs } = suspicion;
+        const { crashCount, processCount, unexplainedCount, lastCrashMs } = suspicion;
         const excessCount = quarantineExcess(suspicion);
         if (excessCount < 0) {
-            return { kind: "suspected", fingerprint, crashCount, unexplainedCount };
+            return { kind: "suspected", fingerprint, crashCount, processCount, unexplainedCount };
         }
         const remainingMs = quarantineRemainingMs({ lastCrashMs, excessCount, trial: this.lastTrialOf(fingerprint) }, nowMs);
         return remainingMs > 0
--- a/src/forwarding/quarantineGuard.ts
+++ b/src/forwarding/quarantineGuard.ts
@@ -17,7 +17,7 @@
 /** Time after which requests may come back if there is no coordinator to ask, or if it can't write to the store. */
 const retryAfterUnavailableMs = 1_000;
 
-/** Number of crashes from which on a suspected request is not sent by a host that is cut off. */
+/** Number of crashed processes, one after the other or at once, from which on a suspected request is not sent by a host that is cut off. */
 const strongSuspicionCrashCount = 3;
 
 /** Dependencies of a guard. */
@@ -55,7 +55,7 @@
 
 /** Tells whether a request was at so many crashes without a completion that it would be quarantined if fewer others had been there. */
 function isStronglySuspected(standing: Standing): boolean {
-    return standing.kind === "suspected" && standing.crashCount >= strongSuspicionCrashCount && standing.unexplainedCount > 0;
+    return standing.kind === "suspected" && standing.processCount >= strongSuspicionCrashCount && standing.unexplainedCount > 0;
 }
 
 /** Creates the guard. */
--- a/test/forwarding/quarantineGuard.spec.ts
+++ b/test/forwarding/quarantineGuard.spec.ts
@@ -21,6 +21,8 @@
 /** What a host has seen of the request: crashes with it, beside another suspect each time if it has a rival. */
 interface Past {
     crashCount: number;
+    /** Times from crash to crash; 2 s each if absent. */
+    gapsMs?: readonly number[];
     hasRival: boolean;
     /** True if the processes of all other targets end with each crash. */
     areAllDown: boolean;
@@ -34,7 +36,7 @@
     const clock = new VirtualClock();
     const crashEvidence = new CrashEvidence();
     for (let target = 1; target <= past.crashCount; target++) {
-        await clock.advance(2_000);
+        await clock.advance(past.gapsMs?.[target - 1] ?? 2_000);
         crashEvidence.merge({ completions: [], crashes: [{
             targetId: `t-${String(target)}` as TargetId, bornWallMs: target, serviceId: "plain" as ServiceId, agoMs: 0, requests,
             others: { asked: 14, down: past.areAllDown ? processesOfOthers(target) : [] },
@@ -117,6 +119,12 @@
         expect(asked).to.deep.equal([]);
     });
 
+    it("does not send it without contact after three targets crashed, two of them before the first crash could be known", async () => {
+        const past: Past = { ...strongSuspicion, gapsMs: [0, 20, 40] };
+        const { place } = await setUp({ kind: "unavailable" }, 5, past, isNotInContact);
+        expect((await place()).kind).to.equal("refused");
+    });
+
     it("sends it without contact too after two crashes, or if all its crashes have another cause", async () => {
         for (const past of [{ ...strongSuspicion, crashCount: 2 }, { ...strongSuspicion, areAllDown: true }]) {
             const { place } = await setUp({ kind: "unavailable" }, 5, past, isNotInContact);
