--- a/src/crashes/crashAssessment.ts
+++ b/src/crashes/crashAssessment.ts
@@ -29,7 +29,9 @@
 export interface Suspicion {
     /** Number of crashes at which they were, one after the other. */
     crashCount: number;
-    /** Number of these crashes that nothing else explains. */
+    /** Number of processes that crashed with them, also at the same time. */
+    processCount: number;
+    /** Number of the crashes one after the other that nothing else explains. */
     unexplainedCount: number;
     lastCrashMs: number;
     /** True if at one of the latter crashes they were suspected already, and no other suspected request was there. */
@@ -74,14 +76,22 @@
         history.suspectsAt.set(crash, suspects);
         for (const [fingerprint, request] of lastSentByFingerprint(crash)) {
             const before = suspicions.get(fingerprint);
+            const isSinceCompletion = request.sentMs > countsFromMs(undefined, completedMs.get(fingerprint));
+            const processCount = (before?.processCount ?? 0) + (isSinceCompletion ? 1 : 0);
+            if (before !== undefined) {
+                before.processCount = processCount;
+            }
             if (request.sentMs > countsFromMs(before, completedMs.get(fingerprint))) {
                 suspicions.set(fingerprint, {
-                    crashCount: (before?.crashCount ?? 0) + 1, unexplainedCount: 0, lastCrashMs: crash.atMs, isSingledOut: false,
+                    crashCount: (before?.crashCount ?? 0) + 1, processCount, unexplainedCount: 0, lastCrashMs: crash.atMs,
+                    isSingledOut: false,
                 });
                 counted.push({ crash, fingerprint, request, isAlone: isAloneUnderSuspicion(request, before, suspects) });
             }
         }
     }
+    history.repeated = new Set([...suspicions]
+        .filter(([, { crashCount }]) => crashCount >= quarantinedCrashCount).map(([fingerprint]) => fingerprint));
     countUnexplained(counted, history, suspicions);
     // A request that was singled out explains its earlier crashes too, so these don't excuse others any more.
     history.singledOut = new Set([...suspicions].filter(([, { isSingledOut }]) => isSingledOut).map(([fingerprint]) => fingerprint));
@@ -163,6 +173,8 @@
     readonly inOrder: readonly Crash[];
     /** Contents of the requests at a crash that were suspected before it. */
     readonly suspectsAt = new Map<Crash, ReadonlySet<Fingerprint>>();
+    /** Fingerprints that were at so many crashes that these are no coincidence, be it that they or something else caused them. */
+    repeated: ReadonlySet<Fingerprint> = new Set();
     /** Fingerprints that are known to have caused a crash. */
     singledOut: ReadonlySet<Fingerprint> = new Set();
     /** Birth of the latest process of each target of which a crash is known; the service directory may still list an earlier process. */
@@ -196,10 +208,11 @@
         return withoutSuspect.length > maxCoincidentCrashes || suspects.size > maxCoincidentSuspects || this.areTooManyDown(crash);
     }
 
-    /** Lists the contents of the requests at a crash that were suspected before it, or have been singled out since. */
+    /** Lists the contents of the requests at a crash that were suspected before it, or have shown since that they may have caused it. */
     private explanationsOf(crash: Crash): Fingerprint[] {
-        const singledOut = crash.requests.map(({ content }) => content).filter((content) => this.singledOut.has(content));
-        return [...this.suspectsAt.get(crash) ?? [], ...singledOut];
+        const since = crash.requests.map(({ content }) => content)
+            .filter((content) => this.singledOut.has(content) || this.repeated.has(content));
+        return [...this.suspectsAt.get(crash) ?? [], ...since];
     }
 
     /** Tells whether too many other targets went down at the time of a crash without a crash of theirs that is known. */
