Failing test: news that waited while a host was frozen confirm an outdated configuration

The age that news state is taken from the moment at which they are read; what they waited on the way, or in the socket of a frozen host, isn't counted.

--- a/test/cluster/configAge.spec.ts
+++ b/test/cluster/configAge.spec.ts
@@ -128,6 +128,24 @@
         expect(largest).to.be.below(maxConfirmedAgeMs);
     });
 
+    it("is high at a host that reads what the coordinator sent before the host was frozen", async () => {
+        const { config } = world.hosts.runs.get(world.hostIds[0]!)!.view.config!;
+        const [follower] = followerAndCoordinator();
+        const { process } = world.hosts.runs.get(follower)!;
+        process.pause();
+        await world.clock.advance(2_000);
+        world.store.put("configuration", "config", { ...config, version: 7 });
+        await world.clock.advance(5_000);
+        process.resume();
+        let isOutdatedBelieved = false;
+        await world.clock.advance(6_000, () => {
+            isOutdatedBelieved ||= versionAt(follower) < 7 && ageAt(follower) <= maxConfirmedAgeMs;
+        });
+        expect(isOutdatedBelieved).to.equal(false);
+        expect(versionAt(follower)).to.equal(7);
+        expect(ageAt(follower)).to.be.below(maxConfirmedAgeMs);
+    });
+
     it("is high at all hosts while the newest configuration cannot be decoded, until there is a newer one", async () => {
         const { config } = world.hosts.runs.get(world.hostIds[0]!)!.view.config!;
         world.store.put("configuration", "config", { ...config, version: "of another kind" });
