The age of a host's configuration counts the time that the coordinator's updates spent on their way

Callers would see 404, 400 or 413 by an outdated configuration from a host that was frozen, or whose link held updates back.

Cause: an update states how old the coordinator's configuration is, and the host that reads it counted from the moment of reading. What the coordinator sent in the 1.2 s before it dropped a frozen host is read when that host runs again, and confirmed its configuration of seconds ago as fresh. Class: knowledge whose age nobody looked at.

Fix: reports state the time of the reporting host's clock, and updates return it, advanced by the time since the report came; so an update tells the earliest moment, by the receiver's own clock, at which it was sent, and a configuration is confirmed by that less the stated age. The answer to a call counts from the call. No clocks are compared; a message grows by one number. Updates of an earlier version of the router, which don't state it, confirm nothing: until it is replaced, its followers answer 503 in place of 404 later than 2 s after they began to follow.

Evidence: configAge.spec, "is high at a host that reads what the coordinator sent before the host was frozen" failed before (version 1 at an age of 0.3 s while 7 was in force) and passes; the other tests of the ages pass (stays below 2 s in calm). test/cluster, world.spec, fleet/configAge.spec pass.

--- a/src/cluster/followers.ts
+++ b/src/cluster/followers.ts
@@ -5,6 +5,7 @@
 import type { MemberListUpdate, MemberListVersion } from "./memberList.js";
 import { MemberList } from "./memberList.js";
 import type { Member, Membership } from "./membership.js";
+import type { Report } from "./messages.js";
 import type { PeerConnection } from "./peerConnection.js";
 
 /** A follower that has not reported for this long is disconnected. */
@@ -14,6 +15,8 @@
     member: Member;
     connection: PeerConnection;
     lastReportAtMs: number;
+    /** Time at which the last report was sent, by the follower's clock; undefined before the first report. */
+    lastReportSentAtMs: number | undefined;
     leaving: boolean;
 }
 
@@ -33,11 +36,11 @@
     readonly listVersion: number;
     /** Adds a host, unless it follows over this connection already. It is removed when the connection closes. */
     add(member: Member, connection: PeerConnection): void;
-    /** Records that a follower has reported, and whether it is leaving. Other hosts are ignored. */
-    recordReport(from: PeerConnection | undefined, leaving: boolean, nowMs: number): void;
+    /** Records a follower's report: when it was sent, and whether the follower is leaving. Other hosts are ignored. */
+    recordReport(from: PeerConnection | undefined, report: Pick<Report, "leaving" | "sentAtMs">, nowMs: number): void;
     /** Disconnects the followers that have not reported for too long. */
     dropSilent(nowMs: number): void;
-    /** Sends a notification to every follower. */
+    /** Sends a notification to every follower, with the time of sending by the follower's own clock (`News.sentAtMs`). */
     notifyAll(method: string, params: object): void;
     /** Disconnects every follower. */
     disconnectAll(): void;
@@ -72,7 +75,9 @@
             if (followers.has(connection)) {
                 return;
             }
-            followers.set(connection, { member, connection, lastReportAtMs: clock.now().monoMs, leaving: false });
+            followers.set(connection, {
+                member, connection, lastReportAtMs: clock.now().monoMs, lastReportSentAtMs: undefined, leaving: false,
+            });
             void connection.closed.then(() => {
                 followers.delete(connection);
                 log.info("follower disconnected", { host: member.hostId });
@@ -81,10 +86,11 @@
             log.info("follower connected", { host: member.hostId, run: member.runId });
             updateMembers();
         },
-        recordReport: (from, leaving, nowMs) => {
+        recordReport: (from, { leaving, sentAtMs }, nowMs) => {
             const follower = from === undefined ? undefined : followers.get(from);
             if (follower !== undefined) {
                 follower.lastReportAtMs = nowMs;
+                follower.lastReportSentAtMs = sentAtMs;
                 if (leaving !== follower.leaving) {
                     follower.leaving = leaving;
                     updateMembers();
@@ -99,8 +105,10 @@
             }
         },
         notifyAll: (method, params) => {
-            for (const { connection } of followers.values()) {
-                connection.notify(method, params);
+            const nowMs = clock.now().monoMs;
+            for (const { connection, lastReportAtMs, lastReportSentAtMs } of followers.values()) {
+                const sentAtMs = lastReportSentAtMs === undefined ? undefined : lastReportSentAtMs + Math.floor(nowMs - lastReportAtMs);
+                connection.notify(method, sentAtMs === undefined ? params : { ...params, sentAtMs });
             }
         },
         disconnectAll: () => {
--- a/src/cluster/following.ts
+++ b/src/cluster/following.ts
@@ -104,6 +104,7 @@
             return "lost";
         }
         const connection = connected.value;
+        const askedAtMs = nowMs();
         const reply = await newsReceiver.requestState(connection);
         if (reply.isErr()) {
             return "lost";
@@ -116,7 +117,7 @@
         configAge.recordJoined();
         log.info("following coordinator", { coordinator: term.hostId, term: term.term });
         newsReceiver.assumeConfirmedNow();
-        newsReceiver.apply(reply.value.news, connection);
+        newsReceiver.apply(reply.value.news, connection, askedAtMs);
         if (!crashEvidence.isEmpty) {
             connection.notify(clusterMethods.report, { ...createReport(), crashEvidence: crashEvidence.snapshot(nowMs()) });
         }
--- a/src/cluster/hostReports.ts
+++ b/src/cluster/hostReports.ts
@@ -1,5 +1,6 @@
 /** Composes what a host reports to its coordinator. */
 import type { CrashObserver } from "../crashes/crashObserver.js";
+import type { Clock } from "../model/time.js";
 import type { LoadMeter } from "../ownership/loadMeter.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { Membership } from "./membership.js";
@@ -15,13 +16,15 @@
     loads: LoadMeter;
     admissionServer: { pressures(): Report["pressures"] };
     crashObserver: Pick<CrashObserver, "takeUnreported">;
+    clock: Clock;
 }
 
 /** Composes a report of what this host has observed since the previous one. */
-export function createReport({ view, membership, loads, admissionServer, crashObserver }: HostReportsDependencies): Report {
+export function createReport({ view, membership, loads, admissionServer, crashObserver, clock }: HostReportsDependencies): Report {
     const leavingTargets = view.leavingReports.unconfirmed();
     const observations = crashObserver.takeUnreported();
     return {
+        sentAtMs: Math.floor(clock.now().monoMs),
         loads: loads.takeReport(), pressures: admissionServer.pressures(), leaving: membership.isLeaving,
         ...leavingTargets.length > 0 ? { leavingTargets } : {},
         ...observations === undefined ? {} : { crashEvidence: observations },
--- a/src/cluster/messageChecks.ts
+++ b/src/cluster/messageChecks.ts
@@ -55,9 +55,12 @@
     silent: z.array(z.object({ targetId: idSchema, freeInMs: durationMsSchema })),
 });
 
+/** Reading of a host's monotonic clock. */
+const monoMsSchema = z.number().check(z.gte(0), z.lte(Number.MAX_SAFE_INTEGER));
+
 const newsFields = z.object({
     term: z.int().check(z.gte(1)), storeAgeMs: durationMsSchema, configAgeMs: z.optional(durationMsSchema), configOffset: offsetSchema,
-    configVersion: z.optional(z.int().check(z.gte(-1))),
+    sentAtMs: z.optional(monoMsSchema), configVersion: z.optional(z.int().check(z.gte(-1))),
     targetsUpTo: offsetSchema, targetsDigest: z.int(),
     ledgerUpTo: offsetSchema, ledgerFrom: z.optional(offsetSchema), membersVersion: countSchema,
     targets: z.optional(z.array(z.unknown())), ledger: z.optional(z.array(z.unknown())), notice: z.optional(z.unknown()),
@@ -183,6 +186,7 @@
             }
             return {
                 leaving: fields.leaving,
+                sentAtMs: checkPart("time of sending", monoMsSchema, fields.sentAtMs, peer),
                 loads: fields.loads.filter(isLoad),
                 pressures: checkPressures(fields.pressures, peer),
                 leavingTargets: checkPart("leaving targets", processesSchema, fields.leavingTargets, peer),
@@ -200,7 +204,7 @@
 
 const reportFields = z.object({
     leaving: z.boolean(), loads: z.array(z.unknown()), pressures: z.array(z.unknown()),
-    leavingTargets: z.optional(z.unknown()), crashEvidence: z.optional(z.unknown()),
+    leavingTargets: z.optional(z.unknown()), crashEvidence: z.optional(z.unknown()), sentAtMs: z.optional(z.unknown()),
 });
 
 /** Tells whether a value has the form of a report of loads by key; `KeyLoads.add` checks the numbers, of which there are many. */
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -58,6 +58,11 @@
     storeAgeMs: number;
     /** Time since the store last confirmed the coordinator's configuration; absent in messages of earlier versions. */
     configAgeMs?: number;
+    /**
+     * Monotonic time, by the clock of the receiving host, at which this was sent at the earliest; absent before the coordinator has a
+     * report of that host, and in messages of earlier versions.
+     */
+    sentAtMs?: number;
     /** Offset of the configuration that the coordinator applies; -1 if it has none. */
     configOffset: Offset;
     /** Version of the platform's configuration that the coordinator applies, -1 without one; absent in messages of earlier versions. */
@@ -92,6 +97,8 @@
     crashEvidence?: CrashEvidenceUpdate;
     /** True once the host has begun to leave; the coordinator then removes it from the member list, so that it gets no more duties. */
     leaving: boolean;
+    /** Monotonic time at which the report was sent, by the host's clock; absent in messages of earlier versions. */
+    sentAtMs?: number;
 }
 
 /** Answer to `resign`; `grantsLastMs` is the time until all grants of the coordinator have expired. */
--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -40,8 +40,11 @@
     readonly confirmedAtMs: number;
     /** Counts the state as confirmed now; used when following begins, while the age of the coordinator's state is not known. */
     assumeConfirmedNow(): void;
-    /** Applies what can be meant of an update, unless this host knows a later term. */
-    apply(news: News, from: PeerConnection): void;
+    /**
+     * Applies what can be meant of an update, unless this host knows a later term.
+     * @param sentAtMs monotonic time at which the update was sent at the earliest; undefined if only the update itself tells
+     */
+    apply(news: News, from: PeerConnection, sentAtMs?: number): void;
     /** Asks a coordinator for everything that this host lacks. */
     requestState(from: PeerConnection): Promise<Result<FollowReply, Failure>>;
 }
@@ -56,7 +59,7 @@
     const memberList = new MemberListCopy();
     const nowMs = () => clock.now().monoMs;
 
-    const apply = (received: News, from: PeerConnection) => {
+    const apply = (received: News, from: PeerConnection, sentAtMs?: number) => {
         const news = checks.news(received, from.address);
         if (news === undefined || news.term < (latestTerm() ?? 0)) {
             return;
@@ -83,7 +86,7 @@
             membership.update(members);
         }
         const coordinatorVersion = configVersionOf(news);
-        configAge.recordNews(coordinatorVersion, view.platformConfigVersion, nowMs() - (news.configAgeMs ?? Number.POSITIVE_INFINITY));
+        configAge.recordNews(coordinatorVersion, view.platformConfigVersion, configConfirmedAtMs(news, sentAtMs ?? news.sentAtMs));
         const isWrittenAgain = coordinatorVersion === view.platformConfigVersion && news.configOffset > (view.config?.offset ?? -1);
         if (coordinatorVersion > view.platformConfigVersion || isWrittenAgain) {
             void fetchConfig(from, coordinatorVersion);
@@ -104,10 +107,11 @@
         }
         isCatchingUp = true;
         allTargetsRequestedAtMs = allTargets ? nowMs() : allTargetsRequestedAtMs;
+        const askedAtMs = nowMs();
         const reply = await requestState(from, allTargets);
         isCatchingUp = false;
         if (reply.isOk() && reply.value.accepted) {
-            apply(reply.value.news, from);
+            apply(reply.value.news, from, askedAtMs);
         }
     };
 
@@ -119,6 +123,10 @@
         return from.call<FollowReply>(clusterMethods.follow, params, callTimeoutMs);
     };
 
+    /** Returns when the coordinator's configuration was confirmed. The time that an update spent on its way, or unread here, counts too. */
+    const configConfirmedAtMs = ({ configAgeMs = Number.POSITIVE_INFINITY }: News, sentAtMs = Number.NEGATIVE_INFINITY): number =>
+        Math.min(nowMs(), sentAtMs) - configAgeMs;
+
     /** Returns the version of the coordinator's configuration. A host of an earlier version of the router states its offset only. */
     const configVersionOf = ({ configVersion, configOffset }: News): number => {
         const isLater = configOffset > (view.config?.offset ?? -1);
