--- a/test/store/topicReader.spec.ts
+++ b/test/store/topicReader.spec.ts
@@ -139,4 +139,25 @@
         expect(await read()).to.equal(8);
         expect(store.callCount - callCount).to.equal(1);
     });
+
+    it("reads on until it has the newest record, also if one answer of the store does not hold all of them", async () => {
+        const { clock, store, view } = setUp();
+        const reader = createTopicReader({
+            store: store.createStorePort(host, new VirtualProcess(clock)), decoders, view, clock,
+            log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+        });
+        const read = async () => {
+            const reading = reader.read("configuration", 0);
+            await clock.advance(50);
+            expect((await reading).isOk()).to.equal(true);
+            return view.config?.config.version;
+        };
+        store.put("configuration", "config", { version: 3, routes: [], services: [] });
+        expect(await read()).to.equal(3);
+        store.maxPageRecords = 1;
+        for (const version of [5, 7, 8]) {
+            store.put("configuration", "config", { version, routes: [], services: [] });
+        }
+        expect(await read()).to.equal(8);
+    });
 });
--- a/test/world/virtualStore.ts
+++ b/test/world/virtualStore.ts
@@ -36,6 +36,8 @@
     readonly disconnectedHosts = new Set<HostId>();
     /** While true, no call of a host is answered. */
     isDown = false;
+    /** Largest number of records in one page. */
+    maxPageRecords = Number.POSITIVE_INFINITY;
     /** Number of calls that hosts sent. */
     callCount = 0;
     faultRates: StoreFaultRates = { lostAnswer: 0, lateAppend: 0 };
@@ -123,7 +125,8 @@
         if (from >= topic.records.length && waitMs > 0) {
             await waitFor(this.clock, waitMs, [topic.recordAdded]);
         }
-        return { kind: "page", page: { records: topic.records.slice(from), next: Math.max(from, topic.records.length) as Offset } };
+        const records = topic.records.slice(from, from + this.maxPageRecords);
+        return { kind: "page", page: { records, next: from + records.length as Offset } };
     }
 
     private append(records: readonly NewRecord[], expectedEnd: Offset | undefined): Promise<AppendOutcome | undefined> {
