--- a/test/cluster/configWatch.spec.ts
+++ b/test/cluster/configWatch.spec.ts
@@ -2,10 +2,13 @@
 import { err, ok } from "neverthrow";
 import { watchConfig } from "../../src/cluster/configWatch.js";
 import { failure } from "../../src/model/failure.js";
-import type { Offset } from "../../src/model/names.js";
+import type { HostId, Offset } from "../../src/model/names.js";
 import type { RoutingConfig } from "../../src/model/routing.js";
 import { ClusterView } from "../../src/store/clusterView.js";
-import { VirtualClock } from "../support/virtualTime.js";
+import { createTopicReader } from "../../src/store/topicReader.js";
+import { SeededRandom } from "../support/seededRandom.js";
+import { VirtualClock, VirtualProcess } from "../support/virtualTime.js";
+import { VirtualStore } from "../world/virtualStore.js";
 
 /** Timeout of a call to the store, in addition to the waiting time of a long poll. */
 const callTimeoutMs = 1_200;
@@ -62,4 +65,40 @@
         expect(calls()).to.be.below(14);
         end();
     });
+
+    it("does not count a call as held that was answered before the configuration, and read late", async () => {
+        const clock = new VirtualClock();
+        const process = new VirtualProcess(clock);
+        const store = new VirtualStore(clock, new SeededRandom(1));
+        const view = new ClusterView();
+        const reader = createTopicReader({
+            store: store.createStorePort("h" as HostId, process), view, clock: process.clock,
+            decoders: {
+                configuration: (key, value) => ok(key === "config" ? JSON.parse(value.toString()) as RoutingConfig : undefined),
+                target: () => err(failure("invalid", "parse", "target", "not written here")),
+            },
+            log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+        });
+        const stop = new AbortController();
+        const publish = (version: number) => {
+            store.put("configuration", "config", { version, routes: [], services: [] });
+        };
+        let confirmed: { atMs: number; version: number | undefined } | undefined;
+        publish(7);
+        void watchConfig({ reader, view, clock: process.clock, onChanged: () => undefined, onConfirmed: (atMs) => {
+            confirmed = { atMs, version: view.config?.config.version };
+        } }, stop.signal);
+        await clock.advance(500);
+        process.pause();
+        store.put("configuration", "of another kind", {});
+        await clock.advance(100);
+        publish(8);
+        const publishedAtMs = clock.now().monoMs;
+        await clock.advance(3_000);
+        process.resume();
+        await clock.advance(1);
+        expect(confirmed?.version).to.equal(7);
+        expect(confirmed?.atMs).to.be.below(publishedAtMs);
+        stop.abort();
+    });
 });
