A reading of the configuration counts as held only if it brought no record

Callers would see a denial by a configuration that was replaced up to 0.9 s earlier than the host believed.

Cause: a long poll that took its whole waiting time was said to have been held by the store for all of it. One that was answered at once with a record of another key, or of the same version, and was read late (a frozen or slow host, a slow answer) took as long and was not held. Class: a confirmation dated later than what it confirms.

Fix: the position in the topic must be where it was.

Evidence: configWatch.spec, the new test failed before (confirmed 300 ms after the configuration that the answer doesn't hold) and passes; configAge.spec passes.

--- a/src/cluster/configWatch.ts
+++ b/src/cluster/configWatch.ts
@@ -36,6 +36,7 @@
     let waitMs = 0;
     while (!signal.aborted) {
         const previousOffset = view.config?.offset;
+        const previousUpTo = view.configUpTo;
         const askedAtMs = clock.now().monoMs;
         const reading = await reader.read("configuration", waitMs);
         if (reading.isErr()) {
@@ -44,8 +45,8 @@
             continue;
         }
         const isChanged = view.config?.offset !== previousOffset;
-        // A call that brought nothing was held for all of its waiting time.
-        const isHeld = !isChanged && clock.now().monoMs - askedAtMs >= waitMs;
+        // A call that brought no record was held for all of its waiting time.
+        const isHeld = view.configUpTo === previousUpTo && clock.now().monoMs - askedAtMs >= waitMs;
         onConfirmed(isHeld ? askedAtMs + waitMs : askedAtMs);
         waitMs = isChanged ? 0 : longPollMs;
         if (isChanged) {
