--- a/test/store/topicReader.spec.ts
+++ b/test/store/topicReader.spec.ts
@@ -140,6 +140,28 @@
         expect(store.callCount - callCount).to.equal(1);
     });
 
+    it("applies a configuration that was written before the topic is read again after the store came back from an older copy", async () => {
+        const { clock, store, view } = setUp();
+        const reader = createTopicReader({
+            store: store.createStorePort(host, new VirtualProcess(clock)), decoders, view, clock,
+            log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+        });
+        const read = async () => {
+            const reading = reader.read("configuration", 0);
+            await clock.advance(50);
+            await reading;
+            return view.config?.config.version;
+        };
+        const put = (version: number) => {
+            store.put("configuration", "config", { version, routes: [], services: [] });
+        };
+        [3, 5, 7].forEach(put);
+        expect(await read()).to.equal(7);
+        store.loseNewest("configuration", 2);
+        [8, 9].forEach(put);
+        expect(await read()).to.equal(9);
+    });
+
     it("reads on until it has the newest record, also if one answer of the store does not hold all of them", async () => {
         const { clock, store, view } = setUp();
         const reader = createTopicReader({
