A position in the configuration topic holds in one era of the store only

Callers would see 404 for the new routes of a configuration, from all hosts and until the next one is published: the store comes back from an older copy, and operators have written as many records as the copy lacked before the coordinator reads the topic again (it retries every 0.4 s).

Cause: a host noticed the return only by a position that the store doesn't have (410). Once that exists again, the host reads on behind records that it never saw, and each such reading confirms the older configuration. Class: what the store counts is believed to rise for ever; covered the other half.

A store that states no era is read as before.

--- a/src/store/storePort.ts
+++ b/src/store/storePort.ts
@@ -14,14 +14,20 @@
     value: Buffer | undefined;
 }
 
+/** What every answer of the store states. */
+interface StoreAnswer {
+    /** Rises each time the store comes back from an older copy, after which it gives out offsets again; undefined if it states none. */
+    era: number | undefined;
+}
+
 /** The newest record of each key. It reflects every record below `upTo`, and possibly some later ones. */
-export interface TopicSnapshot {
+export interface TopicSnapshot extends StoreAnswer {
     records: readonly StoreRecord[];
     upTo: Offset;
 }
 
 /** Records from a certain offset on; a part of them if there are many. */
-export interface TopicPage {
+export interface TopicPage extends StoreAnswer {
     records: readonly StoreRecord[];
     /** Offset from which the next read continues. */
     next: Offset;
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -53,6 +53,8 @@
     const topicsRead = new Set<TopicName>();
     const deferredRemovals = new Map<TargetId, { offset: Offset; dueAtMs: number }>();
     let lastReadFailureAtMs = Number.NEGATIVE_INFINITY;
+    /** Era of the store to which the position in the configuration topic belongs. */
+    let configEra: number | undefined;
     const nowMs = () => clock.now().monoMs;
 
     const readSnapshot = async (topic: TopicName): Promise<Result<Reading, Failure>> => {
@@ -60,9 +62,12 @@
         if (snapshot.isErr()) {
             return err(snapshot.error);
         }
-        const { records, upTo } = snapshot.value;
+        const { records, upTo, era } = snapshot.value;
         topicsRead.add(topic);
-        log.info("snapshot read", { topic, records: records.length, upTo });
+        if (topic === "configuration") {
+            configEra = era;
+        }
+        log.info("snapshot read", { topic, records: records.length, upTo, era });
         return ok(applySnapshot[topic](records, upTo));
     };
 
@@ -188,6 +193,7 @@
     };
 
     const readNew = async (topic: TopicName, waitMs: number): Promise<Result<Reading, Failure>> => {
+        const eraOfPosition = configEra;
         const outcome = topicsRead.has(topic)
             ? await readToEnd(topic, nextOffsets[topic](), waitMs)
             : ok({ kind: "expired" as const });
@@ -195,9 +201,9 @@
             lastReadFailureAtMs = nowMs();
             return err(outcome.error);
         }
-        return outcome.value.kind === "expired"
-            ? readSnapshot(topic)
-            : ok(applyRecords[topic](outcome.value.page.records, outcome.value.page.next));
+        // After a return of the store, records that this host has not read can stand before its position.
+        const isExpired = outcome.value.kind === "expired" || (topic === "configuration" && outcome.value.page.era !== eraOfPosition);
+        return isExpired ? readSnapshot(topic) : ok(applyRecords[topic](outcome.value.page.records, outcome.value.page.next));
     };
 
     return {
--- a/test/ownership/oddLedgerRecords.spec.ts
+++ b/test/ownership/oddLedgerRecords.spec.ts
@@ -133,9 +133,10 @@
     const view = new ClusterView();
     const claimed: TermRecord[] = [];
     const store: StorePort = {
-        snapshot: () => Promise.resolve(ok({ records: ledger, upTo: ledger.length as Offset })),
+        snapshot: () => Promise.resolve(ok({ records: ledger, upTo: ledger.length as Offset, era: undefined })),
         read: (_topic, from) => Promise.resolve(ok({
-            kind: "page" as const, page: { records: ledger.slice(from), next: ledger.length as Offset, end: ledger.length as Offset },
+            kind: "page" as const,
+            page: { records: ledger.slice(from), next: ledger.length as Offset, end: ledger.length as Offset, era: undefined },
         })),
         append: (appended: readonly NewRecord[]) => {
             claimed.push(JSON.parse(String(appended[0]?.value)) as TermRecord);
--- a/test/platform/store.spec.ts
+++ b/test/platform/store.spec.ts
@@ -22,9 +22,10 @@
     let server: http.Server;
     let store: StorePort;
     let page: Buffer;
+    let era: string | undefined;
 
     beforeEach(async () => {
-        server = http.createServer((_request, response) => response.end(page));
+        server = http.createServer((_request, response) => response.writeHead(200, era === undefined ? {} : { "Store-Era": era }).end(page));
         await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
         store = createStore(`127.0.0.1:${String((server.address() as AddressInfo).port)}` as Address, () => undefined);
     });
@@ -39,4 +40,14 @@
         const outcome = (await store.read("configuration", 5 as Offset, 0))._unsafeUnwrap();
         expect(outcome.kind === "page" ? { next: outcome.page.next, end: outcome.page.end } : undefined).to.deep.equal({ next: 7, end: 9 });
     });
+
+    it("tells the era that the answer states, and none if it can't be read", async () => {
+        page = encodePage(5, []);
+        const eras: unknown[] = [];
+        for (era of [undefined, "3", "three", ""]) {
+            const outcome = (await store.read("configuration", 5 as Offset, 0))._unsafeUnwrap();
+            eras.push(outcome.kind === "page" ? outcome.page.era : outcome.kind);
+        }
+        expect(eras).to.deep.equal([undefined, 3, undefined, undefined]);
+    });
 });
--- a/test/store/oddRecords.spec.ts
+++ b/test/store/oddRecords.spec.ts
@@ -24,10 +24,15 @@
 function createReader(decoders: RecordDecoders = platformDecoders) {
     const records: Record<TopicName, StoreRecord[]> = { configuration: [], targets: [], ledger: [] };
     const store: StorePort = {
-        snapshot: (topic) => Promise.resolve(ok({ records: [...records[topic]], upTo: records[topic].length as Offset })),
+        snapshot: (topic) => Promise.resolve(ok({
+            records: [...records[topic]], upTo: records[topic].length as Offset, era: undefined,
+        })),
         read: (topic, from) => Promise.resolve(ok({
             kind: "page" as const,
-            page: { records: records[topic].slice(from), next: records[topic].length as Offset, end: records[topic].length as Offset },
+            page: {
+                records: records[topic].slice(from), era: undefined,
+                next: records[topic].length as Offset, end: records[topic].length as Offset,
+            },
         })),
         append: () => Promise.resolve(ok({ kind: "conflict" as const })),
     };
--- a/test/world/virtualStore.ts
+++ b/test/world/virtualStore.ts
@@ -38,6 +38,8 @@
     isDown = false;
     /** Largest number of records in one page. */
     maxPageRecords = Number.POSITIVE_INFINITY;
+    /** Number of times that the store came back from an older copy. */
+    era = 0;
     /** Number of calls that hosts sent. */
     callCount = 0;
     faultRates: StoreFaultRates = { lostAnswer: 0, lateAppend: 0 };
@@ -58,6 +60,7 @@
     loseNewest(topic: TopicName, count: number): void {
         const { records } = this.getTopic(topic);
         records.splice(Math.max(0, records.length - count));
+        this.era += 1;
     }
 
     /**
@@ -114,7 +117,7 @@
     private snapshot(name: TopicName): TopicSnapshot {
         const { records } = this.getTopic(name);
         const newest = new Map(records.map((record) => [record.key, record]));
-        return { records: [...newest.values()].filter(({ value }) => value !== undefined), upTo: records.length as Offset };
+        return { records: [...newest.values()].filter(({ value }) => value !== undefined), upTo: records.length as Offset, era: this.era };
     }
 
     private async read(name: TopicName, from: Offset, waitMs: number): Promise<ReadOutcome> {
@@ -126,7 +129,7 @@
             await waitFor(this.clock, waitMs, [topic.recordAdded]);
         }
         const records = topic.records.slice(from, from + this.maxPageRecords);
-        return { kind: "page", page: { records, next: from + records.length as Offset, end: topic.records.length as Offset } };
+        return { kind: "page", page: { records, next: from + records.length as Offset, end: topic.records.length as Offset, era: this.era } };
     }
 
     private append(records: readonly NewRecord[], expectedEnd: Offset | undefined): Promise<AppendOutcome | undefined> {
