--- a/test/cluster/configAge.spec.ts
+++ b/test/cluster/configAge.spec.ts
@@ -100,6 +100,33 @@
         expect(ageAt(starting)).to.be.below(maxConfirmedAgeMs);
     });
 
+    it("is high at a coordinator that knows an older configuration than a host that follows it, until it has that", async () => {
+        const { config } = world.hosts.runs.get(world.hostIds[0]!)!.view.config!;
+        world.store.put("configuration", "config", { ...config, version: 7 });
+        await world.clock.advance(3_000);
+        const [follower] = followerAndCoordinator();
+        const { process } = world.hosts.runs.get(follower)!;
+        process.pause();
+        world.hostIds.filter((hostId) => hostId !== follower).forEach((hostId) => {
+            world.hosts.kill(hostId);
+        });
+        world.store.loseNewest("configuration", 1);
+        const started = ["h7", "h8", "h9"] as HostId[];
+        started.forEach((hostId) => {
+            world.hosts.start(hostId);
+        });
+        await world.clock.advance(10_000);
+        expect(started).to.include(world.hosts.coordinators()[0]);
+        expect(started.map(versionAt)).to.deep.equal([1, 1, 1]);
+        process.resume();
+        await world.clock.advance(2_000);
+        const believed = started.filter((hostId) => versionAt(hostId) < 7 && ageAt(hostId) <= maxConfirmedAgeMs);
+        expect(believed).to.deep.equal([]);
+        await world.clock.advance(2_000);
+        expect([follower, ...started].map(versionAt)).to.deep.equal([7, 7, 7, 7]);
+        expect(Math.max(...[follower, ...started].map(ageAt))).to.be.below(maxConfirmedAgeMs);
+    });
+
     it("grows at all hosts while the store refuses readings of the configuration only, and falls once it answers them", async () => {
         world.store.refusedTopics.add("configuration");
         world.store.put("configuration", "config", { version: 7, routes: [], services: [] });
