A coordinator learns of the newer configuration that a follower applies

Callers would see 404 for routes that other hosts serve, from hosts that have started on a store that came back from an older copy, until operators have written the newest configuration again.

Cause: the version went from the coordinator to its followers only. A coordinator of an older configuration confirmed that to itself, and to each host that has no newer one, while a follower that had lived through the store's return knew better. Class: knowledge of others that nobody asked for.

Fix: reports state the version; the coordinator fetches a newer configuration from the follower (configFetcher.ts, which followers use too), and until it has that, and while it can't decode it, its configuration counts as outdated: 503 in place of a denial, there and at its followers.

A report grows by one number.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -17,6 +17,7 @@
 import type { StorePort } from "../store/storePort.js";
 import type { TargetChange } from "../store/targetDirectory.js";
 import type { TopicReader } from "../store/topicReader.js";
+import type { ConfigFetcher } from "./configFetcher.js";
 import { watchConfig } from "./configWatch.js";
 import { recordCrashes } from "./crashRecording.js";
 import { createFollowers } from "./followers.js";
@@ -53,6 +54,7 @@
     leases: LeasePort;
     clock: Clock;
     log: Log;
+    configFetcher: ConfigFetcher;
     onMove: OwnershipManagerDependencies["onMove"];
 }
 
@@ -68,7 +70,9 @@
     grantTrial(params: TrialParams): Promise<TrialReply>;
     /** Time since the store last confirmed the term, or since the targets were last read, whichever is longer. */
     storeAgeMs(now: Instant): number;
-    /** Time since the store last confirmed that no newer configuration is in force; infinite if the newest one can't be decoded. */
+    /** Tells whether another configuration is in force than this host applies: one that it can't decode, or that a follower applies. */
+    isConfigOutdated(): boolean;
+    /** Time since the store last confirmed that no newer configuration is in force; infinite while the configuration is outdated. */
     configAgeMs(nowMs: number): number;
     describe(): object;
 }
@@ -84,7 +88,9 @@
         return Math.max(heldTerm.ageMs(now), targetsAgeMs);
     };
 
-    const configAgeMs = (nowMs: number): number => view.isConfigUnreadable ? Number.POSITIVE_INFINITY : nowMs - configConfirmedAtMs;
+    const isConfigOutdated = () => view.isConfigUnreadable || followers.newestConfigVersion > view.platformConfigVersion;
+
+    const configAgeMs = (nowMs: number): number => isConfigOutdated() ? Number.POSITIVE_INFINITY : nowMs - configConfirmedAtMs;
 
     const heldTerm = createHeldTerm({
         ...dependencies,
@@ -198,6 +204,9 @@
             const { loads, pressures, leavingTargets, crashEvidence: observations } = report;
             const nowMs = clock.now().monoMs;
             followers.recordReport(from, report, nowMs);
+            if (from !== undefined && (report.configVersion ?? Number.NEGATIVE_INFINITY) > view.platformConfigVersion) {
+                void dependencies.configFetcher.fetchFrom(from);
+            }
             news.broadcastLeaving(leavingTargets ?? [], from);
             news.queueEvidence(observations, from === undefined);
             ownershipManager.addLoads(loads, nowMs);
@@ -213,6 +222,7 @@
         },
         grantTrial: (params) => trialGranter.grant(params),
         storeAgeMs,
+        isConfigOutdated,
         configAgeMs,
         describe: () => ({
             term, resigned: heldTerm.isResigned, authorityAgeMs: Math.round(heldTerm.ageMs(clock.now())),
--- a/src/cluster/followers.ts
+++ b/src/cluster/followers.ts
@@ -11,12 +11,16 @@
 /** A follower that has not reported for this long is disconnected. */
 const followerTimeoutMs = 1_200;
 
+const noVersion = Number.NEGATIVE_INFINITY;
+
 interface Follower {
     member: Member;
     connection: PeerConnection;
     lastReportAtMs: number;
     /** Time at which the last report was sent, by the follower's clock; undefined before the first report. */
     lastReportSentAtMs: number | undefined;
+    /** Version of its configuration, if it has stated one. */
+    configVersion: number;
     leaving: boolean;
 }
 
@@ -36,8 +40,10 @@
     readonly listVersion: number;
     /** Adds a host, unless it follows over this connection already. It is removed when the connection closes. */
     add(member: Member, connection: PeerConnection): void;
-    /** Records a follower's report: when it was sent, and whether the follower is leaving. Other hosts are ignored. */
-    recordReport(from: PeerConnection | undefined, report: Pick<Report, "leaving" | "sentAtMs">, nowMs: number): void;
+    /** Version of the newest configuration that a follower applies; -Infinity without any. */
+    readonly newestConfigVersion: number;
+    /** Records what a follower's report tells of the follower itself. Other hosts are ignored. */
+    recordReport(from: PeerConnection | undefined, report: Pick<Report, "leaving" | "sentAtMs" | "configVersion">, nowMs: number): void;
     /** Disconnects the followers that have not reported for too long. */
     dropSilent(nowMs: number): void;
     /** Sends a notification to every follower, with the time of sending by the follower's own clock (`News.sentAtMs`). */
@@ -54,6 +60,19 @@
     const followers = new Map<PeerConnection, Follower>();
     const memberList = new MemberList();
 
+    let newestConfigVersion = noVersion;
+
+    const updateNewestConfigVersion = () => {
+        newestConfigVersion = Math.max(noVersion, ...[...followers.values()].map(({ configVersion }) => configVersion));
+    };
+
+    const recordConfigVersion = (follower: Follower, configVersion: number) => {
+        if (configVersion !== follower.configVersion) {
+            follower.configVersion = configVersion;
+            updateNewestConfigVersion();
+        }
+    };
+
     const listMembers = (): Member[] => [
         ...membership.isLeaving ? [] : [membership.self],
         ...[...followers.values()].filter(({ leaving }) => !leaving).map(({ member }) => member),
@@ -71,26 +90,32 @@
         get listVersion() {
             return memberList.version;
         },
+        get newestConfigVersion() {
+            return newestConfigVersion;
+        },
         add: (member, connection) => {
             if (followers.has(connection)) {
                 return;
             }
             followers.set(connection, {
-                member, connection, lastReportAtMs: clock.now().monoMs, lastReportSentAtMs: undefined, leaving: false,
+                member, connection, leaving: false,
+                lastReportAtMs: clock.now().monoMs, lastReportSentAtMs: undefined, configVersion: noVersion,
             });
             void connection.closed.then(() => {
                 followers.delete(connection);
+                updateNewestConfigVersion();
                 log.info("follower disconnected", { host: member.hostId });
                 updateMembers();
             });
             log.info("follower connected", { host: member.hostId, run: member.runId });
             updateMembers();
         },
-        recordReport: (from, { leaving, sentAtMs }, nowMs) => {
+        recordReport: (from, { leaving, sentAtMs, configVersion }, nowMs) => {
             const follower = from === undefined ? undefined : followers.get(from);
             if (follower !== undefined) {
                 follower.lastReportAtMs = nowMs;
                 follower.lastReportSentAtMs = sentAtMs;
+                recordConfigVersion(follower, configVersion ?? noVersion);
                 if (leaving !== follower.leaving) {
                     follower.leaving = leaving;
                     updateMembers();
--- a/src/cluster/hostReports.ts
+++ b/src/cluster/hostReports.ts
@@ -24,7 +24,7 @@
     const leavingTargets = view.leavingReports.unconfirmed();
     const observations = crashObserver.takeUnreported();
     return {
-        sentAtMs: Math.floor(clock.now().monoMs),
+        sentAtMs: Math.floor(clock.now().monoMs), configVersion: view.platformConfigVersion,
         loads: loads.takeReport(), pressures: admissionServer.pressures(), leaving: membership.isLeaving,
         ...leavingTargets.length > 0 ? { leavingTargets } : {},
         ...observations === undefined ? {} : { crashEvidence: observations },
--- a/src/cluster/messageChecks.ts
+++ b/src/cluster/messageChecks.ts
@@ -58,9 +58,11 @@
 /** Reading of a host's monotonic clock. */
 const monoMsSchema = z.number().check(z.gte(0), z.lte(Number.MAX_SAFE_INTEGER));
 
+const configVersionSchema = z.int().check(z.gte(-1));
+
 const newsFields = z.object({
     term: z.int().check(z.gte(1)), storeAgeMs: durationMsSchema, configAgeMs: z.optional(durationMsSchema), configOffset: offsetSchema,
-    sentAtMs: z.optional(monoMsSchema), configVersion: z.optional(z.int().check(z.gte(-1))),
+    sentAtMs: z.optional(monoMsSchema), configVersion: z.optional(configVersionSchema),
     targetsUpTo: offsetSchema, targetsDigest: z.int(),
     ledgerUpTo: offsetSchema, ledgerFrom: z.optional(offsetSchema), membersVersion: countSchema,
     targets: z.optional(z.array(z.unknown())), ledger: z.optional(z.array(z.unknown())), notice: z.optional(z.unknown()),
@@ -187,6 +189,7 @@
             return {
                 leaving: fields.leaving,
                 sentAtMs: checkPart("time of sending", monoMsSchema, fields.sentAtMs, peer),
+                configVersion: checkPart("version of the configuration", configVersionSchema, fields.configVersion, peer),
                 loads: fields.loads.filter(isLoad),
                 pressures: checkPressures(fields.pressures, peer),
                 leavingTargets: checkPart("leaving targets", processesSchema, fields.leavingTargets, peer),
@@ -204,7 +207,8 @@
 
 const reportFields = z.object({
     leaving: z.boolean(), loads: z.array(z.unknown()), pressures: z.array(z.unknown()),
-    leavingTargets: z.optional(z.unknown()), crashEvidence: z.optional(z.unknown()), sentAtMs: z.optional(z.unknown()),
+    leavingTargets: z.optional(z.unknown()), crashEvidence: z.optional(z.unknown()),
+    sentAtMs: z.optional(z.unknown()), configVersion: z.optional(z.unknown()),
 });
 
 /** Tells whether a value has the form of a report of loads by key; `KeyLoads.add` checks the numbers, of which there are many. */
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -30,7 +30,7 @@
     succeed: "succeed",
     /** A new coordinator announces its term, so that hosts that cannot read the store learn of it too. */
     announce: "announce",
-    /** A host that cannot read the store asks for the configuration. */
+    /** A host asks another one that knows a newer configuration for it. */
     configuration: "configuration",
 } as const;
 
@@ -99,6 +99,8 @@
     leaving: boolean;
     /** Monotonic time at which the report was sent, by the host's clock; absent in messages of earlier versions. */
     sentAtMs?: number;
+    /** Version of the platform's configuration that the host applies, -1 without one; absent in messages of earlier versions. */
+    configVersion?: number;
 }
 
 /** Answer to `resign`; `grantsLastMs` is the time until all grants of the coordinator have expired. */
--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -4,15 +4,15 @@
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { Offset, Term } from "../model/names.js";
 import type { Clock } from "../model/time.js";
-import type { Log } from "../observe/log.js";
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { TopicReader } from "../store/topicReader.js";
 import type { ConfigAge } from "./configAge.js";
+import type { ConfigFetcher } from "./configFetcher.js";
 import { MemberListCopy } from "./memberList.js";
 import type { Membership } from "./membership.js";
 import type { MessageChecks } from "./messageChecks.js";
-import type { ConfigurationReply, FollowParams, FollowReply, News } from "./messages.js";
+import type { FollowParams, FollowReply, News } from "./messages.js";
 import { callTimeoutMs, clusterMethods } from "./messages.js";
 import type { PeerConnection } from "./peerConnection.js";
 
@@ -29,7 +29,7 @@
     configAge: ConfigAge;
     clock: Clock;
     checks: MessageChecks;
-    log: Log;
+    configFetcher: ConfigFetcher;
     /** Latest term that this host knows. */
     latestTerm: () => Term | undefined;
 }
@@ -51,7 +51,7 @@
 
 /** Creates the receiver. */
 export function createNewsReceiver(
-    { view, reader, membership, owners, crashEvidence, configAge, clock, checks, log, latestTerm }: NewsReceiverDependencies,
+    { view, reader, membership, owners, crashEvidence, configAge, clock, checks, configFetcher, latestTerm }: NewsReceiverDependencies,
 ): NewsReceiver {
     let confirmedAtMs = Number.NEGATIVE_INFINITY;
     let isCatchingUp = false;
@@ -136,16 +136,8 @@
     /** Reads the configuration from the store, which is its primary source, or from the coordinator if it is not there. */
     const fetchConfig = async (from: PeerConnection, coordinatorVersion: number) => {
         await reader.read("configuration", 0);
-        if (view.platformConfigVersion >= coordinatorVersion) {
-            return;
-        }
-        const reply = await from.call<ConfigurationReply | undefined>(clusterMethods.configuration, {}, callTimeoutMs);
-        if (reply.isOk() && reply.value !== undefined) {
-            checks.configuration(reply.value, from.address).match(({ config, offset }) => {
-                view.applyConfig(config, offset, view.configUpTo);
-            }, (failed) => {
-                log.warn("configuration of another host cannot be meant", { peer: failed.peer, why: failed.message });
-            });
+        if (view.platformConfigVersion < coordinatorVersion) {
+            await configFetcher.fetchFrom(from);
         }
     };
 
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -15,6 +15,7 @@
 import type { StorePort } from "../store/storePort.js";
 import type { TopicReader } from "../store/topicReader.js";
 import { ConfigAge } from "./configAge.js";
+import { createConfigFetcher } from "./configFetcher.js";
 import type { Coordinator } from "./coordinator.js";
 import { createCoordinator } from "./coordinator.js";
 import { recordWhileAlone, watchCrashRecords } from "./crashRecording.js";
@@ -81,7 +82,10 @@
     const claims = new TermClaims(dependencies);
     const configAge = new ConfigAge();
     const checks = createMessageChecks(log);
-    const newsReceiver = createNewsReceiver({ ...dependencies, checks, configAge, latestTerm: () => knownTerm.latest?.term });
+    const configFetcher = createConfigFetcher({ view, checks, log });
+    const newsReceiver = createNewsReceiver({
+        ...dependencies, checks, configAge, configFetcher, latestTerm: () => knownTerm.latest?.term,
+    });
     const directReader = createDirectReader({ ...dependencies, configAge });
     const ages = createStateAges({ view, configAge, directReader, newsReceiver, clock, coordinator: () => coordinator });
     const takeover = createTakeover({ ...dependencies, directReader, claims, knownTerm });
@@ -91,7 +95,7 @@
 
     const coordinate = async (term: TermRecord, signal: AbortSignal) => {
         const claimed = claims.takeClaimedTerm();
-        const newCoordinator = createCoordinator({ ...dependencies, ...claimed, term: term.term });
+        const newCoordinator = createCoordinator({ ...dependencies, ...claimed, configFetcher, term: term.term });
         coordinator = newCoordinator;
         configAge.recordJoined();
         log.info("started coordinating", {
--- a/src/cluster/stateAges.ts
+++ b/src/cluster/stateAges.ts
@@ -40,7 +40,7 @@
     return {
         knowledgeAgeMs,
         configAgeMs: (nowMs) => {
-            if (view.isConfigUnreadable) {
+            if (view.isConfigUnreadable || coordinator()?.isConfigOutdated() === true) {
                 return Number.POSITIVE_INFINITY;
             }
             const ageMs = configAge.ageMs(view.platformConfigVersion, nowMs);
--- a/test/cluster/oddMessages.spec.ts
+++ b/test/cluster/oddMessages.spec.ts
@@ -94,9 +94,8 @@
     const membership = new Membership(self as unknown as Member);
     const receiver = createNewsReceiver({
         view, membership, clock, checks, owners: new OwnerLookup(view, 2_000), crashEvidence: new CrashEvidence(),
-        configAge: new ConfigAge(),
+        configAge: new ConfigAge(), configFetcher: { fetchFrom: () => Promise.resolve() },
         reader: { read: () => Promise.resolve(ok({ targets: [], ledger: [] })) }, latestTerm: () => 3 as Term,
-        log: { info: () => undefined, warn: () => undefined, error: () => undefined },
     });
     const connection = { address: "10.0.0.2:7720", call: () => new Promise(() => undefined) } as unknown as PeerConnection;
     const apply = (changed: object) => {
