Whether the newest configuration can be decoded is told by the offsets of one reading of the topic

Callers would see 404 by an older configuration while a newer one, which hosts can't decode, stands at a lower offset than the older one had: after the store came back from an older copy.

Cause: the offset of the record that could not be decoded was compared with that of the configuration in force, which may be from before the return. Class: what the store counts is believed to rise for ever.

--- a/src/store/clusterView.ts
+++ b/src/store/clusterView.ts
@@ -41,6 +41,8 @@
     /** Compiled from the router's own configuration document. */
     private documentConfig: ActiveConfig | undefined;
     private configReadUpTo = noOffset;
+    /** Offsets, by what the store counts now, of the newest configurations that could be decoded and that could not. */
+    private readableConfigOffset = noOffset;
     private unreadableConfigOffset = noOffset;
     private targetsReadUpTo = noOffset;
     private targetChangeCount = 0;
@@ -65,7 +67,7 @@
 
     /** True if the platform's newest configuration could not be decoded; then another one than `config` is in force. */
     get isConfigUnreadable(): boolean {
-        return this.unreadableConfigOffset > (this.platformConfig?.offset ?? noOffset);
+        return this.unreadableConfigOffset > this.readableConfigOffset;
     }
 
     /** Version of the platform's configuration that applies; negative if there is none. */
@@ -94,6 +96,9 @@
     applyConfig(config: RoutingConfig | undefined, offset: Offset, upTo: Offset): boolean {
         const isFirstReading = this.configReadUpTo === noOffset;
         this.configReadUpTo = Math.max(this.configReadUpTo, upTo) as Offset;
+        if (config !== undefined) {
+            this.readableConfigOffset = Math.max(this.readableConfigOffset, offset) as Offset;
+        }
         if (config === undefined || !this.isNewer(config, offset)) {
             if (isFirstReading && this.isDocumentConfig) {
                 this.configChanged.fire();
@@ -118,6 +123,7 @@
      */
     restartConfigReading(upTo: Offset): void {
         this.configReadUpTo = upTo;
+        this.readableConfigOffset = noOffset;
         this.unreadableConfigOffset = noOffset;
     }
 
