The configuration document is judged by the age of the ledger, which holds it

Callers of hosts that run by the document would see 404, 400 or 413 by an outdated version of it: while the store answers readings of the configuration topic and not those of the ledger (down in part), or when a newer version can't be decoded (another version of the router).

The document stands in the ledger. Class: knowledge whose age nobody looked at.

Fix: while the document applies, the age is at least that of the ledger, and infinite while a newer version could not be decoded.

Left: a host that begins to follow counts the ledger as confirmed at that moment (assumeConfirmedNow).

--- a/src/cluster/stateAges.ts
+++ b/src/cluster/stateAges.ts
@@ -45,7 +45,9 @@
             }
             const ageMs = configAge.ageMs(view.platformConfigVersion, nowMs);
             const coordinatorAgeMs = coordinator()?.configAgeMs(nowMs);
-            return coordinatorAgeMs === undefined || !Number.isFinite(ageMs) ? ageMs : Math.min(ageMs, coordinatorAgeMs);
+            const topicAgeMs = coordinatorAgeMs === undefined || !Number.isFinite(ageMs) ? ageMs : Math.min(ageMs, coordinatorAgeMs);
+            // The document stands in the ledger.
+            return view.isDocumentConfig ? Math.max(topicAgeMs, knowledgeAgeMs(nowMs)) : topicAgeMs;
         },
         isStale: (nowMs) => coordinator() === undefined && knowledgeAgeMs(nowMs) > staleAfterMs,
     };
--- a/src/ownership/ledger.ts
+++ b/src/ownership/ledger.ts
@@ -66,6 +66,8 @@
     return `document/${String(version)}`;
 }
 
+const documentKeyPattern = /^document\/([0-9]{1,15})$/;
+
 const ownershipPrefix = "ownership/";
 
 /** Returns the key of a target's ownership record. */
@@ -91,6 +93,8 @@
     private end = 0 as Offset;
     /** Offsets of the records under keys of coordinators that could not be decoded, unless a later one could. */
     private readonly unreadable = new Map<string, Offset>();
+    /** Newest version of the configuration document that could not be decoded; 0 if there is none. */
+    private unreadableDocumentVersion = 0;
 
     /** Offset after the last applied record. */
     get upTo(): Offset {
@@ -113,8 +117,15 @@
         return [...this.unreadable.keys()].some((key) => key !== termKey && !this.changes.has(key));
     }
 
+    /** True if a version of the configuration document that is newer than all that this host knows could not be decoded. */
+    get isDocumentUnreadable(): boolean {
+        return this.unreadableDocumentVersion > 0 && this.unreadableDocumentVersion > (this.documents()[0]?.version ?? 0);
+    }
+
     /** Remembers that a record could not be decoded. What this host knew under its key before stays in force. */
     markUnreadable(key: string, offset: Offset): void {
+        const documentVersion = documentKeyPattern.exec(key)?.[1];
+        this.unreadableDocumentVersion = Math.max(this.unreadableDocumentVersion, Number(documentVersion ?? 0));
         const isKeyOfCoordinators = key === termKey || key.startsWith(ownershipPrefix);
         if (isKeyOfCoordinators && offset > (this.changes.get(key)?.offset ?? -1) && this.unreadable.size < maxUnreadableKeys) {
             this.unreadable.set(key, offset);
--- a/src/store/clusterView.ts
+++ b/src/store/clusterView.ts
@@ -65,9 +65,9 @@
         return this.platformConfig === undefined && this.config !== undefined;
     }
 
-    /** True if the platform's newest configuration could not be decoded; then another one than `config` is in force. */
+    /** True if the newest configuration, or version of the document that applies, could not be decoded; then `config` is not in force. */
     get isConfigUnreadable(): boolean {
-        return this.unreadableConfigOffset > this.readableConfigOffset;
+        return this.unreadableConfigOffset > this.readableConfigOffset || (this.isDocumentConfig && this.ledger.isDocumentUnreadable);
     }
 
     /** Version of the platform's configuration that applies; negative if there is none. */
