--- /dev/null
+++ b/test/cluster/newsReceiver.spec.ts
@@ -0,0 +1,72 @@
+import { expect } from "chai";
+import { err, ok } from "neverthrow";
+import { ConfigAge } from "../../src/cluster/configAge.js";
+import { createConfigFetcher } from "../../src/cluster/configFetcher.js";
+import type { Member } from "../../src/cluster/membership.js";
+import { Membership } from "../../src/cluster/membership.js";
+import { createMessageChecks } from "../../src/cluster/messageChecks.js";
+import type { News } from "../../src/cluster/messages.js";
+import { createNewsReceiver } from "../../src/cluster/newsReceiver.js";
+import type { PeerConnection } from "../../src/cluster/peerConnection.js";
+import { CrashEvidence } from "../../src/crashes/crashEvidence.js";
+import { failure } from "../../src/model/failure.js";
+import type { Offset, Term } from "../../src/model/names.js";
+import type { RoutingConfig } from "../../src/model/routing.js";
+import { OwnerLookup } from "../../src/ownership/ownerLookup.js";
+import { ClusterView } from "../../src/store/clusterView.js";
+import { VirtualClock } from "../support/virtualTime.js";
+
+/** Time after which a call to the store fails here. */
+const storeTimeoutMs = 1_200;
+
+const config: RoutingConfig = {
+    version: 7, routes: [], services: [],
+    limits: { maxHeaderBytes: 8_192, maxBodyBytes: 65_536, headerTimeoutMs: 1_000, idleTimeoutMs: 5_000 },
+};
+const news = {
+    term: 1, storeAgeMs: 20, configAgeMs: 20, configOffset: 12, configVersion: 7, targetsUpTo: -1, targetsDigest: 0, ledgerUpTo: 0,
+    membersVersion: 0,
+} as unknown as News;
+
+/** A host with a configuration at an offset, which the store does not answer, and the coordinator that sends it updates. */
+function createReceiver(knownVersion: number, offset: number) {
+    const clock = new VirtualClock();
+    const view = new ClusterView();
+    view.applyConfig({ ...config, version: knownVersion }, offset as Offset, 13 as Offset);
+    const log = { info: () => undefined, warn: () => undefined, error: () => undefined };
+    const checks = createMessageChecks(log);
+    let readCount = 0;
+    const receiver = createNewsReceiver({
+        view, clock, checks, membership: new Membership({ hostId: "h1" } as Member), owners: new OwnerLookup(view, 2_000),
+        crashEvidence: new CrashEvidence(), configAge: new ConfigAge(), configFetcher: createConfigFetcher({ view, checks, log }),
+        latestTerm: () => 1 as Term,
+        reader: { read: async () => {
+            readCount += 1;
+            await clock.sleep(storeTimeoutMs);
+            return err(failure("lost", "store-read", "store", "no answer in time"));
+        } },
+    });
+    const connection = {
+        address: "10.0.0.2:7720", call: (method: string) => method === "configuration"
+            ? Promise.resolve(ok({ config, offset: 12 }))
+            : new Promise(() => undefined),
+    } as unknown as PeerConnection;
+    const receiveForMs = async (durationMs: number) => {
+        for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 100) {
+            receiver.apply(news, connection);
+            await clock.advance(100);
+        }
+    };
+    return { view, receiveForMs, readCount: () => readCount };
+}
+
+describe("a host that hears of a configuration while the store does not answer it", () => {
+    for (const { name, version } of [{ name: "of a newer version", version: 6 }, { name: "of the same version, written again", version: 7 }]) {
+        it(`asks the store once, and then gets it from the coordinator: ${name}`, async () => {
+            const { view, receiveForMs, readCount } = createReceiver(version, 11);
+            await receiveForMs(5_000);
+            expect(view.config).to.deep.include({ config, offset: 12 });
+            expect(readCount()).to.equal(1);
+        });
+    }
+});
