A host that hears of a newer configuration asks for it once at a time

What happened: each update of the coordinator that names a newer configuration started a reading of the store, with 3 to 25 updates a second; at a host that the store doesn't answer, 12 calls in 1.2 s, and more the larger the cluster. For a configuration that was written again under its version they never ended: the store gave no answer, and the coordinator was not asked.

Cause: no reading was known to be under way, and after it only the version was compared, not the offset by which the reading had been started.

Fix: one fetch at a time; after the reading, the same comparison decides whether the coordinator is asked, which answers with its newest.

Evidence: newsReceiver.spec, both tests failed before (12 calls; offset 11 in place of 12 after 5 s) and pass; test/cluster passes.

--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -55,6 +55,7 @@
 ): NewsReceiver {
     let confirmedAtMs = Number.NEGATIVE_INFINITY;
     let isCatchingUp = false;
+    let isFetchingConfig = false;
     let allTargetsRequestedAtMs = Number.NEGATIVE_INFINITY;
     const memberList = new MemberListCopy();
     const nowMs = () => clock.now().monoMs;
@@ -87,9 +88,8 @@
         }
         const coordinatorVersion = configVersionOf(news);
         configAge.recordNews(coordinatorVersion, view.platformConfigVersion, configConfirmedAtMs(news, sentAtMs ?? news.sentAtMs));
-        const isWrittenAgain = coordinatorVersion === view.platformConfigVersion && news.configOffset > (view.config?.offset ?? -1);
-        if (coordinatorVersion > view.platformConfigVersion || isWrittenAgain) {
-            void fetchConfig(from, coordinatorVersion);
+        if (isNewerConfig(coordinatorVersion, news.configOffset)) {
+            void fetchConfig(from, coordinatorVersion, news.configOffset);
         }
         const targetsDiffer = news.targetsDigest !== view.targets.digest() && nowMs() - allTargetsRequestedAtMs > allTargetsRequestGapMs;
         if (news.ledgerUpTo > view.ledger.upTo || targetsDiffer || memberList.isBehind(news.term, news.membersVersion)) {
@@ -133,11 +133,24 @@
         return configVersion ?? (isLater ? Number.POSITIVE_INFINITY : view.platformConfigVersion);
     };
 
+    /** Tells whether a configuration is newer than this host's: of a higher version, or written again under the same one. */
+    const isNewerConfig = (version: number, offset: Offset): boolean => version > view.platformConfigVersion
+        || (version === view.platformConfigVersion && offset > (view.config?.offset ?? -1));
+
     /** Reads the configuration from the store, which is its primary source, or from the coordinator if it is not there. */
-    const fetchConfig = async (from: PeerConnection, coordinatorVersion: number) => {
-        await reader.read("configuration", 0);
-        if (view.platformConfigVersion < coordinatorVersion) {
-            await configFetcher.fetchFrom(from);
+    const fetchConfig = async (from: PeerConnection, version: number, offset: Offset) => {
+        if (isFetchingConfig) {
+            return;
+        }
+        isFetchingConfig = true;
+        try {
+            await reader.read("configuration", 0);
+            if (isNewerConfig(version, offset)) {
+                await configFetcher.fetchFrom(from);
+            }
+        }
+        finally {
+            isFetchingConfig = false;
         }
     };
 
