--- a/test/cluster/newsReceiver.spec.ts
+++ b/test/cluster/newsReceiver.spec.ts
@@ -35,10 +35,12 @@
     view.applyConfig({ ...config, version: knownVersion }, offset as Offset, 13 as Offset);
     const log = { info: () => undefined, warn: () => undefined, error: () => undefined };
     const checks = createMessageChecks(log);
+    const configAge = new ConfigAge();
+    configAge.recordJoined();
     let readCount = 0;
     const receiver = createNewsReceiver({
         view, clock, checks, membership: new Membership({ hostId: "h1" } as Member), owners: new OwnerLookup(view, 2_000),
-        crashEvidence: new CrashEvidence(), configAge: new ConfigAge(), configFetcher: createConfigFetcher({ view, checks, log }),
+        crashEvidence: new CrashEvidence(), configAge, configFetcher: createConfigFetcher({ view, checks, log }),
         latestTerm: () => 1 as Term,
         reader: { read: async () => {
             readCount += 1;
@@ -51,13 +53,13 @@
             ? Promise.resolve(ok({ config, offset: 12 }))
             : new Promise(() => undefined),
     } as unknown as PeerConnection;
-    const receiveForMs = async (durationMs: number) => {
+    const receiveForMs = async (durationMs: number, received = news) => {
         for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 100) {
-            receiver.apply(news, connection);
+            receiver.apply(received, connection);
             await clock.advance(100);
         }
     };
-    return { view, receiveForMs, readCount: () => readCount };
+    return { clock, view, configAge, receiveForMs, readCount: () => readCount };
 }
 
 describe("a host that hears of a configuration while the store does not answer it", () => {
@@ -70,3 +72,14 @@
         });
     }
 });
+
+describe("a host that heard of a configuration from a coordinator of an earlier version of the router, which states no versions", () => {
+    it("does not miss it any more once it has the configuration, also if that coordinator has gone", async () => {
+        const { clock, view, configAge, receiveForMs } = createReceiver(6, 11);
+        await receiveForMs(100, { ...news, configVersion: undefined } as unknown as News);
+        expect(configAge.ageMs(view.platformConfigVersion, clock.now().monoMs)).to.equal(Number.POSITIVE_INFINITY);
+        view.applyConfig(config, 12 as Offset, 13 as Offset);
+        configAge.confirm(clock.now().monoMs);
+        expect(configAge.ageMs(view.platformConfigVersion, clock.now().monoMs)).to.equal(0);
+    });
+});
