A configuration of a coordinator that states no versions is missed until this host has a later one

Callers would get 503 `config-unconfirmed` where 404 is owed, for good, from a host that takes over from a coordinator of an earlier version of the router right after a new configuration.

Cause: such a coordinator's configuration counted as of an infinitely high version, which no configuration reaches; the next update corrected that, but none comes at a host that coordinates itself.

Fix: it counts as one version higher than the one known here.

--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -127,10 +127,13 @@
     const configConfirmedAtMs = ({ configAgeMs = Number.POSITIVE_INFINITY }: News, sentAtMs = Number.NEGATIVE_INFINITY): number =>
         Math.min(nowMs(), sentAtMs) - configAgeMs;
 
-    /** Returns the version of the coordinator's configuration. A host of an earlier version of the router states its offset only. */
+    /**
+     * Returns the version of the coordinator's configuration. A host of an earlier version of the router states its offset only; a later
+     * configuration then has a higher version.
+     */
     const configVersionOf = ({ configVersion, configOffset }: News): number => {
         const isLater = configOffset > (view.config?.offset ?? -1);
-        return configVersion ?? (isLater ? Number.POSITIVE_INFINITY : view.platformConfigVersion);
+        return configVersion ?? (isLater ? view.platformConfigVersion + 1 : view.platformConfigVersion);
     };
 
     /** Tells whether a configuration is newer than this host's: of a higher version, or written again under the same one. */
