A newer configuration is transferred from one host at a time

Now a call that is under way is waited for; the next report asks again if it brought nothing. configFetcher.spec failed before (100 calls) and passes.

--- a/src/cluster/configFetcher.ts
+++ b/src/cluster/configFetcher.ts
@@ -15,25 +15,35 @@
 
 /** Fetches the configuration of other hosts. */
 export interface ConfigFetcher {
-    /** Applies the configuration of another host, if it is newer. */
+    /** Applies the configuration of another host, if it is newer. Does nothing while a call of this method is under way. */
     fetchFrom(peer: PeerConnection): Promise<void>;
 }
 
 /** Creates the fetcher. */
 export function createConfigFetcher({ view, checks, log }: ConfigFetcherDependencies): ConfigFetcher {
+    let isFetching = false;
+
+    const apply = (reply: ConfigurationReply, peer: PeerConnection) => {
+        checks.configuration(reply, peer.address).match(({ config, offset }) => {
+            if (view.applyConfig(config, offset, view.configUpTo)) {
+                log.info("configuration of another host applied", { version: config.version, peer: peer.address });
+            }
+        }, (failed) => {
+            log.warn("configuration of another host cannot be meant", { peer: failed.peer, why: failed.message });
+        });
+    };
+
     return {
         fetchFrom: async (peer) => {
-            const reply = await peer.call<ConfigurationReply | undefined>(clusterMethods.configuration, {}, callTimeoutMs);
-            if (reply.isErr() || reply.value === undefined) {
+            if (isFetching) {
                 return;
             }
-            checks.configuration(reply.value, peer.address).match(({ config, offset }) => {
-                if (view.applyConfig(config, offset, view.configUpTo)) {
-                    log.info("configuration of another host applied", { version: config.version, peer: peer.address });
-                }
-            }, (failed) => {
-                log.warn("configuration of another host cannot be meant", { peer: failed.peer, why: failed.message });
-            });
+            isFetching = true;
+            const reply = await peer.call<ConfigurationReply | undefined>(clusterMethods.configuration, {}, callTimeoutMs);
+            isFetching = false;
+            if (reply.isOk() && reply.value !== undefined) {
+                apply(reply.value, peer);
+            }
         },
     };
 }
