Spec on real daemons: a host that was frozen does not deny by the configuration that was replaced meanwhile

A follower is stopped (SIGSTOP), the coordinator is killed, a configuration with a new route is published; when the follower goes on, requests for that route must not get 404.

--- a/test/fleet/configAge.spec.ts
+++ b/test/fleet/configAge.spec.ts
@@ -1,13 +1,14 @@
 import { expect } from "chai";
+import { topics } from "../../platform/names.js";
 import { noStoreFaults } from "../../platform/standins/storeStandIn.js";
 import type { FleetHost } from "./fleet.js";
-import { Fleet, paths, send, sleep } from "./fleet.js";
+import { buildRoutingConfig, fetchAdminPage, Fleet, paths, send, sleep } from "./fleet.js";
 
 /** Time within which a configuration comes into force on every host, as the platform states it. */
 const configBoundMs = 2_000;
 
 describe("a request that the configuration does not allow", function () {
-    this.timeout(40_000);
+    this.timeout(60_000);
     let fleet: Fleet;
 
     before(async () => {
@@ -43,4 +44,25 @@
         expect(lines).to.have.length(1);
         expect(JSON.parse(lines[0] ?? "")).to.include({ reason: "config-unconfirmed", path: "/nowhere/" }).and.have.property("configAgeMs").above(2_000);
     });
+
+    it("is not blamed by a configuration that was replaced while the host was frozen", async () => {
+        const roles = await Promise.all(fleet.hosts.map((host) => fetchAdminPage(host, "/metrics")));
+        const follower = fleet.hosts[roles.findIndex((metrics) => metrics.includes("hornbeam_coordinating 0"))] as FleetHost;
+        const coordinator = fleet.hosts.find((host) => host !== follower) as FleetHost;
+        follower.child.kill("SIGSTOP");
+        await sleep(1_000);
+        await fleet.endHost(coordinator, "SIGKILL");
+        await sleep(configBoundMs);
+        fleet.store.put(topics.configuration, "config", buildRoutingConfig(2, { extraPrefix: "/extra/" }));
+        await sleep(configBoundMs);
+        const sendOne = async (id: string) => (await send(follower, { id: `frozen-${id}`, path: "/extra/x" })).status;
+        follower.child.kill("SIGCONT");
+        const answers: Promise<number>[] = [];
+        for (let count = 0; count < 200; count++) {
+            answers.push(sendOne(String(count)));
+            await sleep(5);
+        }
+        expect((await Promise.all(answers)).filter((status) => status === 404)).to.deep.equal([]);
+        await fleet.waitUntil("the new route is served", async () => await sendOne(String(Math.random())) === 200);
+    });
 });
