The document is judged by what is known of the ledger's age, not by the beginning of following

Callers of hosts that run by the document would see 404 by an outdated version of it for 2 s after a host begins to follow a coordinator that can't read the store, or after updates that a freeze held back.

Cause: when following begins, the state counts as confirmed at that moment (so that the coordinator isn't taken for cut off), and ages in updates counted from their reading.

Fix: the receiver keeps beside it when the ledger was certainly confirmed: by the stated age, from the earliest moment of sending, and only while no record is missing here.

--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -38,6 +38,8 @@
 export interface NewsReceiver {
     /** Monotonic time at which the store last confirmed the coordinator's state. */
     readonly confirmedAtMs: number;
+    /** Monotonic time at which the store had certainly confirmed that this host knows the whole ledger. */
+    readonly ledgerConfirmedAtMs: number;
     /** Counts the state as confirmed now; used when following begins, while the age of the coordinator's state is not known. */
     assumeConfirmedNow(): void;
     /**
@@ -54,6 +56,7 @@
     { view, reader, membership, owners, crashEvidence, configAge, clock, checks, configFetcher, latestTerm }: NewsReceiverDependencies,
 ): NewsReceiver {
     let confirmedAtMs = Number.NEGATIVE_INFINITY;
+    let ledgerConfirmedAtMs = Number.NEGATIVE_INFINITY;
     let isCatchingUp = false;
     let isFetchingConfig = false;
     let allTargetsRequestedAtMs = Number.NEGATIVE_INFINITY;
@@ -78,6 +81,11 @@
             view.applyLedger(news.ledger, news.ledgerFrom ?? news.ledgerUpTo, news.ledgerUpTo);
             owners.refresh();
         }
+        // The time that an update spent on its way, or unread at this host, adds to the ages that it states.
+        const stateAtMs = Math.min(nowMs(), sentAtMs ?? news.sentAtMs ?? Number.NEGATIVE_INFINITY);
+        if (news.ledgerUpTo <= view.ledger.upTo) {
+            ledgerConfirmedAtMs = Math.max(ledgerConfirmedAtMs, stateAtMs - news.storeAgeMs);
+        }
         if (news.notice !== undefined) {
             owners.setNotice(news.notice, nowMs());
             view.notifyTargetsChanged();
@@ -87,7 +95,7 @@
             membership.update(members);
         }
         const coordinatorVersion = configVersionOf(news);
-        configAge.recordNews(coordinatorVersion, view.platformConfigVersion, configConfirmedAtMs(news, sentAtMs ?? news.sentAtMs));
+        configAge.recordNews(coordinatorVersion, view.platformConfigVersion, stateAtMs - (news.configAgeMs ?? Number.POSITIVE_INFINITY));
         if (isNewerConfig(coordinatorVersion, news.configOffset)) {
             void fetchConfig(from, coordinatorVersion, news.configOffset);
         }
@@ -123,10 +131,6 @@
         return from.call<FollowReply>(clusterMethods.follow, params, callTimeoutMs);
     };
 
-    /** Returns when the coordinator's configuration was confirmed. The time that an update spent on its way, or unread here, counts too. */
-    const configConfirmedAtMs = ({ configAgeMs = Number.POSITIVE_INFINITY }: News, sentAtMs = Number.NEGATIVE_INFINITY): number =>
-        Math.min(nowMs(), sentAtMs) - configAgeMs;
-
     /**
      * Returns the version of the coordinator's configuration. A host of an earlier version of the router states its offset only; a later
      * configuration then has a higher version.
@@ -161,6 +165,9 @@
         get confirmedAtMs() {
             return confirmedAtMs;
         },
+        get ledgerConfirmedAtMs() {
+            return ledgerConfirmedAtMs;
+        },
         assumeConfirmedNow: () => {
             confirmedAtMs = nowMs();
         },
--- a/src/cluster/stateAges.ts
+++ b/src/cluster/stateAges.ts
@@ -14,7 +14,7 @@
     view: ClusterView;
     configAge: ConfigAge;
     directReader: Pick<DirectReader, "lastReadAtMs">;
-    newsReceiver: Pick<NewsReceiver, "confirmedAtMs">;
+    newsReceiver: Pick<NewsReceiver, "confirmedAtMs" | "ledgerConfirmedAtMs">;
     clock: Clock;
     /** The coordinator at this host, while it coordinates. */
     coordinator: () => Coordinator | undefined;
@@ -37,6 +37,10 @@
     const knowledgeAgeMs = (nowMs: number) =>
         coordinator()?.storeAgeMs(clock.now()) ?? nowMs - Math.max(directReader.lastReadAtMs, newsReceiver.confirmedAtMs);
 
+    /** Time since the store certainly confirmed that this host knows the whole ledger. */
+    const ledgerAgeMs = (nowMs: number) =>
+        coordinator()?.storeAgeMs(clock.now()) ?? nowMs - Math.max(directReader.lastReadAtMs, newsReceiver.ledgerConfirmedAtMs);
+
     return {
         knowledgeAgeMs,
         configAgeMs: (nowMs) => {
@@ -47,7 +51,7 @@
             const coordinatorAgeMs = coordinator()?.configAgeMs(nowMs);
             const topicAgeMs = coordinatorAgeMs === undefined || !Number.isFinite(ageMs) ? ageMs : Math.min(ageMs, coordinatorAgeMs);
             // The document stands in the ledger.
-            return view.isDocumentConfig ? Math.max(topicAgeMs, knowledgeAgeMs(nowMs)) : topicAgeMs;
+            return view.isDocumentConfig ? Math.max(topicAgeMs, ledgerAgeMs(nowMs)) : topicAgeMs;
         },
         isStale: (nowMs) => coordinator() === undefined && knowledgeAgeMs(nowMs) > staleAfterMs,
     };
--- a/test/cluster/newsReceiver.spec.ts
+++ b/test/cluster/newsReceiver.spec.ts
@@ -59,7 +59,7 @@
             await clock.advance(100);
         }
     };
-    return { clock, view, configAge, receiveForMs, readCount: () => readCount };
+    return { clock, view, configAge, receiver, connection, receiveForMs, readCount: () => readCount };
 }
 
 describe("a host that hears of a configuration while the store does not answer it", () => {
@@ -83,3 +83,18 @@
         expect(configAge.ageMs(view.platformConfigVersion, clock.now().monoMs)).to.equal(0);
     });
 });
+
+describe("the ledger of a host that follows a coordinator", () => {
+    it("is confirmed by what the coordinator states, not by the beginning of following, and not while records are missing", async () => {
+        const { clock, receiver, connection } = createReceiver(7, 12);
+        await clock.advance(20_000);
+        const nowMs = clock.now().monoMs;
+        receiver.assumeConfirmedNow();
+        receiver.apply({ ...news, storeAgeMs: 9_000 }, connection, nowMs);
+        expect(receiver.ledgerConfirmedAtMs).to.equal(nowMs - 9_000);
+        receiver.apply({ ...news, sentAtMs: nowMs - 5_000 }, connection);
+        expect(receiver.ledgerConfirmedAtMs).to.equal(nowMs - 5_020);
+        receiver.apply({ ...news, ledgerUpTo: 3 as Offset, sentAtMs: nowMs }, connection);
+        expect(receiver.ledgerConfirmedAtMs).to.equal(nowMs - 5_020);
+    });
+});
--- a/test/cluster/stateAges.spec.ts
+++ b/test/cluster/stateAges.spec.ts
@@ -19,7 +19,8 @@
     configAge.confirm(nowMs - 100);
     const ages = createStateAges({
         view, configAge, clock, coordinator: () => undefined,
-        directReader: { lastReadAtMs: nowMs - ledgerAgeMs }, newsReceiver: { confirmedAtMs: nowMs - ledgerAgeMs },
+        directReader: { lastReadAtMs: nowMs - ledgerAgeMs },
+        newsReceiver: { confirmedAtMs: nowMs, ledgerConfirmedAtMs: nowMs - ledgerAgeMs },
     });
     return { view, ageMs: () => ages.configAgeMs(nowMs) };
 }
