--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -22,6 +22,7 @@
 import type { StorePort } from "../store/storePort.js";
 import type { TargetChange } from "../store/targetDirectory.js";
 import type { TopicReader } from "../store/topicReader.js";
+import type { ConfigFetcher } from "./configFetcher.js";
 import { watchConfig } from "./configWatch.js";
 import { recordCrashes } from "./crashRecording.js";
 import { createFollowers } from "./followers.js";
@@ -60,6 +61,7 @@
     leases: LeasePort;
     clock: Clock;
     log: Log;
+    configFetcher: ConfigFetcher;
     onMove: OwnershipManagerDependencies["onMove"];
     /** Claims the next term after the store came back from an older copy. Called before the hosts lose contact. */
     claimAnew: (held: TermHeldBefore | undefined) => Promise<boolean>;
@@ -79,7 +81,9 @@
     grantTrial(params: TrialParams): Promise<TrialReply>;
     /** Time since the store last confirmed the term, or since the targets were last read, whichever is longer. */
     storeAgeMs(now: Instant): number;
-    /** Time since the store last confirmed that no newer configuration is in force; infinite if the newest one can't be decoded. */
+    /** Tells whether another configuration is in force than this host applies: one that it can't decode, or that a follower applies. */
+    isConfigOutdated(): boolean;
+    /** Time since the store last confirmed that no newer configuration is in force; infinite while the configuration is outdated. */
     configAgeMs(nowMs: number): number;
     describe(): object;
 }
@@ -96,7 +100,9 @@
         return Math.max(heldTerm.ageMs(now), targetsAgeMs);
     };
 
-    const configAgeMs = (nowMs: number): number => view.isConfigUnreadable ? Number.POSITIVE_INFINITY : nowMs - configConfirmedAtMs;
+    const isConfigOutdated = () => view.isConfigUnreadable || followers.newestConfigVersion > view.platformConfigVersion;
+
+    const configAgeMs = (nowMs: number): number => isConfigOutdated() ? Number.POSITIVE_INFINITY : nowMs - configConfirmedAtMs;
 
     const heldTerm = createHeldTerm({
         ...dependencies, term,
@@ -270,12 +276,16 @@
             followers.add(params.member, from);
             return { accepted: true, news: news.fullNews(params, () => ownershipManager.notice(clock.now().monoMs)) };
         },
-        report: ({ loads, pressures, leavingTargets, crashEvidence: observations, leaving, storeEra }, from) => {
+        report: (report, from) => {
+            const { loads, pressures, leavingTargets, crashEvidence: observations, storeEra } = report;
             const nowMs = clock.now().monoMs;
             if (storeEra !== undefined) {
                 heldTerm.checkEra(storeEra);
             }
-            followers.recordReport(from, leaving, nowMs);
+            followers.recordReport(from, report, nowMs);
+            if (from !== undefined && (report.configVersion ?? Number.NEGATIVE_INFINITY) > view.platformConfigVersion) {
+                void dependencies.configFetcher.fetchFrom(from);
+            }
             news.broadcastLeaving(leavingTargets ?? [], from);
             news.queueEvidence(observations, from === undefined);
             ownershipManager.addLoads(loads, nowMs);
@@ -291,6 +301,7 @@
         },
         grantTrial: (params) => trialGranter.grant(params),
         storeAgeMs,
+        isConfigOutdated,
         configAgeMs,
         describe: () => ({
             term, resigned: heldTerm.isResigned, authorityAgeMs: Math.round(heldTerm.ageMs(clock.now())),
--- a/src/cluster/followers.ts
+++ b/src/cluster/followers.ts
@@ -5,15 +5,22 @@
 import type { MemberListUpdate, MemberListVersion } from "./memberList.js";
 import { MemberList } from "./memberList.js";
 import type { Member, Membership } from "./membership.js";
+import type { Report } from "./messages.js";
 import type { PeerConnection } from "./peerConnection.js";
 
 /** A follower that has not reported for this long is disconnected. */
 const followerTimeoutMs = 1_200;
 
+const noVersion = Number.NEGATIVE_INFINITY;
+
 interface Follower {
     member: Member;
     connection: PeerConnection;
     lastReportAtMs: number;
+    /** Time at which the last report was sent, by the follower's clock; undefined before the first report. */
+    lastReportSentAtMs: number | undefined;
+    /** Version of its configuration, if it has stated one. */
+    configVersion: number;
     leaving: boolean;
 }
 
@@ -33,11 +40,13 @@
     readonly listVersion: number;
     /** Adds a host, unless it follows over this connection already. It is removed when the connection closes. */
     add(member: Member, connection: PeerConnection): void;
-    /** Records that a follower has reported, and whether it is leaving. Other hosts are ignored. */
-    recordReport(from: PeerConnection | undefined, leaving: boolean, nowMs: number): void;
+    /** Version of the newest configuration that a follower applies; -Infinity without any. */
+    readonly newestConfigVersion: number;
+    /** Records what a follower's report tells of the follower itself. Other hosts are ignored. */
+    recordReport(from: PeerConnection | undefined, report: Pick<Report, "leaving" | "sentAtMs" | "configVersion">, nowMs: number): void;
     /** Disconnects the followers that have not reported for too long. */
     dropSilent(nowMs: number): void;
-    /** Sends a notification to every follower. */
+    /** Sends a notification to every follower, with the time of sending by the follower's own clock (`News.sentAtMs`). */
     notifyAll(method: string, params: object): void;
     /** Disconnects every follower. */
     disconnectAll(): void;
@@ -51,6 +60,19 @@
     const followers = new Map<PeerConnection, Follower>();
     const memberList = new MemberList();
 
+    let newestConfigVersion = noVersion;
+
+    const updateNewestConfigVersion = () => {
+        newestConfigVersion = Math.max(noVersion, ...[...followers.values()].map(({ configVersion }) => configVersion));
+    };
+
+    const recordConfigVersion = (follower: Follower, configVersion: number) => {
+        if (configVersion !== follower.configVersion) {
+            follower.configVersion = configVersion;
+            updateNewestConfigVersion();
+        }
+    };
+
     const listMembers = (): Member[] => [
         ...membership.isLeaving ? [] : [membership.self],
         ...[...followers.values()].filter(({ leaving }) => !leaving).map(({ member }) => member),
@@ -68,23 +90,32 @@
         get listVersion() {
             return memberList.version;
         },
+        get newestConfigVersion() {
+            return newestConfigVersion;
+        },
         add: (member, connection) => {
             if (followers.has(connection)) {
                 return;
             }
-            followers.set(connection, { member, connection, lastReportAtMs: clock.now().monoMs, leaving: false });
+            followers.set(connection, {
+                member, connection, leaving: false,
+                lastReportAtMs: clock.now().monoMs, lastReportSentAtMs: undefined, configVersion: noVersion,
+            });
             void connection.closed.then(() => {
                 followers.delete(connection);
+                updateNewestConfigVersion();
                 log.info("follower disconnected", { host: member.hostId });
                 updateMembers();
             });
             log.info("follower connected", { host: member.hostId, run: member.runId });
             updateMembers();
         },
-        recordReport: (from, leaving, nowMs) => {
+        recordReport: (from, { leaving, sentAtMs, configVersion }, nowMs) => {
             const follower = from === undefined ? undefined : followers.get(from);
             if (follower !== undefined) {
                 follower.lastReportAtMs = nowMs;
+                follower.lastReportSentAtMs = sentAtMs;
+                recordConfigVersion(follower, configVersion ?? noVersion);
                 if (leaving !== follower.leaving) {
                     follower.leaving = leaving;
                     updateMembers();
@@ -99,8 +130,10 @@
             }
         },
         notifyAll: (method, params) => {
-            for (const { connection } of followers.values()) {
-                connection.notify(method, params);
+            const nowMs = clock.now().monoMs;
+            for (const { connection, lastReportAtMs, lastReportSentAtMs } of followers.values()) {
+                const sentAtMs = lastReportSentAtMs === undefined ? undefined : lastReportSentAtMs + Math.floor(nowMs - lastReportAtMs);
+                connection.notify(method, sentAtMs === undefined ? params : { ...params, sentAtMs });
             }
         },
         disconnectAll: () => {
--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -4,15 +4,15 @@
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { Offset, Term } from "../model/names.js";
 import type { Clock } from "../model/time.js";
-import type { Log } from "../observe/log.js";
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { TopicReader } from "../store/topicReader.js";
 import type { ConfigAge } from "./configAge.js";
+import type { ConfigFetcher } from "./configFetcher.js";
 import { MemberListCopy } from "./memberList.js";
 import type { Membership } from "./membership.js";
 import type { MessageChecks } from "./messageChecks.js";
-import type { ConfigurationReply, FollowParams, FollowReply, News } from "./messages.js";
+import type { FollowParams, FollowReply, News } from "./messages.js";
 import { callTimeoutMs, clusterMethods } from "./messages.js";
 import type { PeerConnection } from "./peerConnection.js";
 
@@ -29,7 +29,7 @@
     configAge: ConfigAge;
     clock: Clock;
     checks: MessageChecks;
-    log: Log;
+    configFetcher: ConfigFetcher;
     /** Latest term that this host knows. */
     latestTerm: () => Term | undefined;
 }
@@ -38,25 +38,32 @@
 export interface NewsReceiver {
     /** Monotonic time at which the store last confirmed the coordinator's state. */
     readonly confirmedAtMs: number;
+    /** Monotonic time at which the store had certainly confirmed that this host knows the whole ledger. */
+    readonly ledgerConfirmedAtMs: number;
     /** Counts the state as confirmed now; used when following begins, while the age of the coordinator's state is not known. */
     assumeConfirmedNow(): void;
-    /** Applies what can be meant of an update, unless this host knows a later term. */
-    apply(news: News, from: PeerConnection): void;
+    /**
+     * Applies what can be meant of an update, unless this host knows a later term.
+     * @param sentAtMs monotonic time at which the update was sent at the earliest; undefined if only the update itself tells
+     */
+    apply(news: News, from: PeerConnection, sentAtMs?: number): void;
     /** Asks a coordinator for everything that this host lacks. */
     requestState(from: PeerConnection): Promise<Result<FollowReply, Failure>>;
 }
 
 /** Creates the receiver. */
 export function createNewsReceiver(
-    { view, reader, membership, owners, crashEvidence, configAge, clock, checks, log, latestTerm }: NewsReceiverDependencies,
+    { view, reader, membership, owners, crashEvidence, configAge, clock, checks, configFetcher, latestTerm }: NewsReceiverDependencies,
 ): NewsReceiver {
     let confirmedAtMs = Number.NEGATIVE_INFINITY;
+    let ledgerConfirmedAtMs = Number.NEGATIVE_INFINITY;
     let isCatchingUp = false;
+    let isFetchingConfig = false;
     let allTargetsRequestedAtMs = Number.NEGATIVE_INFINITY;
     const memberList = new MemberListCopy();
     const nowMs = () => clock.now().monoMs;
 
-    const apply = (received: News, from: PeerConnection) => {
+    const apply = (received: News, from: PeerConnection, sentAtMs?: number) => {
         const news = checks.news(received, from.address);
         if (news === undefined || news.term < (latestTerm() ?? 0)) {
             return;
@@ -74,6 +81,11 @@
             view.applyLedger(news.ledger, news.ledgerFrom ?? news.ledgerUpTo, news.ledgerUpTo);
             owners.refresh();
         }
+        // The time that an update spent on its way, or unread at this host, adds to the ages that it states.
+        const stateAtMs = Math.min(nowMs(), sentAtMs ?? news.sentAtMs ?? Number.NEGATIVE_INFINITY);
+        if (news.ledgerUpTo <= view.ledger.upTo) {
+            ledgerConfirmedAtMs = Math.max(ledgerConfirmedAtMs, stateAtMs - news.storeAgeMs);
+        }
         if (news.notice !== undefined) {
             owners.setNotice(news.notice, nowMs());
             view.notifyTargetsChanged();
@@ -83,10 +95,9 @@
             membership.update(members);
         }
         const coordinatorVersion = configVersionOf(news);
-        configAge.recordNews(coordinatorVersion, view.platformConfigVersion, nowMs() - (news.configAgeMs ?? Number.POSITIVE_INFINITY));
-        const isWrittenAgain = coordinatorVersion === view.platformConfigVersion && news.configOffset > (view.config?.offset ?? -1);
-        if (coordinatorVersion > view.platformConfigVersion || isWrittenAgain) {
-            void fetchConfig(from, coordinatorVersion);
+        configAge.recordNews(coordinatorVersion, view.platformConfigVersion, stateAtMs - (news.configAgeMs ?? Number.POSITIVE_INFINITY));
+        if (isNewerConfig(coordinatorVersion, news.configOffset)) {
+            void fetchConfig(from, coordinatorVersion, news.configOffset);
         }
         const targetsDiffer = news.targetsDigest !== view.targets.digest() && nowMs() - allTargetsRequestedAtMs > allTargetsRequestGapMs;
         if (news.ledgerUpTo > view.ledger.upTo || targetsDiffer || memberList.isBehind(news.term, news.membersVersion)) {
@@ -104,10 +115,11 @@
         }
         isCatchingUp = true;
         allTargetsRequestedAtMs = allTargets ? nowMs() : allTargetsRequestedAtMs;
+        const askedAtMs = nowMs();
         const reply = await requestState(from, allTargets);
         isCatchingUp = false;
         if (reply.isOk() && reply.value.accepted) {
-            apply(reply.value.news, from);
+            apply(reply.value.news, from, askedAtMs);
         }
     };
 
@@ -119,25 +131,33 @@
         return from.call<FollowReply>(clusterMethods.follow, params, callTimeoutMs);
     };
 
-    /** Returns the version of the coordinator's configuration. A host of an earlier version of the router states its offset only. */
+    /**
+     * Returns the version of the coordinator's configuration. A host of an earlier version of the router states its offset only; a later
+     * configuration then has a higher version.
+     */
     const configVersionOf = ({ configVersion, configOffset }: News): number => {
         const isLater = configOffset > (view.config?.offset ?? -1);
-        return configVersion ?? (isLater ? Number.POSITIVE_INFINITY : view.platformConfigVersion);
+        return configVersion ?? (isLater ? view.platformConfigVersion + 1 : view.platformConfigVersion);
     };
 
+    /** Tells whether a configuration is newer than this host's: of a higher version, or written again under the same one. */
+    const isNewerConfig = (version: number, offset: Offset): boolean => version > view.platformConfigVersion
+        || (version === view.platformConfigVersion && offset > (view.config?.offset ?? -1));
+
     /** Reads the configuration from the store, which is its primary source, or from the coordinator if it is not there. */
-    const fetchConfig = async (from: PeerConnection, coordinatorVersion: number) => {
-        await reader.read("configuration", 0);
-        if (view.platformConfigVersion >= coordinatorVersion) {
+    const fetchConfig = async (from: PeerConnection, version: number, offset: Offset) => {
+        if (isFetchingConfig) {
             return;
         }
-        const reply = await from.call<ConfigurationReply | undefined>(clusterMethods.configuration, {}, callTimeoutMs);
-        if (reply.isOk() && reply.value !== undefined) {
-            checks.configuration(reply.value, from.address).match(({ config, offset }) => {
-                view.applyConfig(config, offset, view.configUpTo);
-            }, (failed) => {
-                log.warn("configuration of another host cannot be meant", { peer: failed.peer, why: failed.message });
-            });
+        isFetchingConfig = true;
+        try {
+            await reader.read("configuration", 0);
+            if (isNewerConfig(version, offset)) {
+                await configFetcher.fetchFrom(from);
+            }
+        }
+        finally {
+            isFetchingConfig = false;
         }
     };
 
@@ -145,6 +165,9 @@
         get confirmedAtMs() {
             return confirmedAtMs;
         },
+        get ledgerConfirmedAtMs() {
+            return ledgerConfirmedAtMs;
+        },
         assumeConfirmedNow: () => {
             confirmedAtMs = nowMs();
         },
--- a/test/world/virtualStore.ts
+++ b/test/world/virtualStore.ts
@@ -42,10 +42,13 @@
     readonly disconnectedHosts = new Set<HostId>();
     /** While true, no call of a host is answered. */
     isDown = false;
+    /** Largest number of records in one page. */
+    maxPageRecords = Number.POSITIVE_INFINITY;
     /** Number of calls that hosts sent. */
     callCount = 0;
     faultRates: StoreFaultRates = { lostAnswer: 0, lateAppend: 0 };
     private readonly topics = new Map<TopicName, Topic>();
+    /** Number of times that the store came back from an older copy. */
     private era = 0 as Era;
 
     /**
@@ -63,6 +66,7 @@
     loseNewest(topic: TopicName, count: number): void {
         const { records } = this.getTopic(topic);
         records.splice(Math.max(0, records.length - count));
+        this.era = this.era + 1 as Era;
     }
 
     /** Copies all topics. */
@@ -156,7 +160,9 @@
         if (offset > topic.records.length || eraOf(from) !== this.era) {
             return { kind: "expired" };
         }
-        return { kind: "page", page: { records: this.recordsFrom(name, offset), next: positionOf(this.era, topic.records.length) } };
+        const records = this.recordsFrom(name, offset).slice(0, this.maxPageRecords);
+        const end = positionOf(this.era, topic.records.length);
+        return { kind: "page", page: { records, next: from + records.length as Offset, end } };
     }
 
     private append(records: readonly NewRecord[], expectedEnd: Offset | undefined): Promise<AppendOutcome | undefined> {
