The age of a configuration is counted from the report that the coordinator's news answers, not from the reading of the news

Cause: news states the age of the coordinator's configuration when it was sent; the receiver took it from the moment at which it read the news, however long that had waited. Change: a host's report and its call of follow state when they were sent, by its own clock; updates name the latest of these, and the age is counted from there, since the update was sent after it. Messages of earlier versions are taken as before. How old the rest of the state is (knowledgeAgeMs) is counted as before.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -191,12 +191,13 @@
             followers.disconnectAll();
         },
         follow: (params, from) => {
-            followers.add(params.member, from);
+            followers.add(params, from);
             return { accepted: true, news: news.fullNews(params, () => ownershipManager.notice(clock.now().monoMs)) };
         },
-        report: ({ loads, pressures, leavingTargets, crashEvidence: observations, leaving }, from) => {
+        report: (report, from) => {
+            const { loads, pressures, leavingTargets, crashEvidence: observations } = report;
             const nowMs = clock.now().monoMs;
-            followers.recordReport(from, leaving, nowMs);
+            followers.recordReport(from, report, nowMs);
             news.broadcastLeaving(leavingTargets ?? [], from);
             news.queueEvidence(observations, from === undefined);
             ownershipManager.addLoads(loads, nowMs);
--- a/src/cluster/followers.ts
+++ b/src/cluster/followers.ts
@@ -5,6 +5,8 @@
 import type { MemberListUpdate, MemberListVersion } from "./memberList.js";
 import { MemberList } from "./memberList.js";
 import type { Member, Membership } from "./membership.js";
+import type { FollowParams, News, Report } from "./messages.js";
+import { clusterMethods } from "./messages.js";
 import type { PeerConnection } from "./peerConnection.js";
 
 /** A follower that has not reported for this long is disconnected. */
@@ -14,6 +16,8 @@
     member: Member;
     connection: PeerConnection;
     lastReportAtMs: number;
+    /** Time at which the follower sent its last report, by its own clock. */
+    reportSentAtMs: number | undefined;
     leaving: boolean;
 }
 
@@ -31,14 +35,16 @@
 export interface Followers {
     /** Version of the list of running hosts. */
     readonly listVersion: number;
-    /** Adds a host, unless it follows over this connection already. It is removed when the connection closes. */
-    add(member: Member, connection: PeerConnection): void;
+    /** Adds a host that asks to follow, unless it follows over this connection already. It is removed when the connection closes. */
+    add(params: Pick<FollowParams, "member" | "sentAtMs">, connection: PeerConnection): void;
     /** Records that a follower has reported, and whether it is leaving. Other hosts are ignored. */
-    recordReport(from: PeerConnection | undefined, leaving: boolean, nowMs: number): void;
+    recordReport(from: PeerConnection | undefined, report: Pick<Report, "leaving" | "sentAtMs">, nowMs: number): void;
     /** Disconnects the followers that have not reported for too long. */
     dropSilent(nowMs: number): void;
-    /** Sends a notification to every follower. */
-    notifyAll(method: string, params: object): void;
+    /** Sends an update to every follower. */
+    sendToAll(news: News): void;
+    /** Sends an update to one follower. */
+    sendTo(connection: PeerConnection, news: News): void;
     /** Disconnects every follower. */
     disconnectAll(): void;
     /** The whole list of running hosts, or undefined for a host that has it already. */
@@ -64,15 +70,22 @@
         }
     };
 
+    const sendTo = (connection: PeerConnection, news: News) => {
+        const reportSentAtMs = followers.get(connection)?.reportSentAtMs;
+        connection.notify(clusterMethods.news, reportSentAtMs === undefined ? news : { ...news, reportSentAtMs });
+    };
+
     return {
         get listVersion() {
             return memberList.version;
         },
-        add: (member, connection) => {
-            if (followers.has(connection)) {
+        add: ({ member, sentAtMs }, connection) => {
+            const known = followers.get(connection);
+            if (known !== undefined) {
+                known.reportSentAtMs = sentAtMs;
                 return;
             }
-            followers.set(connection, { member, connection, lastReportAtMs: clock.now().monoMs, leaving: false });
+            followers.set(connection, { member, connection, lastReportAtMs: clock.now().monoMs, reportSentAtMs: sentAtMs, leaving: false });
             void connection.closed.then(() => {
                 followers.delete(connection);
                 log.info("follower disconnected", { host: member.hostId });
@@ -81,10 +94,11 @@
             log.info("follower connected", { host: member.hostId, run: member.runId });
             updateMembers();
         },
-        recordReport: (from, leaving, nowMs) => {
+        recordReport: (from, { leaving, sentAtMs }, nowMs) => {
             const follower = from === undefined ? undefined : followers.get(from);
             if (follower !== undefined) {
                 follower.lastReportAtMs = nowMs;
+                follower.reportSentAtMs = sentAtMs;
                 if (leaving !== follower.leaving) {
                     follower.leaving = leaving;
                     updateMembers();
@@ -98,11 +112,12 @@
                 }
             }
         },
-        notifyAll: (method, params) => {
-            for (const { connection } of followers.values()) {
-                connection.notify(method, params);
+        sendToAll: (news) => {
+            for (const connection of followers.keys()) {
+                sendTo(connection, news);
             }
         },
+        sendTo,
         disconnectAll: () => {
             for (const { connection } of followers.values()) {
                 connection.destroy();
--- a/src/cluster/messageChecks.ts
+++ b/src/cluster/messageChecks.ts
@@ -57,6 +57,7 @@
 
 const newsFields = z.object({
     term: z.int().check(z.gte(1)), storeAgeMs: durationMsSchema, configAgeMs: z.optional(durationMsSchema), configOffset: offsetSchema,
+    reportSentAtMs: z.optional(sequenceSchema),
     configVersion: z.optional(z.int().check(z.gte(-1))),
     targetsUpTo: offsetSchema, targetsDigest: z.int(),
     ledgerUpTo: offsetSchema, ledgerFrom: z.optional(offsetSchema), membersVersion: countSchema,
@@ -73,7 +74,7 @@
 
 const followSchema = z.object({
     member: memberSchema, ledgerUpTo: offsetSchema, targetsFrom: offsetSchema,
-    members: z.optional(z.object({ term: z.int(), version: countSchema })),
+    members: z.optional(z.object({ term: z.int(), version: countSchema })), sentAtMs: z.optional(sequenceSchema),
 });
 
 const trialSchema = z.object({ content: idSchema, exact: idSchema, expectedMs: durationMsSchema, deadlineLeftMs: leftMsSchema });
@@ -183,6 +184,7 @@
             }
             return {
                 leaving: fields.leaving,
+                sentAtMs: fields.sentAtMs,
                 loads: fields.loads.filter(isLoad),
                 pressures: checkPressures(fields.pressures, peer),
                 leavingTargets: checkPart("leaving targets", processesSchema, fields.leavingTargets, peer),
@@ -199,7 +201,7 @@
 }
 
 const reportFields = z.object({
-    leaving: z.boolean(), loads: z.array(z.unknown()), pressures: z.array(z.unknown()),
+    leaving: z.boolean(), sentAtMs: z.optional(sequenceSchema), loads: z.array(z.unknown()), pressures: z.array(z.unknown()),
     leavingTargets: z.optional(z.unknown()), crashEvidence: z.optional(z.unknown()),
 });
 
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -43,6 +43,8 @@
     targetsFrom: Offset;
     /** Version of the member list that the host has; absent if it has none. */
     members?: MemberListVersion;
+    /** See `Report.sentAtMs`. */
+    sentAtMs?: number;
 }
 
 /** Answer to `FollowParams`. */
@@ -56,6 +58,8 @@
     term: Term;
     /** Time since the store last confirmed the coordinator's state. */
     storeAgeMs: number;
+    /** `sentAtMs` of the receiver's latest report that the coordinator had; absent in messages of earlier versions. */
+    reportSentAtMs?: number;
     /** Time since the store last confirmed the coordinator's configuration; absent in messages of earlier versions. */
     configAgeMs?: number;
     /** Offset of the configuration that the coordinator applies; -1 if it has none. */
@@ -90,6 +94,8 @@
     leavingTargets?: readonly LeavingTarget[];
     /** What this host has observed of crashes since its last report; all that it knows in its first report to a coordinator. */
     crashEvidence?: CrashEvidenceUpdate;
+    /** Monotonic time of the reporting host at which it sent this; absent in messages of earlier versions. */
+    sentAtMs?: number;
     /** True once the host has begun to leave; the coordinator then removes it from the member list, so that it gets no more duties. */
     leaving: boolean;
 }
--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -10,6 +10,7 @@
 import type { TopicReader } from "../store/topicReader.js";
 import type { ConfigAge } from "./configAge.js";
 import { MemberListCopy } from "./memberList.js";
+import { sentAtMsOf } from "./hostReports.js";
 import type { Membership } from "./membership.js";
 import type { MessageChecks } from "./messageChecks.js";
 import type { ConfigurationReply, FollowParams, FollowReply, News } from "./messages.js";
@@ -83,7 +84,9 @@
             membership.update(members);
         }
         const coordinatorVersion = configVersionOf(news);
-        configAge.recordNews(coordinatorVersion, view.platformConfigVersion, nowMs() - (news.configAgeMs ?? Number.POSITIVE_INFINITY));
+        // The news may have waited to be read; it was sent after the report that it names.
+        const sentAfterMs = Math.min(nowMs(), news.reportSentAtMs ?? Number.POSITIVE_INFINITY);
+        configAge.recordNews(coordinatorVersion, view.platformConfigVersion, sentAfterMs - (news.configAgeMs ?? Number.POSITIVE_INFINITY));
         const isWrittenAgain = coordinatorVersion === view.platformConfigVersion && news.configOffset > (view.config?.offset ?? -1);
         if (coordinatorVersion > view.platformConfigVersion || isWrittenAgain) {
             void fetchConfig(from, coordinatorVersion);
@@ -114,7 +117,7 @@
     const requestState = (from: PeerConnection, allTargets = false) => {
         const params: FollowParams = {
             member: membership.self, ledgerUpTo: view.ledger.upTo, targetsFrom: allTargets ? 0 as Offset : view.targetsUpTo,
-            members: memberList.version,
+            members: memberList.version, sentAtMs: sentAtMsOf(clock),
         };
         return from.call<FollowReply>(clusterMethods.follow, params, callTimeoutMs);
     };
--- a/src/cluster/newsSender.ts
+++ b/src/cluster/newsSender.ts
@@ -12,7 +12,6 @@
 import type { ClusterView } from "../store/clusterView.js";
 import type { Followers } from "./followers.js";
 import type { FollowParams, News } from "./messages.js";
-import { clusterMethods } from "./messages.js";
 import type { PeerConnection } from "./peerConnection.js";
 
 /** Longest age that news state; older knowledge is of no use. */
@@ -82,7 +81,7 @@
         const news = createNews(content);
         const message = unsentLedger === undefined ? news : { ...news, ledger: unsentLedger.changes, ledgerFrom: unsentLedger.from };
         unsentLedger = undefined;
-        followers.notifyAll(clusterMethods.news, message);
+        followers.sendToAll(message);
     };
 
     const takeUnsentEvidence = (): Pick<News, "crashEvidence"> => {
@@ -106,8 +105,8 @@
                 log.info("targets announced that they are leaving", { targets: newlyLeaving.map(({ targetId }) => targetId) });
                 broadcast({ leavingTargets: newlyLeaving });
             }
-            if (leaving.length > newlyLeaving.length) {
-                from?.notify(clusterMethods.news, createNews({ leavingTargets: leaving }));
+            if (from !== undefined && leaving.length > newlyLeaving.length) {
+                followers.sendTo(from, createNews({ leavingTargets: leaving }));
             }
         },
         queueLedgerChanges: (changes, from) => {
@@ -135,6 +134,7 @@
                 leavingTargets: view.targets.leaving(),
                 ...crashEvidence.isEmpty ? {} : { crashEvidence: crashEvidence.snapshot(clock.now().monoMs) },
                 notice: createNotice(),
+                ...params.sentAtMs === undefined ? {} : { reportSentAtMs: params.sentAtMs },
             });
         },
     };
--- a/test/cluster/oddMessages.spec.ts
+++ b/test/cluster/oddMessages.spec.ts
@@ -169,9 +169,13 @@
         const { checks, warnings } = createChecks();
         expect(checks.news(news, "peer")).to.deep.equal(news);
         expect(checks.report(report, "peer")).to.deep.include(report);
+        const afterYearsMs = 1e11;
+        expect(checks.news({ ...news, reportSentAtMs: afterYearsMs } satisfies Partial<Record<keyof News, unknown>>, "peer")?.reportSentAtMs).to.equal(afterYearsMs);
+        expect(checks.report({ ...report, sentAtMs: afterYearsMs }, "peer")?.sentAtMs).to.equal(afterYearsMs);
         expect(checks.report({ ...report, crashEvidence: news.crashEvidence } satisfies Partial<Record<keyof Report, unknown>>, "peer")?.crashEvidence)
             .to.deep.equal(news.crashEvidence);
-        expect(checks.follow({ member: self, ledgerUpTo: 1 as Offset, targetsFrom: 0, members: { term: 3, version: 2 } }, "peer").isOk()).to.equal(true);
+        expect(checks.follow({ member: self, ledgerUpTo: 1 as Offset, targetsFrom: 0, members: { term: 3, version: 2 }, sentAtMs: afterYearsMs }, "peer").isOk())
+            .to.equal(true);
         expect(warnings).to.deep.equal([]);
     });
 });
