--- a/test/world/virtualTargets.ts
+++ b/test/world/virtualTargets.ts
@@ -125,14 +125,6 @@
         }
     }
 
-    /** Writes the directory again after the store came back from an older copy. */
-    restoreDirectory(): void {
-        this.publishEntries();
-        this.all().filter(({ isRegistered }) => !isRegistered).forEach((target) => {
-            this.deregister(target);
-        });
-    }
-
     /** Removes a target from the service directory. */
     deregister(target: VirtualTarget): void {
         target.isRegistered = false;
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -77,7 +77,10 @@
         this.store.isDown = false;
         this.returnCount += 1;
         this.store.put("configuration", "config", config);
-        this.targets.restoreDirectory();
+        this.targets.publishEntries();
+        this.targets.all().filter(({ isRegistered }) => !isRegistered).forEach((target) => {
+            this.targets.deregister(target);
+        });
     }
 
     /** Ends all faults, and restarts the hosts and targets that are down. */
