Messages for admission between hosts are checked before they are believed

An end without a kind threw in the queue, and the slot stayed taken until it expired. A reply with an odd time went into the forwarding of a request. Change: `admission/messageChecks.ts`: each field has its range; a request or reply with an odd one is answered with an error that names step, peer, field and value; an odd end counts as never sent, so that its slot is free; odd rate limits are left out alone. At most one log line a second, of bounded length, with the number of those between.

--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -5,7 +5,9 @@
 import type { TargetId } from "../model/names.js";
 import type { StatedRateLimit } from "../model/rateLimit.js";
 import type { Clock } from "../model/time.js";
+import type { Log } from "../observe/log.js";
 import type { QueueRefusalReason, Ticket } from "./admissionRequest.js";
+import { createAdmissionChecks } from "./messageChecks.js";
 import type { EnterParams, EnterReply, LeaveParams } from "./messages.js";
 import { admissionMethods } from "./messages.js";
 import type { QueueHosts } from "./queueHosts.js";
@@ -67,12 +69,14 @@
     links: PeerLinks;
     clock: Clock;
     nextTicket: () => Ticket;
+    log: Log;
 }
 
 /** Creates the admission client of this host. */
 export function createAdmissionClient(
-    { localServer, membership, queueHosts, links, clock, nextTicket }: AdmissionClientDependencies,
+    { localServer, membership, queueHosts, links, clock, nextTicket, log }: AdmissionClientDependencies,
 ): AdmissionClient {
+    const checks = createAdmissionChecks(log, clock);
     const isSelf = (member: Member) => member.hostId === membership.self.hostId;
 
     /** Returns the preferred reachable hosts, at most `maxHostsTried`. */
@@ -110,8 +114,9 @@
         return undefined;
     };
 
-    const requestSlotFromPeer = ({ peerAddress }: Member, params: EnterParams) => links.call<EnterReply>(
-        peerAddress, admissionMethods.enter, { ...params, sender: membership.self.hostId }, params.deadlineLeftMs + replyGraceMs);
+    const requestSlotFromPeer = async ({ peerAddress }: Member, params: EnterParams) => (await links.call<unknown>(
+        peerAddress, admissionMethods.enter, { ...params, sender: membership.self.hostId }, params.deadlineLeftMs + replyGraceMs,
+    )).andThen((reply) => checks.reply(reply, peerAddress));
 
     const notifyQueueHost = (member: Member, method: "leave" | "withdraw", params: Pick<LeaveParams, "group" | "ticket" | "rateLimit"> & { end?: WorkEnd }) => {
         if (!isSelf(member)) {
--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -1,14 +1,19 @@
 /** Server side of admission: keeps the admission queues that are assigned to this host and answers the requests of all hosts for slots. */
+import type { Result } from "neverthrow";
 import type { PeerConnection, PeerHandlers } from "../cluster/peerConnection.js";
+import type { Failure } from "../model/failure.js";
+import { describeFailure } from "../model/failure.js";
 import type { TargetId } from "../model/names.js";
 import { Signal, waitFor } from "../model/signal.js";
 import type { KnownTarget } from "../model/target.js";
 import { mayReceive } from "../model/target.js";
 import type { Clock } from "../model/time.js";
+import type { Log } from "../observe/log.js";
 import type { TargetPressure } from "../ownership/targetPressure.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { AdmissionRequest, AdmissionVerdict, Ticket } from "./admissionRequest.js";
 import { AdmissionQueue } from "./admissionQueue.js";
+import { createAdmissionChecks } from "./messageChecks.js";
 import type { EnterParams, EnterReply, Group, LeaveParams, WithdrawParams } from "./messages.js";
 import { admissionMethods, groupName } from "./messages.js";
 import type { QueueHosts } from "./queueHosts.js";
@@ -38,6 +43,7 @@
     /** Returns whether a target has stopped answering. */
     isSilent: (targetId: TargetId) => boolean;
     queueHosts: QueueHosts;
+    log: Log;
 }
 
 interface ManagedQueue {
@@ -74,8 +80,9 @@
 
 /** Creates the admission server of this host. */
 export function createAdmissionServer(
-    { view, clock, random, drainMs, isSilent, queueHosts }: AdmissionServerDependencies,
+    { view, clock, random, drainMs, isSilent, queueHosts, log }: AdmissionServerDependencies,
 ): AdmissionServer {
+    const checks = createAdmissionChecks(log, clock);
     const queues = new Map<string, ManagedQueue>();
     const requestQueued = new Signal();
     /** Requests that wait or hold a slot, by the connection that they came on. */
@@ -188,7 +195,8 @@
     return {
         enter, leave, withdraw,
         handlers: () => ({
-            [admissionMethods.enter]: async (params: EnterParams, from: PeerConnection) => {
+            [admissionMethods.enter]: async (message: unknown, from: PeerConnection) => {
+                const params = unwrapOrThrow(checks.enter(message, from.address));
                 const tickets = ticketsOf(from);
                 tickets.set(params.ticket, params.group);
                 const reply = await enter(params, params.sender ?? from.address);
@@ -197,13 +205,19 @@
                 }
                 return reply;
             },
-            [admissionMethods.leave]: (params: LeaveParams, from: PeerConnection) => {
-                ticketsOf(from).delete(params.ticket);
-                leave(params);
+            [admissionMethods.leave]: (message: unknown, from: PeerConnection) => {
+                const params = checks.leave(message, from.address);
+                if (params !== undefined) {
+                    ticketsOf(from).delete(params.ticket);
+                    leave(params);
+                }
             },
-            [admissionMethods.withdraw]: (params: WithdrawParams, from: PeerConnection) => {
-                ticketsOf(from).delete(params.ticket);
-                withdraw(params);
+            [admissionMethods.withdraw]: (message: unknown, from: PeerConnection) => {
+                const params = checks.withdraw(message, from.address);
+                if (params !== undefined) {
+                    ticketsOf(from).delete(params.ticket);
+                    withdraw(params);
+                }
             },
         }),
         run: async (signal) => {
@@ -231,6 +245,14 @@
     };
 }
 
+/** Returns a checked message. A failure is thrown, so that the calling host gets it as the answer to its call. */
+function unwrapOrThrow<T>(checked: Result<T, Failure>): T {
+    if (checked.isErr()) {
+        throw new Error(describeFailure(checked.error));
+    }
+    return checked.value;
+}
+
 function roundToHundredths(ratio: number): number {
     return Math.round(ratio * 100) / 100;
 }
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -114,6 +114,7 @@
             random: from.resolve(tokens.random),
             isSilent: (targetId) => owners.isSilent(targetId, clock.now().monoMs),
             queueHosts: from.resolve(tokens.queueHosts),
+            log: from.resolve(tokens.logFactory)("admission"),
         });
     });
     provide(tokens.queueHosts, (from) => new QueueHosts(from.resolve(tokens.membership), from.resolve(tokens.view)));
@@ -124,6 +125,7 @@
         links: from.resolve(tokens.links),
         clock: from.resolve(tokens.clock),
         nextTicket: createTicketGenerator(from.resolve(tokens.membership).self.runId),
+        log: from.resolve(tokens.logFactory)("admission"),
     }));
     provide(tokens.retryBudgets, (from) => createRetryBudgets(
         { ratio: settings.retryRatio, extra: settings.extraRetries }, () => from.resolve(tokens.membership).members().length));
--- a/src/model/schemaIssues.ts
+++ b/src/model/schemaIssues.ts
@@ -38,8 +38,8 @@
     return path.reduce<unknown>((inner, part) => (inner as Record<PropertyKey, unknown> | undefined)?.[part], value);
 }
 
-/** Describes a value without walking it, since it may be large. */
-function describeFoundValue(value: unknown): string {
+/** Describes a value in a few characters, without walking it, since it may be large. */
+export function describeFoundValue(value: unknown): string {
     if (typeof value === "object") {
         return Array.isArray(value) ? `a list of ${String(value.length)}` : value ? "an object" : "null";
     }
--- a/test/admission/admissionClient.spec.ts
+++ b/test/admission/admissionClient.spec.ts
@@ -14,6 +14,7 @@
 import type { Address, DataCentreId, HostId, RunId, ServiceId, TargetId } from "../../src/model/names.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 import { VirtualClock } from "../support/virtualTime.js";
+import { silentLog } from "../support/silentLog.js";
 
 const here = "here" as DataCentreId;
 
@@ -29,7 +30,7 @@
     const view = new ClusterView();
     const queueHosts = new QueueHosts(membership, view);
     const localServer = createAdmissionServer({
-        view, clock, random: () => 0.5, drainMs: 1_000, isSilent: () => false, queueHosts,
+        view, clock, random: () => 0.5, drainMs: 1_000, isSilent: () => false, queueHosts, log: silentLog,
     });
     const askedHosts: string[] = [];
     const sent: EnterParams[] = [];
@@ -47,7 +48,7 @@
     } as unknown as PeerLinks;
     let tickets = 0;
     const client = createAdmissionClient({
-        localServer, membership, links, clock, queueHosts,
+        localServer, membership, links, clock, queueHosts, log: silentLog,
         nextTicket: () => {
             tickets += 1;
             return `t${String(tickets)}` as Ticket;
@@ -73,6 +74,16 @@
         expect(askedHosts).to.deep.equal(["other"]);
     });
 
+    it("tries the next host when one answers with what can't be meant, such as a slot at no target", async () => {
+        for (const odd of [{ granted: 5, expectedMs: 1 }, { granted: "k1", expectedMs: Number.NaN }, { refused: "why" }, {}, undefined]) {
+            const { enter, askedHosts } = setUp({ odd: odd as unknown as EnterReply, other: { granted: "k1" as TargetId, expectedMs: 10 } });
+            for (const name of ["a", "b", "c", "d", "e"]) {
+                expect(await enter({ kind: "service", serviceId: name as ServiceId })).to.deep.include({ kind: "granted", expectedMs: 10 });
+            }
+            expect(askedHosts).to.include("odd");
+        }
+    });
+
     it("prefers hosts with a larger CPU share for the queue of a service, but not for that of a single target", async () => {
         const names = Array.from({ length: 20 }, (_, index) => `host-${String(index)}`);
         const replies = Object.fromEntries(names.map((name) => [name, { granted: "k1" as TargetId, expectedMs: 10 }]));
--- a/test/admission/hostPair.ts
+++ b/test/admission/hostPair.ts
@@ -14,6 +14,7 @@
 import type { Address, DataCentreId, HostId, Offset, RunId, ServiceId, TargetId } from "../../src/model/names.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 import { VirtualClock } from "../support/virtualTime.js";
+import { silentLog } from "../support/silentLog.js";
 
 const dataCentreId = "here" as DataCentreId;
 const targetId = "t1" as TargetId;
@@ -80,7 +81,7 @@
     private createServer(hostName: string, view: ClusterView) {
         const queueHosts = new QueueHosts(new Membership(member(hostName)), view);
         return createAdmissionServer({
-            view, clock: this.clock, random: () => 0.5, drainMs: 1_000, isSilent: () => false,
+            view, clock: this.clock, random: () => 0.5, drainMs: 1_000, isSilent: () => false, log: silentLog,
             queueHosts: {
                 ranked: (ofGroup: Group) => queueHosts.ranked(ofGroup),
                 rateLimitShare: () => {
@@ -98,7 +99,7 @@
         const view = new ClusterView();
         return createAdmissionClient({
             localServer: this.createServer(hostName, view), membership, queueHosts: new QueueHosts(membership, view), clock: this.clock,
-            links: this.createLinks(),
+            links: this.createLinks(), log: silentLog,
             nextTicket: () => {
                 this.ticketCount += 1;
                 return `ticket-${String(this.ticketCount)}` as Ticket;
--- a/test/admission/queueHandover.spec.ts
+++ b/test/admission/queueHandover.spec.ts
@@ -18,6 +18,7 @@
 import { ClusterView } from "../../src/store/clusterView.js";
 import { SeededRandom } from "../support/seededRandom.js";
 import { VirtualClock } from "../support/virtualTime.js";
+import { silentLog } from "../support/silentLog.js";
 
 const here = "here" as DataCentreId;
 const targetId = "t1" as TargetId;
@@ -73,10 +74,10 @@
         const membership = new Membership(member);
         const queueHosts = new QueueHosts(membership, view);
         const server = createAdmissionServer({
-            view, clock: this.clock, random: () => this.random.uniform(), drainMs: 1_000, isSilent: () => false, queueHosts,
+            view, clock: this.clock, random: () => this.random.uniform(), drainMs: 1_000, isSilent: () => false, queueHosts, log: silentLog,
         });
         const client = createAdmissionClient({
-            localServer: server, membership, queueHosts, clock: this.clock, links: this.createLinks(name),
+            localServer: server, membership, queueHosts, clock: this.clock, log: silentLog, links: this.createLinks(name),
             nextTicket: () => {
                 this.ticketCount += 1;
                 return `${name}-${String(this.ticketCount)}` as Ticket;
--- a/test/world/virtualHosts.ts
+++ b/test/world/virtualHosts.ts
@@ -122,11 +122,12 @@
         const links = this.createPeerLinks(hostId, run);
         const queueHosts = new QueueHosts(membership, view);
         const admissionServer = createAdmissionServer({
-            view, clock: process.clock, random: () => this.retryJitter.uniform(), drainMs, queueHosts,
+            view, clock: process.clock, random: () => this.retryJitter.uniform(), drainMs, queueHosts, log,
             isSilent: (targetId) => owners.isSilent(targetId, process.clock.now().monoMs),
         });
         run.admission = createAdmissionClient({
-            localServer: admissionServer, membership, queueHosts, links, clock: process.clock, nextTicket: () => this.nextTicket(hostId),
+            localServer: admissionServer, membership, queueHosts, links, log, clock: process.clock,
+            nextTicket: () => this.nextTicket(hostId),
         });
         run.node = createNode({
             self, view, store, reader, owners, loads, log,
