A trial whose request certainly did not run is given back

Change: the grant states its time. The host that holds it gives it back if its attempt ended as turned away or unreachable, or if the grant came too late to be used. The coordinator records `isReturned` with that very trial: same fingerprints, same time of grant, not given back before, and none of them being recorded. Such a trial does not count, and the next one is due 5 s later (each costs two appends). BUDGET: a run more over all hosts stays impossible. Only the holder gives a trial back, after the end of its attempt; lost, late, answered and dropped ends are not given back; a host that is lost, a message that is lost, a coordinator that may not act, or a store that takes no record leave the trial used up, as before; a return that comes twice or after the next grant changes nothing. Hosts of earlier versions take a returned trial for used up. Still used up: a trial that is recorded too late to be granted.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -1,7 +1,7 @@
 /** The coordinator: reads the store on behalf of all hosts, sends them updates, and manages the ownership of keys. */
 import { setMaxListeners } from "node:events";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
-import type { TrialParams, TrialReply } from "../crashes/trial.js";
+import type { TrialParams, TrialReply, TrialReturn } from "../crashes/trial.js";
 import type { Term } from "../model/names.js";
 import { linkAborts } from "../model/signal.js";
 import type { Clock, Instant } from "../model/time.js";
@@ -66,6 +66,8 @@
     resign(): ResignReply;
     /** Decides whether a request may run once after its quarantine. */
     grantTrial(params: TrialParams): Promise<TrialReply>;
+    /** Takes back a trial whose request certainly did not run. */
+    takeBackTrial(params: TrialReturn): Promise<void>;
     /** Time since the store last confirmed the term, or since the targets were last read, whichever is longer. */
     storeAgeMs(now: Instant): number;
     /** Time since the store last confirmed that no newer configuration is in force; infinite if the newest one can't be decoded. */
@@ -113,7 +115,9 @@
         },
     });
 
-    const trialGranter = createTrialGranter({ evidence: crashEvidence, writer, mayAct, clock, log });
+    const trialGranter = createTrialGranter({
+        evidence: crashEvidence, recordedTrials: () => view.ledger.trials(), writer, mayAct, clock, log,
+    });
 
     const ownershipManager: OwnershipManager = createOwnershipManager({
         view, clock, log, writer, leases: dependencies.leases,
@@ -211,6 +215,7 @@
             return { resigned: true, grantsLastMs: ownershipManager.grantsLastMs(now.monoMs) };
         },
         grantTrial: (params) => trialGranter.grant(params),
+        takeBackTrial: (params) => trialGranter.takeBack(params),
         storeAgeMs,
         configAgeMs,
         describe: () => ({
--- a/src/cluster/following.ts
+++ b/src/cluster/following.ts
@@ -1,7 +1,7 @@
 /** Follows the coordinator: receives its updates, reports to it, and notices when it is lost or cut off from the store. */
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { CrashObserver } from "../crashes/crashObserver.js";
-import type { TrialParams, TrialReply } from "../crashes/trial.js";
+import type { TrialParams, TrialReply, TrialReturn } from "../crashes/trial.js";
 import { trialGrantValidMs } from "../crashes/trial.js";
 import { Signal, waitFor } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
@@ -68,6 +68,8 @@
     isInContact(nowMs: number): boolean;
     /** Asks the coordinator whether a request may run once after its quarantine. */
     requestTrial(params: TrialParams): Promise<TrialReply>;
+    /** Tells the coordinator that the request of a trial certainly did not run. */
+    returnTrial(params: TrialReturn): void;
 }
 
 /** Creates a follower that follows no coordinator yet. */
@@ -159,5 +161,8 @@
             const reply = await coordinatorConnection?.call<TrialReply>(clusterMethods.trial, params, trialGrantValidMs);
             return reply?.isOk() === true ? reply.value : { kind: "unavailable" };
         },
+        returnTrial: (params) => {
+            coordinatorConnection?.notify(clusterMethods.trialReturn, params);
+        },
     };
 }
--- a/src/cluster/messageChecks.ts
+++ b/src/cluster/messageChecks.ts
@@ -5,7 +5,7 @@
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import * as z from "zod/mini";
-import type { TrialParams } from "../crashes/trial.js";
+import type { TrialParams, TrialReturn } from "../crashes/trial.js";
 import type { TargetPressure } from "../ownership/targetPressure.js";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
@@ -78,6 +78,8 @@
 
 const trialSchema = z.object({ content: idSchema, exact: idSchema, expectedMs: durationMsSchema, deadlineLeftMs: leftMsSchema });
 
+const trialReturnSchema = z.object({ content: idSchema, exact: idSchema, grantedWallMs: wallMsSchema });
+
 const maxSlowness = 1_000_000;
 const maxRequestsPerSecond = 1_000_000_000;
 
@@ -111,6 +113,7 @@
     follow(message: unknown, peer: string): Result<FollowParams, Failure>;
     configuration(message: unknown, peer: string): Result<ConfigurationReply, Failure>;
     trial(message: unknown, peer: string): Result<TrialParams, Failure>;
+    trialReturn(message: unknown, peer: string): Result<TrialReturn, Failure>;
     /** Returns an announced term. */
     term(message: unknown, peer: string): Result<TermRecord, Failure>;
 }
@@ -193,6 +196,7 @@
         configuration: (message, peer) =>
             checkWhole(configurationSchema, message, peer).map((reply) => reply as unknown as ConfigurationReply),
         trial: (message, peer) => checkWhole(trialSchema, message, peer).map((params) => params as unknown as TrialParams),
+        trialReturn: (message, peer) => checkWhole(trialReturnSchema, message, peer).map((params) => params as unknown as TrialReturn),
         term: (message, peer) => parseLedgerRecord(termKey, message).mapErr((why) => failure("invalid", "peer-call", peer, why))
             .andThen((record) => record.kind === "term" ? ok(record) : err(failure("invalid", "peer-call", peer, "is no term"))),
     };
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -26,6 +26,7 @@
     resign: "resign",
     /** A host asks whether a request may run once after its quarantine. */
     trial: "trial",
+    trialReturn: "trialReturn",
     /** A coordinator that is leaving asks a host to take over. */
     succeed: "succeed",
     /** A new coordinator announces its term, so that hosts that cannot read the store learn of it too. */
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -2,7 +2,7 @@
 import type { AdmissionServer } from "../admission/admissionServer.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { CrashObserver } from "../crashes/crashObserver.js";
-import type { TrialParams, TrialReply } from "../crashes/trial.js";
+import type { TrialParams, TrialReply, TrialReturn } from "../crashes/trial.js";
 import { linkAborts, waitFor } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import type { Log } from "../observe/log.js";
@@ -67,6 +67,8 @@
     isInContact(nowMs: number): boolean;
     /** Asks the coordinator whether a request may run once after its quarantine. */
     requestTrial(params: TrialParams): Promise<TrialReply>;
+    /** Tells the coordinator that the request of a trial certainly did not run; without a coordinator the trial is used up. */
+    returnTrial(params: TrialReturn): void;
     describe(): object;
 }
 
@@ -181,6 +183,13 @@
         isCoordinating: () => coordinator !== undefined,
         isInContact: (atMs) => coordinator !== undefined || following.isInContact(atMs),
         requestTrial: async (params) => coordinator === undefined ? following.requestTrial(params) : coordinator.grantTrial(params),
+        returnTrial: (params) => {
+            if (coordinator === undefined) {
+                following.returnTrial(params);
+                return;
+            }
+            void coordinator.takeBackTrial(params);
+        },
         knowledgeAgeMs: ages.knowledgeAgeMs,
         configAgeMs: ages.configAgeMs,
         describe: () => ({
--- a/src/cluster/nodeHandlers.ts
+++ b/src/cluster/nodeHandlers.ts
@@ -1,6 +1,6 @@
 /** The RPC methods of a host as a member of the cluster. */
 import type { Result } from "neverthrow";
-import type { TrialParams, TrialReply } from "../crashes/trial.js";
+import type { TrialParams, TrialReply, TrialReturn } from "../crashes/trial.js";
 import type { Failure } from "../model/failure.js";
 import { describeFailure } from "../model/failure.js";
 import type { Address } from "../model/names.js";
@@ -46,6 +46,8 @@
         [clusterMethods.resign]: (): ResignReply => coordinator()?.resign() ?? { resigned: false },
         [clusterMethods.trial]: (params: TrialParams, from: PeerConnection): Promise<TrialReply> | TrialReply =>
             coordinator()?.grantTrial(unwrapOrThrow(checks.trial(params, from.address))) ?? { kind: "unavailable" },
+        [clusterMethods.trialReturn]: (params: TrialReturn, from: PeerConnection) =>
+            coordinator()?.takeBackTrial(unwrapOrThrow(checks.trialReturn(params, from.address))),
         [clusterMethods.succeed]: ({ address }: { address: Address }) => {
             void takeover.takeOverFrom(address);
         },
--- a/src/crashes/crashEvidence.ts
+++ b/src/crashes/crashEvidence.ts
@@ -7,7 +7,7 @@
 import { processKeyOf } from "./crashReport.js";
 import type { Fingerprint, RequestFingerprints } from "./requestFingerprint.js";
 import type { Trial, TrialReport, TrialTerms } from "./trial.js";
-import { quarantineRemainingMs } from "./trial.js";
+import { countTrials, quarantineRemainingMs } from "./trial.js";
 
 /** Limits on what is kept. */
 const maxCrashes = 128;
@@ -119,7 +119,7 @@
         return this.standingOf(request, nowMs).kind !== "trial-due" ? [] : [request.content, request.exact].flatMap((fingerprint) => {
             const suspicion = this.assess().get(fingerprint);
             return suspicion === undefined || this.standingOfFingerprint(fingerprint, nowMs).kind !== "trial-due" ? [] : [{
-                fingerprint, number: (this.lastTrialOf(fingerprint)?.number ?? 0) + 1, excessCount: quarantineExcess(suspicion),
+                fingerprint, number: countTrials(this.lastTrialOf(fingerprint)) + 1, excessCount: quarantineExcess(suspicion),
             }];
         });
     }
--- a/src/crashes/crashRecords.ts
+++ b/src/crashes/crashRecords.ts
@@ -122,8 +122,9 @@
  * @param now current time of this host
  */
 export function toTrialReport(record: TrialRecord, isNew: boolean, now: Instant): TrialReport {
-    const { fingerprint, number, excessCount, expectedMs, outcomeWithinMs, grantedWallMs } = record;
+    const { fingerprint, number, excessCount, expectedMs, outcomeWithinMs, grantedWallMs, isReturned } = record;
     return {
         fingerprint, number, excessCount, expectedMs, outcomeWithinMs, agoMs: isNew ? 0 : Math.max(0, now.wallMs - grantedWallMs),
+        ...isReturned === undefined ? {} : { isReturned },
     };
 }
--- a/src/crashes/trial.ts
+++ b/src/crashes/trial.ts
@@ -21,6 +21,9 @@
 /** Time within which all hosts learn how a run ended. */
 const newsDelayMs = 250;
 
+/** Time until the next trial after one that was given back; each costs two appends to the ledger, and the target may turn all away. */
+const returnedPauseMs = 5_000;
+
 /** A grant that arrives later than this after it was asked for is not used. */
 export const trialGrantValidMs = 500;
 
@@ -35,6 +38,8 @@
     expectedMs: number;
     /** Time from the grant until the trial counts as used up if its outcome is not known. */
     outcomeWithinMs: number;
+    /** Set if the request certainly did not run; the trial does not count then. */
+    isReturned?: true;
 }
 
 /** A trial that was granted some time ago. */
@@ -57,12 +62,23 @@
 
 /** Answer to `TrialParams`. */
 export type TrialReply =
-    /** The request may be sent once, within `trialGrantValidMs`. */
-    | { kind: "granted" }
+    /** The request may be sent once, within `trialGrantValidMs`. The time tells the grant from others; earlier versions don't state it. */
+    | { kind: "granted"; grantedWallMs?: number }
     | { kind: "refused"; retryAfterMs: number }
     /** There is no coordinator, or it can't write to the store. */
     | { kind: "unavailable" };
 
+/** Gives back a trial whose request certainly did not run. */
+export interface TrialReturn extends RequestFingerprints {
+    /** See `TrialReply`. */
+    grantedWallMs: number;
+}
+
+/** Returns the number of trials that count, up to the given one. */
+export function countTrials(trial: TrialTerms | undefined): number {
+    return trial === undefined ? 0 : trial.number - (trial.isReturned === true ? 1 : 0);
+}
+
 /** Returns the times of a trial. */
 export function trialTimes({ expectedMs, deadlineLeftMs }: TrialParams): Pick<TrialTerms, "expectedMs" | "outcomeWithinMs"> {
     const outcomeWithinMs = Math.round(Math.min(maxOutcomeMs, Math.max(0, deadlineLeftMs) + outcomeMarginMs));
@@ -80,11 +96,14 @@
 
 /** Returns the time for which requests are still to be refused; 0 if a trial of them is due. */
 export function quarantineRemainingMs({ lastCrashMs, excessCount, trial }: QuarantineHistory, nowMs: number): number {
-    const durationMs = quarantineMs(Math.max(excessCount, (trial?.number ?? 0) - 1));
+    const durationMs = quarantineMs(Math.max(excessCount, countTrials(trial) - 1));
     const fromCrashMs = lastCrashMs + durationMs - nowMs;
     if (trial === undefined || excessCount > trial.excessCount) {
         return Math.max(0, fromCrashMs);
     }
+    if (trial.isReturned === true) {
+        return Math.max(0, trial.grantedMs + returnedPauseMs - nowMs);
+    }
     const overdueMs = trial.grantedMs + trial.outcomeWithinMs;
     return nowMs < overdueMs
         ? Math.max(newsDelayMs, trial.grantedMs + trial.expectedMs - nowMs)
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -59,6 +59,7 @@
     crashEvidence: CrashEvidence;
     /** Asks the coordinator whether a request may run once after its quarantine. */
     requestTrial: QuarantineGuardDependencies["requestTrial"];
+    returnTrial: QuarantineGuardDependencies["returnTrial"];
     /** Tells whether this host learns at once what other hosts learn of crashes. */
     isInContact: QuarantineGuardDependencies["isInContact"];
     clock: Clock;
--- a/src/forwarding/quarantineGuard.ts
+++ b/src/forwarding/quarantineGuard.ts
@@ -4,7 +4,7 @@
  * same places.
  */
 import type { CrashEvidence, Standing } from "../crashes/crashEvidence.js";
-import type { TrialParams, TrialReply } from "../crashes/trial.js";
+import type { TrialParams, TrialReply, TrialReturn } from "../crashes/trial.js";
 import { trialGrantValidMs } from "../crashes/trial.js";
 import type { Refusal } from "../entry/clientCall.js";
 import type { Signal } from "../model/signal.js";
@@ -26,6 +26,8 @@
     crashEvidence: CrashEvidence;
     /** Asks the coordinator for a trial. */
     requestTrial: (params: TrialParams) => Promise<TrialReply>;
+    /** Gives back a trial whose request certainly did not run. */
+    returnTrial: (params: TrialReturn) => void;
     /** Tells whether this host learns at once what other hosts learn of crashes. */
     isInContact: (nowMs: number) => boolean;
     clock: Clock;
@@ -60,7 +62,7 @@
 
 /** Creates the guard. */
 export function createQuarantineGuard(
-    { placer, crashEvidence, requestTrial, isInContact, clock, stopRefusalOf, shutdownStarted }: QuarantineGuardDependencies,
+    { placer, crashEvidence, requestTrial, returnTrial, isInContact, clock, stopRefusalOf, shutdownStarted }: QuarantineGuardDependencies,
 ): QuarantineGuard {
     const nowMs = () => clock.now().monoMs;
     let noTrialsUntilMs = Number.NEGATIVE_INFINITY;
@@ -128,13 +130,25 @@
     /** Has the run recorded for which the slot is; nothing may come between the end of this and the sending of the request. */
     const startTrial = async (context: RequestContext, slot: TargetSlot, fingerprint: Fingerprint): Promise<Placement> => {
         const askedMs = nowMs();
+        const fingerprints = context.getFingerprints();
         const reply = await requestTrial({
-            ...context.getFingerprints(), expectedMs: Math.round(slot.expectedMs), deadlineLeftMs: Math.round(context.deadlineMs - askedMs),
+            ...fingerprints, expectedMs: Math.round(slot.expectedMs), deadlineLeftMs: Math.round(context.deadlineMs - askedMs),
         });
         const isInTime = nowMs() - askedMs <= trialGrantValidMs;
+        const giveBack = () => {
+            if (reply.kind === "granted" && reply.grantedWallMs !== undefined) {
+                returnTrial({ ...fingerprints, grantedWallMs: reply.grantedWallMs });
+            }
+        };
         if (reply.kind === "granted" && isInTime) {
-            return { ...slot, isTrial: true };
+            return { ...slot, isTrial: true, release: (end) => {
+                slot.release(end);
+                if (end.kind === "turned-away" || end.kind === "unreachable") {
+                    giveBack();
+                }
+            } };
         }
+        giveBack();
         slot.release({ kind: "dropped" });
         if (reply.kind === "unavailable" || !isInTime) {
             noTrialsUntilMs = nowMs() + retryAfterUnavailableMs;
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -163,6 +163,9 @@
         crashObserver: from.resolve(tokens.crashObserver),
         crashEvidence: from.resolve(tokens.crashEvidence),
         requestTrial: (params) => from.resolve(tokens.node).requestTrial(params),
+        returnTrial: (params) => {
+            from.resolve(tokens.node).returnTrial(params);
+        },
         isInContact: (nowMs) => from.resolve(tokens.node).isInContact(nowMs),
         pool: from.resolve(tokens.pool),
         dialect: from.resolve(tokens.targetDialect),
--- a/src/ownership/ledgerDecoder.ts
+++ b/src/ownership/ledgerDecoder.ts
@@ -54,6 +54,7 @@
     z.object({
         kind: z.literal("trial"), fingerprint: idSchema, number: positiveCountSchema, excessCount: countSchema,
         expectedMs: durationMsSchema, outcomeWithinMs: durationMsSchema, grantedWallMs: wallMsSchema,
+        isReturned: z.optional(z.literal(true)),
     }),
     z.object({
         kind: z.literal("ownership"), targetId: idSchema, serviceId: nameSchema, address: ownerAddressSchema, ranges: rangesSchema,
--- a/test/cluster/trialGrants.spec.ts
+++ b/test/cluster/trialGrants.spec.ts
@@ -7,7 +7,7 @@
 import { createTrialGranter } from "../../src/cluster/trialGrants.js";
 import { CrashEvidence } from "../../src/crashes/crashEvidence.js";
 import type { Fingerprint } from "../../src/crashes/requestFingerprint.js";
-import type { TrialParams } from "../../src/crashes/trial.js";
+import type { TrialParams, TrialReturn } from "../../src/crashes/trial.js";
 import type { Failure } from "../../src/model/failure.js";
 import { failure } from "../../src/model/failure.js";
 import type { Offset, ServiceId, TargetId } from "../../src/model/names.js";
@@ -75,7 +75,10 @@
         }
         return result;
     } } as unknown as LedgerWriter;
-    return { ...createTrialGranter({ evidence: host.evidence, writer, mayAct, clock: host.clock, log: silentLog }), written };
+    const granter = createTrialGranter({
+        evidence: host.evidence, recordedTrials: () => host.view.ledger.trials(), writer, mayAct, clock: host.clock, log: silentLog,
+    });
+    return { ...granter, written };
 }
 
 describe("a coordinator grants a trial", () => {
@@ -178,6 +181,80 @@
         expect(host.view.ledger.trials().map(({ number }) => number)).to.deep.equal([2, 2]);
     });
 
+    /** Asks for a trial that must be granted, and returns what gives it back. */
+    const grantOnce = async (granter: TrialGranter): Promise<TrialReturn> => {
+        const [reply] = await ask(granter);
+        const { grantedWallMs } = reply as { grantedWallMs?: number };
+        expect(reply).to.deep.equal({ kind: "granted", grantedWallMs });
+        return { content: request.content, exact: request.exact, grantedWallMs: grantedWallMs ?? Number.NaN };
+    };
+
+    /** Gives a trial back, and lets a second pass. */
+    const giveBack = async (granter: TrialGranter, trial: TrialReturn) => {
+        void granter.takeBack(trial);
+        await clock.advance(1_000);
+    };
+
+    it("again 5 s after one whose request did not run, however often, and a longer quarantine only after one that did", async () => {
+        await clock.advance(16_000);
+        const granter = createGranter(host);
+        for (let count = 0; count < 5; count++) {
+            await giveBack(granter, await grantOnce(granter));
+            expect((await ask(granter)).map(({ kind }) => kind)).to.deep.equal(["refused"]);
+            await clock.advance(4_000);
+        }
+        expect(host.view.ledger.trials().map(({ number }) => number)).to.deep.equal([1, 1]);
+        await grantOnce(granter);
+        await clock.advance(16_000);
+        expect((await ask(granter)).map(({ kind }) => kind)).to.deep.equal(["refused"]);
+        await clock.advance(1_000);
+        await grantOnce(granter);
+        expect(host.view.ledger.trials().map(({ number }) => number)).to.deep.equal([2, 2]);
+    });
+
+    it("only once for one that is given back again, or so late that the next one has been granted", async () => {
+        await clock.advance(16_000);
+        const granter = createGranter(host);
+        const first = await grantOnce(granter);
+        await giveBack(granter, first);
+        await clock.advance(5_000);
+        await grantOnce(granter);
+        const writtenCount = granter.written.length;
+        await giveBack(granter, first);
+        await giveBack(granter, { ...first, grantedWallMs: first.grantedWallMs - 1 });
+        await clock.advance(5_000);
+        expect(granter.written).to.have.length(writtenCount);
+        expect((await ask(granter)).map(({ kind }) => kind)).to.deep.equal(["refused"]);
+    });
+
+    it("not again if the record that it was given back can't be written, or if it may not act", async () => {
+        await clock.advance(16_000);
+        let isFailing = false;
+        let isActing = true;
+        const granter = createGranter(
+            host, 5, () => isFailing ? err(failure("refused", "store-append", "ledger", "no")) : ok(undefined), () => isActing);
+        const trial = await grantOnce(granter);
+        isFailing = true;
+        await giveBack(granter, trial);
+        [isFailing, isActing] = [false, false];
+        await giveBack(granter, trial);
+        isActing = true;
+        await clock.advance(6_000);
+        expect((await ask(granter)).map(({ kind }) => kind)).to.deep.equal(["refused"]);
+    });
+
+    it("that was given back, also if it is a later coordinator that grants the next one", async () => {
+        await clock.advance(16_000);
+        const granter = createGranter(host);
+        await giveBack(granter, await grantOnce(granter));
+        const successor: Host = { evidence: new CrashEvidence(), view: new ClusterView(), clock };
+        successor.evidence.merge(host.evidence.snapshot(clock.now().monoMs), clock.now().monoMs);
+        append(successor, granter.written);
+        watchCrashRecords(successor.view, successor.evidence, clock);
+        await clock.advance(5_000);
+        expect((await ask(createGranter(successor))).map(({ kind }) => kind)).to.deep.equal(["granted"]);
+    });
+
     it("no more once the request has been run to its end, since it is clear", async () => {
         await clock.advance(16_000);
         const granter = createGranter(host);
--- a/test/crashes/trial.spec.ts
+++ b/test/crashes/trial.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import type { Fingerprint } from "../../src/crashes/requestFingerprint.js";
 import type { Trial, TrialParams } from "../../src/crashes/trial.js";
-import { quarantineRemainingMs, trialTimes } from "../../src/crashes/trial.js";
+import { countTrials, quarantineRemainingMs, trialTimes } from "../../src/crashes/trial.js";
 
 const minuteMs = 60_000;
 const hourMs = 60 * minuteMs;
@@ -56,6 +56,23 @@
         }
     });
 
+    it("lets at most three runs happen in four hours, however many trials are given back between them", () => {
+        let last: Trial | undefined;
+        let nowMs = 15_000;
+        let runCount = 0;
+        let returnedCount = 0;
+        for (let granted = 1; nowMs < 4 * hourMs; granted++) {
+            const isReturned = granted % 4 !== 0;
+            last = trial({ number: countTrials(last) + 1, grantedMs: nowMs, ...isReturned ? { isReturned } : {} });
+            runCount += isReturned ? 0 : 1;
+            returnedCount += isReturned ? 1 : 0;
+            const remainingMs = quarantineRemainingMs({ lastCrashMs: 0, excessCount: 0, trial: last }, nowMs);
+            nowMs += remainingMs;
+            nowMs += quarantineRemainingMs({ lastCrashMs: 0, excessCount: 0, trial: last }, nowMs + 3_000) + 3_000;
+        }
+        expect([runCount, returnedCount]).to.deep.equal([3, 9]);
+    });
+
     it("has others come back when it will probably have ended, and soon again if it has not", () => {
         const remainingMs = (nowMs: number) => quarantineRemainingMs({ lastCrashMs: 0, excessCount: 0, trial: trial() }, nowMs);
         expect([20_000, 20_100, 20_390, 22_900].map(remainingMs)).to.deep.equal([400, 300, 250, 250]);
--- a/test/forwarding/forwarderUnderTest.ts
+++ b/test/forwarding/forwarderUnderTest.ts
@@ -160,6 +160,7 @@
         },
         crashEvidence: new CrashEvidence(),
         requestTrial: () => Promise.resolve({ kind: "unavailable" }),
+        returnTrial: () => undefined,
         isInContact: () => true,
         dataCentreId, drainMs: 100, configAgeMs: () => 0,
         random: () => 0.5,
--- a/test/forwarding/quarantineGuard.spec.ts
+++ b/test/forwarding/quarantineGuard.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { CrashEvidence } from "../../src/crashes/crashEvidence.js";
 import type { Fingerprint } from "../../src/crashes/requestFingerprint.js";
-import type { TrialParams, TrialReply } from "../../src/crashes/trial.js";
+import type { TrialParams, TrialReply, TrialReturn } from "../../src/crashes/trial.js";
 import type { WorkEnd } from "../../src/admission/targetRecord.js";
 import type { Placement, TargetSlot } from "../../src/forwarding/placement.js";
 import { Signal } from "../../src/model/signal.js";
@@ -45,6 +45,7 @@
     await clock.advance(15_000);
     const asked: TrialParams[] = [];
     const released: WorkEnd[] = [];
+    const returned: TrialReturn[] = [];
     const slot = { kind: "placed", expectedMs: 99.6, release: (end: WorkEnd) => released.push(end) } as unknown as TargetSlot;
     let placedCount = 0;
     const guard = createQuarantineGuard({
@@ -53,6 +54,9 @@
             placedCount += 1;
             return Promise.resolve(slot);
         } },
+        returnTrial: (params) => {
+            returned.push(params);
+        },
         requestTrial: async (params) => {
             asked.push(params);
             await clock.sleep(replyAfterMs);
@@ -67,7 +71,7 @@
         await clock.advance(Math.max(10, replyAfterMs));
         return placement;
     };
-    return { clock, guard, context, place, asked, released, placedCount: () => placedCount };
+    return { clock, guard, context, place, asked, released, returned, placedCount: () => placedCount };
 }
 
 describe("quarantine guard, when a quarantine has ended", () => {
@@ -78,6 +82,27 @@
         expect(released).to.deep.equal([]);
     });
 
+    for (const [kind, end, isReturned] of [
+        ["was turned away", { kind: "turned-away" }, true], ["never reached its target", { kind: "unreachable" }, true],
+        ["was answered", { kind: "answered", tookMs: 5 }, false], ["was lost", { kind: "lost" }, false],
+        ["is late", { kind: "late", afterMs: 5 }, false], ["was perhaps sent in part", { kind: "dropped" }, false],
+    ] as const) {
+        it(`gives a trial back only if it certainly did not run: one that ${kind}`, async () => {
+            const { place, released, returned } = await setUp({ kind: "granted", grantedWallMs: 7 });
+            const placement = await place();
+            expect(returned).to.deep.equal([]);
+            (placement as TargetSlot).release(end);
+            expect(released).to.deep.equal([end]);
+            expect(returned).to.deep.equal(isReturned ? [{ ...fingerprints, grantedWallMs: 7 }] : []);
+        });
+    }
+
+    it("gives a trial back that was granted too late to be used", async () => {
+        const { place, returned } = await setUp({ kind: "granted", grantedWallMs: 7 }, 600);
+        expect((await place()).kind).to.equal("refused");
+        expect(returned).to.deep.equal([{ ...fingerprints, grantedWallMs: 7 }]);
+    });
+
     it("refuses it with the time that the coordinator names, and returns the slot", async () => {
         const { place, released } = await setUp({ kind: "refused", retryAfterMs: 350 });
         expect(await place()).to.deep.equal({
--- a/test/forwarding/unexpectedErrors.spec.ts
+++ b/test/forwarding/unexpectedErrors.spec.ts
@@ -131,7 +131,7 @@
             } });
         };
         return {
-            requestTrial: () => Promise.resolve({ kind: "unavailable" }), isInContact: () => true,
+            requestTrial: () => Promise.resolve({ kind: "unavailable" }), returnTrial: () => undefined, isInContact: () => true,
             view, clock, dataCentreId, drainMs: 100, configAgeMs: () => 0,
             pool: createConnectionPool(clock, () => undefined),
             dialect: {
--- a/test/world/crashForwarder.ts
+++ b/test/world/crashForwarder.ts
@@ -57,6 +57,9 @@
         });
         this.guard = createQuarantineGuard({
             placer, crashEvidence, clock: process.clock, requestTrial: (params) => run.node.requestTrial(params),
+            returnTrial: (params) => {
+                run.node.returnTrial(params);
+            },
             isInContact: (nowMs) => run.node.isInContact(nowMs), stopRefusalOf: () => undefined, shutdownStarted: new Signal(),
         });
     }
