--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -26,6 +26,8 @@
     resign: "resign",
     /** A host asks whether a request may run once after its quarantine. */
     trial: "trial",
+    /** A host returns a trial whose request has certainly not run. */
+    trialReturn: "trialReturn",
     /** A coordinator that is leaving, or cut off from targets, asks a host to take over. */
     succeed: "succeed",
     /** A new coordinator announces its term, so that hosts that cannot read the store learn of it too. */
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -121,6 +121,7 @@
             random: from.resolve(tokens.random),
             isSilent: (targetId) => owners.isSilent(targetId, clock.now().monoMs),
             queueHosts: from.resolve(tokens.queueHosts),
+            log: from.resolve(tokens.logFactory)("admission"),
         });
     });
     provide(tokens.queueHosts, (from) => new QueueHosts(from.resolve(tokens.membership), from.resolve(tokens.view)));
@@ -131,6 +132,7 @@
         links: from.resolve(tokens.links),
         clock: from.resolve(tokens.clock),
         nextTicket: createTicketGenerator(from.resolve(tokens.membership).self.runId),
+        log: from.resolve(tokens.logFactory)("admission"),
     }));
     provide(tokens.retryBudgets, (from) => createRetryBudgets(
         { ratio: settings.retryRatio, extra: settings.extraRetries }, () => from.resolve(tokens.membership).members().length));
@@ -202,6 +204,9 @@
         crashObserver: from.resolve(tokens.crashObserver),
         crashEvidence: from.resolve(tokens.crashEvidence),
         requestTrial: (params) => from.resolve(tokens.node).requestTrial(params),
+        returnTrial: (params) => {
+            from.resolve(tokens.node).returnTrial(params);
+        },
         isInContact: (nowMs) => from.resolve(tokens.node).isInContact(nowMs),
         pool: from.resolve(tokens.pool),
         paths: from.resolve(tokens.reachability),
--- a/test/world/virtualHosts.ts
+++ b/test/world/virtualHosts.ts
@@ -124,11 +124,12 @@
         const links = this.createPeerLinks(hostId, run);
         const queueHosts = new QueueHosts(membership, view);
         const admissionServer = createAdmissionServer({
-            view, clock: process.clock, random: () => this.retryJitter.uniform(), drainMs, queueHosts,
+            view, clock: process.clock, random: () => this.retryJitter.uniform(), drainMs, queueHosts, log,
             isSilent: (targetId) => owners.isSilent(targetId, process.clock.now().monoMs),
         });
         run.admission = createAdmissionClient({
-            localServer: admissionServer, membership, queueHosts, links, clock: process.clock, nextTicket: () => this.nextTicket(hostId),
+            localServer: admissionServer, membership, queueHosts, links, log, clock: process.clock,
+            nextTicket: () => this.nextTicket(hostId),
         });
         const reachability = createReachabilityMonitor({
             view, membership, links, clock: process.clock, log, random: () => this.targetOrder.uniform(),
