--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -6,12 +6,13 @@
 import type { ConnectionPool } from "./connectionPool.js";
 import type { ReuseTerms } from "./connectionReuse.js";
 import type { TargetDialect, TargetNotice } from "./dialect.js";
-import { withoutHeaders, withoutHopByHop } from "../entry/hopByHop.js";
+import { withoutHopByHop } from "../entry/hopByHop.js";
 import type { Exchange } from "./exchange.js";
 import type { Interrupt, InterruptReason, GiveUpPolicy } from "./interrupt.js";
 import { createInterrupt } from "./interrupt.js";
 import type { StopWatching, TargetPaths } from "./pathWatch.js";
 import { watchPath } from "./pathWatch.js";
+import { requestHeadOf, sendBody } from "./requestSending.js";
 import type { ResponseHead } from "./responseParser.js";
 import { headerOf } from "./responseParser.js";
 import type { TargetConnection } from "./targetConnection.js";
@@ -311,46 +312,6 @@
     }
 }
 
-/** Streams the request body from the client to the target. */
-async function sendBody(call: ClientCall, exchange: Exchange): Promise<"sent" | "body-broken"> {
-    const chunked = call.body.declaredBytes === undefined;
-    for (;;) {
-        const piece = await call.body.next();
-        if (piece === "broken") {
-            return "body-broken";
-        }
-        if (piece === undefined) {
-            await exchange.write(Buffer.from(chunked ? "0\r\n\r\n" : ""));
-            exchange.finishBody();
-            return "sent";
-        }
-        await exchange.write(chunked ? toChunk(piece) : piece);
-    }
-}
-
-function toChunk(piece: Buffer): Buffer {
-    return Buffer.concat([Buffer.from(`${piece.length.toString(16)}\r\n`), piece, Buffer.from("\r\n")]);
-}
-
-function requestHeadOf(dialect: TargetDialect, { call, target, body, budgetMs }: AttemptRequest): string {
-    const terms = { requestId: call.requestId, key: call.key, targetId: target.targetId, budgetMs };
-    const forwarded = withoutHeaders(call.forwardHeaders, dialect.reservedHeaders);
-    const headers = [...forwarded, ...dialect.headersFor(terms), ...bodyHeadersOf(call, body)];
-    let head = `${call.method} ${call.path} HTTP/1.1\r\n`;
-    for (let index = 0; index < headers.length; index += 2) {
-        head += `${headers[index] as string}: ${headers[index + 1] as string}\r\n`;
-    }
-    return `${head}\r\n`;
-}
-
-function bodyHeadersOf(call: ClientCall, body: Buffer | undefined): string[] {
-    const bytes = body === undefined ? call.body.declaredBytes : body.length;
-    if (bytes === undefined) {
-        return ["Transfer-Encoding", "chunked"];
-    }
-    return bytes === 0 && (call.method === "GET" || call.method === "HEAD") ? [] : ["Content-Length", String(bytes)];
-}
-
 const noHeaders: ReadonlySet<string> = new Set();
 
 function answerHeadOf(head: ResponseHead, bodyBytes: number | undefined): AnswerHead {
