--- a/test/fleet/targetCut.ts
+++ b/test/fleet/targetCut.ts
@@ -27,9 +27,11 @@
     others: ServedCount;
 }
 
-/** Cuts a host off from all servers of the fleet; undefined ends the cut. */
-export function cutFromTargets({ child }: FleetHost, fleet: Fleet, how: CutKind | undefined): void {
-    child.send({ how, ports: fleet.servers.map(({ address }) => Number(address.split(":")[1])) });
+/** Cuts a host off from targets at some addresses; undefined ends the cut. A host whose process has ended is left alone. */
+export function cutFromTargets({ child }: FleetHost, addresses: readonly string[], how: CutKind | undefined): void {
+    if (child.connected) {
+        child.send({ how, ports: addresses.map((address) => Number(address.split(":")[1])) });
+    }
 }
 
 /** Finds the host that coordinates. */
@@ -91,15 +93,16 @@
 export async function playCut(
     fleet: Fleet, cutHosts: readonly FleetHost[], how: CutKind, lengthMs: number, prefix: string,
 ): Promise<CutOutcome> {
+    const addresses = fleet.servers.map(({ address }) => address);
     cutHosts.forEach((host) => {
-        cutFromTargets(host, fleet, how);
+        cutFromTargets(host, addresses, how);
     });
     const load = sendFirstTries(fleet.hosts, settledMs, `${prefix}-early`);
     await sleep(settledMs);
     const answers = await sendFirstTries(fleet.hosts, lengthMs - settledMs, prefix);
     await load;
     cutHosts.forEach((host) => {
-        cutFromTargets(host, fleet, undefined);
+        cutFromTargets(host, addresses, undefined);
     });
     const others = fleet.hosts.filter((host) => !cutHosts.includes(host));
     return { cut: countServed(answers, cutHosts), others: countServed(answers, others) };
--- a/test/soak/faultInjection.ts
+++ b/test/soak/faultInjection.ts
@@ -3,6 +3,8 @@
 import { noServerFaults } from "../../platform/standins/serverStandIn.js";
 import type { FleetHost } from "../fleet/fleet.js";
 import { buildRoutingConfig, keyedService, plainService, sleep } from "../fleet/fleet.js";
+import type { CutKind } from "../fleet/targetCut.js";
+import { cutFromTargets } from "../fleet/targetCut.js";
 import { allowedPerWindow, maxArrivalsPerWindow, settledMs } from "../fleet/rateLimitRule.js";
 import type { SeededRandom } from "../support/seededRandom.js";
 import type { FaultProxy, ProxyMode } from "./faultProxy.js";
@@ -96,6 +98,25 @@
         this.disturbConnection("connections to", this.soakFleet.serverProxies);
     }
 
+    /** Cuts some hosts off from all servers, at times all but one. */
+    cutHostsFromServers(): void {
+        const spared = this.random.pick(this.fleet.hosts);
+        const share = this.random.pick([0.3, 0.6, 1]);
+        const hosts = this.fleet.hosts.filter((host) => host !== spared && this.random.chance(share));
+        const how = this.random.pick<CutKind>(["hang", "reset", "refuse-new"]);
+        const durationMs = 300 + this.random.integerUpTo(6_000);
+        this.runFault(`cut ${hosts.map(({ name }) => name).join(" ")} off: ${how} ${String(Math.round(durationMs))} ms`, async () => {
+            const addresses = [...this.soakFleet.serverProxies.values()].map(({ address }) => address);
+            hosts.forEach((host) => {
+                cutFromTargets(host, addresses, how);
+            });
+            await sleep(durationMs);
+            hosts.forEach((host) => {
+                cutFromTargets(host, addresses, undefined);
+            });
+        });
+    }
+
     /** Ends a server without notice and starts another later. */
     crashServer(): void {
         const server = this.random.pick(this.fleet.servers);
@@ -196,4 +217,7 @@
     (injection) => {
         injection.stateRateLimit();
     },
+    (injection) => {
+        injection.cutHostsFromServers();
+    },
 ];
--- a/test/soak/soakFleet.ts
+++ b/test/soak/soakFleet.ts
@@ -23,7 +23,7 @@
         const proxy = this.storeProxies.get(name) ?? await FaultProxy.start();
         proxy.upstreamAddress = this.fleet.store.address;
         this.storeProxies.set(name, proxy);
-        const host = await this.fleet.startHost(name, proxy.address);
+        const host = await this.fleet.startHost(name, proxy.address, { isCuttable: true });
         this.agents.set(host, new http.Agent({ keepAlive: true, maxSockets: 20 }));
         this.logFiles.add(host.logFile);
         return host;
