--- a/test/world/crashRuns.ts
+++ b/test/world/crashRuns.ts
@@ -1,6 +1,7 @@
 /**
  * Plays requests that crash targets against many simulated hosts, with random faults. Usage: tsx test/world/crashRuns.ts RUNS SEED, and
- * `trace` for the hosts' logs or `ends` for runs in which several requests wait for the end of their quarantines
+ * `trace` for the hosts' logs, `ends` for runs in which several requests wait for the end of their quarantines, `fault=NAME` for runs with
+ * this fault only, or `gap=MS` for the longest time between two faults
  */
 import { pathToFileURL } from "node:url";
 import type { HostId } from "../../src/model/names.js";
@@ -241,7 +242,13 @@
 
 async function main(runCount: number, firstSeed: number, options: readonly string[]): Promise<void> {
     const withTrace = options.includes("trace");
-    const changes = options.includes("ends") ? { ...quarantineEnds, maxTimeBetweenFaultsMs: faultsDuringQuarantinesMs } : {};
+    const valueOf = (name: string) => options.find((option) => option.startsWith(`${name}=`))?.slice(name.length + 1);
+    const [fault, gapMs] = [valueOf("fault"), valueOf("gap")];
+    const changes: Partial<CrashPlan> = {
+        ...options.includes("ends") ? { ...quarantineEnds, maxTimeBetweenFaultsMs: faultsDuringQuarantinesMs } : {},
+        ...fault === undefined ? {} : { faultNames: [fault] },
+        ...gapMs === undefined ? {} : { maxTimeBetweenFaultsMs: Number(gapMs) },
+    };
     let failedCount = 0;
     let trialCount = 0;
     for (let seed = firstSeed; seed < firstSeed + runCount; seed++) {
