Spec of crashing requests: waits for log lines, plays until a quarantine has ended, and allows the one run that its end allows

Traced: the report was built from logs whose lines are written 50 ms late (a probe saw the line missing when the answers were in, and there 57 ms later); after the restart of all hosts a quarantine had just ended and one host was granted the one run that is allowed (its log shows it), which the test took for a fault; and on a busy machine (load 13 to 15) no quarantine had ended within the 30 s that the play took. The checks are as strict: the play ends with a trial or fails after 60 s, and late deliveries are counted for as long; after the restart each run beyond none needs a trial that a coordinator logged, one a request at most.

--- a/test/fleet/crashingRequests.spec.ts
+++ b/test/fleet/crashingRequests.spec.ts
@@ -16,8 +16,12 @@
 const crashPeriodMs = 150;
 const innocentPeriodMs = 40;
 
-/** The first quarantine lasts 15 s, so at least one ends meanwhile. */
+/** The first quarantine lasts 15 s, so at least one mostly ends meanwhile; else the play goes on until one has. */
 const playMs = 30_000;
+const maxPlayMs = 60_000;
+
+/** Time after which a line that a host has logged is in its file. */
+const logDelayMs = 300;
 
 /** What is known to crash targets must be refused at once. */
 const promptMs = 300;
@@ -89,6 +93,9 @@
         }
     };
 
+    /** Number of times that a coordinator has let a quarantined request run once, after the end of its quarantine. */
+    const countTrials = () => fleet.logs().join("\n").split("\"outcome\":\"granted\"").length - 1;
+
     it("of every kind, three of them at once, at six hosts", async () => {
         const answers: Promise<ClientAnswer>[] = [];
         const timers = [
@@ -100,13 +107,12 @@
             }, innocentPeriodMs),
         ];
         await sleep(playMs);
+        await fleet.waitUntil("a quarantine has ended", () => Promise.resolve(countTrials() > 0), maxPlayMs - playMs);
         timers.forEach((timer) => {
             clearInterval(timer);
         });
         const statuses = (await Promise.all(answers)).map(({ status }) => status);
         const late = crashingRequests.map(({ kind, path }) => ({ kind, count: servers.countLateDeliveries(path) }));
-        const trialCount = fleet.logs().join("\n").split("\"outcome\":\"granted\"").length - 1;
-        expect(trialCount, "quarantines that ended").to.be.above(0);
         const served = statuses.filter((status) => status === 200).length;
         expect(late.filter(({ count }) => count > allowedLateDeliveries)).to.deep.equal([]);
         expect(served, "other requests served").to.be.above(statuses.length * minServedShare);
@@ -126,11 +132,12 @@
         expect(metrics).to.match(/hornbeam_requests_total\{[^}]*reason="quarantined"[^}]*\} [1-9]/);
         const log = fleet.logs().join("\n");
         expect(log).to.include("\"msg\":\"crashes: request quarantined\"");
+        await fleet.waitUntil("the request's line is written", () => Promise.resolve(fleet.logs().some((lines) => lines.includes("\"known-h0\""))));
         const text = render(explain("known-h0", fleet.logs()), false);
         expect(text).to.match(/crashes: request quarantined .*targets=/).and.to.match(/Cause: quarantined\. /);
     });
 
-    it("is still refused after all hosts were killed at once", async () => {
+    it("is still refused after all hosts were killed at once, but for the one run that the end of a quarantine allows", async () => {
         const names = fleet.hosts.map(({ name }) => name);
         await Promise.all([...fleet.hosts].map((host) => fleet.endHost(host, "SIGKILL")));
         for (const name of names) {
@@ -138,9 +145,15 @@
         }
         await fleet.waitUntilServing();
         const deliveriesBefore = crashingRequests.map(({ path }) => servers.countDeliveries(path));
+        await sleep(logDelayMs);
+        const trialsBefore = countTrials();
         const answers = await Promise.all(crashingRequests.flatMap((request) => fleet.hosts.map((host) =>
             send(host, { ...request, id: `after-restart-${host.name}-${request.path}` }))));
-        expect(answers.map(({ status }) => status)).to.deep.equal(answers.map(() => 503));
-        expect(crashingRequests.map(({ path }) => servers.countDeliveries(path))).to.deep.equal(deliveriesBefore);
+        await sleep(logDelayMs);
+        const trials = countTrials() - trialsBefore;
+        const deliveries = crashingRequests.map(({ path }, index) => servers.countDeliveries(path) - deliveriesBefore[index]!);
+        expect(Math.max(...deliveries), "runs of one request").to.be.at.most(1);
+        expect(deliveries.reduce((sum, count) => sum + count, 0), "runs in all, of which each is allowed once").to.be.at.most(trials);
+        expect(answers.filter(({ status }) => status !== 503).length, "answers other than 503").to.be.at.most(trials);
     });
 });
