--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -21,7 +21,6 @@
 import type { Answered } from "./attemptEnds.js";
 import { isWithoutResponse, mayHaveRun, moreInformativeEnd, reasonIfNotRun, reasonIfRun, workEndOf } from "./attemptEnds.js";
 import { reuseForIdempotent, reuseForNonIdempotent } from "./connectionReuse.js";
-import type { TargetNotice } from "./dialect.js";
 import { ClientWaitEstimator } from "./clientWaitEstimator.js";
 import type { RequestContext } from "./requestContext.js";
 import { prepareRequest } from "./requestPreparation.js";
@@ -34,6 +33,7 @@
 import type { RetryReservation } from "./retryReservation.js";
 import { createRetryReservation } from "./retryReservation.js";
 import { StatedRateLimits } from "./statedRateLimits.js";
+import { createTargetNotices } from "./targetNotices.js";
 import { TargetPauses } from "./targetPauses.js";
 import { typicalWorkMs, WorkTimes } from "./workTimes.js";
 
@@ -113,22 +113,8 @@
             deadlineMs > cutAtMs ? { reason: "stopping", retryAfterMs: addJitter(retryAfterStoppingMs) } : undefined,
     });
 
-    const onNotice = ({ targetId, bornWallMs }: TargetEntry, { isLeaving, pauseMs, rateLimit }: TargetNotice, sentMs: number) => {
-        if (isLeaving && view.recordLeaving({ targetId, bornWallMs }, nowMs())) {
-            requestLog.targetLeaving(targetId);
-        }
-        if (pauseMs !== undefined) {
-            pauses.pause({ targetId, bornWallMs }, pauseMs, nowMs());
-            requestLog.targetPauseRequested(targetId, pauseMs);
-        }
-        const change = rateLimits.record({ targetId, bornWallMs }, rateLimit, sentMs, nowMs());
-        if (change !== undefined) {
-            requestLog.targetRateLimitChanged(targetId, change);
-        }
-    };
-
-    const onUnproven = ({ targetId }: TargetEntry, call: ClientCall, status: number) => {
-        requestLog.responseUnproven(call, targetId, status);
+    const attemptDependencies: AttemptDependencies = {
+        ...dependencies, ...createTargetNotices({ view, clock, requestLog, pauses, rateLimits }),
     };
 
     const refuse = (call: ClientCall, refusal: Refusal, context?: RequestContext) => {
@@ -172,7 +158,7 @@
         const mayRetry = isRepeatable && !isTrial && giveUpAfterMs + slot.expectedMs < remainingMs;
         context.triedTargetIds.add(slot.target.targetId);
         context.attemptCount += 1;
-        return attempt({ ...dependencies, onNotice, onUnproven }, {
+        return attempt(attemptDependencies, {
             call: context.call,
             target: slot.target,
             body: context.body,
