--- a/src/ownership/ledger.ts
+++ b/src/ownership/ledger.ts
@@ -289,7 +289,9 @@
         const returned = contentOf(changes, upTo);
         this.end = upTo;
         this.highestEnd = Math.max(this.highestEnd, offsetInEra(upTo));
-        if (eraOf(upTo) > eraOf(known.upTo) && knowsLostRecords(known, returned, this.isSoleWriter)) {
+        const isFirstOfEra = eraOf(upTo) > eraOf(known.upTo);
+        const isUnclaimed = this.recorded !== undefined && !hasClaimOfItsEra(returned);
+        if (isFirstOfEra ? knowsLostRecords(known, returned, this.isSoleWriter) : isUnclaimed) {
             this.recorded = returned.changes;
             this.changes = mergeWithReturned(known.changes, returned.changes);
             return true;
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -215,7 +215,9 @@
 
     /** Reads a snapshot, unless another call has read one of a later era meanwhile; then reads what has come since. */
     const readAfterExpiry = async (topic: TopicName, from: Offset): Promise<Result<Reading, Failure>> => {
-        await snapshotsInProgress.get(topic);
+        for (let pending = snapshotsInProgress.get(topic); pending !== undefined; pending = snapshotsInProgress.get(topic)) {
+            await pending;
+        }
         if (topicsRead.has(topic) && eraOf(nextOffsets[topic]()) > eraOf(from)) {
             return readNew(topic, 0);
         }
--- a/test/ownership/ledgerReturn.spec.ts
+++ b/test/ownership/ledgerReturn.spec.ts
@@ -66,6 +66,24 @@
         expect(ledger.get(documentKeyOf(1)), "written again by its author").not.to.equal(undefined);
     });
 
+    // World seed 995254: two owners.
+    it("keeps what is in force when a second snapshot of the same copy arrives", () => {
+        const ledger = knownLedger();
+        ledger.replace(copy, positionOf(after, 3));
+        ledger.replace(copy, positionOf(after, 3));
+        expect(ledger.ownershipOf("t1" as TargetId)?.ranges).to.deep.equal([{ from: 0, to: 4 }]);
+        expect(ledger.lost().map(({ key }) => key)).to.have.members([keyOf("t1"), keyOf("t2"), drainKey]);
+    });
+
+    // World seed 970049: two owners.
+    it("keeps what is in force when an append of the earlier era takes effect late", () => {
+        const ledger = knownLedger();
+        ledger.replace(copy, positionOf(after, 3));
+        ledger.apply([change(after, 3, keyOf("t2"), owner("t2", 7, 9))], positionOf(after, 3), positionOf(after, 4));
+        expect(ledger.ownershipOf("t2" as TargetId)?.ranges).to.deep.equal([{ from: 5, to: 9 }]);
+        expect(ledger.lost().map(({ key }) => key)).to.include(keyOf("t2"));
+    });
+
     it("removes again the owner whose removal is lost", () => {
         const ledger = knownLedger();
         ledger.apply([change(before, 6, keyOf("t1"), undefined)], positionOf(before, 6), positionOf(before, 7));
--- a/test/world/world.spec.ts
+++ b/test/world/world.spec.ts
@@ -48,6 +48,10 @@
         expect((await playRun(970_049, allFaultNames)).violations).to.deep.equal([]);
     });
 
+    it("seed 995254: two readings of the copy under way at once, and the second one dropped what the store had lost", async () => {
+        expect((await playRun(995_254, allFaultNames)).violations).to.deep.equal([]);
+    });
+
     it("seeds 7000 and up: the same beside hosts that are cut off from all targets", async () => {
         for (let seed = 7_000; seed < 7_000 + extraSeedCount; seed++) {
             const result = await playRun(seed, allFaultNames);
