The checks of messages for admission keep a rate limit of 0

What callers would see: a target that states that it takes nothing goes on getting requests from all hosts.

--- a/src/admission/messageChecks.ts
+++ b/src/admission/messageChecks.ts
@@ -58,7 +58,7 @@
 
 const rateLimitFields: FieldChecks<StatedRateLimit> = {
     targetId: isIdText, bornWallMs: isBetween(0, Number.MAX_SAFE_INTEGER),
-    requestsPerSecond: isBetween(Number.MIN_VALUE, maxRequestsPerSecond), ageMs: isDurationMs,
+    requestsPerSecond: isBetween(0, maxRequestsPerSecond), ageMs: isDurationMs,
 };
 
 const enterFields: FieldChecks<EnterParams> = {
