A host that is cut off from the targets doesn't claim the term of a coordinator that answers

Cause: the delay of a host that is cut off ends in a claim, whatever happens meanwhile. Change: while it is cut off it asks whether the host of the lost term answers, and if so tries to follow it again after 200 ms.

--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -16,6 +16,9 @@
 import type { TargetReach } from "./targetReach.js";
 import type { TermClaims } from "./termClaims.js";
 
+/** A host that is cut off from the targets tries to follow the coordinator again after this time, instead of claiming its term. */
+const retryFollowingMs = 200;
+
 /** Dependencies of a takeover. */
 export interface TakeoverDependencies {
     self: Member;
@@ -56,6 +59,10 @@
         return claims.claim({ grantsLastMs: reply.value.grantsLastMs, receivedAtMs: nowMs() });
     };
 
+    /** Tells whether another host that claimed a term answers; it may be about to coordinate. */
+    const isAnswering = async ({ hostId, peerAddress }: TermRecord): Promise<boolean> =>
+        hostId !== self.hostId && (await links.call(peerAddress, "probe", {}, callTimeoutMs)).isOk();
+
     const countReachable = async (others: readonly Member[]): Promise<number> => {
         const replies = await Promise.all(others.map(({ peerAddress }) => links.call(peerAddress, "probe", {}, callTimeoutMs)));
         return replies.filter((reply) => reply.isOk()).length;
@@ -71,6 +78,10 @@
             return true;
         },
         succeed: async (lostTerm, signal) => {
+            if (targetReach.isCutOff() && lostTerm !== undefined && await isAnswering(lostTerm)) {
+                await clock.sleep(retryFollowingMs, signal);
+                return;
+            }
             const lostAtMs = nowMs();
             const others = membership.members().filter(({ hostId }) => hostId !== self.hostId && hostId !== lostTerm?.hostId);
             const reachableCount = await countReachable(others);
