Review, case 3: two servers hold the same keys after the store came back from a copy without a term

Tried: three hosts, five servers with keys; the store is away for 2 s and comes back from a copy that is 8 s old, taken before the hosts' first start, and all hosts are killed at that moment and start again.

--- a/review/common/fleet.mjs
+++ b/review/common/fleet.mjs
@@ -127,16 +127,17 @@
         const ready = `${ip}:${String(await freePort(ip))}`;
         const peerPort = await freePort(ip);
         const file = join(this.folder, `host-${String(index)}.toml`);
-        writeFileSync(file, [
+        const writeSettings = (isFirstStart) => writeFileSync(file, [
             `node_name = "host-${String(index)}"`, "role = \"hornbeam-host\"", "machine_class = \"front\"", "serves = [\"front\"]",
             `ip = "${ip}"`, "zone = \"here\"", "region = \"here\"", `internal_port_range = [${String(peerPort)},${String(peerPort + 1)}]`,
-            "heartbeat_ms = 500",
+            `bootstrap = ${String(isFirstStart)}`, "heartbeat_ms = 500",
             "bounds = [\"drain_ms=2000\",\"grace_s=6\",\"retry_budget_ratio=0.2\",\"budget_window_s=10\",\"budget_extra_retries=56\",\"hold_max_ms=10000\"]",
             "[listen]", `front = "${front}"`, `ready = "${ready}"`,
             "[limits]", "cpu_share = 0.54", "cpu_cores = 1", "memory_mb = 350", "max_fds = 4100",
             "[platform]", `address = "${this.storeAddress}"`, "form = \"log\"",
         ].join("\n"));
-        const host = { name: `host-${String(index)}`, front, ready, child: undefined, run: () => {
+        const host = { name: `host-${String(index)}`, front, ready, child: undefined, run: (isFirstStart = true) => {
+            writeSettings(isFirstStart);
             host.child = this.start(hostCommand(), host.name, { HORNBEAMSWITCH_BOOT: file });
             return host.child;
         } };
--- a/review/common/server.mjs
+++ b/review/common/server.mjs
@@ -7,7 +7,7 @@
 const maxQueued = 12;
 
 /** Reads requests from a connection: calls `onRequest` for each one with its head and body. */
-function readRequests(socket, onRequest) {
+export function readRequests(socket, onRequest) {
     let pending = Buffer.alloc(0);
     socket.on("data", (bytes) => {
         pending = Buffer.concat([pending, bytes]);
@@ -34,6 +34,12 @@
     });
 }
 
+/** Writes an answer. */
+export function respond(socket, status, headers, body = "") {
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    socket.write(`HTTP/1.1 ${String(status)} X\r\n${lines}Content-Length: ${String(Buffer.byteLength(body))}\r\n\r\n${body}`);
+}
+
 /**
  * Starts a server.
  * @param options `id`, `service`, `workMs`, `fleet`, `record`, `answer`: returns bytes, or a function that is given the socket, to send in
@@ -46,11 +52,6 @@
     let sequence = 0;
     const born = Date.now();
 
-    const respond = (socket, status, headers, body = "") => {
-        const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join("");
-        socket.write(`HTTP/1.1 ${String(status)} X\r\n${lines}Content-Length: ${String(Buffer.byteLength(body))}\r\n\r\n${body}`);
-    };
-
     const finish = (socket, request, requestId) => {
         const own = answer(request);
         if (own !== undefined) {
