--- a/review/build.sh
+++ b/review/build.sh
@@ -2,5 +2,5 @@
 # Builds what the scripts start: the hosts and the project's stand-in of the store. The servers and clients of the scripts need no build.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-[ node_modules -nt package-lock.json ] || npm ci --silent --no-audit --no-fund
+[ -d node_modules ] || npm ci --silent --no-audit --no-fund
 node deploy/bundle.mjs
--- a/review/common/keyServer.mjs
+++ b/review/common/keyServer.mjs
@@ -1,9 +1,10 @@
-/** A server that holds keys: it runs a request only while it holds the request's key, and can lose answers, be slow, drain and restart. */
+/** A server that holds keys: it runs a request only while it holds the request's key, can leave, and can carry out orders late. */
 import net from "node:net";
 import { serversTopic } from "./fleet.mjs";
 import { readRequests, respond } from "./server.mjs";
 
 const heartbeatMs = 500;
+const slots = 3;
 const maxQueued = 12;
 
 /** Leases by key; times are monotonic milliseconds. */
@@ -37,11 +38,9 @@
 
 /**
  * Starts a server.
- * @param options `id`, `service`, `workMs`, `slots`, `fleet`, `record`, `port` (0 for any)
+ * @param options `id`, `service`, `workMs`, `fleet`, `record`
  */
-export async function startKeyServer(
-    { id, service, workMs, slots = 3, fleet, record, port = 0, onRun = () => undefined },
-) {
+export async function startKeyServer({ id, service, workMs, fleet, record }) {
     const leases = new Leases();
     const running = new Set();
     const releases = [];
@@ -50,7 +49,9 @@
     let sequence = 0;
     const born = Date.now();
     const state = {
-        slowness: 1, loseAnswer: () => false, lateByMs: () => 0, isDraining: false, isUp: true, orderCount: 0, lateOrderCount: 0,
+        /** How late an order by its path is carried out; 0 for at once. */
+        lateByMs: () => 0,
+        isDraining: false, isUp: true, orderCount: 0, lateOrderCount: 0,
     };
 
     const hasWorkOn = ({ start_from: from, to }) => [...running].some(({ key }) => from <= key && key <= to);
@@ -86,7 +87,6 @@
         }
         const work = { key, requestId };
         running.add(work);
-        onRun({ id, key, requestId, atMs: performance.now() });
         record("run", { server: id, request: requestId, key });
         const end = () => {
             clearTimeout(timer);
@@ -101,13 +101,8 @@
             if (socket.destroyed || !state.isUp) {
                 return;
             }
-            if (state.loseAnswer()) {
-                record("answer lost", { server: id, request: requestId });
-                socket.resetAndDestroy();
-                return;
-            }
             respond(socket, 200, { ...answerHeaders(requestId), "Response-Signature": `signed-${requestId}` }, `answer to ${requestId}`);
-        }, workMs * state.slowness);
+        }, workMs);
         socket.on("close", end);
     };
 
@@ -168,7 +163,7 @@
             onRequest(socket, request);
         });
     });
-    await new Promise((resolve) => server.listen(port, "127.0.0.1", resolve));
+    await new Promise((resolve) => server.listen(0, "127.0.0.1", resolve));
     const address = `127.0.0.1:${String(server.address().port)}`;
 
     const writeEntry = () => {
--- a/review/common/server.mjs
+++ b/review/common/server.mjs
@@ -45,7 +45,7 @@
  * @param options `id`, `service`, `workMs`, `fleet`, `record`, `answer`: returns bytes, or a function that is given the socket, to send in
  * place of the usual answer, or undefined for the usual one
  */
-export async function startServer({ id, service, workMs, fleet, record, answer = () => undefined, bodyOf }) {
+export async function startServer({ id, service, workMs, fleet, record, answer = () => undefined }) {
     const runs = [];
     const queue = [];
     let running = 0;
@@ -64,7 +64,7 @@
             }
             return;
         }
-        const body = bodyOf?.(requestId) ?? `answer to ${requestId}`;
+        const body = `answer to ${requestId}`;
         respond(socket, 200, { "Request-Id": requestId, "Response-Signature": `signed-${requestId}`, "Instance-Id": id }, body);
     };
 
