Log the leases that could not be revoked, and how long a move waits for them

What was missing: when a lease is granted anew to take it back and its release fails, no line said for how long the target was granted it, nor how long the move then waits. So a wait that is too short could not be told from a grant that was never taken, or from a grant by another host.

Change: "lease not revoked" (range, fencing token, duration granted, why) and "move waits for a lease to expire" (how long). Only failed releases write them. A refused grant carries its failure like the other outcomes.

--- a/src/ownership/leaseManager.ts
+++ b/src/ownership/leaseManager.ts
@@ -178,8 +178,7 @@
             const now = this.dependencies.clock.now();
             this.leases.addExpiring(range, now.monoMs + maxTimeToExpiryMs(this.dependencies.holdMs(now)), now.monoMs);
         }
-        const cause = outcome.kind === "grant-refused" ? failure("refused", "grant", this.targetId, outcome.reply) : outcome.failure;
-        return { kind: "failed", heldUntilMs: this.heldUntilMs(range), failure: cause };
+        return { kind: "failed", heldUntilMs: this.heldUntilMs(range), failure: outcome.failure };
     }
 
     /** Monotonic time after which the target certainly does not hold a range that is not renewed any more. */
--- a/src/ownership/ownershipManager.ts
+++ b/src/ownership/ownershipManager.ts
@@ -279,6 +279,7 @@
         const nowMs = clock.now().monoMs;
         if (untilMs > nowMs) {
             active.heldUntilMs = untilMs;
+            log.info("move waits for a lease to expire", { ...describeMove(active.move), waitMs: Math.round(untilMs - nowMs) });
             noticeChanged.fire();
             await clock.sleep(untilMs - nowMs);
             active.heldUntilMs = undefined;
--- a/src/ownership/revokeLease.ts
+++ b/src/ownership/revokeLease.ts
@@ -2,9 +2,10 @@
 import type { Result } from "neverthrow";
 import { ok } from "neverthrow";
 import type { Failure } from "../model/failure.js";
-import { failure } from "../model/failure.js";
+import { describeFailure, failure } from "../model/failure.js";
 import type { FencingToken, KeyRange, TargetId } from "../model/names.js";
 import type { Clock, Instant } from "../model/time.js";
+import type { Log } from "../observe/log.js";
 import type { FenceCounter } from "./fences.js";
 import type { TargetSessions } from "./targetSessions.js";
 import type { GrantReply, LeaseSession } from "./leasePort.js";
@@ -18,6 +19,7 @@
     sessions: TargetSessions;
     fences: FenceCounter;
     clock: Clock;
+    log: Log;
     /** Tells whether grants may be sent now. */
     mayGrant: (now: Instant) => boolean;
     /** Returns the duration of a lease that is granted now. */
@@ -30,7 +32,7 @@
     /** Nothing was sent. */
     | { kind: "unsent"; failure: Failure }
     /** The target did not accept the grant with the new fencing token. */
-    | { kind: "grant-refused"; reply: Exclude<GrantReply, "granted"> }
+    | { kind: "grant-refused"; reply: Exclude<GrantReply, "granted">; failure: Failure }
     | { kind: "failed"; failure: Failure };
 
 /**
@@ -51,14 +53,24 @@
         return { kind: "unsent", failure: failure("refused", "release", dependencies.targetId, "the term is not confirmed") };
     }
     const fence = dependencies.fences.next();
-    const granted = await session.grant({ range, fence, holdMs: dependencies.holdMs(now), handover: undefined }, fenceGrantTimeoutMs);
+    const holdMs = dependencies.holdMs(now);
+    const granted = await session.grant({ range, fence, holdMs, handover: undefined }, fenceGrantTimeoutMs);
     const outcome = await granted.match(
-        (reply) => reply === "granted" ? release(dependencies, session, { range, fence, timeoutMs }) : { kind: "grant-refused" as const, reply },
-        (cause) => ({ kind: "failed" as const, failure: cause }));
+        (reply) => reply === "granted" ? release(dependencies, session, { range, fence, timeoutMs }) : grantRefused(dependencies.targetId, reply),
+        (cause): RevokeLeaseOutcome => ({ kind: "failed", failure: cause }));
     session.reset();
+    if (outcome.kind !== "released") {
+        dependencies.log.warn("lease not revoked", {
+            target: dependencies.targetId, range, fence, holdMs, why: describeFailure(outcome.failure),
+        });
+    }
     return outcome;
 }
 
+function grantRefused(targetId: TargetId, reply: Exclude<GrantReply, "granted">): RevokeLeaseOutcome {
+    return { kind: "grant-refused", reply, failure: failure("refused", "grant", targetId, reply) };
+}
+
 interface Release {
     range: KeyRange;
     fence: FencingToken;
