--- a/src/ownership/leaseManager.ts
+++ b/src/ownership/leaseManager.ts
@@ -165,8 +165,11 @@
         this.stopRenewing(range);
         await this.renewalInProgress;
         const mayGrant = (now: Instant) => this.dependencies.mayGrant(now) && this.dependencies.mayUseNewFences();
+        const recordGrant = (heldUntilMs: number, nowMs: number) => {
+            this.leases.addExpiring(range, heldUntilMs, nowMs);
+        };
         const { targetId, sessions } = this;
-        const outcome = await revokeLease({ ...this.dependencies, mayGrant, targetId, sessions }, range, timeoutMs);
+        const outcome = await revokeLease({ ...this.dependencies, mayGrant, recordGrant, targetId, sessions }, range, timeoutMs);
         if (outcome.kind === "released") {
             this.leases.recordRelease(range);
             return outcome;
@@ -174,10 +177,6 @@
         if (outcome.kind === "grant-refused") {
             onGrantRefused[outcome.reply](this);
         }
-        if (outcome.kind !== "unsent") {
-            const now = this.dependencies.clock.now();
-            this.leases.addExpiring(range, now.monoMs + maxTimeToExpiryMs(this.dependencies.holdMs(now)), now.monoMs);
-        }
         return { kind: "failed", heldUntilMs: this.heldUntilMs(range), failure: outcome.failure };
     }
 
--- a/src/ownership/revokeLease.ts
+++ b/src/ownership/revokeLease.ts
@@ -7,6 +7,7 @@
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import type { FenceCounter } from "./fences.js";
+import { maxTimeToExpiryMs } from "./leaseTerms.js";
 import type { TargetSessions } from "./targetSessions.js";
 import type { GrantReply, LeaseSession } from "./leasePort.js";
 
@@ -24,6 +25,11 @@
     mayGrant: (now: Instant) => boolean;
     /** Returns the duration of a lease that is granted now. */
     holdMs: (now: Instant) => number;
+    /**
+     * Called before the range is granted and after the answer, which is late if this host was stopped meanwhile, each time with the
+     * monotonic time until which the target may hold the range unless it releases it.
+     */
+    recordGrant: (heldUntilMs: number, nowMs: number) => void;
 }
 
 /** Outcome of `revokeLease`. */
@@ -54,7 +60,10 @@
     }
     const fence = dependencies.fences.next();
     const holdMs = dependencies.holdMs(now);
+    dependencies.recordGrant(now.monoMs + fenceGrantTimeoutMs + maxTimeToExpiryMs(holdMs), now.monoMs);
     const granted = await session.grant({ range, fence, holdMs, handover: undefined }, fenceGrantTimeoutMs);
+    const answeredMs = dependencies.clock.now().monoMs;
+    dependencies.recordGrant(answeredMs + maxTimeToExpiryMs(holdMs), answeredMs);
     const outcome = await granted.match(
         (reply) => reply === "granted" ? release(dependencies, session, { range, fence, timeoutMs }) : grantRefused(dependencies.targetId, reply),
         (cause): RevokeLeaseOutcome => ({ kind: "failed", failure: cause }));
--- a/test/ownership/leaseManager.spec.ts
+++ b/test/ownership/leaseManager.spec.ts
@@ -11,12 +11,27 @@
 
 const range = { from: 0, to: 99 } as KeyRange;
 
+/** What the target of a test does, and the duration of leases granted to it. */
+interface TargetState {
+    reply: GrantReply | "silent";
+    reachable: boolean;
+    /** Number of connections opened. */
+    opened: number;
+    holdMs: number;
+    closes: boolean;
+    leaving: boolean;
+    rateLimit?: number;
+    /** This host is stopped for this long while it waits for an answer that doesn't come. */
+    stoppedMs: number;
+    /** False if it doesn't answer calls to release a range in time. */
+    releases: boolean;
+}
+
 /** Creates the lease manager of a target whose answers a test sets, and records the grants that the target receives. */
 function setUp(predecessorActsForMs = 0) {
     const clock = new VirtualClock();
     const grants: Grant[] = [];
-    const state: { reply: GrantReply | "silent"; reachable: boolean; opened: number; holdMs: number; closes: boolean; leaving: boolean; rateLimit?: number } =
-        { reply: "granted", reachable: true, opened: 0, holdMs: defaultHoldMs, closes: false, leaving: false };
+    const state: TargetState = { reply: "granted", reachable: true, opened: 0, holdMs: defaultHoldMs, closes: false, leaving: false, stoppedMs: 0, releases: true };
     const permission = { isGiven: true, mayUseNewFences: true, askedCount: 0 };
     const leavingReports: LeavingTarget[] = [];
     const session = (): LeaseSession => {
@@ -41,12 +56,15 @@
             }),
             grant: async (grant, timeoutMs) => {
                 grants.push(grant);
-                await clock.sleep(state.reply === "silent" ? timeoutMs : 1);
+                await clock.sleep(state.reply === "silent" ? timeoutMs + state.stoppedMs : 1);
                 open &&= !state.closes;
                 return state.reply === "silent" ? err(failure("lost", "grant", "t", "no answer in time")) : ok(state.reply);
             },
-            release: async () => {
-                await clock.sleep(1);
+            release: async (_range, _fence, timeoutMs) => {
+                await clock.sleep(state.releases ? 1 : timeoutMs);
+                if (!state.releases) {
+                    return err(failure("lost", "release", "t", "no answer in time"));
+                }
                 return open ? ok("token") : err(failure("unreachable", "release", "t", "the connection is closed"));
             },
             reset: () => {
@@ -315,6 +333,46 @@
         }
     });
 
+    // Guards against two holders: a lease granted for 10 s while the store was away was taken for one of 2.3 s once the store answered.
+    it("waits for the lease that was granted to take a range back as long as it was granted for, though leases are shorter by then", async () => {
+        const { clock, manager, grants, state, end } = setUp();
+        manager.setRanges([range], []);
+        await clock.advance(1_000);
+        Object.assign(state, { holdMs: 10_000, releases: false });
+        const releasing = manager.release(range, defaultHoldMs);
+        await clock.advance(100);
+        const grantedMs = clock.now().monoMs - 100;
+        state.holdMs = defaultHoldMs;
+        const outcome = await advanceAndAwait(clock, releasing, defaultHoldMs);
+        expect(grants.at(-1)?.holdMs).to.equal(10_000);
+        expect(outcome.kind === "failed" && outcome.heldUntilMs).to.be.at.least(grantedMs + 10_000);
+        end();
+    });
+
+    // Guards against two holders after a host was stopped: the grant may arrive as late as its connection is reset.
+    it("waits for a lease that may have been granted while this host was stopped", async () => {
+        const { clock, manager, state, end } = setUp();
+        manager.setRanges([range], []);
+        await clock.advance(1_000);
+        Object.assign(state, { reply: "silent", stoppedMs: 5_000 });
+        const outcome = await advanceAndAwait(clock, manager.release(range, defaultHoldMs), 6_000);
+        expect(outcome.kind === "failed" && outcome.heldUntilMs).to.be.at.least(clock.now().monoMs - 500 + defaultHoldMs);
+        end();
+    });
+
+    // Guards against two holders after a planned stop: a coordinator that resigned while keys moved didn't count leases granted for that.
+    it("counts the lease that was granted to take a range back as in force while the release has no answer", async () => {
+        const { clock, manager, state, end } = setUp();
+        manager.setRanges([range], []);
+        await clock.advance(1_000);
+        Object.assign(state, { holdMs: 10_000, releases: false });
+        const releasing = manager.release(range, defaultHoldMs);
+        await clock.advance(100);
+        expect(manager.freeAtMs).to.be.at.least(clock.now().monoMs - 100 + 10_000);
+        await advanceAndAwait(clock, releasing, defaultHoldMs);
+        end();
+    });
+
     it("frees a range at once when another target answers the call that was to revoke the lease", async () => {
         const { clock, manager, state, end } = setUp();
         manager.setRanges([range], []);
