Log and count how long the event loop is held up

A host that is slow, one whose targets are slow and one that is held up look the same in its log.

Change: a timer each 500 ms measures how late it is; histogram hornbeam_event_loop_delay_ms, and a line above 250 ms.

--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -9,6 +9,7 @@
 import { monitorStandings } from "../crashes/standingMonitor.js";
 import { eraOf, offsetInEra } from "../model/storePosition.js";
 import type { EndedTask } from "../observe/tasks.js";
+import { watchEventLoopDelay } from "../observe/eventLoopDelay.js";
 import { runTasks } from "../observe/tasks.js";
 import { listen } from "../adapters/listening.js";
 import { createAdminHttp, createReadyHttp } from "./adminHttp.js";
@@ -110,12 +111,17 @@
     const crashLog = hostContainer.resolve(tokens.logFactory)("crashes");
     const pool = hostContainer.resolve(tokens.pool);
     const admissionServer = hostContainer.resolve(tokens.admissionServer);
+    const { eventLoopDelayMs } = hostContainer.resolve(tokens.metrics);
+    const onDelay = (delayMs: number) => {
+        eventLoopDelayMs.observe(delayMs);
+    };
     const endedTask = runTasks([
         { name: "cluster node", isEssential: true, run: node.run },
         { name: "admission queues", isEssential: true, run: admissionServer.run },
         { name: "reachability of targets", isEssential: false, run: reachability.run },
         { name: "connection pool", isEssential: false, run: pool.run },
         { name: "configuration document", isEssential: false, run: (signal) => watchDocument(view, clock, log, signal) },
+        { name: "delay of the event loop", isEssential: false, run: (signal) => watchEventLoopDelay({ clock, log, onDelay }, signal) },
         { name: "standings of requests", isEssential: false, run: (signal) => monitorStandings({ evidence, clock, log: crashLog }, signal) },
     ], clock, log, tasksAbort.signal);
     log.info("started", {
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -17,6 +17,7 @@
     readonly relayedConnections: Counter<"side">;
     readonly leaseCalls: Counter<"target" | "call">;
     readonly lostAttempts: Counter<"target" | "process">;
+    readonly eventLoopDelayMs: Histogram;
     /** Adds a gauge whose value is read when the metrics are exported. */
     gauge(name: string, help: string, read: () => number): void;
     /** All metrics in the text format of Prometheus. */
@@ -79,6 +80,10 @@
             help: "Attempts whose connection ended before the response was complete, by target and whether its process still listened then.",
             labelNames: ["target", "process"], registers,
         }),
+        eventLoopDelayMs: new Histogram({
+            name: "hornbeam_event_loop_delay_ms", help: "Time that the event loop kept a due timer waiting, in milliseconds.",
+            buckets: latencyBucketsMs, registers,
+        }),
         gauge: (name, help, read) => {
             new Gauge({ name, help, registers, collect() {
                 this.set(read());
