--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -13,8 +13,8 @@
 import type { StopWatching, TargetPaths } from "./pathWatch.js";
 import { watchPath } from "./pathWatch.js";
 import { requestHeadOf, sendBody } from "./requestSending.js";
-import type { ResponseHead } from "./responseParser.js";
-import { headerOf } from "./responseParser.js";
+import type { ResponseHead } from "./responseHead.js";
+import { headerOf } from "./responseHead.js";
 import type { TargetConnection } from "./targetConnection.js";
 
 /** A response body up to this size is buffered until it is complete, so that the request can be retried if the response breaks off. */
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -1,7 +1,7 @@
 /** Port for the HTTP headers in which targets and this host exchange information about a request. */
 import type { Key, RequestId, TargetId } from "../model/names.js";
 import type { RateLimitNotice } from "../model/rateLimit.js";
-import type { ResponseHead } from "./responseParser.js";
+import type { ResponseHead } from "./responseHead.js";
 
 /** What the head of a response proves about the execution of the request. */
 export type ResponseClass =
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -3,7 +3,7 @@
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import type { Failure } from "../model/failure.js";
-import type { ResponseHead } from "./responseParser.js";
+import type { ResponseHead } from "./responseHead.js";
 
 /** Number of unread body bytes at which reading from the target's socket is paused. */
 const maxBufferedBytes = 262_144;
--- a/src/forwarding/responseParser.ts
+++ b/src/forwarding/responseParser.ts
@@ -2,16 +2,8 @@
  * Strict incremental parser for HTTP/1.1 responses. An ambiguous or truncated response is an error and is never reported as a
  * complete, shorter one. Consecutive responses on a connection are reported one after another.
  */
-
-/** Status line and headers of a response. */
-export interface ResponseHead {
-    status: number;
-    reasonPhrase: string;
-    /** Alternating names and values, as received. */
-    rawHeaders: readonly string[];
-    /** False if the connection cannot be reused after this response. */
-    persistent: boolean;
-}
+import type { ResponseHead, StatusLine } from "./responseHead.js";
+import { framingOf, parseHeaderLine, parseStatusLine, ResponseSyntaxError } from "./responseHead.js";
 
 /** Callbacks for the parts of a response. */
 export interface ResponseEvents {
@@ -20,19 +12,13 @@
     onEnd(): void;
 }
 
-/** Thrown for a response that violates HTTP/1.1 or a limit of the parser. */
-export class ResponseSyntaxError extends Error {}
-
 const maxHeadBytes = 65_536;
 const maxInterimResponses = 16;
 const maxTrailers = 100;
 const maxChunkLineBytes = 256;
 const headEnd = Buffer.from("\r\n\r\n");
 const lineEnd = Buffer.from("\r\n");
-const statusLine = /^HTTP\/1\.([01]) ([1-5][0-9]{2})(?: ([\t\x20-\x7e\x80-\xff]*))?$/;
-const headerLine = /^([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*$/;
 const chunkLine = /^([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?$/;
-const digits = /^[0-9]{1,15}$/;
 
 const switchingProtocols = 101;
 
@@ -104,16 +90,12 @@
             return false;
         }
         const lines = this.consume(end + headEnd.length).toString("latin1", 0, end).split("\r\n");
-        const status = statusLine.exec(lines[0] ?? "");
-        if (!status) {
-            throw new ResponseSyntaxError("malformed status line");
-        }
-        const rawHeaders = lines.slice(1).flatMap(parseHeaderLine);
-        this.startResponse(Number(status[2]), status[3] ?? "", status[1] === "1", rawHeaders);
+        const status = parseStatusLine(lines[0] ?? "");
+        this.startResponse(status, lines.slice(1).flatMap(parseHeaderLine));
         return true;
     }
 
-    private startResponse(code: number, reasonPhrase: string, isHttp11: boolean, rawHeaders: string[]): void {
+    private startResponse({ code, reasonPhrase, isHttp11 }: StatusLine, rawHeaders: string[]): void {
         if (code === switchingProtocols) {
             throw new ResponseSyntaxError("target switched to another protocol, which no request asks for");
         }
@@ -232,61 +214,3 @@
     "trailers": (parser) => parser.readTrailers(),
     "until-close": (parser) => parser.readUntilClose(),
 };
-
-function parseHeaderLine(line: string): [string, string] {
-    const match = headerLine.exec(line);
-    if (!match) {
-        throw new ResponseSyntaxError("malformed header line");
-    }
-    return [match[1] as string, match[2] as string];
-}
-
-/** How the end of a body is marked, and whether the connection can be reused. */
-interface Framing {
-    lengthBytes: number | undefined;
-    chunked: boolean;
-    persistent: boolean;
-}
-
-function framingOf(rawHeaders: readonly string[], isHttp11: boolean): Framing {
-    const framing: Framing = { lengthBytes: undefined, chunked: false, persistent: isHttp11 };
-    for (let index = 0; index < rawHeaders.length; index += 2) {
-        const value = rawHeaders[index + 1] as string;
-        switch ((rawHeaders[index] as string).toLowerCase()) {
-            case "content-length":
-                if (!digits.test(value) || (framing.lengthBytes !== undefined && framing.lengthBytes !== Number(value))) {
-                    throw new ResponseSyntaxError("malformed or conflicting Content-Length");
-                }
-                framing.lengthBytes = Number(value);
-                break;
-            case "transfer-encoding":
-                if (value.toLowerCase() !== "chunked") {
-                    throw new ResponseSyntaxError("unsupported Transfer-Encoding: only chunked is accepted");
-                }
-                framing.chunked = true;
-                break;
-            case "connection":
-                framing.persistent = framing.persistent && !/\bclose\b/i.test(value);
-                break;
-        }
-    }
-    if (framing.chunked && framing.lengthBytes !== undefined) {
-        throw new ResponseSyntaxError("response has both Content-Length and chunked Transfer-Encoding");
-    }
-    return framing;
-}
-
-/**
- * Finds a header.
- * @param rawHeaders alternating names and values
- * @param name in lower case
- * @returns the first value, or undefined if there is none
- */
-export function headerOf(rawHeaders: readonly string[], name: string): string | undefined {
-    for (let index = 0; index < rawHeaders.length; index += 2) {
-        if ((rawHeaders[index] as string).toLowerCase() === name) {
-            return rawHeaders[index + 1];
-        }
-    }
-    return undefined;
-}
--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -8,8 +8,9 @@
 import { parseAddress } from "../model/valueSchemas.js";
 import type { Exchange, OutgoingRequest } from "./exchange.js";
 import { ExchangeState } from "./exchange.js";
-import type { ResponseHead } from "./responseParser.js";
-import { headerOf, ResponseParser } from "./responseParser.js";
+import type { ResponseHead } from "./responseHead.js";
+import { headerOf } from "./responseHead.js";
+import { ResponseParser } from "./responseParser.js";
 
 /** Limits on responses to other requests that are skipped while a request waits for its own; beyond them the connection is closed. */
 const maxSkippedBytes = 262_144;
--- a/test/forwarding/forwarderUnderTest.ts
+++ b/test/forwarding/forwarderUnderTest.ts
@@ -9,7 +9,7 @@
 import { createConnectionPool } from "../../src/forwarding/connectionPool.js";
 import type { Forwarder, ForwarderDependencies } from "../../src/forwarding/forwarder.js";
 import { createForwarder } from "../../src/forwarding/forwarder.js";
-import { headerOf } from "../../src/forwarding/responseParser.js";
+import { headerOf } from "../../src/forwarding/responseHead.js";
 import { createSystemClock } from "../../src/adapters/systemClock.js";
 import type { Address, DataCentreId, Key, Offset, RequestId, RouteId, ServiceId, TargetId } from "../../src/model/names.js";
 import { Signal } from "../../src/model/signal.js";
--- a/test/forwarding/responseParser.spec.ts
+++ b/test/forwarding/responseParser.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import { ResponseParser, ResponseSyntaxError } from "../../src/forwarding/responseParser.js";
+import { ResponseSyntaxError } from "../../src/forwarding/responseHead.js";
+import { ResponseParser } from "../../src/forwarding/responseParser.js";
 
 /** Parses the pieces and returns the reported events, one string each. `connectionEnds` ends the connection after them. */
 function parse(pieces: readonly (string | Buffer)[], connectionEnds = false): { events: string[]; error?: string } {
--- a/test/forwarding/targetConnection.spec.ts
+++ b/test/forwarding/targetConnection.spec.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import { expect } from "chai";
 import type { Exchange } from "../../src/forwarding/exchange.js";
-import { headerOf } from "../../src/forwarding/responseParser.js";
+import { headerOf } from "../../src/forwarding/responseHead.js";
 import type { TargetConnection } from "../../src/forwarding/targetConnection.js";
 import { connectToTarget } from "../../src/forwarding/targetConnection.js";
 import type { Address } from "../../src/model/names.js";
