--- a/src/entry/httpClientCall.ts
+++ b/src/entry/httpClientCall.ts
@@ -95,12 +95,7 @@
             response.end(answerBody);
         },
         beginAnswer: writeAnswerHead,
-        writeAnswer: (piece) => response.write(piece) || response.destroyed
-            ? Promise.resolve()
-            : new Promise((resolve) => {
-                response.once("drain", resolve);
-                response.once("close", resolve);
-            }),
+        writeAnswer: (piece) => response.write(piece) || response.destroyed ? Promise.resolve() : waitUntilWritable(response),
         finishAnswer: () => {
             response.end();
         },
@@ -110,6 +105,19 @@
     };
 }
 
+/** Resolves when a response accepts more data, or its connection is closed. */
+function waitUntilWritable(response: ServerResponse): Promise<void> {
+    return new Promise((resolve) => {
+        const end = () => {
+            response.off("drain", end);
+            response.off("close", end);
+            resolve();
+        };
+        response.on("drain", end);
+        response.on("close", end);
+    });
+}
+
 function bodyOfRefusal({ reason, retryAfterMs }: Refusal): object {
     return { reason, ...retryAfterMs === undefined ? {} : { retryAfterMs: Math.ceil(retryAfterMs) } };
 }
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -6,26 +6,15 @@
 import type { ConnectionPool } from "./connectionPool.js";
 import type { ReuseTerms } from "./connectionReuse.js";
 import type { TargetDialect, TargetNotice } from "./dialect.js";
-import { withoutHopByHop } from "../entry/hopByHop.js";
-import type { Exchange } from "./exchange.js";
-import type { Interrupt, InterruptReason, GiveUpPolicy } from "./interrupt.js";
+import { endAfterSending, endBeforeSending, pathLost } from "./endsByInterrupt.js";
+import type { Interrupt, GiveUpPolicy } from "./interrupt.js";
 import { createInterrupt } from "./interrupt.js";
 import type { StopWatching, TargetPaths } from "./pathWatch.js";
 import { watchPath } from "./pathWatch.js";
 import { requestHeadOf, sendBody } from "./requestSending.js";
-import type { ResponseHead } from "./responseHead.js";
-import { headerOf } from "./responseHead.js";
+import { receiveResponse } from "./responseReception.js";
 import type { TargetConnection } from "./targetConnection.js";
 
-/** A response body up to this size is buffered until it is complete, so that the request can be retried if the response breaks off. */
-const maxBufferedAnswerBytes = 262_144;
-
-/** Limit on the bytes read from the body of a rejection. */
-const maxRejectionBodyBytes = 65_536;
-
-/** Limit on the body of a response without a Content-Length; a longer one is treated as never ending. */
-const maxUnknownLengthBytes = 67_108_864;
-
 /** A complete response that has not been sent to the client yet. */
 export interface BufferedAnswer {
     head: AnswerHead;
@@ -55,7 +44,7 @@
     | { kind: "client-left" };
 
 /** How far an attempt has got; it decides how the attempt ends if an unexpected error is raised. */
-interface AttemptProgress {
+export interface AttemptProgress {
     connection: TargetConnection | undefined;
     /** True once any part of the request may have been sent. */
     isSent: boolean;
@@ -157,23 +146,6 @@
     return { kind: isSent ? "lost" : "unreachable", why, error };
 }
 
-const pathLost = "this host is cut off from the target";
-
-const endBeforeSending: { [Reason in InterruptReason]: AttemptEnd } = {
-    "client-left": { kind: "client-left" },
-    "timed-out": { kind: "unreachable", why: "connection was not opened in time" },
-    "given-up": { kind: "given-up", wasSent: false },
-    "path-lost": { kind: "unreachable", why: pathLost },
-};
-
-const endAfterSending: { [Reason in InterruptReason | "body-broken"]: AttemptEnd } = {
-    "client-left": { kind: "client-left" },
-    "timed-out": { kind: "timed-out" },
-    "given-up": { kind: "given-up", wasSent: true },
-    "path-lost": { kind: "lost", why: pathLost },
-    "body-broken": { kind: "body-broken" },
-};
-
 async function sendAndReceive(
     dependencies: AttemptDependencies, request: AttemptRequest, connection: TargetConnection, interrupt: Interrupt,
     progress: AttemptProgress,
@@ -226,7 +198,7 @@
         dependencies.paths.recordHeard(request.target.targetId);
     }
     dependencies.onNotice(request.target, dependencies.dialect.noticeOf(head.value), startedMs);
-    const end = await receiveResponse(dependencies, request, exchange, head.value, interrupt, progress);
+    const end = await receiveResponse(dependencies, request, { exchange, head: head.value, interrupt, progress });
     if (end.kind === "turned-away") {
         request.rejectedOn.add(connection);
         if (!dependencies.dialect.namesRequest(head.value)) {
@@ -236,89 +208,3 @@
     const tookMs = dependencies.clock.now().monoMs - startedMs;
     return "tookMs" in end ? { ...end, tookMs } : end;
 }
-
-async function receiveResponse(
-    dependencies: AttemptDependencies, { call, target }: AttemptRequest, exchange: Exchange, head: ResponseHead, interrupt: Interrupt,
-    progress: AttemptProgress,
-): Promise<AttemptEnd> {
-    const responseClass = dependencies.dialect.classify(head);
-    if (responseClass === "unproven") {
-        dependencies.onUnproven(target, call, head.status);
-        return { kind: "lost", why: `response of status ${String(head.status)} has no signature` };
-    }
-    if (responseClass === "not-run") {
-        await Promise.race([drainBody(exchange), interrupt.raised]);
-        return { kind: "turned-away", status: head.status, pauseMs: dependencies.dialect.noticeOf(head).pauseMs };
-    }
-    const buffered: Buffer[] = [];
-    let bufferedBytes = 0;
-    let receivedBytes = 0;
-    const maxBytes = contentLengthOf(head) ?? maxUnknownLengthBytes;
-    for (;;) {
-        const piece = await Promise.race([exchange.read(), interrupt.raised]);
-        if (typeof piece === "string") {
-            const brokenOff = progress.isStreaming ? abortAnswer(call, piece) : undefined;
-            return piece === "client-left" ? endAfterSending[piece] : brokenOff ?? endAfterSending[piece];
-        }
-        if (piece.isErr()) {
-            return progress.isStreaming ? abortAnswer(call, piece.error.message) : { kind: "lost", why: piece.error.message };
-        }
-        if (piece.value === undefined) {
-            return finishResponse(call, head, buffered, progress.isStreaming);
-        }
-        receivedBytes += piece.value.length;
-        if (receivedBytes > maxBytes) {
-            const why = "response body exceeds the size limit";
-            return progress.isStreaming ? abortAnswer(call, why) : { kind: "lost", why };
-        }
-        if (progress.isStreaming) {
-            await call.writeAnswer(piece.value);
-            continue;
-        }
-        buffered.push(piece.value);
-        bufferedBytes += piece.value.length;
-        if (bufferedBytes > maxBufferedAnswerBytes) {
-            interrupt.preventGiveUp();
-            call.beginAnswer(answerHeadOf(head, contentLengthOf(head)));
-            progress.isStreaming = true;
-            await call.writeAnswer(Buffer.concat(buffered));
-        }
-    }
-}
-
-function finishResponse(call: ClientCall, head: ResponseHead, buffered: readonly Buffer[], isStreaming: boolean): AttemptEnd {
-    if (isStreaming) {
-        call.finishAnswer();
-        return { kind: "streamed", status: head.status, tookMs: 0 };
-    }
-    const body = Buffer.concat(buffered);
-    const bodyBytes = call.method === "HEAD" ? contentLengthOf(head) : body.length;
-    return { kind: "answered", answer: { head: answerHeadOf(head, bodyBytes), body }, tookMs: 0 };
-}
-
-function abortAnswer(call: ClientCall, why: string): AttemptEnd {
-    call.abortAnswer();
-    return { kind: "broken-off", why };
-}
-
-/** Reads the body of a rejection, so that the connection can be reused. Stops at the size limit. */
-async function drainBody(exchange: Exchange): Promise<void> {
-    for (let readBytes = 0; readBytes < maxRejectionBodyBytes;) {
-        const piece = await exchange.read();
-        if (piece.isErr() || piece.value === undefined) {
-            return;
-        }
-        readBytes += piece.value.length;
-    }
-}
-
-const noHeaders: ReadonlySet<string> = new Set();
-
-function answerHeadOf(head: ResponseHead, bodyBytes: number | undefined): AnswerHead {
-    return { status: head.status, reasonPhrase: head.reasonPhrase, rawHeaders: withoutHopByHop(head.rawHeaders, noHeaders), bodyBytes };
-}
-
-function contentLengthOf(head: ResponseHead): number | undefined {
-    const length = headerOf(head.rawHeaders, "content-length");
-    return length === undefined ? undefined : Number(length);
-}
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -3,6 +3,8 @@
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import type { Failure } from "../model/failure.js";
+import type { SocketReader } from "../adapters/socketReader.js";
+import { BodyBuffer } from "./bodyBuffer.js";
 import type { ResponseHead } from "./responseHead.js";
 
 /** Number of unread body bytes at which reading from the target's socket is paused. */
@@ -47,14 +49,13 @@
     responseHead: ResponseHead | undefined;
     skippedResponses = 0;
     bodySent: boolean;
-    private readonly chunks: Buffer[] = [];
-    private bufferedBytes = 0;
+    private readonly body = new BodyBuffer();
     private ended = false;
     private lastFailure: Failure | undefined;
     private reader: Waiter | undefined;
     private writer: Waiter | undefined;
 
-    constructor(readonly request: OutgoingRequest, private readonly socket: net.Socket) {
+    constructor(readonly request: OutgoingRequest, private readonly socket: net.Socket, private readonly socketReader: SocketReader) {
         this.bodySent = !request.hasMore;
     }
 
@@ -70,13 +71,12 @@
 
     async read(): Promise<Result<Buffer | undefined, Failure>> {
         for (;;) {
-            const chunk = this.chunks.shift();
-            if (chunk !== undefined) {
-                this.bufferedBytes -= chunk.length;
-                if (this.bufferedBytes < maxBufferedBytes) {
-                    this.socket.resume();
+            const piece = this.body.take();
+            if (piece !== undefined) {
+                if (this.body.byteCount < maxBufferedBytes) {
+                    this.socketReader.release();
                 }
-                return ok(chunk);
+                return ok(piece);
             }
             if (this.ended) {
                 return ok(undefined);
@@ -106,11 +106,10 @@
         this.wakeReader();
     }
 
-    onBody(chunk: Buffer): void {
-        this.chunks.push(chunk);
-        this.bufferedBytes += chunk.length;
-        if (this.bufferedBytes >= maxBufferedBytes) {
-            this.socket.pause();
+    onBody(input: Buffer, start: number, end: number): void {
+        this.body.append(input, start, end);
+        if (this.body.byteCount >= maxBufferedBytes) {
+            this.socketReader.hold();
         }
         this.wakeReader();
     }
--- a/src/forwarding/interrupt.ts
+++ b/src/forwarding/interrupt.ts
@@ -24,6 +24,11 @@
 export interface Interrupt {
     /** Resolves with the reason when the attempt must end. */
     readonly raised: Promise<InterruptReason>;
+    /**
+     * Starts work and waits for it, unless the attempt must end before or meanwhile. An attempt that must end gets no further work done,
+     * also if each piece of it is done at once.
+     */
+    unlessRaised<T>(start: () => Promise<T>): Promise<T | InterruptReason>;
     /** Ends the attempt because this host is cut off from its target. */
     losePath(): void;
     /** Rules out that the attempt is given up for a retry from now on. */
@@ -37,45 +42,55 @@
  * @param terms conditions that interrupt the attempt
  */
 export function createInterrupt({ clientLeft, timeoutMs, giveUpPolicy }: InterruptTerms): Interrupt {
-    let release: () => void = () => undefined;
-    let losePath: () => void = () => undefined;
+    let reason: InterruptReason | undefined;
     let isGiveUpPrevented = false;
-    const raised = new Promise<InterruptReason>((resolve) => {
-        const timer = setTimeout(resolve, Math.max(1, timeoutMs), "timed-out");
-        const giveUpIfAllowed = async ({ mayGiveUp }: GiveUpPolicy) => {
-            if (!isGiveUpPrevented && await mayGiveUp() && !isGiveUpPrevented) {
-                resolve("given-up");
-            }
-        };
-        const giveUpTimer = giveUpPolicy === undefined ? undefined : setTimeout(() => {
-            void giveUpIfAllowed(giveUpPolicy);
-        }, Math.max(1, giveUpPolicy.afterMs));
-        losePath = () => {
-            resolve("path-lost");
-        };
-        const onClientLeft = () => {
-            resolve("client-left");
-        };
-        if (clientLeft?.aborted === true) {
-            onClientLeft();
+    const waiting = new Set<(reason: InterruptReason) => void>();
+    const raise = (why: InterruptReason) => {
+        reason ??= why;
+        for (const resolve of waiting) {
+            resolve(reason);
         }
-        clientLeft?.addEventListener("abort", onClientLeft, { once: true });
-        release = () => {
-            clearTimeout(timer);
-            clearTimeout(giveUpTimer);
-            clientLeft?.removeEventListener("abort", onClientLeft);
-        };
+        waiting.clear();
+    };
+    const timer = setTimeout(raise, Math.max(1, timeoutMs), "timed-out");
+    const giveUpIfAllowed = async ({ mayGiveUp }: GiveUpPolicy) => {
+        if (!isGiveUpPrevented && await mayGiveUp() && !isGiveUpPrevented) {
+            raise("given-up");
+        }
+    };
+    const giveUpTimer = giveUpPolicy === undefined ? undefined : setTimeout(() => {
+        void giveUpIfAllowed(giveUpPolicy);
+    }, Math.max(1, giveUpPolicy.afterMs));
+    const onClientLeft = () => {
+        raise("client-left");
+    };
+    const raised = new Promise<InterruptReason>((resolve) => {
+        waiting.add(resolve);
     });
+    if (clientLeft?.aborted === true) {
+        onClientLeft();
+    }
+    clientLeft?.addEventListener("abort", onClientLeft, { once: true });
     return {
         raised,
+        unlessRaised: <T>(start: () => Promise<T>) => reason !== undefined ? Promise.resolve(reason) : new Promise<T | InterruptReason>(
+            (resolve, reject) => {
+                waiting.add(resolve);
+                start().then((value) => {
+                    waiting.delete(resolve);
+                    resolve(value);
+                }, reject);
+            }),
         losePath: () => {
-            losePath();
+            raise("path-lost");
         },
         preventGiveUp: () => {
             isGiveUpPrevented = true;
         },
         release: () => {
-            release();
+            clearTimeout(timer);
+            clearTimeout(giveUpTimer);
+            clientLeft?.removeEventListener("abort", onClientLeft);
         },
     };
 }
--- a/src/forwarding/responseParser.ts
+++ b/src/forwarding/responseParser.ts
@@ -2,13 +2,15 @@
  * Strict incremental parser for HTTP/1.1 responses. An ambiguous or truncated response is an error and is never reported as a
  * complete, shorter one. Consecutive responses on a connection are reported one after another.
  */
+import { ByteInput } from "./byteInput.js";
 import type { ResponseHead, StatusLine } from "./responseHead.js";
 import { framingOf, parseHeaderLine, parseStatusLine, ResponseSyntaxError } from "./responseHead.js";
 
 /** Callbacks for the parts of a response. */
 export interface ResponseEvents {
     onHead(head: ResponseHead): void;
-    onBody(chunk: Buffer): void;
+    /** A piece of the body: the bytes of `input` from `start` to `end`, which are valid during the call only. */
+    onBody(input: Buffer, start: number, end: number): void;
     onEnd(): void;
 }
 
@@ -18,6 +20,9 @@
 const maxChunkLineBytes = 256;
 const headEnd = Buffer.from("\r\n\r\n");
 const lineEnd = Buffer.from("\r\n");
+const carriageReturn = 0x0d;
+const lineFeed = 0x0a;
+const maxChunkSizeDigits = 8;
 const chunkLine = /^([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?$/;
 
 const switchingProtocols = 101;
@@ -27,7 +32,7 @@
 /** Parses the responses on one connection. */
 export class ResponseParser {
     private state: State = "head";
-    private pending: Buffer = Buffer.alloc(0);
+    private readonly input = new ByteInput();
     private remainingBodyBytes = 0;
     private bodiless = false;
     private interimCount = 0;
@@ -38,7 +43,7 @@
 
     /** True unless a response has been received only in part. */
     get isBetweenResponses(): boolean {
-        return this.state === "head" && this.pending.length === 0;
+        return this.state === "head" && !this.input.isWithinText && this.input.unreadBytes === 0;
     }
 
     /** True within a body whose end is marked by the end of the connection. */
@@ -55,13 +60,13 @@
     }
 
     /**
-     * Parses received bytes.
+     * Parses received bytes, which may be overwritten afterwards.
      * @throws ResponseSyntaxError if the response violates the protocol or exceeds a limit
      */
     push(bytes: Buffer): void {
-        this.pending = this.pending.length === 0 ? bytes : Buffer.concat([this.pending, bytes]);
-        while (this.pending.length > 0 && stepByState[this.state](this)) {
-            // Each step consumes pending bytes, or returns false until more have arrived.
+        this.input.push(bytes);
+        while (this.input.unreadBytes > 0) {
+            stepByState[this.state](this);
         }
     }
 
@@ -81,18 +86,13 @@
     }
 
     /** Parses the head once it has arrived completely. */
-    readHead(): boolean {
-        const end = this.pending.indexOf(headEnd);
-        if (end < 0) {
-            if (this.pending.length > maxHeadBytes) {
-                throw new ResponseSyntaxError("response head exceeds the size limit");
-            }
-            return false;
+    readHead(): void {
+        const head = this.input.takeUntil(headEnd, maxHeadBytes, "response head");
+        if (head === undefined) {
+            return;
         }
-        const lines = this.consume(end + headEnd.length).toString("latin1", 0, end).split("\r\n");
-        const status = parseStatusLine(lines[0] ?? "");
-        this.startResponse(status, lines.slice(1).flatMap(parseHeaderLine));
-        return true;
+        const [firstLine = "", ...headerLines] = head.split("\r\n");
+        this.startResponse(parseStatusLine(firstLine), headerLines.flatMap(parseHeaderLine));
     }
 
     private startResponse({ code, reasonPhrase, isHttp11 }: StatusLine, rawHeaders: string[]): void {
@@ -121,96 +121,153 @@
     }
 
     /** Reports body bytes up to the end of the body or of the current chunk, then switches to state `next`. */
-    readBody(next: State): boolean {
-        const chunk = this.consume(Math.min(this.remainingBodyBytes, this.pending.length));
-        this.remainingBodyBytes -= chunk.length;
-        this.events.onBody(chunk);
+    readBody(next: State): void {
+        this.reportBody(Math.min(this.remainingBodyBytes, this.input.unreadBytes));
         if (this.remainingBodyBytes === 0) {
             this.state = next;
             if (next === "head") {
                 this.events.onEnd();
             }
         }
-        return true;
     }
 
-    /** Reports all pending bytes as body; the body ends with the connection. */
-    readUntilClose(): boolean {
-        this.events.onBody(this.consume(this.pending.length));
-        return true;
+    /** Reports all received bytes as body; the body ends with the connection. */
+    readUntilClose(): void {
+        this.reportBody(this.input.unreadBytes);
+    }
+
+    private reportBody(byteCount: number): void {
+        const { bytes, position } = this.input;
+        this.input.position += byteCount;
+        this.remainingBodyBytes -= byteCount;
+        this.events.onBody(bytes, position, position + byteCount);
     }
 
     /** Parses the line with the size of a chunk. */
-    readChunkLine(): boolean {
-        const line = this.consumeLine();
+    readChunkLine(): void {
+        const sizeBytes = this.takePlainChunkLine() ?? this.takeChunkLine();
+        if (sizeBytes === undefined) {
+            return;
+        }
+        this.remainingBodyBytes = sizeBytes;
+        this.state = sizeBytes === 0 ? "trailers" : "chunk";
+    }
+
+    /** Takes a line that has arrived in one piece and holds nothing but a size, without a string for it: there may be one for each byte. */
+    private takePlainChunkLine(): number | undefined {
+        if (this.input.isWithinText) {
+            return undefined;
+        }
+        const { bytes, position } = this.input;
+        let sizeBytes = 0;
+        let end = position;
+        while (end - position < maxChunkSizeDigits) {
+            const digit = hexDigitOf(bytes[end]);
+            if (digit === undefined) {
+                break;
+            }
+            sizeBytes = 16 * sizeBytes + digit;
+            end += 1;
+        }
+        if (end === position || !this.skipLineEnd(end)) {
+            return undefined;
+        }
+        return sizeBytes;
+    }
+
+    private takeChunkLine(): number | undefined {
+        const line = this.takeLine();
         if (line === undefined) {
-            return false;
+            return undefined;
         }
         const match = chunkLine.exec(line);
         if (!match) {
             throw new ResponseSyntaxError("malformed chunk size");
         }
-        this.remainingBodyBytes = parseInt(match[1] as string, 16);
-        this.state = this.remainingBodyBytes === 0 ? "trailers" : "chunk";
-        return true;
+        return parseInt(match[1] as string, 16);
     }
 
     /** Skips the line end after a chunk. */
-    readChunkEnd(): boolean {
-        const line = this.consumeLine();
+    readChunkEnd(): void {
+        if (!this.input.isWithinText && this.skipLineEnd(this.input.position)) {
+            this.state = "chunk-line";
+            return;
+        }
+        const line = this.takeLine();
         if (line === undefined) {
-            return false;
+            return;
         }
         if (line !== "") {
             throw new ResponseSyntaxError("chunk is longer than its declared size");
         }
         this.state = "chunk-line";
+    }
+
+    /** Moves behind a line end that has arrived at `position`; returns false if there is none. */
+    private skipLineEnd(position: number): boolean {
+        const { bytes } = this.input;
+        if (bytes[position] !== carriageReturn || bytes[position + 1] !== lineFeed) {
+            return false;
+        }
+        this.input.position = position + lineEnd.length;
         return true;
     }
 
     /** Skips the trailers up to the empty line that ends the response. */
-    readTrailers(): boolean {
-        const line = this.consumeLine();
+    readTrailers(): void {
+        const line = this.takeLine();
         if (line === undefined) {
-            return false;
+            return;
         }
         if (line === "") {
             this.state = "head";
             this.events.onEnd();
-            return true;
+            return;
         }
         parseHeaderLine(line);
         this.trailerCount += 1;
         if (this.trailerCount > maxTrailers) {
             throw new ResponseSyntaxError("too many trailers");
         }
-        return true;
     }
 
-    private consumeLine(): string | undefined {
-        const end = this.pending.indexOf(lineEnd);
-        if (end < 0) {
-            if (this.pending.length > maxChunkLineBytes) {
-                throw new ResponseSyntaxError("chunk size line or trailer exceeds the length limit");
-            }
-            return undefined;
-        }
-        return this.consume(end + lineEnd.length).toString("latin1", 0, end);
-    }
-
-    private consume(length: number): Buffer {
-        const consumed = this.pending.subarray(0, length);
-        this.pending = this.pending.subarray(length);
-        return consumed;
+    private takeLine(): string | undefined {
+        return this.input.takeUntil(lineEnd, maxChunkLineBytes, "chunk size line or trailer");
     }
 }
 
-const stepByState: Record<State, (parser: ResponseParser) => boolean> = {
-    "head": (parser) => parser.readHead(),
-    "sized": (parser) => parser.readBody("head"),
-    "chunk-line": (parser) => parser.readChunkLine(),
-    "chunk": (parser) => parser.readBody("chunk-end"),
-    "chunk-end": (parser) => parser.readChunkEnd(),
-    "trailers": (parser) => parser.readTrailers(),
-    "until-close": (parser) => parser.readUntilClose(),
+const stepByState: Record<State, (parser: ResponseParser) => void> = {
+    "head": (parser) => {
+        parser.readHead();
+    },
+    "sized": (parser) => {
+        parser.readBody("head");
+    },
+    "chunk-line": (parser) => {
+        parser.readChunkLine();
+    },
+    "chunk": (parser) => {
+        parser.readBody("chunk-end");
+    },
+    "chunk-end": (parser) => {
+        parser.readChunkEnd();
+    },
+    "trailers": (parser) => {
+        parser.readTrailers();
+    },
+    "until-close": (parser) => {
+        parser.readUntilClose();
+    },
 };
+
+/** Returns the value of a hexadecimal digit; undefined for any other character code, and past the end of the bytes. */
+function hexDigitOf(code: number | undefined): number | undefined {
+    if (code === undefined) {
+        return undefined;
+    }
+    if (code >= 0x30 && code <= 0x39) {
+        return code - 0x30;
+    }
+    const lowerCase = code | 0x20;
+    return lowerCase >= 0x61 && lowerCase <= 0x66 ? lowerCase - 0x57 : undefined;
+}
--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -2,6 +2,7 @@
 import net from "node:net";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
+import { readSocket } from "../adapters/socketReader.js";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Address, HostId } from "../model/names.js";
@@ -115,12 +116,12 @@
             keepAliveMs = keepAliveOf(head) ?? keepAliveMs;
             current?.onHead(head);
         },
-        onBody: (chunk) => {
+        onBody: (input, start, end) => {
             if (!isSkipping) {
-                current?.onBody(chunk);
+                current?.onBody(input, start, end);
                 return;
             }
-            skippedBytes += chunk.length;
+            skippedBytes += end - start;
             if (skippedBytes > maxSkippedBytes) {
                 closeConnection("body of a response to another request exceeds the size limit");
             }
@@ -170,7 +171,7 @@
         }
     };
 
-    socket.on("data", (bytes: Buffer) => {
+    const reader = readSocket(socket, (bytes) => {
         const wasIdle = current === undefined;
         parseOrClose(() => {
             parser.push(bytes);
@@ -216,8 +217,6 @@
         });
     });
 
-    socket.resume();
-
     return {
         relay,
         get reusable() {
@@ -234,7 +233,7 @@
         },
         closed,
         start: (request) => {
-            const state = new ExchangeState(request, socket);
+            const state = new ExchangeState(request, socket, reader);
             current = state;
             skippedBytes = 0;
             parser.expectBodiless(request.method === "HEAD");
--- /dev/null
+++ b/test/fleet/endlessResponses.spec.ts
@@ -0,0 +1,97 @@
+import { readFileSync } from "node:fs";
+import type net from "node:net";
+import { expect } from "chai";
+import type { ClientAnswer, FleetHost } from "./fleet.js";
+import { isReady, paths, send, sleep } from "./fleet.js";
+import { useScriptedFleet, writePath } from "./scriptedFleet.js";
+import type { ScriptedTarget } from "./scriptedTarget.js";
+
+/** Timeout of the route to the faulty target, and time by which a request without an answer must have one (CONFIG). */
+const routeTimeoutMs = 3_000;
+const lateAfterMs = 500;
+
+/** Other requests run for 15 ms; a host that is kept busy answers them later than this. */
+const promptMs = 1_000;
+const periodMs = 50;
+
+/** Memory limit that the settings of the host state. */
+const memoryLimitMb = 350;
+
+/** What a faulty target sends in place of a response, and then again and again until the host closes the connection. */
+interface FaultyResponse {
+    start: (id: string) => string;
+    repeated: string;
+    count: number;
+}
+
+const signedHead = (id: string) => `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Signature: s\r\n`;
+const chunkedHead = (id: string) => `${signedHead(id)}Transfer-Encoding: chunked\r\n\r\n`;
+
+const responses: Record<string, FaultyResponse> = {
+    // Guards against a host that does nothing else while it reads: one step of its event loop for each chunk of one byte (review/3).
+    "a body without end in chunks of one byte": { start: chunkedHead, repeated: "1\r\nx\r\n".repeat(4_096), count: 2 },
+    "a body without end in chunks of 16 bytes": { start: chunkedHead, repeated: "10\r\n0123456789abcdef\r\n".repeat(1_024), count: 2 },
+};
+
+/** Peak memory of a process so far. */
+function peakMemoryMb({ child }: FleetHost): number {
+    const status = readFileSync(`/proc/${String(child.pid)}/status`, "utf8");
+    return Number(/^VmHWM:\s+(\d+) kB/m.exec(status)?.[1]) / 1_024;
+}
+
+function sendWithoutEnd(socket: net.Socket, bytes: Buffer): void {
+    const writeMore = () => {
+        if (socket.destroyed) {
+            return;
+        }
+        if (socket.write(bytes)) {
+            setImmediate(writeMore);
+        }
+        else {
+            socket.once("drain", writeMore);
+        }
+    };
+    writeMore();
+}
+
+describe("a target that sends bytes without end", function () {
+    this.timeout(30_000);
+    let target: ScriptedTarget;
+    let host: FleetHost;
+
+    useScriptedFleet((started) => {
+        ({ target, host } = started);
+    });
+
+    /** Sends requests to a sound target one after another until the faulty ones are answered; returns the answers. */
+    const sendOthers = async (isOver: () => boolean): Promise<ClientAnswer[]> => {
+        const pending: Promise<ClientAnswer>[] = [];
+        for (let number = 0; !isOver(); number++) {
+            const id = `other-${String(performance.now())}-${String(number)}`;
+            pending.push(send(host, { id, path: `${paths.read}x`, key: 7 }));
+            await sleep(periodMs);
+        }
+        return Promise.all(pending);
+    };
+
+    for (const [what, { start, repeated, count }] of Object.entries(responses)) {
+        it(`delays no other request, and its own end at their timeout: ${what}`, async () => {
+            target.react = (socket, { requestId }) => {
+                socket.write(start(requestId), "latin1");
+                sendWithoutEnd(socket, Buffer.from(repeated, "latin1"));
+            };
+            let isOver = false;
+            const others = sendOthers(() => isOver);
+            const ids = Array.from({ length: count }, (_, index) => `${what} ${String(index)}`.replaceAll(" ", "-"));
+            const faulty = await Promise.all(ids.map((id) => send(host, { id, path: `${writePath}x`, method: "POST", budgetMs: 8_000 })));
+            expect(await isReady(host), "ready").to.equal(true);
+            isOver = true;
+            const answers = await others;
+            const lateOrFailed = answers.filter(({ status, tookMs }) => status !== 200 || tookMs > promptMs);
+            expect(lateOrFailed.length, `${JSON.stringify(lateOrFailed[0])}; of ${String(answers.length)}`).to.equal(0);
+            const lateAtTimeout = faulty.filter(({ tookMs }) => tookMs > routeTimeoutMs + lateAfterMs);
+            expect(lateAtTimeout.length, JSON.stringify(lateAtTimeout[0])).to.equal(0);
+            expect(peakMemoryMb(host)).to.be.below(memoryLimitMb);
+        });
+    }
+});
--- a/test/forwarding/responseParser.spec.ts
+++ b/test/forwarding/responseParser.spec.ts
@@ -8,7 +8,7 @@
     const events: string[] = [];
     const parser = new ResponseParser({
         onHead: ({ status, persistent }) => events.push(`head ${String(status)} ${persistent ? "stays" : "closes"}`),
-        onBody: (chunk) => events.push(`body ${chunk.toString()}`),
+        onBody: (input, start, end) => events.push(`body ${input.toString("utf8", start, end)}`),
         onEnd: () => events.push("end"),
     });
     try {
@@ -49,6 +49,32 @@
         }));
     });
 
+    it("keeps nothing of the bytes that it was given, which are overwritten after each piece", () => {
+        const events: string[] = [];
+        const parser = new ResponseParser({
+            onHead: ({ rawHeaders }) => events.push(...rawHeaders),
+            onBody: (input, start, end) => events.push(input.toString("utf8", start, end)),
+            onEnd: () => events.push("end"),
+        });
+        const shared = Buffer.alloc(3);
+        const text = Buffer.from("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\nX: y\r\n\r\n");
+        for (let position = 0; position < text.length; position += shared.length) {
+            const copiedBytes = text.copy(shared, 0, position);
+            parser.push(shared.subarray(0, copiedBytes));
+        }
+        expect(events.join("|")).to.match(/^Transfer-Encoding\|chunked\|[abc|]+\|end$/);
+    });
+
+    for (const [what, piece] of [["a head", "X: y\r\n"], ["a line of a chunk", "0"]] as const) {
+        it(`rejects ${what} that is too long in the same way, wherever the received data is split`, () => {
+            const start = what === "a head" ? "HTTP/1.1 200 OK\r\n" : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            const text = `${start}${piece.repeat(12_000)}\r\n\r\n`;
+            const whole = parse([text]);
+            expect(whole.error).to.match(/exceeds the size limit/);
+            expect(parse([...text])).to.deep.equal(whole);
+        });
+    }
+
     it("ends a body without a length at the end of the connection, and not before", () => {
         const text = "HTTP/1.1 200 OK\r\n\r\nabc";
         expect(parse([text]).events).to.deep.equal(["head 200 closes", "body abc"]);
