--- a/src/adapters/socketReader.ts
+++ b/src/adapters/socketReader.ts
@@ -104,3 +104,15 @@
         },
     };
 }
+
+/** Limits what a connection delivers in a turn of the event loop if a library reads from it. */
+export function limitBytesPerTurn(socket: net.Socket): void {
+    socket.on("data", (bytes: Buffer) => {
+        if (bytes.length >= maxBytesPerTurn) {
+            socket.pause();
+            setImmediate(() => {
+                socket.resume();
+            });
+        }
+    });
+}
