--- a/src/forwarding/byteInput.ts
+++ b/src/forwarding/byteInput.ts
@@ -1,16 +1,19 @@
 /** Bytes that arrive in pieces, and texts in them that end with a marker. However small the pieces are, the work is linear in the bytes. */
 import { ResponseSyntaxError } from "./responseHead.js";
 
-const initialKeptBytes = 1_024;
+const nothing = Buffer.alloc(0);
+
+/** Least memory that is taken to keep the beginning of a text. */
+const minKeptBytes = 256;
 
 /** Reads received bytes from front to back. */
 export class ByteInput {
     /** The bytes received last, valid until the next `push`. */
-    bytes: Buffer = Buffer.alloc(0);
+    bytes: Buffer = nothing;
     /** Position of the next byte in `bytes`. */
     position = 0;
     /** The beginning of a text whose marker has not arrived. */
-    private kept: Buffer = Buffer.alloc(0);
+    private kept: Buffer = nothing;
     private keptBytes = 0;
 
     /** Number of bytes after `position`. */
@@ -38,33 +41,32 @@
      * @throws ResponseSyntaxError if the text is longer
      */
     takeUntil(marker: Buffer, maxBytes: number, what: string): string | undefined {
-        const keptBytes = this.keptBytes;
+        const earlierBytes = this.keptBytes;
         const mostBytes = maxBytes + marker.length;
-        const added = this.bytes.subarray(this.position, this.position + mostBytes - keptBytes);
-        const text = keptBytes === 0 ? added : this.keep(added, mostBytes);
-        const end = text.indexOf(marker, Math.max(0, keptBytes - marker.length + 1));
+        const added = this.bytes.subarray(this.position, this.position + mostBytes - earlierBytes);
+        const received = earlierBytes === 0 ? added : this.keep(added, mostBytes);
+        const end = received.indexOf(marker, Math.max(0, earlierBytes - marker.length + 1));
         if (end >= 0) {
-            this.position += end + marker.length - keptBytes;
+            this.position += end + marker.length - earlierBytes;
+            this.kept = nothing;
             this.keptBytes = 0;
-            const taken = text.toString("latin1", 0, end);
-            this.kept = Buffer.alloc(0);
-            return taken;
+            return received.toString("latin1", 0, end);
         }
-        if (text.length >= mostBytes) {
+        if (received.length >= mostBytes) {
             throw new ResponseSyntaxError(`${what} exceeds the size limit`);
         }
-        if (keptBytes === 0) {
+        if (earlierBytes === 0) {
             this.keep(added, mostBytes);
         }
         this.position += added.length;
         return undefined;
     }
 
-    /** Adds bytes to the kept beginning of a text, and returns all of it. */
+    /** Adds bytes to the kept beginning of a text, and returns all of it. Memory doubles as it grows, so that few copies are made. */
     private keep(added: Buffer, mostBytes: number): Buffer {
         const neededBytes = this.keptBytes + added.length;
         if (neededBytes > this.kept.length) {
-            const grown = Buffer.allocUnsafe(Math.min(mostBytes, Math.max(initialKeptBytes, 2 * neededBytes)));
+            const grown = Buffer.allocUnsafe(Math.min(mostBytes, Math.max(minKeptBytes, 2 * neededBytes)));
             this.kept.copy(grown, 0, 0, this.keptBytes);
             this.kept = grown;
         }
