--- a/src/routing/routeTable.ts
+++ b/src/routing/routeTable.ts
@@ -16,20 +16,26 @@
     find(hostName: string, path: string, method: string): Route | undefined;
 }
 
-/** Routes by path prefix; at most one per prefix and method. */
-type RoutesByPrefix = Map<string, Route[]>;
+/** The routes of a host name. */
+interface HostRoutes {
+    /** Routes by path prefix; at most one per prefix and method. */
+    byPrefix: Map<string, Route[]>;
+    longestPrefixChars: number;
+}
 
 /**
  * Creates the route table of a configuration.
  * @param config the configuration
  */
 export function createRouteTable(config: RoutingConfig): RouteTable {
-    const byHost = new Map<string, RoutesByPrefix>();
+    const byHost = new Map<string, HostRoutes>();
     for (const route of config.routes) {
+        const { pathPrefix } = route;
         const hostName = normalizeHostName(route.hostName);
-        const byPrefix: RoutesByPrefix = byHost.get(hostName) ?? new Map<string, Route[]>();
-        byPrefix.set(route.pathPrefix, [...byPrefix.get(route.pathPrefix) ?? [], route]);
-        byHost.set(hostName, byPrefix);
+        const known: HostRoutes = byHost.get(hostName) ?? { byPrefix: new Map<string, Route[]>(), longestPrefixChars: 0 };
+        known.byPrefix.set(pathPrefix, [...known.byPrefix.get(pathPrefix) ?? [], route]);
+        known.longestPrefixChars = Math.max(known.longestPrefixChars, pathPrefix.length);
+        byHost.set(hostName, known);
     }
     return {
         find: (hostName, path, method) => {
@@ -46,13 +52,19 @@
     return hostName.toLowerCase().replace(/\.?(:[0-9]*)?$/, "");
 }
 
-/** Looks up every prefix of the path that ends with a slash, longest first; the prefixes of routes always end with one. */
-function findLongestPrefix(byPrefix: RoutesByPrefix | undefined, path: string, method: string): Route | undefined {
-    for (let end = path.lastIndexOf("/"); byPrefix !== undefined && end >= 0; end = end === 0 ? -1 : path.lastIndexOf("/", end - 1)) {
-        const routes = byPrefix.get(path.slice(0, end + 1));
-        const route = routes?.find((one) => one.method === undefined || one.method === method);
-        if (route !== undefined) {
-            return route;
+/**
+ * Looks up every prefix of the path that ends with a slash and is not longer than the longest of a route, longest first; the prefixes of
+ * routes always end with a slash.
+ */
+function findLongestPrefix(routes: HostRoutes | undefined, path: string, method: string): Route | undefined {
+    if (routes === undefined) {
+        return undefined;
+    }
+    const { byPrefix, longestPrefixChars } = routes;
+    for (let end = path.lastIndexOf("/", longestPrefixChars - 1); end >= 0; end = end === 0 ? -1 : path.lastIndexOf("/", end - 1)) {
+        const found = byPrefix.get(path.slice(0, end + 1))?.find((one) => one.method === undefined || one.method === method);
+        if (found !== undefined) {
+            return found;
         }
     }
     return undefined;
--- a/test/routing/routing.spec.ts
+++ b/test/routing/routing.spec.ts
@@ -30,6 +30,27 @@
         });
     }
 
+    // Guards against one client that keeps a host busy: a path of 15,000 slashes, each prefix of which was looked up (FINDINGS 3).
+    it("looks at no more of a path than the longest prefix has", () => {
+        const startedMs = performance.now();
+        for (let count = 0; count < 20; count++) {
+            expect(table.find("one.example", `/a/${"/".repeat(15_000)}`, "GET")?.routeId).to.equal("a");
+            expect(table.find("one.example", "/".repeat(15_000), "GET")?.routeId).to.equal("root");
+        }
+        expect(performance.now() - startedMs).to.be.below(200);
+    });
+
+    it("finds the route with the longest of all prefixes that match, whatever the path", () => {
+        const prefixes = ["/", "/a/", "//", "/a/b/", "/b//a/", "/a/b/a/b/"];
+        const routes = tableOf(...prefixes.map((prefix) => route(prefix, prefix)));
+        fc.assert(fc.property(fc.array(fc.constantFrom("/", "a", "b", "?"), { maxLength: 14 }), (characters) => {
+            const path = `/${characters.join("")}`;
+            const matching = prefixes.filter((prefix) => (path.split("?", 1)[0] ?? "").startsWith(prefix));
+            const longest = matching.reduce((left, right) => right.length > left.length ? right : left);
+            expect(routes.find("one.example", path, "GET")?.routeId).to.equal(longest);
+        }));
+    });
+
     it("matches the exact host name, ignoring case and port", () => {
         expect(table.find("ONE.example:8080", "/a/x", "GET")?.routeId).to.equal("a");
         expect(table.find("two.example", "/a/x", "GET")).to.equal(undefined);
