--- a/test/forwarding/interrupt.spec.ts
+++ b/test/forwarding/interrupt.spec.ts
@@ -50,4 +50,19 @@
         expect((await waitForInterrupt({ clientLeft: clientLeft.signal, timeoutMs: 500, giveUpPolicy: undefined })).reason)
             .to.equal("client-left");
     });
+
+    // Guards against an attempt that goes on past its timeout, as long as each read is done at once (review/3).
+    it("begins no further work once it has come, and ends the wait for work in progress", async () => {
+        const interrupt = createInterrupt({ clientLeft: undefined, timeoutMs: 5_000, giveUpPolicy: undefined });
+        expect(await interrupt.unlessRaised(() => Promise.resolve(1))).to.equal(1);
+        const waiting = interrupt.unlessRaised(() => new Promise<number>(() => undefined));
+        interrupt.losePath();
+        let hasBegun = false;
+        const late = await interrupt.unlessRaised(() => {
+            hasBegun = true;
+            return Promise.resolve(2);
+        });
+        expect([await waiting, late, hasBegun, await interrupt.raised]).to.deep.equal(["path-lost", "path-lost", false, "path-lost"]);
+        interrupt.release();
+    });
 });
