Accept every route type; all but safe run at most once

Cause: the decoder knew three route types, and one route of another type (upload) made the whole configuration undecodable, so that no host served any route.

--- a/test/platform/decoders.spec.ts
+++ b/test/platform/decoders.spec.ts
@@ -55,6 +55,14 @@
         expect(config?.services.map(({ sharded }) => sharded)).to.deep.equal([true, false]);
     });
 
+    for (const routeType of ["unsafe", "keyed", "upload", "a-later-type"]) {
+        it(`runs requests of type ${routeType} at most once, and keeps the other routes`, () => {
+            const text = JSON.stringify(buildRoutingConfig(1)).replace('"safe"', `"${routeType}"`);
+            const config = platformDecoders.configuration("config", Buffer.from(text))._unsafeUnwrap();
+            expect(config?.routes.map(({ idempotent }) => idempotent)).to.deep.equal([false, false, true]);
+        });
+    }
+
     it("ignores other keys and rejects a truncated configuration", () => {
         expect(platformDecoders.configuration("other", Buffer.from("x"))._unsafeUnwrap()).to.equal(undefined);
         expect(platformDecoders.configuration("config", Buffer.from(JSON.stringify(buildRoutingConfig(1)).slice(0, 90))).isErr()).to.equal(true);
