Decode which features a deployment asks for

Settings and configuration now say whether load management, shared scarce capacity and the bound of evacuations apply to a deployment. Nothing acts on them yet.

--- a/src/cluster/messageChecks.ts
+++ b/src/cluster/messageChecks.ts
@@ -107,6 +107,7 @@
             maxHeaderBytes: z.int().check(z.gte(1)), maxBodyBytes: z.int().check(z.gte(1)), headerTimeoutMs: positiveDurationMsSchema,
             idleTimeoutMs: positiveDurationMsSchema,
         }),
+        loadManagement: z.optional(z.boolean()),
     }),
 });
 
--- a/src/model/routing.ts
+++ b/src/model/routing.ts
@@ -61,4 +61,6 @@
     routes: readonly Route[];
     services: readonly ServiceConfig[];
     limits: ClientLimits;
+    /** True if the requests of a route differ so much in cost that load management is worthwhile; absent if not. */
+    loadManagement?: boolean;
 }
--- a/src/settings/hostSettings.ts
+++ b/src/settings/hostSettings.ts
@@ -32,4 +32,10 @@
     retryWindowMs: number;
     /** Allowed retries per window in addition to the ratio, over all hosts together. */
     extraRetries: number;
+    /** True if the deployment asks for load management: placement by the expected cost of requests and the backlog of targets. */
+    loadManagement: boolean;
+    /** True if capacity that does not suffice for all is to be shared by priority and among callers. */
+    sharesScarceCapacity: boolean;
+    /** Time within which an evacuated data centre must get no more requests. */
+    evacuationMs: number;
 }
--- a/test/platform/decoders.spec.ts
+++ b/test/platform/decoders.spec.ts
@@ -60,6 +60,7 @@
             const text = JSON.stringify(buildRoutingConfig(1)).replace('"safe"', `"${routeType}"`);
             const config = platformDecoders.configuration("config", Buffer.from(text))._unsafeUnwrap();
             expect(config?.routes.map(({ idempotent }) => idempotent)).to.deep.equal([false, false, true]);
+            expect(config?.loadManagement).to.equal(routeType === "upload" ? true : undefined);
         });
     }
 
@@ -141,6 +142,17 @@
         expect(decodeSettings(text, "local.toml")._unsafeUnwrap()).toMatchSnapshot();
     });
 
+    const featuresByContracts: Record<string, object> = {
+        'contracts = ["base","own"]': { loadManagement: false, sharesScarceCapacity: false },
+        'contracts = ["base","places"]': { loadManagement: true, sharesScarceCapacity: false },
+        'contracts = ["pressure"]': { loadManagement: true, sharesScarceCapacity: true },
+    };
+    for (const [contracts, expected] of Object.entries(featuresByContracts)) {
+        it(`enables nothing that the deployment does not ask for: ${contracts}`, () => {
+            expect(decodeSettings(`${contracts}\n${text}`, "local.toml")._unsafeUnwrap()).to.include(expected);
+        });
+    }
+
     it("is rejected with every invalid field, its value and the expected form", () => {
         const broken = text.replace("zone = \"a\"\n", "").replace("10.1.0.10:8167", "nowhere").replace("cpu_share = 0.54", "cpu_share = 0");
         expect(decodeSettings(broken, "local.toml")._unsafeUnwrapErr().message).toMatchSnapshot();
