Give a service without keys a queue in each data centre where load is managed

Cause: one host kept the queue of a whole service, so that hundreds of requests a second asked one small host, most of them from other data centres. A request now asks the queue of its own data centre first, with a limit on its wait, and then the data centre with the shortest wait that its sender has seen. In force only where settings or configuration ask for load management and every host can keep such queues. Not measured yet.

--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -175,7 +175,7 @@
 
 /** Returns the message for a request. Fields are listed one by one, since copying them all costs processor time for each request. */
 function toEnterParams(request: SlotRequest, ticket: Ticket, sender: HostId, nowMs: number): EnterParams {
-    const { group, priority, workMs, near, avoid, rateLimits, suspect, softDeadlineMs, deadlineMs } = request;
+    const { group, priority, workMs, near, avoid, rateLimits, suspect, softDeadlineMs, deadlineMs, maxWaitMs } = request;
     const params: EnterParams = {
         ticket, sender, group, priority, near, avoid,
         workMs: Math.round(workMs), targetLeftMs: Math.round(softDeadlineMs - nowMs), deadlineLeftMs: Math.round(deadlineMs - nowMs),
@@ -186,6 +186,9 @@
     if (suspect !== undefined) {
         params.suspect = suspect;
     }
+    if (maxWaitMs !== undefined) {
+        params.maxWaitMs = Math.max(0, Math.round(maxWaitMs));
+    }
     return params;
 }
 
--- a/src/admission/admissionRequest.ts
+++ b/src/admission/admissionRequest.ts
@@ -19,6 +19,8 @@
     softDeadlineMs: number;
     /** Time after which an answer is useless. */
     deadlineMs: number;
+    /** Time until which the request waits in this queue, so that its sender can try another one; undefined if until its deadline. */
+    waitUntilMs?: number;
     /** Data centre of the host that would send the request. */
     near: DataCentreId;
     /**
--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -114,8 +114,14 @@
     const isDrained = (targetId: TargetId) => view.ledger.drained().includes(targetId);
 
     const targetsOf = (group: Group): KnownTarget[] => {
-        const targets = group.kind === "service" ? view.targets.ofService(group.serviceId) : [view.targets.get(group.targetId)];
-        return targets.flatMap((target) => target === undefined ? [] : [target]);
+        if (group.kind === "target") {
+            const target = view.targets.get(group.targetId);
+            return target === undefined ? [] : [target];
+        }
+        const targets = view.targets.ofService(group.serviceId);
+        return group.dataCentreId === undefined
+            ? [...targets]
+            : targets.filter(({ dataCentreId }) => dataCentreId === group.dataCentreId);
     };
 
     /** A leaving target that owns keys (group kind "target") stays open for up to `drainMs`, to serve its keys until they have moved. */
@@ -258,12 +264,13 @@
 }
 
 function toRequest(params: EnterParams, sender: string, nowMs: number): AdmissionRequest {
-    const { ticket, priority, workMs, near } = params;
+    const { ticket, priority, workMs, near, maxWaitMs } = params;
     return {
         ticket, sender, priority, workMs, near,
         arrivedMs: nowMs,
         softDeadlineMs: nowMs + params.targetLeftMs,
         deadlineMs: nowMs + params.deadlineLeftMs,
+        ...maxWaitMs === undefined ? {} : { waitUntilMs: nowMs + maxWaitMs },
         avoid: new Set(params.avoid),
         ...params.suspect === undefined ? {} : { suspect: params.suspect },
     };
--- a/src/admission/messageChecks.ts
+++ b/src/admission/messageChecks.ts
@@ -52,8 +52,8 @@
 const isLeftMs = isBetween(-maxDurationMs, maxDurationMs);
 
 const isGroup: ValueCheck = (value) => {
-    const { kind, targetId, serviceId } = (value ?? {}) as { kind?: unknown; targetId?: unknown; serviceId?: unknown };
-    return kind === "target" ? isIdText(targetId) : kind === "service" && isName(serviceId);
+    const { kind, targetId, serviceId, dataCentreId } = (value ?? {}) as Readonly<Record<string, unknown>>;
+    return kind === "target" ? isIdText(targetId) : kind === "service" && isName(serviceId) && isOptional(isName)(dataCentreId);
 };
 
 const rateLimitFields: FieldChecks<StatedRateLimit> = {
@@ -64,7 +64,8 @@
 const enterFields: FieldChecks<EnterParams> = {
     ticket: isName, sender: isOptional(isName), group: isGroup,
     priority: (value) => Number.isInteger(value) && isBetween(0, maxPriority)(value),
-    workMs: isDurationMs, targetLeftMs: isLeftMs, deadlineLeftMs: isLeftMs, near: isName, avoid: isListOf(isIdText, maxAvoided),
+    workMs: isDurationMs, targetLeftMs: isLeftMs, deadlineLeftMs: isLeftMs, maxWaitMs: isOptional(isDurationMs),
+    near: isName, avoid: isListOf(isIdText, maxAvoided),
     rateLimits: isOptional(isListOf(isAnything, maxRateLimits)), suspect: isOptional(isIdText),
 };
 
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -5,10 +5,16 @@
 import type { QueueRefusalReason, Ticket } from "./admissionRequest.js";
 import type { WorkEnd } from "./targetRecord.js";
 
-/** The targets that share a queue: a single target that owns keys, or all targets of a service without keys. */
+/**
+ * The targets that share a queue: a single target that owns keys, or all targets of a service without keys, or those of them in one data
+ * centre.
+ */
 export type Group =
     | { kind: "target"; targetId: TargetId }
-    | { kind: "service"; serviceId: ServiceId };
+    | { kind: "service"; serviceId: ServiceId; dataCentreId?: DataCentreId };
+
+/** Separates a service from a data centre in the name of a queue; names contain no control characters. */
+const nameSeparator = "\u0000";
 
 /** Requests a slot. */
 export interface EnterParams {
@@ -23,6 +29,8 @@
     targetLeftMs: number;
     /** Time left until the deadline, after which the answer is useless. */
     deadlineLeftMs: number;
+    /** Longest time to wait in this queue, after which the sender tries another one; absent if the request waits until its deadline. */
+    maxWaitMs?: number;
     /** Data centre of the host that would send the request. */
     near: DataCentreId;
     /** Targets of the request's earlier attempts, and targets that the sending host knows to be unavailable. */
@@ -61,5 +69,8 @@
 
 /** Returns the name of a group's queue, by which the host that keeps it is chosen. */
 export function groupName(group: Group): string {
-    return group.kind === "target" ? group.targetId : group.serviceId;
+    if (group.kind === "target") {
+        return group.targetId;
+    }
+    return group.dataCentreId === undefined ? group.serviceId : `${group.serviceId}${nameSeparator}${group.dataCentreId}`;
 }
--- a/src/admission/queueHosts.ts
+++ b/src/admission/queueHosts.ts
@@ -14,14 +14,16 @@
 export class QueueHosts {
     private readonly rankedByQueue = new Map<string, readonly Member[]>();
     private rankedVersion: number;
+    private checkedVersion: number | undefined;
+    private canAllKeep = false;
 
     constructor(private readonly membership: Membership, private readonly view: ClusterView) {
         this.rankedVersion = membership.version;
     }
 
     /**
-     * Lists the hosts that may keep a queue, in order of preference: first those in the data centre of the target, if the group is one
-     * target. The order is cached until the members change: with hundreds of hosts, ranking takes longer than the rest of a request for
+     * Lists the hosts that may keep a queue, in order of preference: first those in the data centre of the targets, if the group is in one.
+     * The order is cached until the members change: with hundreds of hosts, ranking takes longer than the rest of a request for
      * a slot.
      */
     ranked(group: Group): readonly Member[] {
@@ -29,13 +31,25 @@
             this.rankedByQueue.clear();
             this.rankedVersion = this.membership.version;
         }
-        const dataCentreId = group.kind === "target" ? this.view.targets.get(group.targetId)?.dataCentreId : undefined;
+        const dataCentreId = group.kind === "target" ? this.view.targets.get(group.targetId)?.dataCentreId : group.dataCentreId;
         const cacheKey = `${groupName(group)}/${dataCentreId ?? ""}`;
         const ranked = this.rankedByQueue.get(cacheKey) ?? this.rank(group, dataCentreId);
         this.rankedByQueue.set(cacheKey, ranked);
         return ranked;
     }
 
+    /**
+     * Returns whether every host can keep the queue of a service in one data centre. As long as one can't, all hosts use the queue of the
+     * whole service, so that the slots of a target are counted in one place.
+     */
+    keepDataCentreQueues(): boolean {
+        if (this.checkedVersion !== this.membership.version) {
+            this.checkedVersion = this.membership.version;
+            this.canAllKeep = this.membership.members().every(({ keepsDataCentreQueues }) => keepsDataCentreQueues === true);
+        }
+        return this.canAllKeep;
+    }
+
     /**
      * Returns the share of the targets' rate limits that this host may use when it is asked to keep a queue. Hosts that cannot reach the
      * preferred host ask the next one, while the others go on asking the first; so several hosts may keep one queue at a time, and
@@ -47,7 +61,7 @@
     }
 
     /**
-     * All hosts ask the queue of a service without keys for every request, which is more than a small host can answer, so for these
+     * Many hosts ask the queue of a service without keys for every request, which is more than a small host can answer, so for these
      * queues hosts with a larger CPU share come first.
      */
     private rank(group: Group, preferredDataCentreId: DataCentreId | undefined): readonly Member[] {
--- a/src/admission/slotWait.ts
+++ b/src/admission/slotWait.ts
@@ -36,7 +36,8 @@
     constructor(private readonly dependencies: SlotWaitDependencies) {}
 
     /**
-     * Returns what a new request is refused with if it cannot be answered before its deadline; otherwise undefined.
+     * Returns what a new request is refused with if it cannot be answered before its deadline, or would wait for too long; otherwise
+     * undefined.
      * @param request the request, which does not wait yet
      * @param hasFreeSlot true if a target that the request may use has a free slot
      * @param nowMs current monotonic time
@@ -47,7 +48,8 @@
     }
 
     /**
-     * Removes the waiting requests that cannot be answered before their deadline, given the work that is sent before them.
+     * Removes the waiting requests that cannot be answered before their deadline, given the work that is sent before them, and those that
+     * have waited for as long as they may.
      * @returns the removed requests, each with its refusal
      */
     removeTooLate(nowMs: number): { request: AdmissionRequest; refusal: Refusal }[] {
@@ -60,7 +62,8 @@
         waiting.retain((request) => {
             const rateWaitMs = this.dependencies.targets.rateLimitWaitMs(keptCount, nowMs);
             const slotWaitMs = workTimePlan.isProbablyLate(request, nowMs) ? workBeforeMs / slots / spareShare : 0;
-            if (this.isTooLate(request, Math.max(slotWaitMs, rateWaitMs), nowMs)) {
+            const isWaitOver = nowMs >= (request.waitUntilMs ?? Number.POSITIVE_INFINITY);
+            if (isWaitOver || this.isTooLate(request, Math.max(slotWaitMs, rateWaitMs), nowMs)) {
                 removed.push({ request, refusal: refusalOf(rateWaitMs, Math.max(request.workMs, slotWaitMs)) });
                 return false;
             }
@@ -87,7 +90,8 @@
     }
 
     private isTooLate(request: AdmissionRequest, waitMs: number, nowMs: number): boolean {
-        return nowMs + waitMs + this.dependencies.workTimePlan.fastestWorkMs(request) > request.deadlineMs;
+        return nowMs + waitMs + this.dependencies.workTimePlan.fastestWorkMs(request) > request.deadlineMs
+            || (waitMs > 0 && nowMs + waitMs > (request.waitUntilMs ?? Number.POSITIVE_INFINITY));
     }
 
     private totalSlots(): number {
--- a/src/cluster/membership.ts
+++ b/src/cluster/membership.ts
@@ -9,6 +9,8 @@
     peerAddress: Address;
     dataCentreId: DataCentreId;
     cpuShare: number;
+    /** True if the host can keep the queue of a service in one data centre; absent for hosts of earlier versions. */
+    keepsDataCentreQueues?: true;
 }
 
 /** The list of running hosts; this host is in it until it leaves. */
--- a/src/cluster/messageChecks.ts
+++ b/src/cluster/messageChecks.ts
@@ -28,6 +28,7 @@
 
 const memberSchema = z.object({
     hostId: nameSchema, runId: nameSchema, peerAddress: addressSchema, dataCentreId: nameSchema, cpuShare: z.number().check(z.positive()),
+    keepsDataCentreQueues: z.optional(z.literal(true)),
 });
 
 const membersSchema = z.object({
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -1,5 +1,6 @@
 /** Chooses the target for a request and acquires a slot there from the admission queue. */
 import type { AdmissionClient, SlotDecision } from "../admission/admissionClient.js";
+import { createDataCentreQueues } from "../admission/dataCentreQueues.js";
 import type { WorkEnd } from "../admission/targetRecord.js";
 import type { Standing } from "../crashes/crashEvidence.js";
 import type { Refusal, RefusalReason } from "../entry/clientCall.js";
@@ -70,6 +71,10 @@
     addJitter: (delayMs: number) => number;
     /** Aborted once this host refuses requests that have no slot. */
     waitingRefused: AbortSignal;
+    /** Tells whether the targets of a service without keys have a queue in each data centre, in place of one for the service. */
+    usesDataCentreQueues: () => boolean;
+    /** Returns a random number in [0, 1). */
+    random: () => number;
 }
 
 /** Finds slots for requests. */
@@ -101,6 +106,9 @@
     const { view, owners, admission, workTimes, clock, dataCentreId, drainMs } = dependencies;
     const { pauses, rateLimits, standingOf, addJitter, waitingRefused } = dependencies;
     const nowMs = () => clock.now().monoMs;
+    const dataCentreQueues = createDataCentreQueues({
+        admission, view, clock, random: dependencies.random, isOpen: ({ state }) => state === "ready",
+    });
 
     const place = async (context: RequestContext, signal: AbortSignal): Promise<Placement> => {
         const { call, service } = context;
@@ -112,10 +120,10 @@
         const avoid = new Set(context.triedTargetIds);
         for (let requestCount = 0; requestCount < maxSlotRequests; requestCount++) {
             const waitAbort = linkAborts(signal, waitingRefused);
-            const decision = await admission.enter({
-                ...slotRequestOf(context), ...rateLimitsOf(view.targets.ofService(serviceId)),
-                group: { kind: "service", serviceId }, avoid: [...avoid],
-            }, waitAbort.signal);
+            const request = { ...slotRequestOf(context), ...rateLimitsOf(view.targets.ofService(serviceId)), avoid: [...avoid] };
+            const decision = await (dependencies.usesDataCentreQueues()
+                ? dataCentreQueues.enter(serviceId, request, waitAbort.signal)
+                : admission.enter({ ...request, group: { kind: "service", serviceId } }, waitAbort.signal));
             waitAbort.release();
             if (decision.kind === "refused" || !isUnavailable(decision.targetId)) {
                 return toPlacement(decision);
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -39,6 +39,7 @@
 import { createReachabilityMonitor } from "../reachability/reachabilityMonitor.js";
 import { Splitter } from "../routing/splitter.js";
 import type { HostSettings } from "../settings/hostSettings.js";
+import { isLoadManaged } from "../settings/loadManagement.js";
 import { ClusterView } from "../store/clusterView.js";
 import type { RecordDecoders } from "../store/recordDecoders.js";
 import type { StorePort } from "../store/storePort.js";
@@ -104,6 +105,7 @@
         peerAddress: settings.peerAddress,
         dataCentreId: settings.dataCentreId,
         cpuShare: settings.cpuShare,
+        keepsDataCentreQueues: true,
     }));
     provide(tokens.links, (from) => createPeerLinks(from.resolve(tokens.peerHandlers), from.resolve(tokens.clock)));
     provide(tokens.reader, (from) => createTopicReader({
@@ -213,6 +215,8 @@
         dialect: from.resolve(tokens.targetDialect),
         clock: from.resolve(tokens.clock),
         dataCentreId: settings.dataCentreId, drainMs,
+        usesDataCentreQueues: () => isLoadManaged(settings, from.resolve(tokens.view).config?.config)
+            && from.resolve(tokens.queueHosts).keepDataCentreQueues(),
         configAgeMs: (nowMs) => from.resolve(tokens.node).configAgeMs(nowMs),
         random: from.resolve(tokens.random),
     }));
--- a/test/forwarding/forwarderUnderTest.ts
+++ b/test/forwarding/forwarderUnderTest.ts
@@ -134,7 +134,7 @@
             } });
     };
     return createForwarder({
-        view,
+        view, usesDataCentreQueues: () => false,
         pool: createConnectionPool(systemClock, directConnector, () => undefined),
         paths: openPaths,
         dialect: {
--- a/test/forwarding/unexpectedErrors.spec.ts
+++ b/test/forwarding/unexpectedErrors.spec.ts
@@ -133,7 +133,7 @@
         };
         return {
             requestTrial: () => Promise.resolve({ kind: "unavailable" }), returnTrial: () => undefined, isInContact: () => true,
-            view, clock, dataCentreId, drainMs: 100, configAgeMs: () => 0,
+            view, clock, dataCentreId, drainMs: 100, configAgeMs: () => 0, usesDataCentreQueues: () => false,
             pool: createConnectionPool(clock, directConnector, () => undefined),
             paths: openPaths,
             dialect: {
--- a/test/world/crashForwarder.ts
+++ b/test/world/crashForwarder.ts
@@ -53,7 +53,7 @@
             pauses: new TargetPauses(), rateLimits: new StatedRateLimits(),
             standingOf: (context, nowMs) => standingOfRequest(crashEvidence, context, nowMs),
             addJitter: (delayMs) => delayMs * (0.9 + random() * 0.4),
-            waitingRefused: neverStops,
+            waitingRefused: neverStops, usesDataCentreQueues: () => false, random,
         });
         this.guard = createQuarantineGuard({
             placer, crashEvidence, clock: process.clock, requestTrial: (params) => run.node.requestTrial(params),
