Evacuate data centres at an operator's request

Cause: the operator's record that evacuates a data centre was read by nothing, so its targets went on getting requests. Its targets now count as draining at every host while the evacuation lasts, and as cold for three heartbeats after it, since they may have become cold meanwhile.

--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -40,6 +40,11 @@
     random: () => number;
     /** Time after which a leaving target must not get new requests. */
     drainMs: number;
+    /**
+     * Time after the end of an evacuation during which the targets of the data centre count as cold: they may have become cold meanwhile,
+     * and each has written an entry that tells by then.
+     */
+    coldAfterEvacuationMs: number;
     /** Returns whether a target has stopped answering. */
     isSilent: (targetId: TargetId) => boolean;
     queueHosts: QueueHosts;
@@ -80,7 +85,7 @@
 
 /** Creates the admission server of this host. */
 export function createAdmissionServer(
-    { view, clock, random, drainMs, isSilent, queueHosts, log }: AdmissionServerDependencies,
+    { view, clock, random, drainMs, coldAfterEvacuationMs, isSilent, queueHosts, log }: AdmissionServerDependencies,
 ): AdmissionServer {
     const checks = createAdmissionChecks(log, clock);
     const queues = new Map<string, ManagedQueue>();
@@ -106,13 +111,17 @@
         if (managed.viewVersion !== view.targetsVersion || managed.hasPassingState) {
             const targets = targetsOf(managed.group);
             managed.viewVersion = view.targetsVersion;
-            managed.hasPassingState = targets.some(({ targetId, leavingSinceMs }) => leavingSinceMs !== undefined || isSilent(targetId));
+            managed.hasPassingState = targets.some((target) =>
+                target.leavingSinceMs !== undefined || isSilent(target.targetId) || mayHaveBecomeCold(target, nowMs));
             sendReplies(managed, managed.queue.setTargets(targets.map((target) => toQueueTarget(target, managed.group, nowMs)), nowMs));
         }
     };
 
     const isDrained = (targetId: TargetId) => view.ledger.drained().includes(targetId);
 
+    const mayHaveBecomeCold = ({ dataCentreId }: KnownTarget, nowMs: number): boolean =>
+        nowMs - (view.evacuations.endedMs(dataCentreId) ?? Number.NEGATIVE_INFINITY) < coldAfterEvacuationMs;
+
     const targetsOf = (group: Group): KnownTarget[] => {
         if (group.kind === "target") {
             const target = view.targets.get(group.targetId);
@@ -125,16 +134,19 @@
     };
 
     /** A leaving target that owns keys (group kind "target") stays open for up to `drainMs`, to serve its keys until they have moved. */
-    const toQueueTarget = (target: KnownTarget, group: Group, nowMs: number): QueueTarget => ({
-        targetId: target.targetId,
-        dataCentreId: target.dataCentreId,
-        slots: target.slots,
-        isOpen: !isSilent(target.targetId)
-            && (group.kind === "target" ? mayReceive(target, drainMs, nowMs) : target.state === "ready" && !isDrained(target.targetId)),
-        warmingUp: target.warmingUp,
-        warmUpRequestsPerSecond: target.warmingUp ? view.config?.services.get(target.serviceId)?.warmUpRequestsPerSecond : undefined,
-        bornWallMs: target.bornWallMs,
-    });
+    const toQueueTarget = (target: KnownTarget, group: Group, nowMs: number): QueueTarget => {
+        const warmingUp = target.warmingUp || mayHaveBecomeCold(target, nowMs);
+        return {
+            targetId: target.targetId,
+            dataCentreId: target.dataCentreId,
+            slots: target.slots,
+            isOpen: !isSilent(target.targetId)
+                && (group.kind === "target" ? mayReceive(target, drainMs, nowMs) : target.state === "ready" && !isDrained(target.targetId)),
+            warmingUp,
+            warmUpRequestsPerSecond: warmingUp ? view.config?.services.get(target.serviceId)?.warmUpRequestsPerSecond : undefined,
+            bornWallMs: target.bornWallMs,
+        };
+    };
 
     const sendReplies = (managed: ManagedQueue, verdicts: readonly AdmissionVerdict[]) => {
         for (const verdict of verdicts) {
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -203,6 +203,10 @@
             targetsConfirmedAt = askedAt;
             broadcastTargets(changes);
         };
+        const stopListening = view.evacuationsChanged.listen(() => {
+            news.broadcastEvacuations();
+        });
+        signal.addEventListener("abort", stopListening, { once: true });
         const runs: Record<string, Task["run"]> = {
             "renewals of the term before a store's return": renewLeasesOfHeldTerm,
             "ownership": (stop) => ownershipManager.run(stop, leaseSignal),
--- a/src/cluster/messageChecks.ts
+++ b/src/cluster/messageChecks.ts
@@ -52,6 +52,14 @@
     completions: z.array(z.object({ fingerprint: idSchema, agoMs: agoMsSchema })),
 });
 
+const maxEvacuations = 1_000;
+
+const evacuationsSchema = z.object({
+    upTo: offsetSchema,
+    inForce: z.array(z.object({ dataCentreId: nameSchema, offset: offsetSchema, isInForce: z.literal(true) }))
+        .check(z.maxLength(maxEvacuations)),
+});
+
 const noticeSchema = z.object({
     moving: z.array(z.object({ serviceId: nameSchema, from: keySchema, to: keySchema, freeInMs: z.optional(durationMsSchema) })),
     silent: z.array(z.object({ targetId: idSchema, freeInMs: durationMsSchema })),
@@ -69,6 +77,7 @@
     ledgerUpTo: offsetSchema, ledgerFrom: z.optional(offsetSchema), membersVersion: countSchema,
     targets: z.optional(z.array(z.unknown())), ledger: z.optional(z.array(z.unknown())), notice: z.optional(z.unknown()),
     leavingTargets: z.optional(z.unknown()), crashEvidence: z.optional(z.unknown()), members: z.optional(z.unknown()),
+    evacuations: z.optional(z.unknown()),
 });
 
 const changeSchema = z.object({ offset: offsetSchema, targetId: z.string() });
@@ -176,13 +185,14 @@
             if (fields === undefined) {
                 return undefined;
             }
-            const { targets, ledger, notice, leavingTargets, crashEvidence, members, ...scalars } = fields;
+            const { targets, ledger, notice, leavingTargets, evacuations, crashEvidence, members, ...scalars } = fields;
             return {
                 ...scalars,
                 targets: targets?.flatMap((change) => checkTarget(change, peer)),
                 ledger: ledger?.flatMap((change) => checkLedgerChange(change, peer)),
                 notice: checkPart("notice", noticeSchema, notice, peer),
                 leavingTargets: checkPart("leaving targets", processesSchema, leavingTargets, peer),
+                evacuations: checkPart("evacuations", evacuationsSchema, evacuations, peer),
                 crashEvidence: checkPart("crash evidence", evidenceSchema, crashEvidence, peer),
                 members: checkPart("members", membersSchema, members, peer),
             } as News;
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -7,6 +7,7 @@
 import type { LedgerChange } from "../ownership/ledger.js";
 import type { KeyLoadReport } from "../ownership/loadMeter.js";
 import type { OwnershipNotice } from "../ownership/ownerLookup.js";
+import type { EvacuationChange } from "../store/evacuations.js";
 import type { TargetChange } from "../store/targetDirectory.js";
 import type { MemberListUpdate, MemberListVersion } from "./memberList.js";
 import type { Member } from "./membership.js";
@@ -82,6 +83,8 @@
     notice?: OwnershipNotice;
     /** Target processes that announced to some host that they are leaving. */
     leavingTargets?: readonly LeavingTarget[];
+    /** All evacuations in force, as the coordinator has read them; absent if unchanged, and in messages of earlier versions. */
+    evacuations?: EvacuationList;
     /** Crashes of targets, and what was there. */
     crashEvidence?: CrashEvidenceUpdate;
     /** Version of the coordinator's member list. */
@@ -89,6 +92,12 @@
     members?: MemberListUpdate;
 }
 
+/** The evacuations in force by the records below an offset of the configuration topic. */
+export interface EvacuationList {
+    upTo: Offset;
+    inForce: readonly EvacuationChange[];
+}
+
 /** What a host reports to the coordinator at regular intervals; the report also serves as its heartbeat. */
 export interface Report {
     loads: readonly KeyLoadReport[];
--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -74,6 +74,10 @@
             view.applyLeaving(news.leavingTargets, nowMs());
             view.leavingReports.confirm(news.leavingTargets);
         }
+        if (news.evacuations !== undefined) {
+            const { inForce, upTo } = news.evacuations;
+            view.applyEvacuations(view.evacuations.replace(inForce, upTo, nowMs()), nowMs());
+        }
         if (news.crashEvidence !== undefined) {
             crashEvidence.merge(news.crashEvidence, nowMs());
         }
--- a/src/cluster/newsSender.ts
+++ b/src/cluster/newsSender.ts
@@ -12,7 +12,7 @@
 import type { OwnerLookup, OwnershipNotice } from "../ownership/ownerLookup.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { Followers } from "./followers.js";
-import type { FollowParams, News } from "./messages.js";
+import type { EvacuationList, FollowParams, News } from "./messages.js";
 import { clusterMethods } from "./messages.js";
 import type { PeerConnection } from "./peerConnection.js";
 
@@ -46,6 +46,8 @@
     broadcastNotice(notice: OwnershipNotice): void;
     /** Broadcasts that targets are leaving. The reporting host gets it too, as the confirmation that ends its reports. */
     broadcastLeaving(leaving: readonly LeavingTarget[], from: PeerConnection | undefined): void;
+    /** Sends the evacuations in force to all followers. */
+    broadcastEvacuations(): void;
     /** Queues changes of the ledger that begin at an offset. */
     queueLedgerChanges(changes: readonly LedgerChange[], from: Offset): void;
     /** Queues what a host has reported, as far as it is new. Observations of this host are in its evidence already, and always new. */
@@ -86,6 +88,8 @@
         followers.notifyAll(clusterMethods.news, message);
     };
 
+    const evacuations = (): EvacuationList => ({ upTo: view.configUpTo, inForce: view.evacuations.inForce() });
+
     const takeUnsentEvidence = (): Pick<News, "crashEvidence"> => {
         const taken = unsentEvidence.take(clock.now().monoMs);
         return taken === undefined ? {} : { crashEvidence: taken };
@@ -111,6 +115,9 @@
                 from?.notify(clusterMethods.news, createNews({ leavingTargets: leaving }));
             }
         },
+        broadcastEvacuations: () => {
+            broadcast({ evacuations: evacuations() });
+        },
         queueLedgerChanges: (changes, from) => {
             owners.refresh();
             if (changes.length > 0) {
@@ -135,6 +142,7 @@
                 ledgerFrom,
                 ...members === undefined ? {} : { members },
                 leavingTargets: view.targets.leaving(),
+                ...view.evacuations.isEmpty ? {} : { evacuations: evacuations() },
                 ...crashEvidence.isEmpty ? {} : { crashEvidence: crashEvidence.snapshot(clock.now().monoMs) },
                 notice: createNotice(),
             });
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -207,6 +207,7 @@
         describe: () => ({
             self, members: membership.members(), term: view.ledger.term, ledgerUpTo: offsetInEra(view.ledger.upTo),
             storeEra: eraOf(view.ledger.upTo), configVersion: view.config?.config.version, configOffset: view.config?.offset,
+            evacuated: view.evacuations.inForce().map(({ dataCentreId }) => dataCentreId),
             knowledgeAgeMs: Math.round(ages.knowledgeAgeMs(nowMs())), targets: [...view.targets.all()],
             coordinator: coordinator?.describe(),
         }),
--- a/src/control/fleetCommands.ts
+++ b/src/control/fleetCommands.ts
@@ -9,7 +9,7 @@
 import type { CommandResult } from "./output.js";
 import { exitCodes } from "./output.js";
 import { done, failed, refused } from "./results.js";
-import type { ControlSession, HostDump } from "./session.js";
+import type { ControlSession, HostDump, HostReport } from "./session.js";
 
 /** Shows the state of every running host. */
 export async function status(session: ControlSession): Promise<CommandResult> {
@@ -20,9 +20,12 @@
     const notReady = reports.value.filter(({ dump }) => dump.isErr() || dump.value.unready !== undefined);
     return {
         exitCode: notReady.length === 0 ? exitCodes.done : exitCodes.unreachable,
-        lines: notReady.length === 0
-            ? ["Every running host is ready."]
-            : [`Not ready: ${notReady.map(({ hostId }) => hostId).join(", ")}. Inspect a host with: hornbeamctl dump HOST`],
+        lines: [
+            notReady.length === 0
+                ? "Every running host is ready."
+                : `Not ready: ${notReady.map(({ hostId }) => hostId).join(", ")}. Inspect a host with: hornbeamctl dump HOST`,
+            ...describeEvacuations(reports.value),
+        ],
         table: {
             head: ["host", "data centre", "state", "configuration", "ledger", "knowledge ms old", "pending", "coordinates"],
             rows: reports.value.map(({ hostId, dump }) => dump.match(
@@ -38,6 +41,15 @@
     };
 }
 
+/** Names the evacuated data centres, and the hosts that do not know of an evacuation that others know of. */
+function describeEvacuations(reports: readonly HostReport[]): string[] {
+    const dumps = reports.flatMap(({ hostId, dump }) => dump.isOk() ? [{ hostId, evacuated: dump.value.evacuated ?? [] }] : []);
+    return [...new Set(dumps.flatMap(({ evacuated }) => evacuated))].sort().map((dataCentreId) => {
+        const unaware = dumps.filter(({ evacuated }) => !evacuated.includes(dataCentreId)).map(({ hostId }) => hostId);
+        return `Data centre ${dataCentreId} is evacuated${unaware.length === 0 ? "." : `; not known to: ${unaware.join(", ")}.`}`;
+    });
+}
+
 /** Returns the offset that a host has reached, with the store's era if it has ever come back from an older copy. */
 function describeLedger({ ledgerUpTo, storeEra = 0 }: HostDump): number | string {
     return storeEra === 0 ? ledgerUpTo : `${String(ledgerUpTo)}, era ${String(storeEra)}`;
--- a/src/control/session.ts
+++ b/src/control/session.ts
@@ -23,6 +23,8 @@
     ledgerUpTo: number;
     /** How often the store has come back from an older copy; absent in dumps of earlier versions. */
     storeEra?: number;
+    /** Data centres that are evacuated, as far as the host knows; absent in dumps of earlier versions. */
+    evacuated?: string[];
     knowledgeAgeMs: number;
     pending: number;
     /** Absent in dumps of earlier versions. */
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -51,6 +51,9 @@
 /** Share of the allowed drain time during which requests are still sent to a target that is about to stop. */
 const drainShare = 0.65;
 
+/** Number of heartbeats of a target after which this host has certainly read an entry that it wrote since. */
+const heartbeatsUntilTold = 3;
+
 /** Number of characters in a run id. */
 const runIdLength = 8;
 
@@ -120,6 +123,7 @@
         const clock = from.resolve(tokens.clock);
         return createAdmissionServer({
             view: from.resolve(tokens.view), clock, drainMs,
+            coldAfterEvacuationMs: settings.targetHeartbeatMs * heartbeatsUntilTold,
             random: from.resolve(tokens.random),
             isSilent: (targetId) => owners.isSilent(targetId, clock.now().monoMs),
             queueHosts: from.resolve(tokens.queueHosts),
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -180,6 +180,8 @@
     metrics.gauge("hornbeam_knowledge_age_ms", "Milliseconds since the store last confirmed the state that this host acts on.", () =>
         Math.min(1e9, hostContainer.resolve(tokens.node).knowledgeAgeMs(clock.now().monoMs)));
     metrics.gauge("hornbeam_term", "Current term.", () => view.ledger.term?.term ?? 0);
+    metrics.gauge("hornbeam_evacuated_data_centres", "Data centres that are evacuated, as far as this host knows.", () =>
+        view.evacuations.inForce().length);
     metrics.gauge("hornbeam_coordinating", "1 if this host is the coordinator, else 0.", () =>
         hostContainer.resolve(tokens.node).isCoordinating() ? 1 : 0);
     metrics.gauge("hornbeam_members", "Running hosts that this host knows.", () =>
--- a/src/model/target.ts
+++ b/src/model/target.ts
@@ -30,7 +30,7 @@
 
 /**
  * A directory entry with local state of this host. Its `state` is `draining` instead of `ready` once this host knows that the target
- * has announced, in a response to any host, that it is about to stop.
+ * has announced, in a response to any host, that it is about to stop, and while its data centre is evacuated.
  */
 export interface KnownTarget extends TargetEntry {
     /** State according to the directory, which may be out of date. */
--- a/src/store/clusterView.ts
+++ b/src/store/clusterView.ts
@@ -7,6 +7,8 @@
 import type { LedgerChange } from "../ownership/ledger.js";
 import { Ledger } from "../ownership/ledger.js";
 import type { LeavingTarget } from "../model/target.js";
+import type { EvacuationChange } from "./evacuations.js";
+import { Evacuations } from "./evacuations.js";
 import { LeavingReports } from "./leavingReports.js";
 import type { TargetChange } from "./targetDirectory.js";
 import { TargetDirectory } from "./targetDirectory.js";
@@ -26,6 +28,10 @@
 export class ClusterView {
     readonly targets = new TargetDirectory();
     readonly ledger = new Ledger();
+    /** Data centres that operators have evacuated. */
+    readonly evacuations = new Evacuations();
+    /** Fires when an evacuation begins or ends. */
+    readonly evacuationsChanged = new Signal();
     /** Fires when a configuration is applied. */
     readonly configChanged = new Signal();
     /** Fires when a target changes in anything that the router acts on. */
@@ -128,6 +134,21 @@
         this.unreadableConfigOffset = noOffset;
     }
 
+    /**
+     * Applies changes of evacuations to the targets.
+     * @param changes changes that `evacuations` has accepted
+     * @param nowMs current monotonic time
+     */
+    applyEvacuations(changes: readonly EvacuationChange[], nowMs: number): void {
+        for (const { dataCentreId, isInForce } of changes) {
+            this.targets.setEvacuated(dataCentreId, isInForce, nowMs);
+        }
+        if (changes.length > 0) {
+            this.notifyTargetsChanged();
+            this.evacuationsChanged.fire();
+        }
+    }
+
     /** Remembers that a configuration of the platform could not be decoded. */
     markConfigUnreadable(offset: Offset): void {
         this.unreadableConfigOffset = Math.max(this.unreadableConfigOffset, offset) as Offset;
--- a/src/store/targetDirectory.ts
+++ b/src/store/targetDirectory.ts
@@ -1,5 +1,5 @@
 /** Builds the service directory from its changes: which targets exist, and in which state. */
-import type { Offset, ServiceId, TargetId } from "../model/names.js";
+import type { DataCentreId, Offset, ServiceId, TargetId } from "../model/names.js";
 import type { KnownTarget, LeavingTarget, TargetEntry } from "../model/target.js";
 import { hash } from "../model/rendezvous.js";
 import { eraOf } from "../model/storePosition.js";
@@ -30,6 +30,8 @@
     private readonly latestPositions = new Map<TargetId, ChangePosition>();
     /** Start of the last process of each target that announced in an answer that it is leaving. */
     private readonly leavingBornWallMs = new Map<TargetId, number>();
+    /** Data centres whose targets are to get nothing. */
+    private readonly evacuatedDataCentres = new Set<DataCentreId>();
     /** Targets in `known` that were removed from the directory. */
     private readonly goneIds = new Set<TargetId>();
     private combinedDigest = 0;
@@ -119,6 +121,25 @@
         return true;
     }
 
+    /**
+     * Records the beginning or the end of an evacuation. The targets of the data centre count as draining while it lasts, so that they get
+     * no new requests and their keys move to other targets.
+     * @param dataCentreId the data centre
+     * @param isEvacuated true if the evacuation begins
+     * @param nowMs current monotonic time
+     */
+    setEvacuated(dataCentreId: DataCentreId, isEvacuated: boolean, nowMs: number): void {
+        if (isEvacuated) {
+            this.evacuatedDataCentres.add(dataCentreId);
+        }
+        else {
+            this.evacuatedDataCentres.delete(dataCentreId);
+        }
+        for (const target of [...this.known.values()].filter((known) => known.dataCentreId === dataCentreId)) {
+            this.setTarget(toEntry(target), nowMs);
+        }
+    }
+
     /** Lists the registered processes that announced that they are leaving. */
     leaving(): LeavingTarget[] {
         return [...this.leavingBornWallMs].filter(([targetId, bornWallMs]) => this.known.get(targetId)?.bornWallMs === bornWallMs)
@@ -140,7 +161,8 @@
     private setTarget(entry: TargetEntry, nowMs: number): void {
         const { targetId } = entry;
         const hasAnnouncedLeaving = this.leavingBornWallMs.get(targetId) === entry.bornWallMs;
-        const state = entry.state === "ready" && hasAnnouncedLeaving ? "draining" : entry.state;
+        const isToDrain = hasAnnouncedLeaving || this.evacuatedDataCentres.has(entry.dataCentreId);
+        const state = entry.state === "ready" && isToDrain ? "draining" : entry.state;
         const leavingSinceMs = state === "ready" ? undefined : this.known.get(targetId)?.leavingSinceMs ?? nowMs;
         this.combinedDigest ^= hashOf(this.known.get(targetId)) ^ hashOf({ ...entry, registeredState: entry.state });
         this.known.set(targetId, { ...entry, state, registeredState: entry.state, leavingSinceMs });
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -12,6 +12,7 @@
 import type { Clock } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import type { ClusterView } from "./clusterView.js";
+import type { EvacuationChange } from "./evacuations.js";
 import type { RecordDecoders } from "./recordDecoders.js";
 import type { ReadOutcome, StorePort, StoreRecord, TopicName } from "./storePort.js";
 import type { TargetChange } from "./targetDirectory.js";
@@ -64,7 +65,8 @@
         }
         const { records, upTo } = snapshot.value;
         const before = nextOffsets[topic]();
-        if (topicsRead.has(topic) && eraOf(upTo) > eraOf(before)) {
+        const isOlderCopy = topicsRead.has(topic) && eraOf(upTo) > eraOf(before);
+        if (isOlderCopy) {
             // Entries may have lapsed, or are not written again yet, as after an outage.
             lastReadFailureAtMs = nowMs();
             view.recordReturn(eraOf(upTo), nowMs());
@@ -74,13 +76,17 @@
         }
         topicsRead.add(topic);
         log.info("snapshot read", { topic, records: records.length, upTo: offsetInEra(upTo) });
-        return ok(applySnapshot[topic](records, upTo));
+        return ok(applySnapshot[topic](records, upTo, isOlderCopy));
     };
 
-    const applySnapshot: Record<TopicName, (records: readonly StoreRecord[], upTo: Offset) => Reading> = {
-        configuration: (records, upTo) => {
+    const applySnapshot: Record<TopicName, (records: readonly StoreRecord[], upTo: Offset, isOlderCopy: boolean) => Reading> = {
+        configuration: (records, upTo, isOlderCopy) => {
             view.restartConfigReading(upTo);
-            return applyRecords.configuration(records, upTo);
+            const listed = decodeEvacuations(records).filter(({ isInForce }) => isInForce);
+            recordEvacuations(isOlderCopy
+                ? view.evacuations.mergeOlderCopy(listed, upTo, nowMs())
+                : view.evacuations.replace(listed, upTo, nowMs()));
+            return applyConfigs(records, upTo);
         },
         targets: (records, upTo) => {
             const changes = decodeTargets(records);
@@ -99,11 +105,8 @@
 
     const applyRecords: Record<TopicName, (records: readonly StoreRecord[], upTo: Offset) => Reading> = {
         configuration: (records, upTo) => {
-            const newest = decodeConfigs(records).at(-1);
-            if (view.applyConfig(newest?.config, newest?.offset ?? upTo, upTo)) {
-                log.info("configuration applied", { version: newest?.config.version, offset: newest?.offset });
-            }
-            return emptyReading;
+            recordEvacuations(view.evacuations.apply(decodeEvacuations(records), nowMs()));
+            return applyConfigs(records, upTo);
         },
         targets: (records, upTo) => ({ ...emptyReading, targets: applyTargets(decodeTargets(records), upTo) }),
         ledger: (records, upTo) => {
@@ -113,6 +116,30 @@
         },
     };
 
+    const applyConfigs = (records: readonly StoreRecord[], upTo: Offset): Reading => {
+        const newest = decodeConfigs(records).at(-1);
+        if (view.applyConfig(newest?.config, newest?.offset ?? upTo, upTo)) {
+            log.info("configuration applied", { version: newest?.config.version, offset: newest?.offset });
+        }
+        return emptyReading;
+    };
+
+    const recordEvacuations = (changes: readonly EvacuationChange[]) => {
+        for (const { dataCentreId, offset, isInForce } of changes) {
+            log.info(isInForce ? "evacuation began" : "evacuation ended", { dataCentre: dataCentreId, offset: offsetInEra(offset) });
+        }
+        view.applyEvacuations(changes, nowMs());
+    };
+
+    const decodeEvacuations = (records: readonly StoreRecord[]): EvacuationChange[] => records.flatMap(({ key, value, offset }) => {
+        const decoded = decodeSafely(key, () => decoders.evacuation(key, value));
+        if (decoded.isErr()) {
+            log.warn("evacuation record cannot be decoded", { key, offset, why: decoded.error.message });
+        }
+        const dataCentreId = decoded.unwrapOr(undefined);
+        return dataCentreId === undefined ? [] : [{ dataCentreId, offset, isInForce: value !== undefined }];
+    });
+
     /** Applies changes of targets. Removals shortly after an outage of the store are deferred, since the outage may have caused them. */
     const applyTargets = (changes: readonly TargetChange[], upTo: Offset): TargetChange[] => {
         const isAfterOutage = nowMs() - lastReadFailureAtMs < removalGraceMs;
--- a/test/admission/hostPair.ts
+++ b/test/admission/hostPair.ts
@@ -83,7 +83,8 @@
     private createServer(hostName: string, view: ClusterView) {
         const queueHosts = new QueueHosts(new Membership(member(hostName)), view);
         return createAdmissionServer({
-            view, clock: this.clock, random: () => 0.5, drainMs: 1_000, isSilent: () => this.isTargetSilent, log: silentLog,
+            view, clock: this.clock, random: () => 0.5,
+            coldAfterEvacuationMs: 2_600, drainMs: 1_000, isSilent: () => this.isTargetSilent, log: silentLog,
             queueHosts: {
                 ranked: (ofGroup: Group) => queueHosts.ranked(ofGroup),
                 rateLimitShare: () => {
--- a/test/admission/queueHandover.spec.ts
+++ b/test/admission/queueHandover.spec.ts
@@ -74,7 +74,8 @@
         const membership = new Membership(member);
         const queueHosts = new QueueHosts(membership, view);
         const server = createAdmissionServer({
-            view, clock: this.clock, random: () => this.random.uniform(), drainMs: 1_000, isSilent: () => false, queueHosts, log: silentLog,
+            view, clock: this.clock, random: () => this.random.uniform(),
+            coldAfterEvacuationMs: 2_600, drainMs: 1_000, isSilent: () => false, queueHosts, log: silentLog,
         });
         const client = createAdmissionClient({
             localServer: server, membership, queueHosts, clock: this.clock, log: silentLog, links: this.createLinks(name),
--- a/test/cluster/configWatch.spec.ts
+++ b/test/cluster/configWatch.spec.ts
@@ -75,6 +75,7 @@
             store: store.createStorePort("h" as HostId, process), view, clock: process.clock,
             decoders: {
                 configuration: (key, value) => ok(key === "config" ? JSON.parse(value.toString()) as RoutingConfig : undefined),
+                evacuation: () => ok(undefined),
                 target: () => err(failure("invalid", "parse", "target", "not written here")),
             },
             log: { info: () => undefined, warn: () => undefined, error: () => undefined },
--- a/test/store/topicReader.spec.ts
+++ b/test/store/topicReader.spec.ts
@@ -10,8 +10,11 @@
 import { VirtualStore } from "../world/virtualStore.js";
 
 const host = "h" as HostId;
+const evacuationPrefix = "evacuate/";
+const isEvacuation = (key: string) => key.startsWith(evacuationPrefix);
 const decoders: RecordDecoders = {
-    configuration: (_key, value) => ok(JSON.parse(value.toString()) as never),
+    configuration: (key, value) => ok(isEvacuation(key) ? undefined : JSON.parse(value.toString()) as never),
+    evacuation: (key) => ok(isEvacuation(key) ? key.slice(evacuationPrefix.length) as DataCentreId : undefined),
     target: (_key, value) => ok(JSON.parse(value.toString()) as never),
 };
 
--- a/test/world/virtualHosts.ts
+++ b/test/world/virtualHosts.ts
@@ -67,9 +67,16 @@
     }
 }
 
+const evacuationPrefix = "evacuate/";
+const isEvacuation = (key: string) => key.startsWith(evacuationPrefix);
+
 /** Decodes entries, which the simulated store holds as JSON. */
 const decoders: RecordDecoders = {
+    evacuation: (key) => ok(isEvacuation(key) ? key.slice(evacuationPrefix.length) as DataCentreId : undefined),
     configuration: (key, value) => {
+        if (isEvacuation(key)) {
+            return ok(undefined);
+        }
         const config = JSON.parse(value.toString()) as RoutingConfig;
         return typeof config.version === "number" ? ok(config) : err(failure("invalid", "parse", key, "version is not a number"));
     },
@@ -124,7 +131,7 @@
         const links = this.createPeerLinks(hostId, run);
         const queueHosts = new QueueHosts(membership, view);
         const admissionServer = createAdmissionServer({
-            view, clock: process.clock, random: () => this.retryJitter.uniform(), drainMs, queueHosts, log,
+            view, clock: process.clock, random: () => this.retryJitter.uniform(), coldAfterEvacuationMs: 2_600, drainMs, queueHosts, log,
             isSilent: (targetId) => owners.isSilent(targetId, process.clock.now().monoMs),
         });
         run.admission = createAdmissionClient({
