Reserve slots for urgent kinds and share them among callers

Cause: a burst of 1,003 ms work held all slots of a target, so that urgent 180 ms work was late whatever its rank; its expected wait was taken as the sum of all running work, so that most of it was refused as well. Clients that retry at once got most of the slots.

Change: where a queue shares scarce capacity, free slots are reserved by the load of more urgent kinds, a kind below its minimum goes first, callers with fewer slots go first within a kind, and retry times are spread. Not switched on anywhere yet.

--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -9,6 +9,8 @@
  * - Within each of these two classes, more urgent requests are sent before less urgent ones.
  * - A request that cannot be answered before its deadline is refused at once.
  * - Requests that are suspected of crashing targets are kept apart.
+ * - Where scarce capacity is shared, some slots are kept free for more urgent requests, and each caller gets a slot before any gets a
+ *   second one.
  * - A target that stated a rate limit, or one that warms up and tolerates a certain rate, gets no more than that from all hosts together.
  */
 import type { StatedRateLimit } from "../model/rateLimit.js";
@@ -17,6 +19,8 @@
 import type { TargetDescription } from "./queueTargets.js";
 import { QueueTargets } from "./queueTargets.js";
 import { RunningRequests } from "./runningRequests.js";
+import type { SharingDescription } from "./scarceCapacity.js";
+import { ScarceCapacity } from "./scarceCapacity.js";
 import type { Refusal } from "./slotWait.js";
 import { SlotWait } from "./slotWait.js";
 import { SuspectIsolation } from "./suspectIsolation.js";
@@ -40,17 +44,21 @@
     private readonly workTimePlan: WorkTimePlan;
     private readonly suspectIsolation = new SuspectIsolation(this.running);
     private readonly slotWait: SlotWait;
+    /** Undefined where scarce capacity is not shared. */
+    private readonly sharing: ScarceCapacity | undefined;
 
     /**
      * @param random source of numbers uniform in [0, 1), for the jitter of retry delays
      * @param hasLeases true if the queue is that of a target that owns keys
+     * @param sharesScarceCapacity true if slots are reserved for urgent requests and callers get equal shares
      */
-    constructor(private readonly random: () => number, hasLeases = false) {
+    constructor(private readonly random: () => number, hasLeases = false, sharesScarceCapacity = false) {
         this.targets = new QueueTargets(hasLeases);
         this.workTimePlan = new WorkTimePlan(this.targets);
         this.waiting = new WaitingRequests(this.targets, this.workTimePlan);
         const { targets, running, waiting, offeredLoad, workTimePlan } = this;
-        this.slotWait = new SlotWait({ targets, running, waiting, offeredLoad, workTimePlan });
+        this.sharing = sharesScarceCapacity ? new ScarceCapacity(targets) : undefined;
+        this.slotWait = new SlotWait({ targets, running, waiting, offeredLoad, workTimePlan, reservedSlots: this.sharing?.reservedSlots });
     }
 
     /** Number of requests that wait for a slot. */
@@ -68,6 +76,11 @@
         return this.targets.describe(this.offeredLoad.meanWorkMs);
     }
 
+    /** Describes how scarce capacity is shared; undefined where it is not. */
+    describeSharing(nowMs: number): SharingDescription | undefined {
+        return this.sharing?.describe(nowMs);
+    }
+
     /**
      * Applies a rate limit that a target stated to some host.
      * @param stated the limit
@@ -104,10 +117,11 @@
      * @returns verdicts on this request and on waiting ones; contains none on this request if it has to wait
      */
     offer(request: AdmissionRequest, nowMs: number): AdmissionVerdict[] {
+        this.sharing?.offer(request, nowMs);
         this.offeredLoad.count(request.workMs, !this.workTimePlan.isProbablyLate(request, nowMs), nowMs);
         const refusal = this.refusalOnArrival(request, nowMs);
         if (refusal !== undefined) {
-            return [this.refuse(request, refusal)];
+            return [this.refuse(request, refusal, nowMs)];
         }
         this.waiting.add(request);
         return this.dispatch(nowMs);
@@ -120,7 +134,10 @@
      * @returns verdicts on waiting requests
      */
     withdraw(ticket: Ticket, nowMs: number): AdmissionVerdict[] {
-        this.waiting.removeTicket(ticket);
+        const waiting = this.waiting.removeTicket(ticket);
+        if (waiting !== undefined) {
+            this.sharing?.withdraw(waiting);
+        }
         return this.running.has(ticket) ? this.finish(ticket, { kind: "dropped" }, nowMs) : [];
     }
 
@@ -137,6 +154,7 @@
         if (ended === undefined) {
             return [];
         }
+        this.sharing?.end(ticket);
         this.suspectIsolation.recordEnd(ended, end, nowMs);
         const record = this.targets.get(ended.targetId);
         if (record !== undefined) {
@@ -157,10 +175,11 @@
     tick(nowMs: number): AdmissionVerdict[] {
         this.targets.decaySlowness(nowMs);
         this.suspectIsolation.removeExpired(nowMs);
+        this.sharing?.removeUnused(nowMs);
         const verdicts = this.running.expired(nowMs).flatMap((ticket) => this.finish(ticket, { kind: "lost" }, nowMs));
         this.targets.updateCapacity();
         verdicts.push(...this.dispatch(nowMs));
-        const tooLate = this.slotWait.removeTooLate(nowMs).map(({ request, refusal }) => this.refuse(request, refusal));
+        const tooLate = this.slotWait.removeTooLate(nowMs).map(({ request, refusal }) => this.refuse(request, refusal, nowMs));
         return [...verdicts, ...tooLate];
     }
 
@@ -173,7 +192,10 @@
         if (backOffMs > 0) {
             return { reason: "paused", retryAfterMs: backOffMs };
         }
-        return this.slotWait.refusalOnArrival(request, open.some((record) => hasFreeSlot(record, nowMs)), nowMs);
+        const hasSlot = this.sharing === undefined
+            ? open.some((record) => hasFreeSlot(record, nowMs))
+            : this.sharing.reservedSlots.permittedTargets(request, this.targets.withFreeSlot(nowMs), nowMs).length > 0;
+        return this.slotWait.refusalOnArrival(request, hasSlot, nowMs);
     }
 
     private dispatch(nowMs: number): AdmissionVerdict[] {
@@ -195,8 +217,23 @@
         if (free.length === 0) {
             return undefined;
         }
+        const starved = this.sharing?.reservedSlots.starvedPriority(nowMs);
+        return (starved === undefined ? undefined : this.chooseAmong(free, nowMs, starved)) ?? this.chooseAmong(free, nowMs);
+    }
+
+    /** Returns the first request in order that can be sent, of one priority if that is given, and the target for it. */
+    private chooseAmong(
+        free: readonly TargetRecord[], nowMs: number, priority?: number,
+    ): { request: AdmissionRequest; record: TargetRecord } | undefined {
         for (const request of this.waiting.inOrder(nowMs)) {
-            const permitted = this.suspectIsolation.permittedTargets(request, free, nowMs);
+            if (priority !== undefined && request.priority !== priority) {
+                continue;
+            }
+            const unreserved = this.sharing?.reservedSlots.permittedTargets(request, free, nowMs) ?? free;
+            if (unreserved.length === 0) {
+                continue;
+            }
+            const permitted = this.suspectIsolation.permittedTargets(request, unreserved, nowMs);
             const record = chooseTarget(request, permitted, this.targets.all(), nowMs);
             if (record !== undefined) {
                 return { request, record };
@@ -211,14 +248,20 @@
             limiter.take(nowMs);
         });
         this.running.start(request, record.target.targetId, nowMs);
+        this.sharing?.grant(request, nowMs);
         return {
             kind: "granted", ticket: request.ticket, targetId: record.target.targetId, expectedMs: request.workMs * record.slowness,
             isRateLimited: hasRateLimit(record),
         };
     }
 
-    private refuse({ ticket }: AdmissionRequest, { reason, retryAfterMs }: Refusal): AdmissionVerdict {
+    private refuse(request: AdmissionRequest, { reason, retryAfterMs }: Refusal, nowMs: number): AdmissionVerdict {
         const { min, spread } = retryJitter[reason === "rate-limited" ? "rateLimited" : "other"];
-        return { kind: "refused", ticket, reason, retryAfterMs: Math.max(minRetryAfterMs, retryAfterMs) * (min + this.random() * spread) };
+        const { ticket, priority } = request;
+        const spreadMs = reason === "overloaded" ? this.sharing?.spreadRetry(request, retryAfterMs, nowMs) : undefined;
+        const jitteredMs = Math.max(minRetryAfterMs, spreadMs ?? retryAfterMs) * (min + this.random() * spread);
+        this.sharing?.refuse(request, jitteredMs, nowMs);
+        const isReserved = reason === "overloaded" && (this.sharing?.reservedSlots.reservedFrom(priority, nowMs) ?? 0) > 0;
+        return { kind: "refused", ticket, reason, retryAfterMs: jitteredMs, ...isReserved ? { isReserved } : {} };
     }
 }
--- a/src/admission/admissionRequest.ts
+++ b/src/admission/admissionRequest.ts
@@ -30,12 +30,20 @@
     avoid: ReadonlySet<TargetId>;
     /** Set if the request is suspected of crashing the targets that run it. */
     suspect?: Fingerprint;
+    /** Hash of the address of the client's connection; undefined if unknown. */
+    caller?: number;
+    /** Set by a queue that shares scarce capacity: rank by the slots of the caller; the lowest goes first. */
+    callerRank?: number;
 }
 
 /** Decision of the queue about a request. */
 export type AdmissionVerdict =
     | { kind: "granted"; ticket: Ticket; targetId: TargetId; expectedMs: number; isRateLimited: boolean }
-    | { kind: "refused"; ticket: Ticket; reason: QueueRefusalReason; retryAfterMs: number };
+    | {
+        kind: "refused"; ticket: Ticket; reason: QueueRefusalReason; retryAfterMs: number;
+        /** Set if a slot was free but reserved for more urgent requests. */
+        isReserved?: true;
+    };
 
 /** Reason why a queue refuses a request. */
 export type QueueRefusalReason =
--- a/src/admission/slotWait.ts
+++ b/src/admission/slotWait.ts
@@ -2,6 +2,7 @@
 import type { AdmissionRequest, QueueRefusalReason } from "./admissionRequest.js";
 import type { OfferedLoad } from "./offeredLoad.js";
 import type { QueueTargets } from "./queueTargets.js";
+import type { ReservedSlots } from "./reservedSlots.js";
 import type { RunningRequests } from "./runningRequests.js";
 import type { WaitingRequests } from "./waitingRequests.js";
 import type { WorkTimePlan } from "./workTimePlan.js";
@@ -29,6 +30,8 @@
     waiting: WaitingRequests;
     offeredLoad: OfferedLoad;
     workTimePlan: WorkTimePlan;
+    /** Slots reserved for more urgent requests; undefined if none ever are. */
+    reservedSlots?: ReservedSlots | undefined;
 }
 
 /** Estimates the time that requests wait for a slot. */
@@ -53,21 +56,24 @@
      * @returns the removed requests, each with its refusal
      */
     removeTooLate(nowMs: number): { request: AdmissionRequest; refusal: Refusal }[] {
-        const { running, waiting, workTimePlan } = this.dependencies;
+        const { waiting, workTimePlan } = this.dependencies;
         const slots = this.totalSlots();
         const spareShare = this.spareShare(slots, nowMs);
         const removed: { request: AdmissionRequest; refusal: Refusal }[] = [];
-        let keptCount = 0;
-        let workBeforeMs = running.remainingWorkMs(nowMs);
+        const kept: AdmissionRequest[] = [];
+        const runningMs = this.runningWorkMs(nowMs);
+        let workBeforeMs = runningMs;
         waiting.retain((request) => {
-            const rateWaitMs = this.dependencies.targets.rateLimitWaitMs(keptCount, nowMs);
-            const slotWaitMs = workTimePlan.isProbablyLate(request, nowMs) ? workBeforeMs / slots / spareShare : 0;
+            const rateWaitMs = this.dependencies.targets.rateLimitWaitMs(kept.length, nowMs);
+            const slotWaitMs = workTimePlan.isProbablyLate(request, nowMs)
+                ? Math.min(workBeforeMs / slots / spareShare, this.reservedWaitMs(request, kept, runningMs, slots, nowMs))
+                : 0;
             const isWaitOver = nowMs >= (request.waitUntilMs ?? Number.POSITIVE_INFINITY);
             if (isWaitOver || this.isTooLate(request, Math.max(slotWaitMs, rateWaitMs), nowMs)) {
                 removed.push({ request, refusal: refusalOf(rateWaitMs, Math.max(request.workMs, slotWaitMs)) });
                 return false;
             }
-            keptCount += 1;
+            kept.push(request);
             workBeforeMs += request.workMs;
             return true;
         }, nowMs);
@@ -80,12 +86,17 @@
      * it as well.
      */
     private expectedWait(request: AdmissionRequest, nowMs: number): ExpectedWait {
-        const { targets, running, waiting, workTimePlan } = this.dependencies;
+        const { targets, waiting, workTimePlan } = this.dependencies;
         const slots = this.totalSlots();
         const sentBefore = waiting.sentBefore(request, nowMs);
         const rateWaitMs = targets.rateLimitWaitMs(sentBefore.length, nowMs);
-        const waitMs = Math.max(rateWaitMs, (totalWorkMs(sentBefore) + running.remainingWorkMs(nowMs)) / slots);
-        const durationMs = workTimePlan.isProbablyLate(request, nowMs + waitMs) ? waitMs / this.spareShare(slots, nowMs) : waitMs;
+        const runningMs = this.runningWorkMs(nowMs);
+        const workBeforeMs = totalWorkMs(sentBefore) + runningMs;
+        const waitMs = Math.max(rateWaitMs, workBeforeMs / this.slotsLeftFor(request, slots, nowMs));
+        const durationMs = workTimePlan.isProbablyLate(request, nowMs + waitMs)
+            ? Math.min(waitMs / this.spareShare(slots, nowMs),
+                Math.max(rateWaitMs, this.reservedWaitMs(request, sentBefore, runningMs, slots, nowMs)))
+            : waitMs;
         return { durationMs, ...refusalOf(rateWaitMs, durationMs) };
     }
 
@@ -94,6 +105,33 @@
             || (waitMs > 0 && nowMs + waitMs > (request.waitUntilMs ?? Number.POSITIVE_INFINITY));
     }
 
+    /** Returns the slots that are left for a request's kind. */
+    private slotsLeftFor({ priority }: AdmissionRequest, slots: number, nowMs: number): number {
+        return this.dependencies.reservedSlots?.slotsLeftFor(priority, slots, nowMs) ?? slots;
+    }
+
+    /**
+     * Returns the running work that ends before a slot is free. Where slots are reserved, that is the mean remaining work of a running
+     * request: an urgent request needs one slot, and the sum for all slots would have it refused while the next one is free in time.
+     */
+    private runningWorkMs(nowMs: number): number {
+        const { running, reservedSlots } = this.dependencies;
+        return reservedSlots === undefined ? running.remainingWorkMs(nowMs) : reservedSlots.meanRemainingWorkMs(nowMs);
+    }
+
+    /**
+     * Returns the wait of a request that will exceed its target latency for a slot that only requests of its kind and more urgent ones
+     * may use; infinite if there is none.
+     */
+    private reservedWaitMs(
+        { priority }: AdmissionRequest, sentBefore: readonly AdmissionRequest[], runningMs: number, slots: number, nowMs: number,
+    ): number {
+        const spareSlots = this.dependencies.reservedSlots?.spareReserved(priority, slots, nowMs) ?? 0;
+        return spareSlots <= 0
+            ? Number.POSITIVE_INFINITY
+            : (runningMs + totalWorkMs(sentBefore.filter((other) => other.priority <= priority))) / spareSlots;
+    }
+
     private totalSlots(): number {
         return this.dependencies.targets.totalEffectiveSlots(this.dependencies.offeredLoad.meanWorkMs);
     }
--- a/src/admission/waitingRequests.ts
+++ b/src/admission/waitingRequests.ts
@@ -25,9 +25,11 @@
         this.requests.splice(this.requests.indexOf(request), 1);
     }
 
-    /** Removes the request with a ticket, if it waits. */
-    removeTicket(ticket: Ticket): void {
+    /** Removes the request with a ticket and returns it; returns undefined if it does not wait. */
+    removeTicket(ticket: Ticket): AdmissionRequest | undefined {
+        const removed = this.requests.find((request) => request.ticket === ticket);
         this.requests = this.requests.filter((request) => request.ticket !== ticket);
+        return removed;
     }
 
     /** Yields the requests in the order in which they are sent. */
@@ -63,6 +65,7 @@
         if (isLeftLate !== isRightLate) {
             return isLeftLate ? 1 : -1;
         }
-        return left.priority - right.priority || left.softDeadlineMs - right.softDeadlineMs;
+        return left.priority - right.priority || (left.callerRank ?? 0) - (right.callerRank ?? 0)
+            || left.softDeadlineMs - right.softDeadlineMs;
     }
 }
