--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -46,7 +46,11 @@
         isRateLimited: boolean;
         leave: (end: WorkEnd, rateLimit?: StatedRateLimit) => void;
     }
-    | { kind: "refused"; reason: QueueRefusalReason | "no-host" | "withdrawn"; retryAfterMs: number };
+    | {
+        kind: "refused"; reason: QueueRefusalReason | "no-host" | "withdrawn"; retryAfterMs: number;
+        /** Set if slots were reserved for more urgent requests. */
+        isReserved?: boolean;
+    };
 
 /** Requests slots from the hosts that keep the queues. */
 export interface AdmissionClient {
@@ -157,7 +161,10 @@
                     notifyQueueHost(member, "leave", { group, ticket, end, ...rateLimit === undefined ? {} : { rateLimit } });
                 },
             }
-            : { kind: "refused", reason: reply.refused, retryAfterMs: reply.retryAfterMs };
+            : {
+                kind: "refused", reason: reply.refused, retryAfterMs: reply.retryAfterMs,
+                ...reply.reserved === true ? { isReserved: true } : {},
+            };
     };
 
     return {
@@ -175,7 +182,7 @@
 
 /** Returns the message for a request. Fields are listed one by one, since copying them all costs processor time for each request. */
 function toEnterParams(request: SlotRequest, ticket: Ticket, sender: HostId, nowMs: number): EnterParams {
-    const { group, priority, workMs, near, avoid, rateLimits, suspect, softDeadlineMs, deadlineMs, maxWaitMs } = request;
+    const { group, priority, workMs, near, avoid, rateLimits, suspect, softDeadlineMs, deadlineMs, maxWaitMs, caller } = request;
     const params: EnterParams = {
         ticket, sender, group, priority, near, avoid,
         workMs: Math.round(workMs), targetLeftMs: Math.round(softDeadlineMs - nowMs), deadlineLeftMs: Math.round(deadlineMs - nowMs),
@@ -186,6 +193,9 @@
     if (suspect !== undefined) {
         params.suspect = suspect;
     }
+    if (caller !== undefined) {
+        params.caller = caller;
+    }
     if (maxWaitMs !== undefined) {
         params.maxWaitMs = Math.max(0, Math.round(maxWaitMs));
     }
--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -17,6 +17,7 @@
 import type { EnterParams, EnterReply, Group, LeaveParams, WithdrawParams } from "./messages.js";
 import { admissionMethods, groupName } from "./messages.js";
 import type { QueueHosts } from "./queueHosts.js";
+import type { SharingDescription } from "./scarceCapacity.js";
 import type { QueueTarget } from "./targetRecord.js";
 
 export type { TargetPressure } from "../ownership/targetPressure.js";
@@ -49,6 +50,13 @@
     isSilent: (targetId: TargetId) => boolean;
     queueHosts: QueueHosts;
     log: Log;
+    /** See `HostSettings.sharesScarceCapacity`; false if undefined. */
+    sharesScarceCapacity?: boolean;
+}
+
+/** How a queue shares scarce capacity. */
+export interface QueueSharing extends SharingDescription {
+    group: Group;
 }
 
 interface ManagedQueue {
@@ -81,11 +89,13 @@
     run(signal: AbortSignal): Promise<void>;
     /** Lists the load of each target whose queue is kept here and whose slowness is known. */
     pressures(): TargetPressure[];
+    /** Lists how the queues kept here share scarce capacity; empty where it is not shared. */
+    sharing(): QueueSharing[];
 }
 
 /** Creates the admission server of this host. */
 export function createAdmissionServer(
-    { view, clock, random, drainMs, coldAfterEvacuationMs, isSilent, queueHosts, log }: AdmissionServerDependencies,
+    { view, clock, random, drainMs, coldAfterEvacuationMs, isSilent, queueHosts, log, sharesScarceCapacity }: AdmissionServerDependencies,
 ): AdmissionServer {
     const checks = createAdmissionChecks(log, clock);
     const queues = new Map<string, ManagedQueue>();
@@ -96,7 +106,7 @@
     const queueOf = (group: Group, nowMs: number): ManagedQueue => {
         const name = groupName(group);
         const managed = queues.get(name) ?? {
-            group, queue: new AdmissionQueue(random, group.kind === "target"), pendingReplies: new Map(),
+            group, queue: new AdmissionQueue(random, group.kind === "target", sharesScarceCapacity), pendingReplies: new Map(),
             viewVersion: -1, hasPassingState: false, lastUsedMs: nowMs,
         };
         queues.set(name, managed);
@@ -154,7 +164,10 @@
             managed.pendingReplies.delete(verdict.ticket);
             reply?.(verdict.kind === "granted"
                 ? { granted: verdict.targetId, expectedMs: verdict.expectedMs, ...verdict.isRateLimited ? { rateLimited: true } : {} }
-                : { refused: verdict.reason, retryAfterMs: verdict.retryAfterMs });
+                : {
+                    refused: verdict.reason, retryAfterMs: verdict.retryAfterMs,
+                    ...verdict.isReserved === true ? { reserved: true } : {},
+                });
         }
     };
 
@@ -260,6 +273,10 @@
                 targetId, running, slowness: roundToHundredths(slowness), waiting: queue.waitingCount,
                 ...requestsPerSecond === undefined ? {} : { requestsPerSecond },
             }))),
+        sharing: () => [...queues.values()].flatMap(({ group, queue }) => {
+            const description = queue.describeSharing(clock.now().monoMs);
+            return description === undefined ? [] : [{ group, ...description }];
+        }),
     };
 }
 
@@ -285,6 +302,7 @@
         ...maxWaitMs === undefined ? {} : { waitUntilMs: nowMs + maxWaitMs },
         avoid: new Set(params.avoid),
         ...params.suspect === undefined ? {} : { suspect: params.suspect },
+        ...params.caller === undefined ? {} : { caller: params.caller },
     };
 }
 
--- a/src/admission/messageChecks.ts
+++ b/src/admission/messageChecks.ts
@@ -29,6 +29,7 @@
 /** Largest number of characters of an id or a name. */
 const maxNameChars = 128;
 const maxPriority = 1_000_000;
+const maxCaller = 0xffff_ffff;
 
 type ValueCheck = (value: unknown) => boolean;
 
@@ -67,6 +68,7 @@
     workMs: isDurationMs, targetLeftMs: isLeftMs, deadlineLeftMs: isLeftMs, maxWaitMs: isOptional(isDurationMs),
     near: isName, avoid: isListOf(isIdText, maxAvoided),
     rateLimits: isOptional(isListOf(isAnything, maxRateLimits)), suspect: isOptional(isIdText),
+    caller: isOptional((value) => Number.isInteger(value) && isBetween(0, maxCaller)(value)),
 };
 
 const withdrawFields: FieldChecks<WithdrawParams> = { group: isGroup, ticket: isName };
@@ -86,7 +88,7 @@
     granted: isIdText, expectedMs: isDurationMs, rateLimited: isOptional((value) => value === true),
 };
 const refusedFields: FieldChecks<Extract<EnterReply, { refused: unknown }>> = {
-    refused: (value) => refusalReasons.has(value), retryAfterMs: isDurationMs,
+    refused: (value) => refusalReasons.has(value), retryAfterMs: isDurationMs, reserved: isOptional((value) => value === true),
 };
 const unreadyFields: FieldChecks<Extract<EnterReply, { unready: unknown }>> = { unready: (value) => value === true };
 
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -39,13 +39,16 @@
     rateLimits?: readonly StatedRateLimit[];
     /** Set if the request is suspected of crashing the targets that run it. */
     suspect?: Fingerprint;
+    /** Hash (32 bits) of the address of the client's connection; absent if capacity is not shared, and in messages of earlier versions. */
+    caller?: number;
 }
 
 /** Reply to `EnterParams`. */
 export type EnterReply =
     /** `rateLimited` is set if the target has a rate limit, so that the slot is good for one request only. */
     | { granted: TargetId; expectedMs: number; rateLimited?: true }
-    | { refused: QueueRefusalReason; retryAfterMs: number }
+    /** `reserved` is set if slots were reserved for more urgent requests; absent in messages of earlier versions. */
+    | { refused: QueueRefusalReason; retryAfterMs: number; reserved?: true }
     /** The host has just started and does not know the targets yet, so it cannot keep a queue. */
     | { unready: true };
 
--- a/src/control/explain.ts
+++ b/src/control/explain.ts
@@ -42,6 +42,8 @@
     "target-paused": "The target, or every target of the service, had asked this host to back off.",
     "owner-silent": "The key's owner did not answer, and its lease had to end before another target could own the key.",
     "overloaded": "All slots were taken, and the request could not have been answered in time.",
+    "capacity-reserved": "Room reserved for more urgent requests: some slots were kept free for them, and the request could not have been "
+        + "answered in time by the others.",
     "rate-limited": "The rate limits that the key's owner, or every target of the service, stated left no room before the deadline.",
     "rejected": "The target refused the request without running it, and no other attempt was possible.",
     "unreachable": "No connection to the target could be opened.",
--- a/src/control/session.ts
+++ b/src/control/session.ts
@@ -31,6 +31,14 @@
     crashes?: {
         standings: { fingerprint: string; kind: "suspected" | "trial-due" | "quarantined"; crashCount: number; remainingMs?: number; targets: string[] }[];
     };
+    /** How the host's admission queues share scarce capacity; absent in dumps of earlier versions. */
+    sharing?: {
+        group: { kind: string; targetId?: string; serviceId?: string; dataCentreId?: string };
+        reservedSlots: number;
+        lentSlots: number;
+        callersAboveShare: number;
+        kinds: { priority: number; offeredSlots: number; servedShare: number; running: number }[];
+    }[];
     coordinator?: {
         term: number;
         owners: { targets: { targetId: string; standing: string; ranges: { from: number; to: number }[]; freeInMs: number }[] };
--- a/src/entry/clientCall.ts
+++ b/src/entry/clientCall.ts
@@ -10,7 +10,7 @@
     | "no-route" | "body-too-large" | "body-late" | "no-key"
     /** The request did not run and will not run. */
     | "not-ready" | "config-unconfirmed" | "no-target" | "owner-unknown" | "owner-silent" | "target-paused" | "overloaded" | "rate-limited" | "too-late" | "rejected"
-    | "unreachable" | "stopping" | "quarantined"
+    | "unreachable" | "stopping" | "quarantined" | "capacity-reserved"
     /** The request may have run. */
     | "timed-out" | "lost";
 
@@ -69,6 +69,8 @@
     /** Headers to forward: alternating names and values. */
     readonly forwardHeaders: readonly string[];
     readonly body: RequestBody;
+    /** IP address of the client's connection, without the port; undefined if it is not known. */
+    readonly callerAddress?: string | undefined;
     /** Aborted when the client has left. */
     readonly clientLeft: AbortSignal;
     /** Describes the client's connection for a log line. */
--- a/src/entry/httpClientCall.ts
+++ b/src/entry/httpClientCall.ts
@@ -77,6 +77,7 @@
         receivedAt,
         forwardHeaders: withoutHopByHop(withHostOf(target, request.rawHeaders), dialect.unforwardedHeaders),
         body,
+        callerAddress: request.socket.remoteAddress,
         clientLeft: clientLeft.signal,
         describeConnection,
         refuse: (refusal) => {
--- a/src/entry/refusalStatus.ts
+++ b/src/entry/refusalStatus.ts
@@ -14,6 +14,7 @@
     "owner-silent": 503,
     "target-paused": 503,
     "overloaded": 503,
+    "capacity-reserved": 503,
     "rate-limited": 503,
     "too-late": 503,
     "rejected": 503,
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -67,6 +67,8 @@
     dataCentreId: DataCentreId;
     /** See `PlacerDependencies`. */
     usesDataCentreQueues: () => boolean;
+    /** See `PlacerDependencies`. */
+    sharesScarceCapacity?: boolean | undefined;
     /** Time since it was last confirmed that no newer configuration is in force. */
     configAgeMs: (nowMs: number) => number;
     /** Time for which a target still receives new requests after this host learned that the target is shutting down. */
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -1,5 +1,6 @@
 /** Chooses the target for a request and acquires a slot there from the admission queue. */
 import type { AdmissionClient, SlotDecision } from "../admission/admissionClient.js";
+import { hashCaller } from "../admission/callerHash.js";
 import { createDataCentreQueues } from "../admission/dataCentreQueues.js";
 import type { WorkEnd } from "../admission/targetRecord.js";
 import type { Standing } from "../crashes/crashEvidence.js";
@@ -75,6 +76,8 @@
     usesDataCentreQueues: () => boolean;
     /** Returns a random number in [0, 1). */
     random: () => number;
+    /** Tells the queue which caller a request is from; false if undefined. */
+    sharesScarceCapacity?: boolean | undefined;
 }
 
 /** Finds slots for requests. */
@@ -234,13 +237,16 @@
         ({ kind: "refused", refusal: { reason: "no-target", retryAfterMs: addJitter(retryAfterUnreachableMs) } });
 
     const slotRequestOf = (context: RequestContext) => {
-        const { route, softDeadlineMs, deadlineMs } = context;
+        const { call, route, softDeadlineMs, deadlineMs } = context;
         const standing = standingOf(context, nowMs());
         return {
             priority: route.priority,
             workMs: workTimes.meanMs(route.routeId, typicalWorkMs(route)),
             near: dataCentreId,
             softDeadlineMs, deadlineMs,
+            ...dependencies.sharesScarceCapacity === true && call.callerAddress !== undefined
+                ? { caller: hashCaller(call.callerAddress) }
+                : {},
             ...standing.kind === "suspected" || standing.kind === "trial-due" ? { suspect: standing.fingerprint } : {},
         };
     };
@@ -275,7 +281,8 @@
         if (decision.reason === "paused") {
             return pausedRefusal(targetId, decision.retryAfterMs);
         }
-        return { kind: "refused", refusal: { reason: reasonByDecision[decision.reason], retryAfterMs: decision.retryAfterMs, targetId } };
+        const reason = decision.isReserved === true ? "capacity-reserved" : reasonByDecision[decision.reason];
+        return { kind: "refused", refusal: { reason, retryAfterMs: decision.retryAfterMs, targetId } };
     };
 
     const mayReuse = ({ call, service }: RequestContext, { target, isRateLimited }: TargetSlot): boolean => {
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -128,6 +128,7 @@
             isSilent: (targetId) => owners.isSilent(targetId, clock.now().monoMs),
             queueHosts: from.resolve(tokens.queueHosts),
             log: from.resolve(tokens.logFactory)("admission"),
+            sharesScarceCapacity: settings.sharesScarceCapacity,
         });
     });
     provide(tokens.queueHosts, (from) => new QueueHosts(from.resolve(tokens.membership), from.resolve(tokens.view)));
@@ -223,6 +224,7 @@
             && from.resolve(tokens.queueHosts).keepDataCentreQueues(),
         configAgeMs: (nowMs) => from.resolve(tokens.node).configAgeMs(nowMs),
         random: from.resolve(tokens.random),
+        sharesScarceCapacity: settings.sharesScarceCapacity,
     }));
     provide(tokens.clientHttp, (from) => {
         const log = from.resolve(tokens.logFactory)("clients");
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -90,7 +90,7 @@
         unreadyReason,
         dump: () => ({
             ...node.describe(), unready: unreadyReason(), pending: clients.pending(), crashes: evidence.describe(clock.now().monoMs),
-            reachability: reachability.describe(),
+            reachability: reachability.describe(), sharing: hostContainer.resolve(tokens.admissionServer).sharing(),
         }),
         metrics: () => hostContainer.resolve(tokens.metrics).text(),
     });
@@ -196,6 +196,14 @@
         hostContainer.resolve(tokens.relayServer).openCount());
     metrics.gauge("hornbeam_queue_waiting", "Requests that wait in the admission queues on this host.", () =>
         hostContainer.resolve(tokens.admissionServer).pressures().reduce((sum, { waiting }) => sum + waiting, 0));
+    const sumSharing = (field: "reservedSlots" | "lentSlots" | "callersAboveShare") =>
+        hostContainer.resolve(tokens.admissionServer).sharing().reduce((sum, sharing) => sum + sharing[field], 0);
+    metrics.gauge("hornbeam_reserved_slots", "Free slots kept for more urgent requests in the admission queues on this host.", () =>
+        sumSharing("reservedSlots"));
+    metrics.gauge("hornbeam_reserved_slots_lent", "Slots that more urgent requests are expected to need and that others may use now.", () =>
+        sumSharing("lentSlots"));
+    metrics.gauge("hornbeam_callers_above_share", "Callers that have or wait for more than one slot in a queue on this host.", () =>
+        sumSharing("callersAboveShare"));
     const countStandings = (wanted: AdverseStanding["kind"]) => hostContainer.resolve(tokens.crashEvidence)
         .adverseStandings(clock.now().monoMs).filter(({ kind }) => kind === wanted).length;
     metrics.gauge("hornbeam_suspected_fingerprints", "Fingerprints of requests that may crash targets.", () => countStandings("suspected"));
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -7,6 +7,7 @@
 export interface Metrics {
     readonly requests: Counter<"route" | "outcome" | "reason">;
     readonly refusals: Counter<"status" | "reason">;
+    readonly refusalsByPriority: Counter<"priority" | "reason">;
     readonly answerMs: Histogram<"route">;
     readonly attempts: Counter<"target" | "end">;
     readonly retries: Counter<"route" | "end">;
@@ -37,6 +38,10 @@
             name: "hornbeam_refusals_total", help: "Answers of this host in place of a target, by status and reason.",
             labelNames: ["status", "reason"], registers,
         }),
+        refusalsByPriority: new Counter({
+            name: "hornbeam_refusals_by_priority_total", help: "Refused requests that have a route, by the route's priority and reason.",
+            labelNames: ["priority", "reason"], registers,
+        }),
         answerMs: new Histogram({
             name: "hornbeam_answer_ms", help: "Time from the arrival of a request to its response, in milliseconds.",
             labelNames: ["route"], buckets: latencyBucketsMs, registers,
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -53,6 +53,9 @@
         refused: (call, refusal, route, triedTargetIds) => {
             metrics.requests.inc({ route: route?.routeId ?? "", outcome: "refused", reason: refusal.reason });
             metrics.refusals.inc({ status: statusByReason[refusal.reason], reason: refusal.reason });
+            if (route !== undefined) {
+                metrics.refusalsByPriority.inc({ priority: route.priority, reason: refusal.reason });
+            }
             log.info("refused", {
                 ...commonFields(call), route: route?.routeId, reason: refusal.reason, retryAfterMs: refusal.retryAfterMs,
                 targets: [...triedTargetIds ?? []], target: refusal.targetId, fingerprint: refusal.fingerprint, budgetMs: call.budgetMs,
