Keep the bound of an evacuation at hosts that learn of it late, and its list apart from stale ones

Cause: a host counted the targets of an evacuated data centre as leaving since it learned of the evacuation, so a restarted host, or one that had been cut off, sent to owners there after the bound. They count as leaving since the host last knew that no evacuation had begun, plus 1.6 s. A coordinator without evacuations sent no list to a new follower, which kept an evacuation that had ended; and a list older than a host's own reading could bring an evacuation back for good. A target counts as cold for three heartbeats whenever it becomes ready again or a later process of it registers, not only after an evacuation.

--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -41,10 +41,10 @@
     /** Time after which a leaving target must not get new requests. */
     drainMs: number;
     /**
-     * Time after the end of an evacuation during which the targets of the data centre count as cold: they may have become cold meanwhile,
-     * and each has written an entry that tells by then.
+     * Time during which a target counts as cold after it has become ready again, for example because an evacuation has ended: it may have
+     * become cold meanwhile, and has written an entry that tells by then.
      */
-    coldAfterEvacuationMs: number;
+    coldAfterReturnMs: number;
     /** Returns whether a target has stopped answering. */
     isSilent: (targetId: TargetId) => boolean;
     queueHosts: QueueHosts;
@@ -85,7 +85,7 @@
 
 /** Creates the admission server of this host. */
 export function createAdmissionServer(
-    { view, clock, random, drainMs, coldAfterEvacuationMs, isSilent, queueHosts, log }: AdmissionServerDependencies,
+    { view, clock, random, drainMs, coldAfterReturnMs, isSilent, queueHosts, log }: AdmissionServerDependencies,
 ): AdmissionServer {
     const checks = createAdmissionChecks(log, clock);
     const queues = new Map<string, ManagedQueue>();
@@ -112,15 +112,19 @@
             const targets = targetsOf(managed.group);
             managed.viewVersion = view.targetsVersion;
             managed.hasPassingState = targets.some((target) =>
-                target.leavingSinceMs !== undefined || isSilent(target.targetId) || mayHaveBecomeCold(target, nowMs));
+                isAboutToClose(target, nowMs) || isSilent(target.targetId) || mayHaveBecomeCold(target, nowMs));
             sendReplies(managed, managed.queue.setTargets(targets.map((target) => toQueueTarget(target, managed.group, nowMs)), nowMs));
         }
     };
 
     const isDrained = (targetId: TargetId) => view.ledger.drained().includes(targetId);
 
-    const mayHaveBecomeCold = ({ dataCentreId }: KnownTarget, nowMs: number): boolean =>
-        nowMs - (view.evacuations.endedMs(dataCentreId) ?? Number.NEGATIVE_INFINITY) < coldAfterEvacuationMs;
+    /** A target that has closed for good, such as those of an evacuated data centre, needs no further checks until the view changes. */
+    const isAboutToClose = (target: KnownTarget, nowMs: number): boolean =>
+        target.leavingSinceMs !== undefined && mayReceive(target, drainMs, nowMs);
+
+    const mayHaveBecomeCold = ({ targetId }: KnownTarget, nowMs: number): boolean =>
+        nowMs - (view.targets.returnedAtMs(targetId) ?? Number.NEGATIVE_INFINITY) < coldAfterReturnMs;
 
     const targetsOf = (group: Group): KnownTarget[] => {
         if (group.kind === "target") {
--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -12,7 +12,7 @@
 import { MemberListCopy } from "./memberList.js";
 import type { Membership } from "./membership.js";
 import type { MessageChecks } from "./messageChecks.js";
-import type { FollowParams, FollowReply, News } from "./messages.js";
+import type { EvacuationList, FollowParams, FollowReply, News } from "./messages.js";
 import { callTimeoutMs, clusterMethods } from "./messages.js";
 import type { PeerConnection } from "./peerConnection.js";
 
@@ -60,6 +60,8 @@
     let isCatchingUp = false;
     let isFetchingConfig = false;
     let allTargetsRequestedAtMs = Number.NEGATIVE_INFINITY;
+    /** Latest term whose coordinator sends evacuations; one of an earlier version does not. */
+    let evacuationsTerm: Term | undefined;
     const memberList = new MemberListCopy();
     const nowMs = () => clock.now().monoMs;
 
@@ -75,8 +77,8 @@
             view.leavingReports.confirm(news.leavingTargets);
         }
         if (news.evacuations !== undefined) {
-            const { inForce, upTo } = news.evacuations;
-            view.applyEvacuations(view.evacuations.replace(inForce, upTo, nowMs()), nowMs());
+            evacuationsTerm = news.term;
+            applyEvacuations(news.evacuations);
         }
         if (news.crashEvidence !== undefined) {
             crashEvidence.merge(news.crashEvidence, nowMs());
@@ -87,6 +89,9 @@
         }
         // The time that an update spent on its way, or unread at this host, adds to the ages that it states.
         const stateAtMs = Math.min(nowMs(), sentAtMs ?? news.sentAtMs ?? Number.NEGATIVE_INFINITY);
+        if (news.term === evacuationsTerm && news.configAgeMs !== undefined) {
+            view.evacuations.confirm(stateAtMs - news.configAgeMs);
+        }
         if (news.ledgerUpTo <= view.ledger.upTo) {
             ledgerConfirmedAtMs = Math.max(ledgerConfirmedAtMs, stateAtMs - news.storeAgeMs);
         }
@@ -109,6 +114,13 @@
         }
     };
 
+    /** Applies a list of evacuations. One that is older than this host's own reading could bring back evacuations that have ended. */
+    const applyEvacuations = ({ inForce, upTo }: EvacuationList) => {
+        if (upTo >= view.configUpTo) {
+            view.applyEvacuations(view.evacuations.replace(inForce, upTo, nowMs()), nowMs());
+        }
+    };
+
     /**
      * Requests what this host lacks. This happens when an update overtakes the answer to `follow`, and when this host's targets
      * differ: hosts that read the store at different times may have treated different entries as removed.
--- a/src/cluster/newsSender.ts
+++ b/src/cluster/newsSender.ts
@@ -142,7 +142,7 @@
                 ledgerFrom,
                 ...members === undefined ? {} : { members },
                 leavingTargets: view.targets.leaving(),
-                ...view.evacuations.isEmpty ? {} : { evacuations: evacuations() },
+                evacuations: evacuations(),
                 ...crashEvidence.isEmpty ? {} : { crashEvidence: crashEvidence.snapshot(clock.now().monoMs) },
                 notice: createNotice(),
             });
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -48,7 +48,7 @@
 import type { DaemonSettings } from "./daemonSettings.js";
 import { tokens } from "./tokens.js";
 
-/** Share of the allowed drain time during which requests are still sent to a target that is about to stop. */
+/** Share of the allowed time during which requests are still sent to a target that is about to stop, or that is evacuated. */
 const drainShare = 0.65;
 
 /** Number of heartbeats of a target after which this host has certainly read an entry that it wrote since. */
@@ -98,7 +98,7 @@
     provide(tokens.store, (from) => adapters.createStore(from.resolve(tokens.metrics)));
     provide(tokens.leases, (from) => observeLeasePort(
         adapters.createLeases(from.resolve(tokens.metrics)), from.resolve(tokens.reachability), from.resolve(tokens.view)));
-    provide(tokens.view, () => new ClusterView());
+    provide(tokens.view, () => new ClusterView(settings.evacuationMs * drainShare - drainMs));
     provide(tokens.owners, (from) => new OwnerLookup(from.resolve(tokens.view), drainMs));
     provide(tokens.loadMeter, () => new LoadMeter());
     provide(tokens.peerHandlers, () => ({}));
@@ -123,7 +123,7 @@
         const clock = from.resolve(tokens.clock);
         return createAdmissionServer({
             view: from.resolve(tokens.view), clock, drainMs,
-            coldAfterEvacuationMs: settings.targetHeartbeatMs * heartbeatsUntilTold,
+            coldAfterReturnMs: settings.targetHeartbeatMs * heartbeatsUntilTold,
             random: from.resolve(tokens.random),
             isSilent: (targetId) => owners.isSilent(targetId, clock.now().monoMs),
             queueHosts: from.resolve(tokens.queueHosts),
--- a/src/store/clusterView.ts
+++ b/src/store/clusterView.ts
@@ -16,6 +16,9 @@
 const noOffset = -1 as Offset;
 const noVersion = -1;
 
+/** Suits a bound of 5 s and a drain time of 2.5 s; see `Evacuations`. */
+const defaultLearnEvacuationsWithinMs = 1_600;
+
 /** A configuration with the tables derived from it. */
 export interface ActiveConfig {
     config: RoutingConfig;
@@ -29,7 +32,7 @@
     readonly targets = new TargetDirectory();
     readonly ledger = new Ledger();
     /** Data centres that operators have evacuated. */
-    readonly evacuations = new Evacuations();
+    readonly evacuations: Evacuations;
     /** Fires when an evacuation begins or ends. */
     readonly evacuationsChanged = new Signal();
     /** Fires when a configuration is applied. */
@@ -54,6 +57,11 @@
     private targetChangeCount = 0;
     private latestReturn: { era: Era; seenMs: number } | undefined;
 
+    /** @param learnEvacuationsWithinMs see `Evacuations` */
+    constructor(learnEvacuationsWithinMs = defaultLearnEvacuationsWithinMs) {
+        this.evacuations = new Evacuations(learnEvacuationsWithinMs);
+    }
+
     /** Grows whenever a target changes in anything that the router acts on. */
     get targetsVersion(): number {
         return this.targetChangeCount;
@@ -140,8 +148,8 @@
      * @param nowMs current monotonic time
      */
     applyEvacuations(changes: readonly EvacuationChange[], nowMs: number): void {
-        for (const { dataCentreId, isInForce } of changes) {
-            this.targets.setEvacuated(dataCentreId, isInForce, nowMs);
+        for (const dataCentreId of new Set(changes.map((change) => change.dataCentreId))) {
+            this.targets.setEvacuated(dataCentreId, this.evacuations.leavingSinceMs(dataCentreId), nowMs);
         }
         if (changes.length > 0) {
             this.notifyTargetsChanged();
--- a/src/store/evacuations.ts
+++ b/src/store/evacuations.ts
@@ -9,11 +9,13 @@
     isInForce: boolean;
 }
 
-/** What is known of a data centre that is evacuated, or was. Times are monotonic milliseconds at which this host learned of it. */
+/** What is known of a data centre that is evacuated, or was. */
 interface EvacuationRecord {
     offset: Offset;
+    /** Monotonic time at which this host learned of the evacuation in force; undefined if there is none. */
     sinceMs: number | undefined;
-    endedMs: number | undefined;
+    /** Monotonic time from which the targets of the data centre count as leaving; undefined if no evacuation is in force. */
+    leavingSinceMs: number | undefined;
 }
 
 /** Limit on the data centres that are remembered; records of further ones are ignored. */
@@ -22,20 +24,28 @@
 /** Evacuations by data centre. A record with a lower offset than the newest known one of its data centre changes nothing. */
 export class Evacuations {
     private readonly records = new Map<DataCentreId, EvacuationRecord>();
+    private confirmedAtMs = Number.NEGATIVE_INFINITY;
+
+    /**
+     * @param learnWithinMs a host that learns of an evacuation at most this long after its beginning sends to the targets of the data
+     *     centre for as long as to other leaving targets. A host that may have learned of it later, for example by its first reading,
+     *     stops earlier by the excess, so that it keeps the bound of the evacuation.
+     */
+    constructor(private readonly learnWithinMs: number) {}
+
+    /** Records that this host knew, at a monotonic time, every evacuation that the store had acknowledged by then. */
+    confirm(atMs: number): void {
+        this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
+    }
 
     /** Returns when this host learned that a data centre is evacuated; undefined if it isn't. */
     sinceMs(dataCentreId: DataCentreId): number | undefined {
         return this.records.get(dataCentreId)?.sinceMs;
     }
 
-    /** Returns when this host learned that the last evacuation of a data centre ended; undefined if none has, or one is in force. */
-    endedMs(dataCentreId: DataCentreId): number | undefined {
-        return this.records.get(dataCentreId)?.endedMs;
-    }
-
-    /** True if no data centre is evacuated, or was. */
-    get isEmpty(): boolean {
-        return this.records.size === 0;
+    /** Returns the time from which the targets of a data centre count as leaving; undefined if it isn't evacuated. */
+    leavingSinceMs(dataCentreId: DataCentreId): number | undefined {
+        return this.records.get(dataCentreId)?.leavingSinceMs;
     }
 
     /** Lists the evacuations in force. */
@@ -93,9 +103,11 @@
             return false;
         }
         const wasInForce = known?.sinceMs !== undefined;
-        const sinceMs = isInForce ? known?.sinceMs ?? nowMs : undefined;
-        const endedMs = isInForce ? undefined : wasInForce ? nowMs : known?.endedMs;
-        this.records.set(dataCentreId, { offset, sinceMs, endedMs });
+        this.records.set(dataCentreId, {
+            offset,
+            sinceMs: isInForce ? known?.sinceMs ?? nowMs : undefined,
+            leavingSinceMs: isInForce ? known?.leavingSinceMs ?? Math.min(nowMs, this.confirmedAtMs + this.learnWithinMs) : undefined,
+        });
         return wasInForce !== isInForce;
     }
 }
--- a/src/store/targetDirectory.ts
+++ b/src/store/targetDirectory.ts
@@ -30,8 +30,10 @@
     private readonly latestPositions = new Map<TargetId, ChangePosition>();
     /** Start of the last process of each target that announced in an answer that it is leaving. */
     private readonly leavingBornWallMs = new Map<TargetId, number>();
-    /** Data centres whose targets are to get nothing. */
-    private readonly evacuatedDataCentres = new Set<DataCentreId>();
+    /** Evacuated data centres, with the time from which their targets count as leaving. */
+    private readonly evacuatedSinceMs = new Map<DataCentreId, number>();
+    /** When each target became ready again, or a later process of it registered. */
+    private readonly returnedMs = new Map<TargetId, number>();
     /** Targets in `known` that were removed from the directory. */
     private readonly goneIds = new Set<TargetId>();
     private combinedDigest = 0;
@@ -125,21 +127,29 @@
      * Records the beginning or the end of an evacuation. The targets of the data centre count as draining while it lasts, so that they get
      * no new requests and their keys move to other targets.
      * @param dataCentreId the data centre
-     * @param isEvacuated true if the evacuation begins
+     * @param leavingSinceMs monotonic time from which its targets count as leaving; undefined if the evacuation has ended
      * @param nowMs current monotonic time
      */
-    setEvacuated(dataCentreId: DataCentreId, isEvacuated: boolean, nowMs: number): void {
-        if (isEvacuated) {
-            this.evacuatedDataCentres.add(dataCentreId);
+    setEvacuated(dataCentreId: DataCentreId, leavingSinceMs: number | undefined, nowMs: number): void {
+        if (leavingSinceMs === undefined) {
+            this.evacuatedSinceMs.delete(dataCentreId);
         }
         else {
-            this.evacuatedDataCentres.delete(dataCentreId);
+            this.evacuatedSinceMs.set(dataCentreId, leavingSinceMs);
         }
         for (const target of [...this.known.values()].filter((known) => known.dataCentreId === dataCentreId)) {
             this.setTarget(toEntry(target), nowMs);
         }
     }
 
+    /**
+     * Returns the monotonic time at which a target became ready again, after it was gone, draining or evacuated, or at which a later
+     * process of it registered; undefined if neither has happened.
+     */
+    returnedAtMs(targetId: TargetId): number | undefined {
+        return this.returnedMs.get(targetId);
+    }
+
     /** Lists the registered processes that announced that they are leaving. */
     leaving(): LeavingTarget[] {
         return [...this.leavingBornWallMs].filter(([targetId, bornWallMs]) => this.known.get(targetId)?.bornWallMs === bornWallMs)
@@ -161,9 +171,16 @@
     private setTarget(entry: TargetEntry, nowMs: number): void {
         const { targetId } = entry;
         const hasAnnouncedLeaving = this.leavingBornWallMs.get(targetId) === entry.bornWallMs;
-        const isToDrain = hasAnnouncedLeaving || this.evacuatedDataCentres.has(entry.dataCentreId);
+        const evacuatedSinceMs = this.evacuatedSinceMs.get(entry.dataCentreId);
+        const isToDrain = hasAnnouncedLeaving || evacuatedSinceMs !== undefined;
         const state = entry.state === "ready" && isToDrain ? "draining" : entry.state;
-        const leavingSinceMs = state === "ready" ? undefined : this.known.get(targetId)?.leavingSinceMs ?? nowMs;
+        const previous = this.known.get(targetId);
+        const leavingSinceMs = state === "ready"
+            ? undefined
+            : Math.min(previous?.leavingSinceMs ?? nowMs, evacuatedSinceMs ?? Number.POSITIVE_INFINITY);
+        if (previous !== undefined && state === "ready" && (previous.state !== "ready" || previous.bornWallMs !== entry.bornWallMs)) {
+            this.returnedMs.set(targetId, nowMs);
+        }
         this.combinedDigest ^= hashOf(this.known.get(targetId)) ^ hashOf({ ...entry, registeredState: entry.state });
         this.known.set(targetId, { ...entry, state, registeredState: entry.state, leavingSinceMs });
         if (entry.state === "gone") {
@@ -181,6 +198,7 @@
                 this.goneIds.delete(targetId);
                 this.known.delete(targetId);
                 this.leavingBornWallMs.delete(targetId);
+                this.returnedMs.delete(targetId);
             }
         }
     }
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -105,8 +105,9 @@
 
     const applyRecords: Record<TopicName, (records: readonly StoreRecord[], upTo: Offset) => Reading> = {
         configuration: (records, upTo) => {
+            const reading = applyConfigs(records, upTo);
             recordEvacuations(view.evacuations.apply(decodeEvacuations(records), nowMs()));
-            return applyConfigs(records, upTo);
+            return reading;
         },
         targets: (records, upTo) => ({ ...emptyReading, targets: applyTargets(decodeTargets(records), upTo) }),
         ledger: (records, upTo) => {
@@ -228,6 +229,17 @@
 
     const readNew = async (topic: TopicName, waitMs: number): Promise<Result<Reading, Failure>> => {
         const from = nextOffsets[topic]();
+        const askedAtMs = nowMs();
+        const reading = await readFrom(topic, from, waitMs);
+        if (topic === "configuration" && reading.isOk()) {
+            // A call that brought nothing new was held for all of its waiting time.
+            const isHeld = nextOffsets[topic]() === from && nowMs() - askedAtMs >= waitMs;
+            view.evacuations.confirm(isHeld ? askedAtMs + waitMs : askedAtMs);
+        }
+        return reading;
+    };
+
+    const readFrom = async (topic: TopicName, from: Offset, waitMs: number): Promise<Result<Reading, Failure>> => {
         const outcome = topicsRead.has(topic)
             ? await readToEnd(topic, from, waitMs)
             : ok({ kind: "expired" as const });
--- a/test/admission/admissionClient.spec.ts
+++ b/test/admission/admissionClient.spec.ts
@@ -30,7 +30,7 @@
     const view = new ClusterView();
     const queueHosts = new QueueHosts(membership, view);
     const localServer = createAdmissionServer({
-        view, clock, random: () => 0.5, coldAfterEvacuationMs: 2_600, drainMs: 1_000, isSilent: () => false, queueHosts, log: silentLog,
+        view, clock, random: () => 0.5, coldAfterReturnMs: 2_600, drainMs: 1_000, isSilent: () => false, queueHosts, log: silentLog,
     });
     const askedHosts: string[] = [];
     const sent: EnterParams[] = [];
--- a/test/admission/hostPair.ts
+++ b/test/admission/hostPair.ts
@@ -84,7 +84,7 @@
         const queueHosts = new QueueHosts(new Membership(member(hostName)), view);
         return createAdmissionServer({
             view, clock: this.clock, random: () => 0.5,
-            coldAfterEvacuationMs: 2_600, drainMs: 1_000, isSilent: () => this.isTargetSilent, log: silentLog,
+            coldAfterReturnMs: 2_600, drainMs: 1_000, isSilent: () => this.isTargetSilent, log: silentLog,
             queueHosts: {
                 ranked: (ofGroup: Group) => queueHosts.ranked(ofGroup),
                 rateLimitShare: () => {
--- a/test/admission/oddMessages.spec.ts
+++ b/test/admission/oddMessages.spec.ts
@@ -41,7 +41,7 @@
     } }], 1 as Offset, 0);
     const lines: LogFields[] = [];
     const server = createAdmissionServer({
-        view, clock, random: () => 0.5, coldAfterEvacuationMs: 2_600, drainMs: 1_000, isSilent: () => false,
+        view, clock, random: () => 0.5, coldAfterReturnMs: 2_600, drainMs: 1_000, isSilent: () => false,
         queueHosts: { rateLimitShare: () => 1 } as unknown as QueueHosts,
         log: { info: () => undefined, error: () => undefined, warn: (_event, fields) => lines.push(fields ?? {}) },
     });
--- a/test/admission/queueHandover.spec.ts
+++ b/test/admission/queueHandover.spec.ts
@@ -75,7 +75,7 @@
         const queueHosts = new QueueHosts(membership, view);
         const server = createAdmissionServer({
             view, clock: this.clock, random: () => this.random.uniform(),
-            coldAfterEvacuationMs: 2_600, drainMs: 1_000, isSilent: () => false, queueHosts, log: silentLog,
+            coldAfterReturnMs: 2_600, drainMs: 1_000, isSilent: () => false, queueHosts, log: silentLog,
         });
         const client = createAdmissionClient({
             localServer: server, membership, queueHosts, clock: this.clock, log: silentLog, links: this.createLinks(name),
--- a/test/cluster/oddMessages.spec.ts
+++ b/test/cluster/oddMessages.spec.ts
@@ -36,7 +36,8 @@
     term: 3, storeAgeMs: 20, configOffset: -1, targetsUpTo: 8, targetsDigest: 5, ledgerUpTo: 2, ledgerFrom: 1, membersVersion: 1,
     targets: [{ targetId: "t-1", offset: 7, entry }], ledger: [{ offset: 1, key: "ownership/t-1", record: ownership }],
     notice: { moving: [{ serviceId: "leases", from: 0, to: 3, freeInMs: 8 }], silent: [{ targetId: "t-1", freeInMs: 9 }] },
-    leavingTargets: [{ targetId: "t-1", bornWallMs: 1 }], members: { came: [self], went: ["run-0"] },
+    leavingTargets: [{ targetId: "t-1", bornWallMs: 1 }],
+    evacuations: { upTo: 9, inForce: [{ dataCentreId: "dc-1", offset: 4, isInForce: true }] }, members: { came: [self], went: ["run-0"] },
     crashEvidence: { crashes: [crash], completions: [{ fingerprint: "a", agoMs: 3 }] },
 };
 
--- a/test/world/virtualHosts.ts
+++ b/test/world/virtualHosts.ts
@@ -131,7 +131,7 @@
         const links = this.createPeerLinks(hostId, run);
         const queueHosts = new QueueHosts(membership, view);
         const admissionServer = createAdmissionServer({
-            view, clock: process.clock, random: () => this.retryJitter.uniform(), coldAfterEvacuationMs: 2_600, drainMs, queueHosts, log,
+            view, clock: process.clock, random: () => this.retryJitter.uniform(), coldAfterReturnMs: 2_600, drainMs, queueHosts, log,
             isSilent: (targetId) => owners.isSilent(targetId, process.clock.now().monoMs),
         });
         run.admission = createAdmissionClient({
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -45,14 +45,19 @@
         });
     }
 
-    addTarget(): VirtualTarget {
+    addTarget(dataCentreId = "here"): VirtualTarget {
         this.lastTargetNumber += 1;
         const name = `t${String(this.lastTargetNumber)}`;
-        const target = new VirtualTarget(name as TargetId, `${name}:80` as Address, serviceId, "here" as DataCentreId);
+        const target = new VirtualTarget(name as TargetId, `${name}:80` as Address, serviceId, dataCentreId as DataCentreId);
         this.targets.add(target);
         return target;
     }
 
+    /** Has an operator evacuate a data centre, or end that. */
+    evacuate(dataCentreId: string, isBeginning: boolean): void {
+        this.store.put("configuration", `evacuate/${dataCentreId}`, isBeginning ? {} : undefined);
+    }
+
     /** Cuts hosts off from all targets, or ends such a cut. */
     cutFromTargets(hostIds: readonly HostId[], isCut: boolean): void {
         for (const link of hostIds.flatMap((hostId) => this.targets.all().map(({ targetId }) => `${hostId}>${targetId}`))) {
