Ask the own data centre's queue again when it alone can serve a request, and skip those of drained targets

Cause: a request that the own queue refused only because its wait there was limited was refused for good when the second queue was full, although the own one could serve it before its deadline. A queue that refused for a back-off or for want of a target or host could be asked again at once, since the wait that it stated was short. The refusal stated the second queue's retry time, also when the first one's was sooner.

--- a/src/admission/dataCentreQueues.ts
+++ b/src/admission/dataCentreQueues.ts
@@ -18,6 +18,8 @@
  */
 const minSlackShare = 0.35;
 
+type RefusedDecision = Extract<SlotDecision, { kind: "refused" }>;
+
 /** A request for a slot at any target of a service. */
 export type ServiceSlotRequest = Omit<SlotRequest, "group" | "maxWaitMs">;
 
@@ -67,6 +69,19 @@
     const openDataCentres = (serviceId: ServiceId): DataCentreId[] =>
         [...new Set(view.targets.ofService(serviceId).filter(isOpen).map(({ dataCentreId }) => dataCentreId))];
 
+    /**
+     * Returns the queue to ask after one has refused a request: that with the shortest wait. The first queue is asked again if it was full
+     * only for the limited wait; for other reasons, such as a back-off or no host, it would refuse the request again.
+     */
+    const nextDataCentre = (
+        serviceId: ServiceId, candidates: readonly DataCentreId[], first: DataCentreId, { reason }: RefusedDecision,
+    ): DataCentreId => waits.shortest(
+        serviceId, isForLackOfRoom(reason) ? candidates : candidates.filter((candidate) => candidate !== first), nowMs(), random());
+
+    /** Tells whether a queue that refused a request because its wait was limited is expected to serve it without the limit. */
+    const canStillServe = (serviceId: ServiceId, dataCentreId: DataCentreId, { reason }: RefusedDecision, request: ServiceSlotRequest) =>
+        isForLackOfRoom(reason) && nowMs() + waits.expectedMs(serviceId, dataCentreId, nowMs()) + request.workMs < request.deadlineMs;
+
     return {
         enter: async (serviceId, request, signal) => {
             const candidates = openDataCentres(serviceId);
@@ -79,12 +94,27 @@
             if (decision.kind === "granted" || decision.reason === "withdrawn") {
                 return decision;
             }
-            const next = waits.shortest(serviceId, candidates, nowMs(), random());
-            return enterAt(serviceId, next, request, undefined, signal);
+            const next = nextDataCentre(serviceId, candidates, first, decision);
+            const second = await enterAt(serviceId, next, request, undefined, signal);
+            if (second.kind === "granted" || second.reason === "withdrawn" || next === first) {
+                return second;
+            }
+            return canStillServe(serviceId, first, decision, request)
+                ? enterAt(serviceId, first, request, undefined, signal)
+                : sooner(decision, second);
         },
     };
 }
 
+function isForLackOfRoom(reason: RefusedDecision["reason"]): boolean {
+    return reason === "overloaded" || reason === "rate-limited";
+}
+
+/** Returns the refusal with the earlier retry time: the next attempt of the client may use either queue. */
+function sooner(one: RefusedDecision, other: RefusedDecision): RefusedDecision {
+    return one.retryAfterMs < other.retryAfterMs ? one : other;
+}
+
 /** Returns how long a request may wait in its own data centre before it is sent to another one. */
 function maxLocalWaitMs({ softDeadlineMs, workMs }: ServiceSlotRequest, nowMs: number): number {
     const leftMs = softDeadlineMs - nowMs;
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -107,7 +107,7 @@
     const { pauses, rateLimits, standingOf, addJitter, waitingRefused } = dependencies;
     const nowMs = () => clock.now().monoMs;
     const dataCentreQueues = createDataCentreQueues({
-        admission, view, clock, random: dependencies.random, isOpen: ({ state }) => state === "ready",
+        admission, view, clock, random: dependencies.random, isOpen: ({ state, targetId }) => state === "ready" && !view.ledger.drained().includes(targetId),
     });
 
     const place = async (context: RequestContext, signal: AbortSignal): Promise<Placement> => {
