--- a/test/soak/faultInjection.ts
+++ b/test/soak/faultInjection.ts
@@ -1,5 +1,5 @@
 /** Injects faults into a soak fleet; each fault ends by itself. */
-import { topics } from "../../platform/names.js";
+import { evacuationKeyPrefix, topics } from "../../platform/names.js";
 import { noServerFaults } from "../../platform/standins/serverStandIn.js";
 import type { FleetHost } from "../fleet/fleet.js";
 import { buildRoutingConfig, keyedService, plainService, sleep } from "../fleet/fleet.js";
@@ -9,6 +9,7 @@
 import type { SeededRandom } from "../support/seededRandom.js";
 import type { FaultProxy, ProxyMode } from "./faultProxy.js";
 import type { SoakFleet } from "./soakFleet.js";
+import { evacuatedZone } from "./soakFleet.js";
 import type { SoakReport } from "./soakReport.js";
 
 /** Injects faults. */
@@ -16,6 +17,7 @@
     /** Injected faults that have not ended yet. */
     private readonly activeFaults = new Set<Promise<void>>();
     private configVersion = 1;
+    private isEvacuating = false;
 
     constructor(private readonly soakFleet: SoakFleet, private readonly random: SeededRandom, private readonly report: SoakReport) {}
 
@@ -179,6 +181,21 @@
         });
     }
 
+    /** Evacuates one of the two data centres for some time, unless that is under way; the checks of owners and answers apply meanwhile. */
+    evacuateDataCentre(): void {
+        if (this.isEvacuating) {
+            return;
+        }
+        this.isEvacuating = true;
+        const durationMs = 1_000 + this.random.integerUpTo(8_000);
+        this.runFault(`evacuate ${evacuatedZone} ${String(Math.round(durationMs))} ms`, async () => {
+            this.fleet.store.put(topics.configuration, `${evacuationKeyPrefix}${evacuatedZone}`, {});
+            await sleep(durationMs);
+            this.fleet.store.put(topics.configuration, `${evacuationKeyPrefix}${evacuatedZone}`, undefined);
+            this.isEvacuating = false;
+        });
+    }
+
     publishConfiguration(): void {
         this.configVersion += 1;
         this.recordStep(`configuration ${String(this.configVersion)}`);
@@ -220,4 +237,7 @@
     (injection) => {
         injection.cutHostsFromServers();
     },
+    (injection) => {
+        injection.evacuateDataCentre();
+    },
 ];
--- a/test/soak/soakFleet.ts
+++ b/test/soak/soakFleet.ts
@@ -5,6 +5,9 @@
 import { keyedService } from "../fleet/fleet.js";
 import { FaultProxy } from "./faultProxy.js";
 
+/** Data centre of every other server, which is evacuated now and then; the hosts and the other servers are in `here`. */
+export const evacuatedZone = "there";
+
 /** A fleet behind proxies. */
 export class SoakFleet {
     readonly logFiles = new Set<string>();
@@ -35,7 +38,7 @@
         const proxy = await FaultProxy.start();
         this.serverProxies.set(id, proxy);
         const server = await this.fleet.addServer({
-            id, service, sharded: service === keyedService,
+            id, service, sharded: service === keyedService, zone: this.lastServerNumber % 2 === 0 ? evacuatedZone : "here",
             directory: {
                 put: (topic, key, value) => {
                     this.fleet.store.put(topic, key, value === undefined ? undefined : { ...value, address: proxy.address });
