--- a/src/control/explain.ts
+++ b/src/control/explain.ts
@@ -59,6 +59,11 @@
     "lost": "The connection to the target ended before the answer was complete; the request may have run.",
 };
 
+/** Reasons that can be due to the evacuation of a data centre, whose targets get no new requests. */
+const reasonsByEvacuation: ReadonlySet<string> = new Set([
+    "no-target", "owner-unknown", "owner-silent", "overloaded", "rate-limited", "target-paused",
+]);
+
 /** Reasons that blame the request by the configuration in force; its latest changes are related. */
 const reasonsByConfiguration: ReadonlySet<string> = new Set([
     "no-route", "no-key", "body-too-large", "header-too-large", "config-unconfirmed",
@@ -81,6 +86,7 @@
         [...targets ?? [], ...target === undefined ? [] : [target]]));
     const causeLine = requestLines.findLast((line) => line.reason !== undefined) ?? lastLine;
     const { reason } = causeLine;
+    const evacuated = reasonsByEvacuation.has(reason ?? "") ? evacuatedAt(lines, causeLine.time) : [];
     const around = lines.filter((line) => isRelated(line, causeLine, involvedTargets, causeLine.key));
     return {
         exitCode: exitCodes.done,
@@ -88,11 +94,26 @@
             ...requestLines.map(render),
             ...around.length === 0 ? [] : ["Related log lines:", ...around.map(render)],
             ...reason === undefined ? [] : [`Cause: ${reason}. ${meaningByReason[reason] ?? ""}`],
+            ...evacuated.map((dataCentre) => `Data centre ${dataCentre} was evacuated then, so its targets got no new requests.`),
         ],
-        json: { request: requestLines, around, reason },
+        json: { request: requestLines, around, reason, ...evacuated.length === 0 ? {} : { evacuated } },
     };
 }
 
+/** Lists the data centres that were evacuated at a time, by the log lines of the hosts that read the operators' records. */
+function evacuatedAt(lines: readonly LogLine[], time: string): string[] {
+    const evacuated = new Set<string>();
+    for (const { msg, dataCentre } of lines.filter((line) => line.time <= time)) {
+        if (msg === "store: evacuation began") {
+            evacuated.add(String(dataCentre));
+        }
+        else if (msg === "store: evacuation ended") {
+            evacuated.delete(String(dataCentre));
+        }
+    }
+    return [...evacuated].sort();
+}
+
 function isAbout({ request, clientAddress, excerpt }: LogLine, requestId: string): boolean {
     return request === requestId || clientAddress === requestId || (request === undefined && excerpt?.includes(requestId) === true);
 }
--- a/src/control/fleetCommands.ts
+++ b/src/control/fleetCommands.ts
@@ -62,22 +62,25 @@
         return failed(reports.error);
     }
     const dumps = reports.value.flatMap(({ dump }) => dump.isOk() ? [dump.value] : []);
-    const coordinator = dumps.find((one) => one.coordinator !== undefined)?.coordinator;
+    const dump = dumps.find((one) => one.coordinator !== undefined);
+    const coordinator = dump?.coordinator;
     if (coordinator === undefined) {
         return refused("No host is the coordinator at the moment; see: hornbeamctl status");
     }
     const rows = coordinator.owners.targets;
+    const evacuatedIds = new Set((dump?.targets ?? [])
+        .filter(({ dataCentreId }) => dump?.evacuated?.includes(dataCentreId) === true).map(({ targetId }) => targetId));
     return {
         exitCode: exitCodes.done,
-        lines: [],
+        lines: describeEvacuations(reports.value),
         table: {
             head: ["target", "standing", "ranges", "keys", "free in ms"],
             rows: rows.map(({ targetId, standing, ranges, freeInMs }) => [
-                targetId, standing, ranges.map(({ from, to }) => `${String(from)}-${String(to)}`).join(" "),
+                targetId, evacuatedIds.has(targetId) ? `${standing}, evacuated` : standing, ranges.map(({ from, to }) => `${String(from)}-${String(to)}`).join(" "),
                 ranges.reduce((sum, { from, to }) => sum + to - from + 1, 0), Math.max(0, freeInMs),
             ]),
         },
-        json: rows,
+        json: rows.map((row) => evacuatedIds.has(row.targetId) ? { ...row, evacuated: true } : row),
     };
 }
 
--- a/src/control/session.ts
+++ b/src/control/session.ts
@@ -25,6 +25,8 @@
     storeEra?: number;
     /** Data centres that are evacuated, as far as the host knows; absent in dumps of earlier versions. */
     evacuated?: string[];
+    /** Targets as the host knows them; absent in dumps that were made by hand. */
+    targets?: { targetId: string; dataCentreId: string }[];
     knowledgeAgeMs: number;
     pending: number;
     /** Absent in dumps of earlier versions. */
--- a/test/control/commands.spec.ts
+++ b/test/control/commands.spec.ts
@@ -135,6 +135,36 @@
         expect((await fleet.dump(openSession(dumps), "h9")).lines[0]).to.equal("Host h9 is not running; running hosts: h1, h2");
     });
 
+    it("shows which data centre is evacuated, which hosts do not know of it, and its targets", async () => {
+        await appendTermRecord();
+        const ranges = [{ from: 0, to: 65_535 } as KeyRange];
+        const coordinator = { term: 2, owners: { targets: [
+            { targetId: "t1", standing: "leaving", ranges, freeInMs: 900 }, { targetId: "t2", standing: "ready", ranges: [], freeInMs: 0 },
+        ] } };
+        const knownTargets = [{ targetId: "t1", dataCentreId: "dc-b" }, { targetId: "t2", dataCentreId: "dc-a" }];
+        const dumps = { h1: dumpOf("h1", { coordinator, evacuated: ["dc-b"], targets: knownTargets }), h2: dumpOf("h2") };
+        expect((await fleet.status(openSession(dumps))).lines).to.include("Data centre dc-b is evacuated; not known to: h2.");
+        const { table, lines, json } = await fleet.targets(openSession(dumps));
+        expect(table?.rows.map((row) => row[1])).to.deep.equal(["leaving, evacuated", "ready"]);
+        expect(lines).to.deep.equal(["Data centre dc-b is evacuated; not known to: h2."]);
+        expect((json as object[])[0]).to.include({ targetId: "t1", evacuated: true });
+    });
+
+    it("explains a refusal by an evacuation that was in force, and not by one that had ended", () => {
+        const line = (second: number, msg: string, fields: object) => JSON.stringify({
+            time: `2026-01-01T00:00:0${String(second)}.000Z`, hostname: "h1", msg, ...fields,
+        });
+        const text = [
+            line(1, "store: evacuation began", { dataCentre: "dc-a" }), line(2, "store: evacuation began", { dataCentre: "dc-b" }),
+            line(3, "store: evacuation ended", { dataCentre: "dc-a" }),
+            line(4, "request: refused", { request: "r1", reason: "no-target" }), line(4, "request: refused", { request: "r2", reason: "no-route" }),
+            line(5, "store: evacuation ended", { dataCentre: "dc-b" }),
+        ].join("\n");
+        expect(explain("r1", [text]).lines.at(-1)).to.equal("Data centre dc-b was evacuated then, so its targets got no new requests.");
+        expect(explain("r1", [text]).json).to.deep.include({ evacuated: ["dc-b"] });
+        expect(explain("r2", [text]).lines.at(-1)).to.match(/^Cause: no-route/);
+    });
+
     it("drains targets and undoes it", async () => {
         await fleet.drain(openSession(), "t1", false);
         await fleet.drain(openSession(), "t2", false);
