--- a/test/admission/scarceCapacityMessages.spec.ts
+++ b/test/admission/scarceCapacityMessages.spec.ts
@@ -29,7 +29,7 @@
         bornWallMs: 1, sequence: 1, warmingUp: false,
     } }], 1 as Offset, 0);
     return createAdmissionServer({
-        view, clock, random: () => 0.5, coldAfterEvacuationMs: 2_600, drainMs: 1_000, isSilent: () => false, log: silentLog,
+        view, clock, random: () => 0.5, coldAfterReturnMs: 2_600, drainMs: 1_000, isSilent: () => false, log: silentLog,
         queueHosts: { rateLimitShare: () => 1 } as unknown as QueueHosts,
         ...sharesScarceCapacity === undefined ? {} : { sharesScarceCapacity },
     });
