Place requests by expected cost and backlog where load is managed

Cause: a request that has run longer than its route's mean counted as done, one average over all kinds made fast targets look slow, and targets' load reports were not read. A queue takes this only if it was created with load management. Backlogs are in the dump; hornbeam_work_time_ratio and hornbeam_invalid_load_reports_total are new.

--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -4,6 +4,7 @@
 import type { PeerLinks } from "../cluster/peerLinks.js";
 import type { HostId, TargetId } from "../model/names.js";
 import type { StatedRateLimit } from "../model/rateLimit.js";
+import type { AgedTargetLoad } from "../model/targetLoad.js";
 import type { Clock } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import type { QueueRefusalReason, Ticket } from "./admissionRequest.js";
@@ -35,7 +36,7 @@
 
 /**
  * A slot at a target, or the reason why none was granted. `leave` frees the slot after the end of the request; it also tells the
- * queue's host which rate limit the target has, if any.
+ * queue's host which rate limit the target has, if any, and its load report.
  */
 export type SlotDecision =
     | {
@@ -44,7 +45,7 @@
         expectedMs: number;
         /** True if the target has a rate limit, so that the slot is good for one request only. */
         isRateLimited: boolean;
-        leave: (end: WorkEnd, rateLimit?: StatedRateLimit) => void;
+        leave: (end: WorkEnd, rateLimit?: StatedRateLimit, load?: AgedTargetLoad) => void;
     }
     | { kind: "refused"; reason: QueueRefusalReason | "no-host" | "withdrawn"; retryAfterMs: number };
 
@@ -118,7 +119,7 @@
         peerAddress, admissionMethods.enter, params, params.deadlineLeftMs + replyGraceMs,
     )).andThen((reply) => checks.reply(reply, peerAddress));
 
-    const notifyQueueHost = (member: Member, method: "leave" | "withdraw", params: Pick<LeaveParams, "group" | "ticket" | "rateLimit"> & { end?: WorkEnd }) => {
+    const notifyQueueHost = (member: Member, method: "leave" | "withdraw", params: Pick<LeaveParams, "group" | "ticket" | "rateLimit" | "load"> & { end?: WorkEnd }) => {
         if (!isSelf(member)) {
             links.notify(member.peerAddress, admissionMethods[method], params);
         }
@@ -153,8 +154,10 @@
         return "granted" in reply
             ? {
                 kind: "granted", targetId: reply.granted, expectedMs: reply.expectedMs, isRateLimited: reply.rateLimited === true,
-                leave: (end, rateLimit) => {
-                    notifyQueueHost(member, "leave", { group, ticket, end, ...rateLimit === undefined ? {} : { rateLimit } });
+                leave: (end, rateLimit, load) => {
+                    notifyQueueHost(member, "leave", {
+                        group, ticket, end, ...rateLimit === undefined ? {} : { rateLimit }, ...load === undefined ? {} : { load },
+                    });
                 },
             }
             : { kind: "refused", reason: reply.refused, retryAfterMs: reply.retryAfterMs };
@@ -175,7 +178,7 @@
 
 /** Returns the message for a request. Fields are listed one by one, since copying them all costs processor time for each request. */
 function toEnterParams(request: SlotRequest, ticket: Ticket, sender: HostId, nowMs: number): EnterParams {
-    const { group, priority, workMs, near, avoid, rateLimits, suspect, softDeadlineMs, deadlineMs, maxWaitMs } = request;
+    const { group, priority, workMs, near, avoid, rateLimits, suspect, softDeadlineMs, deadlineMs, maxWaitMs, kind } = request;
     const params: EnterParams = {
         ticket, sender, group, priority, near, avoid,
         workMs: Math.round(workMs), targetLeftMs: Math.round(softDeadlineMs - nowMs), deadlineLeftMs: Math.round(deadlineMs - nowMs),
@@ -186,6 +189,9 @@
     if (suspect !== undefined) {
         params.suspect = suspect;
     }
+    if (kind !== undefined) {
+        params.kind = kind;
+    }
     if (maxWaitMs !== undefined) {
         params.maxWaitMs = Math.max(0, Math.round(maxWaitMs));
     }
--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -12,6 +12,7 @@
  * - A target that stated a rate limit, or one that warms up and tolerates a certain rate, gets no more than that from all hosts together.
  */
 import type { StatedRateLimit } from "../model/rateLimit.js";
+import type { AgedTargetLoad } from "../model/targetLoad.js";
 import type { AdmissionRequest, AdmissionVerdict, Ticket } from "./admissionRequest.js";
 import { OfferedLoad } from "./offeredLoad.js";
 import type { TargetDescription } from "./queueTargets.js";
@@ -22,8 +23,11 @@
 import { SuspectIsolation } from "./suspectIsolation.js";
 import { chooseTarget } from "./targetChoice.js";
 import type { QueueTarget, TargetRecord, WorkEnd } from "./targetRecord.js";
-import { backOffLeftMs, hasFreeSlot, hasRateLimit, limitersOf } from "./targetRecord.js";
+import { backOffLeftMs, hasFreeSlot, hasRateLimit, limitersOf, slownessNow } from "./targetRecord.js";
+import type { TargetBacklog } from "./targetBacklogs.js";
+import { describeBacklogs } from "./targetBacklogs.js";
 import { WaitingRequests } from "./waitingRequests.js";
+import type { WorkEstimates } from "./workEstimates.js";
 import { WorkTimePlan } from "./workTimePlan.js";
 
 const minRetryAfterMs = 50;
@@ -44,9 +48,10 @@
     /**
      * @param random source of numbers uniform in [0, 1), for the jitter of retry delays
      * @param hasLeases true if the queue is that of a target that owns keys
+     * @param estimates work times by kind; undefined without load management
      */
-    constructor(private readonly random: () => number, hasLeases = false) {
-        this.targets = new QueueTargets(hasLeases);
+    constructor(private readonly random: () => number, hasLeases = false, private readonly estimates?: WorkEstimates) {
+        this.targets = new QueueTargets(hasLeases, estimates !== undefined);
         this.workTimePlan = new WorkTimePlan(this.targets);
         this.waiting = new WaitingRequests(this.targets, this.workTimePlan);
         const { targets, running, waiting, offeredLoad, workTimePlan } = this;
@@ -68,6 +73,11 @@
         return this.targets.describe(this.offeredLoad.meanWorkMs);
     }
 
+    /** Lists the backlog of each target; empty without load management. */
+    describeBacklogs(nowMs: number): TargetBacklog[] {
+        return this.estimates === undefined ? [] : describeBacklogs(this.targets.all(), this.offeredLoad.meanWorkMs, nowMs);
+    }
+
     /**
      * Applies a rate limit that a target stated to some host.
      * @param stated the limit
@@ -104,6 +114,10 @@
      * @returns verdicts on this request and on waiting ones; contains none on this request if it has to wait
      */
     offer(request: AdmissionRequest, nowMs: number): AdmissionVerdict[] {
+        if (this.estimates !== undefined) {
+            request.work = this.estimates.ofKind(request.kind ?? String(request.priority), request.workMs);
+            request.workMs = request.work.isKnown ? request.work.meanMs : request.workMs;
+        }
         this.offeredLoad.count(request.workMs, !this.workTimePlan.isProbablyLate(request, nowMs), nowMs);
         const refusal = this.refusalOnArrival(request, nowMs);
         if (refusal !== undefined) {
@@ -130,9 +144,10 @@
      * @param end how the request ended
      * @param nowMs current monotonic time
      * @param rateLimit rate limit of the target as its last response to the sender stated it; undefined if the target has none
+     * @param load newest load report of the target to the sender; undefined if there is none
      * @returns verdicts on waiting requests
      */
-    finish(ticket: Ticket, end: WorkEnd, nowMs: number, rateLimit?: StatedRateLimit): AdmissionVerdict[] {
+    finish(ticket: Ticket, end: WorkEnd, nowMs: number, rateLimit?: StatedRateLimit, load?: AgedTargetLoad): AdmissionVerdict[] {
         const ended = this.running.remove(ticket);
         if (ended === undefined) {
             return [];
@@ -143,6 +158,12 @@
             if (end.kind === "answered") {
                 this.workTimePlan.observe(record, ended, end.tookMs);
             }
+            if (load !== undefined) {
+                record.speed?.report(load, nowMs);
+            }
+            if (end.kind === "answered") {
+                ended.work?.observe(end.tookMs, record.slowness, ended.sender);
+            }
             this.targets.recordEnd(record, ended, end, rateLimit, nowMs);
         }
         return this.dispatch(nowMs);
@@ -210,9 +231,9 @@
         limitersOf(record).forEach((limiter) => {
             limiter.take(nowMs);
         });
-        this.running.start(request, record.target.targetId, nowMs);
+        this.running.start(request, record.target.targetId, nowMs, record.speed);
         return {
-            kind: "granted", ticket: request.ticket, targetId: record.target.targetId, expectedMs: request.workMs * record.slowness,
+            kind: "granted", ticket: request.ticket, targetId: record.target.targetId, expectedMs: request.workMs * slownessNow(record, request.work, nowMs),
             isRateLimited: hasRateLimit(record),
         };
     }
--- a/src/admission/admissionRequest.ts
+++ b/src/admission/admissionRequest.ts
@@ -1,6 +1,7 @@
 /** A request for a slot at a target, and the possible verdicts of the queue. */
 import type { Fingerprint } from "../crashes/requestFingerprint.js";
 import type { Branded, DataCentreId, TargetId } from "../model/names.js";
+import type { WorkDistribution } from "./workEstimates.js";
 
 /** Identifies one request for a slot. */
 export type Ticket = Branded<string, "Ticket">;
@@ -30,6 +31,10 @@
     avoid: ReadonlySet<TargetId>;
     /** Set if the request is suspected of crashing the targets that run it. */
     suspect?: Fingerprint;
+    /** Kind of request, by which its work time is estimated; undefined if the sender is of an earlier version. */
+    kind?: string;
+    /** Distribution of the work times of its kind; set by a queue with load management. */
+    work?: WorkDistribution;
 }
 
 /** Decision of the queue about a request. */
--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -17,7 +17,9 @@
 import type { EnterParams, EnterReply, Group, LeaveParams, WithdrawParams } from "./messages.js";
 import { admissionMethods, groupName } from "./messages.js";
 import type { QueueHosts } from "./queueHosts.js";
+import type { TargetBacklog } from "./targetBacklogs.js";
 import type { QueueTarget } from "./targetRecord.js";
+import { WorkEstimates } from "./workEstimates.js";
 
 export type { TargetPressure } from "../ownership/targetPressure.js";
 
@@ -47,6 +49,8 @@
     coldAfterEvacuationMs: number;
     /** Returns whether a target has stopped answering. */
     isSilent: (targetId: TargetId) => boolean;
+    /** Tells whether requests are placed by their cost and the backlog of targets; absent if never. */
+    isLoadManaged?: () => boolean;
     queueHosts: QueueHosts;
     log: Log;
 }
@@ -54,6 +58,8 @@
 interface ManagedQueue {
     group: Group;
     queue: AdmissionQueue;
+    /** Whether the queue was created with load management; when that changes, it is replaced as soon as it is empty. */
+    isLoadManaged: boolean;
     pendingReplies: Map<Ticket, (reply: EnterReply) => void>;
     /** Version of the view's targets that the queue has, or -1 for none. */
     viewVersion: number;
@@ -81,24 +87,33 @@
     run(signal: AbortSignal): Promise<void>;
     /** Lists the load of each target whose queue is kept here and whose slowness is known. */
     pressures(): TargetPressure[];
+    /** Lists the backlog of each target whose queue is kept here with load management. */
+    backlogs(): TargetBacklog[];
 }
 
 /** Creates the admission server of this host. */
-export function createAdmissionServer(
-    { view, clock, random, drainMs, coldAfterEvacuationMs, isSilent, queueHosts, log }: AdmissionServerDependencies,
-): AdmissionServer {
+export function createAdmissionServer({
+    view, clock, random, drainMs, coldAfterEvacuationMs, isSilent, isLoadManaged = () => false, queueHosts, log,
+}: AdmissionServerDependencies): AdmissionServer {
     const checks = createAdmissionChecks(log, clock);
     const queues = new Map<string, ManagedQueue>();
+    /** Shared by all queues, so that the queue of one target knows a kind from those of others. */
+    const estimates = new WorkEstimates();
     const requestQueued = new Signal();
     /** Requests that wait or hold a slot, by the connection that they came on. */
     const ticketsByPeer = new Map<PeerConnection, Map<Ticket, Group>>();
 
+    const createQueue = (group: Group, nowMs: number): ManagedQueue => {
+        const isManaged = isLoadManaged();
+        return {
+            group, queue: new AdmissionQueue(random, group.kind === "target", isManaged ? estimates : undefined), isLoadManaged: isManaged,
+            pendingReplies: new Map(), viewVersion: -1, hasPassingState: false, lastUsedMs: nowMs,
+        };
+    };
+
     const queueOf = (group: Group, nowMs: number): ManagedQueue => {
         const name = groupName(group);
-        const managed = queues.get(name) ?? {
-            group, queue: new AdmissionQueue(random, group.kind === "target"), pendingReplies: new Map(),
-            viewVersion: -1, hasPassingState: false, lastUsedMs: nowMs,
-        };
+        const managed = queues.get(name) ?? createQueue(group, nowMs);
         queues.set(name, managed);
         managed.lastUsedMs = nowMs;
         refresh(managed, nowMs);
@@ -176,10 +191,10 @@
         });
     };
 
-    const leave = ({ group, ticket, end, rateLimit }: LeaveParams) => {
+    const leave = ({ group, ticket, end, rateLimit, load }: LeaveParams) => {
         const nowMs = clock.now().monoMs;
         const managed = queueOf(group, nowMs);
-        sendReplies(managed, managed.queue.finish(ticket, end, nowMs, rateLimit));
+        sendReplies(managed, managed.queue.finish(ticket, end, nowMs, rateLimit, load));
     };
 
     const withdraw = ({ group, ticket }: WithdrawParams) => {
@@ -247,13 +262,14 @@
                 for (const [name, managed] of queues) {
                     refresh(managed, nowMs);
                     sendReplies(managed, managed.queue.tick(nowMs));
-                    if (nowMs - managed.lastUsedMs > idleQueueRetentionMs
+                    if ((nowMs - managed.lastUsedMs > idleQueueRetentionMs || managed.isLoadManaged !== isLoadManaged())
                         && managed.queue.runningCount + managed.queue.waitingCount === 0) {
                         queues.delete(name);
                     }
                 }
             }
         },
+        backlogs: () => [...queues.values()].flatMap(({ queue }) => queue.describeBacklogs(clock.now().monoMs)),
         pressures: () => [...queues.values()].flatMap(({ queue }) => queue.describeTargets()
             .filter(({ observationCount, requestsPerSecond }) => observationCount >= minObservationCount || requestsPerSecond !== undefined)
             .map(({ targetId, running, slowness, requestsPerSecond }) => ({
@@ -276,7 +292,7 @@
 }
 
 function toRequest(params: EnterParams, sender: string, nowMs: number): AdmissionRequest {
-    const { ticket, priority, workMs, near, maxWaitMs } = params;
+    const { ticket, priority, workMs, near, maxWaitMs, kind } = params;
     return {
         ticket, sender, priority, workMs, near,
         arrivedMs: nowMs,
@@ -285,6 +301,7 @@
         ...maxWaitMs === undefined ? {} : { waitUntilMs: nowMs + maxWaitMs },
         avoid: new Set(params.avoid),
         ...params.suspect === undefined ? {} : { suspect: params.suspect },
+        ...kind === undefined ? {} : { kind },
     };
 }
 
--- a/src/admission/messageChecks.ts
+++ b/src/admission/messageChecks.ts
@@ -7,6 +7,8 @@
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { StatedRateLimit } from "../model/rateLimit.js";
+import type { AgedTargetLoad } from "../model/targetLoad.js";
+import { maxReportedPercent, maxReportedRequests } from "../model/targetLoad.js";
 import { describeFoundValue } from "../model/schemaIssues.js";
 import { isId } from "../model/valueSchemas.js";
 import type { Clock } from "../model/time.js";
@@ -47,6 +49,7 @@
 /** Length first, since the search takes time with the length. */
 const isName: ValueCheck = (value) =>
     typeof value === "string" && value.length > 0 && value.length <= maxNameChars && !/[\p{Cc}\p{Zl}\p{Zp}]/u.test(value);
+const isOptionalName = isOptional(isName);
 const isIdText: ValueCheck = (value) => typeof value === "string" && value.length <= maxNameChars && isId(value);
 const isDurationMs = isBetween(0, maxDurationMs);
 const isLeftMs = isBetween(-maxDurationMs, maxDurationMs);
@@ -61,12 +64,18 @@
     requestsPerSecond: isBetween(0, maxRequestsPerSecond), ageMs: isDurationMs,
 };
 
+const loadFields: FieldChecks<AgedTargetLoad> = {
+    running: isBetween(0, maxReportedRequests), waiting: isBetween(0, maxReportedRequests), slots: isBetween(0, maxReportedRequests),
+    percent: isOptional(isBetween(0, maxReportedPercent)), ageMs: isDurationMs,
+};
+
 const enterFields: FieldChecks<EnterParams> = {
     ticket: isName, sender: isOptional(isName), group: isGroup,
     priority: (value) => Number.isInteger(value) && isBetween(0, maxPriority)(value),
     workMs: isDurationMs, targetLeftMs: isLeftMs, deadlineLeftMs: isLeftMs, maxWaitMs: isOptional(isDurationMs),
     near: isName, avoid: isListOf(isIdText, maxAvoided),
     rateLimits: isOptional(isListOf(isAnything, maxRateLimits)), suspect: isOptional(isIdText),
+    kind: isAnything,
 };
 
 const withdrawFields: FieldChecks<WithdrawParams> = { group: isGroup, ticket: isName };
@@ -118,7 +127,7 @@
 
 /** Checks messages of other hosts; `peer` is the address of the host that sent a message. */
 export interface AdmissionChecks {
-    /** Returns the request for a slot, without rate limits that can't be meant; a failure names other fields that can't be. */
+    /** Returns the request for a slot, without a kind or rate limits that can't be meant; a failure names other fields that can't be. */
     enter(message: unknown, peer: string): Result<EnterParams, Failure>;
     /** Returns the end of a request, which counts as never sent if its kind can't be meant; undefined if it is unknown whose end it is. */
     leave(message: unknown, peer: string): LeaveParams | undefined;
@@ -157,15 +166,23 @@
         return err(failure("invalid", "peer-call", peer, `${part}: ${why}`));
     };
 
+    const isLoad = (load: unknown, peer: string) => check("load", () => loadFields, load, peer).isOk();
+
     const isRateLimit = (limit: unknown, peer: string) => check("rate limit", () => rateLimitFields, limit, peer).isOk();
 
+    const withoutOddParts = ({ kind, rateLimits, ...params }: EnterParams, peer: string): EnterParams => ({
+        ...params,
+        ...rateLimits === undefined ? {} : { rateLimits: rateLimits.filter((limit) => isRateLimit(limit, peer)) },
+        ...isName(kind) ? { kind } : {},
+    });
+
     return {
-        enter: (message, peer) => check<EnterParams>("enter", () => enterFields, message, peer).map((params) => params.rateLimits === undefined
-            ? params
-            : { ...params, rateLimits: params.rateLimits.filter((limit) => isRateLimit(limit, peer)) }),
-        leave: (message, peer) => check<LeaveParams>("leave", () => withdrawFields, message, peer).map(({ group, ticket, end, rateLimit }) => ({
+        enter: (message, peer) => check<EnterParams>("enter", () => enterFields, message, peer).map((params) =>
+            params.rateLimits === undefined && isOptionalName(params.kind) ? params : withoutOddParts(params, peer)),
+        leave: (message, peer) => check<LeaveParams>("leave", () => withdrawFields, message, peer).map(({ group, ticket, end, rateLimit, load }) => ({
             group, ticket, end: check<WorkEnd>("end", endFieldsOf, end, peer).unwrapOr({ kind: "dropped" as const }),
             ...rateLimit === undefined || !isRateLimit(rateLimit, peer) ? {} : { rateLimit },
+            ...load === undefined || !isLoad(load, peer) ? {} : { load },
         })).unwrapOr(undefined),
         withdraw: (message, peer) => check<WithdrawParams>("withdraw", () => withdrawFields, message, peer).unwrapOr(undefined),
         reply: (message, peer) => check<EnterReply>("reply", replyFieldsOf, message, peer),
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -2,6 +2,7 @@
 import type { Fingerprint } from "../crashes/requestFingerprint.js";
 import type { DataCentreId, HostId, ServiceId, TargetId } from "../model/names.js";
 import type { StatedRateLimit } from "../model/rateLimit.js";
+import type { AgedTargetLoad } from "../model/targetLoad.js";
 import type { QueueRefusalReason, Ticket } from "./admissionRequest.js";
 import type { WorkEnd } from "./targetRecord.js";
 
@@ -39,6 +40,8 @@
     rateLimits?: readonly StatedRateLimit[];
     /** Set if the request is suspected of crashing the targets that run it. */
     suspect?: Fingerprint;
+    /** Kind of request, by which its work time is estimated; absent in messages of earlier versions. */
+    kind?: string;
 }
 
 /** Reply to `EnterParams`. */
@@ -56,6 +59,8 @@
     end: WorkEnd;
     /** Rate limit of the target as the sending host knows it now; absent if the target has none. */
     rateLimit?: StatedRateLimit;
+    /** Newest load report of the target; absent if it reports none, and in messages of earlier versions. */
+    load?: AgedTargetLoad;
 }
 
 /** Removes a request whose sender no longer needs a slot. */
--- a/src/admission/queueTargets.ts
+++ b/src/admission/queueTargets.ts
@@ -33,8 +33,11 @@
     /** The part of the targets' rate limits that this queue may use. */
     private rateLimitUse: RateLimitUse;
 
-    /** @param hasLeases true if the queue is that of a target that owns keys */
-    constructor(hasLeases: boolean) {
+    /**
+     * @param hasLeases true if the queue is that of a target that owns keys
+     * @param isLoadManaged whether the speed of targets by kind and their reports are followed
+     */
+    constructor(hasLeases: boolean, private readonly isLoadManaged = false) {
         this.rateLimitUse = { share: 1, hasLeases };
     }
 
@@ -75,7 +78,8 @@
             this.records.delete(id);
         }
         for (const target of targets) {
-            const record = this.records.get(target.targetId) ?? newTargetRecord(target, countRunning(target.targetId), nowMs);
+            const record = this.records.get(target.targetId)
+                ?? newTargetRecord(target, countRunning(target.targetId), nowMs, this.isLoadManaged);
             updateTarget(record, target, this.rateLimitUse, nowMs);
             this.records.set(target.targetId, record);
         }
--- a/src/admission/runningRequests.ts
+++ b/src/admission/runningRequests.ts
@@ -1,6 +1,7 @@
 /** The requests that hold a slot of an admission queue's targets, and when their slots expire. */
 import type { TargetId } from "../model/names.js";
 import type { AdmissionRequest, Ticket } from "./admissionRequest.js";
+import type { TargetSpeed } from "./targetLoadReports.js";
 import type { RunningRequest } from "./targetRecord.js";
 
 /** Time after a request's deadline at which its slot is freed if its end has not been reported. */
@@ -20,12 +21,16 @@
      * @param request the request
      * @param targetId the slot's target
      * @param nowMs current monotonic time
+     * @param speed speed of the target; undefined without load management
      */
-    start(request: AdmissionRequest, targetId: TargetId, nowMs: number): void {
-        this.byTicket.set(request.ticket, {
+    start(request: AdmissionRequest, targetId: TargetId, nowMs: number, speed?: TargetSpeed): void {
+        const running: RunningRequest = {
             targetId, sender: request.sender, workMs: request.workMs,
             startedMs: nowMs, slotExpiryMs: request.deadlineMs + unreportedGraceMs, suspect: request.suspect,
-        });
+            work: request.work, speed, reportedLog: speed?.reportedLog(nowMs),
+        };
+        speed?.running.add(running);
+        this.byTicket.set(request.ticket, running);
     }
 
     /** Tells whether a request holds a slot. */
@@ -37,6 +42,7 @@
     remove(ticket: Ticket): RunningRequest | undefined {
         const request = this.byTicket.get(ticket);
         this.byTicket.delete(ticket);
+        request?.speed?.running.delete(request);
         return request;
     }
 
@@ -58,9 +64,16 @@
     /** Returns the expected remaining work of all requests. */
     remainingWorkMs(nowMs: number): number {
         let sumMs = 0;
-        for (const { workMs, startedMs } of this.byTicket.values()) {
-            sumMs += Math.max(0, workMs - (nowMs - startedMs));
+        for (const request of this.byTicket.values()) {
+            sumMs += remainingMs(request, 1, nowMs);
         }
         return sumMs;
     }
+
+}
+
+/** Returns the expected remaining work of a request at a target of a given slowness, in milliseconds of a target of average speed. */
+export function remainingMs({ workMs, startedMs, work }: RunningRequest, slowness: number, nowMs: number): number {
+    const elapsedMs = nowMs - startedMs;
+    return work === undefined ? Math.max(0, workMs - elapsedMs) : work.residualMs(elapsedMs / slowness);
 }
--- a/src/admission/targetRecord.ts
+++ b/src/admission/targetRecord.ts
@@ -4,6 +4,8 @@
 import type { StatedRateLimit } from "../model/rateLimit.js";
 import type { RateLimitUse } from "./rateLimiter.js";
 import { RateLimiter } from "./rateLimiter.js";
+import { TargetSpeed } from "./targetLoadReports.js";
+import type { WorkDistribution } from "./workEstimates.js";
 
 /** The properties of a target that a queue needs. */
 export interface QueueTarget {
@@ -46,6 +48,12 @@
     workMs: number;
     /** Set if the request is suspected of crashing the targets that run it. */
     suspect: Fingerprint | undefined;
+    /** Distribution of the work times of its kind; undefined without load management. */
+    work?: WorkDistribution;
+    /** Speed of the target; undefined without load management. */
+    speed?: TargetSpeed;
+    /** Logarithm of the slowness that the target reported when the request was sent. */
+    reportedLog?: number;
 }
 
 /** A target with its running requests and observations. Times are monotonic milliseconds of the queue's host. */
@@ -68,6 +76,8 @@
     warmUpLimiter: RateLimiter | undefined;
     /** Time at which the last rate limit ended; earlier statements of a limit do not count any more. */
     rateLimitEndedMs: number;
+    /** Current speed by kind and report; undefined without load management. */
+    speed?: TargetSpeed;
 }
 
 /** Weight of a new observation in the moving average of `slowness`; the first observations weigh more. */
@@ -96,12 +106,14 @@
  * @param target the target
  * @param running number of requests that already hold a slot there
  * @param nowMs current monotonic time
+ * @param isLoadManaged whether its speed by kind and its reports are followed
  */
-export function newTargetRecord(target: QueueTarget, running: number, nowMs: number): TargetRecord {
+export function newTargetRecord(target: QueueTarget, running: number, nowMs: number, isLoadManaged = false): TargetRecord {
     const slowness = target.warmingUp ? warmUpSlowness : 1;
     return {
         target, running, slowness, observationCount: 0, lastObservedMs: nowMs, pausedUntilMs: 0, backOffEndMsByHost: undefined,
         rateLimiter: undefined, warmUpLimiter: undefined, rateLimitEndedMs: Number.NEGATIVE_INFINITY,
+        ...isLoadManaged ? { speed: new TargetSpeed() } : {},
     };
 }
 
@@ -110,11 +122,12 @@
 ) => void;
 
 const recordEndByKind: { [Kind in WorkEnd["kind"]]: RecordEnd<Kind> } = {
-    "answered": (record, { workMs }, { tookMs }, nowMs) => {
-        observeSlowness(record, tookMs / Math.max(1, workMs), nowMs);
+    "answered": (record, ended, { tookMs }, nowMs) => {
+        observeSlowness(record, usualSlowness(record, ended, tookMs, nowMs) ?? tookMs / Math.max(1, ended.workMs), nowMs);
     },
-    "late": (record, { workMs }, { afterMs }, nowMs) => {
-        observeSlowness(record, Math.max(record.slowness, afterMs / Math.max(1, workMs)), nowMs);
+    "late": (record, ended, { afterMs }, nowMs) => {
+        const slowness = usualSlowness(record, ended, afterMs, nowMs) ?? afterMs / Math.max(1, ended.workMs);
+        observeSlowness(record, Math.max(record.slowness, slowness), nowMs);
     },
     "turned-away": (record, { sender }, { pauseMs }, nowMs) => {
         record.pausedUntilMs = nowMs + pauseAfterTurnedAwayMs;
@@ -134,7 +147,25 @@
     record.observationCount += 1;
     record.lastObservedMs = nowMs;
     const weight = Math.max(minObservationWeight, 1 / (record.observationCount + 1));
-    record.slowness = clamp(record.slowness + weight * (slowness - record.slowness), minSlowness, maxSlowness);
+    const mean = record.speed === undefined
+        ? record.slowness + weight * (slowness - record.slowness)
+        : Math.exp(Math.log(record.slowness) + weight * Math.log(clamp(slowness, minSlowness, maxSlowness) / record.slowness));
+    record.slowness = clamp(mean, minSlowness, maxSlowness);
+}
+
+/** Returns the slowness that a duration shows apart from the kind of request and the report; undefined without load management. */
+function usualSlowness(
+    { speed, slowness }: TargetRecord, { work, reportedLog }: RunningRequest, tookMs: number, nowMs: number,
+): number | undefined {
+    return speed === undefined || work === undefined
+        ? undefined
+        : Math.exp(speed.observe(work.index, Math.log(Math.max(1, tookMs)) - work.meanLog, Math.log(slowness), reportedLog ?? 0, nowMs));
+}
+
+/** Returns how slow a target is now for requests of a kind, or for those of all kinds if `work` is undefined. */
+export function slownessNow({ slowness, speed }: TargetRecord, work: WorkDistribution | undefined, nowMs: number): number {
+    const factorLog = speed === undefined ? 0 : speed.reportedLog(nowMs) + (work === undefined ? 0 : speed.offsetOf(work.index, nowMs));
+    return factorLog === 0 ? slowness : slowness * Math.exp(factorLog);
 }
 
 /**
--- a/src/admission/workEstimates.ts
+++ b/src/admission/workEstimates.ts
@@ -13,6 +13,9 @@
 const bucketCount = 72;
 const maxWorkMs = bucketRatio ** bucketCount;
 
+/** Lower bounds of the buckets, and the upper bound of the last. */
+const boundsMs = Float64Array.from({ length: bucketCount + 1 }, (_, index) => bucketRatio ** index);
+
 /** Kinds beyond this number share one distribution. Names of kinds come from other hosts, so their number has to be bounded. */
 const maxKinds = 64;
 
@@ -74,6 +77,7 @@
     private observations = 0;
     private unrefreshed = 0;
     private plannedMs = 0;
+    private middleMs = 0;
     private meanLogMs: number;
 
     /**
@@ -109,6 +113,11 @@
         return this.plannedMs;
     }
 
+    /** Work time that half of the requests do not exceed. */
+    get medianMs(): number {
+        return this.middleMs;
+    }
+
     /** Work time that a request is assumed to need when its target is chosen: the upper part of the distribution while it is unknown. */
     get assumedMs(): number {
         return this.isKnown ? this.meanMs : this.plannedMs;
@@ -117,8 +126,9 @@
     /** Returns the share of the requests that need more work than this. */
     shareAbove(workMs: number): number {
         const index = bucketOf(workMs);
-        const lowerMs = bucketRatio ** index;
-        const share = Math.min(1, Math.max(0, (lowerMs * bucketRatio - workMs) / (lowerMs * (bucketRatio - 1))));
+        const lowerMs = boundsMs[index] as number;
+        const upperMs = boundsMs[index + 1] as number;
+        const share = Math.min(1, Math.max(0, (upperMs - workMs) / (upperMs - lowerMs)));
         return ((this.weightFrom[index + 1] as number) + share * (this.weights[index] as number)) / (this.weightFrom[0] as number);
     }
 
@@ -134,8 +144,8 @@
             return maxWorkMs * tailShare;
         }
         const index = bucketOf(doneMs);
-        const lowerMs = bucketRatio ** index;
-        const upperMs = lowerMs * bucketRatio;
+        const lowerMs = boundsMs[index] as number;
+        const upperMs = boundsMs[index + 1] as number;
         const share = Math.min(1, Math.max(0, (upperMs - doneMs) / (upperMs - lowerMs)));
         const partWeight = share * (this.weights[index] as number);
         const weight = (this.weightFrom[index + 1] as number) + partWeight;
@@ -201,15 +211,20 @@
         let workMs = 0;
         const plannedWeight = this.totalWeight * (1 - plannedQuantile);
         let isPlanned = false;
+        let isMiddleFound = false;
         for (let index = bucketCount - 1; index >= 0; index--) {
             weight += this.weights[index] as number;
             workMs += this.works[index] as number;
             this.weightFrom[index] = weight;
             this.workFrom[index] = workMs;
             if (!isPlanned && weight >= plannedWeight) {
-                this.plannedMs = bucketRatio ** (index + 0.5);
+                this.plannedMs = middleOf(index);
                 isPlanned = true;
             }
+            if (!isMiddleFound && weight >= this.totalWeight / 2) {
+                this.middleMs = middleOf(index);
+                isMiddleFound = true;
+            }
         }
     }
 }
@@ -243,6 +258,10 @@
     return workMs <= 1 ? 0 : Math.min(bucketCount - 1, Math.floor(Math.log(workMs) / logBucketRatio));
 }
 
+function middleOf(index: number): number {
+    return ((boundsMs[index] as number) + (boundsMs[index + 1] as number)) / 2;
+}
+
 function isPlausible(durationMs: number): boolean {
     return durationMs >= 0 && Number.isFinite(durationMs);
 }
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -1,6 +1,7 @@
 /** Port for the HTTP headers in which targets and this host exchange information about a request. */
 import type { Key, RequestId, TargetId } from "../model/names.js";
 import type { RateLimitNotice } from "../model/rateLimit.js";
+import type { LoadNotice } from "../model/targetLoad.js";
 import type { ResponseHead } from "./responseHead.js";
 
 /** What the head of a response proves about the execution of the request. */
@@ -19,6 +20,8 @@
     /** Time for which this host is to back off; undefined if the target does not ask for it. */
     pauseMs: number | undefined;
     rateLimit: RateLimitNotice;
+    /** Load of the target; absent if the response states none. */
+    load?: LoadNotice;
 }
 
 /** Terms of a request as stated to the target. */
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -32,6 +32,7 @@
 import { nextStep } from "./retryPolicy.js";
 import type { RetryReservation } from "./retryReservation.js";
 import { createRetryReservation } from "./retryReservation.js";
+import { StatedLoads } from "./statedLoads.js";
 import { StatedRateLimits } from "./statedRateLimits.js";
 import { createTargetNotices } from "./targetNotices.js";
 import { TargetPauses } from "./targetPauses.js";
@@ -67,6 +68,8 @@
     dataCentreId: DataCentreId;
     /** See `PlacerDependencies`. */
     usesDataCentreQueues: () => boolean;
+    /** Tells whether requests are placed by their cost and the backlog of targets; absent if never. */
+    isLoadManaged?: () => boolean;
     /** Time since it was last confirmed that no newer configuration is in force. */
     configAgeMs: (nowMs: number) => number;
     /** Time for which a target still receives new requests after this host learned that the target is shutting down. */
@@ -105,8 +108,10 @@
     const addJitter = (delayMs: number) => delayMs * (0.9 + dependencies.random() * 0.4);
     const pauses = new TargetPauses();
     const rateLimits = new StatedRateLimits();
+    const statedLoads = new StatedLoads();
+    const isLoadManaged = dependencies.isLoadManaged ?? (() => false);
     const placer = createPlacer({
-        ...dependencies, workTimes, pauses, rateLimits, addJitter, waitingRefused: waitingRefused.signal,
+        ...dependencies, workTimes, pauses, rateLimits, statedLoads, addJitter, waitingRefused: waitingRefused.signal,
         standingOf: (context, atMs) => standingOfRequest(crashEvidence, context, atMs),
     });
     const quarantineGuard = createQuarantineGuard({
@@ -116,7 +121,7 @@
     });
 
     const attemptDependencies: AttemptDependencies = {
-        ...dependencies, ...createTargetNotices({ view, clock, requestLog, pauses, rateLimits }),
+        ...dependencies, ...createTargetNotices({ view, clock, requestLog, pauses, rateLimits, statedLoads, isLoadManaged }),
     };
 
     const refuse = (call: ClientCall, refusal: Refusal, context?: RequestContext) => {
@@ -197,6 +202,9 @@
         try {
             requestLog.attemptEnded(slot.target.targetId, end);
             observeEnd(context, slot.target, startedMs, end);
+            if ((end.kind === "answered" || end.kind === "streamed") && isLoadManaged()) {
+                requestLog.workTimePredicted?.(slot.expectedMs, end.tookMs);
+            }
             isRecorded = true;
         }
         finally {
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -14,6 +14,7 @@
 import type { ClusterView } from "../store/clusterView.js";
 import type { RequestContext } from "./requestContext.js";
 import { decideOwnerWait, maxOwnerWaitMs } from "./ownerWait.js";
+import type { StatedLoads } from "./statedLoads.js";
 import type { StatedRateLimits } from "./statedRateLimits.js";
 import type { TargetPauses } from "./targetPauses.js";
 import type { WorkTimes } from "./workTimes.js";
@@ -31,6 +32,10 @@
 /** Retry delay sent to clients if no target is available, or if none ran the request in the permitted attempts. */
 export const retryAfterUnreachableMs = 250;
 
+/** Bodies of at least this size are classed by size; each class is four times as large as the one before. Uploads have 60 KB on average. */
+const minClassedBytes = 16_384;
+const maxSizeClass = 4;
+
 /** A slot for the request at a target. */
 export interface TargetSlot {
     kind: "placed";
@@ -65,6 +70,10 @@
     pauses: TargetPauses;
     /** Rate limits that targets stated to this host. */
     rateLimits: StatedRateLimits;
+    /** Load that targets reported to this host; absent if no reports are used. */
+    statedLoads?: StatedLoads;
+    /** Tells whether requests are placed by their cost and the backlog of targets; absent if never. */
+    isLoadManaged?: () => boolean;
     /** Returns how a request is to be treated by what is known of crashes. */
     standingOf: (context: RequestContext, nowMs: number) => Standing;
     /** Adds random jitter to a delay in milliseconds, so that clients do not retry at the same time. */
@@ -104,7 +113,7 @@
     dependencies: PlacerDependencies,
 ): Placer {
     const { view, owners, admission, workTimes, clock, dataCentreId, drainMs } = dependencies;
-    const { pauses, rateLimits, standingOf, addJitter, waitingRefused } = dependencies;
+    const { pauses, rateLimits, statedLoads, standingOf, addJitter, waitingRefused } = dependencies;
     const nowMs = () => clock.now().monoMs;
     const dataCentreQueues = createDataCentreQueues({
         admission, view, clock, random: dependencies.random, isOpen: ({ state }) => state === "ready",
@@ -235,12 +244,14 @@
 
     const slotRequestOf = (context: RequestContext) => {
         const { route, softDeadlineMs, deadlineMs } = context;
+        const kind = dependencies.isLoadManaged?.() === true ? kindOf(context) : undefined;
         const standing = standingOf(context, nowMs());
         return {
             priority: route.priority,
             workMs: workTimes.meanMs(route.routeId, typicalWorkMs(route)),
             near: dataCentreId,
             softDeadlineMs, deadlineMs,
+            ...kind === undefined ? {} : { kind },
             ...standing.kind === "suspected" || standing.kind === "trial-due" ? { suspect: standing.fingerprint } : {},
         };
     };
@@ -264,7 +275,7 @@
                 release: (end) => {
                     if (!isReleased) {
                         isReleased = true;
-                        decision.leave(end, rateLimits.find(target, nowMs()));
+                        decision.leave(end, rateLimits.find(target, nowMs()), statedLoads?.find(target, nowMs()));
                     }
                 },
             };
@@ -286,3 +297,11 @@
 
     return { place, mayReuse };
 }
+
+/** Returns the kind of a request: its route and, for a body of some size, the size class. */
+function kindOf({ route, call, body }: RequestContext): string {
+    const bytes = call.body.declaredBytes ?? body?.byteLength ?? 0;
+    return bytes < minClassedBytes
+        ? route.routeId
+        : `${route.routeId} ${String(Math.min(maxSizeClass, Math.floor(Math.log2(bytes / minClassedBytes) / 2)))}`;
+}
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -126,6 +126,7 @@
             coldAfterEvacuationMs: settings.targetHeartbeatMs * heartbeatsUntilTold,
             random: from.resolve(tokens.random),
             isSilent: (targetId) => owners.isSilent(targetId, clock.now().monoMs),
+            isLoadManaged: () => isLoadManaged(settings, from.resolve(tokens.view).config?.config),
             queueHosts: from.resolve(tokens.queueHosts),
             log: from.resolve(tokens.logFactory)("admission"),
         });
@@ -219,6 +220,7 @@
         dialect: from.resolve(tokens.targetDialect),
         clock: from.resolve(tokens.clock),
         dataCentreId: settings.dataCentreId, drainMs,
+        isLoadManaged: () => isLoadManaged(settings, from.resolve(tokens.view).config?.config),
         usesDataCentreQueues: () => isLoadManaged(settings, from.resolve(tokens.view).config?.config)
             && from.resolve(tokens.queueHosts).keepDataCentreQueues(),
         configAgeMs: (nowMs) => from.resolve(tokens.node).configAgeMs(nowMs),
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -90,7 +90,7 @@
         unreadyReason,
         dump: () => ({
             ...node.describe(), unready: unreadyReason(), pending: clients.pending(), crashes: evidence.describe(clock.now().monoMs),
-            reachability: reachability.describe(),
+            reachability: reachability.describe(), backlogs: hostContainer.resolve(tokens.admissionServer).backlogs(),
         }),
         metrics: () => hostContainer.resolve(tokens.metrics).text(),
     });
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -3,6 +3,9 @@
 
 const latencyBucketsMs = [5, 10, 25, 50, 100, 200, 300, 400, 600, 1_000, 1_500, 2_500, 5_000, 10_000];
 
+/** A prediction within a third is between 0.75 and 1.33. */
+const ratioBuckets = [0.1, 0.25, 0.5, 0.75, 1, 1.33, 2, 4, 8, 16];
+
 /** The metrics of a host. */
 export interface Metrics {
     readonly requests: Counter<"route" | "outcome" | "reason">;
@@ -18,6 +21,8 @@
     readonly leaseCalls: Counter<"target" | "call">;
     readonly lostAttempts: Counter<"target" | "process">;
     readonly eventLoopDelayMs: Histogram;
+    readonly invalidLoadReports: Counter<"target">;
+    readonly workTimeRatio: Histogram;
     /** Adds a gauge whose value is read when the metrics are exported. */
     gauge(name: string, help: string, read: () => number): void;
     /** All metrics in the text format of Prometheus. */
@@ -84,6 +89,15 @@
             name: "hornbeam_event_loop_delay_ms", help: "Time that the event loop kept a due timer waiting, in milliseconds.",
             buckets: latencyBucketsMs, registers,
         }),
+        invalidLoadReports: new Counter({
+            name: "hornbeam_invalid_load_reports_total", help: "Load reports of targets that are not valid and were ignored, by target.",
+            labelNames: ["target"], registers,
+        }),
+        workTimeRatio: new Histogram({
+            name: "hornbeam_work_time_ratio",
+            help: "Time that a target took for a request, divided by the time predicted when its slot was granted.",
+            buckets: ratioBuckets, registers,
+        }),
         gauge: (name, help, read) => {
             new Gauge({ name, help, registers, collect() {
                 this.set(read());
--- a/src/observe/requestLog.ts
+++ b/src/observe/requestLog.ts
@@ -29,4 +29,8 @@
     targetPauseRequested(targetId: TargetId, pauseMs: number): void;
     /** A response changed what this host knows of its target's rate limit, or stated one that cannot be read. */
     targetRateLimitChanged(targetId: TargetId, change: RateLimitChange): void;
+    /** A target's load report is not valid. */
+    targetLoadUnreadable?(targetId: TargetId): void;
+    /** A target answered after `tookMs`; `expectedMs` was predicted when its slot was granted. */
+    workTimePredicted?(expectedMs: number, tookMs: number): void;
 }
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -99,6 +99,12 @@
             const event = rateLimitEvents[kind];
             log[event.level](event.text, { target: targetId, ...fields });
         },
+        targetLoadUnreadable: (targetId) => {
+            metrics.invalidLoadReports.inc({ target: targetId });
+        },
+        workTimePredicted: (expectedMs, tookMs) => {
+            metrics.workTimeRatio.observe(tookMs / Math.max(1, expectedMs));
+        },
     };
 }
 
