--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -91,6 +91,7 @@
         dump: () => ({
             ...node.describe(), unready: unreadyReason(), pending: clients.pending(), crashes: evidence.describe(clock.now().monoMs),
             reachability: reachability.describe(), sharing: hostContainer.resolve(tokens.admissionServer).sharing(),
+            backlogs: hostContainer.resolve(tokens.admissionServer).backlogs(),
         }),
         metrics: () => hostContainer.resolve(tokens.metrics).text(),
     });
