Start the daemon with V8's code cache

Cause: a host lives for about a minute; compiling the bundle takes part of its start, and functions are compiled as they are first called. Change: the build runs the daemon against stand-ins for some seconds, as a follower and as the coordinator, and writes V8's code cache next to the bundle; a loader runs the bundle with it. V8 checks version and flags, but runs damaged bytecode (a changed byte ended the process with SIGSEGV in a trial), so the loader compares checksums of both files. Without a cache that fits, V8 compiles as before.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,5 +1,7 @@
-/** Bundles each program into one file that contains only the code it uses, which shortens its start. */
+/** Bundles each program into one file with only the code that it uses, and adds V8's code cache of the daemon; both shorten its start. */
+import { copyFileSync, mkdirSync, readdirSync, readFileSync, renameSync, rmSync, writeFileSync } from "node:fs";
 import { build } from "esbuild";
+import { writeCodeCache } from "./codeCache.mjs";
 
 /**
  * Modules of libraries that no program uses, with their replacements. Where the library treats a module as optional, the replacement
@@ -23,6 +25,38 @@
     },
 };
 
+const hostProgram = "target/hornbeam-host.cjs";
+const hostCode = "target/hornbeam-host.code.js";
+
+/** Moves the daemon's code to where its loader expects it, as a function with the parameters of a CommonJS module, and adds the loader. */
+function splitHostProgram() {
+    const code = `(function (exports, require, module, __filename, __dirname) {${readFileSync(hostProgram, "utf8")}\n})`;
+    // The loader reads Latin-1; esbuild escapes all other characters.
+    if (Buffer.byteLength(code) !== code.length) {
+        throw new Error(`${hostProgram} contains characters beyond ASCII`);
+    }
+    writeFileSync(hostCode, code);
+    copyFileSync("deploy/hostLoader.cjs", hostProgram);
+}
+
+/** Writes the daemon's code cache. A host starts without it too, so a failure does not fail the build. */
+async function addCodeCache() {
+    const cacheFile = `target/hornbeam-host-${process.version}-${process.arch}.cache`;
+    const unfinishedFile = `${cacheFile}.unfinished`;
+    try {
+        await writeCodeCache(hostCode, unfinishedFile);
+        renameSync(unfinishedFile, cacheFile);
+    }
+    catch (error) {
+        process.stderr.write(`no code cache: ${error.message}\n`);
+        rmSync(unfinishedFile, { force: true });
+    }
+}
+
+mkdirSync("target", { recursive: true });
+for (const name of readdirSync("target").filter((name) => /\.cache(\.unfinished)?$/.test(name))) {
+    rmSync(`target/${name}`);
+}
 await build({
     entryPoints: {
         "hornbeam-host": "platform/main.ts",
@@ -45,3 +79,5 @@
     banner: { js: "const bundleUrl = require(\"node:url\").pathToFileURL(__filename).href;" },
     logLevel: "warning",
 });
+splitHostProgram();
+await addCodeCache();
--- /dev/null
+++ b/deploy/warmHost.cjs
@@ -0,0 +1,28 @@
+/**
+ * Runs the daemon in the build until SIGUSR2, and then writes V8's code cache of all functions compiled
+ * by then, with the checksums that the loader expects.
+ * Arguments: the file with the code, the file for the cache, and then those of the daemon.
+ */
+/* eslint-disable @typescript-eslint/no-require-imports -- a CommonJS module, as is the program that it runs */
+"use strict";
+const { readFileSync, writeFileSync } = require("node:fs");
+const v8 = require("node:v8");
+const { Script } = require("node:vm");
+const { crc32 } = require("node:zlib");
+
+const [codeFile, cacheFile] = process.argv.splice(2, 2);
+const code = readFileSync(codeFile);
+const script = new Script(code.toString("latin1"), { filename: codeFile });
+// The collector would drop the bytecode of functions that have not run for a while, for example those of the start.
+v8.setFlagsFromString("--no-flush-bytecode");
+script.runInThisContext()(exports, require, module, codeFile, __dirname);
+process.on("SIGUSR2", () => {
+    // V8 accepts a cache only with the flags that were in force when it was written.
+    v8.setFlagsFromString("--flush-bytecode");
+    const cache = script.createCachedData();
+    const checksums = Buffer.alloc(8);
+    checksums.writeUInt32LE(crc32(code), 0);
+    checksums.writeUInt32LE(crc32(cache), 4);
+    writeFileSync(cacheFile, Buffer.concat([cache, checksums]));
+    process.exit(0);
+});
--- a/test/host/bundle.spec.ts
+++ b/test/host/bundle.spec.ts
@@ -9,10 +9,10 @@
 }
 
 describe("bundles of the programs", () => {
-    for (const program of ["hornbeam-host", "hornbeam-standin"]) {
+    for (const program of ["hornbeam-host.cjs", "hornbeam-host.code.js", "hornbeam-standin.cjs"]) {
         it(`${program} requires only built-in modules of the runtime, so that it runs without installed packages`, () => {
-            const names = requiredModules(`target/${program}.cjs`);
-            expect(names).to.include("node:http");
+            const names = requiredModules(`target/${program}`);
+            expect(names).to.include(program === "hornbeam-host.cjs" ? "node:vm" : "node:http");
             expect(names.filter((name) => !isBuiltin(name))).to.deep.equal([]);
         });
     }
