Load fewer of the runtime's modules at the start

Cause: of a start's processor time, loading the runtime's https takes 4 ms beyond http and crypto, and zlib 2 ms (process.cpuUsage around require); nothing uses them, but the HTTP client library loads them. zlib was also loaded for the checksums of the code cache. waitFor() created two AbortControllers. Change: the bundle replaces https and zlib; the cache file contains the program and two copies of the cache, which are compared instead of checksums; waitFor() uses one AbortController.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -9,9 +9,15 @@
  */
 const throwingModule = "throw new Error(\"not part of the bundle\");";
 const emptyModule = "";
+
+/** The HTTP client of the bundle creates agents for HTTPS when it is loaded; the platform uses HTTP only. */
+const agentOnlyModule = "exports.Agent = class {};";
 const unusedModules = [
     { modulePattern: /^(dtrace-provider|mv|source-map-support|msgpackr-extract)$/, contents: throwingModule },
     { modulePattern: /^\.\/lib\/(pushgateway|cluster|defaultMetrics)$/, contents: emptyModule },
+    // Used for HTTPS and for compressed responses, which no program of this repository asks for.
+    { modulePattern: /^https$/, contents: agentOnlyModule },
+    { modulePattern: /^zlib$/, contents: emptyModule },
 ];
 
 /** esbuild plugin that replaces the unused modules. Loading them would take as long as all the rest of a program's start. */
--- a/deploy/warmHost.cjs
+++ b/deploy/warmHost.cjs
@@ -1,6 +1,6 @@
 /**
  * Runs the daemon in the build until SIGUSR2, and then writes V8's code cache of all functions compiled
- * by then, with the checksums that the loader expects.
+ * by then, in the form that the loader expects.
  * Arguments: the file with the code, the file for the cache, and then those of the daemon.
  */
 /* eslint-disable @typescript-eslint/no-require-imports -- a CommonJS module, as is the program that it runs */
@@ -8,7 +8,6 @@
 const { readFileSync, writeFileSync } = require("node:fs");
 const v8 = require("node:v8");
 const { Script } = require("node:vm");
-const { crc32 } = require("node:zlib");
 
 const [codeFile, cacheFile] = process.argv.splice(2, 2);
 const code = readFileSync(codeFile);
@@ -20,9 +19,6 @@
     // V8 accepts a cache only with the flags that were in force when it was written.
     v8.setFlagsFromString("--flush-bytecode");
     const cache = script.createCachedData();
-    const checksums = Buffer.alloc(8);
-    checksums.writeUInt32LE(crc32(code), 0);
-    checksums.writeUInt32LE(crc32(cache), 4);
-    writeFileSync(cacheFile, Buffer.concat([cache, checksums]));
+    writeFileSync(cacheFile, Buffer.concat([code, cache, cache]));
     process.exit(0);
 });
--- a/src/model/signal.ts
+++ b/src/model/signal.ts
@@ -44,9 +44,12 @@
         controller.abort(abortReason);
     };
     const unsubscribers = signals.map((signal) => signal.listen(wakeUp));
-    const linked = abort === undefined ? undefined : linkAborts(abort, controller.signal);
-    await clock.sleep(durationMs, linked?.signal ?? controller.signal);
-    linked?.release();
+    if (abort?.aborted === true) {
+        wakeUp();
+    }
+    abort?.addEventListener("abort", wakeUp, { once: true });
+    await clock.sleep(durationMs, controller.signal);
+    abort?.removeEventListener("abort", wakeUp);
     unsubscribers.forEach((unsubscribe) => {
         unsubscribe();
     });
--- a/test/host/codeCache.spec.ts
+++ b/test/host/codeCache.spec.ts
@@ -5,7 +5,8 @@
 import { expect } from "chai";
 import { exitCodes } from "../../src/host/hostProcess.js";
 
-const checksumsBytes = 8;
+/** Position in the file that lies within the first copy of the cache. */
+const middleOfFirstCopy = 0.5;
 
 /** Flags of the runtime with which the platform starts the daemon. */
 const deployedFlags = /^run = "node (.*?) \S+\.cjs/m.exec(readFileSync("deploy/system.toml", "utf8"))?.[1]?.split(" ") ?? [];
@@ -14,7 +15,7 @@
 const reportRejection = `
     const { readFileSync } = require("node:fs");
     const [code, file] = process.argv.slice(1).map((path) => readFileSync(path));
-    const cachedData = file.subarray(0, -${String(checksumsBytes)});
+    const cachedData = file.subarray(code.length, (code.length + file.length) / 2);
     console.log(new (require("node:vm").Script)(code.toString("latin1"), { cachedData }).cachedDataRejected);`;
 
 describe("code cache of the daemon", () => {
@@ -57,7 +58,8 @@
         "empty": () => Buffer.alloc(0),
         "cut short": (cache) => cache.subarray(0, cache.length / 2),
         "changed in one byte, which V8 does not notice": (cache) => {
-            cache.writeUInt8(cache.readUInt8(cache.length >> 1) ^ 0xff, cache.length >> 1);
+            const position = Math.round(cache.length * middleOfFirstCopy);
+            cache.writeUInt8(cache.readUInt8(position) ^ 0xff, position);
             return cache;
         },
     };
