Sum the load by key over the keys that have any

Cause: the coordinator summed all 65,536 keys before each plan; V8 compiled the loop for its remainder and discarded that code at the end of the loop, in each plan again (--trace-deopt: one deoptimisation of updatePrefixSums per plan). Change: only keys to which work was ever added are summed; the rest have the same load each.

--- a/src/ownership/keyLoads.ts
+++ b/src/ownership/keyLoads.ts
@@ -38,14 +38,17 @@
     private readonly slowSums = new DecayingSums(slowTimeConstantMs);
     private readonly fastAverages = new Map<number, { load: number; atMs: number }>();
     private readonly load = new Float64Array(maxKey + 1);
-    /** The element at `key + 1` is the load of all keys up to that key. */
-    private readonly prefixSums = new Float64Array(maxKey + 2);
+    /** Keys to which work was ever added, ascending; only these have counted load. */
+    private countedKeys = new Uint16Array(0);
+    /** The element at an index is the load of all counted keys below that index. */
+    private countedSums = new Float64Array(1);
+    private uncountedPerKey = 0;
     private startedMs: number | undefined;
     private nowMs = 0;
     private meanWorkMs = 0;
     private expectedSlots = 0;
     private hasAddedWork = false;
-    private arePrefixSumsValid = false;
+    private areSumsValid = false;
 
     /**
      * Sets the load that is expected of all keys together. While less is counted, the difference is spread evenly over the keys: before
@@ -53,7 +56,7 @@
      * @param slots the load
      */
     setExpectedLoad(slots: number): void {
-        this.arePrefixSumsValid &&= this.expectedSlots === slots;
+        this.areSumsValid &&= this.expectedSlots === slots;
         this.expectedSlots = slots;
     }
 
@@ -65,7 +68,7 @@
     add(pairs: readonly number[], nowMs: number): void {
         this.advanceTo(nowMs);
         this.hasAddedWork ||= pairs.length > 0;
-        this.arePrefixSumsValid &&= pairs.length === 0;
+        this.areSumsValid &&= pairs.length === 0;
         for (let index = 0; index + 1 < pairs.length; index += 2) {
             const key = pairs[index] as number;
             const workMs = pairs[index + 1] as number;
@@ -86,7 +89,7 @@
     /** Advances the time at which the loads are evaluated, so that older work counts less. */
     advanceTo(nowMs: number): void {
         this.startedMs ??= nowMs;
-        this.arePrefixSumsValid &&= nowMs <= this.nowMs;
+        this.areSumsValid &&= nowMs <= this.nowMs;
         this.nowMs = Math.max(this.nowMs, nowMs);
     }
 
@@ -97,8 +100,8 @@
 
     /** Returns the load of a range. */
     loadOf({ from, to }: KeyRange): number {
-        this.updatePrefixSums();
-        return (this.prefixSums[to + 1] as number) - (this.prefixSums[from] as number);
+        this.updateSums();
+        return this.loadBelow(to + 1) - this.loadBelow(from);
     }
 
     /**
@@ -111,7 +114,9 @@
             return [];
         }
         const keys: Key[] = [];
-        for (let key: number = from; key <= to; key++) {
+        const end = this.countedBelow(to + 1);
+        for (let index = this.countedBelow(from); index < end; index++) {
+            const key = this.countedKeys[index] as number;
             if ((this.load[key] as number) >= minLoad) {
                 keys.push(key as Key);
             }
@@ -127,13 +132,13 @@
      * @returns last key of the range; at least `from`, even if that key alone has more load
      */
     lastKeyWithinLoad(from: Key, to: Key, load: number): Key {
-        this.updatePrefixSums();
-        const limit = (this.prefixSums[from] as number) + load;
+        this.updateSums();
+        const limit = this.loadBelow(from) + load;
         let low: number = from;
         let high: number = to;
         while (low < high) {
             const middle = (low + high + 1) >>> 1;
-            if ((this.prefixSums[middle + 1] as number) <= limit) {
+            if (this.loadBelow(middle + 1) <= limit) {
                 low = middle;
             }
             else {
@@ -143,19 +148,44 @@
         return low as Key;
     }
 
-    private updatePrefixSums(): void {
-        if (this.arePrefixSumsValid) {
+    private updateSums(): void {
+        if (this.areSumsValid) {
             return;
         }
+        this.countedKeys = this.slowSums.sortedKeys();
         const counted = this.applySlowAverages() + this.applyFastAverages();
-        const uncountedPerKey = Math.max(minUncountedLoad, this.expectedSlots - counted) / (maxKey + 1);
-        const { load, prefixSums } = this;
+        this.uncountedPerKey = Math.max(minUncountedLoad, this.expectedSlots - counted) / (maxKey + 1);
+        const { countedKeys, load } = this;
+        if (this.countedSums.length !== countedKeys.length + 1) {
+            this.countedSums = new Float64Array(countedKeys.length + 1);
+        }
         let total = 0;
-        for (let key = 0; key <= maxKey; key++) {
-            total += (load[key] as number) + uncountedPerKey;
-            prefixSums[key + 1] = total;
+        for (let index = 0; index < countedKeys.length; index++) {
+            total += load[countedKeys[index] as number] as number;
+            this.countedSums[index + 1] = total;
         }
-        this.arePrefixSumsValid = true;
+        this.areSumsValid = true;
+    }
+
+    /** Returns the load of all keys below a key. */
+    private loadBelow(key: number): number {
+        return (this.countedSums[this.countedBelow(key)] as number) + key * this.uncountedPerKey;
+    }
+
+    /** Returns the number of counted keys below a key. */
+    private countedBelow(key: number): number {
+        let low = 0;
+        let high = this.countedKeys.length;
+        while (low < high) {
+            const middle = (low + high) >>> 1;
+            if ((this.countedKeys[middle] as number) < key) {
+                low = middle + 1;
+            }
+            else {
+                high = middle;
+            }
+        }
+        return low;
     }
 
     /** Sets `load` to the slow averages and returns their sum. */
@@ -191,6 +221,9 @@
  */
 class DecayingSums {
     private readonly sums = new Float64Array(maxKey + 1);
+    private readonly keys = new Set<number>();
+    /** The keys, ascending; too short after a key has been added. */
+    private sorted = new Uint16Array(0);
     private referenceMs = 0;
 
     /** @param timeConstantMs time after which a sum has decayed to 1/e */
@@ -200,15 +233,24 @@
         if (nowMs - this.referenceMs > this.timeConstantMs * maxTimeConstants) {
             this.rebase(nowMs);
         }
+        this.keys.add(key);
         this.sums[key] = (this.sums[key] as number) + amount * Math.exp((nowMs - this.referenceMs) / this.timeConstantMs);
     }
 
-    /** Writes the current sums, multiplied by a factor, to an array and returns their total. */
+    /** Returns the keys to which any amount was added, ascending. */
+    sortedKeys(): Uint16Array<ArrayBuffer> {
+        if (this.sorted.length !== this.keys.size) {
+            this.sorted = Uint16Array.from(this.keys).sort();
+        }
+        return this.sorted;
+    }
+
+    /** Writes the current sums of these keys, multiplied by a factor, to an array and returns their total. */
     copyTo(destination: Float64Array, factor: number, nowMs: number): number {
         const { sums } = this;
         const scale = factor * Math.exp((this.referenceMs - nowMs) / this.timeConstantMs);
         let total = 0;
-        for (let key = 0; key <= maxKey; key++) {
+        for (const key of this.sortedKeys()) {
             const sum = (sums[key] as number) * scale;
             destination[key] = sum;
             total += sum;
@@ -219,7 +261,7 @@
     /** Moves the reference time. */
     private rebase(nowMs: number): void {
         const scale = Math.exp((this.referenceMs - nowMs) / this.timeConstantMs);
-        for (let key = 0; key <= maxKey; key++) {
+        for (const key of this.keys) {
             this.sums[key] = (this.sums[key] as number) * scale;
         }
         this.referenceMs = nowMs;
--- a/test/ownership/planner.spec.ts
+++ b/test/ownership/planner.spec.ts
@@ -290,4 +290,38 @@
         expect(loads.lastKeyWithinLoad(0 as Key, 100 as Key, 1.5)).to.equal(19);
         expect(loads.keysAbove(range(0, 100), 0.9)).to.deep.equal([10, 20]);
     });
+
+    it("agrees with the loads of the single keys, however much work is added to how many keys, and when", () => {
+        const lastKey = 60;
+        const keyLimit = 0.3;
+        const additions = fc.array(fc.record({
+            pairs: fc.array(fc.tuple(fc.nat(lastKey), fc.nat(2_000)), { maxLength: 20 }), afterMs: fc.nat(60_000),
+        }), { maxLength: 5 });
+        fc.assert(fc.property(additions, fc.nat(lastKey), fc.nat(lastKey), fc.nat(10), (steps, oneEnd, otherEnd, load) => {
+            const loads = new KeyLoads();
+            const checked = range(Math.min(oneEnd, otherEnd), Math.max(oneEnd, otherEnd));
+            const keys = Array.from({ length: checked.to - checked.from + 1 }, (_, index) => (checked.from + index) as Key);
+            let nowMs = 0;
+            for (const { pairs, afterMs } of steps) {
+                nowMs += afterMs;
+                loads.add(pairs.flat(), nowMs);
+                const ownLoads = keys.map((key) => loads.loadOf(range(key, key)));
+                const whole = ownLoads.reduce((sum, ownLoad) => sum + ownLoad, 0);
+                expect(loads.loadOf(checked)).to.be.closeTo(whole, 1e-9);
+                expect(loads.keysAbove(checked, keyLimit).every((key) => loads.loadOf(range(key, key)) >= keyLimit)).to.equal(true);
+                const last = loads.lastKeyWithinLoad(checked.from, checked.to, load);
+                expect(last === checked.from || loads.loadOf(range(checked.from, last)) <= load + 1e-9).to.equal(true);
+                expect(last === checked.to || loads.loadOf(range(checked.from, last + 1)) > load - 1e-9).to.equal(true);
+            }
+        }));
+    });
+
+    it("counts work on the first and the last key, and on every key", () => {
+        const loads = new KeyLoads();
+        loads.add([0, 1_000, maxKey, 1_000], 0);
+        expect(loads.keysAbove(range(0, maxKey), 0.1)).to.deep.equal([0, maxKey]);
+        loads.add(Array.from({ length: maxKey + 1 }, (_, key) => [key, 1_000]).flat(), 0);
+        expect(loads.keysAbove(range(0, maxKey), 0.1)).to.have.length(maxKey + 1);
+        expect(loads.loadOf(range(0, maxKey))).to.be.closeTo(2 * loads.loadOf(range(0, 32_767)), 1e-6);
+    });
 });
