Look for unused shares once a second

Cause: each tick of a busy queue, 40 a second, went through all known callers, of which there may be 4,096.

Change: what is no longer used is removed at most once a second.

--- a/src/admission/scarceCapacity.ts
+++ b/src/admission/scarceCapacity.ts
@@ -11,6 +11,9 @@
 /** Number of priorities for which retry times are kept. */
 const maxBookedPriorities = 64;
 
+/** Minimum time between two searches for what is no longer used; a busy queue ticks 40 times a second and may know thousands of callers. */
+const removalIntervalMs = 1_000;
+
 /** What a dump shows of a queue. */
 export interface SharingDescription {
     /** Free slots that less urgent requests must leave, and slots that were reserved but may be used by them. */
@@ -26,6 +29,7 @@
     private readonly callers = new CallerShares();
     /** Time up to which capacity has been promised to refused requests, by priority. */
     private readonly bookedUntilMs = new Map<number, number>();
+    private lastRemovalMs = Number.NEGATIVE_INFINITY;
 
     constructor(private readonly targets: QueueTargets) {
         this.reservedSlots = new ReservedSlots(targets);
@@ -83,6 +87,10 @@
 
     /** Forgets what is no longer used. */
     removeUnused(nowMs: number): void {
+        if (Math.abs(nowMs - this.lastRemovalMs) < removalIntervalMs) {
+            return;
+        }
+        this.lastRemovalMs = nowMs;
         this.reservedSlots.removeUnused(nowMs);
         this.callers.removeUnused(nowMs);
         for (const [priority, untilMs] of this.bookedUntilMs) {
