Read the configuration topic while a term is claimed

Cause: a successor read it for the first time in parallel with its first plan, so that it could assign keys to targets of a data centre whose evacuation it had not read yet. The reading is sent with the claim, which takes about as long, so it costs no time. takeover.spec: both cases fail before. Measured: specs of test/cluster, world, storeReturn, evacuation and ownershipManager pass (128, one known red skipped).

--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -51,7 +51,16 @@
 ): Takeover {
     const nowMs = () => clock.now().monoMs;
 
+    /**
+     * Reads the configuration topic while the term is claimed, so that the successor plans with the evacuations that are in force. The
+     * claim is a store call too and takes about as long; it does not wait for this reading, which may fail alone.
+     */
+    const readConfiguration = () => {
+        void reader.read("configuration", 0);
+    };
+
     const takeOver = async (coordinator: PeerConnection): Promise<boolean> => {
+        readConfiguration();
         const reply = await coordinator.call<ResignReply>(clusterMethods.resign, {}, callTimeoutMs);
         if (reply.isErr() || !reply.value.resigned || !isDurationMs(reply.value.grantsLastMs)) {
             return false;
@@ -96,6 +105,7 @@
                     return;
                 }
                 if (isRead && nowMs() >= claimAtMs) {
+                    readConfiguration();
                     await claims.claim();
                     return;
                 }
