--- a/src/control/session.ts
+++ b/src/control/session.ts
@@ -3,7 +3,8 @@
 import { err, ok } from "neverthrow";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
-import type { Address } from "../model/names.js";
+import type { Address, ServiceId } from "../model/names.js";
+import type { RoutingConfig } from "../model/routing.js";
 import type { Clock } from "../model/time.js";
 import type { LedgerRecord } from "../ownership/ledger.js";
 import { encodeLedgerRecord } from "../ownership/ledger.js";
@@ -75,6 +76,8 @@
     append(
         buildRecords: () => Result<readonly { key: string; record: LedgerRecord | undefined }[], Failure>,
     ): Promise<Result<void, Failure>>;
+    /** Reads the platform's configuration and the services that have targets. */
+    readDirectory(): Promise<Result<{ config: RoutingConfig | undefined; servicesWithTargets: ReadonlySet<ServiceId> }, Failure>>;
     /** Gets the dumps of the running hosts: first the coordinator's, then those of the members that it lists. */
     reports(): Promise<Result<HostReport[], Failure>>;
 }
@@ -105,6 +108,14 @@
             }
             return err(failure("refused", "publish", "ledger", "other writers appended first at every attempt; try again"));
         },
+        readDirectory: async () => {
+            const readings = await Promise.all([reader.read("configuration", 0), reader.read("targets", 0)]);
+            const failed = readings.find((reading) => reading.isErr());
+            return failed?.isErr() === true ? err(failed.error) : ok({
+                config: view.config?.config,
+                servicesWithTargets: new Set([...view.targets.all()].filter(({ state }) => state !== "gone").map(({ serviceId }) => serviceId)),
+            });
+        },
         reports: async () => {
             const readResult = await read();
             if (readResult.isErr()) {
--- a/src/routing/routeTable.ts
+++ b/src/routing/routeTable.ts
@@ -47,6 +47,12 @@
     };
 }
 
+/** Tells whether an earlier route matches every request that a route matches, so that the route never serves any. */
+export function isServedByEarlier(route: Route, earlier: Route): boolean {
+    return normalizeHostName(earlier.hostName) === normalizeHostName(route.hostName) && earlier.pathPrefix === route.pathPrefix
+        && (earlier.method === undefined || earlier.method === route.method);
+}
+
 /** Returns the form of a host name that is the same for all ways to write it: in lower case, without a port and the dot of the DNS root. */
 function normalizeHostName(hostName: string): string {
     return hostName.toLowerCase().replace(/\.?(:[0-9]*)?$/, "");
--- a/test/platform/ctl.spec.ts
+++ b/test/platform/ctl.spec.ts
@@ -20,6 +20,7 @@
 import { ClusterView } from "../../src/store/clusterView.js";
 import { createTopicReader } from "../../src/store/topicReader.js";
 import { sampleDocument } from "../config/sample.js";
+import { buildRoutingConfig } from "../fleet/fleet.js";
 import { run } from "./ctlProcess.js";
 
 const silentLog = { info: () => undefined, warn: () => undefined, error: () => undefined };
@@ -37,9 +38,14 @@
 }
 
 /** Every verb with each of its arguments and options, on a store with one published document. */
-function callsWith(document: string, log: string): readonly Call[] {
+function callsWith(document: string, log: string, routing: string): readonly Call[] {
     return [
         { verb: "config validate", args: [document], exitCode: 0, prints: /The document is valid/ },
+        { verb: "config check", args: [routing], exitCode: 2, prints: /service leases: it has no targets/ },
+        {
+            verb: "config check", args: [routing, "--against", routing, "--memory-mb", "300", "--extra-retries", "0"], exitCode: 2,
+            prints: /retry budget cannot cover its 2 attempts/,
+        },
         { verb: "config publish", args: [document, ...note, "--based-on", "1"], exitCode: 0, prints: /Version 2 is published/ },
         { verb: "config publish", args: [document, ...note], exitCode: 0, prints: /Version 2 is published/ },
         { verb: "config show", args: [], exitCode: 0, prints: /Version 1/ },
@@ -78,12 +84,14 @@
     const folder = mkdtempSync(join(tmpdir(), "hornbeam-ctl-"));
     const document = join(folder, "document.yaml");
     const log = join(folder, "log");
+    const routing = join(folder, "routing.json");
     let store: StoreStandIn;
     let admin: http.Server;
     let common: string[];
 
     before(() => {
         writeFileSync(document, stringify(sampleDocument));
+        writeFileSync(routing, JSON.stringify(buildRoutingConfig(1)));
         writeFileSync(log, [{ request: "r1", reason: "overloaded" }, { request: "-r2", reason: "no-target" }].map((fields) => JSON.stringify({
             hostname: "h1", msg: "request: refused", targets: ["t1"], time: "2026-01-01T00:00:02.000Z", ...fields,
         })).join("\n"));
@@ -126,7 +134,7 @@
         expect(await publish(session, stringify(sampleDocument), { author: "ops", reason: "a test" })).to.include({ exitCode: 0 });
     }
 
-    for (const { verb, args, exitCode, prints } of callsWith(document, log)) {
+    for (const { verb, args, exitCode, prints } of callsWith(document, log, routing)) {
         const title = [verb, ...args].join(" ").replaceAll(folder, "FOLDER");
 
         it(`runs ${title}`, async () => {
@@ -149,7 +157,7 @@
     }
 
     it("has no verb, option or argument that this file does not run", async () => {
-        const calls = callsWith(document, log);
+        const calls = callsWith(document, log, routing);
         const help = async (...words: string[]) => (await run([...words, "--help"])).stdout;
         const top = verbsIn(await help());
         const groups = top.filter((verb) => ["config", "quarantine"].includes(verb));
