--- a/test/fleet/fleet.ts
+++ b/test/fleet/fleet.ts
@@ -66,6 +66,8 @@
     isCuttable?: boolean;
     /** File descriptor that the daemon writes its log to, in place of its log file. */
     output?: number;
+    /** Memory of the machine that the settings state. */
+    memoryMb?: number;
 }
 
 /** A running daemon. */
@@ -191,7 +193,7 @@
             `node_name = "${name}"`, `ip = "${host}"`, "zone = \"here\"", `internal_port_range = [${String(peerPort)},${String(peerPort)}]`,
             "heartbeat_ms = 300", `bounds = ["drain_ms=2000","grace_s=${String(graceMs / 1_000)}","retry_budget_ratio=0.2","budget_extra_retries=20"]`,
             "[listen]", `front = "${host}:${String(clientPort)}"`, `ready = "${host}:${String(readyPort)}"`,
-            "[limits]", "cpu_share = 0.5", "memory_mb = 350", "max_fds = 4100",
+            "[limits]", "cpu_share = 0.5", `memory_mb = ${String(options.memoryMb ?? 350)}`, "max_fds = 4100",
             "[platform]", `address = "${storeAddress}"`,
         ].join("\n"));
         const preloads = options.isCuttable === true ? ["--import", "./test/fleet/targetCutPreload.mjs"] : [];
