Bound what clients make a host hold

Cause: the HTTP parser was given all that arrived, so that a client that pipelined, or did not read, made the host parse and hold thousands of requests; each chunk of a body became a buffer of its own; empty lines and zeros before a chunk size had no bound; a body that stopped short was waited for without end. Requests queued behind the first on a connection that was reset also stayed pending for good.

Change: a gate takes the input of a connection before the parser and gives it a request at a time; the socket is paused after 8 unanswered ones. Chunks that arrive in one read reach the parser as one, overhead is bounded relative to content. An account without I/O decides on progress, on the refusal of new requests (503 host-full, before anything was passed on) and on what is closed. Five settings, a counter, a gauge and a log line.

--- a/src/entry/clientConnection.ts
+++ b/src/entry/clientConnection.ts
@@ -3,6 +3,8 @@
 import http from "node:http";
 import type { Socket } from "node:net";
 import type { ClientLimits } from "../model/routing.js";
+import type { ClientHoldings, ConnectionProgress } from "./clientAccount.js";
+import type { InputGate } from "./inputGate.js";
 
 /** Bytes shown in log lines before and after the position at which the parser stopped. */
 const excerptBytesBefore = 32;
@@ -24,6 +26,8 @@
 export type DenialReason =
     /** The parser rejected the input; `malformed` also if a field's name ends with a space, which the parser accepts. */
     | "malformed" | "header-too-large" | "header-late"
+    /** Framing beyond the limit, see `RequestFraming`; input whose framing the parser reads otherwise than this host. */
+    | "excess-framing" | "misframed"
     /** The client ended its side in the middle of a request. */
     | "incomplete"
     /** The header section is too long for this connection, but not known to be too long. It was not read, so the request did not run. */
@@ -42,6 +46,8 @@
     maxHeaderBytes: number;
     /** Error code of the parser. */
     parserCode?: string | undefined;
+    /** Number of chunks of the body that had arrived, if its framing is to blame. */
+    pieceCount?: number;
     /** Printable form of a few bytes around the position at which the parser stopped. */
     excerpt?: string | undefined;
 }
@@ -59,6 +65,8 @@
 export interface HttpExchange {
     request: IncomingMessage;
     response: ServerResponse;
+    /** Breaks off a body of which nothing was sent to a target; returns false if there is none. */
+    breakOffBody?: () => boolean;
 }
 
 /** State of one connection. */
@@ -73,6 +81,10 @@
     readonly exchanges: Set<HttpExchange>;
     /** The request received last, until its response is complete and its body has arrived. */
     lastExchange: HttpExchange | undefined;
+    /** What is held for the connection. */
+    holdings: ClientHoldings;
+    /** Undefined until the connection is open. */
+    gate: InputGate | undefined;
     /** True once further input is ignored. The requests received before are still answered; then the connection is closed. */
     isInputEnded: boolean;
 }
@@ -82,6 +94,8 @@
     "malformed": 400,
     "header-too-large": 431,
     "header-late": 408,
+    "excess-framing": 400,
+    "misframed": 400,
     "incomplete": 400,
     "limits-unknown": 503,
     "limit-raised": 503,
@@ -138,10 +152,13 @@
  * @param socket the connection
  * @param maxHeaderBytes limit on the header section that its parser applies
  * @param nowMs current monotonic time
+ * @param holdings what is held for the connection
  */
-export function createClientConnection(socket: Socket, maxHeaderBytes: number, nowMs: number): ClientConnection {
+export function createClientConnection(
+    socket: Socket, maxHeaderBytes: number, nowMs: number, holdings: ClientHoldings,
+): ClientConnection {
     return {
-        socket, openedMs: nowMs, openedWithMaxHeaderBytes: maxHeaderBytes,
+        socket, holdings, gate: undefined, openedMs: nowMs, openedWithMaxHeaderBytes: maxHeaderBytes,
         requestCount: 0, exchanges: new Set(), lastExchange: undefined, isInputEnded: false,
         clientAddress: `${socket.remoteAddress ?? ""}:${String(socket.remotePort ?? "")}`,
     };
@@ -160,6 +177,18 @@
     };
 }
 
+/** Reads what the client of a connection has to do next, and how far it is. */
+export function progressOf({ socket, lastExchange, exchanges, isInputEnded }: ClientConnection): ConnectionProgress {
+    const isPaused = socket.isPaused();
+    if (socket.writableLength > 0) {
+        return { duty: "response", progressBytes: socket.bytesWritten - socket.writableLength, isPaused };
+    }
+    if (lastExchange?.request.complete === false && !isInputEnded) {
+        return { duty: "body", progressBytes: socket.bytesRead, isPaused };
+    }
+    return { duty: (isInputEnded && exchanges.size === 0) || socket.writableEnded ? "close" : "none", progressBytes: 0, isPaused };
+}
+
 /** Adds a request to its connection. */
 export function addExchange(connection: ClientConnection, exchange: HttpExchange): void {
     connection.requestCount += 1;
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -1,7 +1,7 @@
 /** HTTP/1.1 listener for client requests. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import http from "node:http";
-import type { Socket } from "node:net";
+import { Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import type { Result } from "neverthrow";
 import { listen } from "../adapters/listening.js";
@@ -12,11 +12,15 @@
 import type { Clock } from "../model/time.js";
 import type { ClientCall } from "./clientCall.js";
 import { RequestNotRunError } from "./clientCall.js";
-import type { ClientConnection, Denial, DenialReason, ParserError } from "./clientConnection.js";
+import type { ClientAccountLimits, CloseReason } from "./clientAccount.js";
+import { ClientAccount } from "./clientAccount.js";
+import type { ClientConnection, ConnectionSummary, Denial, DenialReason, HttpExchange, ParserError } from "./clientConnection.js";
 import {
-    addExchange, createClientConnection, denialReasonOf, endAfterResponses, excerptOf, removeExchange, statusByDenial, summarizeConnection,
+    addExchange, createClientConnection, denialReasonOf, endAfterResponses, excerptOf, progressOf, removeExchange, statusByDenial,
+    summarizeConnection,
 } from "./clientConnection.js";
 import { createHttpClientCall } from "./httpClientCall.js";
+import { gateInput } from "./inputGate.js";
 
 const connectionCheckIntervalMs = 500;
 
@@ -40,6 +44,29 @@
     "unknown-expectation": { "Connection": "close" },
 };
 
+/** Delay after which a request may be sent again that was refused because this host holds too much for clients. */
+const retryAfterFullMs = 1_000;
+
+/** A body that is not known to be shorter is not accepted while this host refuses clients that hold much. */
+const longBodyBytes = 65_536;
+
+/** Limits on what clients make this host hold. */
+export interface HoldingLimits extends ClientAccountLimits {
+    /** Fixed allowance of a message for bytes that are neither header section nor content. */
+    maxOverheadBytes: number;
+}
+
+/** A limit that a client has reached. */
+export interface ReachedLimit {
+    limit: CloseReason | "refused";
+    connection: ConnectionSummary;
+    /** Bytes held for the connection, and for all. */
+    heldBytes: number;
+    allHeldBytes: number;
+    /** Requests of the connection in progress. */
+    requestCount: number;
+}
+
 /** Dependencies of the listener. */
 export interface ClientHttpDependencies {
     /** The first one that matches a request is used; the last one must match every request. */
@@ -51,6 +78,9 @@
     areLimitsConfirmed: (nowMs: number) => boolean;
     /** Called for each answer to input that is not passed to `serve`. */
     onDenied: (denial: Denial) => void;
+    holdingLimits: HoldingLimits;
+    /** Called when a request is refused or a connection is closed because of what it holds. */
+    onLimit: (reached: ReachedLimit) => void;
     /** Called with any error that `serve` throws, and the call. */
     onUnexpectedError: (error: unknown, call: ClientCall) => void;
 }
@@ -71,6 +101,8 @@
     stopAccepting(): void;
     /** Returns the number of requests that have not been answered completely. */
     pending(): number;
+    /** Returns the number of bytes that are held for clients, as estimated. */
+    heldBytes(): number;
     /** Stops accepting connections and closes all of them, including those with requests in progress. */
     close(): void;
 }
@@ -82,28 +114,92 @@
     let closing = false;
     let pending = 0;
     const connections = new WeakMap<Socket, ClientConnection>();
+    const account = new ClientAccount<Socket>(dependencies.holdingLimits);
+    let checks: NodeJS.Timeout | undefined;
     const limits = () => configuredLimits ?? initialLimits;
     const nowMs = () => dependencies.clock.now().monoMs;
 
     /** Returns the state of a connection; creates it when the connection is opened. */
     const connectionOf = (socket: Socket): ClientConnection => {
-        const connection = connections.get(socket) ?? createClientConnection(socket, limits().maxHeaderBytes, nowMs());
+        const known = connections.get(socket);
+        if (known !== undefined) {
+            return known;
+        }
+        const connection = createClientConnection(socket, limits().maxHeaderBytes, nowMs(), account.open(socket, nowMs()));
         connections.set(socket, connection);
         return connection;
     };
 
-    const recordDenial = (connection: ClientConnection, reason: DenialReason, error?: ParserError) => {
+    const onConnection = (socket: Socket) => {
+        const connection = connectionOf(socket);
+        // Each request in progress listens for the end of its connection; their number has a limit of its own.
+        socket.setMaxListeners(0);
+        socket.once("close", () => {
+            endQueuedResponses(connection);
+            account.close(socket);
+            if (account.connectionCount === 0) {
+                clearInterval(checks);
+                checks = undefined;
+            }
+        });
+        checks ??= setInterval(checkProgress, connectionCheckIntervalMs).unref();
+        connection.gate = gateInput(socket, dependencies.holdingLimits.maxOverheadBytes, {
+            mayParse: () => account.mayParse(connection.holdings, socket.writableLength),
+            isInputEnded: () => connection.isInputEnded,
+            keepsAlive: () => connection.lastExchange?.response.shouldKeepAlive !== false,
+            onHeld: (bytes) => {
+                account.add(socket, bytes);
+            },
+            onRejected: (error, pieceCount) => {
+                denyInput(connection, error === "invalid-chunk" ? "malformed" : error, { pieceCount });
+            },
+        });
+        const beyondLimit = account.connectionBeyondLimit();
+        if (beyondLimit !== undefined) {
+            closeForLimit(beyondLimit, "open-files");
+        }
+    };
+
+    const recordLimit = (connection: ClientConnection, limit: ReachedLimit["limit"]) => {
+        dependencies.onLimit({
+            limit, connection: summarizeConnection(connection, connection.requestCount, nowMs()),
+            heldBytes: connection.holdings.bytes, allHeldBytes: account.heldBytes, requestCount: connection.holdings.requestCount,
+        });
+    };
+
+    const closeForLimit = (socket: Socket, reason: CloseReason) => {
+        const connection = connectionOf(socket);
+        recordLimit(connection, reason);
+        const { exchanges, lastExchange } = connection;
+        // The body belongs to the request received last; its refusal can be sent only if no earlier response is due.
+        if (lastExchange?.breakOffBody !== undefined && exchanges.size === 1 && !connection.isInputEnded) {
+            connection.isInputEnded = true;
+            lastExchange.response.shouldKeepAlive = false;
+            if (lastExchange.breakOffBody()) {
+                return;
+            }
+        }
+        socket.destroy();
+    };
+
+    const checkProgress = () => {
+        for (const { connection, reason } of account.check(nowMs(), (socket) => progressOf(connectionOf(socket)))) {
+            closeForLimit(connection, reason);
+        }
+    };
+
+    const recordDenial = (connection: ClientConnection, reason: DenialReason, details: Partial<Denial>) => {
         dependencies.onDenied({
             reason, status: statusByDenial[reason], maxHeaderBytes: limits().maxHeaderBytes,
             connection: summarizeConnection(connection, connection.requestCount, nowMs()),
-            ...error === undefined ? {} : { parserCode: error.code, excerpt: excerptOf(error) },
+            ...details,
         });
     };
 
     /** Answers a request with a valid header section that this host does not accept. */
     const deny = (request: IncomingMessage, response: ServerResponse, reason: DenialReason) => {
         const connection = connectionOf(request.socket);
-        recordDenial(connection, reason);
+        recordDenial(connection, reason, {});
         connection.requestCount += 1;
         response.writeHead(statusByDenial[reason], denialHeaders[reason]);
         response.end();
@@ -121,16 +217,19 @@
             void onHeaderTimeout(connection, error);
         }
         else {
-            denyInput(connection, error);
+            denyAfterError(connection, error);
         }
     };
 
-    const denyInput = (connection: ClientConnection, error: ParserError) => {
+    const denyAfterError = (connection: ClientConnection, error: ParserError) => {
+        const confirmedLimits = dependencies.areLimitsConfirmed(nowMs()) ? configuredLimits : undefined;
+        denyInput(connection, denialReasonOf(error, connection, confirmedLimits), { parserCode: error.code, excerpt: excerptOf(error) });
+    };
+
+    const denyInput = (connection: ClientConnection, reason: DenialReason, details: Partial<Denial>) => {
         if (!connection.isInputEnded && connection.socket.writable) {
             connection.isInputEnded = true;
-            const confirmedLimits = dependencies.areLimitsConfirmed(nowMs()) ? configuredLimits : undefined;
-            const reason = denialReasonOf(error, connection, confirmedLimits);
-            recordDenial(connection, reason, error);
+            recordDenial(connection, reason, details);
             void endAfterResponses(connection, reason);
         }
     };
@@ -158,11 +257,12 @@
             await dependencies.clock.sleep(limits().headerTimeoutMs, closed.signal);
         }
         if (connection.requestCount === requestCount) {
-            denyInput(connection, error);
+            denyAfterError(connection, error);
         }
     };
 
     const onRequest = (request: IncomingMessage, response: ServerResponse, beforeRead: () => void) => {
+        connectionOf(request.socket).gate?.onRequest(request);
         const reason = denialReasonOfHeaders(request);
         if (reason !== undefined) {
             deny(request, response, reason);
@@ -173,12 +273,18 @@
             return;
         }
         const earlierRequestCount = connection.requestCount;
-        const exchange = { request, response };
+        const exchange: HttpExchange = { request, response };
+        const isRefused = account.refuses(connection.holdings, hasLongBody(request));
+        let heldBytes = 0;
         addExchange(connection, exchange);
+        account.beginRequest(request.socket);
         pending += 1;
         response.once("close", () => {
             pending -= 1;
             removeExchange(connection, exchange);
+            account.add(request.socket, -heldBytes);
+            account.endRequest(request.socket);
+            connection.gate?.drain();
         });
         // Node.js drops what follows a request with Upgrade in the same piece of input.
         connection.isInputEnded = request.headers.upgrade !== undefined;
@@ -187,7 +293,17 @@
             request, response, dialects: dependencies.dialects, receivedAt: dependencies.clock.now(), limits: limits(), beforeRead,
             isClosing: () => closing,
             describeConnection: () => summarizeConnection(connection, earlierRequestCount, nowMs()),
+            onHeld: (bytes) => {
+                heldBytes += bytes;
+                account.add(request.socket, bytes);
+            },
         });
+        exchange.breakOffBody = call.breakOffBody;
+        if (isRefused) {
+            recordLimit(connection, "refused");
+            call.refuse({ reason: "host-full", retryAfterMs: retryAfterFullMs });
+            return;
+        }
         const serve = async () => {
             await waitTwoTurns();
             if (!call.clientLeft.aborted) {
@@ -208,7 +324,7 @@
     });
     // By default Node.js drops header fields beyond the first 2,000. The limit on bytes bounds their number.
     server.maxHeadersCount = 0;
-    server.on("connection", connectionOf);
+    server.on("connection", onConnection);
     server.on("request", (request, response) => {
         onRequest(request, response, () => undefined);
     });
@@ -218,6 +334,7 @@
         });
     });
     server.on("checkExpectation", (request, response) => {
+        connectionOf(request.socket).gate?.onRequest(request);
         deny(request, response, denialReasonOfHeaders(request) ?? "unknown-expectation");
     });
     server.on("clientError", onParserError);
@@ -236,6 +353,7 @@
             server.close();
         },
         pending: () => pending,
+        heldBytes: () => account.heldBytes,
         close: () => {
             server.close();
             server.closeAllConnections();
@@ -275,6 +393,20 @@
     return httpVersion === "1.1" && headers.host === undefined ? "no-host-header" : undefined;
 }
 
+/** Tells the requests of a closed connection of its end whose responses wait for earlier ones; Node.js does so for the first only. */
+function endQueuedResponses({ exchanges }: ClientConnection): void {
+    for (const { response } of [...exchanges]) {
+        if (!(response.socket instanceof Socket)) {
+            response.emit("close");
+        }
+    }
+}
+
+/** Tells whether the body of a request may be long. */
+function hasLongBody({ headers }: IncomingMessage): boolean {
+    return headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > longBodyBytes;
+}
+
 function applyLimits(server: Server & { maxHeaderSize?: number }, limits: ClientLimits): void {
     server.headersTimeout = limits.headerTimeoutMs;
     server.keepAliveTimeout = limits.idleTimeoutMs;
--- a/src/entry/httpClientCall.ts
+++ b/src/entry/httpClientCall.ts
@@ -25,12 +25,20 @@
     /** Returns whether responses ask the client to close its connection. */
     isClosing: () => boolean;
     describeConnection: () => ConnectionSummary;
+    /** Called with changes of the number of bytes that are held for the request. */
+    onHeld: (bytes: number) => void;
+}
+
+/** A call whose body can be broken off by the listener. */
+export interface HttpClientCall extends ClientCall {
+    /** See `ConnectionBody.breakOff`. */
+    breakOffBody(): boolean;
 }
 
 /** Creates the call for a request. */
 export function createHttpClientCall({
-    request, response, dialects, receivedAt, limits, beforeRead, isClosing, describeConnection,
-}: HttpClientCallDependencies): ClientCall {
+    request, response, dialects, receivedAt, limits, beforeRead, isClosing, describeConnection, onHeld,
+}: HttpClientCallDependencies): HttpClientCall {
     const target = parseRequestTarget(request.url ?? "/", request.headers.host);
     const { path, hostName } = target;
     const dialect = dialects.find((candidate) => candidate.matches(path, request.headers)) as ClientDialect;
@@ -48,7 +56,7 @@
         }
     });
 
-    const body = createRequestBody(request, limits.maxBodyBytes, beforeRead);
+    const body = createRequestBody(request, limits.maxBodyBytes, beforeRead, onHeld);
     if (body.declaredBytes !== 0) {
         response.once("finish", () => {
             void body.discardRest();
@@ -91,17 +99,23 @@
             response.end(refusalBody);
         },
         answer: (head, answerBody) => {
+            onHeld(answerBody.length);
             writeAnswerHead(head);
             response.end(answerBody);
         },
         beginAnswer: writeAnswerHead,
-        writeAnswer: (piece) => writeCompletely(response, piece),
+        writeAnswer: async (piece) => {
+            onHeld(piece.length);
+            await writeCompletely(response, piece);
+            onHeld(-piece.length);
+        },
         finishAnswer: () => {
             response.end();
         },
         abortAnswer: () => {
             request.socket.destroy();
         },
+        breakOffBody: body.breakOff,
     };
 }
 
--- a/src/entry/refusalStatus.ts
+++ b/src/entry/refusalStatus.ts
@@ -20,6 +20,7 @@
     "unreachable": 503,
     "stopping": 503,
     "quarantined": 503,
+    "host-full": 503,
     "timed-out": 504,
     "lost": 502,
 };
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -26,7 +26,7 @@
 import { probeTarget } from "../forwarding/targetProbe.js";
 import type { RunId } from "../model/names.js";
 import { offsetInEra } from "../model/storePosition.js";
-import { createDenialRecorder } from "../observe/denialRecorder.js";
+import { createDenialRecorder, createLimitRecorder } from "../observe/denialRecorder.js";
 import { createLogger } from "../observe/logger.js";
 import { createLogWriter } from "../observe/logWriter.js";
 import type { Metrics } from "../observe/metrics.js";
@@ -59,6 +59,11 @@
 
 const maxLoggedPathChars = 200;
 
+const bytesPerMb = 1_048_576;
+
+/** Share of the file descriptors that connections of clients may take; targets, other hosts and the store need the rest. */
+const clientFileShare = 0.5;
+
 /** Implementations that the platform's adapter provides. */
 export interface HostAdapters {
     clientDialect: ClientDialect;
@@ -232,6 +237,15 @@
             serve: (call) => from.resolve(tokens.forwarder).serve(call),
             areLimitsConfirmed: (nowMs) => from.resolve(tokens.node).configAgeMs(nowMs) <= maxConfigAgeMs,
             onDenied: createDenialRecorder(log, from.resolve(tokens.metrics)),
+            holdingLimits: {
+                maxBytes: settings.memoryMb * bytesPerMb * daemonSettings.clientMemoryShare,
+                maxConnections: Math.max(1, Math.floor(settings.maxOpenFiles * clientFileShare)),
+                maxPipelined: daemonSettings.clientPipelined,
+                minBytesPerSecond: daemonSettings.clientMinRate,
+                stallMs: daemonSettings.clientStallMs,
+                maxOverheadBytes: daemonSettings.clientOverheadBytes,
+            },
+            onLimit: createLimitRecorder(log, from.resolve(tokens.metrics)),
             onUnexpectedError: (error, { requestId, method, path }) => {
                 const cause = error instanceof Error ? error.cause ?? error : error;
                 log.error("unexpected error", {
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -188,6 +188,8 @@
         hostContainer.resolve(tokens.membership).members().length);
     metrics.gauge("hornbeam_pending_requests", "Requests from clients that have no response yet.", () =>
         hostContainer.resolve(tokens.clientHttp).pending());
+    metrics.gauge("hornbeam_client_held_bytes", "Bytes held for clients, as estimated.", () =>
+        hostContainer.resolve(tokens.clientHttp).heldBytes());
     metrics.gauge("hornbeam_idle_connections", "Idle connections to targets.", () =>
         hostContainer.resolve(tokens.pool).idleCount());
     metrics.gauge("hornbeam_cut_off_from_targets", "1 if this host can't reach targets that other hosts reach, else 0.", () =>
--- a/src/host/daemonSettings.ts
+++ b/src/host/daemonSettings.ts
@@ -10,6 +10,12 @@
 const environmentPrefix = "HORNBEAM_";
 const logLevels = ["trace", "debug", "info", "warn", "error", "fatal"] as const;
 const portRange = "a port from 1 to 65535";
+const between = (least: number, most: number, unit: string) => {
+    const allowed = `${unit} from ${String(least)} to ${String(most)}`;
+    return z.coerce.number({ error: allowed }).check(z.gte(least, allowed), z.lte(most, allowed));
+};
+const wholeBetween = (least: number, most: number, unit: string) =>
+    between(least, most, unit).check(z.int(`${unit} from ${String(least)} to ${String(most)}`));
 const port = z.coerce.number({ error: portRange }).check(z.int(portRange), z.gte(1, portRange), z.lte(65_535, portRange));
 
 const schema = z.strictObject({
@@ -17,6 +23,16 @@
     logLevel: z._default(z.enum(logLevels, { error: `one of ${logLevels.join(", ")}` }), "info"),
     /** Port of the pages for operators: liveness, readiness, dump and metrics. */
     adminPort: z._default(port, 9_464),
+    /** Requests of one client connection that are parsed and not answered. */
+    clientPipelined: z._default(wholeBetween(1, 1_000, "a number of requests"), 8),
+    /** Bytes of a message besides header section and content, in addition to those allowed for each byte of content. */
+    clientOverheadBytes: z._default(wholeBetween(1_024, 16_777_216, "a number of bytes"), 65_536),
+    /** Least rate at which the body of a request arrives, in bytes per second. */
+    clientMinRate: z._default(wholeBetween(1, 1_000_000, "bytes per second"), 100),
+    /** Window over which the rate is measured, in milliseconds. */
+    clientStallMs: z._default(wholeBetween(500, 600_000, "milliseconds"), 5_000),
+    /** Share of the machine's memory that may be held for clients. */
+    clientMemoryShare: z._default(between(0.01, 0.9, "a share"), 0.25),
 });
 
 export type DaemonSettings = z.infer<typeof schema>;
--- a/src/observe/denialRecorder.ts
+++ b/src/observe/denialRecorder.ts
@@ -1,5 +1,6 @@
 /** Records the listener's answers to input that it does not accept as a request, in the log and in the metrics. */
 import type { Denial } from "../entry/clientConnection.js";
+import type { ReachedLimit } from "../entry/clientHttp.js";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
 
@@ -10,3 +11,11 @@
         log.warn("input denied", { ...denial, ...connection });
     };
 }
+
+/** Creates a function that records one limit that a client has reached. */
+export function createLimitRecorder(log: Log, metrics: Metrics): (reached: ReachedLimit) => void {
+    return ({ connection, ...reached }) => {
+        metrics.clientLimits.inc({ limit: reached.limit });
+        log.warn("limit reached", { ...reached, ...connection });
+    };
+}
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -17,6 +17,7 @@
     readonly relayedConnections: Counter<"side">;
     readonly leaseCalls: Counter<"target" | "call">;
     readonly lostAttempts: Counter<"target" | "process">;
+    readonly clientLimits: Counter<"limit">;
     readonly eventLoopDelayMs: Histogram;
     /** Adds a gauge whose value is read when the metrics are exported. */
     gauge(name: string, help: string, read: () => number): void;
@@ -80,6 +81,11 @@
             help: "Attempts whose connection ended before the response was complete, by target and whether its process still listened then.",
             labelNames: ["target", "process"], registers,
         }),
+        clientLimits: new Counter({
+            name: "hornbeam_client_limits_total",
+            help: "Requests refused and connections closed because of what this host held for clients, by limit.",
+            labelNames: ["limit"], registers,
+        }),
         eventLoopDelayMs: new Histogram({
             name: "hornbeam_event_loop_delay_ms", help: "Time that the event loop kept a due timer waiting, in milliseconds.",
             buckets: latencyBucketsMs, registers,
--- a/test/entry/listenerUnderTest.ts
+++ b/test/entry/listenerUnderTest.ts
@@ -4,7 +4,7 @@
 import { createSystemClock } from "../../src/adapters/systemClock.js";
 import type { ClientCall } from "../../src/entry/clientCall.js";
 import type { Denial } from "../../src/entry/clientConnection.js";
-import type { ClientHttp } from "../../src/entry/clientHttp.js";
+import type { ClientHttp, HoldingLimits, ReachedLimit } from "../../src/entry/clientHttp.js";
 import { createClientHttp } from "../../src/entry/clientHttp.js";
 import type { RouteId, ServiceId } from "../../src/model/names.js";
 import type { ClientLimits, RoutingConfig } from "../../src/model/routing.js";
@@ -19,6 +19,11 @@
 /** Limits that the listener starts with in these tests. */
 export const limits: ClientLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 };
 
+/** Limits on what clients make the listener hold in these tests. */
+export const holdingLimits: HoldingLimits = {
+    maxBytes: 100_000_000, maxConnections: 1_000, maxPipelined: 8, minBytesPerSecond: 100, stallMs: 5_000, maxOverheadBytes: 65_536,
+};
+
 /** Header by which a request states how the service treats it; see `treatments`. */
 export const treatmentHeader = "treatment";
 
@@ -121,6 +126,7 @@
     /** Ids of the requests that reached the service, in order. */
     servedIds: string[];
     denials: Denial[];
+    reachedLimits: ReachedLimit[];
     errors: unknown[];
     /** What the host knows of its limits; true at first. */
     areLimitsConfirmed: boolean;
@@ -129,8 +135,11 @@
 /**
  * Starts the listener.
  * @param initial limits that it gets before it listens, or `none` before the first configuration
+ * @param holding limits on what clients make it hold that differ from `holdingLimits`
  */
-export async function startListener(initial: ClientLimits | "none" = limits): Promise<ListenerUnderTest> {
+export async function startListener(
+    initial: ClientLimits | "none" = limits, holding: Partial<HoldingLimits> = {},
+): Promise<ListenerUnderTest> {
     const routes = createRouteTable({
         version: 1, services: [], limits,
         routes: [{
@@ -140,6 +149,7 @@
     } satisfies RoutingConfig);
     const servedIds: string[] = [];
     const denials: Denial[] = [];
+    const reachedLimits: ReachedLimit[] = [];
     const errors: unknown[] = [];
     const knowledge = { areLimitsConfirmed: true };
     const clients = createClientHttp({
@@ -154,6 +164,8 @@
             await treatments[index < 0 ? "served" : call.forwardHeaders[index + 1] ?? ""]?.(call);
         },
         onDenied: (denial) => denials.push(denial),
+        holdingLimits: { ...holdingLimits, ...holding },
+        onLimit: (reached) => reachedLimits.push(reached),
         onUnexpectedError: (error) => errors.push(error),
     });
     if (initial !== "none") {
@@ -161,5 +173,5 @@
     }
     const port = await freePort();
     (await clients.listen(`127.0.0.1:${String(port)}`, 0))._unsafeUnwrap();
-    return Object.assign(knowledge, { clients, port, servedIds, denials, errors });
+    return Object.assign(knowledge, { clients, port, servedIds, denials, reachedLimits, errors });
 }
