--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -21,6 +21,7 @@
     readonly relayedConnections: Counter<"side">;
     readonly leaseCalls: Counter<"target" | "call">;
     readonly lostAttempts: Counter<"target" | "process">;
+    readonly clientLimits: Counter<"limit">;
     readonly eventLoopDelayMs: Histogram;
     readonly invalidLoadReports: Counter<"target">;
     readonly workTimeRatio: Histogram;
@@ -90,6 +91,11 @@
             help: "Attempts whose connection ended before the response was complete, by target and whether its process still listened then.",
             labelNames: ["target", "process"], registers,
         }),
+        clientLimits: new Counter({
+            name: "hornbeam_client_limits_total",
+            help: "Requests refused and connections closed because of what this host held for clients, by limit.",
+            labelNames: ["limit"], registers,
+        }),
         eventLoopDelayMs: new Histogram({
             name: "hornbeam_event_loop_delay_ms", help: "Time that the event loop kept a due timer waiting, in milliseconds.",
             buckets: latencyBucketsMs, registers,
