--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -227,8 +227,7 @@
         clock: from.resolve(tokens.clock),
         dataCentreId: settings.dataCentreId, drainMs,
         isLoadManaged: () => isLoadManaged(settings, from.resolve(tokens.view).config?.config),
-        usesDataCentreQueues: () => isLoadManaged(settings, from.resolve(tokens.view).config?.config)
-            && from.resolve(tokens.queueHosts).keepDataCentreQueues(),
+        usesDataCentreQueues: () => settings.loadManagement && from.resolve(tokens.queueHosts).keepDataCentreQueues(),
         configAgeMs: (nowMs) => from.resolve(tokens.node).configAgeMs(nowMs),
         random: from.resolve(tokens.random),
         sharesScarceCapacity: settings.sharesScarceCapacity,
