Act on the read-through: rates of clients, starved kinds, refusals in explain, wording

A fresh reader of the whole change found: clients that owe nothing were closed for memory before clients whose bodies do not move, since counters of different duties were subtracted; a starved kind without waiting requests hid another one; explain had no text for three new reasons; a stand-in that ends early could hang the build. The test of what is closed for memory sets the progress at the start first, since a rate is known from the second check on; the order that it expects is the same. Names and comments that needed a second reading are replaced.

--- a/deploy/codeCache.mjs
+++ b/deploy/codeCache.mjs
@@ -16,6 +16,7 @@
 const address = "127.0.0.1";
 const readyTimeoutMs = 20_000;
 const writeTimeoutMs = 10_000;
+const sendTimeoutMs = 5_000;
 const pollMs = 50;
 const requestsPerPhase = 60;
 const requestGapMs = 15;
@@ -42,7 +43,11 @@
 
 /** Flags of the runtime with which the platform starts the daemon. */
 function deployedFlags() {
-    return /^run = "node (.*?) \S+\.cjs/m.exec(readFileSync("deploy/system.toml", "utf8"))?.[1].split(" ") ?? [];
+    const flags = /^run = "node (.*?) \S+\.cjs/m.exec(readFileSync("deploy/system.toml", "utf8"))?.[1];
+    if (flags === undefined) {
+        throw new Error("system.toml states no flags of the runtime");
+    }
+    return flags.split(" ");
 }
 
 async function freePort() {
@@ -57,9 +62,10 @@
 /** Sends a request and returns its status, 0 if there was no response. */
 function send(port, path, options = {}) {
     return new Promise((resolve) => {
-        const request = http.request({ host: address, port, path, ...options }, (response) => {
+        const request = http.request({ host: address, port, path, timeout: sendTimeoutMs, ...options }, (response) => {
             response.resume().on("close", () => resolve(response.statusCode));
         });
+        request.on("timeout", () => request.destroy());
         request.on("error", () => resolve(0));
         request.end(options.body);
     });
@@ -80,7 +86,11 @@
     };
     const startStandIn = async (args) => {
         const child = startProcess(["target/hornbeam-standin.cjs", ...args], { stdio: ["ignore", "pipe", "ignore"] });
-        const [line] = await once(createInterface({ input: child.stdout }), "line");
+        const hasEnded = once(child, "exit").then(() => {
+            throw new Error(`the stand-in ${args[0]} ended before it was ready`);
+        });
+        const [line] = await Promise.race([once(createInterface({ input: child.stdout }), "line"), hasEnded]);
+        hasEnded.catch(() => undefined);
         return { child, address: String(line).split(" ").at(-1) };
     };
     const startHost = async (name, storeAddress, args) => {
--- a/src/admission/admissionQueue.ts
+++ b/src/admission/admissionQueue.ts
@@ -239,7 +239,7 @@
         if (free.length === 0) {
             return undefined;
         }
-        const starved = this.sharing?.reservedSlots.starvedPriority(nowMs);
+        const starved = this.sharing?.reservedSlots.starvedPriority((priority) => this.waiting.hasPriority(priority), nowMs);
         return (starved === undefined ? undefined : this.chooseAmong(free, nowMs, starved)) ?? this.chooseAmong(free, nowMs);
     }
 
--- a/src/admission/admissionRequest.ts
+++ b/src/admission/admissionRequest.ts
@@ -46,7 +46,7 @@
     | { kind: "granted"; ticket: Ticket; targetId: TargetId; expectedMs: number; isRateLimited: boolean }
     | {
         kind: "refused"; ticket: Ticket; reason: QueueRefusalReason; retryAfterMs: number;
-        /** Set if a slot was free but reserved for more urgent requests. */
+        /** Set if slots were reserved for more urgent requests. */
         isReserved?: true;
     };
 
--- a/src/admission/admissionServer.ts
+++ b/src/admission/admissionServer.ts
@@ -44,8 +44,8 @@
     /** Time after which a leaving target must not get new requests. */
     drainMs: number;
     /**
-     * Time during which a target counts as cold after it has become ready again, for example because an evacuation has ended: it may have
-     * become cold meanwhile, and has written an entry that tells by then.
+     * Time during which a target counts as cold after it has become ready again, for example at the end of an evacuation. By then this
+     * host has read a directory entry that states whether the target warms up.
      */
     coldAfterReturnMs: number;
     /** Returns whether a target has stopped answering. */
--- a/src/admission/callerShares.ts
+++ b/src/admission/callerShares.ts
@@ -24,16 +24,16 @@
 /** Largest number of callers known at once; the one not seen for the longest time is forgotten. */
 const maxCallers = 4_096;
 
-/** A caller with fewer recent slots than this is forgotten once it has none. */
+/** A caller with fewer recent slots than this and no waiting request is forgotten. */
 const negligibleSlots = 0.05;
 
-/** Number of callers above which a caller counts as above its share. */
+/** A caller that has or waits for more slots than this counts as above its share. */
 const shareSlots = 1.5;
 
 interface Caller {
-    /** Requests that wait or hold a slot. */
-    open: number;
-    /** Decayed number of slots granted, and of attempts before the time given. */
+    /** Requests that wait for a slot; a granted one counts in `recent`. */
+    waiting: number;
+    /** Decayed number of granted slots, and of attempts before the retry time. */
     recent: number;
     updatedMs: number;
     /** Earliest time to come back after a refusal, and end of the time in which that counts; undefined if it was not refused. */
@@ -52,7 +52,7 @@
      */
     arrive(request: AdmissionRequest, nowMs: number): number {
         const key = keyOf(request);
-        const caller = this.callers.get(key) ?? { open: 0, recent: 0, updatedMs: nowMs, returnFromMs: undefined, returnUntilMs: 0 };
+        const caller = this.callers.get(key) ?? { waiting: 0, recent: 0, updatedMs: nowMs, returnFromMs: undefined, returnUntilMs: 0 };
         this.callers.delete(key);
         this.callers.set(key, caller);
         this.forgetOldest();
@@ -65,8 +65,8 @@
             precedence = nowMs < caller.returnUntilMs ? returnPrecedence : 0;
             caller.returnFromMs = undefined;
         }
-        const rank = Math.min(maxRank, Math.round(caller.open + caller.recent)) - precedence;
-        caller.open += 1;
+        const rank = Math.min(maxRank, Math.round(caller.waiting + caller.recent)) - precedence;
+        caller.waiting += 1;
         return rank;
     }
 
@@ -77,7 +77,7 @@
             decay(caller, nowMs);
             caller.recent = Math.min(maxRank, caller.recent + 1);
             // From here on the slot counts among the recent ones.
-            caller.open = Math.max(0, caller.open - 1);
+            caller.waiting = Math.max(0, caller.waiting - 1);
         }
     }
 
@@ -85,7 +85,7 @@
     leave(request: AdmissionRequest): void {
         const caller = this.callers.get(keyOf(request));
         if (caller !== undefined) {
-            caller.open = Math.max(0, caller.open - 1);
+            caller.waiting = Math.max(0, caller.waiting - 1);
         }
     }
 
@@ -103,7 +103,7 @@
     removeUnused(nowMs: number): void {
         for (const [key, caller] of this.callers) {
             decay(caller, nowMs);
-            if (caller.open === 0 && caller.recent < negligibleSlots && nowMs >= caller.returnUntilMs) {
+            if (caller.waiting === 0 && caller.recent < negligibleSlots && nowMs >= caller.returnUntilMs) {
                 this.callers.delete(key);
             }
         }
@@ -119,7 +119,7 @@
         let count = 0;
         for (const caller of this.callers.values()) {
             decay(caller, nowMs);
-            count += caller.open + caller.recent > shareSlots ? 1 : 0;
+            count += caller.waiting + caller.recent > shareSlots ? 1 : 0;
         }
         return count;
     }
--- a/src/admission/queueHosts.ts
+++ b/src/admission/queueHosts.ts
@@ -15,7 +15,7 @@
     private readonly rankedByQueue = new Map<string, readonly Member[]>();
     private rankedVersion: number;
     private checkedVersion: number | undefined;
-    private canAllKeep = false;
+    private allCanKeep = false;
 
     constructor(private readonly membership: Membership, private readonly view: ClusterView) {
         this.rankedVersion = membership.version;
@@ -42,12 +42,12 @@
      * Returns whether every host can keep the queue of a service in one data centre. As long as one can't, all hosts use the queue of the
      * whole service, so that the slots of a target are counted in one place.
      */
-    keepDataCentreQueues(): boolean {
+    canAllKeepDataCentreQueues(): boolean {
         if (this.checkedVersion !== this.membership.version) {
             this.checkedVersion = this.membership.version;
-            this.canAllKeep = this.membership.members().every(({ keepsDataCentreQueues }) => keepsDataCentreQueues === true);
+            this.allCanKeep = this.membership.members().every(({ keepsDataCentreQueues }) => keepsDataCentreQueues === true);
         }
-        return this.canAllKeep;
+        return this.allCanKeep;
     }
 
     /**
--- a/src/admission/reservedSlots.ts
+++ b/src/admission/reservedSlots.ts
@@ -75,7 +75,8 @@
     private readonly running = new Map<Ticket, RunningWork>();
     /** Changes whenever a cached value may have changed. */
     private version = 0;
-    private readonly freeFor = new Map<number, { version: number; nowMs: number; slots: number }>();
+    /** Cached results of `reservedFrom`. */
+    private readonly reservedByPriority = new Map<number, { version: number; nowMs: number; slots: number }>();
 
     constructor(private readonly targets: QueueTargets) {}
 
@@ -138,13 +139,13 @@
         if (this.kinds.size < 2 || this.targets.isEveryRateLimited) {
             return 0;
         }
-        const cached = this.freeFor.get(priority);
+        const cached = this.reservedByPriority.get(priority);
         if (cached !== undefined && cached.version === this.version && cached.nowMs === nowMs) {
             return cached.slots;
         }
         const slots = this.computeReserved(priority, nowMs);
         if (this.kinds.has(priority)) {
-            this.freeFor.set(priority, { version: this.version, nowMs, slots });
+            this.reservedByPriority.set(priority, { version: this.version, nowMs, slots });
         }
         return slots;
     }
@@ -165,8 +166,8 @@
     }
 
     /**
-     * Returns the slots that requests of a priority and more urgent ones have to themselves and that are not needed for those in time,
-     * in slots of targets of average speed.
+     * Returns the slots kept free for requests of a priority and more urgent ones, less the load of these requests, in slots of targets of
+     * average speed; 0 for the least urgent kind.
      */
     spareReserved(priority: number, effectiveSlots: number, nowMs: number): number {
         const slots = this.openSlots();
@@ -193,10 +194,12 @@
     }
 
     /**
-     * Returns the priority of a kind that is below its minimum and may have the next slot before more urgent requests; undefined if there
-     * is none. Such a kind goes first only while it holds less than `minimumShare` of the slots.
+     * Returns the priority of a kind with waiting requests that is below its minimum and may have the next slot before more urgent ones;
+     * undefined if there is none. Such a kind goes first only while it holds less than `minimumShare` of the slots.
+     * @param isWaiting tells whether a request of a priority waits
+     * @param nowMs current time
      */
-    starvedPriority(nowMs: number): number | undefined {
+    starvedPriority(isWaiting: (priority: number) => boolean, nowMs: number): number | undefined {
         if (this.kinds.size < 2) {
             return undefined;
         }
@@ -210,7 +213,7 @@
         const minimumSlots = this.minimumSlots(this.openSlots());
         for (const kind of this.kinds.values()) {
             if (kind.offered > 0 && kind.running < minimumSlots
-                && kind.granted / kind.offered < minServedRatio * granted / offered) {
+                && kind.granted / kind.offered < minServedRatio * granted / offered && isWaiting(kind.priority)) {
                 return kind.priority;
             }
         }
@@ -223,13 +226,16 @@
             decay(kind, nowMs);
             if (kind.offered < negligibleCount && kind.running === 0) {
                 this.kinds.delete(kind.priority);
-                this.freeFor.delete(kind.priority);
+                this.reservedByPriority.delete(kind.priority);
                 this.version += 1;
             }
         }
     }
 
-    /** Returns the slots kept free from the least urgent kind, and of those it would need the slots that others may use meanwhile. */
+    /**
+     * Returns the free slots that the least urgent kind must leave, and the further ones that more urgent kinds are expected to need but
+     * that it may use now.
+     */
     totals(nowMs: number): { reserved: number; lent: number } {
         const leastUrgent = Math.max(...this.kinds.keys());
         if (this.kinds.size < 2) {
--- a/src/admission/waitingRequests.ts
+++ b/src/admission/waitingRequests.ts
@@ -15,6 +15,11 @@
         return this.requests.length;
     }
 
+    /** Tells whether a request of a priority waits. */
+    hasPriority(priority: number): boolean {
+        return this.requests.some((request) => request.priority === priority);
+    }
+
     /** Adds a request. */
     add(request: AdmissionRequest): void {
         this.requests.push(request);
--- a/src/admission/workEstimates.ts
+++ b/src/admission/workEstimates.ts
@@ -2,7 +2,7 @@
  * Learns how work times are distributed, by kind of request.
  *
  * Load pattern: requests of one kind whose work times differ several-fold, and a few in a hundred that take many times the mean. With such
- * a distribution the requests that have run longest have the most work left, so the mean less the elapsed time is wrong in sign.
+ * a distribution the requests that have run longest have the most work left, while the mean less the elapsed time falls.
  */
 import { hash } from "../model/rendezvous.js";
 
@@ -27,7 +27,7 @@
 const priorRatios = [0.27, 0.42, 0.56, 0.7, 0.88, 1.1, 1.46, 2.28];
 const priorWeight = 0.5;
 
-/** Mean logarithm of such a distribution, relative to the logarithm of its mean. */
+/** Mean logarithm of the assumed distribution less the logarithm of its mean. */
 const priorMeanLog = -0.245;
 
 /** A work time counts as at most this multiple of the mean, so that one absurd observation has a bounded effect. */
@@ -85,7 +85,7 @@
     private unrefreshed = 0;
     private plannedMs = 0;
     private middleMs = 0;
-    private meanLogMs: number;
+    private meanLogValue: number;
 
     /**
      * @param index number of the kind, for arrays with a value for each kind
@@ -96,7 +96,7 @@
         for (const ratio of priorRatios) {
             this.add(startMs * ratio, priorWeight);
         }
-        this.meanLogMs = Math.log(startMs) + priorMeanLog;
+        this.meanLogValue = Math.log(startMs) + priorMeanLog;
         this.refresh();
     }
 
@@ -107,7 +107,7 @@
 
     /** Mean logarithm of the observed durations, which long requests shift far less than the mean. */
     get meanLog(): number {
-        return this.meanLogMs;
+        return this.meanLogValue;
     }
 
     /** True once enough requests have been observed. */
@@ -115,11 +115,6 @@
         return this.observations >= minKnown;
     }
 
-    /** Work time that most requests do not exceed. */
-    get upperMs(): number {
-        return this.plannedMs;
-    }
-
     /** Work time that half of the requests do not exceed. */
     get medianMs(): number {
         return this.middleMs;
@@ -190,7 +185,7 @@
         this.add(Math.min(limitMs, workMs), weight);
         this.observations += 1;
         const logWeight = weight * Math.max(minLogWeight, 1 / (this.observations + 1));
-        this.meanLogMs += logWeight * (Math.log(Math.max(1, Math.min(limitMs, tookMs))) - this.meanLogMs);
+        this.meanLogValue += logWeight * (Math.log(Math.max(1, Math.min(limitMs, tookMs))) - this.meanLogValue);
         this.unrefreshed += 1;
         if (this.unrefreshed >= refreshInterval || this.observations <= fewObservations) {
             this.refresh();
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -52,15 +52,15 @@
     const nowMs = () => clock.now().monoMs;
 
     /**
-     * Reads the configuration topic while the term is claimed, so that the successor plans with the evacuations that are in force. The
-     * claim is a store call too and takes about as long; it does not wait for this reading, which may fail alone.
+     * Starts reading the configuration topic, so that the successor plans with the evacuations in force. The claim does not wait for the
+     * reading, which may fail on its own.
      */
-    const readConfiguration = () => {
+    const startReadingConfiguration = () => {
         void reader.read("configuration", 0);
     };
 
     const takeOver = async (coordinator: PeerConnection): Promise<boolean> => {
-        readConfiguration();
+        startReadingConfiguration();
         const reply = await coordinator.call<ResignReply>(clusterMethods.resign, {}, callTimeoutMs);
         if (reply.isErr() || !reply.value.resigned || !isDurationMs(reply.value.grantsLastMs)) {
             return false;
@@ -105,7 +105,7 @@
                     return;
                 }
                 if (isRead && nowMs() >= claimAtMs) {
-                    readConfiguration();
+                    startReadingConfiguration();
                     await claims.claim();
                     return;
                 }
--- a/src/control/explain.ts
+++ b/src/control/explain.ts
@@ -57,13 +57,16 @@
     "header-late": "The client did not send the whole header section in time.",
     "incomplete": "The client ended its side of the connection in the middle of a request.",
     "no-host-header": "The request had no Host header.",
+    "excess-framing": "The message had far more empty lines, zeros, chunk extensions or trailers than content.",
+    "misframed": "The host and its parser disagreed on where the request ends.",
+    "host-full": "The host held as much for its clients as it may; other hosts may have room.",
     "unknown-expectation": "The request had an Expect header other than 100-continue.",
     "lost": "The connection to the target ended before the answer was complete; the request may have run.",
 };
 
 /** Reasons that can be due to the evacuation of a data centre, whose targets get no new requests. */
 const reasonsByEvacuation: ReadonlySet<string> = new Set([
-    "no-target", "owner-unknown", "owner-silent", "overloaded", "rate-limited", "target-paused",
+    "no-target", "owner-unknown", "owner-silent", "overloaded", "capacity-reserved", "rate-limited", "target-paused",
 ]);
 
 /** Reasons that blame the request by the configuration in force; its latest changes are related. */
--- a/src/entry/clientAccount.ts
+++ b/src/entry/clientAccount.ts
@@ -118,7 +118,7 @@
         }
     }
 
-    /** Returns the connection to close if there are too many: the one without a request for the longest, or the newest one. */
+    /** Returns the connection to close if there are too many: the one without a request for the longest, or the newest if all have one. */
     connectionBeyondLimit(): C | undefined {
         if (this.holdings.size <= this.limits.maxConnections) {
             return undefined;
@@ -175,28 +175,28 @@
      */
     check(nowMs: number, stateOf: (connection: C) => ConnectionProgress): { connection: C; reason: CloseReason }[] {
         const closed: { connection: C; reason: CloseReason }[] = [];
-        const candidates: { connection: C; cost: number; rate: number }[] = [];
+        const candidates: { connection: C; costBytes: number; bytesPerMs: number }[] = [];
         this.closing = isBeyond(this.totalBytes / this.limits.maxBytes, closeShare, this.closing);
         for (const [connection, holdings] of this.holdings) {
             const state = stateOf(connection);
-            const { window } = holdings;
-            const rate = (state.progressBytes - window.progressBytes + 1) / Math.max(1, nowMs - window.startMs);
+            const bytesPerMs = rateOf(holdings.window, state, nowMs);
             const reason = this.judge(holdings, state, nowMs);
             if (reason !== undefined) {
                 closed.push({ connection, reason });
             }
             else if (this.closing && (holdings.requestCount > 0 || holdings.bytes > 0)) {
-                candidates.push({ connection, cost: costOf(holdings), rate });
+                candidates.push({ connection, costBytes: costOf(holdings), bytesPerMs });
             }
         }
         if (closed.length === 0 && candidates.length > 0) {
-            candidates.sort((one, other) => other.cost / other.rate - one.cost / one.rate);
+            candidates.sort((one, other) =>
+                other.costBytes / other.bytesPerMs - one.costBytes / one.bytesPerMs || other.costBytes - one.costBytes);
             let excessBytes = this.totalBytes - closeShare.end * this.limits.maxBytes;
-            for (const { connection, cost } of candidates.slice(0, maxClosedPerCheck)) {
+            for (const { connection, costBytes } of candidates.slice(0, maxClosedPerCheck)) {
                 if (excessBytes <= 0) {
                     break;
                 }
-                excessBytes -= cost;
+                excessBytes -= costBytes;
                 closed.push({ connection, reason: "memory" });
             }
         }
@@ -229,6 +229,13 @@
     }
 }
 
+/** Returns the rate at which a client does its duty; infinite while it has none, or has just got another one. */
+function rateOf(window: ProgressWindow, { duty, progressBytes }: ConnectionProgress, nowMs: number): number {
+    return duty === "none" || duty !== window.duty
+        ? Number.POSITIVE_INFINITY
+        : Math.max(1, progressBytes - window.progressBytes) / Math.max(1, nowMs - window.startMs);
+}
+
 function costOf({ requestCount, bytes }: ClientHoldings): number {
     return connectionBytes + requestCount * requestBytes + bytes;
 }
--- a/src/entry/requestFraming.ts
+++ b/src/entry/requestFraming.ts
@@ -7,7 +7,7 @@
 export type FramingError =
     /** Empty lines, zeros, chunk extensions or trailers beyond the limit. */
     | "excess-framing"
-    /** A chunk that is no chunk. */
+    /** Input that breaks the syntax of chunked content. */
     | "invalid-chunk";
 
 /** How the body of a request is framed. */
@@ -28,6 +28,11 @@
 const space = 32;
 const semicolon = 59;
 const deleteCharacter = 127;
+const digitZero = 48;
+const digitNine = 57;
+const lowerA = 97;
+const lowerF = 102;
+const lowerCaseBit = 32;
 
 const headEnd = Buffer.from("\r\n\r\n");
 const maxHeadEndPrefix = headEnd.length - 1;
@@ -60,7 +65,7 @@
     private chunkState: ChunkState = "size";
     private sizeDigits = 0;
     private hasSizeDigit = false;
-    private lastReadChunks = 0;
+    private joinedChunkCount = 0;
 
     /** @param maxOverheadBytes fixed allowance of a message for bytes that are neither header section nor content */
     constructor(private readonly maxOverheadBytes: number) {}
@@ -75,9 +80,9 @@
         return this.state === "head";
     }
 
-    /** Number of chunks that the last piece of a body was joined from. */
+    /** Number of chunk headers that the last call of `take` read. */
     get joinedChunks(): number {
-        return this.lastReadChunks;
+        return this.joinedChunkCount;
     }
 
     /** States how the body is framed of the request whose header section has just ended; undefined if it has none. */
@@ -98,6 +103,7 @@
      * @param input bytes that have arrived, not empty
      */
     take(input: Buffer): TakenInput | FramingError {
+        this.joinedChunkCount = 0;
         if (this.state === "between") {
             return this.skipEmptyLines(input);
         }
@@ -164,7 +170,6 @@
     private takeChunks(input: Buffer): TakenInput | FramingError {
         let contentBytes = 0;
         let position = 0;
-        this.lastReadChunks = 0;
         let firstContent = 0;
         while (position < input.length && this.chunkState !== "end") {
             if (this.chunkState === "content") {
@@ -221,7 +226,7 @@
                 return byte === carriageReturn || isFieldByte(byte);
             case "size-end":
                 this.chunkState = this.remainingBytes === 0 ? "trailer-start" : "content";
-                this.lastReadChunks += 1;
+                this.joinedChunkCount += 1;
                 return byte === lineFeed;
             case "content-end":
                 this.chunkState = "content-line-end";
@@ -277,11 +282,11 @@
 
 /** Returns -1 for a byte that is no hexadecimal digit. */
 function hexDigitOf(byte: number): number {
-    if (byte >= 48 && byte <= 57) {
-        return byte - 48;
+    if (byte >= digitZero && byte <= digitNine) {
+        return byte - digitZero;
     }
-    const lower = byte | 32;
-    return lower >= 97 && lower <= 102 ? lower - 87 : -1;
+    const lower = byte | lowerCaseBit;
+    return lower >= lowerA && lower <= lowerF ? lower - lowerA + 10 : -1;
 }
 
 /** Tells whether a byte may stand in the value of a field. */
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -33,7 +33,7 @@
 /** Retry delay sent to clients if no target is available, or if none ran the request in the permitted attempts. */
 export const retryAfterUnreachableMs = 250;
 
-/** Bodies of at least this size are classed by size; each class is four times as large as the one before. Uploads have 60 KB on average. */
+/** Bodies of at least this size are classed by size; each class is four times as large as the one before. */
 const minClassedBytes = 16_384;
 const maxSizeClass = 4;
 
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -51,8 +51,8 @@
 /** Share of the allowed time during which requests are still sent to a target that is about to stop, or that is evacuated. */
 const drainShare = 0.65;
 
-/** Number of heartbeats of a target after which this host has certainly read an entry that it wrote since. */
-const heartbeatsUntilTold = 3;
+/** Number of a target's heartbeats within which this host reads an entry that the target wrote after its return. */
+const heartbeatsUntilEntryRead = 3;
 
 /** Number of characters in a run id. */
 const runIdLength = 8;
@@ -128,7 +128,7 @@
         const clock = from.resolve(tokens.clock);
         return createAdmissionServer({
             view: from.resolve(tokens.view), clock, drainMs,
-            coldAfterReturnMs: settings.targetHeartbeatMs * heartbeatsUntilTold,
+            coldAfterReturnMs: settings.targetHeartbeatMs * heartbeatsUntilEntryRead,
             random: from.resolve(tokens.random),
             isSilent: (targetId) => owners.isSilent(targetId, clock.now().monoMs),
             isLoadManaged: () => isLoadManaged(settings, from.resolve(tokens.view).config?.config),
@@ -227,7 +227,7 @@
         clock: from.resolve(tokens.clock),
         dataCentreId: settings.dataCentreId, drainMs,
         isLoadManaged: () => isLoadManaged(settings, from.resolve(tokens.view).config?.config),
-        usesDataCentreQueues: () => settings.loadManagement && from.resolve(tokens.queueHosts).keepDataCentreQueues(),
+        usesDataCentreQueues: () => settings.loadManagement && from.resolve(tokens.queueHosts).canAllKeepDataCentreQueues(),
         configAgeMs: (nowMs) => from.resolve(tokens.node).configAgeMs(nowMs),
         random: from.resolve(tokens.random),
         sharesScarceCapacity: settings.sharesScarceCapacity,
--- a/src/observe/denialRecorder.ts
+++ b/src/observe/denialRecorder.ts
@@ -1,4 +1,4 @@
-/** Records the listener's answers to input that it does not accept as a request, in the log and in the metrics. */
+/** Records input that the listener denies, and limits that clients reach, in the log and in the metrics. */
 import type { Denial } from "../entry/clientConnection.js";
 import type { ReachedLimit } from "../entry/clientHttp.js";
 import type { Log } from "./log.js";
--- a/src/store/evacuations.ts
+++ b/src/store/evacuations.ts
@@ -1,4 +1,4 @@
-/** The data centres that operators have evacuated, as far as this host has read the records of that. */
+/** The data centres that operators have evacuated, by the records that this host has read. */
 import type { DataCentreId, Offset } from "../model/names.js";
 
 /** Beginning or end of an evacuation. */
--- a/test/admission/dataCentreQueues.spec.ts
+++ b/test/admission/dataCentreQueues.spec.ts
@@ -153,8 +153,8 @@
     it("are not used while a host of an earlier version would count the same slots in another queue", () => {
         const membership = new Membership(member("a", here));
         const queueHosts = new QueueHosts(membership, new ClusterView());
-        expect(queueHosts.keepDataCentreQueues()).to.equal(true);
+        expect(queueHosts.canAllKeepDataCentreQueues()).to.equal(true);
         membership.update([member("b", there, { keepsDataCentreQueues: undefined })]);
-        expect(queueHosts.keepDataCentreQueues()).to.equal(false);
+        expect(queueHosts.canAllKeepDataCentreQueues()).to.equal(false);
     });
 });
--- a/test/entry/clientAccount.spec.ts
+++ b/test/entry/clientAccount.spec.ts
@@ -73,8 +73,12 @@
     });
 
     it("closes those that hold most and progress least, as few as suffice", () => {
-        for (const [connection, bytes] of [["slow", 400_000], ["fast", 450_000], ["small", 80_000]] as const) {
+        const bytesByConnection = { slow: 400_000, fast: 450_000, small: 80_000 };
+        for (const connection of Object.keys(bytesByConnection)) {
             account.open(connection, 0);
+        }
+        account.check(0, () => ({ duty: "body", progressBytes: 0, isPaused: false }));
+        for (const [connection, bytes] of Object.entries(bytesByConnection)) {
             account.add(connection, bytes);
         }
         const stateOf = (connection: string): ConnectionProgress =>
@@ -84,6 +88,20 @@
         expect(account.check(600, stateOf)).to.deep.equal([]);
     });
 
+    // Guards against closing callers that only wait for their response, before clients whose bodies do not move.
+    it("closes those that owe nothing only after those that do", () => {
+        for (const connection of ["waiting", "sending"]) {
+            account.open(connection, 0);
+        }
+        const stateOf = (connection: string): ConnectionProgress => connection === "waiting"
+            ? { duty: "none", progressBytes: 0, isPaused: false }
+            : { duty: "body", progressBytes: 50, isPaused: false };
+        account.check(0, stateOf);
+        account.add("waiting", 500_000);
+        account.add("sending", 450_000);
+        expect(account.check(500, stateOf)).to.deep.equal([{ connection: "sending", reason: "memory" }]);
+    });
+
     it("closes the connection that was unused for the longest if there are too many, and forgets what is closed", () => {
         for (const connection of ["a", "b", "c", "d"]) {
             account.open(connection, 0);
