--- a/src/admission/retryBudget.ts
+++ b/src/admission/retryBudget.ts
@@ -28,7 +28,8 @@
         return true;
     }
 
-    private availableTokens(): number {
+    /** Retries that may be sent now; a fraction counts towards the next one. */
+    availableTokens(): number {
         return Math.min(this.maxTokens(), this.tokens ?? this.maxTokens());
     }
 }
--- a/src/admission/retryBudgets.ts
+++ b/src/admission/retryBudgets.ts
@@ -19,6 +19,8 @@
     onRequest(serviceId: ServiceId): void;
     /** Takes one retry out of the service's budget; returns false if the budget is exhausted. */
     take(serviceId: ServiceId): boolean;
+    /** Returns the retries left in the service's budget; a fraction counts towards the next one. */
+    left(serviceId: ServiceId): number;
 }
 
 /**
@@ -39,5 +41,6 @@
             budgetOf(serviceId).onFirstAttempt();
         },
         take: (serviceId) => budgetOf(serviceId).tryRetry(),
+        left: (serviceId) => budgetOf(serviceId).availableTokens(),
     };
 }
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -282,10 +282,14 @@
             context);
     };
 
+    const recordRetry = ({ call, route, service, attemptCount }: RequestContext, { target }: TargetSlot, end: AttemptEnd) => {
+        requestLog.retried(call, route, target.targetId, end, { attemptCount, retriesLeft: dependencies.retries.left(service.serviceId) });
+    };
+
     /** Logs that a request is sent again in a slot that is reserved for it; on an unexpected error the slot is given back. */
-    const recordRetry = ({ call, route }: RequestContext, { target }: TargetSlot, end: AttemptEnd, reservedSlot: TargetSlot) => {
+    const recordRetryInSlot = (context: RequestContext, slot: TargetSlot, end: AttemptEnd, reservedSlot: TargetSlot) => {
         try {
-            requestLog.retried(call, route, target.targetId, end);
+            recordRetry(context, slot, end);
         }
         catch (error) {
             reservedSlot.release({ kind: "dropped" });
@@ -311,7 +315,7 @@
             possiblyExecuted = mayHaveRun(end) ? moreInformativeEnd(possiblyExecuted, end) : possiblyExecuted;
             reservedSlot = retrySlot;
             if (reservedSlot !== undefined) {
-                recordRetry(context, placement, end, reservedSlot);
+                recordRetryInSlot(context, placement, end, reservedSlot);
                 continue;
             }
             switch (nextStep({ ...retryTerms(context, context.expectedMs), end, idempotent: context.route.idempotent })) {
@@ -329,7 +333,7 @@
                         context, possiblyExecuted, { reason: reasonIfNotRun(end), retryAfterMs: addJitter(retryAfterUnreachableMs) });
                     return;
                 case "retry":
-                    requestLog.retried(context.call, context.route, placement.target.targetId, end);
+                    recordRetry(context, placement, end);
                     await clock.sleep(retryDelayMs, context.call.clientLeft);
             }
         }
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -27,7 +27,7 @@
     readonly workTimeRatio: Histogram;
     /** Adds a gauge whose value is read when the metrics are exported. */
     gauge(name: string, help: string, read: () => number): void;
-    /** All metrics in the text format of Prometheus. */
+    /** All metrics in the text format of Prometheus. The histograms, which are long, come last: readers may cut the text off. */
     text(): Promise<string>;
 }
 
@@ -35,6 +35,8 @@
 export function createMetrics(): Metrics {
     const registry = new Registry();
     const registers = [registry];
+    const histogramRegistry = new Registry();
+    const histogramRegisters = [histogramRegistry];
     return {
         requests: new Counter({
             name: "hornbeam_requests_total", help: "Requests from clients, by route and outcome.",
@@ -50,7 +52,7 @@
         }),
         answerMs: new Histogram({
             name: "hornbeam_answer_ms", help: "Time from the arrival of a request to its response, in milliseconds.",
-            labelNames: ["route"], buckets: latencyBucketsMs, registers,
+            labelNames: ["route"], buckets: latencyBucketsMs, registers: histogramRegisters,
         }),
         attempts: new Counter({
             name: "hornbeam_attempts_total", help: "Requests sent to targets, by how the attempt ended.",
@@ -98,7 +100,7 @@
         }),
         eventLoopDelayMs: new Histogram({
             name: "hornbeam_event_loop_delay_ms", help: "Time that the event loop kept a due timer waiting, in milliseconds.",
-            buckets: latencyBucketsMs, registers,
+            buckets: latencyBucketsMs, registers: histogramRegisters,
         }),
         invalidLoadReports: new Counter({
             name: "hornbeam_invalid_load_reports_total", help: "Load reports of targets that are not valid and were ignored, by target.",
@@ -107,13 +109,13 @@
         workTimeRatio: new Histogram({
             name: "hornbeam_work_time_ratio",
             help: "Time that a target took for a request, divided by the time predicted when its slot was granted.",
-            buckets: ratioBuckets, registers,
+            buckets: ratioBuckets, registers: histogramRegisters,
         }),
         gauge: (name, help, read) => {
             new Gauge({ name, help, registers, collect() {
                 this.set(read());
             } });
         },
-        text: () => registry.metrics(),
+        text: async () => `${await registry.metrics()}\n${await histogramRegistry.metrics()}`,
     };
 }
--- a/src/observe/requestLog.ts
+++ b/src/observe/requestLog.ts
@@ -5,6 +5,12 @@
 import type { TargetId } from "../model/names.js";
 import type { Route } from "../model/routing.js";
 
+/** How often a request was sent, and what its service's retry budget has left at this host. */
+export interface RetryCounts {
+    attemptCount: number;
+    retriesLeft: number;
+}
+
 /** Records what happens to requests. */
 export interface RequestLog {
     /** A complete response of a target is sent, or has been streamed, to the client; `targetTookMs` is the time that the target took. */
@@ -12,7 +18,7 @@
     /** This host answers with an error of its own; `refusal` has the reason. */
     refused(call: ClientCall, refusal: Refusal, route: Route | undefined, triedTargetIds: ReadonlySet<TargetId> | undefined): void;
     /** The attempt at `targetId` ended with `end`, and the request is to be sent again if it gets another slot. */
-    retried(call: ClientCall, route: Route, targetId: TargetId, end: AttemptEnd): void;
+    retried(call: ClientCall, route: Route, targetId: TargetId, end: AttemptEnd, counts: RetryCounts): void;
     /** An attempt at a target has ended. */
     attemptEnded(targetId: TargetId, end: AttemptEnd): void;
     /** This host is cut off from a target at which `call` waits for its response; `isEnded` tells whether the attempt ends with that. */
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -64,9 +64,12 @@
                     : {},
             });
         },
-        retried: (call, route, targetId, end) => {
+        retried: (call, route, targetId, end, { attemptCount, retriesLeft }) => {
             metrics.retries.inc({ route: route.routeId, end: end.kind });
-            log.info("sent again", { ...commonFields(call), route: route.routeId, target: targetId, end: describeEnd(end) });
+            log.info("sent again", {
+                ...commonFields(call), route: route.routeId, target: targetId, end: describeEnd(end),
+                attempts: attemptCount, retriesLeft: Math.floor(retriesLeft * 10) / 10,
+            });
         },
         attemptEnded: (targetId, end) => {
             metrics.attempts.inc({ target: targetId, end: end.kind });
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -88,7 +88,7 @@
         const slow = await target("t-1", { afterMs: 700 });
         const other = await target("t-2", { afterMs: 1 });
         const queue: ScriptedQueue = { grants: [slow.targetId, other.targetId], ends: [], requestCount: 0 };
-        const retries = { onRequest: () => undefined, take: () => false };
+        const retries = { onRequest: () => undefined, take: () => false, left: () => 0 };
         const received = await serve(createTestForwarder([slow, other], queue, { retries }), plain);
         expect(received.status).to.equal(200);
         expect(other.arrivedMs).to.deep.equal([]);
--- a/test/forwarding/forwarderUnderTest.ts
+++ b/test/forwarding/forwarderUnderTest.ts
@@ -153,7 +153,7 @@
         owners: { changed: new Signal(), find: () => ({ kind: "owned", targetId: leaseOwner }) } as unknown as ForwarderDependencies["owners"],
         admission: { enter },
         splitter: new Splitter(() => 0),
-        retries: { onRequest: () => undefined, take: () => true },
+        retries: { onRequest: () => undefined, take: () => true, left: () => 1 },
         loads: { count: () => undefined } as unknown as ForwarderDependencies["loads"],
         requestLog: silentRequestLog,
         crashObserver: {
--- a/test/forwarding/unexpectedErrors.spec.ts
+++ b/test/forwarding/unexpectedErrors.spec.ts
@@ -145,7 +145,7 @@
             owners: {} as unknown as ForwarderDependencies["owners"],
             admission: { enter },
             splitter: new Splitter(() => 0),
-            retries: { onRequest: () => undefined, take: () => true },
+            retries: { onRequest: () => undefined, take: () => true, left: () => 1 },
             loads: { count: () => undefined } as unknown as ForwarderDependencies["loads"],
             requestLog: {
                 answered: () => undefined, refused: () => undefined, retried: () => undefined, clientLeft: () => undefined,
@@ -232,7 +232,7 @@
         expected: { status: 502, ends: ["lost"], runCount: 1 },
     },
     "an error before any slot is asked for gets 503": {
-        grants: [soundTarget], path: "/order/a", override: () => ({ retries: { onRequest: raise, take: () => true } }),
+        grants: [soundTarget], path: "/order/a", override: () => ({ retries: { onRequest: raise, take: () => true, left: () => 1 } }),
         expected: { status: 503, ends: [], runCount: 0 },
     },
     "an error while a slot is granted gives the slot back and gets 503": {
