--- a/src/admission/retryBudget.ts
+++ b/src/admission/retryBudget.ts
@@ -1,8 +1,8 @@
 /** Limits retries to a share of the first attempts, so that retries do not overload a failing target. */
 
-/** A token bucket: each first attempt adds a fraction of a token and each retry takes one. */
+/** A token bucket that starts empty: each first attempt adds a fraction of a token and each retry takes one. */
 export class RetryBudget {
-    private tokens: number | undefined;
+    private tokens = 0;
 
     /**
      * @param ratio retries allowed per first attempt
@@ -12,7 +12,7 @@
 
     /** Counts a first attempt. */
     onFirstAttempt(): void {
-        this.tokens = Math.min(this.maxTokens(), this.availableTokens() + this.ratio);
+        this.tokens = Math.min(this.maxTokens(), this.tokens + this.ratio);
     }
 
     /**
@@ -30,6 +30,6 @@
 
     /** Retries that may be sent now; a fraction counts towards the next one. */
     availableTokens(): number {
-        return Math.min(this.maxTokens(), this.tokens ?? this.maxTokens());
+        return Math.min(this.maxTokens(), this.tokens);
     }
 }
--- a/test/forwarding/retryPolicy.spec.ts
+++ b/test/forwarding/retryPolicy.spec.ts
@@ -72,10 +72,21 @@
 
     it("shrinks when it is shared by more hosts", () => {
         let hosts = 1;
-        const budget = new RetryBudget(0, () => 10 / hosts);
+        const budget = new RetryBudget(0.5, () => 10 / hosts);
+        for (let request = 0; request < 40; request++) {
+            budget.onFirstAttempt();
+        }
         hosts = 5;
         expect([1, 2, 3].filter(() => budget.tryRetry())).to.have.length(2);
     });
+
+    it("has no retries before requests have earned any", () => {
+        const budget = new RetryBudget(0.5, () => 10);
+        budget.onFirstAttempt();
+        expect(budget.tryRetry()).to.equal(false);
+        budget.onFirstAttempt();
+        expect(budget.tryRetry()).to.equal(true);
+    });
 });
 
 describe("hop-by-hop headers", () => {
