--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -161,9 +161,10 @@
         onMove: dependencies.onMove,
     });
 
-    const broadcastTargets = (changes: readonly TargetChange[]) => {
+    /** Broadcasts changes that had not been read for `unreadForMs` at most. */
+    const broadcastTargets = (changes: readonly TargetChange[], unreadForMs: number | undefined) => {
         if (changes.length > 0) {
-            log.info("targets changed", { changes: changes.map(({ targetId, entry }) => `${targetId} ${entry?.state ?? "gone"}`) });
+            log.info("targets changed", { changes: changes.map(({ targetId, entry }) => `${targetId} ${entry?.state ?? "gone"}`), unreadForMs });
             news.broadcast({ targets: changes });
         }
     };
@@ -200,8 +201,9 @@
             news.broadcast({});
         };
         const onTargetsRead = (askedAt: Instant, changes: readonly TargetChange[]) => {
+            const unreadForMs = targetsConfirmedAt === undefined ? undefined : Math.round(clock.now().monoMs - targetsConfirmedAt.monoMs);
             targetsConfirmedAt = askedAt;
-            broadcastTargets(changes);
+            broadcastTargets(changes, unreadForMs);
         };
         const stopListening = view.evacuationsChanged.listen(() => {
             news.broadcastEvacuations();
--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -4,6 +4,7 @@
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { Offset, Term } from "../model/names.js";
 import type { Clock } from "../model/time.js";
+import type { Log } from "../observe/log.js";
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { TopicReader } from "../store/topicReader.js";
@@ -30,6 +31,7 @@
     clock: Clock;
     checks: MessageChecks;
     configFetcher: ConfigFetcher;
+    log: Log;
     /** Latest term that this host knows. */
     latestTerm: () => Term | undefined;
 }
@@ -53,7 +55,7 @@
 
 /** Creates the receiver. */
 export function createNewsReceiver(
-    { view, reader, membership, owners, crashEvidence, configAge, clock, checks, configFetcher, latestTerm }: NewsReceiverDependencies,
+    { view, reader, membership, owners, crashEvidence, configAge, clock, checks, configFetcher, log, latestTerm }: NewsReceiverDependencies,
 ): NewsReceiver {
     let confirmedAtMs = Number.NEGATIVE_INFINITY;
     let ledgerConfirmedAtMs = Number.NEGATIVE_INFINITY;
@@ -71,7 +73,7 @@
             return;
         }
         confirmedAtMs = Math.max(confirmedAtMs, nowMs() - news.storeAgeMs);
-        view.applyTargets(news.targets ?? [], news.targetsUpTo, nowMs());
+        applyTargets(news);
         if (news.leavingTargets !== undefined) {
             view.applyLeaving(news.leavingTargets, nowMs());
             view.leavingReports.confirm(news.leavingTargets);
@@ -89,6 +91,9 @@
         }
         // The time that an update spent on its way, or unread at this host, adds to the ages that it states.
         const stateAtMs = Math.min(nowMs(), sentAtMs ?? news.sentAtMs ?? Number.NEGATIVE_INFINITY);
+        if (news.targetsDigest === view.targets.digest()) {
+            view.targets.confirm(stateAtMs - news.storeAgeMs);
+        }
         if (news.term === evacuationsTerm && news.configAgeMs !== undefined) {
             view.evacuations.confirm(stateAtMs - news.configAgeMs);
         }
@@ -114,6 +119,15 @@
         }
     };
 
+    /** Applies changes of targets; logs which ones leave, and for how long that may have been so. */
+    const applyTargets = ({ targets, targetsUpTo }: News) => {
+        const { confirmedAtMs: knownUntilMs } = view.targets;
+        const leaving = view.applyTargets(targets ?? [], targetsUpTo, nowMs()).filter(({ entry }) => entry?.state !== "ready");
+        if (leaving.length > 0) {
+            log.info("targets leave", { targets: leaving.map(({ targetId }) => targetId), unknownForMs: describeAge(nowMs() - knownUntilMs) });
+        }
+    };
+
     /** Applies a list of evacuations. One that is older than this host's own reading could bring back evacuations that have ended. */
     const applyEvacuations = ({ inForce, upTo }: EvacuationList) => {
         if (upTo >= view.configUpTo) {
@@ -191,3 +205,8 @@
         requestState: (from) => requestState(from),
     };
 }
+
+/** Rounds an age for the log; undefined if it is infinite. */
+function describeAge(ageMs: number): number | undefined {
+    return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+}
--- a/src/store/targetDirectory.ts
+++ b/src/store/targetDirectory.ts
@@ -37,6 +37,7 @@
     /** Targets in `known` that were removed from the directory. */
     private readonly goneIds = new Set<TargetId>();
     private combinedDigest = 0;
+    private confirmedMs = Number.NEGATIVE_INFINITY;
     private byService: ReadonlyMap<ServiceId, readonly KnownTarget[]> | undefined;
 
     /** Every target, including those that were removed recently. */
@@ -64,6 +65,16 @@
         });
     }
 
+    /** Latest monotonic time at which this host certainly knew every entry that the store had acknowledged by then. */
+    get confirmedAtMs(): number {
+        return this.confirmedMs;
+    }
+
+    /** Records that this host knew, at a monotonic time, every entry that the store had acknowledged by then. */
+    confirm(atMs: number): void {
+        this.confirmedMs = Math.max(this.confirmedMs, atMs);
+    }
+
     /** A hash that is equal on hosts that know the same targets with the same entries. */
     digest(): number {
         return this.combinedDigest;
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -207,6 +207,17 @@
         ledger: () => view.ledger.upTo,
     };
 
+    /** Records until when this host knows all records of a topic. */
+    const confirm: Record<TopicName, (atMs: number) => void> = {
+        configuration: (atMs) => {
+            view.evacuations.confirm(atMs);
+        },
+        targets: (atMs) => {
+            view.targets.confirm(atMs);
+        },
+        ledger: () => undefined,
+    };
+
     /** Reads every record from an offset to the end of the topic, in as many calls as it takes; `expired` if the store lacks some. */
     const readToEnd = async (topic: TopicName, from: Offset, waitMs: number): Promise<Result<ReadOutcome, Failure>> => {
         const records: StoreRecord[] = [];
@@ -231,10 +242,10 @@
         const from = nextOffsets[topic]();
         const askedAtMs = nowMs();
         const reading = await readFrom(topic, from, waitMs);
-        if (topic === "configuration" && reading.isOk()) {
+        if (reading.isOk()) {
             // A call that brought nothing new was held for all of its waiting time.
             const isHeld = nextOffsets[topic]() === from && nowMs() - askedAtMs >= waitMs;
-            view.evacuations.confirm(isHeld ? askedAtMs + waitMs : askedAtMs);
+            confirm[topic](isHeld ? askedAtMs + waitMs : askedAtMs);
         }
         return reading;
     };
--- a/test/cluster/evacuationNews.spec.ts
+++ b/test/cluster/evacuationNews.spec.ts
@@ -24,6 +24,7 @@
     const view = new ClusterView();
     view.applyConfig(undefined, readUpTo as Offset, readUpTo as Offset);
     const receiver = createNewsReceiver({
+        log: silentLog,
         view, clock, checks: createMessageChecks(silentLog), owners: new OwnerLookup(view, 1_000), crashEvidence: new CrashEvidence(),
         membership: new Membership({ hostId: "h1", runId: "r1", peerAddress: "h1:1", dataCentreId: "here", cpuShare: 1 } as Member),
         configAge: new ConfigAge(), configFetcher: { fetchFrom: () => Promise.resolve() }, latestTerm: () => 3 as Term,
--- a/test/cluster/newsReceiver.spec.ts
+++ b/test/cluster/newsReceiver.spec.ts
@@ -14,6 +14,7 @@
 import type { RoutingConfig } from "../../src/model/routing.js";
 import { OwnerLookup } from "../../src/ownership/ownerLookup.js";
 import { ClusterView } from "../../src/store/clusterView.js";
+import { silentLog } from "../support/silentLog.js";
 import { VirtualClock } from "../support/virtualTime.js";
 
 /** Time after which a call to the store fails here. */
@@ -39,6 +40,7 @@
     configAge.recordJoined();
     let readCount = 0;
     const receiver = createNewsReceiver({
+        log: silentLog,
         view, clock, checks, membership: new Membership({ hostId: "h1" } as Member), owners: new OwnerLookup(view, 2_000),
         crashEvidence: new CrashEvidence(), configAge, configFetcher: createConfigFetcher({ view, checks, log }),
         latestTerm: () => 1 as Term,
--- a/test/cluster/oddMessages.spec.ts
+++ b/test/cluster/oddMessages.spec.ts
@@ -15,6 +15,7 @@
 import { OwnerLookup } from "../../src/ownership/ownerLookup.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 import { oddNumbers } from "../support/oddValues.js";
+import { silentLog } from "../support/silentLog.js";
 import { VirtualClock } from "../support/virtualTime.js";
 
 /** Seed of the property tests, so that a failure comes again. */
@@ -94,6 +95,7 @@
     const { checks, warnings } = createChecks();
     const membership = new Membership(self as unknown as Member);
     const receiver = createNewsReceiver({
+        log: silentLog,
         view, membership, clock, checks, owners: new OwnerLookup(view, 2_000), crashEvidence: new CrashEvidence(),
         configAge: new ConfigAge(), configFetcher: { fetchFrom: () => Promise.resolve() },
         reader: { read: () => Promise.resolve(ok({ targets: [], ledger: [] })) }, latestTerm: () => 3 as Term,
