--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -51,6 +51,12 @@
 /** Share of the allowed time during which requests are still sent to a target that is about to stop, or that is evacuated. */
 const drainShare = 0.65;
 
+/**
+ * Share of the allowed time within which this host learns as a rule that a target is about to stop. With `drainShare` it leaves a rest for
+ * the way of a request to the target.
+ */
+const learnLeavingShare = 0.3;
+
 /** Number of a target's heartbeats within which this host reads an entry that the target wrote after its return. */
 const heartbeatsUntilEntryRead = 3;
 
@@ -103,7 +109,7 @@
     provide(tokens.store, (from) => adapters.createStore(from.resolve(tokens.metrics)));
     provide(tokens.leases, (from) => observeLeasePort(
         adapters.createLeases(from.resolve(tokens.metrics)), from.resolve(tokens.reachability), from.resolve(tokens.view)));
-    provide(tokens.view, () => new ClusterView(settings.evacuationMs * drainShare - drainMs));
+    provide(tokens.view, () => new ClusterView(settings.evacuationMs * drainShare - drainMs, settings.drainMs * learnLeavingShare));
     provide(tokens.owners, (from) => new OwnerLookup(from.resolve(tokens.view), drainMs));
     provide(tokens.loadMeter, () => new LoadMeter());
     provide(tokens.peerHandlers, () => ({}));
--- a/src/model/target.ts
+++ b/src/model/target.ts
@@ -35,7 +35,10 @@
 export interface KnownTarget extends TargetEntry {
     /** State according to the directory, which may be out of date. */
     registeredState: TargetState;
-    /** Monotonic time at which this host learned that the target is draining or gone; undefined if its `state` is `ready`. */
+    /**
+     * Monotonic time from which the target counts as draining or gone: when this host learned of it, or earlier if it may have learned of
+     * it late; undefined if its `state` is `ready`.
+     */
     leavingSinceMs: number | undefined;
 }
 
--- a/src/store/clusterView.ts
+++ b/src/store/clusterView.ts
@@ -29,7 +29,7 @@
 
 /** This host's state, which never goes back: every change carries its offset, and older changes are ignored. */
 export class ClusterView {
-    readonly targets = new TargetDirectory();
+    readonly targets: TargetDirectory;
     readonly ledger = new Ledger();
     /** Data centres that operators have evacuated. */
     readonly evacuations: Evacuations;
@@ -57,8 +57,12 @@
     private targetChangeCount = 0;
     private latestReturn: { era: Era; seenMs: number } | undefined;
 
-    /** @param learnEvacuationsWithinMs see `Evacuations` */
-    constructor(learnEvacuationsWithinMs = defaultLearnEvacuationsWithinMs) {
+    /**
+     * @param learnEvacuationsWithinMs see `Evacuations`
+     * @param learnLeavingWithinMs see `TargetDirectory`
+     */
+    constructor(learnEvacuationsWithinMs = defaultLearnEvacuationsWithinMs, learnLeavingWithinMs?: number) {
+        this.targets = new TargetDirectory(learnLeavingWithinMs);
         this.evacuations = new Evacuations(learnEvacuationsWithinMs);
     }
 
--- a/src/store/targetDirectory.ts
+++ b/src/store/targetDirectory.ts
@@ -5,7 +5,10 @@
 import { eraOf } from "../model/storePosition.js";
 import { isSameEntry } from "../model/target.js";
 
-/** A target that was removed from the directory is kept as gone for this long after it began to leave. */
+/** Suits a bound of 2 s on the time for which leaving targets get requests. */
+const defaultLearnWithinMs = 600;
+
+/** A target that was removed from the directory is kept as gone for this long. */
 const goneRetentionMs = 10_000;
 
 /** A change of one target. */
@@ -34,12 +37,18 @@
     private readonly evacuatedSinceMs = new Map<DataCentreId, number>();
     /** When each target became ready again, or a later process of it registered. */
     private readonly returnedMs = new Map<TargetId, number>();
-    /** Targets in `known` that were removed from the directory. */
-    private readonly goneIds = new Set<TargetId>();
+    /** Targets in `known` that were removed from the directory, with the time at which this host learned of it. */
+    private readonly goneMs = new Map<TargetId, number>();
     private combinedDigest = 0;
     private confirmedMs = Number.NEGATIVE_INFINITY;
     private byService: ReadonlyMap<ServiceId, readonly KnownTarget[]> | undefined;
 
+    /**
+     * @param learnWithinMs a host that learns at most this long after its beginning that a target leaves sends to it for the whole drain
+     *     time. A host that may have learned of it later, for example by its first reading, stops earlier by the excess.
+     */
+    constructor(private readonly learnWithinMs: number = defaultLearnWithinMs) {}
+
     /** Every target, including those that were removed recently. */
     all(): Iterable<KnownTarget> {
         return this.known.values();
@@ -188,25 +197,30 @@
         const previous = this.known.get(targetId);
         const leavingSinceMs = state === "ready"
             ? undefined
-            : Math.min(previous?.leavingSinceMs ?? nowMs, evacuatedSinceMs ?? Number.POSITIVE_INFINITY);
+            : Math.min(previous?.leavingSinceMs ?? this.countedFromMs(nowMs), evacuatedSinceMs ?? Number.POSITIVE_INFINITY);
         if (previous !== undefined && state === "ready" && (previous.state !== "ready" || previous.bornWallMs !== entry.bornWallMs)) {
             this.returnedMs.set(targetId, nowMs);
         }
         this.combinedDigest ^= hashOf(this.known.get(targetId)) ^ hashOf({ ...entry, registeredState: entry.state });
         this.known.set(targetId, { ...entry, state, registeredState: entry.state, leavingSinceMs });
         if (entry.state === "gone") {
-            this.goneIds.add(targetId);
+            this.goneMs.set(targetId, this.goneMs.get(targetId) ?? nowMs);
         }
         else {
-            this.goneIds.delete(targetId);
+            this.goneMs.delete(targetId);
         }
         this.byService = undefined;
     }
 
+    /** Returns the time from which a target counts as leaving if this host learns of it now. */
+    private countedFromMs(nowMs: number): number {
+        return Math.min(nowMs, this.confirmedMs + this.learnWithinMs);
+    }
+
     private evictGone(nowMs: number): void {
-        for (const targetId of this.goneIds) {
-            if (nowMs - (this.known.get(targetId)?.leavingSinceMs ?? nowMs) > goneRetentionMs) {
-                this.goneIds.delete(targetId);
+        for (const [targetId, goneSinceMs] of this.goneMs) {
+            if (nowMs - goneSinceMs > goneRetentionMs) {
+                this.goneMs.delete(targetId);
                 this.known.delete(targetId);
                 this.leavingBornWallMs.delete(targetId);
                 this.returnedMs.delete(targetId);
--- a/test/forwarding/forwarderUnderTest.ts
+++ b/test/forwarding/forwarderUnderTest.ts
@@ -123,6 +123,7 @@
             targetId, address, serviceId: plain, dataCentreId, slots: 4, state: "ready" as const, bornWallMs: 1, sequence: 1, warmingUp: false,
         },
     })), 9 as Offset, 0);
+    view.targets.confirm(systemClock.now().monoMs);
     view.applyTargets(leavingTargets.map((targetId) => ({ targetId, offset: 10 as Offset, entry: undefined })), 11 as Offset, 0);
     const enter = (): Promise<SlotDecision> => {
         queue.requestCount += 1;
--- a/test/store/targetDirectory.spec.ts
+++ b/test/store/targetDirectory.spec.ts
@@ -51,6 +51,7 @@
     it("keeps the time at which a target began to leave when its entry changes again", () => {
         const directory = new TargetDirectory();
         apply(directory, 1, {}, 0);
+        directory.confirm(0);
         apply(directory, 2, { state: "draining", sequence: 2 }, 100);
         apply(directory, 3, undefined, 900);
         const target = directory.get(targetId);
@@ -74,9 +75,21 @@
         expect(directory.changesSince(4 as Offset)).to.deep.equal([{ targetId, offset: 4, entry: undefined }]);
     });
 
+    it("counts a target as leaving from the time at which that can have begun, less the time within which hosts learn of it as a rule", () => {
+        const directory = new TargetDirectory(600);
+        apply(directory, 1, {}, 0);
+        directory.confirm(1_000);
+        apply(directory, 2, { state: "draining", sequence: 2 }, 2_500);
+        expect(directory.get(targetId)?.leavingSinceMs).to.equal(1_600);
+        const firstReading = new TargetDirectory(600);
+        apply(firstReading, 2, { state: "draining" }, 2_500);
+        expect(firstReading.get(targetId)?.leavingSinceMs).to.equal(Number.NEGATIVE_INFINITY);
+    });
+
     it("treats a target that announced leaving as draining, although its entry is ready, until another process of it registers", () => {
         const directory = new TargetDirectory();
         apply(directory, 1, { sequence: 1 });
+        directory.confirm(5_000);
         const digest = directory.digest();
         expect(directory.markLeaving({ targetId, bornWallMs: 1_000 }, 5_000)).to.equal(true);
         expect(directory.markLeaving({ targetId, bornWallMs: 1_000 }, 5_100)).to.equal(false);
