--- a/src/ownership/leaseManagerSet.ts
+++ b/src/ownership/leaseManagerSet.ts
@@ -7,7 +7,7 @@
 import type { LeaseManagerDependencies } from "./leaseManager.js";
 import type { RangeHandover } from "./leaseTable.js";
 import { LeaseManager } from "./leaseManager.js";
-import { isSameRange, withoutRange } from "./ranges.js";
+import { isSameRange, withoutRanges } from "./ranges.js";
 
 /** Lease managers by target. */
 export interface LeaseManagerSet {
@@ -74,11 +74,15 @@
             }
         },
         syncRanges: (movingRangesOf, handedOver) => {
-            const records = new Map(view.ledger.ownerships().map((record) => [record.targetId, record]));
+            const movingByService = new Map<ServiceId, readonly KeyRange[]>();
+            const movingOf = (serviceId: ServiceId): readonly KeyRange[] => {
+                const moving = movingByService.get(serviceId) ?? movingRangesOf(serviceId);
+                movingByService.set(serviceId, moving);
+                return moving;
+            };
             for (const [targetId, { manager }] of managers) {
-                const record = records.get(targetId);
-                const moving = record === undefined ? [] : movingRangesOf(record.serviceId);
-                const ranges = moving.reduce<readonly KeyRange[]>(withoutRange, record?.ranges ?? []);
+                const record = view.ledger.ownershipOf(targetId);
+                const ranges = record === undefined ? [] : withoutRanges(record.ranges, movingOf(record.serviceId));
                 if (!isSameSet(ranges, manager.ranges)) {
                     manager.setRanges(ranges, handedOver);
                 }
--- a/src/ownership/ledger.ts
+++ b/src/ownership/ledger.ts
@@ -112,6 +112,8 @@
     private readonly unreadable = new Map<string, Offset>();
     /** Newest version of the configuration document that could not be decoded; 0 if there is none. */
     private unreadableDocumentVersion = 0;
+    /** Result of the last `ownerships()`, until a record changes. */
+    private cachedOwnerships: readonly OwnershipRecord[] | undefined;
 
     /** Offset after the last applied record. */
     get upTo(): Offset {
@@ -171,6 +173,7 @@
 
     private set(change: LedgerChange): void {
         this.changes.set(change.key, change);
+        this.cachedOwnerships = undefined;
         if (change.offset > (this.unreadable.get(change.key) ?? Number.POSITIVE_INFINITY)) {
             this.unreadable.delete(change.key);
         }
@@ -198,9 +201,10 @@
         return record?.kind === "ownership" ? record : undefined;
     }
 
-    /** Returns the ownership records of all targets. */
-    ownerships(): OwnershipRecord[] {
-        return this.records().filter((record) => record.kind === "ownership");
+    /** Returns the ownership records of all targets; the same list until a record changes. */
+    ownerships(): readonly OwnershipRecord[] {
+        this.cachedOwnerships ??= this.records().filter((record) => record.kind === "ownership");
+        return this.cachedOwnerships;
     }
 
     /** Returns the recorded crashes of targets. */
@@ -269,6 +273,7 @@
     private dropLostRecords(): void {
         if (this.recorded !== undefined && hasClaimOfItsEra({ changes: this.recorded, upTo: this.end })) {
             this.changes = this.recorded;
+            this.cachedOwnerships = undefined;
             this.recorded = undefined;
         }
     }
@@ -294,11 +299,13 @@
         if (isFirstOfEra ? knowsLostRecords(known, returned, this.isSoleWriter) : isUnclaimed) {
             this.recorded = returned.changes;
             this.changes = mergeWithReturned(known.changes, returned.changes);
+            this.cachedOwnerships = undefined;
             return true;
         }
         const kept = unreadableKeys.flatMap((key) => known.changes.get(key) ?? []);
         this.recorded = undefined;
         this.changes = new Map();
+        this.cachedOwnerships = undefined;
         kept.forEach((change) => {
             this.set(change);
         });
--- a/src/ownership/ownershipDraft.ts
+++ b/src/ownership/ownershipDraft.ts
@@ -2,7 +2,7 @@
 import type { Address, KeyRange, ServiceId, TargetId } from "../model/names.js";
 import type { Ledger, LedgerRecord, OwnershipRecord } from "./ledger.js";
 import { ownershipKeyOf } from "./ledger.js";
-import { withoutRange, withRange } from "./ranges.js";
+import { overlapsAny, withoutRange, withRange } from "./ranges.js";
 
 /** A range and its new owner. */
 export interface Assignment {
@@ -32,10 +32,9 @@
     const owned = new Map<TargetId, OwnershipRecord>(ledger.ownerships().map((record) => [record.targetId, record]));
     const changed = new Set<TargetId>();
     for (const { serviceId, range, targetId, address } of assignments) {
-        for (const record of [...owned.values()].filter((other) => other.serviceId === serviceId && other.targetId !== targetId)) {
-            const ranges = withoutRange(record.ranges, range);
-            if (ranges.length !== record.ranges.length || ranges.some((rest, index) => rest !== record.ranges[index])) {
-                owned.set(record.targetId, { ...record, ranges });
+        for (const record of owned.values()) {
+            if (record.serviceId === serviceId && record.targetId !== targetId && overlapsAny(range, record.ranges)) {
+                owned.set(record.targetId, { ...record, ranges: withoutRange(record.ranges, range) });
                 changed.add(record.targetId);
             }
         }
--- a/src/ownership/ownershipManager.ts
+++ b/src/ownership/ownershipManager.ts
@@ -18,6 +18,7 @@
 import { maxTimeToExpiryMs } from "./leaseTerms.js";
 import type { KeyLoadReport } from "./loadMeter.js";
 import type { LedgerWriter } from "./ledgerWriter.js";
+import type { OwnershipRecord } from "./ledger.js";
 import { OwnerMap } from "./ownerMap.js";
 import type { Assignment } from "./ownershipDraft.js";
 import type { MovingRange, OwnershipNotice } from "./ownerLookup.js";
@@ -115,12 +116,31 @@
     const noticeChanged = new Signal();
     const moveStarted = new Signal();
     const replan = new Signal();
+    let ownersKnown: { records: readonly OwnershipRecord[]; map: OwnerMap } | undefined;
 
     const grantedBeforeUntilMs = (targetId: TargetId) => earlierGrantsUntilMs(dependencies.predecessor, targetId);
 
     const movingRangesOf = (serviceId: ServiceId): KeyRange[] =>
         [...activeMoves].filter((active) => active.serviceId === serviceId).map(({ move }) => move.range);
 
+    const isAnyMoving = (movingServiceId: ServiceId, range: KeyRange): boolean => {
+        for (const { serviceId, move } of activeMoves) {
+            if (serviceId === movingServiceId && overlaps(move.range, range)) {
+                return true;
+            }
+        }
+        return false;
+    };
+
+    /** Owners by the ledger; built anew only when the ledger's records have changed. */
+    const ownerMap = (): OwnerMap => {
+        const records = view.ledger.ownerships();
+        if (ownersKnown?.records !== records) {
+            ownersKnown = { records, map: new OwnerMap(records) };
+        }
+        return ownersKnown.map;
+    };
+
     const leaseManagerDependencies: LeaseManagerDependencies = {
         leases: dependencies.leases, fences: dependencies.fences, clock, log,
         mayGrant: dependencies.mayGrant, mayUseNewFences: dependencies.mayUseNewFences,
@@ -133,8 +153,7 @@
         predecessorActsUntilMs: dependencies.predecessor.actsUntilMs,
         isRecorded: (targetId, range) => {
             const record = view.ledger.ownershipOf(targetId);
-            return record?.ranges.some((owned) => contains(owned, range)) === true
-                && !movingRangesOf(record.serviceId).some((moving) => overlaps(moving, range));
+            return record?.ranges.some((owned) => contains(owned, range)) === true && !isAnyMoving(record.serviceId, range);
         },
     };
     const leaseManagers = createLeaseManagerSet(view, leaseManagerDependencies, () => {
@@ -164,7 +183,7 @@
     };
 
     const plan = (serviceId: ServiceId, nowMs: number): Move[] => {
-        const ranges = new OwnerMap(view.ledger.ownerships()).rangesOf(serviceId);
+        const ranges = ownerMap().rangesOf(serviceId);
         if (ranges.length === 0 && !isFirstAssignmentDue(serviceId, nowMs)) {
             return [];
         }
@@ -211,7 +230,7 @@
      * @returns monotonic time after which the owner does not hold the range
      */
     const abandonSilentOwner = async (serviceId: ServiceId, range: KeyRange): Promise<number> => {
-        const owner = new OwnerMap(view.ledger.ownerships()).ownerOf(serviceId, range.from);
+        const owner = ownerMap().ownerOf(serviceId, range.from);
         const manager = owner === undefined ? undefined : leaseManagers.get(owner);
         const freeAtMs = await manager?.abandon(range) ?? Number.NEGATIVE_INFINITY;
         const wasNeverOwned = owner === undefined && !view.ledger.isOwnershipUnreadable;
--- a/src/ownership/ranges.ts
+++ b/src/ownership/ranges.ts
@@ -17,6 +17,15 @@
     });
 }
 
+/**
+ * Removes the keys of several ranges from other ranges.
+ * @param ranges ranges that do not overlap each other
+ * @param removed the ranges to remove
+ */
+export function withoutRanges(ranges: readonly KeyRange[], removed: readonly KeyRange[]): readonly KeyRange[] {
+    return removed.filter((one) => overlapsAny(one, ranges)).reduce<readonly KeyRange[]>(withoutRange, ranges);
+}
+
 /**
  * Adds a range to other ranges and joins adjacent ones.
  * @param ranges ranges that do not overlap each other
--- a/test/world/runs.ts
+++ b/test/world/runs.ts
@@ -61,7 +61,7 @@
         hostId,
         text: JSON.stringify([
             view.ledger.term,
-            view.ledger.ownerships().sort((left, right) => left.targetId < right.targetId ? -1 : 1),
+            view.ledger.ownerships().slice().sort((left, right) => left.targetId < right.targetId ? -1 : 1),
             world.targets.all().map(({ targetId }) => view.targets.get(targetId)?.state),
             membership.members().map(({ runId }) => runId),
         ]),
