--- a/src/cluster/newsPacing.ts
+++ b/src/cluster/newsPacing.ts
@@ -3,7 +3,8 @@
  *
  * Each move of keys changes the state several times: when it begins, when it is recorded and when it ends. With many moves at
  * once an update for each change would be expensive, since every update costs work at each host, and at the coordinator for each
- * host. The start of a move is sent at once, because the previous owner rejects requests from then on; other changes are batched.
+ * host. The start of a move is sent at once, because the previous owner rejects requests from then on; other changes are batched, the
+ * longer the more hosts there are to send to, so that the coordinator has time left to read the store.
  */
 import type { Signal } from "../model/signal.js";
 import { waitFor } from "../model/signal.js";
@@ -15,6 +16,9 @@
 /** Least time between two updates without an urgent change. */
 const minGapMs = 40;
 
+/** Share of the time that sending updates may take if none is urgent. */
+const maxSendingShare = 0.2;
+
 /** Dependencies of `paceNews`. */
 export interface NewsPacingDependencies {
     clock: Clock;
@@ -37,8 +41,9 @@
             const sentAtMs = clock.now().monoMs;
             isUrgent = false;
             send();
+            const gapMs = gapAfterMs(clock.now().monoMs - sentAtMs);
             await waitFor(clock, maxGapMs, [urgent, ...deferrable], signal);
-            const leftMs = sentAtMs + minGapMs - clock.now().monoMs;
+            const leftMs = sentAtMs + gapMs - clock.now().monoMs;
             if (leftMs > 0 && !isUrgent) {
                 await waitFor(clock, leftMs, [urgent], signal);
             }
@@ -48,3 +53,8 @@
         endListening();
     }
 }
+
+/** Returns the least time from the beginning of an update that took `tookMs` to that of the next one. */
+function gapAfterMs(tookMs: number): number {
+    return Math.min(maxGapMs, Math.max(minGapMs, tookMs / maxSendingShare));
+}
--- a/test/cluster/newsPacing.spec.ts
+++ b/test/cluster/newsPacing.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { paceNews } from "../../src/cluster/newsPacing.js";
 import { Signal } from "../../src/model/signal.js";
+import type { Clock } from "../../src/model/time.js";
 import { VirtualClock } from "../support/virtualTime.js";
 
 function setUp() {
@@ -49,4 +50,29 @@
         expect(sentAtMs).to.deep.equal([0, 300, 600, 900]);
         stop.abort();
     });
+
+    // Updates of many hosts took most of a coordinator's processor time, so that it read the store late.
+    it("takes no more than a fifth of the time for updates that may be batched, however long one takes", async () => {
+        const clock = new VirtualClock();
+        const soon = new Signal();
+        const stop = new AbortController();
+        const sendMs = 60;
+        let sentCount = 0;
+        // The packing of an update keeps the process from doing anything else; here the clock alone goes on.
+        const busyClock: Clock = {
+            now: () => ({ ...clock.now(), monoMs: clock.now().monoMs + sentCount * sendMs }),
+            sleep: (durationMs, signal) => clock.sleep(durationMs, signal),
+        };
+        void paceNews({ clock: busyClock, urgent: new Signal(), deferrable: [soon], send: () => {
+            sentCount += 1;
+        } }, stop.signal);
+        const stepMs = 10;
+        const durationMs = 6_000;
+        for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += stepMs) {
+            soon.fire();
+            await clock.advance(stepMs);
+        }
+        expect(sentCount * sendMs / (durationMs + sentCount * sendMs)).to.be.within(0.15, 0.21);
+        stop.abort();
+    });
 });
