--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -72,7 +72,10 @@
         if (news === undefined || news.term < (latestTerm() ?? 0)) {
             return;
         }
-        confirmedAtMs = Math.max(confirmedAtMs, nowMs() - news.storeAgeMs);
+        // The time that an update spent on its way, or unread at this host, adds to the ages that it states.
+        const knownSentAtMs = sentAtMs ?? news.sentAtMs;
+        const stateAtMs = Math.min(nowMs(), knownSentAtMs ?? Number.NEGATIVE_INFINITY);
+        confirmedAtMs = Math.max(confirmedAtMs, (knownSentAtMs === undefined ? nowMs() : stateAtMs) - news.storeAgeMs);
         applyTargets(news);
         if (news.leavingTargets !== undefined) {
             view.applyLeaving(news.leavingTargets, nowMs());
@@ -89,8 +92,6 @@
             view.applyLedger(news.ledger, news.ledgerFrom ?? news.ledgerUpTo, news.ledgerUpTo);
             owners.refresh();
         }
-        // The time that an update spent on its way, or unread at this host, adds to the ages that it states.
-        const stateAtMs = Math.min(nowMs(), sentAtMs ?? news.sentAtMs ?? Number.NEGATIVE_INFINITY);
         if (news.targetsDigest === view.targets.digest()) {
             view.targets.confirm(stateAtMs - news.storeAgeMs);
         }
--- a/test/cluster/newsReceiver.spec.ts
+++ b/test/cluster/newsReceiver.spec.ts
@@ -100,3 +100,21 @@
         expect(receiver.ledgerConfirmedAtMs).to.equal(nowMs - 5_020);
     });
 });
+
+describe("the knowledge of a host that follows a coordinator", () => {
+    // It counted from an update's arrival, so that a host that read its updates seconds late did not read the store itself.
+    it("is as old as an update that was on its way, or unread at this host, for long", async () => {
+        const { clock, receiver, connection } = createReceiver(7, 12);
+        await clock.advance(20_000);
+        const nowMs = clock.now().monoMs;
+        receiver.apply({ ...news, sentAtMs: nowMs - 3_000 }, connection);
+        expect(receiver.confirmedAtMs).to.equal(nowMs - 3_020);
+    });
+
+    it("counts from the arrival of an update that doesn't state when it was sent, as that of an earlier version", async () => {
+        const { clock, receiver, connection } = createReceiver(7, 12);
+        await clock.advance(20_000);
+        receiver.apply(news, connection);
+        expect(receiver.confirmedAtMs).to.equal(clock.now().monoMs - 20);
+    });
+});
