--- a/src/cluster/directReader.ts
+++ b/src/cluster/directReader.ts
@@ -1,5 +1,6 @@
 /** Reads the store directly at a host that gets no current state from a coordinator. */
 import type { Clock } from "../model/time.js";
+import type { Log } from "../observe/log.js";
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
 import type { TopicReader } from "../store/topicReader.js";
 import type { ConfigAge } from "./configAge.js";
@@ -18,6 +19,7 @@
     membership: Membership;
     configAge: ConfigAge;
     clock: Clock;
+    log: Log;
 }
 
 /** Reads the store on behalf of this host alone. */
@@ -35,7 +37,7 @@
 }
 
 /** Creates the reader. */
-export function createDirectReader({ reader, owners, membership, configAge, clock }: DirectReaderDependencies): DirectReader {
+export function createDirectReader({ reader, owners, membership, configAge, clock, log }: DirectReaderDependencies): DirectReader {
     let lastReadAtMs = Number.NEGATIVE_INFINITY;
     const nowMs = () => clock.now().monoMs;
 
@@ -65,10 +67,16 @@
         readAllTopics,
         retryDelayMs,
         readWhenStale: async (isStale, signal) => {
-            let pauseMs = directReadPeriodMs;
+            let isFailing = false;
             while (!signal.aborted) {
-                await clock.sleep(pauseMs, signal);
-                pauseMs = isStale(nowMs()) && !await readAllTopics() ? retryDelayMs() : directReadPeriodMs;
+                await clock.sleep(isFailing ? retryDelayMs() : directReadPeriodMs, signal);
+                const wasFailing: boolean = isFailing;
+                isFailing = isStale(nowMs()) && !await readAllTopics();
+                if (isFailing !== wasFailing) {
+                    log.info(isFailing ? "direct reading of the store failed" : "direct reading of the store works again, or is not needed", {
+                        retryAfterMs: isFailing ? Math.round(retryDelayMs()) : undefined,
+                    });
+                }
             }
         },
     };
