--- a/src/cluster/directReader.ts
+++ b/src/cluster/directReader.ts
@@ -12,12 +12,20 @@
 /** Largest cluster in which each host retries an unavailable store at the normal period; in larger ones hosts retry less often. */
 const fullRateHostCount = 8;
 
+/**
+ * Share of the time within which a new configuration must be in force after which a host retries at the latest, however many hosts there
+ * are: the store may fail for this host alone.
+ */
+const maxRetryDelayShare = 0.4;
+
 /** Dependencies of a direct reader. */
 export interface DirectReaderDependencies {
     reader: TopicReader;
     owners: OwnerLookup;
     membership: Membership;
     configAge: ConfigAge;
+    /** Time within which a new configuration must be in force at every host. */
+    configApplyMs: number;
     clock: Clock;
     log: Log;
 }
@@ -30,14 +38,16 @@
     recordRead(atMs: number): void;
     /** Reads every topic from the store; resolves to whether all could be read. */
     readAllTopics(): Promise<boolean>;
-    /** Delay before the store is tried again. It grows with the cluster, so that the rate of all hosts together is bounded. */
+    /** Delay before the store is tried again. It grows with the cluster, up to a share of the time for a new configuration. */
     retryDelayMs(): number;
     /** Reads the store whenever this host's state is stale, until `signal` aborts. */
     readWhenStale(isStale: (nowMs: number) => boolean, signal: AbortSignal): Promise<void>;
 }
 
 /** Creates the reader. */
-export function createDirectReader({ reader, owners, membership, configAge, clock, log }: DirectReaderDependencies): DirectReader {
+export function createDirectReader(
+    { reader, owners, membership, configAge, configApplyMs, clock, log }: DirectReaderDependencies,
+): DirectReader {
     let lastReadAtMs = Number.NEGATIVE_INFINITY;
     const nowMs = () => clock.now().monoMs;
 
@@ -55,7 +65,8 @@
         return isComplete;
     };
 
-    const retryDelayMs = () => directReadPeriodMs * Math.max(1, membership.members().length / fullRateHostCount);
+    const retryDelayMs = () => Math.min(
+        configApplyMs * maxRetryDelayShare, directReadPeriodMs * Math.max(1, membership.members().length / fullRateHostCount));
 
     return {
         get lastReadAtMs() {
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -45,6 +45,8 @@
 export interface NodeDependencies {
     self: Member;
     maxHoldMs: number;
+    /** Time within which a new configuration must be in force at every host. */
+    configApplyMs: number;
     view: ClusterView;
     store: StorePort;
     reader: TopicReader;
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -267,6 +267,7 @@
     provide(tokens.node, (from) => createNode({
         self: from.resolve(tokens.membership).self,
         maxHoldMs: settings.maxHoldMs,
+        configApplyMs: settings.configApplyMs,
         view: from.resolve(tokens.view),
         store: from.resolve(tokens.store),
         reader: from.resolve(tokens.reader),
--- a/src/settings/hostSettings.ts
+++ b/src/settings/hostSettings.ts
@@ -22,6 +22,8 @@
     targetHeartbeatMs: number;
     /** Time after which a draining target must not receive new requests. */
     drainMs: number;
+    /** Time within which a new configuration must be in force at every host. */
+    configApplyMs: number;
     /** Time after a stop request at which the platform kills the process. */
     stopTimeoutMs: number;
     /** Maximum duration of a lease that may be granted to a target. */
--- a/test/cluster/directReader.spec.ts
+++ b/test/cluster/directReader.spec.ts
@@ -26,7 +26,8 @@
     membership.update(members);
     const store = { isFailing: true, callCount: 0 };
     const reader = createDirectReader({
-        clock, membership, log: silentLog, configAge: new ConfigAge(), owners: new OwnerLookup(new ClusterView(), 1_000),
+        clock, membership, log: silentLog, configApplyMs: configBoundMs, configAge: new ConfigAge(),
+        owners: new OwnerLookup(new ClusterView(), 1_000),
         reader: { read: async () => {
             store.callCount += 1;
             await clock.sleep(callMs);
--- a/test/world/virtualHosts.ts
+++ b/test/world/virtualHosts.ts
@@ -145,6 +145,7 @@
         run.node = createNode({
             self, view, store, reader, owners, loads, log,
             maxHoldMs: 10_000,
+            configApplyMs: 2_500,
             membership,
             links,
             leases: observeLeasePort(this.targets.createLeasePort(hostId, process), reachability, view),
