--- a/src/cluster/knownTerm.ts
+++ b/src/cluster/knownTerm.ts
@@ -9,10 +9,21 @@
 export class KnownTerm {
     /** Fires after a later term was announced. */
     readonly announced = new Signal();
+    /** Fires after another term was read in the ledger. */
+    readonly read = new Signal();
     /** Latest term that its coordinator announced to this host; it may be later than the ledger's. */
     private announcedTerm: TermRecord | undefined;
 
-    constructor(private readonly view: ClusterView) {}
+    constructor(private readonly view: ClusterView) {
+        let readTerm = view.ledger.term?.term;
+        view.ledgerChanged.listen(() => {
+            const term = view.ledger.term?.term;
+            if (term !== readTerm) {
+                readTerm = term;
+                this.read.fire();
+            }
+        });
+    }
 
     /** The term, or undefined before the first one. */
     get latest(): TermRecord | undefined {
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -109,9 +109,9 @@
                     await claims.claim();
                     return;
                 }
-                // The host that claims the term announces it, so the store need not be read again before this host's turn.
+                // The host that claims the term announces it, and a host without current news reads the ledger anyway.
                 const pauseMs = isRead ? Math.max(1, claimAtMs - nowMs()) : directReader.retryDelayMs();
-                await waitFor(clock, pauseMs, [knownTerm.announced], signal);
+                await waitFor(clock, pauseMs, [knownTerm.announced, knownTerm.read], signal);
                 if (lostTerm !== undefined && nowMs() > claimAtMs + coordinatorTimeoutMs) {
                     return;
                 }
