--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -32,6 +32,8 @@
 import { nextStep } from "./retryPolicy.js";
 import type { RetryReservation } from "./retryReservation.js";
 import { createRetryReservation } from "./retryReservation.js";
+import type { WaitingRetry } from "./retryWait.js";
+import { createRetryWait } from "./retryWait.js";
 import { StatedLoads } from "./statedLoads.js";
 import { StatedRateLimits } from "./statedRateLimits.js";
 import { createTargetNotices } from "./targetNotices.js";
@@ -45,9 +47,6 @@
 const giveUpRatio = 6;
 const minGiveUpMs = 400;
 
-/** Delay before a retry, which may go to the same target again, even if that target has just rejected the request. */
-const retryDelayMs = 15;
-
 /** Dependencies of a forwarder. */
 export interface ForwarderDependencies extends Omit<AttemptDependencies, "onNotice" | "onUnproven"> {
     view: ClusterView;
@@ -116,6 +115,7 @@
         ...dependencies, workTimes, pauses, rateLimits, statedLoads, addJitter, waitingRefused: waitingRefused.signal,
         standingOf: (context, atMs) => standingOfRequest(crashEvidence, context, atMs),
     });
+    const waitBeforeRetry = createRetryWait(dependencies);
     const quarantineGuard = createQuarantineGuard({
         ...dependencies, placer, shutdownStarted,
         stopRefusalOf: ({ deadlineMs }) =>
@@ -297,6 +297,10 @@
         }
     };
 
+    const retryOf = ({ call, service, attemptCount }: RequestContext): WaitingRetry => ({
+        serviceId: service.serviceId, key: service.sharded ? call.key : undefined, attemptCount, clientLeft: call.clientLeft,
+    });
+
     const runAttempts = async (context: RequestContext): Promise<void> => {
         let possiblyExecuted: AttemptEnd | undefined;
         let reservedSlot: TargetSlot | undefined;
@@ -334,7 +338,7 @@
                     return;
                 case "retry":
                     recordRetry(context, placement, end);
-                    await clock.sleep(retryDelayMs, context.call.clientLeft);
+                    await waitBeforeRetry(retryOf(context), placement.target.targetId, end);
             }
         }
     };
--- a/test/forwarding/forwarder.spec.ts
+++ b/test/forwarding/forwarder.spec.ts
@@ -125,6 +125,18 @@
         expect([limited.arrivedMs.length, queue.requestCount]).to.deep.equal([2, 3]);
     });
 
+    // It came to the same target three times within 80 ms.
+    it("sends a request that its key's owner rejects for not holding the key there again only after growing pauses", async () => {
+        const rejection = { afterMs: 1, status: 421, headers: "not-run: 1\r\n" };
+        const owner = await target("t-1", rejection, rejection, rejection, { afterMs: 1 });
+        const queue: ScriptedQueue = { grants: Array.from({ length: 4 }, () => owner.targetId), ends: [], requestCount: 0 };
+        expect((await serve(createTestForwarder([owner], queue), keyed)).status).to.equal(200);
+        const [first = 0, second = 0, third = 0, fourth = 0] = owner.arrivedMs;
+        expect(second - first).to.be.at.least(49);
+        expect(third - second).to.be.at.least(149);
+        expect(fourth - third).to.be.at.least(449);
+    });
+
     it("does not interrupt a slow response after a part of it has been sent to the client", async () => {
         const bulk = await target("t-1", { afterMs: 1, pieces: [{ afterMs: 0, bytes: 300_000 }, { afterMs: 600, bytes: 10 }] });
         const queue: ScriptedQueue = { grants: [bulk.targetId, bulk.targetId], ends: [], requestCount: 0 };
