--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -5,7 +5,7 @@
 import type { WorkEnd } from "../admission/targetRecord.js";
 import type { CrashObserver } from "../crashes/crashObserver.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
-import type { ClientCall, Refusal } from "../entry/clientCall.js";
+import type { ClientCall } from "../entry/clientCall.js";
 import { RequestNotRunError } from "../entry/clientCall.js";
 import type { LoadMeter } from "../ownership/loadMeter.js";
 import type { DataCentreId } from "../model/names.js";
@@ -18,11 +18,11 @@
 import type { ClusterView } from "../store/clusterView.js";
 import type { AttemptEnd, AttemptDependencies } from "./attempt.js";
 import { attempt, describeEnd } from "./attempt.js";
-import type { Answered } from "./attemptEnds.js";
-import { isWithoutResponse, mayHaveRun, moreInformativeEnd, reasonIfNotRun, reasonIfRun, workEndOf } from "./attemptEnds.js";
+import { isWithoutResponse, mayHaveRun, moreInformativeEnd, reasonIfNotRun, workEndOf } from "./attemptEnds.js";
 import { reuseForIdempotent, reuseForNonIdempotent } from "./connectionReuse.js";
 import { ClientWaitEstimator } from "./clientWaitEstimator.js";
 import type { RequestContext } from "./requestContext.js";
+import { createRequestEnds } from "./requestEnds.js";
 import { prepareRequest } from "./requestPreparation.js";
 import type { TargetSlot } from "./placement.js";
 import { createPlacer, retryAfterStoppingMs, retryAfterUnreachableMs } from "./placement.js";
@@ -38,7 +38,7 @@
 import { StatedRateLimits } from "./statedRateLimits.js";
 import { createTargetNotices } from "./targetNotices.js";
 import { TargetPauses } from "./targetPauses.js";
-import { typicalWorkMs, WorkTimes } from "./workTimes.js";
+import { WorkTimes } from "./workTimes.js";
 
 /**
  * An attempt of an idempotent request may be given up for a retry once it has taken this many times its expected duration, and
@@ -116,6 +116,7 @@
         standingOf: (context, atMs) => standingOfRequest(crashEvidence, context, atMs),
     });
     const waitBeforeRetry = createRetryWait(dependencies);
+    const { refuse, deliver, recordEndWithoutResponse, endWithoutRetry } = createRequestEnds({ requestLog, workTimes, clientWaits, clock });
     const quarantineGuard = createQuarantineGuard({
         ...dependencies, placer, shutdownStarted,
         stopRefusalOf: ({ deadlineMs }) =>
@@ -126,14 +127,6 @@
         ...dependencies, ...createTargetNotices({ view, clock, requestLog, pauses, rateLimits, statedLoads, isLoadManaged }),
     };
 
-    const refuse = (call: ClientCall, refusal: Refusal, context?: RequestContext) => {
-        requestLog.refused(call, refusal, context?.route, context?.triedTargetIds);
-        if (context !== undefined && refusal.reason !== "quarantined") {
-            clientWaits.recordRefusal(context.route.routeId, nowMs());
-        }
-        call.refuse(refusal);
-    };
-
     /** Prepares a call; refuses it at once if it can't be forwarded. */
     const prepare = async (call: ClientCall): Promise<RequestContext | undefined> => {
         const prepared = await prepareRequest(
@@ -240,48 +233,6 @@
         }
     };
 
-    const recordAnswer = ({ call, route, triedTargetIds }: RequestContext, status: number, tookMs: number) => {
-        workTimes.observe(route.routeId, tookMs, typicalWorkMs(route));
-        requestLog.answered(call, route, triedTargetIds, status, tookMs);
-    };
-
-    const deliver = (context: RequestContext, { answer, tookMs }: Answered) => {
-        recordAnswer(context, answer.head.status, tookMs);
-        context.call.answer(answer.head, answer.body);
-    };
-
-    /** Records the end of a request that needs no response any more: it has been streamed, or its client has left. */
-    const recordEndWithoutResponse = (context: RequestContext, end: AttemptEnd) => {
-        const { call, route, triedTargetIds } = context;
-        switch (end.kind) {
-            case "streamed":
-                recordAnswer(context, end.status, end.tookMs);
-                return;
-            case "broken-off":
-                requestLog.brokenOff(call, route, triedTargetIds, end.why);
-                return;
-            default:
-                requestLog.clientLeft(call, route, triedTargetIds);
-        }
-    };
-
-    /**
-     * Answers a request that is not retried any more. An error response of a target is preferred over a refusal by this host.
-     * @param context the request
-     * @param possiblyExecuted end of the most informative attempt that may have run; undefined if the request certainly did not run
-     * @param refusalIfNotRun sent to the client if the request certainly did not run
-     */
-    const endWithoutRetry = (context: RequestContext, possiblyExecuted: AttemptEnd | undefined, refusalIfNotRun: Refusal) => {
-        if (possiblyExecuted?.kind === "answered") {
-            deliver(context, possiblyExecuted);
-            return;
-        }
-        refuse(
-            context.call,
-            possiblyExecuted === undefined ? refusalIfNotRun : { reason: reasonIfRun(possiblyExecuted), retryAfterMs: undefined },
-            context);
-    };
-
     const recordRetry = ({ call, route, service, attemptCount }: RequestContext, { target }: TargetSlot, end: AttemptEnd) => {
         requestLog.retried(call, route, target.targetId, end, { attemptCount, retriesLeft: dependencies.retries.left(service.serviceId) });
     };
