--- a/src/cluster/newsReceiver.ts
+++ b/src/cluster/newsReceiver.ts
@@ -20,6 +20,9 @@
 /** Least time between two requests for all targets, made while this host's targets differ from the coordinator's. */
 const allTargetsRequestGapMs = 1_000;
 
+/** Time for which the store's answer is awaited before the coordinator is asked for a configuration too. */
+const storeAnswerMs = 300;
+
 /** Dependencies of a receiver. */
 export interface NewsReceiverDependencies {
     view: ClusterView;
@@ -175,17 +178,19 @@
     const isNewerConfig = (version: number, offset: Offset): boolean => version > view.platformConfigVersion
         || (version === view.platformConfigVersion && offset > (view.config?.offset ?? -1));
 
-    /** Reads the configuration from the store, which is its primary source, or from the coordinator if it is not there. */
+    /** Reads the configuration from the store, which is its primary source, or from the coordinator if the store does not give it soon. */
     const fetchConfig = async (from: PeerConnection, version: number, offset: Offset) => {
         if (isFetchingConfig) {
             return;
         }
         isFetchingConfig = true;
         try {
-            await reader.read("configuration", 0);
+            const reading = reader.read("configuration", 0);
+            await Promise.race([reading, clock.sleep(storeAnswerMs)]);
             if (isNewerConfig(version, offset)) {
                 await configFetcher.fetchFrom(from);
             }
+            await reading;
         }
         finally {
             isFetchingConfig = false;
--- a/test/cluster/newsReceiver.spec.ts
+++ b/test/cluster/newsReceiver.spec.ts
@@ -65,6 +65,13 @@
 }
 
 describe("a host that hears of a configuration while the store does not answer it", () => {
+    // It waited for the store's timeout before it asked the coordinator, half of the time within which a configuration must be in force.
+    it("gets it from the coordinator without waiting for the store's timeout", async () => {
+        const { view, receiveForMs } = createReceiver(6, 11);
+        await receiveForMs(500);
+        expect(view.config).to.deep.include({ config, offset: 12 });
+    });
+
     for (const { name, version } of [{ name: "of a newer version", version: 6 }, { name: "of the same version, written again", version: 7 }]) {
         it(`asks the store once, and then gets it from the coordinator: ${name}`, async () => {
             const { view, receiveForMs, readCount } = createReceiver(version, 11);
