--- a/src/cluster/directReader.ts
+++ b/src/cluster/directReader.ts
@@ -84,7 +84,7 @@
                 const wasFailing: boolean = isFailing;
                 isFailing = isStale(nowMs()) && !await readAllTopics();
                 if (isFailing !== wasFailing) {
-                    log.info(isFailing ? "direct reading of the store failed" : "direct reading of the store works again, or is not needed", {
+                    log.info(isFailing ? "direct reading of the store failed" : "direct reading of the store no longer fails", {
                         retryAfterMs: isFailing ? Math.round(retryDelayMs()) : undefined,
                     });
                 }
--- a/src/cluster/knownTerm.ts
+++ b/src/cluster/knownTerm.ts
@@ -10,7 +10,7 @@
     /** Fires after a later term was announced. */
     readonly announced = new Signal();
     /** Fires after another term was read in the ledger. */
-    readonly read = new Signal();
+    readonly termRead = new Signal();
     /** Latest term that its coordinator announced to this host; it may be later than the ledger's. */
     private announcedTerm: TermRecord | undefined;
 
@@ -20,7 +20,7 @@
             const term = view.ledger.term?.term;
             if (term !== readTerm) {
                 readTerm = term;
-                this.read.fire();
+                this.termRead.fire();
             }
         });
     }
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -111,7 +111,7 @@
                 }
                 // The host that claims the term announces it, and a host without current news reads the ledger anyway.
                 const pauseMs = isRead ? Math.max(1, claimAtMs - nowMs()) : directReader.retryDelayMs();
-                await waitFor(clock, pauseMs, [knownTerm.announced, knownTerm.read], signal);
+                await waitFor(clock, pauseMs, [knownTerm.announced, knownTerm.termRead], signal);
                 if (lostTerm !== undefined && nowMs() > claimAtMs + coordinatorTimeoutMs) {
                     return;
                 }
--- a/test/cluster/takeover.spec.ts
+++ b/test/cluster/takeover.spec.ts
@@ -26,7 +26,7 @@
             steps.push("claim");
             return Promise.resolve(true);
         } },
-        knownTerm: { latest: undefined, announced: new Signal(), read: new Signal() }, targetReach: { isCutOff: () => false },
+        knownTerm: { latest: undefined, announced: new Signal(), termRead: new Signal() }, targetReach: { isCutOff: () => false },
     } as unknown as TakeoverDependencies);
     return { steps, clock, takeover };
 }
