--- a/src/admission/retryBudget.ts
+++ b/src/admission/retryBudget.ts
@@ -1,8 +1,14 @@
 /** Limits retries to a share of the first attempts, so that retries do not overload a failing target. */
 
-/** A token bucket that starts empty: each first attempt adds a fraction of a token and each retry takes one. */
+/**
+ * Tokens of a bucket at first, if its capacity permits. A host that has just started does not know the other hosts yet, so its capacity
+ * may be that of all of them.
+ */
+const initialTokens = 5;
+
+/** A token bucket: each first attempt adds a fraction of a token and each retry takes one. */
 export class RetryBudget {
-    private tokens = 0;
+    private tokens = initialTokens;
 
     /**
      * @param ratio retries allowed per first attempt
@@ -12,7 +18,7 @@
 
     /** Counts a first attempt. */
     onFirstAttempt(): void {
-        this.tokens = Math.min(this.maxTokens(), this.tokens + this.ratio);
+        this.tokens = Math.min(this.maxTokens(), this.availableTokens() + this.ratio);
     }
 
     /**
