--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -12,6 +12,8 @@
 import type { Clock } from "../model/time.js";
 import type { ClientCall } from "./clientCall.js";
 import { RequestNotRunError } from "./clientCall.js";
+import type { AcceptSeries } from "./acceptWatch.js";
+import { createAcceptWatch } from "./acceptWatch.js";
 import type { ClientAccountLimits, CloseReason } from "./clientAccount.js";
 import { ClientAccount } from "./clientAccount.js";
 import type { ClientConnection, ConnectionSummary, Denial, DenialReason, HttpExchange, ParserError } from "./clientConnection.js";
@@ -81,6 +83,10 @@
     holdingLimits: HoldingLimits;
     /** Called when a request is refused or a connection is closed because of what it holds. */
     onLimit: (reached: ReachedLimit) => void;
+    /** Called with the turns of the event loop in which connections may have waited to be accepted. */
+    onAcceptSeries: (series: AcceptSeries) => void;
+    /** Called when a connection could not be accepted. */
+    onAcceptError: (error: Error) => void;
     /** Called with any error that `serve` throws, and the call. */
     onUnexpectedError: (error: unknown, call: ClientCall) => void;
 }
@@ -103,6 +109,10 @@
     pending(): number;
     /** Returns the number of bytes that are held for clients, as estimated. */
     heldBytes(): number;
+    /** Returns the number of connections accepted so far, and of those that are open. */
+    connectionCounts(): { accepted: number; open: number };
+    /** Returns a bound on the time that connections wait now to be accepted. */
+    acceptWaitMs(nowMs: number): number;
     /** Stops accepting connections and closes all of them, including those with requests in progress. */
     close(): void;
 }
@@ -115,6 +125,9 @@
     let pending = 0;
     const connections = new WeakMap<Socket, ClientConnection>();
     const account = new ClientAccount<Socket>(dependencies.holdingLimits);
+    const acceptWatch = createAcceptWatch({
+        clock: dependencies.clock, atTurnEnd: setImmediate, onSeries: dependencies.onAcceptSeries,
+    });
     let checks: NodeJS.Timeout | undefined;
     const limits = () => configuredLimits ?? initialLimits;
     const nowMs = () => dependencies.clock.now().monoMs;
@@ -131,6 +144,7 @@
     };
 
     const onConnection = (socket: Socket) => {
+        acceptWatch.onAccepted();
         const connection = connectionOf(socket);
         // Each request in progress listens for the end of its connection; their number has a limit of its own.
         socket.setMaxListeners(0);
@@ -341,7 +355,11 @@
     applyLimits(server, initialLimits);
 
     return {
-        listen: (address, retryForMs) => listen(server, address, dependencies.clock, retryForMs),
+        listen: async (address, retryForMs) => {
+            const outcome = await listen(server, address, dependencies.clock, retryForMs);
+            server.on("error", dependencies.onAcceptError);
+            return outcome;
+        },
         setLimits: (newLimits) => {
             configuredLimits = newLimits;
             applyLimits(server, newLimits);
@@ -354,6 +372,8 @@
         },
         pending: () => pending,
         heldBytes: () => account.heldBytes,
+        connectionCounts: () => ({ accepted: acceptWatch.acceptedCount(), open: account.connectionCount }),
+        acceptWaitMs: acceptWatch.waitMs,
         close: () => {
             server.close();
             server.closeAllConnections();
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -27,6 +27,7 @@
 import type { RunId } from "../model/names.js";
 import { offsetInEra } from "../model/storePosition.js";
 import { createDenialRecorder, createLimitRecorder } from "../observe/denialRecorder.js";
+import { createAcceptErrorRecorder, createAcceptSeriesRecorder } from "../observe/listenerRecorder.js";
 import { createLogger } from "../observe/logger.js";
 import { createLogWriter } from "../observe/logWriter.js";
 import type { Metrics } from "../observe/metrics.js";
@@ -255,6 +256,8 @@
                 maxOverheadBytes: daemonSettings.clientOverheadBytes,
             },
             onLimit: createLimitRecorder(log, from.resolve(tokens.metrics)),
+            onAcceptSeries: createAcceptSeriesRecorder(log, from.resolve(tokens.metrics)),
+            onAcceptError: createAcceptErrorRecorder(log, from.resolve(tokens.metrics)),
             onUnexpectedError: (error, { requestId, method, path }) => {
                 const cause = error instanceof Error ? error.cause ?? error : error;
                 log.error("unexpected error", {
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -8,6 +8,7 @@
 import type { AdverseStanding } from "../crashes/crashEvidence.js";
 import { monitorStandings } from "../crashes/standingMonitor.js";
 import { eraOf, offsetInEra } from "../model/storePosition.js";
+import { createReadinessRecorder } from "../observe/listenerRecorder.js";
 import type { EndedTask } from "../observe/tasks.js";
 import { watchEventLoopDelay } from "../observe/eventLoopDelay.js";
 import { runTasks } from "../observe/tasks.js";
@@ -85,7 +86,15 @@
         hostContainer.resolve(tokens.relayServer).handlers());
     registerGauges(hostContainer);
 
-    const ready = createReadyHttp(() => unreadyReason() === undefined);
+    const recordReadiness = createReadinessRecorder(log, hostContainer.resolve(tokens.metrics), () => {
+        const { accepted, open } = clients.connectionCounts();
+        return { acceptedCount: accepted, openCount: open, acceptWaitMs: Math.round(clients.acceptWaitMs(clock.now().monoMs)) };
+    });
+    const ready = createReadyHttp(() => {
+        const why = unreadyReason();
+        recordReadiness(why);
+        return why === undefined;
+    });
     const admin = createAdminHttp({
         unreadyReason,
         dump: () => ({
@@ -189,6 +198,12 @@
         hostContainer.resolve(tokens.membership).members().length);
     metrics.gauge("hornbeam_pending_requests", "Requests from clients that have no response yet.", () =>
         hostContainer.resolve(tokens.clientHttp).pending());
+    metrics.gauge("hornbeam_client_connections_accepted", "Connections of clients accepted since the start.", () =>
+        hostContainer.resolve(tokens.clientHttp).connectionCounts().accepted);
+    metrics.gauge("hornbeam_client_connections", "Connections of clients that are open.", () =>
+        hostContainer.resolve(tokens.clientHttp).connectionCounts().open);
+    metrics.gauge("hornbeam_client_accept_wait_ms", "Bound on the time that connections wait now to be accepted, in milliseconds.", () =>
+        hostContainer.resolve(tokens.clientHttp).acceptWaitMs(clock.now().monoMs));
     metrics.gauge("hornbeam_client_held_bytes", "Bytes held for clients, as estimated.", () =>
         hostContainer.resolve(tokens.clientHttp).heldBytes());
     metrics.gauge("hornbeam_idle_connections", "Idle connections to targets.", () =>
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -23,6 +23,9 @@
     readonly lostAttempts: Counter<"target" | "process">;
     readonly clientLimits: Counter<"limit">;
     readonly eventLoopDelayMs: Histogram;
+    readonly acceptWaitMs: Histogram;
+    readonly acceptErrors: Counter<"code">;
+    readonly readinessAnswers: Counter<"answer">;
     readonly invalidLoadReports: Counter<"target">;
     readonly workTimeRatio: Histogram;
     /** Adds a gauge whose value is read when the metrics are exported. */
@@ -102,6 +105,19 @@
             name: "hornbeam_event_loop_delay_ms", help: "Time that the event loop kept a due timer waiting, in milliseconds.",
             buckets: latencyBucketsMs, registers: histogramRegisters,
         }),
+        acceptWaitMs: new Histogram({
+            name: "hornbeam_accept_wait_ms",
+            help: "Bound on the time that connections waited to be accepted, for each series of turns that accepted one, in milliseconds.",
+            buckets: latencyBucketsMs, registers: histogramRegisters,
+        }),
+        acceptErrors: new Counter({
+            name: "hornbeam_accept_errors_total", help: "Connections that could not be accepted, by error.",
+            labelNames: ["code"], registers,
+        }),
+        readinessAnswers: new Counter({
+            name: "hornbeam_readiness_answers_total", help: "Answers to readiness checks: ready, or why not.",
+            labelNames: ["answer"], registers,
+        }),
         invalidLoadReports: new Counter({
             name: "hornbeam_invalid_load_reports_total", help: "Load reports of targets that are not valid and were ignored, by target.",
             labelNames: ["target"], registers,
--- a/test/entry/callerAddress.spec.ts
+++ b/test/entry/callerAddress.spec.ts
@@ -4,14 +4,14 @@
 import { createSystemClock } from "../../src/adapters/systemClock.js";
 import { createClientHttp } from "../../src/entry/clientHttp.js";
 import { freePort } from "./listenerClient.js";
-import { holdingLimits } from "./listenerUnderTest.js";
+import { holdingLimits, ignoredEvents } from "./listenerUnderTest.js";
 
 describe("address of a caller", () => {
     it("is that of its connection without the port, so that two connections of one client are one caller", async () => {
         const addresses: (string | undefined)[] = [];
         const clients = createClientHttp({
             dialects: [platformClientDialect], clock: createSystemClock(), areLimitsConfirmed: () => true, holdingLimits,
-            onLimit: () => undefined, onDenied: () => undefined, onUnexpectedError: () => undefined,
+            ...ignoredEvents, onDenied: () => undefined, onUnexpectedError: () => undefined,
             serve: (call) => {
                 addresses.push(call.callerAddress);
                 call.refuse({ reason: "no-target", retryAfterMs: 10 });
--- a/test/entry/clientHttp.spec.ts
+++ b/test/entry/clientHttp.spec.ts
@@ -5,7 +5,7 @@
 import { createSystemClock } from "../../src/adapters/systemClock.js";
 import { createClientHttp } from "../../src/entry/clientHttp.js";
 import { freePort } from "./listenerClient.js";
-import { holdingLimits } from "./listenerUnderTest.js";
+import { holdingLimits, ignoredEvents } from "./listenerUnderTest.js";
 
 const clock = createSystemClock();
 
@@ -27,7 +27,7 @@
 async function countServedAfterLeaving(request: string): Promise<number> {
     let served = 0;
     const clients = createClientHttp({
-        areLimitsConfirmed: () => true, holdingLimits, onLimit: () => undefined,
+        areLimitsConfirmed: () => true, holdingLimits, ...ignoredEvents,
         dialects: [platformClientDialect], clock,
         serve: async (call) => {
             await call.body.collect();
--- a/test/entry/denials.spec.ts
+++ b/test/entry/denials.spec.ts
@@ -10,7 +10,7 @@
 import type { LogFields } from "../../src/observe/log.js";
 import { createMetrics } from "../../src/observe/metrics.js";
 import { freePort } from "./listenerClient.js";
-import { holdingLimits, limits } from "./listenerUnderTest.js";
+import { holdingLimits, ignoredEvents, limits } from "./listenerUnderTest.js";
 
 const clock = createSystemClock();
 const proper = "GET /a/ HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -24,7 +24,7 @@
     beforeEach(async () => {
         denials = [];
         clients = createClientHttp({
-            areLimitsConfirmed: () => true, holdingLimits, onLimit: () => undefined,
+            areLimitsConfirmed: () => true, holdingLimits, ...ignoredEvents,
             dialects: [platformClientDialect], clock,
             serve: (call) => {
                 call.answer({ status: 200, reasonPhrase: "OK", rawHeaders: [], bodyBytes: okBody.length }, okBody);
--- a/test/entry/listenerUnderTest.ts
+++ b/test/entry/listenerUnderTest.ts
@@ -24,6 +24,9 @@
     maxBytes: 100_000_000, maxConnections: 1_000, maxPipelined: 8, minBytesPerSecond: 100, stallMs: 5_000, maxOverheadBytes: 65_536,
 };
 
+/** For tests that look at none of these events. */
+export const ignoredEvents = { onLimit: () => undefined, onAcceptSeries: () => undefined, onAcceptError: () => undefined };
+
 /** Header by which a request states how the service treats it; see `treatments`. */
 export const treatmentHeader = "treatment";
 
@@ -166,6 +169,8 @@
         onDenied: (denial) => denials.push(denial),
         holdingLimits: { ...holdingLimits, ...holding },
         onLimit: (reached) => reachedLimits.push(reached),
+        onAcceptSeries: () => undefined,
+        onAcceptError: (error) => errors.push(error),
         onUnexpectedError: (error) => errors.push(error),
     });
     if (initial !== "none") {
--- a/test/forwarding/unexpectedErrors.spec.ts
+++ b/test/forwarding/unexpectedErrors.spec.ts
@@ -18,7 +18,7 @@
 import { Signal } from "../../src/model/signal.js";
 import { Splitter } from "../../src/routing/splitter.js";
 import { ClusterView } from "../../src/store/clusterView.js";
-import { holdingLimits } from "../entry/listenerUnderTest.js";
+import { holdingLimits, ignoredEvents } from "../entry/listenerUnderTest.js";
 import { directConnector, openPaths } from "./openPaths.js";
 
 const clock = createSystemClock();
@@ -83,7 +83,7 @@
         const dependencies = this.createDependencies(view, grants);
         const forwarder = createForwarder({ ...dependencies, ...override(dependencies) });
         const listener = createClientHttp({
-            areLimitsConfirmed: () => true, holdingLimits, onLimit: () => undefined,
+            areLimitsConfirmed: () => true, holdingLimits, ...ignoredEvents,
             dialects: [dialect], clock,
             serve: (call) => forwarder.serve(call),
             onDenied: () => undefined,
