--- a/test/entry/properRequests.spec.ts
+++ b/test/entry/properRequests.spec.ts
@@ -5,6 +5,7 @@
 import type { ReceivedAnswer } from "./listenerClient.js";
 import { RawClient } from "./listenerClient.js";
 import type { ListenerUnderTest } from "./listenerUnderTest.js";
+import { parsesBytesBeyondAscii } from "./parserAbilities.js";
 import { expectedBody, limits, pathPrefix, startListener, streamedBody, treatmentHeader } from "./listenerUnderTest.js";
 
 const seeds = Array.from({ length: 40 }, (_, index) => index + 1);
@@ -53,7 +54,10 @@
     (path) => ({ target: `HTTP://ONE.example:8080${path}`, host: "other.example" }),
 ];
 
-const pathEnds = ["", "x", "b/c", "x?y=/a/b/&z=%2F", "%c3%a9%00", "\u00e9\u00ff", "~{}|^`\"<>", "x?", "//", "?q"];
+/** Bytes beyond ASCII, percent-encoded where the parser takes no others; `unusualRequests.spec.ts` has the rest of that case. */
+const beyondAscii = await parsesBytesBeyondAscii() ? "\u00e9\u00ff" : "%e9%ff";
+
+const pathEnds = ["", "x", "b/c", "x?y=/a/b/&z=%2F", "%c3%a9%00", beyondAscii, "~{}|^`\"<>", "x?", "//", "?q"];
 
 /** Creates a request that the protocol and the limits allow. */
 function createRequest(random: SeededRandom, id: string, isPipelined: boolean): ProperRequest {
--- a/test/entry/unusualRequests.spec.ts
+++ b/test/entry/unusualRequests.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { parsesBytesBeyondAscii, parsesMethod } from "./parserAbilities.js";
 import { useConnectedClient } from "./connectedClient.js";
 import type { RawClient } from "./listenerClient.js";
 import type { ListenerUnderTest } from "./listenerUnderTest.js";
@@ -32,7 +33,7 @@
         });
     }
 
-    for (const method of ["QUERY", "get", "VERSION-CONTROL"]) {
+    for (const method of ["QUERY", "get", "VERSION-CONTROL"].filter((method) => !parsesMethod(method))) {
         // The protocol lets routes have any method; that the parser knows only some is no mistake of the client.
         it(`are not blamed for a method that this host does not implement: ${method}`, async () => {
             await client.write(Buffer.from(`${method} /a/x HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r-1\r\n\r\n`));
@@ -43,6 +44,20 @@
         });
     }
 
+    for (const method of ["QUERY", "PATCH"].filter(parsesMethod)) {
+        it(`are served with any method that the parser knows: ${method}`, async () => {
+            await client.write(Buffer.from(`${method} /a/x HTTP/1.1\r\nHost: one.example\r\nContent-Length: 0\r\nRequest-Id: r-1\r\n\r\n`));
+            expect(await client.readAnswer()).to.include({ status: 200, body: expectedBody("r-1", "/a/x", noBody) });
+        });
+    }
+
+    it("are served or denied as a whole with bytes beyond ASCII in the path, as the parser takes them", async () => {
+        await client.write(Buffer.from("GET /a/\u00e9 HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r-1\r\n\r\n", "latin1"));
+        const expected = await parsesBytesBeyondAscii() ? { status: 200, served: ["r-1"] } : { status: 400, served: [] };
+        expect({ status: (await client.readAnswer()).status, served: listener.servedIds }).to.deep.equal(expected);
+        expect(listener.denials.map(({ reason }) => reason)).to.deep.equal(expected.status === 400 ? ["malformed"] : []);
+    });
+
     it("are not blamed for such a method that arrives in pieces", async () => {
         await client.write(Buffer.from("GET"), Buffer.from("S"), Buffer.from(" /a/x HTTP/1.1\r\n"));
         expect((await client.readAnswer()).status).to.equal(501);
