--- a/src/entry/acceptWatch.ts
+++ b/src/entry/acceptWatch.ts
@@ -29,8 +29,6 @@
 export interface AcceptWatch {
     /** Called when the listener has accepted a connection. */
     onAccepted(): void;
-    /** Number of connections accepted so far. */
-    acceptedCount(): number;
     /** Returns whether a connection was accepted in the last turn, so that others may be waiting. */
     isInSeries(): boolean;
     /** Returns a bound on the time that connections wait now to be accepted; 0 if none waited lately. */
@@ -40,7 +38,6 @@
 /** Creates the watch. */
 export function createAcceptWatch({ clock, atTurnEnd, onSeries }: AcceptWatchDependencies): AcceptWatch {
     let series: AcceptSeries | undefined;
-    let acceptedCount = 0;
     let hasAcceptedInTurn = false;
     let turnStartMs = 0;
     let reportedMs = 0;
@@ -69,7 +66,6 @@
 
     return {
         onAccepted: () => {
-            acceptedCount += 1;
             hasAcceptedInTurn = true;
             if (series === undefined) {
                 const startedMs = clock.now().monoMs;
@@ -79,7 +75,6 @@
                 atTurnEnd(endTurn);
             }
         },
-        acceptedCount: () => acceptedCount,
         isInSeries: () => series !== undefined,
         waitMs: (nowMs) => series === undefined || series.turnCount < 2 ? 0 : nowMs - series.startedMs,
     };
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -23,6 +23,8 @@
 } from "./clientConnection.js";
 import { createHttpClientCall } from "./httpClientCall.js";
 import { gateInput } from "./inputGate.js";
+import type { ListenerCheck } from "./listenerCheck.js";
+import { checkConnectionsTo, createListenerCheck } from "./listenerCheck.js";
 import { createRequestStarts } from "./requestStarts.js";
 
 const connectionCheckIntervalMs = 500;
@@ -116,6 +118,8 @@
     connectionCounts(): { accepted: number; open: number };
     /** Returns a bound on the time that connections wait now to be accepted. */
     acceptWaitMs(nowMs: number): number;
+    /** Checks whether this host takes connections at its own address; returns why it doesn't, as far as is known. See `ListenerCheck`. */
+    listenerFailure(nowMs: number): string | undefined;
     /** Stops accepting connections and closes all of them, including those with requests in progress. */
     close(): void;
 }
@@ -126,6 +130,7 @@
     let configuredLimits: ClientLimits | undefined;
     let closing = false;
     let pending = 0;
+    let acceptedCount = 0;
     const connections = new WeakMap<Socket, ClientConnection>();
     const account = new ClientAccount<Socket>(dependencies.holdingLimits);
     const acceptWatch = createAcceptWatch({
@@ -134,6 +139,7 @@
     const starts = createRequestStarts({
         clock: dependencies.clock, atTurnEnd: setImmediate, doConnectionsWait: acceptWatch.isInSeries,
     });
+    let check: ListenerCheck | undefined;
     let checks: NodeJS.Timeout | undefined;
     const limits = () => configuredLimits ?? initialLimits;
     const nowMs = () => dependencies.clock.now().monoMs;
@@ -151,6 +157,11 @@
 
     const onConnection = (socket: Socket) => {
         acceptWatch.onAccepted();
+        if (check?.onAccepted({ ip: socket.remoteAddress ?? "", port: socket.remotePort ?? 0 }, nowMs()) === true) {
+            socket.destroy();
+            return;
+        }
+        acceptedCount += 1;
         const connection = connectionOf(socket);
         // Each request in progress listens for the end of its connection; their number has a limit of its own.
         socket.setMaxListeners(0);
@@ -373,6 +384,7 @@
         listen: async (address, retryForMs) => {
             const outcome = await listen(server, address, dependencies.clock, retryForMs);
             server.on("error", dependencies.onAcceptError);
+            check = createListenerCheck(checkConnectionsTo(address), dependencies.clock);
             return outcome;
         },
         setLimits: (newLimits) => {
@@ -383,13 +395,16 @@
             closing = true;
         },
         stopAccepting: () => {
+            check?.stop();
             server.close();
         },
         pending: () => pending,
         heldBytes: () => account.heldBytes,
-        connectionCounts: () => ({ accepted: acceptWatch.acceptedCount(), open: account.connectionCount }),
+        connectionCounts: () => ({ accepted: acceptedCount, open: account.connectionCount }),
         acceptWaitMs: acceptWatch.waitMs,
+        listenerFailure: (nowMs) => check?.failure(nowMs),
         close: () => {
+            check?.stop();
             server.close();
             server.closeAllConnections();
         },
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -69,7 +69,7 @@
             return "no configuration";
         }
         const sharded = view.config.config.services.some((service) => service.sharded);
-        return sharded && view.ledger.ownerships().length === 0 ? "no owners" : undefined;
+        return sharded && view.ledger.ownerships().length === 0 ? "no owners" : clients.listenerFailure(clock.now().monoMs);
     };
 
     view.configChanged.listen(() => {
--- a/test/entry/acceptWatch.spec.ts
+++ b/test/entry/acceptWatch.spec.ts
@@ -43,7 +43,6 @@
             loop.turn(true, 100);
         }
         expect(loop.watch.waitMs(loop.nowMs)).to.equal(400);
-        expect(loop.watch.acceptedCount()).to.equal(4);
         loop.turn(false, 1);
         expect(loop.watch.waitMs(loop.nowMs)).to.equal(0);
         expect(loop.reports).to.deep.equal([{ startedMs: 0, turnCount: 4, longestTurnMs: 100, lastedMs: 400 }]);
--- a/test/fleet/noDescriptors.spec.ts
+++ b/test/fleet/noDescriptors.spec.ts
@@ -11,15 +11,21 @@
 
 const openFilesAfterwards = 4_096;
 
-/** More connections than the descriptors that closed files have left free below the highest one in use. */
+/** Connections that take the descriptors which the host gives back meanwhile. */
 const idleConnectionCount = 60;
 
 function limitOpenFiles({ child }: FleetHost, count: number): void {
     execFileSync("prlimit", ["--pid", String(child.pid), `--nofile=${String(count)}:`]);
 }
 
-function highestDescriptor({ child }: FleetHost): number {
-    return Math.max(...readdirSync(`/proc/${String(child.pid)}/fd`).map(Number));
+/** Returns the number that the next descriptor of the host would get, which is the least that is free. */
+function nextDescriptor({ child }: FleetHost): number {
+    const used = new Set(readdirSync(`/proc/${String(child.pid)}/fd`).map(Number));
+    let next = 0;
+    while (used.has(next)) {
+        next += 1;
+    }
+    return next;
 }
 
 describe("host without a free descriptor", () => {
@@ -55,7 +61,7 @@
     // Guards against a host that stays in the balancer's list, though its client listener takes no connection.
     it("says that it is not ready, and is ready once it takes connections again", async () => {
         expect(await readyStatus()).to.equal(200);
-        limitOpenFiles(host, highestDescriptor(host) + 1);
+        limitOpenFiles(host, nextDescriptor(host));
         for (let index = 0; index < idleConnectionCount; index += 1) {
             idle.push(net.connect(host.clientPort, "127.0.0.1").on("error", () => undefined));
         }
