--- a/src/cluster/peerConnection.ts
+++ b/src/cluster/peerConnection.ts
@@ -85,11 +85,13 @@
  * @param address where to listen
  * @param handlers methods that this host offers on each connection
  * @param retryForMs how long an address that is in use is tried again
+ * @param onAccepted called with each connection that the listener has accepted
  */
 export async function listenForPeers(
-    address: string, handlers: PeerHandlers, clock: Clock, retryForMs: number,
+    address: string, handlers: PeerHandlers, clock: Clock, retryForMs: number, onAccepted: () => void = () => undefined,
 ): Promise<Result<net.Server, Failure>> {
     const server = net.createServer({ noDelay: true }, (socket) => {
+        onAccepted();
         createConnection(socket, `${socket.remoteAddress ?? ""}:${String(socket.remotePort ?? 0)}`, handlers, clock);
     });
     return (await listen(server, address, clock, retryForMs)).map(() => server);
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -90,6 +90,8 @@
     onLimit: (reached: ReachedLimit) => void;
     /** Called with the turns of the event loop in which connections may have waited to be accepted. */
     onAcceptSeries: (series: AcceptSeries) => void;
+    /** Returns whether connections of other hosts may be waiting to be accepted. */
+    doPeersWait: () => boolean;
     /** Called when a connection could not be accepted. */
     onAcceptError: (error: Error) => void;
     /** Called with any error that `serve` throws, and the call. */
@@ -137,7 +139,7 @@
         clock: dependencies.clock, atTurnEnd: setImmediate, onSeries: dependencies.onAcceptSeries,
     });
     const starts = createRequestStarts({
-        clock: dependencies.clock, atTurnEnd: setImmediate, doConnectionsWait: acceptWatch.isInSeries,
+        clock: dependencies.clock, atTurnEnd: setImmediate, doConnectionsWait: () => acceptWatch.isInSeries() || dependencies.doPeersWait(),
     });
     let check: ListenerCheck | undefined;
     let checks: NodeJS.Timeout | undefined;
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -12,6 +12,7 @@
 import { createPeerLinks } from "../cluster/peerLinks.js";
 import { CrashEvidence } from "../crashes/crashEvidence.js";
 import { createCrashObserver } from "../crashes/crashObserver.js";
+import { createAcceptWatch } from "../entry/acceptWatch.js";
 import { RequestNotRunError } from "../entry/clientCall.js";
 import { createClientHttp } from "../entry/clientHttp.js";
 import { ownDialect } from "../entry/ownDialect.js";
@@ -123,6 +124,10 @@
         keepsDataCentreQueues: true,
     }));
     provide(tokens.links, (from) => createPeerLinks(from.resolve(tokens.peerHandlers), from.resolve(tokens.clock)));
+    provide(tokens.peerAcceptWatch, (from) => createAcceptWatch({
+        clock: from.resolve(tokens.clock), atTurnEnd: setImmediate,
+        onSeries: createAcceptSeriesRecorder("peers", from.resolve(tokens.logFactory)("cluster"), from.resolve(tokens.metrics)),
+    }));
     provide(tokens.reader, (from) => createTopicReader({
         store: from.resolve(tokens.store),
         decoders: from.resolve(tokens.decoders),
@@ -256,7 +261,8 @@
                 maxOverheadBytes: daemonSettings.clientOverheadBytes,
             },
             onLimit: createLimitRecorder(log, from.resolve(tokens.metrics)),
-            onAcceptSeries: createAcceptSeriesRecorder(log, from.resolve(tokens.metrics)),
+            onAcceptSeries: createAcceptSeriesRecorder("clients", log, from.resolve(tokens.metrics)),
+            doPeersWait: () => from.resolve(tokens.peerAcceptWatch).isInSeries(),
             onAcceptError: createAcceptErrorRecorder(log, from.resolve(tokens.metrics)),
             onUnexpectedError: (error, { requestId, method, path }) => {
                 const cause = error instanceof Error ? error.cause ?? error : error;
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -104,6 +104,7 @@
         }),
         metrics: () => hostContainer.resolve(tokens.metrics).text(),
     });
+    const { onAccepted: onPeerAccepted } = hostContainer.resolve(tokens.peerAcceptWatch);
     let peers: net.Server | undefined;
     // The platform kills a previous process of this host, which may still hold the addresses, at the end of the time for its shutdown.
     const areListening = await startListeners([
@@ -111,7 +112,7 @@
         { purpose: "ready", address: settings.readyAddress, start: (address, retryForMs) => listen(ready, address, clock, retryForMs) },
         { purpose: "admin", address: settings.adminAddress, start: (address, retryForMs) => listen(admin, address, clock, retryForMs) },
         { purpose: "peers", address: settings.peerAddress, start: async (address, retryForMs) =>
-            (await listenForPeers(address, peerHandlers, clock, retryForMs)).map((server) => {
+            (await listenForPeers(address, peerHandlers, clock, retryForMs, onPeerAccepted)).map((server) => {
                 peers = server;
             }) },
     ], settings.stopTimeoutMs, log);
--- a/src/host/tokens.ts
+++ b/src/host/tokens.ts
@@ -10,6 +10,7 @@
 import type { PeerLinks } from "../cluster/peerLinks.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { CrashObserver } from "../crashes/crashObserver.js";
+import type { AcceptWatch } from "../entry/acceptWatch.js";
 import type { ClientHttp } from "../entry/clientHttp.js";
 import type { ConnectionPool } from "../forwarding/connectionPool.js";
 import type { ClientDialect } from "../entry/clientDialect.js";
@@ -61,6 +62,8 @@
     /** Starts empty; the handlers are added once the components that serve calls from other hosts exist. */
     peerHandlers: token<PeerHandlers>("peerHandlers"),
     links: token<PeerLinks>("links"),
+    /** Watches the listener for other hosts. */
+    peerAcceptWatch: token<AcceptWatch>("peerAcceptWatch"),
     reachability: token<ReachabilityMonitor>("reachability"),
     connector: token<TargetConnector>("connector"),
     relayServer: token<RelayServer>("relayServer"),
--- a/src/observe/listenerRecorder.ts
+++ b/src/observe/listenerRecorder.ts
@@ -6,10 +6,13 @@
 /** Connections that may have waited longer than this to be accepted leave a line in the log. */
 const loggedWaitMs = 250;
 
-/** Creates a function that records how long connections may have waited to be accepted. */
-export function createAcceptSeriesRecorder(log: Log, metrics: Metrics): (series: AcceptSeries) => void {
+/**
+ * Creates a function that records how long connections may have waited to be accepted.
+ * @param listener name of the listener in the metrics
+ */
+export function createAcceptSeriesRecorder(listener: "clients" | "peers", log: Log, metrics: Metrics): (series: AcceptSeries) => void {
     return ({ turnCount, longestTurnMs, lastedMs }) => {
-        metrics.acceptWaitMs.observe(lastedMs);
+        metrics.acceptWaitMs.observe({ listener }, lastedMs);
         if (lastedMs > loggedWaitMs) {
             log.warn("connections wait to be accepted", {
                 forMs: Math.round(lastedMs), turnCount, longestTurnMs: Math.round(longestTurnMs),
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -23,7 +23,7 @@
     readonly lostAttempts: Counter<"target" | "process">;
     readonly clientLimits: Counter<"limit">;
     readonly eventLoopDelayMs: Histogram;
-    readonly acceptWaitMs: Histogram;
+    readonly acceptWaitMs: Histogram<"listener">;
     readonly acceptErrors: Counter<"code">;
     readonly readinessAnswers: Counter<"answer">;
     readonly invalidLoadReports: Counter<"target">;
@@ -107,7 +107,8 @@
         }),
         acceptWaitMs: new Histogram({
             name: "hornbeam_accept_wait_ms",
-            help: "Bound on the time that connections waited to be accepted, for each series of turns that accepted one, in milliseconds.",
+            help: "Bound on the time that connections waited to be accepted, for each series of turns that accepted one, by listener, in milliseconds.",
+            labelNames: ["listener"],
             buckets: latencyBucketsMs, registers: histogramRegisters,
         }),
         acceptErrors: new Counter({
--- a/test/entry/lateConnections.spec.ts
+++ b/test/entry/lateConnections.spec.ts
@@ -1,23 +1,16 @@
 import { once } from "node:events";
 import { Worker } from "node:worker_threads";
 import { expect } from "chai";
-import { platformClientDialect } from "../../platform/dialect.js";
-import { createSystemClock } from "../../src/adapters/systemClock.js";
 import type { AcceptSeries } from "../../src/entry/acceptWatch.js";
-import type { ClientCall } from "../../src/entry/clientCall.js";
 import type { ClientHttp } from "../../src/entry/clientHttp.js";
-import { createClientHttp } from "../../src/entry/clientHttp.js";
-import { freePort } from "./listenerClient.js";
-import { holdingLimits, ignoredEvents } from "./listenerUnderTest.js";
+import { startSlowListener } from "./slowListener.js";
 
 /** Clients give up a connection that is not established, or whose request is not read, after this time. */
 const clientPatienceMs = 1_000;
 
+/** Serving the requests of all takes longer than clients wait. */
 const burstConnections = 120;
 
-/** Processor time that each request takes; all of the burst take longer than clients wait. */
-const requestMs = 12;
-
 /** Opens the connections at once, each with a request, and posts the number of answers with status 200. */
 const clientProgram = `
     const net = require("node:net");
@@ -37,32 +30,13 @@
         socket.write("GET /a/ HTTP/1.1\\r\\nHost: one.example\\r\\nConnection: close\\r\\nDeadline-Ms: 9000\\r\\nRequest-Id: r-" + index + "\\r\\n\\r\\n");
     }`;
 
-function keepBusy(durationMs: number): void {
-    const endMs = performance.now() + durationMs;
-    while (performance.now() < endMs) {
-        // Takes processor time, as serving a request does.
-    }
-}
-
-function serveSlowly(call: ClientCall): Promise<void> {
-    keepBusy(requestMs);
-    call.answer({ status: 200, reasonPhrase: "OK", rawHeaders: [], bodyBytes: 0 }, Buffer.alloc(0));
-    return Promise.resolve();
-}
-
 describe("connections of a burst", () => {
     const series: AcceptSeries[] = [];
     let clients: ClientHttp;
     let port: number;
 
     before(async () => {
-        clients = createClientHttp({
-            ...ignoredEvents, dialects: [platformClientDialect], clock: createSystemClock(), areLimitsConfirmed: () => true, holdingLimits,
-            onDenied: () => undefined, onUnexpectedError: () => undefined, serve: serveSlowly,
-            onAcceptSeries: (ended) => series.push({ ...ended }),
-        });
-        port = await freePort();
-        (await clients.listen(`127.0.0.1:${String(port)}`, 0))._unsafeUnwrap();
+        ({ clients, port } = await startSlowListener({ onAcceptSeries: (ended) => series.push({ ...ended }) }));
     });
 
     after(() => {
--- a/test/entry/listenerUnderTest.ts
+++ b/test/entry/listenerUnderTest.ts
@@ -25,7 +25,9 @@
 };
 
 /** For tests that look at none of these events. */
-export const ignoredEvents = { onLimit: () => undefined, onAcceptSeries: () => undefined, onAcceptError: () => undefined };
+export const ignoredEvents = {
+    onLimit: () => undefined, onAcceptSeries: () => undefined, onAcceptError: () => undefined, doPeersWait: () => false,
+};
 
 /** Header by which a request states how the service treats it; see `treatments`. */
 export const treatmentHeader = "treatment";
@@ -170,6 +172,7 @@
         holdingLimits: { ...holdingLimits, ...holding },
         onLimit: (reached) => reachedLimits.push(reached),
         onAcceptSeries: () => undefined,
+        doPeersWait: () => false,
         onAcceptError: (error) => errors.push(error),
         onUnexpectedError: (error) => errors.push(error),
     });
--- a/test/observe/listenerRecorder.spec.ts
+++ b/test/observe/listenerRecorder.spec.ts
@@ -13,7 +13,7 @@
 
     it("log connections that waited long to be accepted", () => {
         const { lines, log, metrics } = recordedBy();
-        const record = createAcceptSeriesRecorder(log, metrics);
+        const record = createAcceptSeriesRecorder("clients", log, metrics);
         record({ startedMs: 0, turnCount: 1, longestTurnMs: 20.2, lastedMs: 20.2 });
         record({ startedMs: 0, turnCount: 9, longestTurnMs: 80.4, lastedMs: 410.6 });
         expect(lines).to.deep.equal([["connections wait to be accepted", { forMs: 411, turnCount: 9, longestTurnMs: 80 }]]);
