--- a/src/entry/clientConnection.ts
+++ b/src/entry/clientConnection.ts
@@ -1,7 +1,7 @@
 /** One connection of a client: what log lines tell of it, and the response to input on it that is not a valid request. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import http from "node:http";
-import type { Socket } from "node:net";
+import { Socket } from "node:net";
 import type { ClientLimits } from "../model/routing.js";
 import type { ClientHoldings, ConnectionProgress } from "./clientAccount.js";
 import type { InputGate } from "./inputGate.js";
@@ -253,3 +253,12 @@
     return rawPacket?.subarray(Math.max(0, bytesParsed - excerptBytesBefore), bytesParsed + excerptBytesAfter).toString("latin1")
         .replace(/[^ -~]/g, (character) => `\\x${character.charCodeAt(0).toString(16).padStart(2, "0")}`);
 }
+
+/** Tells the requests of a closed connection of its end whose responses wait for earlier ones; Node.js does so for the first only. */
+export function endQueuedResponses({ exchanges }: ClientConnection): void {
+    for (const { response } of [...exchanges]) {
+        if (!(response.socket instanceof Socket)) {
+            response.emit("close");
+        }
+    }
+}
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -1,14 +1,12 @@
 /** HTTP/1.1 listener for client requests. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import http from "node:http";
-import { Socket } from "node:net";
-import { setImmediate as nextTurn } from "node:timers/promises";
+import type { Socket } from "node:net";
 import type { Result } from "neverthrow";
 import { listen } from "../adapters/listening.js";
 import type { ClientDialect } from "./clientDialect.js";
 import type { Failure } from "../model/failure.js";
 import type { ClientLimits } from "../model/routing.js";
-import { abortReason } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import type { ClientCall } from "./clientCall.js";
 import { RequestNotRunError } from "./clientCall.js";
@@ -16,12 +14,12 @@
 import { createAcceptWatch } from "./acceptWatch.js";
 import type { ClientAccountLimits, CloseReason } from "./clientAccount.js";
 import { ClientAccount } from "./clientAccount.js";
-import type { ClientConnection, ConnectionSummary, Denial, DenialReason, HttpExchange, ParserError } from "./clientConnection.js";
+import type { ClientConnection, ConnectionSummary, Denial, HttpExchange } from "./clientConnection.js";
 import {
-    addExchange, createClientConnection, denialReasonOf, endAfterResponses, excerptOf, progressOf, removeExchange, statusByDenial,
-    summarizeConnection,
+    addExchange, createClientConnection, endQueuedResponses, progressOf, removeExchange, summarizeConnection,
 } from "./clientConnection.js";
 import { createHttpClientCall } from "./httpClientCall.js";
+import { createInputDenials, denialReasonOfHeaders } from "./inputDenials.js";
 import { gateInput } from "./inputGate.js";
 import type { ListenerCheck } from "./listenerCheck.js";
 import { checkConnectionsTo, createListenerCheck } from "./listenerCheck.js";
@@ -32,23 +30,12 @@
 /** Retry delay sent to clients whose request did not run because of an unexpected error. */
 const retryAfterErrorMs = 250;
 
-/** Code of the error that Node.js reports for a header section that is not complete in time. */
-const headerTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
-
 /** Limits applied until a configuration is known. */
 const initialLimits: ClientLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 10_000, idleTimeoutMs: 15_000 };
 
 /** Allowance for the request line and for what the parser counts in addition to the bytes of the headers. */
 const headerOverheadBytes = 1_024;
 
-/** Headers of the listener's answers to requests with a valid header section. */
-const denialHeaders: Partial<Record<DenialReason, http.OutgoingHttpHeaders>> = {
-    "malformed": { "Connection": "close" },
-    "no-host-header": { "Connection": "close" },
-    // The client may hold back the body, or send it.
-    "unknown-expectation": { "Connection": "close" },
-};
-
 /** Delay after which a request may be sent again that was refused because this host holds too much for clients. */
 const retryAfterFullMs = 1_000;
 
@@ -157,6 +144,12 @@
         return connection;
     };
 
+    const denials = createInputDenials({
+        clock: dependencies.clock, onDenied: dependencies.onDenied,
+        connectionOf, limits,
+        confirmedLimits: () => dependencies.areLimitsConfirmed(nowMs()) ? configuredLimits : undefined,
+    });
+
     const onConnection = (socket: Socket) => {
         acceptWatch.onAccepted();
         if (check?.onAccepted({ ip: socket.remoteAddress ?? "", port: socket.remotePort ?? 0 }, nowMs()) === true) {
@@ -184,7 +177,7 @@
                 account.add(socket, bytes);
             },
             onRejected: (error, pieceCount) => {
-                denyInput(connection, error === "invalid-chunk" ? "malformed" : error, { pieceCount });
+                denials.denyInput(connection, error === "invalid-chunk" ? "malformed" : error, { pieceCount });
             },
         });
         const beyondLimit = account.connectionBeyondLimit();
@@ -221,84 +214,11 @@
         }
     };
 
-    const recordDenial = (connection: ClientConnection, reason: DenialReason, details: Partial<Denial>) => {
-        dependencies.onDenied({
-            reason, status: statusByDenial[reason], maxHeaderBytes: limits().maxHeaderBytes,
-            connection: summarizeConnection(connection, connection.requestCount, nowMs()),
-            ...details,
-        });
-    };
-
-    /** Answers a request with a valid header section that this host does not accept. */
-    const deny = (request: IncomingMessage, response: ServerResponse, reason: DenialReason) => {
-        const connection = connectionOf(request.socket);
-        recordDenial(connection, reason, {});
-        connection.requestCount += 1;
-        response.writeHead(statusByDenial[reason], denialHeaders[reason]);
-        response.end();
-    };
-
-    const onParserError = (error: ParserError, socket: Socket) => {
-        const connection = connectionOf(socket);
-        // The parser reports its error again for any further input, and at its end.
-        const hasClientLeft = connection.isInputEnded && socket.readableEnded;
-        if (error.code === "ECONNRESET" || !socket.writable || hasClientLeft) {
-            socket.destroy();
-            return;
-        }
-        if (error.code === headerTimeoutCode) {
-            void onHeaderTimeout(connection, error);
-        }
-        else {
-            denyAfterError(connection, error);
-        }
-    };
-
-    const denyAfterError = (connection: ClientConnection, error: ParserError) => {
-        const confirmedLimits = dependencies.areLimitsConfirmed(nowMs()) ? configuredLimits : undefined;
-        denyInput(connection, denialReasonOf(error, connection, confirmedLimits), { parserCode: error.code, excerpt: excerptOf(error) });
-    };
-
-    const denyInput = (connection: ClientConnection, reason: DenialReason, details: Partial<Denial>) => {
-        if (!connection.isInputEnded && connection.socket.writable) {
-            connection.isInputEnded = true;
-            recordDenial(connection, reason, details);
-            void endAfterResponses(connection, reason);
-        }
-    };
-
-    /**
-     * Decides on a header section that was not complete in time. Node.js counts the time from the opening of a connection, also while the
-     * host has not read what it received.
-     */
-    const onHeaderTimeout = async (connection: ClientConnection, error: ParserError) => {
-        const { socket, requestCount } = connection;
-        const { bytesRead } = socket;
-        const closed = new AbortController();
-        socket.once("close", () => {
-            closed.abort(abortReason);
-        });
-        await waitTwoTurns();
-        if (socket.bytesRead === 0) {
-            await dependencies.clock.sleep(connection.openedMs + limits().idleTimeoutMs - nowMs(), closed.signal);
-            if (socket.bytesRead === 0) {
-                socket.end();
-            }
-            return;
-        }
-        if (socket.bytesRead > bytesRead && connection.requestCount === requestCount) {
-            await dependencies.clock.sleep(limits().headerTimeoutMs, closed.signal);
-        }
-        if (connection.requestCount === requestCount) {
-            denyAfterError(connection, error);
-        }
-    };
-
     const onRequest = (request: IncomingMessage, response: ServerResponse, beforeRead: () => void) => {
         connectionOf(request.socket).gate?.onRequest(request);
         const reason = denialReasonOfHeaders(request);
         if (reason !== undefined) {
-            deny(request, response, reason);
+            denials.deny(request, response, reason);
             return;
         }
         const connection = connectionOf(request.socket);
@@ -353,13 +273,26 @@
         });
     };
 
-    const serve = (call: ClientCall, response: ServerResponse) => dependencies.serve(call).catch((error: unknown) => {
-        dependencies.onUnexpectedError(error, call);
-        refuseAfterError(call, response, error);
-    }).catch((error: unknown) => {
-        dependencies.onUnexpectedError(error, call);
-        call.abortAnswer();
-    });
+    const serve = async (call: ClientCall, response: ServerResponse) => {
+        try {
+            await dependencies.serve(call);
+        }
+        catch (error) {
+            dependencies.onUnexpectedError(error, call);
+            answerAfterError(call, response, error);
+        }
+    };
+
+    /** Refuses a request that could not be served because of an unexpected error; closes the connection if that is not possible either. */
+    const answerAfterError = (call: ClientCall, response: ServerResponse, error: unknown) => {
+        try {
+            refuseAfterError(call, response, error);
+        }
+        catch (furtherError) {
+            dependencies.onUnexpectedError(furtherError, call);
+            call.abortAnswer();
+        }
+    };
 
     const server = http.createServer({
         noDelay: true, connectionsCheckingInterval: connectionCheckIntervalMs, requestTimeout: 0, requireHostHeader: false,
@@ -377,9 +310,9 @@
     });
     server.on("checkExpectation", (request, response) => {
         connectionOf(request.socket).gate?.onRequest(request);
-        deny(request, response, denialReasonOfHeaders(request) ?? "unknown-expectation");
+        denials.deny(request, response, denialReasonOfHeaders(request) ?? "unknown-expectation");
     });
-    server.on("clientError", onParserError);
+    server.on("clientError", denials.onParserError);
     applyLimits(server, initialLimits);
 
     return {
@@ -427,33 +360,6 @@
         : { reason: "lost", retryAfterMs: undefined });
 }
 
-/**
- * Waits two turns of the event loop, so that it polls its sockets once more. On an overloaded host a client may have left before its
- * request is read; the end of its connection is then read in the next turn.
- */
-async function waitTwoTurns(): Promise<void> {
-    await nextTurn();
-    await nextTurn();
-}
-
-/** Returns why the header section is denied, although the parser accepts it. */
-function denialReasonOfHeaders({ httpVersion, headers, rawHeaders }: IncomingMessage): DenialReason | undefined {
-    if (rawHeaders.some((name, index) => index % 2 === 0 && name.endsWith(" "))) {
-        // A target might take the field for another one than this host does (RFC 9112, section 5.1).
-        return "malformed";
-    }
-    return httpVersion === "1.1" && headers.host === undefined ? "no-host-header" : undefined;
-}
-
-/** Tells the requests of a closed connection of its end whose responses wait for earlier ones; Node.js does so for the first only. */
-function endQueuedResponses({ exchanges }: ClientConnection): void {
-    for (const { response } of [...exchanges]) {
-        if (!(response.socket instanceof Socket)) {
-            response.emit("close");
-        }
-    }
-}
-
 /** Tells whether the body of a request may be long. */
 function hasLongBody({ headers }: IncomingMessage): boolean {
     return headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > longBodyBytes;
