--- a/src/entry/listenerCheck.ts
+++ b/src/entry/listenerCheck.ts
@@ -11,8 +11,19 @@
 /** A check whose connection is not accepted within this time has failed. */
 const checkTimeoutMs = 3_000;
 
-/** Opens a connection for a check; `onError` is called later if it can't be opened, and not once it is closed. */
-export type OpenCheckConnection = (onError: (code: string) => void) => CheckConnection;
+/** One check may lose its connection to something on the way that resets it. */
+const lossesUntilFailure = 2;
+
+/** What becomes of a connection of a check; called after it was opened, and not once it is closed. */
+export interface CheckConnectionEvents {
+    /** It can't be opened. */
+    onRefused: (code: string) => void;
+    /** It was open and was lost on the way. */
+    onLost: () => void;
+}
+
+/** Opens a connection for a check. */
+export type OpenCheckConnection = (events: CheckConnectionEvents) => CheckConnection;
 
 /** One end of a connection. */
 export interface Endpoint {
@@ -46,6 +57,8 @@
 export function createListenerCheck(open: OpenCheckConnection, clock: Clock): ListenerCheck {
     let running: RunningCheck | undefined;
     let lastFailure: string | undefined;
+    /** Checks in a row whose connection was lost. */
+    let lossCount = 0;
     let isStopped = false;
 
     const end = (failure: string | undefined) => {
@@ -55,10 +68,18 @@
     };
 
     const start = (startedMs: number) => {
-        const connection = open((code) => {
-            if (running?.connection === connection) {
-                end(`no connection to the client listener: ${code}`);
-            }
+        const connection = open({
+            onRefused: (code) => {
+                if (running?.connection === connection) {
+                    end(`no connection to the client listener: ${code}`);
+                }
+            },
+            onLost: () => {
+                if (running?.connection === connection) {
+                    lossCount += 1;
+                    end(lossCount < lossesUntilFailure ? lastFailure : "connections are closed before they are accepted");
+                }
+            },
         });
         running = { startedMs, connection };
     };
@@ -80,6 +101,7 @@
                 return false;
             }
             const isLate = nowMs - running.startedMs >= maxAcceptMs;
+            lossCount = 0;
             end(isLate ? "connections are accepted late" : undefined);
             if (isLate) {
                 // What is known is old: this host may have stood still meanwhile.
@@ -100,18 +122,29 @@
  */
 export function checkConnectionsTo(address: string): OpenCheckConnection {
     const [host, port] = address.split(":");
-    return (onError) => {
+    return ({ onRefused, onLost }) => {
         const socket = net.connect({ host, port: Number(port) });
-        socket.on("error", (error: NodeJS.ErrnoException) => {
-            onError(error.code ?? error.message);
+        let isOpen = false;
+        let isClosed = false;
+        socket.once("connect", () => {
+            isOpen = true;
+        });
+        socket.on("error", ({ code, message }: NodeJS.ErrnoException) => {
+            if (!isClosed && !isOpen) {
+                onRefused(code ?? message);
+            }
+        });
+        socket.once("close", () => {
+            if (!isClosed && isOpen) {
+                onLost();
+            }
         });
         return {
             ownEndpoint: () => socket.localAddress === undefined || socket.localPort === undefined
                 ? undefined
                 : { ip: socket.localAddress, port: socket.localPort },
             close: () => {
-                socket.removeAllListeners("error");
-                socket.on("error", () => undefined);
+                isClosed = true;
                 socket.destroy();
             },
         };
