--- a/test/fleet/noDescriptors.spec.ts
+++ b/test/fleet/noDescriptors.spec.ts
@@ -1,10 +1,9 @@
-import { execFileSync } from "node:child_process";
-import { readdirSync } from "node:fs";
 import http from "node:http";
 import net from "node:net";
 import { expect } from "chai";
 import type { FleetHost } from "./fleet.js";
 import { Fleet, paths, send } from "./fleet.js";
+import { limitOpenFiles, nextDescriptor } from "./openFiles.js";
 
 /** A host that says it is ready takes no connection for at most this long. */
 const maxFalselyReadyMs = 3_000;
@@ -14,20 +13,6 @@
 /** Connections that take the descriptors which the host gives back meanwhile. */
 const idleConnectionCount = 60;
 
-function limitOpenFiles({ child }: FleetHost, count: number): void {
-    execFileSync("prlimit", ["--pid", String(child.pid), `--nofile=${String(count)}:`]);
-}
-
-/** Returns the number that the next descriptor of the host would get, which is the least that is free. */
-function nextDescriptor({ child }: FleetHost): number {
-    const used = new Set(readdirSync(`/proc/${String(child.pid)}/fd`).map(Number));
-    let next = 0;
-    while (used.has(next)) {
-        next += 1;
-    }
-    return next;
-}
-
 describe("host without a free descriptor", () => {
     const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
     const idle: net.Socket[] = [];
--- a/test/soak/faultInjection.ts
+++ b/test/soak/faultInjection.ts
@@ -2,7 +2,8 @@
 import { evacuationKeyPrefix, topics } from "../../platform/names.js";
 import { noServerFaults } from "../../platform/standins/serverStandIn.js";
 import type { FleetHost } from "../fleet/fleet.js";
-import { buildRoutingConfig, keyedService, plainService, sleep } from "../fleet/fleet.js";
+import { buildRoutingConfig, hasEnded, keyedService, paths, plainService, send, sleep } from "../fleet/fleet.js";
+import { limitOpenFiles, nextDescriptor } from "../fleet/openFiles.js";
 import type { CutKind } from "../fleet/targetCut.js";
 import { cutFromTargets } from "../fleet/targetCut.js";
 import { allowedPerWindow, maxArrivalsPerWindow, settledMs } from "../fleet/rateLimitRule.js";
@@ -12,6 +13,9 @@
 import { evacuatedZone } from "./soakFleet.js";
 import type { SoakReport } from "./soakReport.js";
 
+/** Limit on descriptors once a host has some again. */
+const openFilesAfterwards = 4_096;
+
 /** Injects faults. */
 export class FaultInjection {
     /** Injected faults that have not ended yet. */
@@ -119,6 +123,29 @@
         });
     }
 
+    /** Opens many connections to a host at once, each with a request, as clients do that were sent away or cut off together. */
+    burstOfConnections(): void {
+        const host = this.random.pick(this.fleet.hosts);
+        const count = 50 + Math.round(this.random.integerUpTo(200));
+        this.runFault(`${String(count)} new connections to ${host.name}`, async () => {
+            await Promise.all(Array.from({ length: count }, (_, index) =>
+                send(host, { id: `burst-${String(this.report.steps.length)}-${String(index)}`, path: `${paths.list}x`, budgetMs: 2_000 })));
+        });
+    }
+
+    /** Leaves a host without a free descriptor for some time. */
+    useUpDescriptors(): void {
+        const host = this.random.pick(this.fleet.hosts);
+        const durationMs = 300 + this.random.integerUpTo(3_000);
+        this.runFault(`no descriptors for ${host.name} ${String(Math.round(durationMs))} ms`, async () => {
+            limitOpenFiles(host, nextDescriptor(host));
+            await sleep(durationMs);
+            if (!hasEnded(host)) {
+                limitOpenFiles(host, openFilesAfterwards);
+            }
+        });
+    }
+
     /** Ends a server without notice and starts another later. */
     crashServer(): void {
         const server = this.random.pick(this.fleet.servers);
@@ -240,4 +267,10 @@
     (injection) => {
         injection.evacuateDataCentre();
     },
+    (injection) => {
+        injection.burstOfConnections();
+    },
+    (injection) => {
+        injection.useUpDescriptors();
+    },
 ];
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -7,7 +7,7 @@
 import { buildRoutingConfig, Fleet, isReady, keyedService, paths, plainService, send, sleep } from "../fleet/fleet.js";
 import { SeededRandom } from "../support/seededRandom.js";
 import { FaultInjection } from "./faultInjection.js";
-import { checkAnswers, checkOwners, watchedKeys } from "./soakChecks.js";
+import { checkAnswers, checkOwners, checkReadyHosts, watchedKeys } from "./soakChecks.js";
 import { SoakFleet } from "./soakFleet.js";
 import type { SoakReport } from "./soakReport.js";
 
@@ -87,6 +87,7 @@
         await fleet.waitUntilServing();
         const background = Promise.all([
             sendRequests(soakFleet, seed, random, report, end.signal), checkOwners(fleet, report, end.signal),
+            checkReadyHosts(fleet, report, end.signal),
         ]);
         const faultsEndMs = performance.now() + durationMs;
         while (performance.now() < faultsEndMs) {
--- a/test/soak/soakChecks.ts
+++ b/test/soak/soakChecks.ts
@@ -1,6 +1,6 @@
 /** Checks of a soak run: one owner of a key at a time, and answers that agree with what the servers ran. */
-import type { Fleet } from "../fleet/fleet.js";
-import { sleep } from "../fleet/fleet.js";
+import type { Fleet, FleetHost } from "../fleet/fleet.js";
+import { isReady, paths, send, sleep } from "../fleet/fleet.js";
 import type { SoakReport } from "./soakReport.js";
 
 const ownerCheckPeriodMs = 15;
@@ -11,6 +11,14 @@
  */
 const maxOwnerOverlapMs = 120;
 
+/** A host may say that it is ready and take no new connection for at most this long. */
+const maxFalselyReadyMs = 3_000;
+
+/** Time that a client of the check allows for an answer on a new connection; any answer shows that it was taken. */
+const newConnectionMs = 1_000;
+
+const readinessCheckPeriodMs = 100;
+
 /** Keys whose owners are checked; clients send requests for the same keys. */
 export const watchedKeys = Array.from({ length: 32 }, (_, index) => index * 2_114);
 
@@ -47,6 +55,35 @@
     }
 }
 
+/**
+ * Records a violation for each host that says it is ready and takes no new connection for `maxFalselyReadyMs`.
+ * @param signal ends the check
+ */
+export async function checkReadyHosts(fleet: Fleet, report: SoakReport, signal: AbortSignal): Promise<void> {
+    const untakenSinceMs = new Map<FleetHost, number>();
+    const checkHost = async (host: FleetHost, id: string) => {
+        const startedMs = performance.now();
+        const [ready, { status }] = await Promise.all([
+            Promise.race([isReady(host), sleep(newConnectionMs).then(() => false)]),
+            send(host, { id, path: `${paths.list}x`, budgetMs: newConnectionMs }),
+        ]);
+        const sinceMs = ready && status <= 0 ? untakenSinceMs.get(host) ?? startedMs : undefined;
+        if (sinceMs === undefined) {
+            untakenSinceMs.delete(host);
+            return;
+        }
+        untakenSinceMs.set(host, sinceMs);
+        if (performance.now() - sinceMs > maxFalselyReadyMs) {
+            report.violations.push(`${((sinceMs - report.startedMs) / 1_000).toFixed(2)} ${host.name} is ready and takes no new connection`);
+            untakenSinceMs.delete(host);
+        }
+    };
+    for (let round = 0; !signal.aborted; round += 1) {
+        await Promise.all(fleet.hosts.map((host) => checkHost(host, `new-${host.name}-${String(round)}`)));
+        await sleep(readinessCheckPeriodMs);
+    }
+}
+
 /** Compares all answers with the requests that the servers ran. */
 export function checkAnswers({ sent, violations }: SoakReport, countRuns: (id: string) => number): void {
     for (const { id, isOrder, answer } of sent) {
