--- a/test/store/topicReader.spec.ts
+++ b/test/store/topicReader.spec.ts
@@ -43,6 +43,25 @@
     return { clock, store, view, read, stateOf: () => view.targets.get("t" as TargetId)?.state };
 }
 
+/** As `setUp`, for the topic of the configuration; `read` returns the version that the host then has. */
+function setUpConfiguration() {
+    const { clock, store, view } = setUp();
+    const reader = createTopicReader({
+        store: store.createStorePort(host, new VirtualProcess(clock)), decoders, view, clock,
+        log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+    });
+    const read = async () => {
+        const reading = reader.read("configuration", 0);
+        await clock.advance(50);
+        expect((await reading).isOk()).to.equal(true);
+        return view.config?.config.version;
+    };
+    const put = (version: number) => {
+        store.put("configuration", "config", { version, routes: [], services: [] });
+    };
+    return { store, read, put };
+}
+
 /** Removes a target's entry during an outage of the store. */
 async function removeDuringOutage({ store, read }: Pick<ReturnType<typeof setUp>, "store" | "read">): Promise<void> {
     store.put("targets", "t", entry(1));
@@ -139,38 +158,17 @@
     });
 
     it("does not replace a configuration with an older version", async () => {
-        const { clock, store, view } = setUp();
-        const reader = createTopicReader({
-            store: store.createStorePort(host, new VirtualProcess(clock)), decoders, view, clock,
-            log: { info: () => undefined, warn: () => undefined, error: () => undefined },
-        });
-        const put = async (version: number) => {
-            store.put("configuration", "config", { version, routes: [], services: [] });
-            const reading = reader.read("configuration", 0);
-            await clock.advance(50);
-            await reading;
-            return view.config?.config.version;
-        };
-        expect(await put(5)).to.equal(5);
-        expect(await put(4)).to.equal(5);
-        expect(await put(9)).to.equal(9);
+        const { read, put } = setUpConfiguration();
+        const versions: (number | undefined)[] = [];
+        for (const version of [5, 4, 9]) {
+            put(version);
+            versions.push(await read());
+        }
+        expect(versions).to.deep.equal([5, 5, 9]);
     });
 
     it("applies a configuration that stands at an offset that it has read already, after the store came back from an older copy", async () => {
-        const { clock, store, view } = setUp();
-        const reader = createTopicReader({
-            store: store.createStorePort(host, new VirtualProcess(clock)), decoders, view, clock,
-            log: { info: () => undefined, warn: () => undefined, error: () => undefined },
-        });
-        const read = async () => {
-            const reading = reader.read("configuration", 0);
-            await clock.advance(50);
-            await reading;
-            return view.config?.config.version;
-        };
-        const put = (version: number) => {
-            store.put("configuration", "config", { version, routes: [], services: [] });
-        };
+        const { store, read, put } = setUpConfiguration();
         [3, 5, 7].forEach(put);
         expect(await read()).to.equal(7);
         store.loseNewest("configuration", 2);
@@ -182,20 +180,7 @@
     });
 
     it("applies a configuration that was written before the topic is read again after the store came back from an older copy", async () => {
-        const { clock, store, view } = setUp();
-        const reader = createTopicReader({
-            store: store.createStorePort(host, new VirtualProcess(clock)), decoders, view, clock,
-            log: { info: () => undefined, warn: () => undefined, error: () => undefined },
-        });
-        const read = async () => {
-            const reading = reader.read("configuration", 0);
-            await clock.advance(50);
-            await reading;
-            return view.config?.config.version;
-        };
-        const put = (version: number) => {
-            store.put("configuration", "config", { version, routes: [], services: [] });
-        };
+        const { store, read, put } = setUpConfiguration();
         [3, 5, 7].forEach(put);
         expect(await read()).to.equal(7);
         store.loseNewest("configuration", 2);
@@ -204,23 +189,11 @@
     });
 
     it("reads on until it has the newest record, also if one answer of the store does not hold all of them", async () => {
-        const { clock, store, view } = setUp();
-        const reader = createTopicReader({
-            store: store.createStorePort(host, new VirtualProcess(clock)), decoders, view, clock,
-            log: { info: () => undefined, warn: () => undefined, error: () => undefined },
-        });
-        const read = async () => {
-            const reading = reader.read("configuration", 0);
-            await clock.advance(50);
-            expect((await reading).isOk()).to.equal(true);
-            return view.config?.config.version;
-        };
-        store.put("configuration", "config", { version: 3, routes: [], services: [] });
+        const { store, read, put } = setUpConfiguration();
+        put(3);
         expect(await read()).to.equal(3);
         store.maxPageRecords = 1;
-        for (const version of [5, 7, 8]) {
-            store.put("configuration", "config", { version, routes: [], services: [] });
-        }
+        [5, 7, 8].forEach(put);
         expect(await read()).to.equal(8);
     });
 });
