--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -6,6 +6,7 @@
 import { listen } from "../adapters/listening.js";
 import type { ClientDialect } from "./clientDialect.js";
 import type { Failure } from "../model/failure.js";
+import type { RequestId } from "../model/names.js";
 import type { ClientLimits } from "../model/routing.js";
 import type { Clock } from "../model/time.js";
 import type { ClientCall } from "./clientCall.js";
@@ -51,8 +52,10 @@
 /** A limit that a client has reached. */
 export interface ReachedLimit {
     limit: CloseReason | "refused" | "late";
-    /** Time for which a request has waited to begin that is refused because this host is late. */
-    waitMs?: number | undefined;
+    /** The refused request. */
+    request?: RequestId | undefined;
+    /** Time for which the refused request has waited to begin, if this host is late. */
+    waitMs?: number;
     connection: ConnectionSummary;
     /** Bytes held for the connection, and for all. */
     heldBytes: number;
@@ -186,9 +189,9 @@
         }
     };
 
-    const recordLimit = (connection: ClientConnection, limit: ReachedLimit["limit"], waitMs?: number) => {
+    const recordLimit = (connection: ClientConnection, limit: ReachedLimit["limit"], refused: Pick<ReachedLimit, "request" | "waitMs"> = {}) => {
         dependencies.onLimit({
-            limit, waitMs, connection: summarizeConnection(connection, connection.requestCount, nowMs()),
+            limit, ...refused, connection: summarizeConnection(connection, connection.requestCount, nowMs()),
             heldBytes: connection.holdings.bytes, allHeldBytes: account.heldBytes, requestCount: connection.holdings.requestCount,
         });
     };
@@ -253,7 +256,7 @@
         });
         exchange.breakOffBody = call.breakOffBody;
         if (isRefused) {
-            recordLimit(connection, "refused");
+            recordLimit(connection, "refused", { request: call.requestId });
             call.refuse({ reason: "host-full", retryAfterMs: retryAfterFullMs });
             return;
         }
@@ -266,7 +269,7 @@
             },
             refuse: (waitMs, retryAfterMs) => {
                 if (!call.clientLeft.aborted) {
-                    recordLimit(connection, "late", waitMs);
+                    recordLimit(connection, "late", { request: call.requestId, waitMs: Math.round(waitMs) });
                     call.refuse({ reason: "host-late", retryAfterMs });
                 }
             },
--- a/test/entry/holdingLimits.spec.ts
+++ b/test/entry/holdingLimits.spec.ts
@@ -59,7 +59,7 @@
         await client.write(requestOf("r-1", "served"));
         const { status, headers } = await client.readAnswer();
         expect([status, headers["retry-after"], listener.servedIds]).to.deep.equal([503, "1.000", []]);
-        expect(listener.reachedLimits.map(({ limit }) => limit)).to.deep.equal(["refused"]);
+        expect(listener.reachedLimits.map(({ limit, request }) => [limit, request])).to.deep.equal([["refused", "r-1"]]);
     });
 
     // Guards against requests that stay pending for good, which keeps a host from stopping: Node.js ends the first response only.
--- a/test/entry/lateConnections.spec.ts
+++ b/test/entry/lateConnections.spec.ts
@@ -2,7 +2,7 @@
 import { Worker } from "node:worker_threads";
 import { expect } from "chai";
 import type { AcceptSeries } from "../../src/entry/acceptWatch.js";
-import type { ClientHttp } from "../../src/entry/clientHttp.js";
+import type { ClientHttp, ReachedLimit } from "../../src/entry/clientHttp.js";
 import { startSlowListener } from "./slowListener.js";
 
 /** Clients give up a connection that is not established, or whose request is not read, after this time. */
@@ -11,32 +11,50 @@
 /** Serving the requests of all takes longer than clients wait. */
 const burstConnections = 120;
 
-/** Opens the connections at once, each with a request, and posts the number of answers with status 200. */
+/** Outcomes of the requests of a burst. */
+interface BurstOutcome {
+    served: number;
+    /** Refused with 503 and a time to return. */
+    refused: number;
+}
+
+/** Opens the connections at once, each with a request, and posts a `BurstOutcome`. */
 const clientProgram = `
     const net = require("node:net");
-    const { workerData: { port, count }, parentPort } = require("node:worker_threads");
+    const { workerData: { port, count, budgetMs }, parentPort } = require("node:worker_threads");
     let ended = 0;
-    let answered = 0;
+    const outcome = { served: 0, refused: 0 };
     for (let index = 0; index < count; index += 1) {
         const socket = net.connect(port, "127.0.0.1");
         let text = "";
         socket.on("data", (bytes) => { text += bytes; });
         socket.on("error", () => undefined);
         socket.on("close", () => {
-            answered += text.startsWith("HTTP/1.1 200") ? 1 : 0;
+            outcome.served += text.startsWith("HTTP/1.1 200") ? 1 : 0;
+            outcome.refused += text.startsWith("HTTP/1.1 503") && text.includes("Retry-After: ") ? 1 : 0;
             ended += 1;
-            if (ended === count) { parentPort.postMessage(answered); }
+            if (ended === count) { parentPort.postMessage(outcome); }
         });
-        socket.write("GET /a/ HTTP/1.1\\r\\nHost: one.example\\r\\nConnection: close\\r\\nDeadline-Ms: 9000\\r\\nRequest-Id: r-" + index + "\\r\\n\\r\\n");
+        socket.write("GET /a/ HTTP/1.1\\r\\nHost: one.example\\r\\nConnection: close\\r\\nDeadline-Ms: " + budgetMs + "\\r\\nRequest-Id: r-" + index + "\\r\\n\\r\\n");
     }`;
 
 describe("connections of a burst", () => {
     const series: AcceptSeries[] = [];
+    const lateLimits: ReachedLimit[] = [];
     let clients: ClientHttp;
     let port: number;
 
+    const playBurst = async (budgetMs: number): Promise<BurstOutcome> => {
+        const worker = new Worker(clientProgram, { eval: true, workerData: { port, count: burstConnections, budgetMs } });
+        const [outcome] = await once(worker, "message") as [BurstOutcome];
+        return outcome;
+    };
+
     before(async () => {
-        ({ clients, port } = await startSlowListener({ onAcceptSeries: (ended) => series.push({ ...ended }) }));
+        ({ clients, port } = await startSlowListener({
+            onAcceptSeries: (ended) => series.push({ ...ended }),
+            onLimit: (reached) => lateLimits.push(reached),
+        }));
     });
 
     after(() => {
@@ -46,10 +64,17 @@
     // Guards against a host that is late with its work and leaves new connections waiting until their clients have given up.
     it("are accepted before their clients give up, although serving all of them takes longer", async function () {
         this.timeout(20_000);
-        const worker = new Worker(clientProgram, { eval: true, workerData: { port, count: burstConnections } });
-        const [answered] = await once(worker, "message") as [number];
+        expect(await playBurst(9_000)).to.deep.equal({ served: burstConnections, refused: 0 });
         expect(clients.connectionCounts().accepted).to.equal(burstConnections);
-        expect(answered).to.equal(burstConnections);
         expect(Math.max(...series.map(({ lastedMs }) => lastedMs))).to.be.below(clientPatienceMs);
     });
+
+    // Guards against requests kept until their deadline by a host that can't begin them in time.
+    it("have their requests refused with a time to return, and not run, if a third of the time passes before they begin", async function () {
+        this.timeout(20_000);
+        const { served, refused } = await playBurst(900);
+        expect(served + refused).to.equal(burstConnections);
+        expect(refused).to.be.above(0);
+        expect(lateLimits.map(({ limit, request }) => [limit, typeof request])).to.deep.equal(Array(refused).fill(["late", "string"]));
+    });
 });
