--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -106,7 +106,7 @@
     pending(): number;
     /** Returns the number of bytes that are held for clients, as estimated. */
     heldBytes(): number;
-    /** Returns the number of connections accepted so far, and of those that are open. */
+    /** Returns the number of connections accepted so far, those of readiness checks among them, and of those that are open. */
     connectionCounts(): { accepted: number; open: number };
     /** Returns a bound on the time that connections wait now to be accepted. */
     acceptWaitMs(nowMs: number): number;
@@ -155,11 +155,13 @@
 
     const onConnection = (socket: Socket) => {
         acceptWatch.onAccepted();
-        if (check?.onAccepted({ ip: socket.remoteAddress ?? "", port: socket.remotePort ?? 0 }, nowMs()) === true) {
-            socket.destroy();
+        acceptedCount += 1;
+        check?.onAccepted({
+            peer: { ip: socket.remoteAddress ?? "", port: socket.remotePort ?? 0 }, atMs: nowMs(), close: () => socket.destroy(),
+        });
+        if (socket.destroyed) {
             return;
         }
-        acceptedCount += 1;
         const connection = connectionOf(socket);
         // Each request in progress listens for the end of its connection; their number has a limit of its own.
         socket.setMaxListeners(0);
--- a/src/entry/listenerCheck.ts
+++ b/src/entry/listenerCheck.ts
@@ -14,8 +14,10 @@
 /** One check may lose its connection to something on the way that resets it. */
 const lossesUntilFailure = 2;
 
-/** What becomes of a connection of a check; called after it was opened, and not once it is closed. */
+/** What becomes of a connection of a check; called after `OpenCheckConnection` has returned, and not once the connection is closed. */
 export interface CheckConnectionEvents {
+    /** It is open; `own` is this host's end of it, which the listener sees as the other one. */
+    onOpen: (own: Endpoint) => void;
     /** It can't be opened. */
     onRefused: (code: string) => void;
     /** It was open and was lost on the way. */
@@ -31,10 +33,16 @@
     port: number;
 }
 
+/** A connection that the listener has accepted. */
+export interface AcceptedConnection {
+    peer: Endpoint;
+    atMs: number;
+    /** Closes it if it turns out to be that of a check. */
+    close: () => void;
+}
+
 /** A connection of a check, as this host opened it. */
 export interface CheckConnection {
-    /** Its own end, which the listener sees as the other one; undefined until it has one. */
-    ownEndpoint(): Endpoint | undefined;
     close(): void;
 }
 
@@ -42,8 +50,8 @@
 export interface ListenerCheck {
     /** Starts a check if none is under way, and returns why connections are not taken; undefined as long as they are. */
     failure(nowMs: number): string | undefined;
-    /** Called with the other end of each connection that the listener accepts; returns whether it is that of a check. */
-    onAccepted(peer: Endpoint, nowMs: number): boolean;
+    /** Called with each connection that the listener accepts; one of a check is closed, at once or soon. */
+    onAccepted(accepted: AcceptedConnection): void;
     /** Ends the checks. */
     stop(): void;
 }
@@ -51,6 +59,10 @@
 interface RunningCheck {
     startedMs: number;
     connection: CheckConnection;
+    /** This host's end; undefined until the connection is open. */
+    own: Endpoint | undefined;
+    /** Accepted since the start of the check and before its connection was known to be open. */
+    acceptedEarly: AcceptedConnection[];
 }
 
 /** Creates the checks. */
@@ -69,6 +81,12 @@
 
     const start = (startedMs: number) => {
         const connection = open({
+            onOpen: (own) => {
+                if (running?.connection === connection) {
+                    running.own = own;
+                    running.acceptedEarly.splice(0).forEach(endIfOwn);
+                }
+            },
             onRefused: (code) => {
                 if (running?.connection === connection) {
                     end(`no connection to the client listener: ${code}`);
@@ -81,7 +99,22 @@
                 }
             },
         });
-        running = { startedMs, connection };
+        running = { startedMs, connection, own: undefined, acceptedEarly: [] };
+    };
+
+    /** Ends the check if the accepted connection is its own. */
+    const endIfOwn = ({ peer, atMs, close }: AcceptedConnection) => {
+        if (running?.own === undefined || running.own.port !== peer.port || running.own.ip !== peer.ip) {
+            return;
+        }
+        const isLate = atMs - running.startedMs >= maxAcceptMs;
+        close();
+        lossCount = 0;
+        end(isLate ? "connections are accepted late" : undefined);
+        if (isLate) {
+            // What is known is old: this host may have stood still meanwhile.
+            start(clock.now().monoMs);
+        }
     };
 
     return {
@@ -95,19 +128,13 @@
             const isLate = running !== undefined && nowMs - running.startedMs >= maxAcceptMs;
             return isLate ? "connections are accepted late" : lastFailure;
         },
-        onAccepted: (peer, nowMs) => {
-            const own = running?.connection.ownEndpoint();
-            if (running === undefined || own?.port !== peer.port || own.ip !== peer.ip) {
-                return false;
+        onAccepted: (accepted) => {
+            if (running !== undefined && running.own === undefined) {
+                running.acceptedEarly.push(accepted);
             }
-            const isLate = nowMs - running.startedMs >= maxAcceptMs;
-            lossCount = 0;
-            end(isLate ? "connections are accepted late" : undefined);
-            if (isLate) {
-                // What is known is old: this host may have stood still meanwhile.
-                start(clock.now().monoMs);
+            else {
+                endIfOwn(accepted);
             }
-            return true;
         },
         stop: () => {
             isStopped = true;
@@ -122,12 +149,17 @@
  */
 export function checkConnectionsTo(address: string): OpenCheckConnection {
     const [host, port] = address.split(":");
-    return ({ onRefused, onLost }) => {
+    return ({ onOpen, onRefused, onLost }) => {
         const socket = net.connect({ host, port: Number(port) });
         let isOpen = false;
         let isClosed = false;
         socket.once("connect", () => {
             isOpen = true;
+            const { localAddress, localPort } = socket;
+            // Neither is known any more if the connection was reset meanwhile; its end follows.
+            if (!isClosed && localAddress !== undefined && localPort !== undefined) {
+                onOpen({ ip: localAddress, port: localPort });
+            }
         });
         socket.on("error", ({ code, message }: NodeJS.ErrnoException) => {
             if (!isClosed && !isOpen) {
@@ -140,9 +172,6 @@
             }
         });
         return {
-            ownEndpoint: () => socket.localAddress === undefined || socket.localPort === undefined
-                ? undefined
-                : { ip: socket.localAddress, port: socket.localPort },
             close: () => {
                 isClosed = true;
                 socket.destroy();
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -199,7 +199,7 @@
         hostContainer.resolve(tokens.membership).members().length);
     metrics.gauge("hornbeam_pending_requests", "Requests from clients that have no response yet.", () =>
         hostContainer.resolve(tokens.clientHttp).pending());
-    metrics.gauge("hornbeam_client_connections_accepted", "Connections of clients accepted since the start.", () =>
+    metrics.gauge("hornbeam_client_connections_accepted", "Connections accepted from clients and readiness checks since the start.", () =>
         hostContainer.resolve(tokens.clientHttp).connectionCounts().accepted);
     metrics.gauge("hornbeam_client_connections", "Connections of clients that are open.", () =>
         hostContainer.resolve(tokens.clientHttp).connectionCounts().open);
--- a/src/observe/listenerRecorder.ts
+++ b/src/observe/listenerRecorder.ts
@@ -31,7 +31,7 @@
 
 /** State of the host beside an answer to a readiness check. */
 export interface ReadinessState {
-    /** Connections of clients accepted so far. */
+    /** Connections accepted so far from clients and readiness checks. */
     acceptedCount: number;
     /** Connections of clients that are open. */
     openCount: number;
--- a/test/entry/listenerCheck.spec.ts
+++ b/test/entry/listenerCheck.spec.ts
@@ -1,38 +1,54 @@
 import { expect } from "chai";
-import type { CheckConnectionEvents, Endpoint, ListenerCheck } from "../../src/entry/listenerCheck.js";
+import type { CheckConnectionEvents, ListenerCheck } from "../../src/entry/listenerCheck.js";
 import { createListenerCheck } from "../../src/entry/listenerCheck.js";
 
 /** The checks of a listener whose connections are fakes with the ports 1, 2, 3 and so on. */
 class PlayedChecks {
     readonly check: ListenerCheck;
-    readonly closedPorts: number[] = [];
+    /** Ports of the connections that this host has closed as the one that opened, and as the one that accepted them. */
+    readonly closed: { opened: number[]; accepted: number[] } = { opened: [], accepted: [] };
     nowMs = 0;
     private openedCount = 0;
     private events: CheckConnectionEvents | undefined;
 
-    constructor() {
+    /** @param opensAtOnce false if connections are known to be open only once `open` is called */
+    constructor(private readonly opensAtOnce = true) {
         this.check = createListenerCheck((events) => {
             this.openedCount += 1;
             const port = this.openedCount;
             this.events = events;
             return {
-                ownEndpoint: () => ({ ip: "10.0.0.1", port }),
                 close: () => {
-                    this.closedPorts.push(port);
+                    this.closed.opened.push(port);
                 },
             };
         }, { now: () => ({ monoMs: this.nowMs, wallMs: 0 }), sleep: () => Promise.resolve() });
     }
 
+    open(): void {
+        this.events?.onOpen({ ip: "10.0.0.1", port: this.openedCount });
+    }
+
     failureAt(nowMs: number): string | undefined {
         this.nowMs = nowMs;
-        return this.check.failure(nowMs);
+        const opened = this.openedCount;
+        const failure = this.check.failure(nowMs);
+        if (this.opensAtOnce && this.openedCount > opened) {
+            this.open();
+        }
+        return failure;
     }
 
+    /** Returns whether the accepted connection was closed as that of a check. */
     acceptAt(nowMs: number, port: number, ip = "10.0.0.1"): boolean {
         this.nowMs = nowMs;
-        const peer: Endpoint = { ip, port };
-        return this.check.onAccepted(peer, nowMs);
+        const opened = this.openedCount;
+        const closedBefore = this.closed.accepted.length;
+        this.check.onAccepted({ peer: { ip, port }, atMs: nowMs, close: () => this.closed.accepted.push(port) });
+        if (this.opensAtOnce && this.openedCount > opened) {
+            this.open();
+        }
+        return this.closed.accepted.length > closedBefore;
     }
 
     fail(code: string): void {
@@ -51,14 +67,24 @@
         expect(played.acceptAt(900, 1)).to.equal(true);
         expect(played.failureAt(1_000)).to.equal(undefined);
         expect(played.acceptAt(1_100, 2)).to.equal(true);
-        expect(played.closedPorts).to.deep.equal([1, 2]);
+        expect(played.closed).to.deep.equal({ opened: [1, 2], accepted: [1, 2] });
     });
 
     it("takes no connection of a client for its own", () => {
         const played = new PlayedChecks();
         played.failureAt(0);
         expect([played.acceptAt(10, 2), played.acceptAt(10, 1, "10.0.0.2")]).to.deep.equal([false, false]);
-        expect(played.closedPorts).to.deep.equal([]);
+        expect(played.closed).to.deep.equal({ opened: [], accepted: [] });
+    });
+
+    // Guards against a ready host that says it isn't, since it took its check's connection for that of a client.
+    it("knows its connection also if the listener accepts it, beside others, before it is known to be open", () => {
+        const played = new PlayedChecks(false);
+        played.failureAt(0);
+        expect([played.acceptAt(10, 7, "10.0.0.2"), played.acceptAt(10, 1)]).to.deep.equal([false, false]);
+        played.open();
+        expect(played.closed).to.deep.equal({ opened: [1], accepted: [1] });
+        expect(played.failureAt(1_000)).to.equal(undefined);
     });
 
     it("finds that connections are accepted late after 1 s, and no more once one is accepted in time", () => {
@@ -75,7 +101,7 @@
         const played = new PlayedChecks();
         played.failureAt(0);
         expect(played.failureAt(3_000)).to.equal("connections are not accepted");
-        expect(played.closedPorts).to.deep.equal([1]);
+        expect(played.closed.opened).to.deep.equal([1]);
         expect(played.acceptAt(3_100, 2)).to.equal(true);
         expect(played.failureAt(3_200)).to.equal(undefined);
     });
@@ -116,6 +142,6 @@
         const played = new PlayedChecks();
         played.failureAt(0);
         played.check.stop();
-        expect([played.failureAt(5_000), played.closedPorts]).to.deep.equal([undefined, [1]]);
+        expect([played.failureAt(5_000), played.closed.opened]).to.deep.equal([undefined, [1]]);
     });
 });
