Soak: take the descriptors of hosts that are ready only

Its host h1 had just been started again when its descriptors were taken, so it ended with EMFILE before it had read its code; the platform would start it again, the soak doesn't. The fault was the soak's; the bounds and checks are as before.

--- a/test/soak/faultInjection.ts
+++ b/test/soak/faultInjection.ts
@@ -2,7 +2,7 @@
 import { evacuationKeyPrefix, topics } from "../../platform/names.js";
 import { noServerFaults } from "../../platform/standins/serverStandIn.js";
 import type { FleetHost } from "../fleet/fleet.js";
-import { buildRoutingConfig, hasEnded, keyedService, paths, plainService, send, sleep } from "../fleet/fleet.js";
+import { buildRoutingConfig, hasEnded, isReady, keyedService, paths, plainService, send, sleep } from "../fleet/fleet.js";
 import { limitOpenFiles, nextDescriptor } from "../fleet/openFiles.js";
 import type { CutKind } from "../fleet/targetCut.js";
 import { cutFromTargets } from "../fleet/targetCut.js";
@@ -133,11 +133,14 @@
         });
     }
 
-    /** Leaves a host without a free descriptor for some time. */
+    /** Leaves a host without a free descriptor for some time; one that starts could not, and nothing here starts it again. */
     useUpDescriptors(): void {
         const host = this.random.pick(this.fleet.hosts);
         const durationMs = 300 + this.random.integerUpTo(3_000);
         this.runFault(`no descriptors for ${host.name} ${String(Math.round(durationMs))} ms`, async () => {
+            if (!await isReady(host)) {
+                return;
+            }
             limitOpenFiles(host, nextDescriptor(host));
             await sleep(durationMs);
             if (!hasEnded(host)) {
