--- a/src/entry/requestStarts.ts
+++ b/src/entry/requestStarts.ts
@@ -1,16 +1,16 @@
 /**
  * Decides when requests begin to be served. Serving keeps a turn of the event loop busy, and each turn accepts one connection; so while
- * connections wait to be accepted, most turns only accept and read, and requests wait here, where their age is known.
+ * connections wait to be accepted, some turns only accept and read, and requests wait here, where their age is known.
  */
 import type { Clock } from "../model/time.js";
 
-/** Turns in a row, and the time, in which no request begins because connections wait. */
-const maxHeldTurns = 16;
-const maxHeldMs = 250;
-
 /** Time in a turn in which requests begin; the others wait for the next turn, so that sockets are polled in between. */
 const sliceMs = 20;
 
+/** Turns in a row, and the time, in which no request begins because connections wait: half of the time at most. */
+const maxHeldTurns = 16;
+const maxHeldMs = sliceMs;
+
 /** Share of the time for which its client waits after which a request that has not begun is refused. */
 const maxWaitShare = 1 / 3;
 
