Let the keys of a silent target go whose address accepts connections and resets them

Cause: each connection that the address reset woke the lease manager at once, so that it opened the next one within milliseconds, and sent a grant in the moment in which the last lease had expired. A grant without an answer may have been accepted and counts as a lease, so the keys were never free when the planner looked (every 150 ms).

Evidence: test/ownership/leaseManager.spec.ts, new test, fails before: within 10 s the target is free for 0 ms in a row (300 needed).

--- a/src/ownership/leaseManager.ts
+++ b/src/ownership/leaseManager.ts
@@ -25,6 +25,9 @@
  */
 const endedForMs = 5_000;
 
+/** Once the leases of a silent target have expired, it is sent no grant for this long, so that its keys can be assigned to others. */
+const expiredPauseMs = 400;
+
 /** While no grants may be sent, the manager checks that often whether they may again. */
 const notPermittedPauseMs = 20;
 
@@ -77,7 +80,10 @@
         this.liveness = new Liveness(dependencies.clock.now().monoMs);
         this.leases = new LeaseTable(dependencies.fences);
         this.sessions = new TargetSessions(targetId, address, dependencies.leases, () => {
-            this.wake.fire();
+            // The address of a target that is gone may accept connections and reset each of them.
+            if (!this.liveness.isFailing) {
+                this.wake.fire();
+            }
         });
     }
 
@@ -237,7 +243,7 @@
     /** A silent target gets only one more grant before its leases have expired, since each grant extends the wait for its keys. */
     private isDue(lease: Lease): boolean {
         const nowMs = this.dependencies.clock.now().monoMs;
-        if (this.isSilent && this.hasSentGrantWhileSilent && !this.hasEnded && nowMs < this.freeAtMs) {
+        if (this.isSilent && this.hasSentGrantWhileSilent && !this.hasEnded && nowMs < this.freeAtMs + expiredPauseMs) {
             return false;
         }
         return this.leases.includes(lease) && lease.dueMs <= nowMs && this.dependencies.isRecorded(this.targetId, lease.range);
--- a/test/ownership/leaseManager.spec.ts
+++ b/test/ownership/leaseManager.spec.ts
@@ -11,6 +11,9 @@
 
 const range = { from: 0, to: 99 } as KeyRange;
 
+/** Interval at which the planner looks at the targets. */
+const planIntervalMs = 150;
+
 /** What the target of a test does, and the duration of leases granted to it. */
 interface TargetState {
     reply: GrantReply | "silent";
@@ -25,19 +28,32 @@
     stoppedMs: number;
     /** False if it doesn't answer calls to release a range in time. */
     releases: boolean;
+    /** True if its address accepts connections and resets each soon. */
+    resets: boolean;
 }
 
 /** Creates the lease manager of a target whose answers a test sets, and records the grants that the target receives. */
 function setUp(predecessorActsForMs = 0) {
     const clock = new VirtualClock();
     const grants: Grant[] = [];
-    const state: TargetState = { reply: "granted", reachable: true, opened: 0, holdMs: defaultHoldMs, closes: false, leaving: false, stoppedMs: 0, releases: true };
+    const state: TargetState = { reply: "granted", reachable: true, opened: 0, holdMs: defaultHoldMs, closes: false, leaving: false, stoppedMs: 0, releases: true, resets: false };
     const permission = { isGiven: true, mayUseNewFences: true, askedCount: 0 };
     const leavingReports: LeavingTarget[] = [];
     const session = (): LeaseSession => {
         let open = true;
         let closeSession: () => void = () => undefined;
         state.opened += 1;
+        const closed = new Promise<string>((resolve) => {
+            closeSession = () => {
+                open = false;
+                void clock.sleep(1).then(() => {
+                    resolve("closed");
+                });
+            };
+        });
+        if (state.resets) {
+            void clock.sleep(2).then(closeSession);
+        }
         return {
             get isOpen() {
                 return open;
@@ -46,17 +62,10 @@
                 return state.leaving;
             },
             requestsPerSecond: undefined,
-            closed: new Promise((resolve) => {
-                closeSession = () => {
-                    open = false;
-                    void clock.sleep(1).then(() => {
-                        resolve("closed");
-                    });
-                };
-            }),
+            closed,
             grant: async (grant, timeoutMs) => {
                 grants.push(grant);
-                await clock.sleep(state.reply === "silent" ? timeoutMs + state.stoppedMs : 1);
+                await clock.sleep(state.reply === "silent" && !state.resets ? timeoutMs + state.stoppedMs : 1);
                 open &&= !state.closes;
                 return state.reply === "silent" ? err(failure("lost", "grant", "t", "no answer in time")) : ok(state.reply);
             },
@@ -200,6 +209,27 @@
         end();
     });
 
+    // Guards against keys that stay without an owner: each connection that was reset brought on another grant at once.
+    it("leaves a target whose address resets each connection without a lease for long enough that its keys can be assigned", async () => {
+        const { clock, manager, state, end } = setUp();
+        manager.setRanges([range], []);
+        await clock.advance(1_000);
+        Object.assign(state, { reply: "silent", resets: true });
+        await clock.advance(2_000);
+        expect(manager.isSilent).to.equal(true);
+        const openedBefore = state.opened;
+        let freeMs = 0;
+        let longestFreeMs = 0;
+        for (let passedMs = 0; passedMs < 10_000; passedMs += 10) {
+            await clock.advance(10);
+            freeMs = clock.now().monoMs > manager.freeAtMs ? freeMs + 10 : 0;
+            longestFreeMs = Math.max(longestFreeMs, freeMs);
+        }
+        expect(longestFreeMs).to.be.above(2 * planIntervalMs);
+        expect(state.opened - openedBefore).to.be.at.most(10_000 / 200);
+        end();
+    });
+
     it("does not extend the leases of a target that refuses connections by trying to reach it", async () => {
         const { clock, manager, state, end } = setUp();
         manager.setRanges([range], []);
