Name the accept backlog and the start queue by the field's words; split clientHttp.ts and container.ts

acceptWatch.ts is acceptBacklog.ts, requestStarts.ts is startQueue.ts, and tests say simulated and timeout in place of played and patience.

--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -6,30 +6,28 @@
 import { listen } from "../adapters/listening.js";
 import type { ClientDialect } from "./clientDialect.js";
 import type { Failure } from "../model/failure.js";
-import type { RequestId } from "../model/names.js";
 import type { ClientLimits } from "../model/routing.js";
 import type { Clock } from "../model/time.js";
 import type { ClientCall } from "./clientCall.js";
-import { RequestNotRunError } from "./clientCall.js";
-import type { AcceptSeries } from "./acceptWatch.js";
-import { createAcceptWatch } from "./acceptWatch.js";
-import type { ClientAccountLimits, CloseReason } from "./clientAccount.js";
+import { createCallServing } from "./callServing.js";
+import type { AcceptBacklog } from "./acceptBacklog.js";
+import { createAcceptBacklogMonitor } from "./acceptBacklog.js";
 import { ClientAccount } from "./clientAccount.js";
-import type { ClientConnection, ConnectionSummary, Denial, HttpExchange } from "./clientConnection.js";
+import type { ClientConnection, Denial, HttpExchange } from "./clientConnection.js";
 import {
-    addExchange, createClientConnection, endQueuedResponses, progressOf, removeExchange, summarizeConnection,
+    addExchange, createClientConnection, endQueuedResponses, removeExchange, summarizeConnection,
 } from "./clientConnection.js";
+import type { HoldingLimits, ReachedLimit } from "./holdingEnforcement.js";
+import { createHoldingEnforcement } from "./holdingEnforcement.js";
 import { createHttpClientCall } from "./httpClientCall.js";
 import { createInputDenials, denialReasonOfHeaders } from "./inputDenials.js";
 import { gateInput } from "./inputGate.js";
 import type { ListenerCheck } from "./listenerCheck.js";
 import { checkConnectionsTo, createListenerCheck } from "./listenerCheck.js";
-import { createRequestStarts } from "./requestStarts.js";
+import { createStartQueue } from "./startQueue.js";
 
-const connectionCheckIntervalMs = 500;
-
-/** Retry delay sent to clients whose request did not run because of an unexpected error. */
-const retryAfterErrorMs = 250;
+/** Interval at which the time limits of header sections are checked. */
+const headerCheckIntervalMs = 500;
 
 /** Limits applied until a configuration is known. */
 const initialLimits: ClientLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 10_000, idleTimeoutMs: 15_000 };
@@ -43,27 +41,6 @@
 /** A body that is not known to be shorter is not accepted while this host refuses clients that hold much. */
 const longBodyBytes = 65_536;
 
-/** Limits on what clients make this host hold. */
-export interface HoldingLimits extends ClientAccountLimits {
-    /** Fixed allowance of a message for bytes that are neither header section nor content. */
-    maxOverheadBytes: number;
-}
-
-/** A limit that a client has reached. */
-export interface ReachedLimit {
-    limit: CloseReason | "refused" | "late";
-    /** The refused request. */
-    request?: RequestId | undefined;
-    /** Time for which the refused request has waited to begin, if this host is late. */
-    waitMs?: number;
-    connection: ConnectionSummary;
-    /** Bytes held for the connection, and for all. */
-    heldBytes: number;
-    allHeldBytes: number;
-    /** Requests of the connection in progress. */
-    requestCount: number;
-}
-
 /** Dependencies of the listener. */
 export interface ClientHttpDependencies {
     /** The first one that matches a request is used; the last one must match every request. */
@@ -78,8 +55,8 @@
     holdingLimits: HoldingLimits;
     /** Called when a request is refused or a connection is closed because of what it holds. */
     onLimit: (reached: ReachedLimit) => void;
-    /** Called with the turns of the event loop in which connections may have waited to be accepted. */
-    onAcceptSeries: (series: AcceptSeries) => void;
+    /** Called with each backlog of connections that may have waited to be accepted. */
+    onAcceptBacklog: (backlog: AcceptBacklog) => void;
     /** Returns whether connections of other hosts may be waiting to be accepted. */
     doPeersWait: () => boolean;
     /** Called when a connection could not be accepted. */
@@ -111,7 +88,7 @@
     /** Returns a bound on the time that connections wait now to be accepted. */
     acceptWaitMs(nowMs: number): number;
     /** Checks whether this host takes connections at its own address; returns why it doesn't, as far as is known. See `ListenerCheck`. */
-    listenerFailure(nowMs: number): string | undefined;
+    checkListener(nowMs: number): string | undefined;
     /** Stops accepting connections and closes all of them, including those with requests in progress. */
     close(): void;
 }
@@ -125,14 +102,13 @@
     let acceptedCount = 0;
     const connections = new WeakMap<Socket, ClientConnection>();
     const account = new ClientAccount<Socket>(dependencies.holdingLimits);
-    const acceptWatch = createAcceptWatch({
-        clock: dependencies.clock, atTurnEnd: setImmediate, onSeries: dependencies.onAcceptSeries,
+    const acceptBacklog = createAcceptBacklogMonitor({
+        clock: dependencies.clock, atTurnEnd: setImmediate, onBacklog: dependencies.onAcceptBacklog,
     });
-    const starts = createRequestStarts({
-        clock: dependencies.clock, atTurnEnd: setImmediate, doConnectionsWait: () => acceptWatch.isInSeries() || dependencies.doPeersWait(),
+    const startQueue = createStartQueue({
+        clock: dependencies.clock, atTurnEnd: setImmediate, doConnectionsWait: () => acceptBacklog.mayExist() || dependencies.doPeersWait(),
     });
     let check: ListenerCheck | undefined;
-    let checks: NodeJS.Timeout | undefined;
     const limits = () => configuredLimits ?? initialLimits;
     const nowMs = () => dependencies.clock.now().monoMs;
 
@@ -147,6 +123,8 @@
         return connection;
     };
 
+    const holding = createHoldingEnforcement({ account, connectionOf, clock: dependencies.clock, onLimit: dependencies.onLimit });
+    const serveCall = createCallServing(dependencies);
     const denials = createInputDenials({
         clock: dependencies.clock, onDenied: dependencies.onDenied,
         connectionOf, limits,
@@ -154,7 +132,7 @@
     });
 
     const onConnection = (socket: Socket) => {
-        acceptWatch.onAccepted();
+        acceptBacklog.onAccepted();
         acceptedCount += 1;
         check?.onAccepted({
             peer: { ip: socket.remoteAddress ?? "", port: socket.remotePort ?? 0 }, atMs: nowMs(), close: () => socket.destroy(),
@@ -168,12 +146,9 @@
         socket.once("close", () => {
             endQueuedResponses(connection);
             account.close(socket);
-            if (account.connectionCount === 0) {
-                clearInterval(checks);
-                checks = undefined;
-            }
+            holding.onClosed();
         });
-        checks ??= setInterval(checkProgress, connectionCheckIntervalMs).unref();
+        holding.onOpened();
         connection.gate = gateInput(socket, dependencies.holdingLimits.maxOverheadBytes, {
             mayParse: () => account.mayParse(connection.holdings, socket.writableLength),
             isInputEnded: () => connection.isInputEnded,
@@ -185,38 +160,7 @@
                 denials.denyInput(connection, error === "invalid-chunk" ? "malformed" : error, { pieceCount });
             },
         });
-        const beyondLimit = account.connectionBeyondLimit();
-        if (beyondLimit !== undefined) {
-            closeForLimit(beyondLimit, "open-files");
-        }
-    };
-
-    const recordLimit = (connection: ClientConnection, limit: ReachedLimit["limit"], refused: Pick<ReachedLimit, "request" | "waitMs"> = {}) => {
-        dependencies.onLimit({
-            limit, ...refused, connection: summarizeConnection(connection, connection.requestCount, nowMs()),
-            heldBytes: connection.holdings.bytes, allHeldBytes: account.heldBytes, requestCount: connection.holdings.requestCount,
-        });
-    };
-
-    const closeForLimit = (socket: Socket, reason: CloseReason) => {
-        const connection = connectionOf(socket);
-        recordLimit(connection, reason);
-        const { exchanges, lastExchange } = connection;
-        // The body belongs to the request received last; its refusal can be sent only if no earlier response is due.
-        if (lastExchange?.breakOffBody !== undefined && exchanges.size === 1 && !connection.isInputEnded) {
-            connection.isInputEnded = true;
-            lastExchange.response.shouldKeepAlive = false;
-            if (lastExchange.breakOffBody()) {
-                return;
-            }
-        }
-        socket.destroy();
-    };
-
-    const checkProgress = () => {
-        for (const { connection, reason } of account.check(nowMs(), (socket) => progressOf(connectionOf(socket)))) {
-            closeForLimit(connection, reason);
-        }
+        holding.closeBeyondLimit();
     };
 
     const onRequest = (request: IncomingMessage, response: ServerResponse, beforeRead: () => void) => {
@@ -258,49 +202,28 @@
         });
         exchange.breakOffBody = call.breakOffBody;
         if (isRefused) {
-            recordLimit(connection, "refused", { request: call.requestId });
+            holding.recordRefusal(connection, "refused", { request: call.requestId });
             call.refuse({ reason: "host-full", retryAfterMs: retryAfterFullMs });
             return;
         }
-        starts.add({
+        startQueue.add({
             budgetMs: call.budgetMs,
             start: () => {
                 if (!call.clientLeft.aborted) {
-                    void serve(call, response);
+                    void serveCall(call, response);
                 }
             },
             refuse: (waitMs, retryAfterMs) => {
                 if (!call.clientLeft.aborted) {
-                    recordLimit(connection, "late", { request: call.requestId, waitMs: Math.round(waitMs) });
+                    holding.recordRefusal(connection, "late", { request: call.requestId, waitMs: Math.round(waitMs) });
                     call.refuse({ reason: "host-late", retryAfterMs });
                 }
             },
         });
     };
 
-    const serve = async (call: ClientCall, response: ServerResponse) => {
-        try {
-            await dependencies.serve(call);
-        }
-        catch (error) {
-            dependencies.onUnexpectedError(error, call);
-            answerAfterError(call, response, error);
-        }
-    };
-
-    /** Refuses a request that could not be served because of an unexpected error; closes the connection if that is not possible either. */
-    const answerAfterError = (call: ClientCall, response: ServerResponse, error: unknown) => {
-        try {
-            refuseAfterError(call, response, error);
-        }
-        catch (furtherError) {
-            dependencies.onUnexpectedError(furtherError, call);
-            call.abortAnswer();
-        }
-    };
-
     const server = http.createServer({
-        noDelay: true, connectionsCheckingInterval: connectionCheckIntervalMs, requestTimeout: 0, requireHostHeader: false,
+        noDelay: true, connectionsCheckingInterval: headerCheckIntervalMs, requestTimeout: 0, requireHostHeader: false,
     });
     // By default Node.js drops header fields beyond the first 2,000. The limit on bytes bounds their number.
     server.maxHeadersCount = 0;
@@ -341,8 +264,8 @@
         pending: () => pending,
         heldBytes: () => account.heldBytes,
         connectionCounts: () => ({ accepted: acceptedCount, open: account.connectionCount }),
-        acceptWaitMs: acceptWatch.waitMs,
-        listenerFailure: (nowMs) => check?.failure(nowMs),
+        acceptWaitMs: acceptBacklog.maxWaitMs,
+        checkListener: (nowMs) => check?.run(nowMs),
         close: () => {
             check?.stop();
             server.close();
@@ -351,20 +274,6 @@
     };
 }
 
-/** Answers a request that could not be served because of an unexpected error; if a part of an answer was written, closes the connection. */
-function refuseAfterError(call: ClientCall, response: ServerResponse, error: unknown): void {
-    if (response.writableEnded) {
-        return;
-    }
-    if (response.headersSent) {
-        call.abortAnswer();
-        return;
-    }
-    call.refuse(error instanceof RequestNotRunError
-        ? { reason: "unreachable", retryAfterMs: retryAfterErrorMs }
-        : { reason: "lost", retryAfterMs: undefined });
-}
-
 /** Tells whether the body of a request may be long. */
 function hasLongBody({ headers }: IncomingMessage): boolean {
     return headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > longBodyBytes;
--- a/src/entry/listenerCheck.ts
+++ b/src/entry/listenerCheck.ts
@@ -48,8 +48,8 @@
 
 /** The checks of one listener. */
 export interface ListenerCheck {
-    /** Starts a check if none is under way, and returns why connections are not taken; undefined as long as they are. */
-    failure(nowMs: number): string | undefined;
+    /** Starts a check if none is under way, and returns why connections are not taken, by the last ones; undefined as long as they are. */
+    run(nowMs: number): string | undefined;
     /** Called with each connection that the listener accepts; one of a check is closed, at once or soon. */
     onAccepted(accepted: AcceptedConnection): void;
     /** Ends the checks. */
@@ -112,13 +112,13 @@
         lossCount = 0;
         end(isLate ? "connections are accepted late" : undefined);
         if (isLate) {
-            // What is known is old: this host may have stood still meanwhile.
+            // This host may have been suspended since the check began; another one tells how it is now.
             start(clock.now().monoMs);
         }
     };
 
     return {
-        failure: (nowMs) => {
+        run: (nowMs) => {
             if (running !== undefined && nowMs - running.startedMs >= checkTimeoutMs) {
                 end("connections are not accepted");
             }
--- a/src/entry/requestStarts.ts
+++ b/src/entry/startQueue.ts
@@ -1,15 +1,15 @@
 /**
- * Decides when requests begin to be served. Serving keeps a turn of the event loop busy, and each turn accepts one connection; so while
- * connections wait to be accepted, some turns only accept and read, and requests wait here, where their age is known.
+ * Queue of requests that have been read and not begun. Serving keeps a turn of the event loop busy, and each turn accepts one connection;
+ * so while connections wait to be accepted, some turns only accept and read, and requests wait here, where their age is known.
  */
 import type { Clock } from "../model/time.js";
 
 /** Time in a turn in which requests begin; the others wait for the next turn, so that sockets are polled in between. */
 const sliceMs = 20;
 
-/** Turns in a row, and the time, in which no request begins because connections wait: half of the time at most. */
-const maxHeldTurns = 16;
-const maxHeldMs = sliceMs;
+/** Most turns in a row, and most time, in which no request begins because connections wait; with `sliceMs` half of the time at most. */
+const maxDeferredTurns = 16;
+const maxDeferredMs = sliceMs;
 
 /** Share of the time for which its client waits after which a request that has not begun is refused. */
 const maxWaitShare = 1 / 3;
@@ -21,7 +21,7 @@
 const minRetryAfterMs = 250;
 
 /** A request that has not begun. */
-export interface StartingRequest {
+export interface QueuedRequest {
     /** Time for which the client waits; undefined if it states none. */
     budgetMs: number | undefined;
     start: () => void;
@@ -29,8 +29,8 @@
     refuse: (waitMs: number, retryAfterMs: number) => void;
 }
 
-/** Dependencies of the starts. */
-export interface RequestStartsDependencies {
+/** Dependencies of the queue. */
+export interface StartQueueDependencies {
     clock: Clock;
     /** Calls back at the end of this turn of the event loop; in the next turn if this one is at its end already. */
     atTurnEnd: (callback: () => void) => void;
@@ -38,35 +38,35 @@
     doConnectionsWait: () => boolean;
 }
 
-/** The requests of a listener that have not begun. */
-export interface RequestStarts {
+/** The queue of one listener. */
+export interface StartQueue {
     /**
      * Adds a request. It begins a turn later at the earliest: on an overloaded host a client may have left before its request is read, and
      * the end of its connection is then read in the next turn.
      */
-    add(request: StartingRequest): void;
+    add(request: QueuedRequest): void;
 }
 
-interface WaitingRequest extends StartingRequest {
+interface WaitingRequest extends QueuedRequest {
     addedMs: number;
 }
 
 /** Creates the queue. */
-export function createRequestStarts({ clock, atTurnEnd, doConnectionsWait }: RequestStartsDependencies): RequestStarts {
+export function createStartQueue({ clock, atTurnEnd, doConnectionsWait }: StartQueueDependencies): StartQueue {
     const waiting: WaitingRequest[] = [];
     let isScheduled = false;
-    let heldTurnCount = 0;
-    let heldSinceMs = 0;
+    let deferredTurnCount = 0;
+    let deferredSinceMs = 0;
     let sliceStartMs: number | undefined;
 
     /** Decides whether no request begins in the next turn, in favour of connections that wait. */
-    const holds = (nowMs: number): boolean => {
-        if (heldTurnCount === 0) {
-            heldSinceMs = nowMs;
+    const defersStarts = (nowMs: number): boolean => {
+        if (deferredTurnCount === 0) {
+            deferredSinceMs = nowMs;
         }
-        const isHeld = doConnectionsWait() && heldTurnCount < maxHeldTurns && nowMs - heldSinceMs < maxHeldMs;
-        heldTurnCount = isHeld ? heldTurnCount + 1 : 0;
-        return isHeld;
+        const isDeferred = doConnectionsWait() && deferredTurnCount < maxDeferredTurns && nowMs - deferredSinceMs < maxDeferredMs;
+        deferredTurnCount = isDeferred ? deferredTurnCount + 1 : 0;
+        return isDeferred;
     };
 
     const startNext = () => {
@@ -93,9 +93,9 @@
         if (!isScheduled) {
             return;
         }
-        if (!holds(clock.now().monoMs)) {
+        if (!defersStarts(clock.now().monoMs)) {
             sliceStartMs = undefined;
-            // Each begins in a callback of its own, so that what it does before its first real wait counts.
+            // Each begins in a callback of its own: its promise jobs run before the next callback reads the clock.
             for (let count = waiting.length; count > 0; count -= 1) {
                 atTurnEnd(startNext);
             }
@@ -120,6 +120,6 @@
     };
 }
 
-function maxWaitMs({ budgetMs }: StartingRequest): number {
+function maxWaitMs({ budgetMs }: QueuedRequest): number {
     return budgetMs === undefined ? defaultMaxWaitMs : budgetMs * maxWaitShare;
 }
--- a/src/host/container.ts
+++ b/src/host/container.ts
@@ -12,9 +12,7 @@
 import { createPeerLinks } from "../cluster/peerLinks.js";
 import { CrashEvidence } from "../crashes/crashEvidence.js";
 import { createCrashObserver } from "../crashes/crashObserver.js";
-import { createAcceptWatch } from "../entry/acceptWatch.js";
-import { RequestNotRunError } from "../entry/clientCall.js";
-import { createClientHttp } from "../entry/clientHttp.js";
+import { createAcceptBacklogMonitor } from "../entry/acceptBacklog.js";
 import { ownDialect } from "../entry/ownDialect.js";
 import { createConnectionPool } from "../forwarding/connectionPool.js";
 import { createRelayServer } from "../forwarding/relayServer.js";
@@ -23,12 +21,10 @@
 import type { ClientDialect } from "../entry/clientDialect.js";
 import type { TargetDialect } from "../forwarding/dialect.js";
 import { createForwarder } from "../forwarding/forwarder.js";
-import { maxConfigAgeMs } from "../forwarding/requestPreparation.js";
 import { probeTarget } from "../forwarding/targetProbe.js";
 import type { RunId } from "../model/names.js";
 import { offsetInEra } from "../model/storePosition.js";
-import { createDenialRecorder, createLimitRecorder } from "../observe/denialRecorder.js";
-import { createAcceptErrorRecorder, createAcceptSeriesRecorder } from "../observe/listenerRecorder.js";
+import { createAcceptBacklogRecorder } from "../observe/listenerRecorder.js";
 import { createLogger } from "../observe/logger.js";
 import { createLogWriter } from "../observe/logWriter.js";
 import type { Metrics } from "../observe/metrics.js";
@@ -47,6 +43,7 @@
 import type { StorePort } from "../store/storePort.js";
 import { createTopicReader } from "../store/topicReader.js";
 import { createSystemClock } from "../adapters/systemClock.js";
+import { createClientListener } from "./clientListener.js";
 import type { DaemonSettings } from "./daemonSettings.js";
 import { tokens } from "./tokens.js";
 
@@ -65,13 +62,6 @@
 /** Number of characters in a run id. */
 const runIdLength = 8;
 
-const maxLoggedPathChars = 200;
-
-const bytesPerMb = 1_048_576;
-
-/** Share of the file descriptors that connections of clients may take; targets, other hosts and the store need the rest. */
-const clientFileShare = 0.5;
-
 /** Implementations that the platform's adapter provides. */
 export interface HostAdapters {
     clientDialect: ClientDialect;
@@ -124,9 +114,9 @@
         keepsDataCentreQueues: true,
     }));
     provide(tokens.links, (from) => createPeerLinks(from.resolve(tokens.peerHandlers), from.resolve(tokens.clock)));
-    provide(tokens.peerAcceptWatch, (from) => createAcceptWatch({
+    provide(tokens.peerAcceptBacklog, (from) => createAcceptBacklogMonitor({
         clock: from.resolve(tokens.clock), atTurnEnd: setImmediate,
-        onSeries: createAcceptSeriesRecorder("peers", from.resolve(tokens.logFactory)("cluster"), from.resolve(tokens.metrics)),
+        onBacklog: createAcceptBacklogRecorder("peers", from.resolve(tokens.logFactory)("cluster"), from.resolve(tokens.metrics)),
     }));
     provide(tokens.reader, (from) => createTopicReader({
         store: from.resolve(tokens.store),
@@ -244,35 +234,7 @@
         random: from.resolve(tokens.random),
         sharesScarceCapacity: settings.sharesScarceCapacity,
     }));
-    provide(tokens.clientHttp, (from) => {
-        const log = from.resolve(tokens.logFactory)("clients");
-        return createClientHttp({
-            dialects: from.resolve(tokens.clientDialects),
-            clock: from.resolve(tokens.clock),
-            serve: (call) => from.resolve(tokens.forwarder).serve(call),
-            areLimitsConfirmed: (nowMs) => from.resolve(tokens.node).configAgeMs(nowMs) <= maxConfigAgeMs,
-            onDenied: createDenialRecorder(log, from.resolve(tokens.metrics)),
-            holdingLimits: {
-                maxBytes: settings.memoryMb * bytesPerMb * daemonSettings.clientMemoryShare,
-                maxConnections: Math.max(1, Math.floor(settings.maxOpenFiles * clientFileShare)),
-                maxPipelined: daemonSettings.clientPipelined,
-                minBytesPerSecond: daemonSettings.clientMinRate,
-                stallMs: daemonSettings.clientStallMs,
-                maxOverheadBytes: daemonSettings.clientOverheadBytes,
-            },
-            onLimit: createLimitRecorder(log, from.resolve(tokens.metrics)),
-            onAcceptSeries: createAcceptSeriesRecorder("clients", log, from.resolve(tokens.metrics)),
-            doPeersWait: () => from.resolve(tokens.peerAcceptWatch).isInSeries(),
-            onAcceptError: createAcceptErrorRecorder(log, from.resolve(tokens.metrics)),
-            onUnexpectedError: (error, { requestId, method, path }) => {
-                const cause = error instanceof Error ? error.cause ?? error : error;
-                log.error("unexpected error", {
-                    request: requestId, method, path: path.slice(0, maxLoggedPathChars), notRun: error instanceof RequestNotRunError,
-                    why: cause instanceof Error ? cause.stack : String(cause),
-                });
-            },
-        });
-    });
+    provide(tokens.clientHttp, createClientListener);
     provide(tokens.node, (from) => createNode({
         self: from.resolve(tokens.membership).self,
         maxHoldMs: settings.maxHoldMs,
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -69,7 +69,7 @@
             return "no configuration";
         }
         const sharded = view.config.config.services.some((service) => service.sharded);
-        return sharded && view.ledger.ownerships().length === 0 ? "no owners" : clients.listenerFailure(clock.now().monoMs);
+        return sharded && view.ledger.ownerships().length === 0 ? "no owners" : clients.checkListener(clock.now().monoMs);
     };
 
     view.configChanged.listen(() => {
@@ -104,7 +104,7 @@
         }),
         metrics: () => hostContainer.resolve(tokens.metrics).text(),
     });
-    const { onAccepted: onPeerAccepted } = hostContainer.resolve(tokens.peerAcceptWatch);
+    const { onAccepted: onPeerAccepted } = hostContainer.resolve(tokens.peerAcceptBacklog);
     let peers: net.Server | undefined;
     // The platform kills a previous process of this host, which may still hold the addresses, at the end of the time for its shutdown.
     const areListening = await startListeners([
--- a/src/host/tokens.ts
+++ b/src/host/tokens.ts
@@ -10,7 +10,7 @@
 import type { PeerLinks } from "../cluster/peerLinks.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { CrashObserver } from "../crashes/crashObserver.js";
-import type { AcceptWatch } from "../entry/acceptWatch.js";
+import type { AcceptBacklogMonitor } from "../entry/acceptBacklog.js";
 import type { ClientHttp } from "../entry/clientHttp.js";
 import type { ConnectionPool } from "../forwarding/connectionPool.js";
 import type { ClientDialect } from "../entry/clientDialect.js";
@@ -63,7 +63,7 @@
     peerHandlers: token<PeerHandlers>("peerHandlers"),
     links: token<PeerLinks>("links"),
     /** Watches the listener for other hosts. */
-    peerAcceptWatch: token<AcceptWatch>("peerAcceptWatch"),
+    peerAcceptBacklog: token<AcceptBacklogMonitor>("peerAcceptBacklog"),
     reachability: token<ReachabilityMonitor>("reachability"),
     connector: token<TargetConnector>("connector"),
     relayServer: token<RelayServer>("relayServer"),
--- a/src/observe/denialRecorder.ts
+++ b/src/observe/denialRecorder.ts
@@ -1,6 +1,6 @@
 /** Records input that the listener denies, and limits that clients reach, in the log and in the metrics. */
 import type { Denial } from "../entry/clientConnection.js";
-import type { ReachedLimit } from "../entry/clientHttp.js";
+import type { ReachedLimit } from "../entry/holdingEnforcement.js";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
 
--- a/src/observe/listenerRecorder.ts
+++ b/src/observe/listenerRecorder.ts
@@ -1,5 +1,5 @@
 /** Records in the log and in the metrics how a listener accepts connections, and what readiness checks are told. */
-import type { AcceptSeries } from "../entry/acceptWatch.js";
+import type { AcceptBacklog } from "../entry/acceptBacklog.js";
 import type { Log } from "./log.js";
 import type { Metrics } from "./metrics.js";
 
@@ -7,15 +7,15 @@
 const loggedWaitMs = 250;
 
 /**
- * Creates a function that records how long connections may have waited to be accepted.
+ * Creates a function that records a backlog of connections that may have waited to be accepted.
  * @param listener name of the listener in the metrics
  */
-export function createAcceptSeriesRecorder(listener: "clients" | "peers", log: Log, metrics: Metrics): (series: AcceptSeries) => void {
-    return ({ turnCount, longestTurnMs, lastedMs }) => {
-        metrics.acceptWaitMs.observe({ listener }, lastedMs);
-        if (lastedMs > loggedWaitMs) {
+export function createAcceptBacklogRecorder(listener: "clients" | "peers", log: Log, metrics: Metrics): (series: AcceptBacklog) => void {
+    return ({ turnCount, longestTurnMs, maxWaitMs }) => {
+        metrics.acceptWaitMs.observe({ listener }, maxWaitMs);
+        if (maxWaitMs > loggedWaitMs) {
             log.warn("connections wait to be accepted", {
-                forMs: Math.round(lastedMs), turnCount, longestTurnMs: Math.round(longestTurnMs),
+                forMs: Math.round(maxWaitMs), turnCount, longestTurnMs: Math.round(longestTurnMs),
             });
         }
     };
--- a/test/cluster/latePeers.spec.ts
+++ b/test/cluster/latePeers.spec.ts
@@ -4,14 +4,14 @@
 import { expect } from "chai";
 import { createSystemClock } from "../../src/adapters/systemClock.js";
 import { listenForPeers } from "../../src/cluster/peerConnection.js";
-import type { AcceptSeries } from "../../src/entry/acceptWatch.js";
-import { createAcceptWatch } from "../../src/entry/acceptWatch.js";
+import type { AcceptBacklog } from "../../src/entry/acceptBacklog.js";
+import { createAcceptBacklogMonitor } from "../../src/entry/acceptBacklog.js";
 import type { ClientHttp } from "../../src/entry/clientHttp.js";
 import { freePort } from "../entry/listenerClient.js";
 import { startSlowListener } from "../entry/slowListener.js";
 
 /** A host closes a connection on which a call is pending and nothing is received for this long. */
-const peerPatienceMs = 600;
+const peerTimeoutMs = 600;
 
 const peerCount = 100;
 
@@ -35,7 +35,7 @@
     }`;
 
 describe("connections of many hosts at once", () => {
-    const series: AcceptSeries[] = [];
+    const backlogs: AcceptBacklog[] = [];
     const clock = createSystemClock();
     let clients: ClientHttp;
     let peers: net.Server;
@@ -51,17 +51,17 @@
     it("are accepted before these give up, although the host is late with requests of clients", async function () {
         this.timeout(20_000);
         let acceptedCount = 0;
-        const watch = createAcceptWatch({ clock, atTurnEnd: setImmediate, onSeries: (ended) => series.push({ ...ended }) });
-        const started = await startSlowListener({ doPeersWait: watch.isInSeries });
+        const backlog = createAcceptBacklogMonitor({ clock, atTurnEnd: setImmediate, onBacklog: (ended) => backlogs.push({ ...ended }) });
+        const started = await startSlowListener({ doPeersWait: backlog.mayExist });
         ({ clients } = started);
         const peerPort = await freePort();
         peers = (await listenForPeers(`127.0.0.1:${String(peerPort)}`, {}, clock, 0, () => {
             acceptedCount += 1;
-            watch.onAccepted();
+            backlog.onAccepted();
         }))._unsafeUnwrap();
         worker = new Worker(program, { eval: true, workerData: { clientPort: started.port, peerPort, peerCount } });
         await once(worker, "message");
         expect(acceptedCount).to.equal(peerCount);
-        expect(Math.max(...series.map(({ lastedMs }) => lastedMs))).to.be.below(peerPatienceMs);
+        expect(Math.max(...backlogs.map(({ maxWaitMs }) => maxWaitMs))).to.be.below(peerTimeoutMs);
     });
 });
--- a/test/entry/holdingLimits.spec.ts
+++ b/test/entry/holdingLimits.spec.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { RawClient } from "./listenerClient.js";
-import type { HoldingLimits } from "../../src/entry/clientHttp.js";
+import type { HoldingLimits } from "../../src/entry/holdingEnforcement.js";
 import type { ListenerUnderTest } from "./listenerUnderTest.js";
 import { expectedBody, limits, startListener, treatmentHeader } from "./listenerUnderTest.js";
 
--- a/test/entry/lateConnections.spec.ts
+++ b/test/entry/lateConnections.spec.ts
@@ -1,12 +1,13 @@
 import { once } from "node:events";
 import { Worker } from "node:worker_threads";
 import { expect } from "chai";
-import type { AcceptSeries } from "../../src/entry/acceptWatch.js";
-import type { ClientHttp, ReachedLimit } from "../../src/entry/clientHttp.js";
+import type { AcceptBacklog } from "../../src/entry/acceptBacklog.js";
+import type { ClientHttp } from "../../src/entry/clientHttp.js";
+import type { ReachedLimit } from "../../src/entry/holdingEnforcement.js";
 import { startSlowListener } from "./slowListener.js";
 
 /** Clients give up a connection that is not established, or whose request is not read, after this time. */
-const clientPatienceMs = 1_000;
+const clientTimeoutMs = 1_000;
 
 /** Serving the requests of all takes longer than clients wait. */
 const burstConnections = 120;
@@ -39,7 +40,7 @@
     }`;
 
 describe("connections of a burst", () => {
-    const series: AcceptSeries[] = [];
+    const backlogs: AcceptBacklog[] = [];
     const lateLimits: ReachedLimit[] = [];
     let clients: ClientHttp;
     let port: number;
@@ -52,7 +53,7 @@
 
     before(async () => {
         ({ clients, port } = await startSlowListener({
-            onAcceptSeries: (ended) => series.push({ ...ended }),
+            onAcceptBacklog: (ended) => backlogs.push({ ...ended }),
             onLimit: (reached) => lateLimits.push(reached),
         }));
     });
@@ -66,7 +67,7 @@
         this.timeout(20_000);
         expect(await playBurst(30_000)).to.deep.equal({ served: burstConnections, refused: 0 });
         expect(clients.connectionCounts().accepted).to.equal(burstConnections);
-        expect(Math.max(...series.map(({ lastedMs }) => lastedMs))).to.be.below(clientPatienceMs);
+        expect(Math.max(...backlogs.map(({ maxWaitMs }) => maxWaitMs))).to.be.below(clientTimeoutMs);
     });
 
     // Guards against requests kept until their deadline by a host that can't begin them in time.
--- a/test/entry/listenerCheck.spec.ts
+++ b/test/entry/listenerCheck.spec.ts
@@ -3,7 +3,7 @@
 import { createListenerCheck } from "../../src/entry/listenerCheck.js";
 
 /** The checks of a listener whose connections are fakes with the ports 1, 2, 3 and so on. */
-class PlayedChecks {
+class SimulatedChecks {
     readonly check: ListenerCheck;
     /** Ports of the connections that this host has closed as the one that opened, and as the one that accepted them. */
     readonly closed: { opened: number[]; accepted: number[] } = { opened: [], accepted: [] };
@@ -32,7 +32,7 @@
     failureAt(nowMs: number): string | undefined {
         this.nowMs = nowMs;
         const opened = this.openedCount;
-        const failure = this.check.failure(nowMs);
+        const failure = this.check.run(nowMs);
         if (this.opensAtOnce && this.openedCount > opened) {
             this.open();
         }
@@ -62,86 +62,86 @@
 
 describe("check of the client listener", () => {
     it("finds nothing while its connections are accepted, and closes each", () => {
-        const played = new PlayedChecks();
-        expect(played.failureAt(0)).to.equal(undefined);
-        expect(played.acceptAt(900, 1)).to.equal(true);
-        expect(played.failureAt(1_000)).to.equal(undefined);
-        expect(played.acceptAt(1_100, 2)).to.equal(true);
-        expect(played.closed).to.deep.equal({ opened: [1, 2], accepted: [1, 2] });
+        const checks = new SimulatedChecks();
+        expect(checks.failureAt(0)).to.equal(undefined);
+        expect(checks.acceptAt(900, 1)).to.equal(true);
+        expect(checks.failureAt(1_000)).to.equal(undefined);
+        expect(checks.acceptAt(1_100, 2)).to.equal(true);
+        expect(checks.closed).to.deep.equal({ opened: [1, 2], accepted: [1, 2] });
     });
 
     it("takes no connection of a client for its own", () => {
-        const played = new PlayedChecks();
-        played.failureAt(0);
-        expect([played.acceptAt(10, 2), played.acceptAt(10, 1, "10.0.0.2")]).to.deep.equal([false, false]);
-        expect(played.closed).to.deep.equal({ opened: [], accepted: [] });
+        const checks = new SimulatedChecks();
+        checks.failureAt(0);
+        expect([checks.acceptAt(10, 2), checks.acceptAt(10, 1, "10.0.0.2")]).to.deep.equal([false, false]);
+        expect(checks.closed).to.deep.equal({ opened: [], accepted: [] });
     });
 
     // Guards against a ready host that says it isn't, since it took its check's connection for that of a client.
     it("knows its connection also if the listener accepts it, beside others, before it is known to be open", () => {
-        const played = new PlayedChecks(false);
-        played.failureAt(0);
-        expect([played.acceptAt(10, 7, "10.0.0.2"), played.acceptAt(10, 1)]).to.deep.equal([false, false]);
-        played.open();
-        expect(played.closed).to.deep.equal({ opened: [1], accepted: [1] });
-        expect(played.failureAt(1_000)).to.equal(undefined);
+        const checks = new SimulatedChecks(false);
+        checks.failureAt(0);
+        expect([checks.acceptAt(10, 7, "10.0.0.2"), checks.acceptAt(10, 1)]).to.deep.equal([false, false]);
+        checks.open();
+        expect(checks.closed).to.deep.equal({ opened: [1], accepted: [1] });
+        expect(checks.failureAt(1_000)).to.equal(undefined);
     });
 
     it("finds that connections are accepted late after 1 s, and no more once one is accepted in time", () => {
-        const played = new PlayedChecks();
-        played.failureAt(0);
-        expect([played.failureAt(999), played.failureAt(1_000)]).to.deep.equal([undefined, "connections are accepted late"]);
-        expect(played.acceptAt(1_500, 1)).to.equal(true);
-        expect(played.failureAt(1_600)).to.equal("connections are accepted late");
-        expect(played.acceptAt(1_700, 2)).to.equal(true);
-        expect(played.failureAt(1_800)).to.equal(undefined);
+        const checks = new SimulatedChecks();
+        checks.failureAt(0);
+        expect([checks.failureAt(999), checks.failureAt(1_000)]).to.deep.equal([undefined, "connections are accepted late"]);
+        expect(checks.acceptAt(1_500, 1)).to.equal(true);
+        expect(checks.failureAt(1_600)).to.equal("connections are accepted late");
+        expect(checks.acceptAt(1_700, 2)).to.equal(true);
+        expect(checks.failureAt(1_800)).to.equal(undefined);
     });
 
     it("gives a connection up after 3 s and opens another one", () => {
-        const played = new PlayedChecks();
-        played.failureAt(0);
-        expect(played.failureAt(3_000)).to.equal("connections are not accepted");
-        expect(played.closed.opened).to.deep.equal([1]);
-        expect(played.acceptAt(3_100, 2)).to.equal(true);
-        expect(played.failureAt(3_200)).to.equal(undefined);
+        const checks = new SimulatedChecks();
+        checks.failureAt(0);
+        expect(checks.failureAt(3_000)).to.equal("connections are not accepted");
+        expect(checks.closed.opened).to.deep.equal([1]);
+        expect(checks.acceptAt(3_100, 2)).to.equal(true);
+        expect(checks.failureAt(3_200)).to.equal(undefined);
     });
 
     it("names the error if no connection can be opened", () => {
-        const played = new PlayedChecks();
-        played.failureAt(0);
-        played.fail("ECONNREFUSED");
-        expect(played.failureAt(1_000)).to.equal("no connection to the client listener: ECONNREFUSED");
-        played.acceptAt(1_010, 2);
-        expect(played.failureAt(2_000)).to.equal(undefined);
+        const checks = new SimulatedChecks();
+        checks.failureAt(0);
+        checks.fail("ECONNREFUSED");
+        expect(checks.failureAt(1_000)).to.equal("no connection to the client listener: ECONNREFUSED");
+        checks.acceptAt(1_010, 2);
+        expect(checks.failureAt(2_000)).to.equal(undefined);
     });
 
     // Guards against a ready host that says it isn't, since something on the way has reset the check's connection and no other one.
     it("finds nothing if the connection of one check is lost", () => {
-        const played = new PlayedChecks();
-        played.failureAt(0);
-        played.lose();
-        expect(played.failureAt(1_000)).to.equal(undefined);
-        expect(played.acceptAt(1_100, 2)).to.equal(true);
-        played.failureAt(2_000);
-        played.lose();
-        expect(played.failureAt(3_000)).to.equal(undefined);
+        const checks = new SimulatedChecks();
+        checks.failureAt(0);
+        checks.lose();
+        expect(checks.failureAt(1_000)).to.equal(undefined);
+        expect(checks.acceptAt(1_100, 2)).to.equal(true);
+        checks.failureAt(2_000);
+        checks.lose();
+        expect(checks.failureAt(3_000)).to.equal(undefined);
     });
 
     it("finds that connections are closed before they are accepted if those of two checks in a row are lost", () => {
-        const played = new PlayedChecks();
-        played.failureAt(0);
-        played.lose();
-        played.failureAt(1_000);
-        played.lose();
-        expect(played.failureAt(2_000)).to.equal("connections are closed before they are accepted");
-        expect(played.acceptAt(2_100, 3)).to.equal(true);
-        expect(played.failureAt(3_000)).to.equal(undefined);
+        const checks = new SimulatedChecks();
+        checks.failureAt(0);
+        checks.lose();
+        checks.failureAt(1_000);
+        checks.lose();
+        expect(checks.failureAt(2_000)).to.equal("connections are closed before they are accepted");
+        expect(checks.acceptAt(2_100, 3)).to.equal(true);
+        expect(checks.failureAt(3_000)).to.equal(undefined);
     });
 
     it("opens no connection once it is stopped", () => {
-        const played = new PlayedChecks();
-        played.failureAt(0);
-        played.check.stop();
-        expect([played.failureAt(5_000), played.closed.opened]).to.deep.equal([undefined, [1]]);
+        const checks = new SimulatedChecks();
+        checks.failureAt(0);
+        checks.check.stop();
+        expect([checks.failureAt(5_000), checks.closed.opened]).to.deep.equal([undefined, [1]]);
     });
 });
--- a/test/entry/listenerUnderTest.ts
+++ b/test/entry/listenerUnderTest.ts
@@ -4,7 +4,8 @@
 import { createSystemClock } from "../../src/adapters/systemClock.js";
 import type { ClientCall } from "../../src/entry/clientCall.js";
 import type { Denial } from "../../src/entry/clientConnection.js";
-import type { ClientHttp, HoldingLimits, ReachedLimit } from "../../src/entry/clientHttp.js";
+import type { ClientHttp } from "../../src/entry/clientHttp.js";
+import type { HoldingLimits, ReachedLimit } from "../../src/entry/holdingEnforcement.js";
 import { createClientHttp } from "../../src/entry/clientHttp.js";
 import type { RouteId, ServiceId } from "../../src/model/names.js";
 import type { ClientLimits, RoutingConfig } from "../../src/model/routing.js";
@@ -26,7 +27,7 @@
 
 /** For tests that look at none of these events. */
 export const ignoredEvents = {
-    onLimit: () => undefined, onAcceptSeries: () => undefined, onAcceptError: () => undefined, doPeersWait: () => false,
+    onLimit: () => undefined, onAcceptBacklog: () => undefined, onAcceptError: () => undefined, doPeersWait: () => false,
 };
 
 /** Header by which a request states how the service treats it; see `treatments`. */
@@ -171,7 +172,7 @@
         onDenied: (denial) => denials.push(denial),
         holdingLimits: { ...holdingLimits, ...holding },
         onLimit: (reached) => reachedLimits.push(reached),
-        onAcceptSeries: () => undefined,
+        onAcceptBacklog: () => undefined,
         doPeersWait: () => false,
         onAcceptError: (error) => errors.push(error),
         onUnexpectedError: (error) => errors.push(error),
--- a/test/entry/slowListener.ts
+++ b/test/entry/slowListener.ts
@@ -25,7 +25,7 @@
 
 /** Starts the listener; returns it with its port. */
 export async function startSlowListener(
-    dependencies: Partial<Pick<ClientHttpDependencies, "onAcceptSeries" | "onLimit" | "doPeersWait">>,
+    dependencies: Partial<Pick<ClientHttpDependencies, "onAcceptBacklog" | "onLimit" | "doPeersWait">>,
 ): Promise<{ clients: ClientHttp; port: number }> {
     const clients = createClientHttp({
         ...ignoredEvents, dialects: [platformClientDialect], clock: createSystemClock(), areLimitsConfirmed: () => true, holdingLimits,
--- a/test/entry/requestStarts.spec.ts
+++ b/test/entry/startQueue.spec.ts
@@ -1,17 +1,17 @@
 import { expect } from "chai";
-import type { RequestStarts } from "../../src/entry/requestStarts.js";
-import { createRequestStarts } from "../../src/entry/requestStarts.js";
+import type { StartQueue } from "../../src/entry/startQueue.js";
+import { createStartQueue } from "../../src/entry/startQueue.js";
 
-/** Plays turns of an event loop for the starts. */
-class PlayedTurns {
+/** Plays turns of an event loop for the queue. */
+class SimulatedTurns {
     readonly events: string[] = [];
-    readonly starts: RequestStarts;
+    readonly queue: StartQueue;
     nowMs = 0;
     doConnectionsWait = false;
     private callbacks: (() => void)[] = [];
 
     constructor(private readonly startMs = 0) {
-        this.starts = createRequestStarts({
+        this.queue = createStartQueue({
             clock: { now: () => ({ monoMs: this.nowMs, wallMs: 0 }), sleep: () => Promise.resolve() },
             atTurnEnd: (callback) => this.callbacks.push(callback),
             doConnectionsWait: () => this.doConnectionsWait,
@@ -19,7 +19,7 @@
     }
 
     add(name: string, budgetMs: number | undefined = 60_000): void {
-        this.starts.add({
+        this.queue.add({
             budgetMs,
             start: () => {
                 this.events.push(`${name} started`);
@@ -41,13 +41,13 @@
 
 describe("starts of requests", () => {
     it("come a turn after the request was read, when its client may turn out to have left", () => {
-        const turns = new PlayedTurns();
+        const turns = new SimulatedTurns();
         turns.add("a");
         expect([turns.endTurn(), turns.endTurn()]).to.deep.equal([[], ["a started"]]);
     });
 
     it("are spread over turns if they take long, in the order of arrival", () => {
-        const turns = new PlayedTurns(8);
+        const turns = new SimulatedTurns(8);
         for (const name of ["a", "b", "c", "d", "e"]) {
             turns.add(name);
         }
@@ -56,7 +56,7 @@
     });
 
     it("are held back while connections wait, for 16 turns at most", () => {
-        const turns = new PlayedTurns();
+        const turns = new SimulatedTurns();
         turns.doConnectionsWait = true;
         turns.add("a");
         const played = Array.from({ length: 18 }, () => turns.endTurn(1));
@@ -64,7 +64,7 @@
     });
 
     it("are held back while connections wait, for 20 ms at most", () => {
-        const turns = new PlayedTurns();
+        const turns = new SimulatedTurns();
         turns.doConnectionsWait = true;
         turns.add("a");
         const played = Array.from({ length: 6 }, () => turns.endTurn(8));
@@ -72,7 +72,7 @@
     });
 
     it("go on as soon as no connection waits", () => {
-        const turns = new PlayedTurns();
+        const turns = new SimulatedTurns();
         turns.doConnectionsWait = true;
         turns.add("a");
         turns.endTurn();
@@ -81,16 +81,16 @@
     });
 
     it("are refused once a request has waited for a third of its client's time, or for 1 s", () => {
-        const turns = new PlayedTurns();
+        const turns = new SimulatedTurns();
         turns.add("short", 900);
         turns.add("open");
-        turns.starts.add({ budgetMs: undefined, start: () => undefined, refuse: (waitMs) => turns.events.push(`none refused after ${String(waitMs)}`) });
+        turns.queue.add({ budgetMs: undefined, start: () => undefined, refuse: (waitMs) => turns.events.push(`none refused after ${String(waitMs)}`) });
         expect([turns.endTurn(1_001), turns.endTurn()])
             .to.deep.equal([[], ["short refused after 1001, return after 1001", "open started", "none refused after 1001"]]);
     });
 
     it("are refused at once while another request has waited for longer than the new one may", () => {
-        const turns = new PlayedTurns();
+        const turns = new SimulatedTurns();
         turns.add("head");
         turns.nowMs = 400;
         turns.add("short", 900);
--- a/test/observe/listenerRecorder.spec.ts
+++ b/test/observe/listenerRecorder.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { createMetrics } from "../../src/observe/metrics.js";
-import { createAcceptErrorRecorder, createAcceptSeriesRecorder, createReadinessRecorder } from "../../src/observe/listenerRecorder.js";
+import { createAcceptErrorRecorder, createAcceptBacklogRecorder, createReadinessRecorder } from "../../src/observe/listenerRecorder.js";
 
 describe("records of a listener", () => {
     const recordedBy = () => {
@@ -13,9 +13,9 @@
 
     it("log connections that waited long to be accepted", () => {
         const { lines, log, metrics } = recordedBy();
-        const record = createAcceptSeriesRecorder("clients", log, metrics);
-        record({ startedMs: 0, turnCount: 1, longestTurnMs: 20.2, lastedMs: 20.2 });
-        record({ startedMs: 0, turnCount: 9, longestTurnMs: 80.4, lastedMs: 410.6 });
+        const record = createAcceptBacklogRecorder("clients", log, metrics);
+        record({ sinceMs: 0, turnCount: 1, longestTurnMs: 20.2, maxWaitMs: 20.2 });
+        record({ sinceMs: 0, turnCount: 9, longestTurnMs: 80.4, maxWaitMs: 410.6 });
         expect(lines).to.deep.equal([["connections wait to be accepted", { forMs: 411, turnCount: 9, longestTurnMs: 80 }]]);
     });
 
