--- a/src/admission/admissionClient.ts
+++ b/src/admission/admissionClient.ts
@@ -13,7 +13,7 @@
 import { admissionMethods } from "./messages.js";
 import type { QueueHosts } from "./queueHosts.js";
 import type { AdmissionServer } from "./admissionServer.js";
-import type { WorkEnd } from "./targetRecord.js";
+import type { WorkEnd } from "./workEnd.js";
 
 /** Time for which a host is skipped after it did not answer or was not ready. */
 const suspicionMs = 1_500;
--- a/src/admission/messageChecks.ts
+++ b/src/admission/messageChecks.ts
@@ -15,7 +15,7 @@
 import type { Log } from "../observe/log.js";
 import type { QueueRefusalReason } from "./admissionRequest.js";
 import type { EnterParams, EnterReply, LeaveParams, WithdrawParams } from "./messages.js";
-import type { WorkEnd } from "./targetRecord.js";
+import type { WorkEnd } from "./workEnd.js";
 
 /** Limits on lists in messages, and on a rate that a target may state. */
 const maxAvoided = 10_000;
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -4,7 +4,7 @@
 import type { StatedRateLimit } from "../model/rateLimit.js";
 import type { AgedTargetLoad } from "../model/targetLoad.js";
 import type { QueueRefusalReason, Ticket } from "./admissionRequest.js";
-import type { WorkEnd } from "./targetRecord.js";
+import type { WorkEnd } from "./workEnd.js";
 
 /**
  * The targets that share a queue: a single target that owns keys, or all targets of a service without keys, or those of them in one data
--- a/src/admission/queueTargets.ts
+++ b/src/admission/queueTargets.ts
@@ -3,7 +3,8 @@
 import type { StatedRateLimit } from "../model/rateLimit.js";
 import { isEveryRateLimited, minOpenSlowness, rateLimitWaitMs, totalEffectiveSlots } from "./queueCapacity.js";
 import type { RateLimitUse } from "./rateLimiter.js";
-import type { QueueTarget, RunningRequest, TargetRecord, WorkEnd } from "./targetRecord.js";
+import type { QueueTarget, RunningRequest, TargetRecord } from "./targetRecord.js";
+import type { WorkEnd } from "./workEnd.js";
 import {
     applyRateLimit, capacityOf, decaySlowness, endRateLimit, hasFreeSlot, limitersOf, newTargetRecord, recordEnd, updateTarget,
 } from "./targetRecord.js";
--- a/src/admission/suspectIsolation.ts
+++ b/src/admission/suspectIsolation.ts
@@ -7,7 +7,8 @@
 import type { Fingerprint } from "../crashes/requestFingerprint.js";
 import type { AdmissionRequest } from "./admissionRequest.js";
 import type { RunningRequests } from "./runningRequests.js";
-import type { RunningRequest, TargetRecord, WorkEnd } from "./targetRecord.js";
+import type { RunningRequest, TargetRecord } from "./targetRecord.js";
+import type { WorkEnd } from "./workEnd.js";
 
 /** Time within which all hosts learn whether a target crashed with a suspected request. */
 const suspectHoldMs = 1_000;
--- a/src/admission/targetRecord.ts
+++ b/src/admission/targetRecord.ts
@@ -5,6 +5,7 @@
 import type { RateLimitUse } from "./rateLimiter.js";
 import { RateLimiter } from "./rateLimiter.js";
 import { TargetSpeed } from "./targetLoadReports.js";
+import type { WorkEnd } from "./workEnd.js";
 import type { WorkDistribution } from "./workEstimates.js";
 
 /** The properties of a target that a queue needs. */
@@ -21,21 +22,6 @@
     bornWallMs: number;
 }
 
-/** How a request ended at its target. */
-export type WorkEnd =
-    /** The target answered after `tookMs`. */
-    | { kind: "answered"; tookMs: number }
-    /** The target refused the request without running it; `pauseMs` is the back-off that it asked of the sending host. */
-    | { kind: "turned-away"; pauseMs?: number }
-    /** No connection could be opened. */
-    | { kind: "unreachable" }
-    /** The request was sent, and its answer was cut off or never came. */
-    | { kind: "lost" }
-    /** The request had not been answered after `afterMs`. */
-    | { kind: "late"; afterMs: number }
-    /** The client disconnected or did not send its body completely, or the request was never sent. */
-    | { kind: "dropped" };
-
 /** A request that holds a slot. Times are monotonic milliseconds of the queue's host. */
 export interface RunningRequest {
     targetId: TargetId;
--- a/src/forwarding/attemptEnds.ts
+++ b/src/forwarding/attemptEnds.ts
@@ -1,5 +1,5 @@
 /** What the end of an attempt means for the target's queue and for the client. */
-import type { WorkEnd } from "../admission/targetRecord.js";
+import type { WorkEnd } from "../admission/workEnd.js";
 import type { RefusalReason } from "../entry/clientCall.js";
 import type { AttemptEnd } from "./attempt.js";
 
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -2,7 +2,7 @@
 import { setMaxListeners } from "node:events";
 import type { AdmissionClient } from "../admission/admissionClient.js";
 import type { RetryBudgets } from "../admission/retryBudgets.js";
-import type { WorkEnd } from "../admission/targetRecord.js";
+import type { WorkEnd } from "../admission/workEnd.js";
 import type { CrashObserver } from "../crashes/crashObserver.js";
 import type { CrashEvidence } from "../crashes/crashEvidence.js";
 import type { ClientCall } from "../entry/clientCall.js";
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -2,7 +2,7 @@
 import type { AdmissionClient, SlotDecision } from "../admission/admissionClient.js";
 import { hashCaller } from "../admission/callerHash.js";
 import { createDataCentreQueues } from "../admission/dataCentreQueues.js";
-import type { WorkEnd } from "../admission/targetRecord.js";
+import type { WorkEnd } from "../admission/workEnd.js";
 import type { Standing } from "../crashes/crashEvidence.js";
 import type { Refusal, RefusalReason } from "../entry/clientCall.js";
 import type { DataCentreId, Key, ServiceId, TargetId } from "../model/names.js";
--- a/src/store/topicReader.ts
+++ b/src/store/topicReader.ts
@@ -14,6 +14,7 @@
 import type { ClusterView } from "./clusterView.js";
 import type { EvacuationChange } from "./evacuations.js";
 import type { RecordDecoders } from "./recordDecoders.js";
+import { decodeSafely, describeUnexpected } from "./safeDecoding.js";
 import type { ReadOutcome, StorePort, StoreRecord, TopicName } from "./storePort.js";
 import type { TargetChange } from "./targetDirectory.js";
 
@@ -290,19 +291,3 @@
         },
     };
 }
-
-const maxLoggedErrorChars = 200;
-
-function describeUnexpected(error: unknown): string {
-    return `unexpected error: ${String(error).slice(0, maxLoggedErrorChars)}`;
-}
-
-/** Decodes a record; an unexpected error makes it a record that cannot be decoded, so that it does not keep the others from being read. */
-function decodeSafely<T>(key: string, decode: () => Result<T, Failure>): Result<T, Failure> {
-    try {
-        return decode();
-    }
-    catch (error) {
-        return err(failure("invalid", "parse", key, describeUnexpected(error)));
-    }
-}
--- a/test/admission/admissionQueueLoad.spec.ts
+++ b/test/admission/admissionQueueLoad.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import type { AdmissionVerdict, Ticket } from "../../src/admission/admissionRequest.js";
-import type { WorkEnd } from "../../src/admission/targetRecord.js";
+import type { WorkEnd } from "../../src/admission/workEnd.js";
 import { ClientWaitEstimator } from "../../src/forwarding/clientWaitEstimator.js";
 import { SeededRandom } from "../support/seededRandom.js";
 import { formatVerdicts, queueOf, request, target } from "./queueFixtures.js";
--- a/test/forwarding/forwarderUnderTest.ts
+++ b/test/forwarding/forwarderUnderTest.ts
@@ -3,7 +3,7 @@
 import net from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { SlotDecision } from "../../src/admission/admissionClient.js";
-import type { WorkEnd } from "../../src/admission/targetRecord.js";
+import type { WorkEnd } from "../../src/admission/workEnd.js";
 import type { AnswerHead, ClientCall, Refusal } from "../../src/entry/clientCall.js";
 import { CrashEvidence } from "../../src/crashes/crashEvidence.js";
 import { createConnectionPool } from "../../src/forwarding/connectionPool.js";
--- a/test/forwarding/quarantineGuard.spec.ts
+++ b/test/forwarding/quarantineGuard.spec.ts
@@ -2,7 +2,7 @@
 import { CrashEvidence } from "../../src/crashes/crashEvidence.js";
 import type { Fingerprint } from "../../src/crashes/requestFingerprint.js";
 import type { TrialParams, TrialReply, TrialReturn } from "../../src/crashes/trial.js";
-import type { WorkEnd } from "../../src/admission/targetRecord.js";
+import type { WorkEnd } from "../../src/admission/workEnd.js";
 import type { Placement, TargetSlot } from "../../src/forwarding/placement.js";
 import { Signal } from "../../src/model/signal.js";
 import { createQuarantineGuard } from "../../src/forwarding/quarantineGuard.js";
