--- a/review/common-2/fleet.mjs
+++ b/review/common-2/fleet.mjs
@@ -85,7 +85,7 @@
 }
 
 /** Returns the text of a settings file, with the fields and bounds of a small deployment. */
-function settingsOf({ name, zone, clientPort, readyPort, peerPorts, storeAddress }) {
+function settingsOf({ name, zone, memoryMb, maxFiles, clientPort, readyPort, peerPorts, storeAddress }) {
     return [
         `node_name = "${name}"`, "role = \"hornbeam-host\"", "machine_class = \"front\"", "serves = [\"front\"]", `ip = "${loopback}"`,
         `zone = "${zone}"`, "region = \"region\"", `internal_port_range = [${peerPorts[0]},${peerPorts[1]}]`, "seed_nodes = []",
@@ -96,7 +96,7 @@
         + "\"budget_window_s=10\",\"budget_extra_retries=60\",\"recover_s=15\",\"hold_max_ms=10000\",\"thaw_ms=300\"]",
         "grants = \"direct_call\"", "[zones]", `${zone} = "region"`,
         "[listen]", `front = "${loopback}:${clientPort}"`, `ready = "${loopback}:${readyPort}"`,
-        "[limits]", "cpu_share = 0.54", "cpu_cores = 1", "memory_mb = 350", "max_fds = 4100", "link_mbps = 1000.0", "disk_mb = 0",
+        "[limits]", "cpu_share = 0.54", "cpu_cores = 1", `memory_mb = ${memoryMb}`, `max_fds = ${maxFiles}`, "link_mbps = 1000.0", "disk_mb = 0",
         "[fault_tolerance]", "machines = 2", "zones = 0", "regions = 0",
         "[platform]", `address = "${storeAddress}"`, "form = \"log\"", "writes_per_s = 400", "reads_per_s = 2000", "parts = 16",
         "append_ms = 3.0", "partition_mb_s = 20.0", "read_mb_s = 80.0", "record_bytes = 262144", "call_bytes = 2097152", "keep_s = 300",
@@ -183,18 +183,26 @@
             timers.add(setInterval(write, heartbeatMs));
         },
         /** Starts a host with the command of the deploy file; resolves when it is ready. */
-        startHost: async (name, zone = "zone-a") => {
+        startHost: async (name, { zone = "zone-a", memoryMb = 350, maxFiles = 4_100 } = {}) => {
             const [clientPort, readyPort, adminPort] = await freePorts(3);
             const peerPorts = await freePortPair();
             const file = join(folder, `${name}.toml`);
-            writeFileSync(file, settingsOf({ name, zone, clientPort, readyPort, peerPorts, storeAddress: `${loopback}:${storePort}` }));
+            writeFileSync(file, settingsOf({ name, zone, memoryMb, maxFiles, clientPort, readyPort, peerPorts, storeAddress: `${loopback}:${storePort}` }));
             const [program, ...args] = runCommandOf();
-            const adminAt = args.indexOf("--admin-port") + 1;
-            const child = start(program === "node" ? process.execPath : program, args.with(adminAt, String(adminPort)), name, { HORNBEAMSWITCH_BOOT: file });
+            const command = program === "node" ? process.execPath : program;
+            const words = args.with(args.indexOf("--admin-port") + 1, String(adminPort));
             const isReady = () => callHttp({ port: readyPort, path: "/hornbeamswitch/ready" }).then(({ status }) => status === 200, () => false);
-            await waitUntil(`${name} is ready`, isReady);
-            record(`host ${name} is ready`);
-            return { name, child, clientPort, readyPort, adminPort, isReady };
+            const host = {
+                name, clientPort, readyPort, adminPort, isReady, child: undefined,
+                /** Starts the process, at first and after it has ended; resolves when it is ready. */
+                start: async () => {
+                    host.child = start(command, words, name, { HORNBEAMSWITCH_BOOT: file });
+                    await waitUntil(`${name} is ready`, isReady);
+                    record(`host ${name} is ready`);
+                },
+            };
+            await host.start();
+            return host;
         },
         /** Ends all processes, and removes the folder. */
         stop: async () => {
