--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds what the scripts 6 to 10 start: the hosts and the project's stand-in of the store. Servers and clients of the scripts need no build.
+# Builds what the scripts 6 to 9 start: the hosts and the project's stand-in of the store. Servers and clients of the scripts need no build.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 [ -d node_modules ] || npm ci --silent --no-audit --no-fund
