--- a/src/cluster/peerConnection.ts
+++ b/src/cluster/peerConnection.ts
@@ -80,6 +80,21 @@
     });
 }
 
+/**
+ * Finds out whether a host runs, by a new connection: its process answers there until it ends.
+ * @param address its peer address
+ * @param timeoutMs time for the answer once the connection is open
+ */
+export async function isPeerRunning(address: string, clock: Clock, timeoutMs: number): Promise<boolean> {
+    const opened = await connectToPeer(address, {}, clock);
+    if (opened.isErr()) {
+        return false;
+    }
+    const reply = await opened.value.call(probeMethod, {}, timeoutMs);
+    opened.value.destroy();
+    return reply.isOk();
+}
+
 /**
  * Listens for connections of other hosts.
  * @param address where to listen
--- a/src/forwarding/relayMessages.ts
+++ b/src/forwarding/relayMessages.ts
@@ -15,6 +15,8 @@
 /** Parameters of `relay`. */
 export interface RelayParams {
     targetId: TargetId;
+    /** True if the asking host reads frames; absent for hosts of earlier versions. */
+    framed?: true;
 }
 
 /** Answer to `relay`; without `refused` the connection is open. */
@@ -24,12 +26,15 @@
     why?: string;
     /** True if the target's address refused the connection. */
     connectionRefused?: boolean;
+    /** True if the target's data comes in frames, see `relayFrames.ts`; absent for hosts of earlier versions. */
+    framed?: true;
 }
 
 const replySchema = z.object({
     refused: z.optional(z.enum(["stopping", "cut-off", "busy", "unknown-target", "unreachable"])),
     why: z.optional(z.string()),
     connectionRefused: z.optional(z.boolean()),
+    framed: z.optional(z.literal(true)),
 });
 
 /** Checks the answer of another host. */
--- a/src/forwarding/relayServer.ts
+++ b/src/forwarding/relayServer.ts
@@ -2,8 +2,6 @@
  * Relays connections to targets for hosts that can't reach them: the helping host opens a connection to the target and passes bytes on in
  * both directions. It connects directly only, so that a connection passes through one host at most.
  */
-import type net from "node:net";
-import { readSocket } from "../adapters/socketReader.js";
 import type { PeerConnection, PeerHandlers } from "../cluster/peerConnection.js";
 import type { Address, TargetId } from "../model/names.js";
 import { isId } from "../model/valueSchemas.js";
@@ -12,7 +10,8 @@
 import type { ClusterView } from "../store/clusterView.js";
 import type { RelayParams, RelayReply } from "./relayMessages.js";
 import { relayMethods } from "./relayMessages.js";
-import { checkOrderlyEnd, openTargetSocket } from "./targetConnection.js";
+import { relayConnection } from "./relayedConnection.js";
+import { openTargetSocket } from "./targetConnection.js";
 
 const connectTimeoutMs = 250;
 
@@ -40,6 +39,7 @@
 
 /** Creates the relay server of this host. */
 export function createRelayServer({ view, reachability, isShuttingDown, log, onRelayed }: RelayServerDependencies): RelayServer {
+    /** Number of connections that are relayed, or being opened. */
     let openCount = 0;
 
     const refusalOf = (targetId: TargetId): RelayReply["refused"] => {
@@ -55,7 +55,7 @@
         return view.targets.get(targetId) === undefined ? "unknown-target" : undefined;
     };
 
-    const relay = async (targetId: TargetId, address: Address, from: PeerConnection): Promise<RelayReply> => {
+    const relay = async ({ targetId, framed }: RelayParams, address: Address, from: PeerConnection): Promise<RelayReply> => {
         openCount += 1;
         const opened = await openTargetSocket(address, connectTimeoutMs);
         if (opened.isErr() || !from.isOpen) {
@@ -68,11 +68,11 @@
         onRelayed();
         reachability.recordHeard(targetId);
         const socket = opened.value;
-        socket.on("close", () => {
+        relayConnection(from.detach(), socket, framed === true, (why) => {
             openCount -= 1;
+            log.info("relayed connection ended", { target: targetId, peer: from.address, why, open: openCount });
         });
-        joinSockets(from.detach(), socket);
-        return {};
+        return framed === true ? { framed } : {};
     };
 
     return {
@@ -87,7 +87,7 @@
                 const address = view.targets.get(targetId)?.address;
                 const reply = refused !== undefined || address === undefined
                     ? { refused: refused ?? "unknown-target" as const }
-                    : await relay(targetId, address, from);
+                    : await relay(params, address, from);
                 log.info(reply.refused === undefined ? "connection relayed" : "connection not relayed", {
                     target: targetId, peer: from.address, why: reply.refused, open: openCount,
                 });
@@ -96,46 +96,3 @@
         }),
     };
 }
-
-/** Passes on what arrives on either socket. The end of the target's data is passed on only if it is orderly, otherwise as a reset. */
-function joinSockets(client: net.Socket, target: net.Socket): void {
-    passOn(client, target);
-    passOn(target, client);
-    target.on("end", () => {
-        checkOrderlyEnd(target, (isOrderly) => {
-            if (isOrderly) {
-                client.end();
-            }
-            else {
-                client.resetAndDestroy();
-            }
-        });
-    });
-    target.on("error", () => {
-        client.resetAndDestroy();
-    });
-    target.on("close", () => {
-        if (!client.writableEnded) {
-            client.resetAndDestroy();
-        }
-    });
-    client.on("end", () => {
-        client.destroy();
-    });
-    client.on("close", () => {
-        target.destroy();
-    });
-}
-
-/** Passes on what arrives, one piece at a time: the next one is read when the last has been written, into the same memory. */
-function passOn(from: net.Socket, to: net.Socket): void {
-    let copy = Buffer.alloc(0);
-    const reader = readSocket(from, (bytes) => {
-        copy = copy.length < bytes.length ? Buffer.allocUnsafe(bytes.length) : copy;
-        bytes.copy(copy);
-        reader.hold();
-        to.write(copy.subarray(0, bytes.length), () => {
-            reader.release();
-        });
-    });
-}
--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -2,7 +2,7 @@
 import type net from "node:net";
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
-import { openSocket, readSocket } from "../adapters/socketReader.js";
+import { openSocket } from "../adapters/socketReader.js";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Address, HostId } from "../model/names.js";
@@ -12,6 +12,8 @@
 import type { ResponseHead } from "./responseHead.js";
 import { headerOf } from "./responseHead.js";
 import { ResponseParser } from "./responseParser.js";
+import type { EndCheck, TargetStream } from "./targetStream.js";
+import { directStream } from "./targetStream.js";
 
 /** Limits on responses to other requests that are skipped while a request waits for its own; beyond them the connection is closed. */
 const maxSkippedBytes = 262_144;
@@ -46,7 +48,7 @@
  */
 export async function connectToTarget(address: Address, timeoutMs: number): Promise<Result<TargetConnection, Failure>> {
     const opened = await openTargetSocket(address, timeoutMs);
-    return opened.map((socket) => createTargetConnection(socket, address, undefined));
+    return opened.map((socket) => createTargetConnection(directStream(socket), address, undefined));
 }
 
 /**
@@ -81,23 +83,13 @@
 }
 
 /**
- * Finds out whether the end of a target's data is an orderly end. Node.js reports a reset as an orderly end if data arrived just before it.
- * A write tells the two apart: it fails after a reset. The empty line does no harm, since servers ignore empty lines between requests.
- * @param socket socket on which the end has arrived
- * @param onKnown called with whether the end is orderly
- */
-export function checkOrderlyEnd(socket: net.Socket, onKnown: (isOrderly: boolean) => void): void {
-    socket.write("\r\n", (error) => {
-        onKnown(!error);
-    });
-}
-
-/**
- * Creates a connection on an open socket.
+ * Creates a connection on an open stream.
+ * @param stream the target's bytes, and the socket to write to
  * @param address the target's address
  * @param relay host at the other end of the socket that passes everything on; undefined if that is the target itself
  */
-export function createTargetConnection(socket: net.Socket, address: Address, relay: HostId | undefined): TargetConnection {
+export function createTargetConnection(stream: TargetStream, address: Address, relay: HostId | undefined): TargetConnection {
+    const { socket } = stream;
     let current: ExchangeState | undefined;
     let reusable = true;
     let keepAliveMs: number | undefined;
@@ -171,7 +163,7 @@
         }
     };
 
-    const reader = readSocket(socket, (bytes) => {
+    const onBytes = (bytes: Buffer) => {
         const wasIdle = current === undefined;
         parseOrClose(() => {
             parser.push(bytes);
@@ -180,27 +172,30 @@
         if (wasIdle || (current === undefined && !parser.isBetweenResponses)) {
             closeConnection("received bytes that no request is waiting for");
         }
-    });
-    const onEnd = () => {
+    };
+
+    const closeAtEnd = () => {
         parseOrClose(() => {
             parser.end();
         });
         closeConnection(closeReason);
     };
 
-    socket.on("end", () => {
-        if (!parser.endsWithConnection) {
-            onEnd();
-            return;
+    /** Decides whether the answer in progress is whole now that no more bytes come: one without a length only if the target ended it. */
+    const onStreamEnd = async (isEndOfTarget: EndCheck) => {
+        if (!parser.endsWithConnection || await isEndOfTarget()) {
+            closeAtEnd();
         }
-        checkOrderlyEnd(socket, (isOrderly) => {
-            if (isOrderly) {
-                onEnd();
-            }
-            else {
-                closeConnection("reset by the target");
-            }
-        });
+        else {
+            closeConnection(relay === undefined ? "reset by the target" : `ended by the relaying host ${relay}, not by the target`);
+        }
+    };
+
+    const reader = stream.read({
+        onBytes,
+        onEnd: (isEndOfTarget) => {
+            void onStreamEnd(isEndOfTarget);
+        },
     });
     socket.on("error", (error) => {
         closeReason = error.message;
--- a/src/forwarding/targetConnector.ts
+++ b/src/forwarding/targetConnector.ts
@@ -2,7 +2,7 @@
 import type { Result } from "neverthrow";
 import { err, ok } from "neverthrow";
 import type { Member } from "../cluster/membership.js";
-import { connectToPeer } from "../cluster/peerConnection.js";
+import { connectToPeer, isPeerRunning } from "../cluster/peerConnection.js";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Address } from "../model/names.js";
@@ -15,6 +15,7 @@
 import { checkRelayReply, relayMethods } from "./relayMessages.js";
 import type { TargetConnection } from "./targetConnection.js";
 import { connectToTarget, createTargetConnection } from "./targetConnection.js";
+import { framedStream, unframedStream } from "./targetStream.js";
 
 const connectTimeoutMs = 400;
 
@@ -65,11 +66,15 @@
             reachability.recordHelperFailure(targetId, helper, false);
             return err(opened.error);
         }
-        const reply = (await opened.value.call<RelayReply>(relayMethods.relay, { targetId }, relayTimeoutMs))
+        const reply = (await opened.value.call<RelayReply>(relayMethods.relay, { targetId, framed: true }, relayTimeoutMs))
             .andThen((answer) => checkRelayReply(answer, helper.peerAddress));
         if (reply.isOk() && reply.value.refused === undefined) {
             onRelayed();
-            return ok(createTargetConnection(opened.value.detach(), address, helper.hostId));
+            const socket = opened.value.detach();
+            const stream = reply.value.framed === true
+                ? framedStream(socket)
+                : unframedStream(socket, () => isPeerRunning(helper.peerAddress, clock, relayTimeoutMs));
+            return ok(createTargetConnection(stream, address, helper.hostId));
         }
         opened.value.destroy();
         const isTargetDown = reply.isOk() && reply.value.refused === "unreachable";
--- a/test/fleet/scriptedTarget.ts
+++ b/test/fleet/scriptedTarget.ts
@@ -22,6 +22,7 @@
 /** A running target. */
 export interface ScriptedTarget {
     readonly id: string;
+    readonly address: string;
     /** Every request that arrived, in order. */
     readonly received: readonly ReceivedRequest[];
     /** Number of connections accepted so far. */
@@ -72,7 +73,7 @@
     writeEntry();
     const timer = setInterval(writeEntry, heartbeatMs);
     const target: ScriptedTarget = {
-        id, received,
+        id, received, address: `${host}:${String(port)}`,
         get connectionCount() {
             return connectionCount;
         },
