Wait, when a host stops, for answers on the connections that it relays

What callers saw: a host that relays another one's connections and gets SIGTERM with 3.2 s of an answer left ended it after 2.6 s, with seconds of its grace period to go.

Cause: the shutdown waits for the requests of the host's own clients and for the coordinator's role only. Relayed connections did not count.

Evidence: relayedAnswers.spec on, "is whole if the relaying host stops in the middle of it": { status: 200, bytes: 9000 } without a length, { status: 502 } with one; with 2.6 s left or less both passed, since the shutdown never takes less.

Change: a host that stops says so in a frame on each relayed connection. The other host sends no further request there, and closes it when it is idle or its answer is complete. The shutdown waits until no connection is relayed, up to its deadline. What is open then is reset, so that a host of an earlier version, which reads no frames, doesn't take the end of the process for the end of an answer; such hosts close idle connections by themselves.

Why it works: the relaying host needs no knowledge of HTTP to know when an answer is complete; the host that reads it says so by closing.

--- a/src/forwarding/relayFrames.ts
+++ b/src/forwarding/relayFrames.ts
@@ -9,6 +9,8 @@
     data: 0,
     /** The target has ended its data in order; the frame has no content. */
     end: 1,
+    /** The relaying host is about to stop: no further request may be sent; the frame has no content. */
+    stopping: 2,
 } as const;
 
 /** A byte for the type, and four for the length of the content. */
@@ -31,6 +33,7 @@
     /** A piece of the target's data, valid during the call only. */
     onData(bytes: Buffer): void;
     onEnd(): void;
+    onStopping(): void;
 }
 
 /** Reads the frames on one connection. Frames of unknown types are skipped, since a later version may send them. */
@@ -69,10 +72,17 @@
             this.headerLength = 0;
             this.type = this.header.readUInt8(0);
             this.contentLeft = this.header.readUInt32BE(1);
-            if (this.type === frameTypes.end) {
-                this.events.onEnd();
-            }
+            this.reportEmptyFrame();
         }
         return copied;
     }
+
+    private reportEmptyFrame(): void {
+        if (this.type === frameTypes.end) {
+            this.events.onEnd();
+        }
+        else if (this.type === frameTypes.stopping) {
+            this.events.onStopping();
+        }
+    }
 }
--- a/src/forwarding/relayServer.ts
+++ b/src/forwarding/relayServer.ts
@@ -10,6 +10,7 @@
 import type { ClusterView } from "../store/clusterView.js";
 import type { RelayParams, RelayReply } from "./relayMessages.js";
 import { relayMethods } from "./relayMessages.js";
+import type { RelayedConnection } from "./relayedConnection.js";
 import { relayConnection } from "./relayedConnection.js";
 import { openTargetSocket } from "./targetConnection.js";
 
@@ -35,15 +36,21 @@
     handlers(): PeerHandlers;
     /** Number of connections that are relayed now. */
     openCount(): number;
+    /** Has the other hosts finish with the connections that are relayed: answers in progress continue, no further request is sent. */
+    announceStop(): void;
+    /** Ends the connections that are still relayed, so that no host takes a part of an answer for the whole. */
+    close(): void;
 }
 
 /** Creates the relay server of this host. */
 export function createRelayServer({ view, reachability, isShuttingDown, log, onRelayed }: RelayServerDependencies): RelayServer {
     /** Number of connections that are relayed, or being opened. */
     let openCount = 0;
+    const relayed = new Set<RelayedConnection>();
+    let isStopping = false;
 
     const refusalOf = (targetId: TargetId): RelayReply["refused"] => {
-        if (isShuttingDown()) {
+        if (isStopping || isShuttingDown()) {
             return "stopping";
         }
         if (reachability.isCutOff()) {
@@ -68,15 +75,31 @@
         onRelayed();
         reachability.recordHeard(targetId);
         const socket = opened.value;
-        relayConnection(from.detach(), socket, framed === true, (why) => {
+        const connection = relayConnection(from.detach(), socket, framed === true, (why) => {
             openCount -= 1;
+            relayed.delete(connection);
             log.info("relayed connection ended", { target: targetId, peer: from.address, why, open: openCount });
         });
+        relayed.add(connection);
+        if (isStopping) {
+            connection.announceStop();
+        }
         return framed === true ? { framed } : {};
     };
 
     return {
         openCount: () => openCount,
+        announceStop: () => {
+            isStopping = true;
+            relayed.forEach((connection) => {
+                connection.announceStop();
+            });
+        },
+        close: () => {
+            relayed.forEach((connection) => {
+                connection.reset();
+            });
+        },
         handlers: () => ({
             [relayMethods.relay]: async (params: RelayParams, from: PeerConnection): Promise<RelayReply> => {
                 if (typeof params.targetId !== "string" || !isId(params.targetId)) {
--- a/src/forwarding/relayedConnection.ts
+++ b/src/forwarding/relayedConnection.ts
@@ -7,7 +7,15 @@
 const noBytes = Buffer.alloc(0);
 
 /** Why a relayed connection ended. */
-export type RelayEnd = "ended-by-target" | "reset-by-target" | "closed-by-host";
+export type RelayEnd = "ended-by-target" | "reset-by-target" | "closed-by-host" | "this-host-stops";
+
+/** A relayed connection. */
+export interface RelayedConnection {
+    /** Asks the other host to send no further request on it and to close it after the answer in progress. */
+    announceStop(): void;
+    /** Ends it now, with a reset: the end of this host must not pass for the end of the target's data. */
+    reset(): void;
+}
 
 /** How this host passes on what concerns the target to the other host. */
 interface TargetOutput {
@@ -15,6 +23,7 @@
     writeData(bytes: Buffer, onWritten: () => void): void;
     /** Tells that the target has ended its data in order. */
     end(): void;
+    announceStop(): void;
 }
 
 /**
@@ -26,12 +35,28 @@
  */
 export function relayConnection(
     client: net.Socket, target: net.Socket, isFramed: boolean, onEnded: (why: RelayEnd) => void,
-): void {
+): RelayedConnection {
     const output = isFramed ? framedOutput(client) : plainOutput(client);
     let endReason: RelayEnd | undefined;
+    let isClientReading = false;
+    let isStopAnnounced = false;
+
+    const announceStop = () => {
+        isStopAnnounced = true;
+        if (isClientReading) {
+            output.announceStop();
+        }
+    };
 
     passOn(client, (bytes, onWritten) => {
         target.write(bytes, onWritten);
+        // Before its first request, the other host may not have read the answer by which this connection was granted.
+        if (!isClientReading) {
+            isClientReading = true;
+            if (isStopAnnounced) {
+                output.announceStop();
+            }
+        }
     });
     passOn(target, output.writeData);
     const resetClient = (why: RelayEnd) => {
@@ -66,6 +91,12 @@
         endReason ??= "closed-by-host";
         target.destroy();
     });
+    return {
+        announceStop,
+        reset: () => {
+            resetClient("this-host-stops");
+        },
+    };
 }
 
 function plainOutput(client: net.Socket): TargetOutput {
@@ -76,6 +107,7 @@
         end: () => {
             client.end();
         },
+        announceStop: () => undefined,
     };
 }
 
@@ -94,6 +126,11 @@
             writeFrame(frameTypes.end, noBytes);
             client.end();
         },
+        announceStop: () => {
+            if (client.writable) {
+                writeFrame(frameTypes.stopping, noBytes);
+            }
+        },
     };
 }
 
--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -196,6 +196,12 @@
         onEnd: (isEndOfTarget) => {
             void onStreamEnd(isEndOfTarget);
         },
+        onRelayStopping: () => {
+            reusable = false;
+            if (current === undefined) {
+                closeConnection("the relaying host stops");
+            }
+        },
     });
     socket.on("error", (error) => {
         closeReason = error.message;
--- a/src/forwarding/targetStream.ts
+++ b/src/forwarding/targetStream.ts
@@ -19,6 +19,8 @@
     onBytes(bytes: Buffer): void;
     /** Called once, when no more bytes will come. */
     onEnd(isEndOfTarget: EndCheck): void;
+    /** The host that relays the connection is about to stop: no further request may be sent on it. */
+    onRelayStopping(): void;
 }
 
 /** What arrives from a target on an open socket. */
@@ -46,7 +48,7 @@
 export function framedStream(socket: net.Socket): TargetStream {
     return {
         socket,
-        read: ({ onBytes, onEnd }) => {
+        read: ({ onBytes, onEnd, onRelayStopping }) => {
             let hasEnded = false;
             const endWith = (isEndOfTarget: boolean) => {
                 if (!hasEnded) {
@@ -59,6 +61,7 @@
                 onEnd: () => {
                     endWith(true);
                 },
+                onStopping: onRelayStopping,
             });
             socket.on("end", () => {
                 endWith(false);
--- a/src/host/daemon.ts
+++ b/src/host/daemon.ts
@@ -37,7 +37,7 @@
 export interface Daemon {
     /**
      * Leaves the cluster, asks another host to take over if this host coordinates, and stops accepting clients. Resolves when no request
-     * is pending and this host does not coordinate any more, or shortly before the platform kills the process.
+     * is pending, no connection is relayed and this host does not coordinate any more, or shortly before the platform kills the process.
      */
     stop(): Promise<void>;
     /** Resolves to the first task without which the host is of no use that ends before the host stops. */
@@ -81,9 +81,10 @@
     let isStopping = false;
     const peerHandlers = hostContainer.resolve(tokens.peerHandlers);
     const reachability = hostContainer.resolve(tokens.reachability);
+    const relayServer = hostContainer.resolve(tokens.relayServer);
     Object.assign(
         peerHandlers, node.handlers(), hostContainer.resolve(tokens.admissionServer).handlers(), reachability.handlers(),
-        hostContainer.resolve(tokens.relayServer).handlers());
+        relayServer.handlers());
     registerGauges(hostContainer);
 
     const recordReadiness = createReadinessRecorder(log, hostContainer.resolve(tokens.metrics), () => {
@@ -153,6 +154,7 @@
             isStopping = true;
             const deadlineMs = startedMs + settings.stopTimeoutMs - stopReserveMs;
             clients.startClosingConnections();
+            relayServer.announceStop();
             hostContainer.resolve(tokens.forwarder).startShutdown(deadlineMs - lastEndBeforeDeadlineMs);
             log.info("stopping", { pending: clients.pending(), coordinating: node.isCoordinating() });
             node.handOver().catch((error: unknown) => {
@@ -160,7 +162,7 @@
             });
             await clock.sleep(Math.min(balancerRemovalMs, settings.stopTimeoutMs / 2));
             clients.stopAccepting();
-            const isBusy = () => clients.pending() > 0 || node.isCoordinating();
+            const isBusy = () => clients.pending() > 0 || relayServer.openCount() > 0 || node.isCoordinating();
             while (isBusy() && clock.now().monoMs < deadlineMs) {
                 await clock.sleep(stopPollMs);
                 if (clock.now().monoMs > deadlineMs - refuseWaitingBeforeDeadlineMs) {
@@ -168,8 +170,10 @@
                 }
             }
             log.info("stopped", {
-                pending: clients.pending(), coordinating: node.isCoordinating(), ms: Math.round(clock.now().monoMs - startedMs),
+                pending: clients.pending(), relayed: relayServer.openCount(), coordinating: node.isCoordinating(),
+                ms: Math.round(clock.now().monoMs - startedMs),
             });
+            relayServer.close();
             tasksAbort.abort();
             clients.close();
             ready.close();
--- a/test/fleet/relayedAnswers.spec.ts
+++ b/test/fleet/relayedAnswers.spec.ts
@@ -130,6 +130,12 @@
             expect(status).to.equal(502);
         });
 
+        // Guards against answers that are cut off by the stop of the host that relays them, with seconds of its grace period left.
+        it(`${framing} is whole if the relaying host stops in the middle of it`, async () => {
+            const { status, body } = await play({ signal: "SIGTERM", hasLength, piecePauseMs: 270 });
+            expect({ status, bytes: body.length }).to.deep.equal({ status: 200, bytes: answerBytes });
+        });
+
         it(`${framing} is whole if nothing happens to the relaying host`, async () => {
             const { status, body } = await play({ signal: undefined, hasLength, piecePauseMs: 50 });
             expect({ status, bytes: body.length }).to.deep.equal({ status: 200, bytes: answerBytes });
--- a/test/forwarding/relayEnds.spec.ts
+++ b/test/forwarding/relayEnds.spec.ts
@@ -1,10 +1,12 @@
 import { once } from "node:events";
 import net from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import type { PeerConnection, PeerHandlers } from "../../src/cluster/peerConnection.js";
 import { get, RelayUnderTest } from "./relayUnderTest.js";
 
 const answerPauseMs = 60;
+const settleMs = 50;
 
 /** Answers with a head and a half of the body at once, and the rest after a pause; without a length, the end of the connection follows. */
 function respondInHalves(lengthHeader: string): (socket: net.Socket) => void {
@@ -78,6 +80,48 @@
         expect(await get(connection)).to.equal("ended by the relaying host helper, not by the target");
     });
 
+    for (const lengthHeader of ["", "Content-Length: 4\r\n"]) {
+        // Guards against answers that are broken off by the stop of the host that relays them.
+        it(`waits, when the relaying host stops, for an answer in progress ${lengthHeader === "" ? "without" : "with"} a length`, async () => {
+            await under.start(respondInHalves(lengthHeader));
+            const connection = await under.connect();
+            const answer = get(connection);
+            await sleep(answerPauseMs / 2);
+            under.relay.announceStop();
+            expect(under.relay.openCount()).to.equal(1);
+            expect(await answer).to.deep.equal({ status: 200, bytes: 4 });
+            expect(connection.reusable).to.equal(false);
+            await sleep(settleMs);
+            expect(under.relay.openCount()).to.equal(0);
+        });
+    }
+
+    it("comes at once, when the relaying host stops, if no request is in progress", async () => {
+        await under.start((socket) => socket.on("data", () => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+        const connection = await under.connect();
+        expect(await get(connection)).to.deep.equal({ status: 200, bytes: 0 });
+        under.relay.announceStop();
+        expect(await connection.closed).to.equal("the relaying host stops");
+        await sleep(settleMs);
+        expect(under.relay.openCount()).to.equal(0);
+    });
+
+    it("comes after the first answer if the relaying host has begun to stop before the first request", async () => {
+        await under.start((socket) => socket.on("data", () => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+        const connection = await under.connect();
+        under.relay.announceStop();
+        expect(await get(connection)).to.deep.equal({ status: 200, bytes: 0 });
+        await connection.closed;
+    });
+
+    it("is a failure if the relaying host can wait no longer", async () => {
+        await under.start(respondInHalves(""));
+        const answer = get(await under.connect());
+        await sleep(answerPauseMs / 2);
+        under.relay.close();
+        expect(await answer).to.be.a("string");
+    });
+
     describe("with a host of an earlier version", () => {
         it("is the end of the target's answer while that host runs", async () => {
             await under.start(respondInHalves(""), earlierHandlers);
@@ -105,5 +149,18 @@
             await once(here, "end");
             expect(received).to.equal("HTTP/1.1 200 OK\r\n\r\nabcd");
         });
+
+        // Guards against the stop of this host passing for the end of an answer at a host that reads no frames.
+        it("that asked for it is a reset if this host can wait no longer", async () => {
+            await under.start(respondInHalves(""));
+            const here = await connectAsEarlierVersion(under);
+            here.write("GET / HTTP/1.1\r\n\r\n");
+            here.resume();
+            await sleep(answerPauseMs / 2);
+            under.relay.announceStop();
+            under.relay.close();
+            const [error] = await once(here, "error") as [NodeJS.ErrnoException];
+            expect(error.code).to.equal("ECONNRESET");
+        });
     });
 });
