--- a/src/entry/clientCall.ts
+++ b/src/entry/clientCall.ts
@@ -85,6 +85,6 @@
     writeAnswer(piece: Buffer): Promise<void>;
     /** Ends a response started by `beginAnswer`. */
     finishAnswer(): void;
-    /** Closes the client's connection in the middle of a response, so that it cannot be taken for a complete one. */
+    /** Ends the client's connection in the middle of a response, so that it cannot be taken for a complete one. */
     abortAnswer(): void;
 }
--- a/src/entry/clientConnection.ts
+++ b/src/entry/clientConnection.ts
@@ -1,7 +1,6 @@
 /** One connection of a client: what log lines tell of it, and the response to input on it that is not a valid request. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import http from "node:http";
-import { Socket } from "node:net";
+import type { Socket } from "node:net";
 import type { ClientLimits } from "../model/routing.js";
 import type { ClientHoldings, ConnectionProgress } from "./clientAccount.js";
 import type { InputGate } from "./inputGate.js";
@@ -69,6 +68,12 @@
     breakOffBody?: () => boolean;
 }
 
+/**
+ * What becomes of further input: it is read; it is ignored, and the connection ends with the answer to the request received last; it is
+ * ignored, and a denial follows the answers that are due.
+ */
+export type InputState = "open" | "ended" | "denied";
+
 /** State of one connection. */
 export interface ClientConnection {
     readonly socket: Socket;
@@ -85,8 +90,8 @@
     holdings: ClientHoldings;
     /** Undefined until the connection is open. */
     gate: InputGate | undefined;
-    /** True once further input is ignored. The requests received before are still answered; then the connection is closed. */
-    isInputEnded: boolean;
+    /** The requests received before the input ends are still answered. See `connectionEnd.ts`. */
+    input: InputState;
 }
 
 /** HTTP status of each denial. */
@@ -116,12 +121,6 @@
 const requestLine = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+ [^ ]+ HTTP\/1\.[01]$/;
 const requestLineStart = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+(?: [^ ]*(?: [HTP/1.0]{0,8})?)?$/;
 
-/** Time in seconds after which the same request may succeed on another connection. */
-const retryAfterSeconds: Partial<Record<DenialReason, number>> = {
-    "limits-unknown": 1,
-    "limit-raised": 0,
-};
-
 /**
  * Returns why input that the parser rejected is denied.
  * @param limits limits in force; undefined if they are not known
@@ -159,7 +158,7 @@
 ): ClientConnection {
     return {
         socket, holdings, gate: undefined, openedMs: nowMs, openedWithMaxHeaderBytes: maxHeaderBytes,
-        requestCount: 0, exchanges: new Set(), lastExchange: undefined, isInputEnded: false,
+        requestCount: 0, exchanges: new Set(), lastExchange: undefined, input: "open",
         clientAddress: `${socket.remoteAddress ?? ""}:${String(socket.remotePort ?? "")}`,
     };
 }
@@ -178,7 +177,8 @@
 }
 
 /** Reads what the client of a connection has to do next, and how far it is. */
-export function progressOf({ socket, lastExchange, exchanges, isInputEnded }: ClientConnection): ConnectionProgress {
+export function progressOf({ socket, lastExchange, exchanges, input }: ClientConnection): ConnectionProgress {
+    const isInputEnded = input !== "open";
     const isPaused = socket.isPaused();
     if (socket.writableLength > 0) {
         return { duty: "response", progressBytes: socket.bytesWritten - socket.writableLength, isPaused };
@@ -204,61 +204,8 @@
     }
 }
 
-/**
- * Answers input that is not a valid request, and closes the connection. Responses to the complete requests that came before it go first,
- * since a client takes the next response for the answer to its oldest request.
- */
-export async function endAfterResponses({ socket, exchanges, lastExchange }: ClientConnection, reason: DenialReason): Promise<void> {
-    const isInBody = lastExchange?.request.complete === false;
-    const earlier = [...exchanges].filter((exchange) => !isInBody || exchange !== lastExchange);
-    if (earlier.length > 0 && socket.readableEnded) {
-        socket.destroy();
-        return;
-    }
-    await Promise.all(earlier.map(({ response }) => new Promise((resolve) => {
-        response.once("close", resolve);
-    })));
-    if (isInBody && lastExchange.response.headersSent) {
-        // No second response to the same request; one that is not complete breaks off.
-        endWithoutStatus(socket, lastExchange.response);
-    }
-    else if (socket.writable) {
-        endWithDenial(socket, reason);
-    }
-}
-
-function endWithoutStatus(socket: Socket, response: ServerResponse): void {
-    if (response.writableFinished) {
-        socket.end();
-    }
-    else {
-        socket.destroy();
-    }
-}
-
-/** Writes the response to denied input on a connection on which no other response may follow, and closes it. */
-function endWithDenial(socket: Socket, reason: DenialReason): void {
-    const status = statusByDenial[reason];
-    const retryAfter = retryAfterSeconds[reason];
-    socket.end([
-        `HTTP/1.1 ${String(status)} ${http.STATUS_CODES[status] ?? ""}`,
-        "Connection: close", "Content-Length: 0",
-        ...retryAfter === undefined ? [] : [`Retry-After: ${String(retryAfter)}`],
-        "\r\n",
-    ].join("\r\n"));
-}
-
 /** Returns the bytes around the position at which the parser stopped, each byte that is not printable as `\xNN`. */
 export function excerptOf({ rawPacket, bytesParsed = 0 }: ParserError): string | undefined {
     return rawPacket?.subarray(Math.max(0, bytesParsed - excerptBytesBefore), bytesParsed + excerptBytesAfter).toString("latin1")
         .replace(/[^ -~]/g, (character) => `\\x${character.charCodeAt(0).toString(16).padStart(2, "0")}`);
 }
-
-/** Tells the requests of a closed connection of its end whose responses wait for earlier ones; Node.js does so for the first only. */
-export function endQueuedResponses({ exchanges }: ClientConnection): void {
-    for (const { response } of [...exchanges]) {
-        if (!(response.socket instanceof Socket)) {
-            response.emit("close");
-        }
-    }
-}
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -14,9 +14,8 @@
 import { createAcceptBacklogMonitor } from "./acceptBacklog.js";
 import { ClientAccount } from "./clientAccount.js";
 import type { ClientConnection, Denial, HttpExchange } from "./clientConnection.js";
-import {
-    addExchange, createClientConnection, endQueuedResponses, removeExchange, summarizeConnection,
-} from "./clientConnection.js";
+import { addExchange, createClientConnection, removeExchange, summarizeConnection } from "./clientConnection.js";
+import { breakOffAnswer, endForStop, endIfAnswered, endQueuedResponses, endsWithAnswer } from "./connectionEnd.js";
 import type { HoldingLimits, ReachedLimit } from "./holdingEnforcement.js";
 import { createHoldingEnforcement } from "./holdingEnforcement.js";
 import { createHttpClientCall } from "./httpClientCall.js";
@@ -75,9 +74,9 @@
     listen(address: string, retryForMs: number): Promise<Result<undefined, Failure>>;
     /** Applies the limits of a configuration. */
     setLimits(limits: ClientLimits): void;
-    /** From now on, every response asks the client to close its connection. */
+    /** From now on, each connection ends with the last answer that is due on it. */
     startClosingConnections(): void;
-    /** Stops accepting connections and closes idle ones; requests in progress continue. */
+    /** Stops accepting connections and reading requests, and closes idle connections; requests in progress continue. */
     stopAccepting(): void;
     /** Returns the number of requests that have not been answered completely. */
     pending(): number;
@@ -101,6 +100,7 @@
     let pending = 0;
     let acceptedCount = 0;
     const connections = new WeakMap<Socket, ClientConnection>();
+    const openConnections = new Set<ClientConnection>();
     const account = new ClientAccount<Socket>(dependencies.holdingLimits);
     const acceptBacklog = createAcceptBacklogMonitor({
         clock: dependencies.clock, atTurnEnd: setImmediate, onBacklog: dependencies.onAcceptBacklog,
@@ -141,9 +141,11 @@
             return;
         }
         const connection = connectionOf(socket);
+        openConnections.add(connection);
         // Each request in progress listens for the end of its connection; their number has a limit of its own.
         socket.setMaxListeners(0);
         socket.once("close", () => {
+            openConnections.delete(connection);
             endQueuedResponses(connection);
             account.close(socket);
             holding.onClosed();
@@ -151,7 +153,7 @@
         holding.onOpened();
         connection.gate = gateInput(socket, dependencies.holdingLimits.maxOverheadBytes, {
             mayParse: () => account.mayParse(connection.holdings, socket.writableLength),
-            isInputEnded: () => connection.isInputEnded,
+            isInputEnded: () => connection.input !== "open",
             keepsAlive: () => connection.lastExchange?.response.shouldKeepAlive !== false,
             onHeld: (bytes) => {
                 account.add(socket, bytes);
@@ -171,7 +173,7 @@
             return;
         }
         const connection = connectionOf(request.socket);
-        if (connection.isInputEnded) {
+        if (connection.input !== "open") {
             return;
         }
         const earlierRequestCount = connection.requestCount;
@@ -187,13 +189,18 @@
             account.add(request.socket, -heldBytes);
             account.endRequest(request.socket);
             connection.gate?.drain();
+            endIfAnswered(connection);
         });
-        // Node.js drops what follows a request with Upgrade in the same piece of input.
-        connection.isInputEnded = request.headers.upgrade !== undefined;
-        response.shouldKeepAlive = response.shouldKeepAlive && !closing && !connection.isInputEnded;
+        if (request.headers.upgrade !== undefined) {
+            // Node.js drops what follows such a request in the same piece of input.
+            connection.input = "ended";
+        }
         const call = createHttpClientCall({
             request, response, dialects: dependencies.dialects, receivedAt: dependencies.clock.now(), limits: limits(), beforeRead,
-            isClosing: () => closing,
+            endsConnection: () => endsWithAnswer(connection, exchange, closing),
+            breakOffAnswer: () => {
+                breakOffAnswer(connection);
+            },
             describeConnection: () => summarizeConnection(connection, earlierRequestCount, nowMs()),
             onHeld: (bytes) => {
                 heldBytes += bytes;
@@ -260,6 +267,7 @@
         stopAccepting: () => {
             check?.stop();
             server.close();
+            openConnections.forEach(endForStop);
         },
         pending: () => pending,
         heldBytes: () => account.heldBytes,
--- /dev/null
+++ b/src/entry/connectionEnd.ts
@@ -0,0 +1,136 @@
+/**
+ * Decides when a client's connection ends, whatever the reason: a stop of this host, a refusal, a timeout, a limit, or input that is no
+ * request. What was read is answered first, in order. An answer asks the client to close only if no other one follows it, since a client
+ * sends again what it has sent behind such an answer; from then on nothing more is read.
+ */
+import type { ServerResponse } from "node:http";
+import http from "node:http";
+import { Socket } from "node:net";
+import type { ClientConnection, DenialReason, HttpExchange } from "./clientConnection.js";
+import { statusByDenial } from "./clientConnection.js";
+
+/** Value of `Retry-After` in answers to requests that did not run and may be sent again. */
+const retryAfterSeconds: Partial<Record<DenialReason, number>> = {
+    "limits-unknown": 1,
+    "limit-raised": 0,
+};
+
+/**
+ * Decides, when the head of an answer is written, whether the connection ends with it.
+ * @param exchange the request that is answered
+ * @param isStopping true once this host has begun to stop
+ */
+export function endsWithAnswer(connection: ClientConnection, exchange: HttpExchange, isStopping: boolean): boolean {
+    if (connection.input === "denied" || !isLast(connection, exchange)) {
+        return false;
+    }
+    if (isStopping || connection.input === "ended" || !exchange.response.shouldKeepAlive) {
+        connection.input = "ended";
+        return true;
+    }
+    return false;
+}
+
+/** Tells whether nothing that was read on the connection waits behind a request. */
+function isLast({ exchanges, gate, input }: ClientConnection, exchange: HttpExchange): boolean {
+    return [...exchanges].at(-1) === exchange && (input === "ended" || gate?.holdsInput !== true);
+}
+
+/**
+ * Ends a connection of a host that stops: at once if nothing was read that is not answered, otherwise with its last answer. One that was
+ * not used yet stays open, since its first request may be on its way.
+ */
+export function endForStop(connection: ClientConnection): void {
+    const { exchanges, lastExchange, gate, input, requestCount, socket } = connection;
+    if (input !== "open" || gate?.holdsInput === true) {
+        return;
+    }
+    if (exchanges.size > 0) {
+        connection.input = "ended";
+    }
+    else if (requestCount > 0 && lastExchange === undefined && gate?.isInHead !== true) {
+        socket.destroySoon();
+    }
+}
+
+/** Called when an answer is complete: ends the connection if its last answer could not ask the client to close it. */
+export function endIfAnswered({ exchanges, lastExchange, input, socket }: ClientConnection): void {
+    if (input === "ended" && exchanges.size === 0 && lastExchange === undefined) {
+        socket.destroySoon();
+    }
+}
+
+/** Ends a connection on which a request has reached a limit, or whose client doesn't take or close what it should. */
+export function endForLimit(connection: ClientConnection): void {
+    const { exchanges, lastExchange, input, socket } = connection;
+    // The body belongs to the request received last; its refusal can be sent only if no earlier response is due.
+    if (lastExchange?.breakOffBody !== undefined && exchanges.size === 1 && input === "open") {
+        connection.input = "ended";
+        if (lastExchange.breakOffBody()) {
+            return;
+        }
+    }
+    socket.destroy();
+}
+
+/** Ends a connection in the middle of an answer that can't be completed. */
+export function breakOffAnswer({ socket }: ClientConnection): void {
+    socket.destroy();
+}
+
+async function waitForClose(exchanges: readonly HttpExchange[]): Promise<void> {
+    await Promise.all(exchanges.map(({ response }) => new Promise((resolve) => {
+        response.once("close", resolve);
+    })));
+}
+
+/**
+ * Answers input that is not a valid request, and closes the connection. Responses to the complete requests that came before it go first,
+ * since a client takes the next response for the answer to its oldest request.
+ */
+export async function endWithDenial({ socket, exchanges, lastExchange }: ClientConnection, reason: DenialReason): Promise<void> {
+    const isInBody = lastExchange?.request.complete === false;
+    const earlier = [...exchanges].filter((exchange) => !isInBody || exchange !== lastExchange);
+    if (earlier.length > 0 && socket.readableEnded) {
+        socket.destroy();
+        return;
+    }
+    await waitForClose(earlier);
+    if (isInBody && lastExchange.response.headersSent) {
+        // No second response to the same request; one that is not complete breaks off.
+        endWithoutStatus(socket, lastExchange.response);
+    }
+    else if (socket.writable) {
+        writeDenial(socket, reason);
+    }
+}
+
+function endWithoutStatus(socket: Socket, response: ServerResponse): void {
+    if (response.writableFinished) {
+        socket.end();
+    }
+    else {
+        socket.destroy();
+    }
+}
+
+/** Writes the response to denied input on a connection on which no other response may follow, and closes it. */
+function writeDenial(socket: Socket, reason: DenialReason): void {
+    const status = statusByDenial[reason];
+    const retryAfter = retryAfterSeconds[reason];
+    socket.end([
+        `HTTP/1.1 ${String(status)} ${http.STATUS_CODES[status] ?? ""}`,
+        "Connection: close", "Content-Length: 0",
+        ...retryAfter === undefined ? [] : [`Retry-After: ${String(retryAfter)}`],
+        "\r\n",
+    ].join("\r\n"));
+}
+
+/** Tells the requests of a closed connection of its end whose responses wait for earlier ones; Node.js does so for the first only. */
+export function endQueuedResponses({ exchanges }: ClientConnection): void {
+    for (const { response } of [...exchanges]) {
+        if (!(response.socket instanceof Socket)) {
+            response.emit("close");
+        }
+    }
+}
--- a/src/entry/holdingEnforcement.ts
+++ b/src/entry/holdingEnforcement.ts
@@ -5,6 +5,7 @@
 import type { ClientAccount, ClientAccountLimits, CloseReason } from "./clientAccount.js";
 import type { ClientConnection, ConnectionSummary } from "./clientConnection.js";
 import { progressOf, summarizeConnection } from "./clientConnection.js";
+import { endForLimit } from "./connectionEnd.js";
 
 /** Interval at which the progress of bodies and responses is checked. */
 const progressCheckIntervalMs = 500;
@@ -68,16 +69,7 @@
     const closeForLimit = (socket: Socket, reason: CloseReason) => {
         const connection = connectionOf(socket);
         recordLimit(connection, reason);
-        const { exchanges, lastExchange } = connection;
-        // The body belongs to the request received last; its refusal can be sent only if no earlier response is due.
-        if (lastExchange?.breakOffBody !== undefined && exchanges.size === 1 && !connection.isInputEnded) {
-            connection.isInputEnded = true;
-            lastExchange.response.shouldKeepAlive = false;
-            if (lastExchange.breakOffBody()) {
-                return;
-            }
-        }
-        socket.destroy();
+        endForLimit(connection);
     };
 
     const checkProgress = () => {
--- a/src/entry/httpClientCall.ts
+++ b/src/entry/httpClientCall.ts
@@ -22,8 +22,10 @@
     limits: ClientLimits;
     /** Called once, before the body is read. */
     beforeRead: () => void;
-    /** Returns whether responses ask the client to close its connection. */
-    isClosing: () => boolean;
+    /** Called when the head of an answer is written; returns whether the connection ends with that answer. */
+    endsConnection: () => boolean;
+    /** Ends the connection with an answer that can't be completed. */
+    breakOffAnswer: () => void;
     describeConnection: () => ConnectionSummary;
     /** Called with changes of the number of bytes that are held for the request. */
     onHeld: (bytes: number) => void;
@@ -37,7 +39,7 @@
 
 /** Creates the call for a request. */
 export function createHttpClientCall({
-    request, response, dialects, receivedAt, limits, beforeRead, isClosing, describeConnection, onHeld,
+    request, response, dialects, receivedAt, limits, beforeRead, endsConnection, breakOffAnswer, describeConnection, onHeld,
 }: HttpClientCallDependencies): HttpClientCall {
     const target = parseRequestTarget(request.url ?? "/", request.headers.host);
     const { path, hostName } = target;
@@ -68,7 +70,7 @@
     };
 
     const writeHead = ({ status, reasonPhrase, rawHeaders, bodyBytes }: AnswerHead) => {
-        response.shouldKeepAlive = response.shouldKeepAlive && !isClosing();
+        response.shouldKeepAlive = !endsConnection();
         const length = bodyBytes === undefined ? [] : ["Content-Length", String(bodyBytes)];
         response.writeHead(status, reasonPhrase, [...rawHeaders, ...length]);
     };
@@ -113,9 +115,7 @@
         finishAnswer: () => {
             response.end();
         },
-        abortAnswer: () => {
-            request.socket.destroy();
-        },
+        abortAnswer: breakOffAnswer,
         breakOffBody: body.breakOff,
     };
 }
--- a/src/entry/inputDenials.ts
+++ b/src/entry/inputDenials.ts
@@ -1,24 +1,19 @@
 /** Answers to input of clients that is not passed on: requests that this host does not accept, and input that its parser can't read. */
-import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import type { ClientLimits } from "../model/routing.js";
 import { abortReason } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import type { ClientConnection, Denial, DenialReason, ParserError } from "./clientConnection.js";
-import { denialReasonOf, endAfterResponses, excerptOf, statusByDenial, summarizeConnection } from "./clientConnection.js";
+import {
+    addExchange, denialReasonOf, excerptOf, removeExchange, statusByDenial, summarizeConnection,
+} from "./clientConnection.js";
+import { endWithDenial } from "./connectionEnd.js";
 
 /** Code of the error that Node.js reports for a header section that is not complete in time. */
 const headerTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
 
-/** Headers of the listener's answers to requests with a valid header section. */
-const denialHeaders: Partial<Record<DenialReason, OutgoingHttpHeaders>> = {
-    "malformed": { "Connection": "close" },
-    "no-host-header": { "Connection": "close" },
-    // The client may hold back the body, or send it.
-    "unknown-expectation": { "Connection": "close" },
-};
-
 /** Dependencies of the denials. */
 export interface InputDenialsDependencies {
     clock: Clock;
@@ -33,7 +28,7 @@
 
 /** Denies input of clients. */
 export interface InputDenials {
-    /** Answers a request with a valid header section that this host does not accept. */
+    /** Answers a request with a valid header section that this host does not accept; the connection ends with the answer. */
     deny(request: IncomingMessage, response: ServerResponse, reason: DenialReason): void;
     /** Answers input that is no request, after the responses that are due, and ends the connection. */
     denyInput(connection: ClientConnection, reason: DenialReason, details: Partial<Denial>): void;
@@ -54,10 +49,10 @@
     };
 
     const denyInput = (connection: ClientConnection, reason: DenialReason, details: Partial<Denial>) => {
-        if (!connection.isInputEnded && connection.socket.writable) {
-            connection.isInputEnded = true;
+        if (connection.input === "open" && connection.socket.writable) {
+            connection.input = "denied";
             recordDenial(connection, reason, details);
-            void endAfterResponses(connection, reason);
+            void endWithDenial(connection, reason);
         }
     };
 
@@ -95,16 +90,24 @@
     return {
         deny: (request, response, reason) => {
             const connection = connectionOf(request.socket);
+            if (connection.input !== "open") {
+                return;
+            }
             recordDenial(connection, reason, {});
-            connection.requestCount += 1;
-            response.writeHead(statusByDenial[reason], denialHeaders[reason]);
+            const exchange = { request, response };
+            addExchange(connection, exchange);
+            response.once("close", () => {
+                removeExchange(connection, exchange);
+            });
+            response.shouldKeepAlive = false;
+            response.writeHead(statusByDenial[reason]);
             response.end();
         },
         denyInput,
         onParserError: (error, socket) => {
             const connection = connectionOf(socket);
             // The parser reports its error again for any further input, and at its end.
-            const hasClientLeft = connection.isInputEnded && socket.readableEnded;
+            const hasClientLeft = connection.input !== "open" && socket.readableEnded;
             if (error.code === "ECONNRESET" || !socket.writable || hasClientLeft) {
                 socket.destroy();
             }
--- a/src/entry/inputGate.ts
+++ b/src/entry/inputGate.ts
@@ -25,6 +25,10 @@
 
 /** The gate of one connection. */
 export interface InputGate {
+    /** True while input is held back. */
+    readonly holdsInput: boolean;
+    /** True if a part of a header section has been read. */
+    readonly isInHead: boolean;
     /** Called with each request whose header section the parser has read. */
     onRequest(request: IncomingMessage): void;
     /** Continues with input that was held back, if it may be parsed now. */
@@ -156,6 +160,12 @@
     }
 
     return {
+        get holdsInput() {
+            return held.length > 0;
+        },
+        get isInHead() {
+            return framing.isInHead;
+        },
         onRequest: (received) => {
             request = received;
         },
--- /dev/null
+++ b/test/entry/connectionEnd.spec.ts
@@ -0,0 +1,139 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import type { ReceivedAnswer } from "./listenerClient.js";
+import { RawClient } from "./listenerClient.js";
+import type { ListenerUnderTest } from "./listenerUnderTest.js";
+import { startListener, treatmentHeader } from "./listenerUnderTest.js";
+
+/** Time after which what was written to a connection has been read. */
+const readMs = 20;
+
+function requestOf(id: string, treatment: string, { fields = "", method = "GET", path = "/a/x", host = "Host: one.example\r\n" } = {}): Buffer {
+    return Buffer.from(`${method} ${path} HTTP/1.1\r\n${host}Request-Id: ${id}\r\n${treatmentHeader}: ${treatment}\r\n${fields}\r\n`);
+}
+
+/** Reads answers until the connection ends, at most `count`; returns their statuses, with a `+` where the client is asked to close. */
+async function readAnswers(client: RawClient, count: number): Promise<string[]> {
+    const answers: ReceivedAnswer[] = [];
+    while (answers.length < count) {
+        const answer = await client.readAnswer();
+        if (answer.status <= 0) {
+            return [...describeAnswers(answers), answer.status === 0 ? "closed" : "nothing"];
+        }
+        answers.push(answer);
+    }
+    return describeAnswers(answers);
+}
+
+function describeAnswers(answers: readonly ReceivedAnswer[]): string[] {
+    return answers.map(({ status, headers }) => `${String(status)}${headers["connection"] === "close" ? "+" : ""}`);
+}
+
+describe("the end of a client's connection", () => {
+    let listener: ListenerUnderTest;
+    let client: RawClient;
+
+    beforeEach(async () => {
+        listener = await startListener();
+        client = await RawClient.connect(listener.port);
+    });
+
+    afterEach(() => {
+        client.socket.destroy();
+        listener.clients.close();
+    });
+
+    describe("when the host stops", () => {
+        const cases: { name: string; sentAhead: Buffer[]; answers: string[] }[] = [
+            {
+                name: "two requests", sentAhead: [requestOf("r-1", "late"), requestOf("r-2", "very-late")],
+                answers: ["200", "200+", "closed"],
+            },
+            {
+                name: "three requests", sentAhead: [requestOf("r-1", "late"), requestOf("r-2", "very-late"), requestOf("r-3", "late")],
+                answers: ["200", "200", "200+", "closed"],
+            },
+            {
+                name: "an unknown route in the middle",
+                sentAhead: [requestOf("r-1", "late"), requestOf("r-2", "late", { path: "/unknown" }), requestOf("r-3", "late")],
+                answers: ["200", "404", "200+", "closed"],
+            },
+            {
+                name: "a timeout of the first", sentAhead: [requestOf("r-1", "timed-out"), requestOf("r-2", "very-late")],
+                answers: ["504", "200+", "closed"],
+            },
+            {
+                name: "an upgrade at the end", sentAhead: [requestOf("r-1", "late"), requestOf("r-2", "late", { fields: "Upgrade: x\r\n" })],
+                answers: ["200", "200+", "closed"],
+            },
+            {
+                name: "input at the end that is no request", sentAhead: [requestOf("r-1", "late"), requestOf("r-2", "late"), Buffer.from("x\r\n\r\n")],
+                answers: ["200", "200", "400+", "closed"],
+            },
+        ];
+        for (const { name, sentAhead, answers } of cases) {
+            // Guards against requests lost behind an answer that closes their connection (review/8).
+            it(`comes with the last answer to what was sent ahead: ${name}`, async () => {
+                await client.write(Buffer.concat(sentAhead));
+                await sleep(readMs);
+                listener.clients.startClosingConnections();
+                expect(await readAnswers(client, answers.length)).to.deep.equal(answers);
+            });
+        }
+
+        // Guards against the loss of an answer that was ready before the stop, behind one that was not.
+        it("waits for an answer that was ready before, behind one that was not", async () => {
+            await client.write(requestOf("r-1", "late"), requestOf("r-2", "served"));
+            await sleep(readMs);
+            listener.clients.startClosingConnections();
+            expect(await readAnswers(client, 2)).to.deep.equal(["200", "200"]);
+            listener.clients.stopAccepting();
+            expect(await readAnswers(client, 1)).to.deep.equal(["closed"]);
+        });
+
+        it("comes once all is answered, if the last answer was ready before", async () => {
+            await client.write(requestOf("r-1", "late"), requestOf("r-2", "served"));
+            await sleep(readMs);
+            listener.clients.startClosingConnections();
+            listener.clients.stopAccepting();
+            expect(await readAnswers(client, 3)).to.deep.equal(["200", "200", "closed"]);
+        });
+
+        // Guards against a request that runs although its client sends it again, since it came behind an answer that closes.
+        it("leaves unread what comes behind the last answer", async () => {
+            await client.write(requestOf("r-1", "late"), requestOf("r-2", "served"));
+            await sleep(readMs);
+            listener.clients.startClosingConnections();
+            await client.write(requestOf("r-3", "served"));
+            await sleep(readMs);
+            await client.write(requestOf("r-4", "served"));
+            expect(await readAnswers(client, 4)).to.deep.equal(["200", "200", "200+", "closed"]);
+            expect(listener.servedIds).to.deep.equal(["r-1", "r-2", "r-3"]);
+        });
+
+        it("comes, from the end of accepting on, with what has been read by then", async () => {
+            await client.write(requestOf("r-1", "late"));
+            await sleep(readMs);
+            listener.clients.startClosingConnections();
+            listener.clients.stopAccepting();
+            await client.write(requestOf("r-2", "served"));
+            expect(await readAnswers(client, 2)).to.deep.equal(["200+", "closed"]);
+            expect(listener.servedIds).to.deep.equal(["r-1"]);
+        });
+
+        it("comes at once if nothing is due", async () => {
+            await client.write(requestOf("r-1", "served"));
+            expect(await readAnswers(client, 1)).to.deep.equal(["200"]);
+            listener.clients.startClosingConnections();
+            listener.clients.stopAccepting();
+            expect(await readAnswers(client, 1)).to.deep.equal(["closed"]);
+        });
+    });
+
+    it("comes with the first answer on a connection that was not used before the host stopped", async () => {
+        listener.clients.startClosingConnections();
+        listener.clients.stopAccepting();
+        await client.write(requestOf("r-1", "served"));
+        expect(await readAnswers(client, 2)).to.deep.equal(["200+", "closed"]);
+    });
+});
--- a/test/entry/listenerUnderTest.ts
+++ b/test/entry/listenerUnderTest.ts
@@ -92,6 +92,10 @@
         call.refuse({ reason: "quarantined", retryAfterMs: 10 });
     },
     "served": answerAfterReading,
+    "timed-out": async (call) => {
+        await clock.sleep(lateMs);
+        call.refuse({ reason: "timed-out", retryAfterMs: undefined });
+    },
     "late": async (call) => {
         await clock.sleep(lateMs);
         await answerAfterReading(call);
