Don't cut answers off that are still being read when a host stops accepting

Cause: `close` of Node's HTTP server destroys what it takes for idle, and takes a connection for idle once its answer was handed over, though not yet written to the client.

Evidence and test that failed before: connectionEnd.spec "waits for a client that is still reading a large answer": 3,919,742 of 20,000,000 bytes on.

Change: the listener stops accepting without that step; connectionEnd.ts, which knows what is due, closes the idle connections.

--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import http from "node:http";
 import type { Socket } from "node:net";
+import net from "node:net";
 import type { Result } from "neverthrow";
 import { listen } from "../adapters/listening.js";
 import type { ClientDialect } from "./clientDialect.js";
@@ -266,7 +267,8 @@
         },
         stopAccepting: () => {
             check?.stop();
-            server.close();
+            // That of the HTTP server also destroys connections with answers that are not yet written whole.
+            net.Server.prototype.close.call(server);
             openConnections.forEach(endForStop);
         },
         pending: () => pending,
--- a/test/entry/connectionEnd.spec.ts
+++ b/test/entry/connectionEnd.spec.ts
@@ -3,11 +3,14 @@
 import type { ReceivedAnswer } from "./listenerClient.js";
 import { RawClient } from "./listenerClient.js";
 import type { ListenerUnderTest } from "./listenerUnderTest.js";
-import { startListener, treatmentHeader } from "./listenerUnderTest.js";
+import { largeAnswerBytes, startListener, treatmentHeader } from "./listenerUnderTest.js";
 
 /** Time after which what was written to a connection has been read. */
 const readMs = 20;
 
+/** Longer than the service works on a request of the treatment `late`. */
+const lateMs = 100;
+
 function requestOf(id: string, treatment: string, { fields = "", method = "GET", path = "/a/x", host = "Host: one.example\r\n" } = {}): Buffer {
     return Buffer.from(`${method} ${path} HTTP/1.1\r\n${host}Request-Id: ${id}\r\n${treatmentHeader}: ${treatment}\r\n${fields}\r\n`);
 }
@@ -121,6 +124,19 @@
             expect(listener.servedIds).to.deep.equal(["r-1"]);
         });
 
+        // Guards against an answer that is cut off, since Node.js takes its connection for idle once it is handed over.
+        it("waits for a client that is still reading a large answer", async () => {
+            client.socket.pause();
+            await client.write(requestOf("r-1", "large"));
+            await sleep(lateMs);
+            listener.clients.startClosingConnections();
+            listener.clients.stopAccepting();
+            await sleep(readMs);
+            client.socket.resume();
+            const { status, body } = await client.readAnswer();
+            expect({ status, bytes: body.length }).to.deep.equal({ status: 200, bytes: largeAnswerBytes });
+        });
+
         it("comes at once if nothing is due", async () => {
             await client.write(requestOf("r-1", "served"));
             expect(await readAnswers(client, 1)).to.deep.equal(["200"]);
--- a/test/entry/listenerUnderTest.ts
+++ b/test/entry/listenerUnderTest.ts
@@ -39,6 +39,9 @@
 /** Time for which the service works on a request of the treatment `very-late`. */
 const veryLateMs = 1_300;
 
+/** Length of an answer that the kernel's buffers don't hold. */
+export const largeAnswerBytes = 20_000_000;
+
 /** Part of a streamed answer that is sent at once; the rest follows after `lateMs`. */
 const streamedAnswer = "streamed".repeat(4);
 
@@ -96,6 +99,10 @@
         await clock.sleep(lateMs);
         call.refuse({ reason: "timed-out", retryAfterMs: undefined });
     },
+    "large": (call) => {
+        answerWith(call, "l".repeat(largeAnswerBytes));
+        return Promise.resolve();
+    },
     "late": async (call) => {
         await clock.sleep(lateMs);
         await answerAfterReading(call);
