Pass nothing on that was sent behind a request that is not accepted

What callers could see: a request sent ahead behind one without a Host (or with a malformed field, or an unknown expectation) reached its server, though the answer to the one before closed the connection: its own answer was lost, and a client that sends it again has it run twice.

Evidence and test that failed before: connectionEnd.spec "leaves unread what comes behind a request that is not accepted": the service got r-1 and r-3, expected r-1, on.

--- a/src/entry/inputDenials.ts
+++ b/src/entry/inputDenials.ts
@@ -99,6 +99,8 @@
             response.once("close", () => {
                 removeExchange(connection, exchange);
             });
+            // The client may hold back a body, or send it, so the next request could not be told from it.
+            connection.input = "ended";
             response.shouldKeepAlive = false;
             response.writeHead(statusByDenial[reason]);
             response.end();
--- a/test/entry/connectionEnd.spec.ts
+++ b/test/entry/connectionEnd.spec.ts
@@ -152,4 +152,11 @@
         await client.write(requestOf("r-1", "served"));
         expect(await readAnswers(client, 2)).to.deep.equal(["200+", "closed"]);
     });
+
+    // Guards against requests that are passed on behind a refusal that closes their connection, and are lost with it.
+    it("leaves unread what comes behind a request that is not accepted", async () => {
+        await client.write(Buffer.concat([requestOf("r-1", "late"), requestOf("r-2", "served", { host: "" }), requestOf("r-3", "served")]));
+        expect(await readAnswers(client, 3)).to.deep.equal(["200", "400+", "closed"]);
+        expect(listener.servedIds).to.deep.equal(["r-1"]);
+    });
 });
