Answer what is due before a request whose body has stalled

What callers could see: a client with a request in progress sent a second one whose body stopped; the limit on stalled bodies closed the connection, and the answer to the first was lost (LOST: it had been passed on).

The second request's refusal was sent only if it was alone on its connection.

Evidence and test that failed before: connectionEnd.spec "waits for the answers that are due before a request whose body stalls": [closed] in place of [200, 408 close, closed] on.

Change: the connection reads nothing more; the refusal, or the break-off of a body that was passed on in part, follows the earlier answers. The limits on memory, unread answers and open connections close at once as before: nothing could be delivered, or memory is short.

--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -200,7 +200,7 @@
             request, response, dialects: dependencies.dialects, receivedAt: dependencies.clock.now(), limits: limits(), beforeRead,
             endsConnection: () => endsWithAnswer(connection, exchange, closing),
             breakOffAnswer: () => {
-                breakOffAnswer(connection);
+                breakOffAnswer(connection, exchange);
             },
             describeConnection: () => summarizeConnection(connection, earlierRequestCount, nowMs()),
             onHeld: (bytes) => {
--- a/src/entry/connectionEnd.ts
+++ b/src/entry/connectionEnd.ts
@@ -6,6 +6,7 @@
 import type { ServerResponse } from "node:http";
 import http from "node:http";
 import { Socket } from "node:net";
+import type { CloseReason } from "./clientAccount.js";
 import type { ClientConnection, DenialReason, HttpExchange } from "./clientConnection.js";
 import { statusByDenial } from "./clientConnection.js";
 
@@ -61,21 +62,41 @@
 }
 
 /** Ends a connection on which a request has reached a limit, or whose client doesn't take or close what it should. */
-export function endForLimit(connection: ClientConnection): void {
+export function endForLimit(connection: ClientConnection, reason: CloseReason): void {
     const { exchanges, lastExchange, input, socket } = connection;
-    // The body belongs to the request received last; its refusal can be sent only if no earlier response is due.
-    if (lastExchange?.breakOffBody !== undefined && exchanges.size === 1 && input === "open") {
-        connection.input = "ended";
-        if (lastExchange.breakOffBody()) {
-            return;
-        }
+    // The body belongs to the request received last.
+    const isBodyLate = reason === "body-stalled" || exchanges.size === 1;
+    if (lastExchange === undefined || input !== "open" || !isBodyLate) {
+        socket.destroy();
+        return;
+    }
+    connection.input = "ended";
+    if (lastExchange.breakOffBody?.() !== true) {
+        breakOffAnswer(connection, lastExchange);
+    }
+}
+
+/** Ends a connection with an answer that can't be completed. It ends in the middle of that answer, or in its place. */
+export function breakOffAnswer(connection: ClientConnection, exchange: HttpExchange): void {
+    const { socket } = connection;
+    if (isItsTurn(connection, exchange)) {
+        socket.destroy();
+        return;
     }
-    socket.destroy();
+    connection.input = "ended";
+    void earlierAnswered(connection, exchange).then(() => socket.destroy());
+}
+
+/** Tells whether all answers before that of a request are complete. */
+function isItsTurn({ exchanges }: ClientConnection, exchange: HttpExchange): boolean {
+    const [first] = exchanges;
+    return first === exchange || !exchanges.has(exchange);
 }
 
-/** Ends a connection in the middle of an answer that can't be completed. */
-export function breakOffAnswer({ socket }: ClientConnection): void {
-    socket.destroy();
+/** Resolves once all answers before that of a request are complete, or the connection is closed. */
+export async function earlierAnswered({ exchanges }: ClientConnection, exchange: HttpExchange): Promise<void> {
+    const all = [...exchanges];
+    await waitForClose(all.slice(0, Math.max(0, all.indexOf(exchange))));
 }
 
 async function waitForClose(exchanges: readonly HttpExchange[]): Promise<void> {
--- a/src/entry/holdingEnforcement.ts
+++ b/src/entry/holdingEnforcement.ts
@@ -69,7 +69,7 @@
     const closeForLimit = (socket: Socket, reason: CloseReason) => {
         const connection = connectionOf(socket);
         recordLimit(connection, reason);
-        endForLimit(connection);
+        endForLimit(connection, reason);
     };
 
     const checkProgress = () => {
