--- a/src/entry/clientCall.ts
+++ b/src/entry/clientCall.ts
@@ -79,6 +79,8 @@
     refuse(refusal: Refusal): void;
     /** Sends a complete response. */
     answer(head: AnswerHead, body: Buffer): void;
+    /** Resolves when `beginAnswer` may be called: all earlier answers on the connection are complete, or it is closed. */
+    awaitTurn(): Promise<void>;
     /** Sends the head of a response whose body follows through `writeAnswer`. */
     beginAnswer(head: AnswerHead): void;
     /** Sends a piece of the body; resolves when all of it has been written, and may be overwritten, or the connection is closed. */
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -16,7 +16,7 @@
 import { ClientAccount } from "./clientAccount.js";
 import type { ClientConnection, Denial, HttpExchange } from "./clientConnection.js";
 import { addExchange, createClientConnection, removeExchange, summarizeConnection } from "./clientConnection.js";
-import { breakOffAnswer, endForStop, endIfAnswered, endQueuedResponses, endsWithAnswer } from "./connectionEnd.js";
+import { breakOffAnswer, earlierAnswered, endForStop, endIfAnswered, endQueuedResponses, endsWithAnswer } from "./connectionEnd.js";
 import type { HoldingLimits, ReachedLimit } from "./holdingEnforcement.js";
 import { createHoldingEnforcement } from "./holdingEnforcement.js";
 import { createHttpClientCall } from "./httpClientCall.js";
@@ -202,6 +202,7 @@
             breakOffAnswer: () => {
                 breakOffAnswer(connection, exchange);
             },
+            earlierAnswered: () => earlierAnswered(connection, exchange),
             describeConnection: () => summarizeConnection(connection, earlierRequestCount, nowMs()),
             onHeld: (bytes) => {
                 heldBytes += bytes;
--- a/src/entry/httpClientCall.ts
+++ b/src/entry/httpClientCall.ts
@@ -26,6 +26,8 @@
     endsConnection: () => boolean;
     /** Ends the connection with an answer that can't be completed. */
     breakOffAnswer: () => void;
+    /** Resolves once all earlier answers on the connection are complete, or it is closed. */
+    earlierAnswered: () => Promise<void>;
     describeConnection: () => ConnectionSummary;
     /** Called with changes of the number of bytes that are held for the request. */
     onHeld: (bytes: number) => void;
@@ -39,7 +41,8 @@
 
 /** Creates the call for a request. */
 export function createHttpClientCall({
-    request, response, dialects, receivedAt, limits, beforeRead, endsConnection, breakOffAnswer, describeConnection, onHeld,
+    request, response, dialects, receivedAt, limits, beforeRead, endsConnection, breakOffAnswer, earlierAnswered,
+    describeConnection, onHeld,
 }: HttpClientCallDependencies): HttpClientCall {
     const target = parseRequestTarget(request.url ?? "/", request.headers.host);
     const { path, hostName } = target;
@@ -106,6 +109,7 @@
             writeAnswerHead(head);
             response.end(answerBody);
         },
+        awaitTurn: earlierAnswered,
         beginAnswer: writeAnswerHead,
         writeAnswer: async (piece) => {
             onHeld(piece.length);
--- a/src/forwarding/responseReception.ts
+++ b/src/forwarding/responseReception.ts
@@ -70,6 +70,10 @@
         buffered.append(value, 0, value.length);
         if (buffered.byteCount > maxBufferedAnswerBytes) {
             interrupt.preventGiveUp();
+            const interrupted = await interrupt.unlessRaised(() => call.awaitTurn());
+            if (interrupted !== undefined) {
+                return endByInterrupt(call, progress, interrupted);
+            }
             call.beginAnswer(answerHeadOf(head, contentLengthOf(head)));
             progress.isStreaming = true;
             await interrupt.unlessRaised(() => call.writeAnswer(buffered.takeAll()));
--- a/test/entry/listenerUnderTest.ts
+++ b/test/entry/listenerUnderTest.ts
@@ -125,6 +125,7 @@
     },
     "streamed": async (call) => {
         await readWholeBody(call);
+        await call.awaitTurn();
         call.beginAnswer({ status: 200, reasonPhrase: "OK", rawHeaders: [], bodyBytes: streamedAnswer.length * 2 });
         await call.writeAnswer(Buffer.from(streamedAnswer));
         await clock.sleep(lateMs);
--- a/test/fleet/sentAhead.spec.ts
+++ b/test/fleet/sentAhead.spec.ts
@@ -6,10 +6,13 @@
 import { signedAnswer, startScriptedTarget } from "./scriptedTarget.js";
 
 const budgetMs = 5_000;
-const workMsByPath: Record<string, number> = { "/ahead/first": 500, "/ahead/second": 1_000, "/brief/never": 60_000 };
+const workMsByPath: Record<string, number> = { "/ahead/first": 500, "/ahead/second": 1_000, "/brief/never": 60_000, "/brief/long": 20 };
 const briefTimeoutMs = 700;
 const stopAfterMs = 200;
 
+/** More than a host buffers before it sends an answer on. */
+const longAnswer = "l".repeat(400_000);
+
 interface Answer {
     status: number;
     closes: boolean;
@@ -34,7 +37,7 @@
         fleet.store.put(topics.configuration, "config", buildConfig());
         target = await startScriptedTarget(fleet.store, "scripted", plainService);
         target.react = (socket, { requestId, path }) => {
-            setTimeout(() => socket.write(signedAnswer(requestId, "ok")), workMsByPath[path] ?? 0);
+            setTimeout(() => socket.write(signedAnswer(requestId, path === "/brief/long" ? longAnswer : "ok")), workMsByPath[path] ?? 0);
         };
     });
 
@@ -78,4 +81,11 @@
             { status: 504, closes: false }, { status: 404, closes: false }, { status: 200, closes: true },
         ]);
     });
+
+    // Guards against requests in progress that are lost by the timeout of a long answer that waits behind them (review/9).
+    it("are answered if a long answer runs into its timeout while it waits behind them", async () => {
+        expect(await play(["/ahead/second", "/brief/long"], false)).to.deep.equal([
+            { status: 200, closes: false }, { status: 504, closes: false },
+        ]);
+    });
 });
--- a/test/forwarding/forwarderUnderTest.ts
+++ b/test/forwarding/forwarderUnderTest.ts
@@ -199,6 +199,7 @@
             begin(head);
             received.bytes += body.length;
         },
+        awaitTurn: () => Promise.resolve(),
         beginAnswer: begin,
         writeAnswer: (piece) => {
             received.bytes += piece.length;
--- a/test/forwarding/requestPreparation.spec.ts
+++ b/test/forwarding/requestPreparation.spec.ts
@@ -41,7 +41,8 @@
             declaredBytes: bodyBytes, start: Buffer.alloc(0),
         },
         clientLeft: new AbortController().signal,
-        refuse: () => undefined, answer: () => undefined, beginAnswer: () => undefined, writeAnswer: () => Promise.resolve(),
+        refuse: () => undefined, answer: () => undefined,
+        awaitTurn: () => Promise.resolve(), beginAnswer: () => undefined, writeAnswer: () => Promise.resolve(),
         finishAnswer: () => undefined, abortAnswer: () => undefined,
     };
 }
