--- a/src/control/dumpHttp.ts
+++ b/src/control/dumpHttp.ts
@@ -6,6 +6,7 @@
 
 const callTimeoutMs = 1_500;
 const maxDumpBytes = 16_777_216;
+const okStatus = 200;
 
 /** Creates the HTTP implementation of `DumpPort`. */
 export function createDumpHttp(): DumpPort {
@@ -14,7 +15,9 @@
             try {
                 const response = await Wreck.request("GET", `http://${address}/dump`, { timeout: callTimeoutMs });
                 const body = await Wreck.read(response, { timeout: callTimeoutMs, maxBytes: maxDumpBytes });
-                return ok(JSON.parse(body.toString("utf8")) as HostDump);
+                return response.statusCode === okStatus
+                    ? ok(JSON.parse(body.toString("utf8")) as HostDump)
+                    : err(failure("unreachable", "admin-call", address, `status ${String(response.statusCode)}`));
             }
             catch (error) {
                 return err(failure("unreachable", "admin-call", address, error instanceof Error ? error.message : String(error)));
--- a/test/fleet/relayedAnswers.spec.ts
+++ b/test/fleet/relayedAnswers.spec.ts
@@ -1,3 +1,4 @@
+import { readFileSync } from "node:fs";
 import type net from "node:net";
 import { expect } from "chai";
 import { topics } from "../../platform/names.js";
@@ -10,6 +11,7 @@
 const writePath = "/write/";
 const longPath = `${writePath}long`;
 const slowPath = `${writePath}slow`;
+const oddPath = `${writePath}odd`;
 const budgetMs = 6_000;
 const pieceBytes = 500;
 const pieceCount = 20;
@@ -70,7 +72,8 @@
                 void writePieces(socket, request, played);
                 return;
             }
-            setTimeout(() => socket.write(signedAnswer(request.requestId, "ok")), request.path === slowPath ? slowWorkMs : 0);
+            const answer = signedAnswer(request.requestId, "ok");
+            setTimeout(() => socket.write(request.path === oddPath ? answer.replace("200", "000") : answer), request.path === slowPath ? slowWorkMs : 0);
         };
         host = await fleet.startHost("cut", undefined, { isCuttable: true });
         await waitUntilServed(host);
@@ -121,6 +124,22 @@
         return outcome;
     };
 
+    // Guards against an answer of a server in trouble whose status is none that HTTP knows, on its way through another host.
+    it("is no success if its status is 000", async () => {
+        const helper = await fleet.startHost("helper-odd");
+        await waitUntilServed(helper);
+        cutFromTargets(host, [target.address], "refuse-new");
+        void post(host, slowPath, "slow");
+        const traffic = post(helper, slowPath, "traffic");
+        await fleet.waitUntil("the host knows that it is cut off", () => isCutOff(host));
+        expect((await post(host, oddPath, "odd")).status).to.equal(502);
+        expect(await isRelaying(helper) || /"connection relayed"/.test(readFileSync(helper.logFile, "utf8"))).to.equal(true);
+        await traffic;
+        cutFromTargets(host, [target.address], undefined);
+        await fleet.endHost(helper, "SIGKILL");
+        await fleet.waitUntil("the host is not cut off any more", async () => !await isCutOff(host));
+    });
+
     for (const hasLength of [false, true]) {
         const framing = hasLength ? "with a length" : "without a length";
 
--- a/test/fleet/unprovenResponses.spec.ts
+++ b/test/fleet/unprovenResponses.spec.ts
@@ -31,8 +31,10 @@
     "a signed status 404 without an id": {
         write: (socket) => socket.end("HTTP/1.1 404 Not Found\r\nResponse-Signature: s\r\nContent-Length: 0\r\n\r\n"), expectedStatus: 502,
     },
-    "a signed status 600": { write: bytes((id) => signedAnswer(id, "x", 600)), expectedStatus: 502 },
-    "a signed status 999": { write: bytes((id) => signedAnswer(id, "x", 999)), expectedStatus: 502 },
+    // Guards against answers of a server in trouble whose status is none that HTTP knows.
+    ...Object.fromEntries(["000", "001", "099", "600", "999", "20", "2000"].map((status) => [
+        `a signed status ${status}`, { write: bytes((id) => signedAnswer(id, "x").replace("200", status)), expectedStatus: 502 },
+    ])),
     "a status 101 before a signed one": {
         write: bytes((id) => `HTTP/1.1 101 Switching Protocols\r\n\r\n${signedAnswer(id, "x")}`), expectedStatus: 502,
     },
--- a/test/forwarding/responseParser.spec.ts
+++ b/test/forwarding/responseParser.spec.ts
@@ -111,8 +111,10 @@
     const invalidResponses: Record<string, string> = {
         "a missing status line": "hello\r\n\r\n",
         "a header without a colon": "HTTP/1.1 200 OK\r\nContent-Length 2\r\n\r\n",
-        "a status below 100": "HTTP/1.1 099 Some\r\nContent-Length: 0\r\n\r\n",
-        "a status above 599": "HTTP/1.1 600 Some\r\nContent-Length: 0\r\n\r\n",
+        // Guards against answers of a server in trouble whose status is none that HTTP knows.
+        ...Object.fromEntries(["000", "001", "099", "600", "999", "00", "20", "2000", "2e2", "-20", "+200"].map((status) =>
+            [`the status ${status}`, `HTTP/1.1 ${status} Some\r\nContent-Length: 0\r\n\r\n`])),
+        "another major version": "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
         "a switch to another protocol": "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
         "a control character in a header": "HTTP/1.1 200 OK\r\nA: b\u0001\r\nContent-Length: 0\r\n\r\n",
         "a control character in the reason phrase": "HTTP/1.1 200 O\u0000K\r\nContent-Length: 0\r\n\r\n",
--- a/test/platform/leases.spec.ts
+++ b/test/platform/leases.spec.ts
@@ -30,6 +30,25 @@
 
 const ignoreCalls = { onConnected: () => undefined, onCall: () => undefined };
 
+describe("grants and releases", () => {
+    for (const status of ["000", "099", "600", "999"]) {
+        // Guards against a lease that counts as granted, released or rejected by an answer of a server in trouble.
+        it(`are lost if they are answered with the status ${status}`, async () => {
+            const server = net.createServer((socket) => {
+                socket.on("error", () => undefined);
+                socket.on("data", () => socket.write(`HTTP/1.1 ${status} Some\r\nContent-Length: 0\r\n\r\n`));
+            });
+            server.listen(0, "127.0.0.1");
+            await once(server, "listening");
+            const address = `127.0.0.1:${String((server.address() as net.AddressInfo).port)}` as Address;
+            const open = async () => (await createLeasePort(ignoreCalls).open("k1" as TargetId, address))._unsafeUnwrap();
+            expect((await (await open()).grant(grant, 200))._unsafeUnwrapErr().kind).to.equal("lost");
+            expect((await (await open()).release(grant.range, grant.fence, 200))._unsafeUnwrapErr().kind).to.equal("lost");
+            server.close();
+        });
+    }
+});
+
 describe("grants at a reused address", () => {
     it("are accepted by the intended target", async () => {
         expect(await grantAt("k1", { id: "k1", sharded: true })).to.equal("granted");
--- a/test/platform/storeAnswers.spec.ts
+++ b/test/platform/storeAnswers.spec.ts
@@ -19,6 +19,27 @@
     "as headers": { start: "HTTP/1.1 200 OK\r\n", repeated: "X: y\r\n".repeat(1_000) },
 };
 
+describe("store that answers with a status that HTTP doesn't know", () => {
+    for (const status of ["000", "099", "600", "999", "20"]) {
+        // Guards against an append that counts as not executed, though the store in trouble has carried it out.
+        it(`leaves open whether it has carried out the call: ${status}`, async () => {
+            const server = net.createServer((socket) => {
+                socket.on("error", () => undefined);
+                socket.on("data", () => socket.write(`HTTP/1.1 ${status} Some\r\nContent-Length: 2\r\n\r\n{}`));
+            });
+            server.listen(0, "127.0.0.1");
+            await once(server, "listening");
+            const store = createStore(`127.0.0.1:${String((server.address() as net.AddressInfo).port)}` as Address, () => undefined);
+            const outcomes = [
+                await store.append([{ key: "k", value: Buffer.from("v") }], undefined), await store.read("ledger", 0 as Offset, 0),
+                await store.snapshot("ledger"),
+            ];
+            expect(outcomes.map((outcome) => outcome.isErr() ? outcome.error.kind : "ok")).to.deep.equal(["lost", "lost", "lost"]);
+            server.close();
+        });
+    }
+});
+
 describe("store that answers without end", function () {
     this.timeout(20_000);
 
