Soak: clients that send requests ahead, and no request runs behind an answer that closes its connection

Three such clients per run keep their connections until the host closes them or is gone. Answers must come in order; a request behind an answer that closes the connection must not run, since its client sends it again. Answers that end with their connection are left to relayedAnswers.spec: the soak's proxies drop bytes in the middle of a connection, which no network does.

--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -6,6 +6,7 @@
 import { topics } from "../../platform/names.js";
 import { buildRoutingConfig, Fleet, isReady, keyedService, paths, plainService, send, sleep } from "../fleet/fleet.js";
 import { SeededRandom } from "../support/seededRandom.js";
+import { sendAhead } from "./aheadClient.js";
 import { FaultInjection } from "./faultInjection.js";
 import { checkAnswers, checkOwners, checkReadyHosts, watchedKeys } from "./soakChecks.js";
 import { SoakFleet } from "./soakFleet.js";
@@ -15,6 +16,9 @@
 const keyedServerCount = 5;
 const plainServerCount = 3;
 const requestPeriodMs = 20;
+
+/** Number of clients that send requests ahead on connections that they keep. */
+const aheadClientCount = 3;
 const recoveryTimeoutMs = 25_000;
 
 /** Time after the last request within which the answers to the last ones arrive. */
@@ -88,6 +92,8 @@
         const background = Promise.all([
             sendRequests(soakFleet, seed, random, report, end.signal), checkOwners(fleet, report, end.signal),
             checkReadyHosts(fleet, report, end.signal),
+            ...Array.from({ length: aheadClientCount }, (_, index) =>
+                sendAhead(soakFleet, `a${String(seed)}.${String(index)}`, random, report, end.signal)),
         ]);
         const faultsEndMs = performance.now() + durationMs;
         while (performance.now() < faultsEndMs) {
