Types of an attempt stand apart from the function that runs it

attempt.ts imported requestSending, responseReception and endsByInterrupt, which imported its types: a circle of files. How an attempt ends stands in attemptEnds.ts now, with what its end means; what it is made from stands in attemptRequest.ts. No logic changed; the tests of forwarding pass.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,8 +11,8 @@
 export const upwardImports = {
     "src/cluster/node.ts": ["admission/admissionServer.js"],
     "src/entry/clientCall.ts": ["crashes/requestFingerprint.js"],
-    "src/observe/requestLog.ts": ["forwarding/attempt.js", "forwarding/statedRateLimits.js"],
-    "src/observe/requestRecorder.ts": ["forwarding/attempt.js", "forwarding/statedRateLimits.js"],
+    "src/observe/requestLog.ts": ["forwarding/attemptEnds.js", "forwarding/statedRateLimits.js"],
+    "src/observe/requestRecorder.ts": ["forwarding/attemptEnds.js", "forwarding/statedRateLimits.js"],
     "src/store/clusterView.ts": ["ownership/ledger.js"],
     "src/store/topicReader.ts": ["ownership/ledgerDecoder.js"],
 };
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -1,99 +1,16 @@
 /** Runs one attempt: sends a request to a target and receives the response. */
-import type { AnswerHead, ClientCall } from "../entry/clientCall.js";
 import { describeFailure } from "../model/failure.js";
-import type { TargetEntry } from "../model/target.js";
-import type { Clock } from "../model/time.js";
-import type { ConnectionPool } from "./connectionPool.js";
-import type { ReuseTerms } from "./connectionReuse.js";
-import type { TargetDialect, TargetNotice } from "./dialect.js";
+import type { AttemptEnd } from "./attemptEnds.js";
+import type { AttemptDependencies, AttemptProgress, AttemptRequest } from "./attemptRequest.js";
 import { endAfterSending, endBeforeSending, pathLost } from "./endsByInterrupt.js";
-import type { Interrupt, GiveUpPolicy } from "./interrupt.js";
+import type { Interrupt } from "./interrupt.js";
 import { createInterrupt } from "./interrupt.js";
-import type { StopWatching, TargetPaths } from "./pathWatch.js";
+import type { StopWatching } from "./pathWatch.js";
 import { watchPath } from "./pathWatch.js";
 import { requestHeadOf, sendBody } from "./requestSending.js";
 import { receiveResponse } from "./responseReception.js";
 import type { TargetConnection } from "./targetConnection.js";
 
-/** A complete response that has not been sent to the client yet. */
-export interface BufferedAnswer {
-    head: AnswerHead;
-    body: Buffer;
-}
-
-/** How an attempt ended. */
-export type AttemptEnd =
-    /** The response is complete and buffered; nothing has been sent to the client. */
-    | { kind: "answered"; answer: BufferedAnswer; tookMs: number }
-    /** The response was streamed to the client and is complete. */
-    | { kind: "streamed"; status: number; tookMs: number }
-    /** The response broke off after a part of it had been sent to the client; the client's connection was closed. */
-    | { kind: "broken-off"; why: string; error?: unknown }
-    /** The target rejected the request without running it. */
-    | { kind: "turned-away"; status: number; pauseMs?: number }
-    /** No connection could be opened; nothing was sent. `error` is set here and below if the attempt ended by an unexpected error. */
-    | { kind: "unreachable"; why: string; error?: unknown }
-    /** The request was sent, and no complete, valid response arrived. */
-    | { kind: "lost"; why: string; error?: unknown }
-    /** The request was sent, and the response was not complete within the timeout. */
-    | { kind: "timed-out" }
-    /** Given up because a slot for a retry was reserved, before the response was complete and before any of it was sent to the client. */
-    | { kind: "given-up"; wasSent: boolean }
-    /** The client did not send its request body completely. */
-    | { kind: "body-broken" }
-    | { kind: "client-left" };
-
-/** How far an attempt has got; it decides how the attempt ends if an unexpected error is raised. */
-export interface AttemptProgress {
-    connection: TargetConnection | undefined;
-    /** True once any part of the request may have been sent. */
-    isSent: boolean;
-    /** True once a part of the response has been sent to the client. */
-    isStreaming: boolean;
-}
-
-/** Describes the end of an attempt in a log line. */
-export function describeEnd(end: AttemptEnd): string {
-    return "why" in end ? `${end.kind}: ${end.why}` : end.kind;
-}
-
-/** Dependencies of an attempt. */
-export interface AttemptDependencies {
-    pool: ConnectionPool;
-    dialect: TargetDialect;
-    clock: Clock;
-    /** Called with the notice in the head of each response, and the monotonic time at which the request was sent. */
-    onNotice: (target: TargetEntry, notice: TargetNotice, sentMs: number) => void;
-    /** What is known of this host's paths to targets. */
-    paths: TargetPaths;
-    /** Called with the status of each response that proves neither that the target ran the request nor that it didn't. */
-    onUnproven: (target: TargetEntry, call: ClientCall, status: number) => void;
-}
-
-/** The request to send, its target and the limits of the attempt. */
-export interface AttemptRequest {
-    call: ClientCall;
-    target: TargetEntry;
-    /** The complete body, or undefined if it is streamed from the client. */
-    body: Buffer | undefined;
-    /** Expected duration of the attempt. */
-    expectedMs: number;
-    /** Time left for the request, as announced to the target. */
-    budgetMs: number;
-    /** The attempt ends after this time. */
-    timeoutMs: number;
-    /** When the attempt may be given up for a retry; undefined if it must not be. */
-    giveUpPolicy: GiveUpPolicy | undefined;
-    /** Which pooled connections may carry this request. */
-    reuse: ReuseTerms;
-    /** The connection is added if the target rejects the request on it. */
-    rejectedOn: Set<TargetConnection>;
-    /** False if the attempt is to continue after the client has left. */
-    cancelIfClientLeaves: boolean;
-    /** Called when this host is cut off from the target while it waits for the response; returns whether the attempt ends. */
-    endsWithPath: () => boolean;
-}
-
 /**
  * Sends a request to a target and receives the response. Never rejects: an unexpected error ends the attempt.
  * @param request the request, its target and the limits of the attempt
--- a/src/forwarding/attemptEnds.ts
+++ b/src/forwarding/attemptEnds.ts
@@ -1,11 +1,43 @@
-/** What the end of an attempt means for the target's queue and for the client. */
+/** How an attempt may end, and what its end means for the target's queue and for the client. */
 import type { WorkEnd } from "../admission/workEnd.js";
-import type { RefusalReason } from "../entry/clientCall.js";
-import type { AttemptEnd } from "./attempt.js";
+import type { AnswerHead, RefusalReason } from "../entry/clientCall.js";
+
+/** A complete response that has not been sent to the client yet. */
+export interface BufferedAnswer {
+    head: AnswerHead;
+    body: Buffer;
+}
+
+/** How an attempt ended. */
+export type AttemptEnd =
+    /** The response is complete and buffered; nothing has been sent to the client. */
+    | { kind: "answered"; answer: BufferedAnswer; tookMs: number }
+    /** The response was streamed to the client and is complete. */
+    | { kind: "streamed"; status: number; tookMs: number }
+    /** The response broke off after a part of it had been sent to the client; the client's connection was closed. */
+    | { kind: "broken-off"; why: string; error?: unknown }
+    /** The target rejected the request without running it. */
+    | { kind: "turned-away"; status: number; pauseMs?: number }
+    /** No connection could be opened; nothing was sent. `error` is set here and below if the attempt ended by an unexpected error. */
+    | { kind: "unreachable"; why: string; error?: unknown }
+    /** The request was sent, and no complete, valid response arrived. */
+    | { kind: "lost"; why: string; error?: unknown }
+    /** The request was sent, and the response was not complete within the timeout. */
+    | { kind: "timed-out" }
+    /** Given up because a slot for a retry was reserved, before the response was complete and before any of it was sent to the client. */
+    | { kind: "given-up"; wasSent: boolean }
+    /** The client did not send its request body completely. */
+    | { kind: "body-broken" }
+    | { kind: "client-left" };
 
 /** The end of an attempt with a complete response that has not been sent to the client yet. */
 export type Answered = Extract<AttemptEnd, { kind: "answered" }>;
 
+/** Describes the end of an attempt in a log line. */
+export function describeEnd(end: AttemptEnd): string {
+    return "why" in end ? `${end.kind}: ${end.why}` : end.kind;
+}
+
 /** Tells whether the request may have run. */
 export function mayHaveRun(end: AttemptEnd): boolean {
     return end.kind === "lost" || end.kind === "timed-out" || end.kind === "answered" || (end.kind === "given-up" && end.wasSent);
--- a/src/forwarding/endsByInterrupt.ts
+++ b/src/forwarding/endsByInterrupt.ts
@@ -1,5 +1,5 @@
 /** How an attempt ends by an interrupt. */
-import type { AttemptEnd } from "./attempt.js";
+import type { AttemptEnd } from "./attemptEnds.js";
 import type { InterruptReason } from "./interrupt.js";
 
 /** Why an attempt is lost if its host is cut off from the target. */
--- a/src/forwarding/requestEnds.ts
+++ b/src/forwarding/requestEnds.ts
@@ -2,8 +2,7 @@
 import type { ClientCall, Refusal } from "../entry/clientCall.js";
 import type { Clock } from "../model/time.js";
 import type { RequestLog } from "../observe/requestLog.js";
-import type { AttemptEnd } from "./attempt.js";
-import type { Answered } from "./attemptEnds.js";
+import type { Answered, AttemptEnd } from "./attemptEnds.js";
 import { reasonIfRun } from "./attemptEnds.js";
 import type { ClientWaitEstimator } from "./clientWaitEstimator.js";
 import type { RequestContext } from "./requestContext.js";
--- a/src/forwarding/requestSending.ts
+++ b/src/forwarding/requestSending.ts
@@ -1,7 +1,7 @@
 /** Writes a client's request to a target: its head, and a body that is streamed. */
 import type { ClientCall } from "../entry/clientCall.js";
 import { withoutHeaders } from "../entry/hopByHop.js";
-import type { AttemptRequest } from "./attempt.js";
+import type { AttemptRequest } from "./attemptRequest.js";
 import type { TargetDialect } from "./dialect.js";
 import type { Exchange } from "./exchange.js";
 
--- a/src/forwarding/responseReception.ts
+++ b/src/forwarding/responseReception.ts
@@ -1,7 +1,8 @@
 /** Receives the response of an attempt: buffers a short one, and streams a long one to the client. */
 import type { AnswerHead, ClientCall } from "../entry/clientCall.js";
 import { withoutHopByHop } from "../entry/hopByHop.js";
-import type { AttemptDependencies, AttemptEnd, AttemptProgress, AttemptRequest } from "./attempt.js";
+import type { AttemptEnd } from "./attemptEnds.js";
+import type { AttemptDependencies, AttemptProgress, AttemptRequest } from "./attemptRequest.js";
 import { ByteBuffer } from "../model/byteBuffer.js";
 import { endAfterSending } from "./endsByInterrupt.js";
 import type { Exchange } from "./exchange.js";
--- a/src/forwarding/retryPolicy.ts
+++ b/src/forwarding/retryPolicy.ts
@@ -4,7 +4,7 @@
  * Load pattern: targets reject a share of the requests or lose their responses. Retrying all of them doubles the load on the targets
  * that still work, so retries draw on a budget, and a request is retried only if it may run again and can still be answered in time.
  */
-import type { AttemptEnd } from "./attempt.js";
+import type { AttemptEnd } from "./attemptEnds.js";
 
 /** Conditions under which a request may be retried. */
 export interface RetryTerms {
--- a/src/forwarding/retryWait.ts
+++ b/src/forwarding/retryWait.ts
@@ -8,7 +8,7 @@
 import { waitFor } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
-import type { AttemptEnd } from "./attempt.js";
+import type { AttemptEnd } from "./attemptEnds.js";
 
 /** Delay before a retry, which may go to the same target again, even if that target has just rejected the request. */
 const retryDelayMs = 15;
--- a/src/forwarding/targetNotices.ts
+++ b/src/forwarding/targetNotices.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "../model/time.js";
 import type { RequestLog } from "../observe/requestLog.js";
 import type { ClusterView } from "../store/clusterView.js";
-import type { AttemptDependencies } from "./attempt.js";
+import type { AttemptDependencies } from "./attemptRequest.js";
 import type { StatedRateLimits } from "./statedRateLimits.js";
 import type { StatedLoads } from "./statedLoads.js";
 import type { TargetPauses } from "./targetPauses.js";
--- a/src/observe/requestLog.ts
+++ b/src/observe/requestLog.ts
@@ -1,6 +1,6 @@
 /** Port for recording the outcome of requests in log lines and metrics. */
 import type { ClientCall, Refusal } from "../entry/clientCall.js";
-import type { AttemptEnd } from "../forwarding/attempt.js";
+import type { AttemptEnd } from "../forwarding/attemptEnds.js";
 import type { RateLimitChange } from "../forwarding/statedRateLimits.js";
 import type { TargetId } from "../model/names.js";
 import type { Route } from "../model/routing.js";
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -1,7 +1,7 @@
 /** Records the outcome of requests in the log and in the metrics. */
 import type { ClientCall, RefusalReason } from "../entry/clientCall.js";
 import { statusByReason } from "../entry/refusalStatus.js";
-import { describeEnd } from "../forwarding/attempt.js";
+import { describeEnd } from "../forwarding/attemptEnds.js";
 import type { RateLimitChange } from "../forwarding/statedRateLimits.js";
 import type { TargetId } from "../model/names.js";
 import type { Clock } from "../model/time.js";
--- a/test/forwarding/retryPolicy.spec.ts
+++ b/test/forwarding/retryPolicy.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { RetryBudget } from "../../src/admission/retryBudget.js";
-import type { AttemptEnd } from "../../src/forwarding/attempt.js";
+import type { AttemptEnd } from "../../src/forwarding/attemptEnds.js";
 import { withoutHopByHop } from "../../src/entry/hopByHop.js";
 import type { RetrySituation } from "../../src/forwarding/retryPolicy.js";
 import { nextStep } from "../../src/forwarding/retryPolicy.js";
--- a/test/forwarding/retryWait.spec.ts
+++ b/test/forwarding/retryWait.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import type { AttemptEnd } from "../../src/forwarding/attempt.js";
+import type { AttemptEnd } from "../../src/forwarding/attemptEnds.js";
 import { createRetryWait } from "../../src/forwarding/retryWait.js";
 import type { Key, ServiceId, TargetId } from "../../src/model/names.js";
 import { Signal } from "../../src/model/signal.js";
--- a/test/world/crashLoad.ts
+++ b/test/world/crashLoad.ts
@@ -2,7 +2,7 @@
  * Requests in the simulated cluster, some of which crash the targets that run them. Each arrives at a random host, which places it by its
  * own forwarding and admission, sends it again if it is idempotent, and observes how its attempts end.
  */
-import type { AttemptEnd } from "../../src/forwarding/attempt.js";
+import type { AttemptEnd } from "../../src/forwarding/attemptEnds.js";
 import { workEndOf } from "../../src/forwarding/attemptEnds.js";
 import type { TargetSlot } from "../../src/forwarding/placement.js";
 import type { HostId } from "../../src/model/names.js";
