Records of the ledger stand apart from the ledger

ledger.ts (321 lines) and lostRecords.ts imported each other. No logic changed; 319 tests of ownership, cluster, store, control and crashes pass.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -11,7 +11,7 @@
 import { FenceCounter } from "../ownership/fences.js";
 import type { LeasePort } from "../ownership/leasePort.js";
 import { defaultHoldMs, maxTimeToExpiryMs } from "../ownership/leaseTerms.js";
-import type { TermRecord } from "../ownership/ledger.js";
+import type { TermRecord } from "../ownership/ledgerRecords.js";
 import { createLedgerWriter } from "../ownership/ledgerWriter.js";
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
 import type { OwnershipManager, OwnershipManagerDependencies } from "../ownership/ownershipManager.js";
--- a/src/cluster/crashRecording.ts
+++ b/src/cluster/crashRecording.ts
@@ -19,7 +19,7 @@
 import { waitFor } from "../model/signal.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
-import { encodeLedgerRecord } from "../ownership/ledger.js";
+import { encodeLedgerRecord } from "../ownership/ledgerRecords.js";
 import type { Ledger } from "../ownership/ledger.js";
 import type { LedgerWriter } from "../ownership/ledgerWriter.js";
 import type { DraftedRecord } from "../ownership/ownershipDraft.js";
--- a/src/cluster/following.ts
+++ b/src/cluster/following.ts
@@ -6,7 +6,7 @@
 import { Signal, waitFor } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import type { Log } from "../observe/log.js";
-import type { TermRecord } from "../ownership/ledger.js";
+import type { TermRecord } from "../ownership/ledgerRecords.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { ConfigAge } from "./configAge.js";
 import type { DirectReader } from "./directReader.js";
--- a/src/cluster/heldTerm.ts
+++ b/src/cluster/heldTerm.ts
@@ -4,7 +4,7 @@
 import { eraOf } from "../model/storePosition.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
-import type { LedgerChange } from "../ownership/ledger.js";
+import type { LedgerChange } from "../ownership/ledgerRecords.js";
 import { TermAuthority } from "../ownership/termAuthority.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { TopicReader } from "../store/topicReader.js";
--- a/src/cluster/knownTerm.ts
+++ b/src/cluster/knownTerm.ts
@@ -1,7 +1,7 @@
 /** The latest term that a host knows. */
 import { Signal } from "../model/signal.js";
 import { eraOf } from "../model/storePosition.js";
-import type { TermRecord } from "../ownership/ledger.js";
+import type { TermRecord } from "../ownership/ledgerRecords.js";
 import { eraOfTerm } from "../ownership/termNumbers.js";
 import type { ClusterView } from "../store/clusterView.js";
 
--- a/src/cluster/messageChecks.ts
+++ b/src/cluster/messageChecks.ts
@@ -16,8 +16,8 @@
 } from "../model/valueSchemas.js";
 import { maxEra } from "../model/storePosition.js";
 import type { Log } from "../observe/log.js";
-import type { LedgerChange, TermRecord } from "../ownership/ledger.js";
-import { termKey } from "../ownership/ledger.js";
+import type { LedgerChange, TermRecord } from "../ownership/ledgerRecords.js";
+import { termKey } from "../ownership/ledgerRecords.js";
 import { parseLedgerRecord } from "../ownership/ledgerDecoder.js";
 import type { TargetChange } from "../store/targetDirectory.js";
 import type { ConfigurationReply, FollowParams, News, Report } from "./messages.js";
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -4,7 +4,7 @@
 import type { Era, Offset, RunId, Term } from "../model/names.js";
 import type { LeavingTarget } from "../model/target.js";
 import type { RoutingConfig } from "../model/routing.js";
-import type { LedgerChange } from "../ownership/ledger.js";
+import type { LedgerChange } from "../ownership/ledgerRecords.js";
 import type { KeyLoadReport } from "../ownership/loadMeter.js";
 import type { OwnershipNotice } from "../ownership/ownerLookup.js";
 import type { EvacuationChange } from "../store/evacuations.js";
--- a/src/cluster/newsSender.ts
+++ b/src/cluster/newsSender.ts
@@ -8,7 +8,7 @@
 import type { LeavingTarget } from "../model/target.js";
 import type { Clock, Instant } from "../model/time.js";
 import type { Log } from "../observe/log.js";
-import type { LedgerChange } from "../ownership/ledger.js";
+import type { LedgerChange } from "../ownership/ledgerRecords.js";
 import type { OwnerLookup, OwnershipNotice } from "../ownership/ownerLookup.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { Followers } from "./followers.js";
--- a/src/cluster/node.ts
+++ b/src/cluster/node.ts
@@ -8,7 +8,7 @@
 import type { Clock } from "../model/time.js";
 import type { Log } from "../observe/log.js";
 import { runRestartedTasks } from "../observe/tasks.js";
-import type { TermRecord } from "../ownership/ledger.js";
+import type { TermRecord } from "../ownership/ledgerRecords.js";
 import type { LeasePort } from "../ownership/leasePort.js";
 import type { LoadMeter } from "../ownership/loadMeter.js";
 import type { OwnerLookup } from "../ownership/ownerLookup.js";
--- a/src/cluster/nodeHandlers.ts
+++ b/src/cluster/nodeHandlers.ts
@@ -4,7 +4,7 @@
 import type { Failure } from "../model/failure.js";
 import { describeFailure } from "../model/failure.js";
 import type { Address } from "../model/names.js";
-import type { TermRecord } from "../ownership/ledger.js";
+import type { TermRecord } from "../ownership/ledgerRecords.js";
 import type { ClusterView } from "../store/clusterView.js";
 import type { Coordinator } from "./coordinator.js";
 import type { Member } from "./membership.js";
--- a/src/cluster/takeover.ts
+++ b/src/cluster/takeover.ts
@@ -3,7 +3,7 @@
 import { waitFor } from "../model/signal.js";
 import type { Clock } from "../model/time.js";
 import { isDurationMs } from "../model/valueSchemas.js";
-import type { TermRecord } from "../ownership/ledger.js";
+import type { TermRecord } from "../ownership/ledgerRecords.js";
 import type { TopicReader } from "../store/topicReader.js";
 import type { DirectReader } from "./directReader.js";
 import type { KnownTerm } from "./knownTerm.js";
--- a/src/cluster/termSettling.ts
+++ b/src/cluster/termSettling.ts
@@ -5,7 +5,7 @@
 import { describeFailure } from "../model/failure.js";
 import type { Clock } from "../model/time.js";
 import type { Log } from "../observe/log.js";
-import { termKey } from "../ownership/ledger.js";
+import { termKey } from "../ownership/ledgerRecords.js";
 import type { LedgerWriter } from "../ownership/ledgerWriter.js";
 import type { Predecessor } from "../ownership/predecessor.js";
 import type { ClusterView } from "../store/clusterView.js";
--- a/src/control/fleetCommands.ts
+++ b/src/control/fleetCommands.ts
@@ -4,7 +4,7 @@
 import type { Key, ServiceId, TargetId } from "../model/names.js";
 import { maxKey } from "../model/names.js";
 import { keyOfName } from "../entry/ownDialect.js";
-import { drainKey } from "../ownership/ledger.js";
+import { drainKey } from "../ownership/ledgerRecords.js";
 import { OwnerMap } from "../ownership/ownerMap.js";
 import type { CommandResult } from "./output.js";
 import { exitCodes } from "./output.js";
--- a/src/ownership/ledger.ts
+++ b/src/ownership/ledger.ts
@@ -3,98 +3,15 @@
  * the configuration document, the targets to drain and the requests that may run again. A grant is sent only after its ownership record
  * was acknowledged.
  */
-import type { ConfigDocument } from "../config/documentSchema.js";
 import type { CompletionRecord, CrashRecord, QuarantineReleaseRecord, TrialRecord } from "../crashes/crashRecords.js";
-import type { Address, HostId, KeyRange, Offset, RunId, ServiceId, TargetId, Term } from "../model/names.js";
+import type { Offset, TargetId } from "../model/names.js";
 import { eraOf, offsetInEra } from "../model/storePosition.js";
-import type { NewRecord } from "../store/storePort.js";
+import type { DocumentRecord, LedgerChange, LedgerRecord, OwnershipRecord, TermRecord } from "./ledgerRecords.js";
+import { documentVersionOf, drainKey, isKeyOfCoordinators, ownershipKeyOf, termKey } from "./ledgerRecords.js";
 import type { LedgerContent } from "./lostRecords.js";
 import { contentOf, hasClaimOfItsEra, isSameRecord, knowsLostRecords, mergeWithReturned } from "./lostRecords.js";
 import { eraOfTerm } from "./termNumbers.js";
 
-/** A term with its coordinator. */
-export interface TermRecord {
-    kind: "term";
-    term: Term;
-    hostId: HostId;
-    runId: RunId;
-    peerAddress: Address;
-    /** True while leases that coordinators granted on records which the store has lost may be in force. */
-    unsettled?: true;
-}
-
-/** Keys that are assigned to one target. */
-export interface OwnershipRecord {
-    kind: "ownership";
-    targetId: TargetId;
-    serviceId: ServiceId;
-    /** Address at which the target is called when it is missing from the service directory. */
-    address: Address;
-    ranges: readonly KeyRange[];
-}
-
-/** A version of the router's own configuration document. */
-export interface DocumentRecord {
-    kind: "document";
-    version: number;
-    /** Version that this one replaced; 0 for the first. */
-    basedOn: number;
-    document: ConfigDocument;
-    author: string;
-    reason: string;
-    publishedWallMs: number;
-}
-
-/** Targets that operators drain. */
-export interface DrainRecord {
-    kind: "drain";
-    targetIds: readonly TargetId[];
-}
-
-export type LedgerRecord = TermRecord | OwnershipRecord | DocumentRecord | DrainRecord | CrashRecord | CompletionRecord
-    | TrialRecord | QuarantineReleaseRecord;
-
-/** A change of one key; `record` is undefined when the key was removed. */
-export interface LedgerChange {
-    offset: Offset;
-    key: string;
-    record: LedgerRecord | undefined;
-}
-
-/** Key of the term in force. */
-export const termKey = "term";
-
-/** Key of the targets that operators drain. */
-export const drainKey = "drain";
-
-/** Returns the key of a version of the configuration document. */
-export function documentKeyOf(version: number): string {
-    return `document/${String(version)}`;
-}
-
-const documentKeyPattern = /^document\/([0-9]{1,15})$/;
-
-const ownershipPrefix = "ownership/";
-
-/** Returns the key of a target's ownership record. */
-export function ownershipKeyOf(targetId: TargetId): string {
-    return `${ownershipPrefix}${targetId}`;
-}
-
-/** Tells whether only coordinators write records under a key. */
-export function isKeyOfCoordinators(key: string): boolean {
-    return key === termKey || key.startsWith(ownershipPrefix);
-}
-
-/**
- * Encodes a record for the store.
- * @param key key of the record
- * @param record the record, or undefined to remove the key
- */
-export function encodeLedgerRecord(key: string, record: LedgerRecord | undefined): NewRecord {
-    return { key, value: record === undefined ? undefined : Buffer.from(JSON.stringify(record)) };
-}
-
 /** Limit on the keys of unreadable records that are remembered; more are not written by mistake. */
 const maxUnreadableKeys = 10_000;
 
@@ -156,8 +73,7 @@
 
     /** Remembers that a record could not be decoded. What this host knew under its key before stays in force. */
     markUnreadable(key: string, offset: Offset): void {
-        const documentVersion = documentKeyPattern.exec(key)?.[1];
-        this.unreadableDocumentVersion = Math.max(this.unreadableDocumentVersion, Number(documentVersion ?? 0));
+        this.unreadableDocumentVersion = Math.max(this.unreadableDocumentVersion, documentVersionOf(key) ?? 0);
         if (isKeyOfCoordinators(key) && offset > (this.changes.get(key)?.offset ?? -1) && this.unreadable.size < maxUnreadableKeys) {
             this.unreadable.set(key, offset);
         }
--- a/src/ownership/ledgerDecoder.ts
+++ b/src/ownership/ledgerDecoder.ts
@@ -13,11 +13,11 @@
     addressSchema, countSchema, durationMsSchema, idSchema, keySchema, nameSchema, positiveCountSchema, wallMsSchema,
 } from "../model/valueSchemas.js";
 import type { StoreRecord } from "../store/storePort.js";
-import type { LedgerChange, LedgerRecord } from "./ledger.js";
-import { documentKeyOf, drainKey, ownershipKeyOf, termKey } from "./ledger.js";
+import type { LedgerChange, LedgerRecord } from "./ledgerRecords.js";
+import { documentKeyOf, drainKey, ownershipKeyOf, termKey } from "./ledgerRecords.js";
 
 /** What a decoded record changes. */
-export type { LedgerChange } from "./ledger.js";
+export type { LedgerChange } from "./ledgerRecords.js";
 
 const recordLimits: JsonLimits = { maxBytes: 1_048_576, maxDepth: 16 };
 
--- a/src/ownership/lostRecords.ts
+++ b/src/ownership/lostRecords.ts
@@ -1,8 +1,8 @@
 /** Compares what a host knows of the ledger with what the store holds after it came back from an older copy. */
 import type { Offset, Term } from "../model/names.js";
 import { eraOf, offsetInEra } from "../model/storePosition.js";
-import type { LedgerChange } from "./ledger.js";
-import { isKeyOfCoordinators, termKey } from "./ledger.js";
+import type { LedgerChange } from "./ledgerRecords.js";
+import { isKeyOfCoordinators, termKey } from "./ledgerRecords.js";
 import { eraOfTerm } from "./termNumbers.js";
 
 /** Newest change of each key, and the position up to which they are complete. */
--- a/src/ownership/ownerMap.ts
+++ b/src/ownership/ownerMap.ts
@@ -1,6 +1,6 @@
 /** Finds the target that owns a key. */
 import type { Key, KeyRange, ServiceId, TargetId } from "../model/names.js";
-import type { OwnershipRecord } from "./ledger.js";
+import type { OwnershipRecord } from "./ledgerRecords.js";
 
 /** A range with its owner. */
 export interface OwnedRange extends KeyRange {
--- a/src/ownership/ownershipDraft.ts
+++ b/src/ownership/ownershipDraft.ts
@@ -1,7 +1,8 @@
 /** Derives new ownership records from assignments of ranges. */
 import type { Address, KeyRange, ServiceId, TargetId } from "../model/names.js";
-import type { Ledger, LedgerRecord, OwnershipRecord } from "./ledger.js";
-import { ownershipKeyOf } from "./ledger.js";
+import type { Ledger } from "./ledger.js";
+import type { LedgerRecord, OwnershipRecord } from "./ledgerRecords.js";
+import { ownershipKeyOf } from "./ledgerRecords.js";
 import { overlapsAny, withoutRange, withRange } from "./ranges.js";
 
 /** A range and its new owner. */
--- a/src/ownership/ownershipManager.ts
+++ b/src/ownership/ownershipManager.ts
@@ -18,7 +18,7 @@
 import { maxTimeToExpiryMs } from "./leaseTerms.js";
 import type { KeyLoadReport } from "./loadMeter.js";
 import type { LedgerWriter } from "./ledgerWriter.js";
-import type { OwnershipRecord } from "./ledger.js";
+import type { OwnershipRecord } from "./ledgerRecords.js";
 import { OwnerMap } from "./ownerMap.js";
 import type { Assignment } from "./ownershipDraft.js";
 import type { MovingRange, OwnershipNotice } from "./ownerLookup.js";
--- a/test/cluster/takeover.spec.ts
+++ b/test/cluster/takeover.spec.ts
@@ -7,7 +7,7 @@
 import type { PeerConnection } from "../../src/cluster/peerConnection.js";
 import type { Address, HostId, Offset, RunId, Term } from "../../src/model/names.js";
 import { Signal } from "../../src/model/signal.js";
-import { termKey } from "../../src/ownership/ledger.js";
+import { termKey } from "../../src/ownership/ledgerRecords.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 import { VirtualClock } from "../support/virtualTime.js";
 
--- a/test/control/commands.spec.ts
+++ b/test/control/commands.spec.ts
@@ -15,7 +15,7 @@
 import type { HostDump } from "../../src/control/session.js";
 import { createSession } from "../../src/control/session.js";
 import type { Address, HostId, KeyRange, RunId, ServiceId, TargetId, Term } from "../../src/model/names.js";
-import { encodeLedgerRecord, ownershipKeyOf, termKey } from "../../src/ownership/ledger.js";
+import { encodeLedgerRecord, ownershipKeyOf, termKey } from "../../src/ownership/ledgerRecords.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 import { createTopicReader } from "../../src/store/topicReader.js";
 import { platformDecoders } from "../../platform/decoders.js";
--- a/test/host/oddDocument.spec.ts
+++ b/test/host/oddDocument.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { watchDocument } from "../../src/host/documentWatcher.js";
 import type { Offset } from "../../src/model/names.js";
-import { documentKeyOf } from "../../src/ownership/ledger.js";
+import { documentKeyOf } from "../../src/ownership/ledgerRecords.js";
 import { decodeLedgerRecord } from "../../src/ownership/ledgerDecoder.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 import { VirtualClock } from "../support/virtualTime.js";
--- a/test/ownership/leaseManagerSet.spec.ts
+++ b/test/ownership/leaseManagerSet.spec.ts
@@ -5,7 +5,7 @@
 import { FenceCounter } from "../../src/ownership/fences.js";
 import { createLeaseManagerSet } from "../../src/ownership/leaseManagerSet.js";
 import { defaultHoldMs } from "../../src/ownership/leaseTerms.js";
-import { ownershipKeyOf } from "../../src/ownership/ledger.js";
+import { ownershipKeyOf } from "../../src/ownership/ledgerRecords.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 import { silentLog } from "../support/silentLog.js";
 import { VirtualClock } from "../support/virtualTime.js";
--- a/test/ownership/ledgerReturn.spec.ts
+++ b/test/ownership/ledgerReturn.spec.ts
@@ -2,8 +2,9 @@
 import type { Address, Era, HostId, Offset, RunId, ServiceId, TargetId, Term } from "../../src/model/names.js";
 import { eraOf, maxEra, offsetInEra, positionOf } from "../../src/model/storePosition.js";
 import { FenceCounter } from "../../src/ownership/fences.js";
-import type { LedgerChange, LedgerRecord, OwnershipRecord, TermRecord } from "../../src/ownership/ledger.js";
-import { documentKeyOf, drainKey, Ledger, ownershipKeyOf, termKey } from "../../src/ownership/ledger.js";
+import type { LedgerChange, LedgerRecord, OwnershipRecord, TermRecord } from "../../src/ownership/ledgerRecords.js";
+import { Ledger } from "../../src/ownership/ledger.js";
+import { documentKeyOf, drainKey, ownershipKeyOf, termKey } from "../../src/ownership/ledgerRecords.js";
 import { eraOfTerm, nextTerm } from "../../src/ownership/termNumbers.js";
 
 const [before, after] = [0 as Era, 1 as Era];
--- a/test/ownership/oddLedgerRecords.spec.ts
+++ b/test/ownership/oddLedgerRecords.spec.ts
@@ -7,7 +7,7 @@
 import { compileDocument } from "../../src/config/compile.js";
 import type { Offset, Term } from "../../src/model/names.js";
 import { FenceCounter } from "../../src/ownership/fences.js";
-import type { LedgerRecord, TermRecord } from "../../src/ownership/ledger.js";
+import type { LedgerRecord, TermRecord } from "../../src/ownership/ledgerRecords.js";
 import { decodeLedgerRecord } from "../../src/ownership/ledgerDecoder.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 import type { NewRecord, StorePort, StoreRecord } from "../../src/store/storePort.js";
--- a/test/ownership/ownershipManager.spec.ts
+++ b/test/ownership/ownershipManager.spec.ts
@@ -7,7 +7,7 @@
 import type { TargetEntry } from "../../src/model/target.js";
 import { FenceCounter } from "../../src/ownership/fences.js";
 import { defaultHoldMs } from "../../src/ownership/leaseTerms.js";
-import { ownershipKeyOf } from "../../src/ownership/ledger.js";
+import { ownershipKeyOf } from "../../src/ownership/ledgerRecords.js";
 import type { LeaseSession } from "../../src/ownership/leasePort.js";
 import type { LedgerWriter } from "../../src/ownership/ledgerWriter.js";
 import { draftOwnerships } from "../../src/ownership/ownershipDraft.js";
--- a/test/platform/ctl.spec.ts
+++ b/test/platform/ctl.spec.ts
@@ -16,7 +16,7 @@
 import type { HostDump } from "../../src/control/session.js";
 import { createSession } from "../../src/control/session.js";
 import type { Address, HostId, KeyRange, RunId, ServiceId, TargetId, Term } from "../../src/model/names.js";
-import { encodeLedgerRecord, ownershipKeyOf, termKey } from "../../src/ownership/ledger.js";
+import { encodeLedgerRecord, ownershipKeyOf, termKey } from "../../src/ownership/ledgerRecords.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 import { createTopicReader } from "../../src/store/topicReader.js";
 import { sampleDocument } from "../config/sample.js";
--- a/test/store/clusterView.spec.ts
+++ b/test/store/clusterView.spec.ts
@@ -2,7 +2,7 @@
 import type { ConfigDocument } from "../../src/config/documentSchema.js";
 import type { Offset } from "../../src/model/names.js";
 import type { RoutingConfig } from "../../src/model/routing.js";
-import type { LedgerChange } from "../../src/ownership/ledger.js";
+import type { LedgerChange } from "../../src/ownership/ledgerRecords.js";
 import { ClusterView } from "../../src/store/clusterView.js";
 
 const document = { version: 3, routes: [], services: [] } as unknown as RoutingConfig;
--- a/test/world/storeReturn.spec.ts
+++ b/test/world/storeReturn.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import type { HostId } from "../../src/model/names.js";
-import { drainKey } from "../../src/ownership/ledger.js";
+import { drainKey } from "../../src/ownership/ledgerRecords.js";
 import { World } from "./world.js";
 
 /** Longest lease that the simulated hosts grant. */
