A refusal that is written while its piece of input is read looks at what is behind it

Found in reading the diff: a request that is refused as it is read saw the input that the gate held before, not what was behind it in the piece being parsed. A host that stops closed the connection with the first of two such refusals, and the second request got none. Likewise an answer must close the connection if its client asked for that, whatever input is held.

The gate counts what the parser has not got yet, also in the middle of a piece.

--- a/src/entry/connectionEnd.ts
+++ b/src/entry/connectionEnd.ts
@@ -22,10 +22,12 @@
  * @param isStopping true once this host has begun to stop
  */
 export function endsWithAnswer(connection: ClientConnection, exchange: HttpExchange, isStopping: boolean): boolean {
-    if (connection.input === "denied" || !isLast(connection, exchange)) {
+    if (connection.input === "denied") {
         return false;
     }
-    if (isStopping || connection.input === "ended" || !exchange.response.shouldKeepAlive) {
+    const isAskedByClient = !exchange.response.shouldKeepAlive;
+    const isDue = isStopping || connection.input === "ended";
+    if (isAskedByClient || (isDue && isLast(connection, exchange))) {
         connection.input = "ended";
         return true;
     }
--- a/src/entry/inputGate.ts
+++ b/src/entry/inputGate.ts
@@ -25,7 +25,7 @@
 
 /** The gate of one connection. */
 export interface InputGate {
-    /** True while input is held back. */
+    /** True while input waits to be given to the parser, also in the middle of what was received last. */
     readonly holdsInput: boolean;
     /** True if a part of a header section has been read. */
     readonly isInHead: boolean;
@@ -44,6 +44,8 @@
     const framing = new RequestFraming(maxOverheadBytes);
     const [toParser] = socket.listeners("data") as ((bytes: Buffer) => void)[];
     let held: Buffer = noBytes;
+    /** Number of bytes behind those that the parser gets now. */
+    let unfedBytes = 0;
     let request: IncomingMessage | undefined;
     let isHolding = false;
     let isDraining = false;
@@ -113,6 +115,7 @@
                 return noBytes;
             }
             left = left.subarray(taken.usedBytes);
+            unfedBytes = left.length;
             feed(taken);
             if (left.length > 0 && socket.isPaused()) {
                 return left;
@@ -161,7 +164,7 @@
 
     return {
         get holdsInput() {
-            return held.length > 0;
+            return (isDraining ? unfedBytes : held.length) > 0;
         },
         get isInHead() {
             return framing.isInHead;
--- a/test/entry/connectionEnd.spec.ts
+++ b/test/entry/connectionEnd.spec.ts
@@ -158,6 +158,24 @@
         expect(await readAnswers(client, 2)).to.deep.equal(["200+", "closed"]);
     });
 
+    it("comes when the client asks for it, whatever it sends behind", async () => {
+        await client.write(requestOf("r-1", "late"));
+        await client.write(Buffer.concat([requestOf("r-2", "late", { fields: "Connection: close\r\n" }), requestOf("r-3", "served")]));
+        expect(await readAnswers(client, 3)).to.deep.equal(["200", "200+", "closed"]);
+        expect(listener.servedIds).to.deep.equal(["r-1", "r-2"]);
+    });
+
+    // Guards against an answer that closes the connection before the requests behind it in the same piece of input were parsed.
+    it("comes with the last of several requests that are refused while they are read", async () => {
+        const full = await startListener(undefined, { maxBytes: 1 });
+        const refused = await RawClient.connect(full.port);
+        full.clients.startClosingConnections();
+        await refused.write(Buffer.concat([requestOf("r-1", "served"), requestOf("r-2", "served")]));
+        expect(await readAnswers(refused, 3)).to.deep.equal(["503", "503+", "closed"]);
+        refused.socket.destroy();
+        full.clients.close();
+    });
+
     // Guards against requests that are passed on behind a refusal that closes their connection, and are lost with it.
     it("leaves unread what comes behind a request that is not accepted", async () => {
         await client.write(Buffer.concat([requestOf("r-1", "late"), requestOf("r-2", "served", { host: "" }), requestOf("r-3", "served")]));
