--- a/test/fleet/relayedAnswers.spec.ts
+++ b/test/fleet/relayedAnswers.spec.ts
@@ -103,8 +103,8 @@
                 await sleep(trafficPauseMs);
             }
         })();
-        cutFromTargets(host, [target.address], "refuse-new");
-        // A request that waits for its answer has the host find out whether it is cut off.
+        cutFromTargets(host, [target.address], "reset");
+        // A request without a connection has the host find out whether it is cut off.
         void post(host, slowPath, "slow");
         await fleet.waitUntil("the host knows that it is cut off", () => isCutOff(host));
         const answer = post(host, longPath, "long");
@@ -128,7 +128,7 @@
     it("is no success if its status is 000", async () => {
         const helper = await fleet.startHost("helper-odd");
         await waitUntilServed(helper);
-        cutFromTargets(host, [target.address], "refuse-new");
+        cutFromTargets(host, [target.address], "reset");
         void post(host, slowPath, "slow");
         const traffic = post(helper, slowPath, "traffic");
         await fleet.waitUntil("the host knows that it is cut off", () => isCutOff(host));
