sentAhead.spec waits until the first host knows its target

Traced: the queue of the service was kept by the fleet's first host, which read the entry of the target that the spec had just started 144 ms later (its lines "targets changed", unreadForMs 490); the new host had answered its own first request while it was alone.

--- a/test/fleet/sentAhead.spec.ts
+++ b/test/fleet/sentAhead.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { topics } from "../../platform/names.js";
 import { RawClient } from "../entry/listenerClient.js";
+import type { FleetHost } from "./fleet.js";
 import { buildRoutingConfig, Fleet, plainService, send, sleep } from "./fleet.js";
 import type { ScriptedTarget } from "./scriptedTarget.js";
 import { signedAnswer, startScriptedTarget } from "./scriptedTarget.js";
@@ -39,6 +40,8 @@
         target.react = (socket, { requestId, path }) => {
             setTimeout(() => socket.write(signedAnswer(requestId, path === "/brief/long" ? longAnswer : "ok")), workMsByPath[path] ?? 0);
         };
+        // The queue of the service may be kept by this host, which refuses requests until it knows the target.
+        await waitUntilServed(fleet.hosts[0] as FleetHost);
     });
 
     after(async () => {
@@ -46,11 +49,14 @@
         await fleet.stop();
     });
 
+    const waitUntilServed = (host: FleetHost) => fleet.waitUntil(`${host.name} serves`, async () =>
+        (await send(host, { id: `w-${String(performance.now())}`, path: "/ahead/x" })).status === 200);
+
     /** Sends the requests ahead through a new host, stops the host if asked to, and reads the answers until the connection ends. */
     const play = async (requestPaths: readonly string[], stops: boolean): Promise<Answer[]> => {
         playCount += 1;
         const host = await fleet.startHost(`ahead-${String(playCount)}`);
-        await fleet.waitUntil("the host serves", async () => (await send(host, { id: `w-${String(performance.now())}`, path: "/ahead/x" })).status === 200);
+        await waitUntilServed(host);
         const client = await RawClient.connect(host.clientPort);
         await client.write(Buffer.from(requestPaths.map((path, index) => `GET ${path} HTTP/1.1\r\nHost: fleet.example\r\n`
             + `Request-Id: a-${String(playCount)}-${String(index)}\r\nDeadline-Ms: ${String(budgetMs)}\r\n\r\n`).join("")));
