Judge a window that is as short as the time between two checks

Cause: a window that was found to last more than twice its length counts as a clock that stepped, and begins anew. With windows of 500 ms, the least that the settings allow, and a check every 500 ms, a check that comes 1 ms too early and the next one 1 ms too late do that, time and again on a busy host. A client whose body has stopped then keeps its connection.

Change: a window may be found to last 1 s longer than its length, or twice its length if that is more. Windows of the default length (5 s) are judged as before.

Test that failed before: clientAccount.spec "judges a body that makes no progress if a check comes just too early, and the next one just too late".

--- a/src/entry/clientAccount.ts
+++ b/src/entry/clientAccount.ts
@@ -37,6 +37,9 @@
 /** A response of which this much waits to be read keeps further requests of its connection from being parsed. */
 const maxUnreadBytes = 65_536;
 
+/** The check of a window that has ended may come this much later: the time between two checks, and the delay of a busy host. */
+const maxCheckDelayMs = 1_000;
+
 /** What the client of a connection has to do next. */
 export type Duty = "body" | "response" | "close" | "none";
 
@@ -208,7 +211,7 @@
     ): CloseReason | undefined {
         const tookMs = nowMs - window.startMs;
         const lengthMs = duty === "response" ? this.limits.stallMs * responseWindows : this.limits.stallMs;
-        const hasClockStepped = tookMs < 0 || tookMs > 2 * lengthMs;
+        const hasClockStepped = tookMs < 0 || tookMs > lengthMs + Math.max(lengthMs, maxCheckDelayMs);
         window.isExcused ||= isPaused && duty === "body";
         if (duty !== window.duty || hasClockStepped || (tookMs >= lengthMs && window.isExcused)) {
             Object.assign(window, { duty, progressBytes, startMs: nowMs, isExcused: isPaused && duty === "body" });
--- a/test/entry/clientAccount.spec.ts
+++ b/test/entry/clientAccount.spec.ts
@@ -35,6 +35,16 @@
         expect(closedAfter({ duty: "none" }, 0)).to.equal(undefined);
     });
 
+    // Guards against a client that is never judged, since windows as short as the time between checks are always found too long.
+    it("judges a body that makes no progress if a check comes just too early, and the next one just too late", () => {
+        const account = new ClientAccount<string>({ ...limits, stallMs: 500 });
+        account.open("c", 0);
+        account.beginRequest("c");
+        const closed = [0, 499, 1_001, 1_500].map((nowMs) =>
+            account.check(nowMs, () => ({ duty: "body", progressBytes: 1, isPaused: false })).map(({ reason }) => reason));
+        expect(closed.flat()).to.include("body-stalled");
+    });
+
     // Guards against clients that are blamed for a clock that steps, or for a host that was stopped.
     it("judges nobody after a clock that stepped", () => {
         account.open("c", 0);
