--- a/src/cluster/peerConnection.ts
+++ b/src/cluster/peerConnection.ts
@@ -81,7 +81,7 @@
 }
 
 /**
- * Finds out whether a host runs, by a new connection: its process answers there until it ends.
+ * Finds out whether the process of a host still runs: until it ends, it answers on a new connection.
  * @param address its peer address
  * @param timeoutMs time for the answer once the connection is open
  */
--- a/src/entry/clientAccount.ts
+++ b/src/entry/clientAccount.ts
@@ -37,7 +37,7 @@
 /** A response of which this much waits to be read keeps further requests of its connection from being parsed. */
 const maxUnreadBytes = 65_536;
 
-/** The check of a window that has ended may come this much later: the time between two checks, and the delay of a busy host. */
+/** Delay of a check after the end of a window that is no sign of a clock that stepped: checks are periodic, and a host may be busy. */
 const maxCheckDelayMs = 1_000;
 
 /** What the client of a connection has to do next. */
--- a/src/entry/clientConnection.ts
+++ b/src/entry/clientConnection.ts
@@ -1,4 +1,4 @@
-/** One connection of a client: what log lines tell of it, and the response to input on it that is not a valid request. */
+/** One connection of a client: its state, what log lines tell of it, and why input on it is denied. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { ClientLimits } from "../model/routing.js";
--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -16,7 +16,7 @@
 import { ClientAccount } from "./clientAccount.js";
 import type { ClientConnection, Denial, HttpExchange } from "./clientConnection.js";
 import { addExchange, createClientConnection, removeExchange, summarizeConnection } from "./clientConnection.js";
-import { breakOffAnswer, earlierAnswered, endForStop, endIfAnswered, endQueuedResponses, endsWithAnswer } from "./connectionEnd.js";
+import { breakOffAnswer, decideClose, earlierAnswered, endForStop, endIfAnswered, endQueuedResponses } from "./connectionEnd.js";
 import type { HoldingLimits, ReachedLimit } from "./holdingEnforcement.js";
 import { createHoldingEnforcement } from "./holdingEnforcement.js";
 import { createHttpClientCall } from "./httpClientCall.js";
@@ -198,7 +198,7 @@
         }
         const call = createHttpClientCall({
             request, response, dialects: dependencies.dialects, receivedAt: dependencies.clock.now(), limits: limits(), beforeRead,
-            endsConnection: () => endsWithAnswer(connection, exchange, closing),
+            endsConnection: () => decideClose(connection, exchange, closing),
             breakOffAnswer: () => {
                 breakOffAnswer(connection, exchange);
             },
@@ -268,7 +268,7 @@
         },
         stopAccepting: () => {
             check?.stop();
-            // That of the HTTP server also destroys connections with answers that are not yet written whole.
+            // `http.Server.close` would also destroy connections whose last answer is not yet written whole.
             net.Server.prototype.close.call(server);
             openConnections.forEach(endForStop);
         },
--- a/src/entry/connectionEnd.ts
+++ b/src/entry/connectionEnd.ts
@@ -10,18 +10,18 @@
 import type { ClientConnection, DenialReason, HttpExchange } from "./clientConnection.js";
 import { statusByDenial } from "./clientConnection.js";
 
-/** Value of `Retry-After` in answers to requests that did not run and may be sent again. */
+/** Time in seconds after which the same request may succeed on another connection. */
 const retryAfterSeconds: Partial<Record<DenialReason, number>> = {
     "limits-unknown": 1,
     "limit-raised": 0,
 };
 
 /**
- * Decides, when the head of an answer is written, whether the connection ends with it.
+ * Decides, when the head of an answer is written, whether the connection ends with it. If so, nothing more is read from then on.
  * @param exchange the request that is answered
  * @param isStopping true once this host has begun to stop
  */
-export function endsWithAnswer(connection: ClientConnection, exchange: HttpExchange, isStopping: boolean): boolean {
+export function decideClose(connection: ClientConnection, exchange: HttpExchange, isStopping: boolean): boolean {
     if (connection.input === "denied") {
         return false;
     }
@@ -63,12 +63,14 @@
     }
 }
 
-/** Ends a connection on which a request has reached a limit, or whose client doesn't take or close what it should. */
+/**
+ * Ends a connection that has reached a limit. The request received last is refused if its body has stopped, or if no earlier answer is due;
+ * otherwise the connection is cut: its client doesn't take the answers that are due, or what they hold is needed.
+ */
 export function endForLimit(connection: ClientConnection, reason: CloseReason): void {
     const { exchanges, lastExchange, input, socket } = connection;
-    // The body belongs to the request received last.
-    const isBodyLate = reason === "body-stalled" || exchanges.size === 1;
-    if (lastExchange === undefined || input !== "open" || !isBodyLate) {
+    const isRefusable = reason === "body-stalled" || exchanges.size === 1;
+    if (lastExchange === undefined || input !== "open" || !isRefusable) {
         socket.destroy();
         return;
     }
--- a/src/forwarding/relayedConnection.ts
+++ b/src/forwarding/relayedConnection.ts
@@ -27,7 +27,8 @@
 }
 
 /**
- * Passes on what arrives on either socket, until one of them is closed.
+ * Passes on what arrives on either socket, until one of them is closed. The end of the target's data is passed on only if it is orderly,
+ * otherwise as a reset.
  * @param client socket of the host that asked for the connection
  * @param target socket of the target
  * @param isFramed true if the other host reads frames; a host of an earlier version takes the end of the connection for the target's
--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -181,7 +181,7 @@
         closeConnection(closeReason);
     };
 
-    /** Decides whether the answer in progress is whole now that no more bytes come: one without a length only if the target ended it. */
+    /** Decides whether the answer in progress is whole, after its last byte. One without a length is so only if the target ended it. */
     const onStreamEnd = async (isEndOfTarget: EndCheck) => {
         if (!parser.endsWithConnection || await isEndOfTarget()) {
             closeAtEnd();
--- a/src/forwarding/targetStream.ts
+++ b/src/forwarding/targetStream.ts
@@ -74,8 +74,8 @@
 }
 
 /**
- * Creates the stream of a socket at whose other end is a host of an earlier version, which passes the end of the target's data on as the
- * end of the connection, as its own end looks too.
+ * Creates the stream of a socket at whose other end is a host of an earlier version. It ends the connection when the target has ended its
+ * data, and the end of its own process does the same.
  * @param isRelayRunning finds out whether that host still runs; it then ended the connection because the target did
  */
 export function unframedStream(socket: net.Socket, isRelayRunning: EndCheck): TargetStream {
--- a/src/ownership/ledger.ts
+++ b/src/ownership/ledger.ts
@@ -12,6 +12,9 @@
 import { contentOf, hasClaimOfItsEra, isSameRecord, knowsLostRecords, mergeWithReturned } from "./lostRecords.js";
 import { eraOfTerm } from "./termNumbers.js";
 
+/** What the ledger is changed by. */
+export type { LedgerChange } from "./ledgerRecords.js";
+
 /** Limit on the keys of unreadable records that are remembered; more are not written by mistake. */
 const maxUnreadableKeys = 10_000;
 
--- a/src/store/clusterView.ts
+++ b/src/store/clusterView.ts
@@ -4,6 +4,7 @@
 import type { Era, Offset, ServiceId } from "../model/names.js";
 import type { RoutingConfig, ServiceConfig } from "../model/routing.js";
 import { Signal } from "../model/signal.js";
+import type { LedgerChange } from "../ownership/ledger.js";
 import { Ledger } from "../ownership/ledger.js";
 import type { LeavingTarget } from "../model/target.js";
 import type { EvacuationChange } from "./evacuations.js";
@@ -233,15 +234,15 @@
     }
 
     /** Applies changes of the ledger; see `Ledger.apply`. */
-    applyLedger(...changes: Parameters<Ledger["apply"]>): void {
-        if (this.ledger.apply(...changes)) {
+    applyLedger(changes: readonly LedgerChange[], from: Offset, upTo: Offset): void {
+        if (this.ledger.apply(changes, from, upTo)) {
             this.ledgerChanged.fire();
         }
     }
 
     /** Replaces the ledger with a snapshot; see `Ledger.replace`. */
-    replaceLedger(...snapshot: Parameters<Ledger["replace"]>): void {
-        if (this.ledger.replace(...snapshot)) {
+    replaceLedger(changes: readonly LedgerChange[], upTo: Offset, unreadableKeys: readonly string[]): void {
+        if (this.ledger.replace(changes, upTo, unreadableKeys)) {
             this.ledgerChanged.fire();
         }
     }
--- a/test/entry/connectionEnd.spec.ts
+++ b/test/entry/connectionEnd.spec.ts
@@ -13,6 +13,9 @@
 
 const stallMs = 300;
 
+/** Longer than what is read of a body before it is passed on. */
+const longBodyBytes = 100_000;
+
 /** Time to receive the large answer, many pieces at a time. */
 const largeAnswerTimeoutMs = 15_000;
 
@@ -192,4 +195,14 @@
         staller.socket.destroy();
         impatient.clients.close();
     });
+
+    it("waits for the answers that are due before a request whose long body stalls after a part of it was passed on", async () => {
+        const impatient = await startListener(undefined, { stallMs });
+        const staller = await RawClient.connect(impatient.port);
+        const framing = `Content-Length: ${String(4 * longBodyBytes)}\r\n`;
+        await staller.write(requestOf("r-1", "very-late"), requestOf("r-2", "served", { method: "POST", fields: framing }), Buffer.alloc(longBodyBytes));
+        expect(await readAnswers(staller, 2)).to.deep.equal(["200", "closed"]);
+        staller.socket.destroy();
+        impatient.clients.close();
+    });
 });
--- a/test/fleet/relayedAnswers.spec.ts
+++ b/test/fleet/relayedAnswers.spec.ts
@@ -73,7 +73,8 @@
                 return;
             }
             const answer = signedAnswer(request.requestId, "ok");
-            setTimeout(() => socket.write(request.path === oddPath ? answer.replace("200", "000") : answer), request.path === slowPath ? slowWorkMs : 0);
+            const [, oddStatus] = request.path.split(`${oddPath}/`);
+            setTimeout(() => socket.write(answer.replace("200", oddStatus ?? "200")), request.path === slowPath ? slowWorkMs : 0);
         };
         host = await fleet.startHost("cut", undefined, { isCuttable: true });
         await waitUntilServed(host);
@@ -124,15 +125,17 @@
         return outcome;
     };
 
-    // Guards against an answer of a server in trouble whose status is none that HTTP knows, on its way through another host.
-    it("is no success if its status is 000", async () => {
+    // Guards against an answer of a target in trouble whose status is none of HTTP, on its way through another host.
+    it("is no success if its status is 000, 001, 099, 600 or 999", async () => {
         const helper = await fleet.startHost("helper-odd");
         await waitUntilServed(helper);
         cutFromTargets(host, [target.address], "reset");
         void post(host, slowPath, "slow");
         const traffic = post(helper, slowPath, "traffic");
         await fleet.waitUntil("the host knows that it is cut off", () => isCutOff(host));
-        expect((await post(host, oddPath, "odd")).status).to.equal(502);
+        for (const status of ["000", "001", "099", "600", "999"]) {
+            expect((await post(host, `${oddPath}/${status}`, "odd")).status, status).to.equal(502);
+        }
         expect(await isRelaying(helper) || /"connection relayed"/.test(readFileSync(helper.logFile, "utf8"))).to.equal(true);
         await traffic;
         cutFromTargets(host, [target.address], undefined);
--- a/test/fleet/unprovenResponses.spec.ts
+++ b/test/fleet/unprovenResponses.spec.ts
@@ -31,7 +31,7 @@
     "a signed status 404 without an id": {
         write: (socket) => socket.end("HTTP/1.1 404 Not Found\r\nResponse-Signature: s\r\nContent-Length: 0\r\n\r\n"), expectedStatus: 502,
     },
-    // Guards against answers of a server in trouble whose status is none that HTTP knows.
+    // Guards against answers of a target in trouble whose status is none of HTTP.
     ...Object.fromEntries(["000", "001", "099", "600", "999", "20", "2000"].map((status) => [
         `a signed status ${status}`, { write: bytes((id) => signedAnswer(id, "x").replace("200", status)), expectedStatus: 502 },
     ])),
--- a/test/forwarding/responseParser.spec.ts
+++ b/test/forwarding/responseParser.spec.ts
@@ -111,7 +111,7 @@
     const invalidResponses: Record<string, string> = {
         "a missing status line": "hello\r\n\r\n",
         "a header without a colon": "HTTP/1.1 200 OK\r\nContent-Length 2\r\n\r\n",
-        // Guards against answers of a server in trouble whose status is none that HTTP knows.
+        // Guards against answers of a target in trouble whose status is none of HTTP.
         ...Object.fromEntries(["000", "001", "099", "600", "999", "00", "20", "2000", "2e2", "-20", "+200"].map((status) =>
             [`the status ${status}`, `HTTP/1.1 ${status} Some\r\nContent-Length: 0\r\n\r\n`])),
         "another major version": "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
