--- a/test/fleet/explain.spec.ts
+++ b/test/fleet/explain.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { noServerFaults } from "../../platform/standins/serverStandIn.js";
+import { noServerFaults } from "../../platform/standins/serverFaults.js";
 import { explain } from "../../src/control/explain.js";
 import { render } from "../../src/control/output.js";
 import type { ClientAnswer, FleetHost } from "./fleet.js";
--- a/test/fleet/notices.spec.ts
+++ b/test/fleet/notices.spec.ts
@@ -1,6 +1,6 @@
 import http from "node:http";
 import { expect } from "chai";
-import { noServerFaults } from "../../platform/standins/serverStandIn.js";
+import { noServerFaults } from "../../platform/standins/serverFaults.js";
 import type { ClientAnswer } from "./fleet.js";
 import { Fleet, paths, send, sleep } from "./fleet.js";
 
--- a/test/fleet/own.spec.ts
+++ b/test/fleet/own.spec.ts
@@ -5,7 +5,7 @@
 import { once } from "node:events";
 import { expect } from "chai";
 import { stringify } from "yaml";
-import { noServerFaults } from "../../platform/standins/serverStandIn.js";
+import { noServerFaults } from "../../platform/standins/serverFaults.js";
 import { keyOfName } from "../../src/entry/ownDialect.js";
 import { sampleDocument } from "../config/sample.js";
 import type { FleetHost } from "./fleet.js";
--- a/test/fleet/path.spec.ts
+++ b/test/fleet/path.spec.ts
@@ -2,7 +2,7 @@
 import http from "node:http";
 import { expect } from "chai";
 import { topics } from "../../platform/names.js";
-import { noServerFaults } from "../../platform/standins/serverStandIn.js";
+import { noServerFaults } from "../../platform/standins/serverFaults.js";
 import { noStoreFaults } from "../../platform/standins/storeStandIn.js";
 import type { ClientAnswer, FleetHost } from "./fleet.js";
 import { Fleet, isReady, buildRoutingConfig, fetchAdminPage, paths, send, sleep } from "./fleet.js";
--- a/test/fleet/repeatedRejections.spec.ts
+++ b/test/fleet/repeatedRejections.spec.ts
@@ -1,7 +1,7 @@
 import http from "node:http";
 import { expect } from "chai";
 import { topics } from "../../platform/names.js";
-import { noServerFaults } from "../../platform/standins/serverStandIn.js";
+import { noServerFaults } from "../../platform/standins/serverFaults.js";
 import type { ClientAnswer } from "./fleet.js";
 import { buildRoutingConfig, Fleet, paths, plainService, send, sleep } from "./fleet.js";
 
--- a/test/soak/faultInjection.ts
+++ b/test/soak/faultInjection.ts
@@ -1,6 +1,6 @@
 /** Injects faults into a soak fleet; each fault ends by itself. */
 import { evacuationKeyPrefix, topics } from "../../platform/names.js";
-import { noServerFaults } from "../../platform/standins/serverStandIn.js";
+import { noServerFaults } from "../../platform/standins/serverFaults.js";
 import type { FleetHost } from "../fleet/fleet.js";
 import { buildRoutingConfig, hasEnded, isReady, keyedService, paths, plainService, send, sleep } from "../fleet/fleet.js";
 import { limitOpenFiles, nextDescriptor } from "../fleet/openFiles.js";
