Reset an HTTP/1.0 client's connection that is cut in the middle of an answer

What callers could see (MIXED): a client that speaks HTTP/1.0 gets a long answer without a length, which ends with its connection. If the server broke it off, the route timed out, or the host came to the end of its stop, the host ended the connection in order, and the part passed for the whole, with the server's signature.

In HTTP/1.1 such an answer comes in chunks, and nothing was wrong.

Evidence and tests that failed before, on and on: connectionEnd.spec "is no orderly end of an answer without a length that breaks off (HTTP/1.0)" and "... that is not complete when the stop of the host ends (HTTP/1.0)"; the same with HTTP/1.1 passed before.

Change: one function cuts connections, for limits, broken-off answers and the end of a stop, and resets the connection in that case.

--- a/src/entry/clientHttp.ts
+++ b/src/entry/clientHttp.ts
@@ -16,7 +16,9 @@
 import { ClientAccount } from "./clientAccount.js";
 import type { ClientConnection, Denial, HttpExchange } from "./clientConnection.js";
 import { addExchange, createClientConnection, removeExchange, summarizeConnection } from "./clientConnection.js";
-import { breakOffAnswer, decideClose, earlierAnswered, endForStop, endIfAnswered, endQueuedResponses } from "./connectionEnd.js";
+import {
+    breakOffAnswer, cutConnection, decideClose, earlierAnswered, endForStop, endIfAnswered, endQueuedResponses,
+} from "./connectionEnd.js";
 import type { HoldingLimits, ReachedLimit } from "./holdingEnforcement.js";
 import { createHoldingEnforcement } from "./holdingEnforcement.js";
 import { createHttpClientCall } from "./httpClientCall.js";
@@ -279,6 +281,7 @@
         checkListener: (nowMs) => check?.run(nowMs),
         close: () => {
             check?.stop();
+            openConnections.forEach(cutConnection);
             server.close();
             server.closeAllConnections();
         },
--- a/src/entry/connectionEnd.ts
+++ b/src/entry/connectionEnd.ts
@@ -68,10 +68,10 @@
  * otherwise the connection is cut: its client doesn't take the answers that are due, or what they hold is needed.
  */
 export function endForLimit(connection: ClientConnection, reason: CloseReason): void {
-    const { exchanges, lastExchange, input, socket } = connection;
+    const { exchanges, lastExchange, input } = connection;
     const isRefusable = reason === "body-stalled" || exchanges.size === 1;
     if (lastExchange === undefined || input !== "open" || !isRefusable) {
-        socket.destroy();
+        cutConnection(connection);
         return;
     }
     connection.input = "ended";
@@ -82,13 +82,28 @@
 
 /** Ends a connection with an answer that can't be completed. It ends in the middle of that answer, or in its place. */
 export function breakOffAnswer(connection: ClientConnection, exchange: HttpExchange): void {
-    const { socket } = connection;
     if (isItsTurn(connection, exchange)) {
-        socket.destroy();
+        cutConnection(connection);
         return;
     }
     connection.input = "ended";
-    void earlierAnswered(connection, exchange).then(() => socket.destroy());
+    void earlierAnswered(connection, exchange).then(() => {
+        cutConnection(connection);
+    });
+}
+
+/**
+ * Cuts a connection, whatever is due on it. In HTTP/1.0 an answer without a length ends with its connection, so an orderly end in the
+ * middle of an answer would pass for its end; the client gets a reset.
+ */
+export function cutConnection({ exchanges, socket }: ClientConnection): void {
+    const [current] = exchanges;
+    if (current?.response.headersSent === true && current.request.httpVersion === "1.0") {
+        socket.resetAndDestroy();
+    }
+    else {
+        socket.destroy();
+    }
 }
 
 /** Tells whether all answers before that of a request are complete. */
--- a/test/entry/connectionEnd.spec.ts
+++ b/test/entry/connectionEnd.spec.ts
@@ -179,6 +179,26 @@
         full.clients.close();
     });
 
+    for (const version of ["1.0", "1.1"]) {
+        for (const [treatment, name] of [["broken-off", "breaks off"], ["part", "is not complete when the stop of the host ends"]] as const) {
+            // Guards against a part of an answer that passes for the whole, since in HTTP/1.0 its end is that of the connection.
+            it(`is no orderly end of an answer without a length that ${name} (HTTP/${version})`, async () => {
+                const errors: NodeJS.ErrnoException[] = [];
+                client.socket.on("error", (error) => errors.push(error));
+                await client.write(Buffer.from(requestOf("r-1", treatment).toString().replace("HTTP/1.1", `HTTP/${version}`)));
+                await client.peekStatus();
+                if (treatment === "part") {
+                    listener.clients.close();
+                }
+                while (!client.closed) {
+                    await sleep(readMs);
+                }
+                const isMarkedByChunks = client.unread.includes("chunked") && !client.unread.includes("\r\n0\r\n");
+                expect(isMarkedByChunks || errors[0]?.code === "ECONNRESET").to.equal(true);
+            });
+        }
+    }
+
     // Guards against requests that are passed on behind a refusal that closes their connection, and are lost with it.
     it("leaves unread what comes behind a request that is not accepted", async () => {
         await client.write(Buffer.concat([requestOf("r-1", "late"), requestOf("r-2", "served", { host: "" }), requestOf("r-3", "served")]));
--- a/test/entry/listenerUnderTest.ts
+++ b/test/entry/listenerUnderTest.ts
@@ -82,6 +82,12 @@
     answerWith(call, expectedBody(call.requestId ?? "", call.path, body));
 }
 
+async function sendPart(call: ClientCall): Promise<void> {
+    await call.awaitTurn();
+    call.beginAnswer({ status: 200, reasonPhrase: "OK", rawHeaders: [], bodyBytes: undefined });
+    await call.writeAnswer(Buffer.from(streamedAnswer));
+}
+
 /** How the service treats a request. */
 const treatments: Record<string, (call: ClientCall) => Promise<void>> = {
     /** Refused before the body is read. */
@@ -132,6 +138,15 @@
         await call.writeAnswer(Buffer.from(streamedAnswer));
         call.finishAnswer();
     },
+    /** A part of an answer without a length is sent, then the answer can't be completed. */
+    "broken-off": async (call) => {
+        await sendPart(call);
+        // Node.js tells a client of an orderly end if a reset comes right after data.
+        await clock.sleep(lateMs);
+        call.abortAnswer();
+    },
+    /** A part of an answer without a length is sent, and nothing more. */
+    "part": sendPart,
 };
 
 /** Body of an answer to the treatment `streamed`. */
