A response that is broken off by denied input is cut as any other

endWithoutStatus ended the connection by itself; it asks cutConnection now. No other place in src/entry ends a connection in the middle of an answer (looked at: the rest of a body that is too long, after its answer; the time limit of a connection without a byte; a client that has left).

--- a/src/entry/connectionEnd.ts
+++ b/src/entry/connectionEnd.ts
@@ -128,7 +128,8 @@
  * Answers input that is not a valid request, and closes the connection. Responses to the complete requests that came before it go first,
  * since a client takes the next response for the answer to its oldest request.
  */
-export async function endWithDenial({ socket, exchanges, lastExchange }: ClientConnection, reason: DenialReason): Promise<void> {
+export async function endWithDenial(connection: ClientConnection, reason: DenialReason): Promise<void> {
+    const { socket, exchanges, lastExchange } = connection;
     const isInBody = lastExchange?.request.complete === false;
     const earlier = [...exchanges].filter((exchange) => !isInBody || exchange !== lastExchange);
     if (earlier.length > 0 && socket.readableEnded) {
@@ -138,19 +139,19 @@
     await waitForClose(earlier);
     if (isInBody && lastExchange.response.headersSent) {
         // No second response to the same request; one that is not complete breaks off.
-        endWithoutStatus(socket, lastExchange.response);
+        endWithoutStatus(connection, lastExchange.response);
     }
     else if (socket.writable) {
         writeDenial(socket, reason);
     }
 }
 
-function endWithoutStatus(socket: Socket, response: ServerResponse): void {
+function endWithoutStatus(connection: ClientConnection, response: ServerResponse): void {
     if (response.writableFinished) {
-        socket.end();
+        connection.socket.end();
     }
     else {
-        socket.destroy();
+        cutConnection(connection);
     }
 }
 
