--- a/review/11/play.mjs
+++ b/review/11/play.mjs
@@ -1,93 +1,28 @@
-// Clients that stay inside the limits: heads of many small fields, and bodies that stop just short of their end. Two hosts run out of memory.
-import fs from "node:fs";
-import net from "node:net";
+// Clients that stay inside the limits: heads of many small fields, and bodies that stop just short of their end.
 import path from "node:path";
 import { fileURLToPath } from "node:url";
-import { configuration, nowMs, runCase, send, Server, sleep, Store } from "../common-3/harness.mjs";
+import { playCrowd } from "../common-3/crowd.mjs";
 
-const folder = path.dirname(fileURLToPath(import.meta.url));
-
-/** Connections to each host; the settings allow it 4,100 descriptors. */
 const crowd = 1_900;
-const rounds = 3;
-const roundMs = 20_000;
+
 /** Limit on the header section by the configuration (`max_header_bytes`). */
 const maxHeaderBytes = 16_384;
-const memoryMb = 350;
+
+/** Characters of field names, which don't distinguish upper and lower case. */
+const characters = [..."abcdefghijklmnopqrstuvwxyz0123456789!#$%&'*+-.^_`|~"];
+const fieldNames = characters.flatMap((one) => characters.map((other) => one + other)).filter((name) => name !== "te")
+    .concat(characters.flatMap((one) => characters.map((other) => `x${one}${other}`)));
 
 /** A header section within the limit, of distinct fields without values, and most of a body of 1,000 bytes. */
 function requestOf(id) {
     let head = `POST /bill/x HTTP/1.1\r\nHost: rv.example\r\nRequest-Id: ${id}\r\nDeadline-Ms: 3000\r\nContent-Length: 1000\r\n`;
-    for (let count = 0; head.length < maxHeaderBytes - 600; count += 1) {
-        head += `${count.toString(36).padStart(3, "x")}:\r\n`;
+    for (const name of fieldNames) {
+        if (head.length > maxHeaderBytes - 16) {
+            break;
+        }
+        head += `${name}:\r\n`;
     }
     return `${head}\r\n${"x".repeat(900)}`;
 }
 
-function residentMb({ child }) {
-    try {
-        return Number(/VmRSS:\s+(\d+)/.exec(fs.readFileSync(`/proc/${child.pid}/status`, "utf8"))?.[1] ?? 0) / 1_024;
-    }
-    catch {
-        return 0;
-    }
-}
-
-await runCase(folder, async (scene) => {
-    const { record } = scene;
-    const store = scene.store = await new Store().start();
-    store.put("keyed.op", "config", configuration(1));
-    for (const [id, service] of [["s0", "keyed"], ["s1", "plain"]]) {
-        scene.servers.push(await new Server({ id, service, store, sharded: service === "keyed" }).start());
-    }
-    const hosts = ["h0", "h1"].map((name) => scene.host(name, store.address));
-    const ends = new Map(hosts.map((host) => [host, 0]));
-
-    const playRound = async (host, round) => {
-        host.start();
-        await scene.waitUntil(`round ${round}: ${host.name} is ready, ${Math.round(residentMb(host))} MB`, () => host.isReady());
-        const sockets = [];
-        let closedByHost = 0;
-        let mostMb = 0;
-        for (let index = 0; scene.hasTrouble && index < crowd && !host.hasEnded; index += 1) {
-            const socket = net.connect(8161, host.ip);
-            sockets.push(socket);
-            socket.on("error", () => undefined);
-            socket.on("close", () => {
-                closedByHost += 1;
-            });
-            socket.resume();
-            socket.write(requestOf(`${host.name}-${round}-${index}`));
-            if (index % 20 === 19) {
-                await sleep(25);
-                mostMb = Math.max(mostMb, residentMb(host));
-            }
-        }
-        record.line(`round ${round}: ${host.name}: ${sockets.length} clients have sent ${requestOf("x").length} bytes each; ${Math.round(mostMb)} MB, ${closedByHost} closed by the host`);
-        const untilMs = nowMs() + (scene.hasTrouble ? roundMs : 3_000);
-        while (!host.hasEnded && mostMb <= memoryMb && nowMs() < untilMs && (!scene.hasTrouble || closedByHost < sockets.length)) {
-            await sleep(50);
-            mostMb = Math.max(mostMb, residentMb(host));
-        }
-        if (host.hasEnded || mostMb > memoryMb) {
-            ends.set(host, ends.get(host) + 1);
-            const how = host.hasEnded ? JSON.stringify(await host.ended) : `over its memory limit of ${memoryMb} MB`;
-            record.line(`round ${round}: ${host.name} ENDED by itself: ${how}; at most ${Math.round(mostMb)} MB seen`);
-        }
-        else {
-            const answer = await send(host, { path: "/list/a", deadlineMs: 3_000 });
-            record.line(`round ${round}: ${host.name} lives; an ordinary request is answered ${answer.status}; at most ${Math.round(mostMb)} MB seen`);
-        }
-        sockets.forEach((socket) => socket.destroy());
-        await host.kill();
-        await sleep(300);
-    };
-
-    await Promise.all(hosts.map(async (host) => {
-        for (let round = 1; round <= rounds; round += 1) {
-            await playRound(host, round);
-        }
-    }));
-    record.line(`ends by themselves: ${hosts.map((host) => `${host.name} ${ends.get(host)}`).join(", ")}`);
-    return hosts.every((host) => ends.get(host) >= rounds);
-});
+await playCrowd(path.dirname(fileURLToPath(import.meta.url)), crowd, requestOf);
