--- a/review/11/play.mjs
+++ b/review/11/play.mjs
@@ -22,7 +22,7 @@
         }
         head += `${name}:\r\n`;
     }
-    return `${head}\r\n${"x".repeat(900)}`;
+    return [`${head}\r\n${"x".repeat(900)}`];
 }
 
 await playCrowd(path.dirname(fileURLToPath(import.meta.url)), crowd, requestOf);
--- a/review/common-3/crowd.mjs
+++ b/review/common-3/crowd.mjs
@@ -1,4 +1,5 @@
-// Crowds of clients inside the limits, at two hosts, in rounds; a host that exceeds its memory is killed and started again, as on the platform.
+// Crowds of clients inside the limits, at two hosts, in rounds.
+// A host that exceeds its memory is killed and started again, as on the platform.
 import fs from "node:fs";
 import net from "node:net";
 import { configuration, nowMs, runCase, send, Server, sleep, Store } from "./harness.mjs";
@@ -9,9 +10,10 @@
 /** Memory of a machine by the settings; a process that exceeds it is killed. */
 const memoryMb = 350;
 
+/** Memory of a process of its own; what it maps from files, and what waits unread in the kernel, is left out. */
 function residentMb({ child }) {
     try {
-        return Number(/VmRSS:\s+(\d+)/.exec(fs.readFileSync(`/proc/${child.pid}/status`, "utf8"))?.[1] ?? 0) / 1_024;
+        return Number(/RssAnon:\s+(\d+)/.exec(fs.readFileSync(`/proc/${child.pid}/status`, "utf8"))?.[1] ?? 0) / 1_024;
     }
     catch {
         return 0;
@@ -22,7 +24,7 @@
  * Plays a case.
  * @param folder folder of the case
  * @param crowd connections to each host; the settings allow it 4,100 descriptors
- * @param requestOf returns what a client sends, by the id of its request; it never sends the rest
+ * @param requestOf returns the pieces that a client sends, by the id of its request; it never sends the rest
  */
 export const playCrowd = (folder, crowd, requestOf) => runCase(folder, async (scene) => {
     const { record } = scene;
@@ -48,13 +50,13 @@
                 closedByHost += 1;
             });
             socket.resume();
-            socket.write(requestOf(`${host.name}-${round}-${index}`));
+            requestOf(`${host.name}-${round}-${index}`).forEach((piece) => socket.write(piece));
             if (index % 20 === 19) {
                 await sleep(25);
                 mostMb = Math.max(mostMb, residentMb(host));
             }
         }
-        record.line(`round ${round}: ${host.name}: ${sockets.length} clients have sent ${requestOf("x").length} bytes each; ${Math.round(mostMb)} MB, ${closedByHost} closed by the host`);
+        record.line(`round ${round}: ${host.name}: ${sockets.length} clients have sent ${requestOf("x").reduce((sum, piece) => sum + piece.length, 0)} bytes each; ${Math.round(mostMb)} MB, ${closedByHost} closed by the host`);
         const untilMs = nowMs() + (scene.hasTrouble ? roundMs : 3_000);
         while (!host.hasEnded && mostMb <= memoryMb && nowMs() < untilMs && (!scene.hasTrouble || closedByHost < sockets.length)) {
             await sleep(50);
