--- a/review/common-3/crowd.mjs
+++ b/review/common-3/crowd.mjs
@@ -7,6 +7,11 @@
 const rounds = 3;
 const roundMs = 20_000;
 
+/** Rate at which the clients of a host send: below its link, which has 1,000 Mbit/s, so that no packet waits there. */
+const bytesPerSecond = 90_000_000;
+const batchSize = 20;
+const minBatchMs = 25;
+
 /** Memory of a machine by the settings; a process that exceeds it is killed. */
 const memoryMb = 350;
 
@@ -39,6 +44,8 @@
     const playRound = async (host, round) => {
         host.start();
         await scene.waitUntil(`round ${round}: ${host.name} is ready, ${Math.round(residentMb(host))} MB`, () => host.isReady());
+        const bytesEach = requestOf("x").reduce((sum, piece) => sum + piece.length, 0);
+        const batchMs = Math.max(minBatchMs, 1_000 * batchSize * bytesEach / bytesPerSecond);
         const sockets = [];
         let closedByHost = 0;
         let mostMb = 0;
@@ -51,12 +58,12 @@
             });
             socket.resume();
             requestOf(`${host.name}-${round}-${index}`).forEach((piece) => socket.write(piece));
-            if (index % 20 === 19) {
-                await sleep(25);
+            if (index % batchSize === batchSize - 1) {
+                await sleep(batchMs);
                 mostMb = Math.max(mostMb, residentMb(host));
             }
         }
-        record.line(`round ${round}: ${host.name}: ${sockets.length} clients have sent ${requestOf("x").reduce((sum, piece) => sum + piece.length, 0)} bytes each; ${Math.round(mostMb)} MB, ${closedByHost} closed by the host`);
+        record.line(`round ${round}: ${host.name}: ${sockets.length} clients have sent ${bytesEach} bytes each, ${batchSize} clients in ${Math.round(batchMs)} ms; ${Math.round(mostMb)} MB, ${closedByHost} closed by the host`);
         const untilMs = nowMs() + (scene.hasTrouble ? roundMs : 3_000);
         while (!host.hasEnded && mostMb <= memoryMb && nowMs() < untilMs && (!scene.hasTrouble || closedByHost < sockets.length)) {
             await sleep(50);
@@ -81,6 +88,7 @@
             await playRound(host, round);
         }
     }));
+    record.line(`run by the servers: ${scene.servers.flatMap(({ runs }) => runs.map(({ id }) => id)).join(", ") || "nothing"}`);
     record.line(`ends by themselves: ${hosts.map((host) => `${host.name} ${ends.get(host)}`).join(", ")}`);
     return hosts.every((host) => ends.get(host) >= rounds);
 });
