Logs: the connection of each attempt that is followed by another, and responses that were skipped

Nothing in a host's log named the connection of an attempt, and responses that were skipped were counted nowhere.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -3,6 +3,7 @@
 import type { AttemptEnd } from "./attemptEnds.js";
 import type { AttemptDependencies, AttemptProgress, AttemptRequest } from "./attemptRequest.js";
 import { endAfterSending, endBeforeSending, pathLost } from "./endsByInterrupt.js";
+import type { Exchange } from "./exchange.js";
 import type { Interrupt } from "./interrupt.js";
 import { createInterrupt } from "./interrupt.js";
 import type { StopWatching } from "./pathWatch.js";
@@ -33,6 +34,7 @@
             return { kind: "unreachable", why: describeFailure(opened.error) };
         }
         progress.connection = opened.value;
+        request.onConnected(opened.value);
         const end = await sendAndReceive(dependencies, request, opened.value, interrupt, progress);
         dependencies.pool.release(target.address, opened.value);
         if (end.kind === "timed-out" || end.kind === "given-up" || isPathLost(end)) {
@@ -70,12 +72,22 @@
     const startedMs = dependencies.clock.now().monoMs;
     const requestHead = requestHeadOf(dependencies.dialect, request);
     progress.isSent = true;
+    const exchange = connection.start({
+        method: request.call.method,
+        head: requestHead,
+        body: request.body,
+        hasMore: request.body === undefined,
+        isAnswer: (head) => dependencies.dialect.isAnswerTo(head, request.call.requestId),
+    });
     const stopWatching = connection.relay === undefined ? watchForLoss(dependencies, request, interrupt) : () => undefined;
     try {
-        return await exchangeMessages(dependencies, request, connection, interrupt, progress, startedMs, requestHead);
+        return await exchangeMessages(dependencies, request, connection, exchange, interrupt, progress, startedMs);
     }
     finally {
         stopWatching();
+        if (exchange.skippedResponses > 0) {
+            dependencies.onSkipped(request.target, request.call, exchange.skippedResponses);
+        }
     }
 }
 
@@ -91,16 +103,9 @@
 }
 
 async function exchangeMessages(
-    dependencies: AttemptDependencies, request: AttemptRequest, connection: TargetConnection, interrupt: Interrupt,
-    progress: AttemptProgress, startedMs: number, requestHead: string,
+    dependencies: AttemptDependencies, request: AttemptRequest, connection: TargetConnection, exchange: Exchange, interrupt: Interrupt,
+    progress: AttemptProgress, startedMs: number,
 ): Promise<AttemptEnd> {
-    const exchange = connection.start({
-        method: request.call.method,
-        head: requestHead,
-        body: request.body,
-        hasMore: request.body === undefined,
-        isAnswer: (head) => dependencies.dialect.isAnswerTo(head, request.call.requestId),
-    });
     const upload = request.body === undefined ? sendBody(request.call, exchange) : Promise.resolve("sent" as const);
     const head = await Promise.race([
         exchange.head(), interrupt.raised, upload.then((sent) => sent === "sent" ? new Promise<never>(() => undefined) : sent),
--- a/src/forwarding/attemptRequest.ts
+++ b/src/forwarding/attemptRequest.ts
@@ -29,6 +29,8 @@
     paths: TargetPaths;
     /** Called with the status of each response that proves neither that the target ran the request nor that it didn't. */
     onUnproven: (target: TargetEntry, call: ClientCall, status: number) => void;
+    /** Called at the end of an attempt if responses to other requests arrived during it, with their number. */
+    onSkipped: (target: TargetEntry, call: ClientCall, count: number) => void;
 }
 
 /** The request to send, its target and the limits of the attempt. */
@@ -49,6 +51,8 @@
     reuse: ReuseTerms;
     /** The connection is added if the target rejects the request on it. */
     rejectedOn: Set<TargetConnection>;
+    /** Called with the connection on which the request is about to be sent. */
+    onConnected: (connection: TargetConnection) => void;
     /** False if the attempt is to continue after the client has left. */
     cancelIfClientLeaves: boolean;
     /** Called when this host is cut off from the target while it waits for the response; returns whether the attempt ends. */
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -49,7 +49,7 @@
 const minGiveUpMs = 400;
 
 /** Dependencies of a forwarder. */
-export interface ForwarderDependencies extends Omit<AttemptDependencies, "onNotice" | "onUnproven"> {
+export interface ForwarderDependencies extends Omit<AttemptDependencies, "onNotice" | "onUnproven" | "onSkipped"> {
     view: ClusterView;
     owners: OwnerLookup;
     admission: AdmissionClient;
@@ -171,6 +171,9 @@
             expectedMs: slot.expectedMs,
             reuse: context.route.idempotent ? reuseForIdempotent : reuseForNonIdempotent(context.rejectedOn),
             rejectedOn: context.rejectedOn,
+            onConnected: (connection) => {
+                context.lastConnection = connection;
+            },
             cancelIfClientLeaves: context.route.idempotent && !isTrial,
             endsWithPath: () => {
                 const isEnded = isRepeatable && !isTrial;
@@ -234,8 +237,10 @@
         }
     };
 
-    const recordRetry = ({ call, route, service, attemptCount }: RequestContext, { target }: TargetSlot, end: AttemptEnd) => {
-        requestLog.retried(call, route, target.targetId, end, { attemptCount, retriesLeft: dependencies.retries.left(service.serviceId) });
+    const recordRetry = (context: RequestContext, { target }: TargetSlot, end: AttemptEnd) => {
+        const { call, route, service, attemptCount, lastConnection } = context;
+        const retriesLeft = dependencies.retries.left(service.serviceId);
+        requestLog.retried(call, route, target.targetId, end, { attemptCount, retriesLeft, connection: lastConnection });
     };
 
     /** Logs that a request is sent again in a slot that is reserved for it; on an unexpected error the slot is given back. */
--- a/src/forwarding/requestContext.ts
+++ b/src/forwarding/requestContext.ts
@@ -24,6 +24,8 @@
     triedTargetIds: Set<TargetId>;
     /** Connections on which a target has rejected the request. */
     rejectedOn: Set<TargetConnection>;
+    /** Connection on which the request was sent last; undefined before that. */
+    lastConnection: TargetConnection | undefined;
     /** True if the request may have run in any of these attempts. */
     mayHaveRun: boolean;
     /** Expected duration of the current attempt or, between attempts, of the next one. */
--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -27,6 +27,10 @@
     readonly keepAliveMs: number | undefined;
     /** Host through which the connection passes; undefined if it leads to the target directly. */
     readonly relay: HostId | undefined;
+    /** Port of this host's end; undefined if the connection was closed before it could be used. */
+    readonly localPort: number | undefined;
+    /** Number of requests sent so far. */
+    readonly requestCount: number;
     /** True once a rejection that doesn't name its request has arrived. */
     readonly hasUnnamedRejection: boolean;
     /** Records that a rejection that doesn't name its request has arrived. */
@@ -97,6 +101,8 @@
     let closeReason = "closed by the target";
     let isSkipping = false;
     let skippedBytes = 0;
+    let requestCount = 0;
+    const { localPort } = socket;
 
     const parser = new ResponseParser({
         onHead: (head) => {
@@ -220,6 +226,10 @@
 
     return {
         relay,
+        localPort,
+        get requestCount() {
+            return requestCount;
+        },
         get reusable() {
             return reusable && current === undefined;
         },
@@ -237,6 +247,7 @@
             const state = new ExchangeState(request, socket, reader);
             current = state;
             skippedBytes = 0;
+            requestCount += 1;
             parser.expectBodiless(request.method === "HEAD");
             if (socket.destroyed) {
                 state.onFailure(failure("unreachable", "forward", address, closeReason));
--- a/src/forwarding/targetNotices.ts
+++ b/src/forwarding/targetNotices.ts
@@ -25,7 +25,7 @@
 /** Creates the callbacks of attempts for the heads of responses. */
 export function createTargetNotices(
     { view, clock, requestLog, pauses, rateLimits, statedLoads, isLoadManaged }: TargetNoticesDependencies,
-): Pick<AttemptDependencies, "onNotice" | "onUnproven"> {
+): Pick<AttemptDependencies, "onNotice" | "onUnproven" | "onSkipped"> {
     return {
         onNotice: ({ targetId, bornWallMs }, { isLeaving, pauseMs, rateLimit, load }, sentMs) => {
             const nowMs = clock.now().monoMs;
@@ -52,5 +52,8 @@
         onUnproven: ({ targetId }, call, status) => {
             requestLog.responseUnproven(call, targetId, status);
         },
+        onSkipped: ({ targetId }, call, count) => {
+            requestLog.responsesSkipped(call, targetId, count);
+        },
     };
 }
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -15,6 +15,7 @@
     readonly attempts: Counter<"target" | "end">;
     readonly retries: Counter<"route" | "end">;
     readonly unprovenResponses: Counter<"target" | "status">;
+    readonly skippedResponses: Counter<"target">;
     readonly moves: Counter<"reason" | "outcome">;
     readonly storeCalls: Counter<"path" | "outcome">;
     readonly connections: Counter<"kind">;
@@ -70,6 +71,11 @@
             help: "Responses that prove neither that their target ran the request nor that it didn't, by target and status.",
             labelNames: ["target", "status"], registers,
         }),
+        skippedResponses: new Counter({
+            name: "hornbeam_skipped_responses_total",
+            help: "Responses that arrived on a connection in place of the response to the request that was sent last, by target.",
+            labelNames: ["target"], registers,
+        }),
         moves: new Counter({
             name: "hornbeam_moves_total", help: "Moves of key ranges, by reason and outcome.",
             labelNames: ["reason", "outcome"], registers,
--- a/src/observe/requestLog.ts
+++ b/src/observe/requestLog.ts
@@ -9,6 +9,16 @@
 export interface RetryCounts {
     attemptCount: number;
     retriesLeft: number;
+    /** Connection of the attempt before; undefined if none was opened. */
+    connection: ConnectionUse | undefined;
+}
+
+/** Which connection to a target an attempt used. */
+export interface ConnectionUse {
+    /** Port of this host's end. */
+    localPort: number | undefined;
+    /** Number of requests sent on it so far. */
+    requestCount: number;
 }
 
 /** Records what happens to requests. */
@@ -25,6 +35,8 @@
     pathLost(call: ClientCall, targetId: TargetId, isEnded: boolean): void;
     /** The response of a target to `call` proves neither that the request ran nor that it didn't. */
     responseUnproven(call: ClientCall, targetId: TargetId, status: number): void;
+    /** While `call` waited for its response, the target sent `count` responses that belong to other requests. */
+    responsesSkipped(call: ClientCall, targetId: TargetId, count: number): void;
     /** A response broke off after a part of it had been sent to the client; `why` says how. */
     brokenOff(call: ClientCall, route: Route, triedTargetIds: ReadonlySet<TargetId>, why: string): void;
     /** The client disconnected. */
--- a/src/observe/requestRecorder.ts
+++ b/src/observe/requestRecorder.ts
@@ -64,11 +64,12 @@
                     : {},
             });
         },
-        retried: (call, route, targetId, end, { attemptCount, retriesLeft }) => {
+        retried: (call, route, targetId, end, { attemptCount, retriesLeft, connection }) => {
             metrics.retries.inc({ route: route.routeId, end: end.kind });
             log.info("sent again", {
                 ...commonFields(call), route: route.routeId, target: targetId, end: describeEnd(end),
                 attempts: attemptCount, retriesLeft: Math.floor(retriesLeft * 10) / 10,
+                connection: connection?.localPort, requestOnConnection: connection?.requestCount,
             });
         },
         attemptEnded: (targetId, end) => {
@@ -87,6 +88,10 @@
             metrics.unprovenResponses.inc({ target: targetId, status: String(status) });
             log.warn("response without proof", { ...commonFields(call), target: targetId, status });
         },
+        responsesSkipped: (call, targetId, count) => {
+            metrics.skippedResponses.inc({ target: targetId }, count);
+            log.warn("responses to other requests skipped", { ...commonFields(call), target: targetId, count });
+        },
         brokenOff: (call, route, triedTargetIds, why) => {
             metrics.requests.inc({ route: route.routeId, outcome: "broken-off", reason: "" });
             log.info("response broken off", { ...commonFields(call), route: route.routeId, targets: [...triedTargetIds], why });
--- a/test/forwarding/forwarderUnderTest.ts
+++ b/test/forwarding/forwarderUnderTest.ts
@@ -88,7 +88,8 @@
 export const silentRequestLog: RequestLog = {
     answered: () => undefined, refused: () => undefined, retried: () => undefined, brokenOff: () => undefined, clientLeft: () => undefined,
     targetLeaving: () => undefined, targetPauseRequested: () => undefined,
-    attemptEnded: () => undefined, pathLost: () => undefined, responseUnproven: () => undefined, targetRateLimitChanged: () => undefined,
+    attemptEnded: () => undefined, pathLost: () => undefined, responseUnproven: () => undefined, responsesSkipped: () => undefined,
+    targetRateLimitChanged: () => undefined,
 };
 
 const config: RoutingConfig = {
--- a/test/forwarding/unexpectedErrors.spec.ts
+++ b/test/forwarding/unexpectedErrors.spec.ts
@@ -150,7 +150,7 @@
             requestLog: {
                 answered: () => undefined, refused: () => undefined, retried: () => undefined, clientLeft: () => undefined,
                 targetLeaving: () => undefined, targetPauseRequested: () => undefined, targetRateLimitChanged: () => undefined,
-                responseUnproven: () => undefined, brokenOff: () => undefined, pathLost: () => undefined,
+                responseUnproven: () => undefined, responsesSkipped: () => undefined, brokenOff: () => undefined, pathLost: () => undefined,
                 attemptEnded: (_targetId, end) => {
                     this.attemptEnds.push("why" in end ? `${end.kind}: ${end.why}` : end.kind);
                 },
