--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -22,7 +22,7 @@
     const interrupt = createInterrupt({ clientLeft: request.cancelIfClientLeaves ? call.clientLeft : undefined, timeoutMs, giveUpPolicy });
     const progress: AttemptProgress = { connection: undefined, isSent: false, isStreaming: false };
     try {
-        const opening = dependencies.pool.acquire(target.address, request.reuse);
+        const opening = dependencies.pool.acquire(target.address, { requestId: call.requestId, idempotent: request.idempotent });
         const opened = await Promise.race([opening, interrupt.raised]);
         if (typeof opened === "string") {
             void opening.then((late) => late.map((connection) => {
@@ -77,7 +77,9 @@
         head: requestHead,
         body: request.body,
         hasMore: request.body === undefined,
-        isAnswer: (head) => dependencies.dialect.isAnswerTo(head, request.call.requestId),
+        requestId: request.call.requestId,
+        idempotent: request.idempotent,
+        matchOf: (head) => dependencies.dialect.matchOf(head, request.call.requestId),
     });
     const stopWatching = connection.relay === undefined ? watchForLoss(dependencies, request, interrupt) : () => undefined;
     try {
@@ -121,12 +123,6 @@
     }
     dependencies.onNotice(request.target, dependencies.dialect.noticeOf(head.value), startedMs);
     const end = await receiveResponse(dependencies, request, { exchange, head: head.value, interrupt, progress });
-    if (end.kind === "turned-away") {
-        request.rejectedOn.add(connection);
-        if (!dependencies.dialect.namesRequest(head.value)) {
-            connection.recordUnnamedRejection();
-        }
-    }
     const tookMs = dependencies.clock.now().monoMs - startedMs;
     return "tookMs" in end ? { ...end, tookMs } : end;
 }
--- a/src/forwarding/attemptRequest.ts
+++ b/src/forwarding/attemptRequest.ts
@@ -3,7 +3,6 @@
 import type { TargetEntry } from "../model/target.js";
 import type { Clock } from "../model/time.js";
 import type { ConnectionPool } from "./connectionPool.js";
-import type { ReuseTerms } from "./connectionReuse.js";
 import type { TargetDialect, TargetNotice } from "./dialect.js";
 import type { GiveUpPolicy } from "./interrupt.js";
 import type { TargetPaths } from "./pathWatch.js";
@@ -47,10 +46,8 @@
     timeoutMs: number;
     /** When the attempt may be given up for a retry; undefined if it must not be. */
     giveUpPolicy: GiveUpPolicy | undefined;
-    /** Which pooled connections may carry this request. */
-    reuse: ReuseTerms;
-    /** The connection is added if the target rejects the request on it. */
-    rejectedOn: Set<TargetConnection>;
+    /** True if the request may run more than once. */
+    idempotent: boolean;
     /** Called with the connection on which the request is about to be sent. */
     onConnected: (connection: TargetConnection) => void;
     /** False if the attempt is to continue after the client has left. */
--- a/src/forwarding/connectionPool.ts
+++ b/src/forwarding/connectionPool.ts
@@ -4,7 +4,7 @@
 import type { Failure } from "../model/failure.js";
 import type { Address } from "../model/names.js";
 import type { Clock } from "../model/time.js";
-import type { ReuseTerms } from "./connectionReuse.js";
+import type { RequestTraits } from "./connectionHistory.js";
 import type { TargetConnection } from "./targetConnection.js";
 import type { TargetConnector } from "./targetConnector.js";
 
@@ -30,11 +30,11 @@
 /** Connections to all targets, pooled by address. */
 export interface ConnectionPool {
     /**
-     * Takes the most recently used of the idle connections that may be used, or opens a new one.
+     * Takes the most recently used of the idle connections that may carry a request, or opens a new one. An idempotent request leaves the
+     * connections that may carry any request to the others.
      * @param address the target's address
-     * @param reuse which idle connections may be used
      */
-    acquire(address: Address, reuse: ReuseTerms): Promise<Result<TargetConnection, Failure>>;
+    acquire(address: Address, request: RequestTraits): Promise<Result<TargetConnection, Failure>>;
     /** Returns a connection to the pool; closes it if it cannot be reused or the pool for its target is full. */
     release(address: Address, connection: TargetConnection): void;
     /** Closes all idle connections to a target. */
@@ -66,14 +66,14 @@
         return list;
     };
 
-    const isUsable = ({ connection, idleSinceMs }: IdleConnection, maxIdleMs: number, nowMs: number): boolean => {
+    const isUsable = ({ connection, idleSinceMs }: IdleConnection, nowMs: number): boolean => {
         const limitMs = Math.min(connection.keepAliveMs ?? defaultKeepAliveMs, maxKeepAliveMs) * usableKeepAliveShare;
-        return connection.reusable && nowMs - idleSinceMs < Math.min(limitMs, maxIdleMs);
+        return connection.reusable && nowMs - idleSinceMs < limitMs;
     };
 
     /** Closes an idle connection that fewer requests may use than the given one; returns false if there is none. */
     const makeRoomFor = (connection: TargetConnection, list: IdleConnection[]): boolean => {
-        const index = connection.hasUnnamedRejection ? -1 : list.findIndex((idle) => idle.connection.hasUnnamedRejection);
+        const index = connection.isForIdempotentOnly ? -1 : list.findIndex((idle) => idle.connection.isForIdempotentOnly);
         const [replaced] = index < 0 ? [] : list.splice(index, 1);
         replaced?.connection.destroy();
         return replaced !== undefined;
@@ -81,7 +81,7 @@
 
     const sweep = (nowMs: number) => {
         for (const [address, list] of idleByAddress) {
-            const kept = list.filter((idle) => isUsable(idle, Number.POSITIVE_INFINITY, nowMs));
+            const kept = list.filter((idle) => isUsable(idle, nowMs));
             list.filter((idle) => !kept.includes(idle)).forEach(({ connection }) => {
                 connection.destroy();
             });
@@ -95,12 +95,14 @@
     };
 
     return {
-        acquire: async (address, { maxIdleMs, isAllowed, isPreferred }) => {
+        acquire: async (address, request) => {
             const list = idleListOf(address);
             const nowMs = clock.now().monoMs;
-            const isCandidate = (idle: IdleConnection) => isUsable(idle, maxIdleMs, nowMs) && isAllowed(idle.connection)
-                && connector.mayReuse(address, idle.connection);
-            const preferred = list.findLastIndex((idle) => isPreferred(idle.connection) && isCandidate(idle));
+            const isCandidate = (idle: IdleConnection) => isUsable(idle, nowMs)
+                && idle.connection.mayCarry(request, nowMs - idle.idleSinceMs) && connector.mayReuse(address, idle.connection);
+            const preferred = request.idempotent
+                ? list.findLastIndex((idle) => idle.connection.isForIdempotentOnly && isCandidate(idle))
+                : -1;
             const index = preferred < 0 ? list.findLastIndex(isCandidate) : preferred;
             const [found] = index < 0 ? [] : list.splice(index, 1);
             if (found !== undefined) {
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -13,6 +13,15 @@
     /** Neither is proven; the request may have run. */
     | "unproven";
 
+/** How a response relates to the request that was sent last. */
+export type ResponseMatch =
+    /** It states the id of the request. */
+    | "named"
+    /** It is a rejection that states no id. */
+    | "unnamed-rejection"
+    /** It belongs to another request, or to none. */
+    | "other";
+
 /** What a target states about itself in the head of a response. */
 export interface TargetNotice {
     /** True if it is shutting down. */
@@ -40,10 +49,8 @@
     readonly reservedHeaders: ReadonlySet<string>;
     /** Headers that this host sets on a request: alternating names and values. */
     headersFor(terms: TargetTerms): readonly string[];
-    /** Returns whether a response belongs to a request. */
-    isAnswerTo(head: ResponseHead, requestId: RequestId | undefined): boolean;
-    /** Returns whether a response states the id of its request. */
-    namesRequest(head: ResponseHead): boolean;
+    /** Returns how a response relates to a request. */
+    matchOf(head: ResponseHead, requestId: RequestId | undefined): ResponseMatch;
     /** Determines what a response proves about the execution of its request. */
     classify(head: ResponseHead): ResponseClass;
     /** Reads what a response states about its target. */
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -5,13 +5,15 @@
 import type { Failure } from "../model/failure.js";
 import type { SocketReader } from "../adapters/socketReader.js";
 import { ByteBuffer } from "../model/byteBuffer.js";
+import type { RequestTraits } from "./connectionHistory.js";
+import type { ResponseMatch } from "./dialect.js";
 import type { ResponseHead } from "./responseHead.js";
 
 /** Number of unread body bytes at which reading from the target's socket is paused. */
 const maxBufferedBytes = 262_144;
 
 /** A request as it is written to the socket. */
-export interface OutgoingRequest {
+export interface OutgoingRequest extends RequestTraits {
     method: string;
     /** Request line and headers, including the empty line after them. */
     head: string;
@@ -19,8 +21,8 @@
     body: Buffer | undefined;
     /** True if the body is written through `Exchange.write`. */
     hasMore: boolean;
-    /** Returns whether a response belongs to this request; other responses are skipped. */
-    isAnswer: (head: ResponseHead) => boolean;
+    /** Returns how a response relates to this request. */
+    matchOf: (head: ResponseHead) => ResponseMatch;
 }
 
 /** A request that was sent, and its response. */
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -20,7 +20,6 @@
 import type { AttemptDependencies } from "./attemptRequest.js";
 import { attempt } from "./attempt.js";
 import { describeEnd, isWithoutResponse, mayHaveRun, moreInformativeEnd, reasonIfNotRun, workEndOf } from "./attemptEnds.js";
-import { reuseForIdempotent, reuseForNonIdempotent } from "./connectionReuse.js";
 import { ClientWaitEstimator } from "./clientWaitEstimator.js";
 import type { RequestContext } from "./requestContext.js";
 import { createRequestEnds } from "./requestEnds.js";
@@ -169,8 +168,7 @@
             timeoutMs: remainingMs,
             giveUpPolicy: mayRetry ? { afterMs: giveUpAfterMs, mayGiveUp: () => reservation.reserve() } : undefined,
             expectedMs: slot.expectedMs,
-            reuse: context.route.idempotent ? reuseForIdempotent : reuseForNonIdempotent(context.rejectedOn),
-            rejectedOn: context.rejectedOn,
+            idempotent: context.route.idempotent,
             onConnected: (connection) => {
                 context.lastConnection = connection;
             },
--- a/src/forwarding/requestContext.ts
+++ b/src/forwarding/requestContext.ts
@@ -22,8 +22,6 @@
     attemptCount: number;
     /** Targets of these attempts. */
     triedTargetIds: Set<TargetId>;
-    /** Connections on which a target has rejected the request. */
-    rejectedOn: Set<TargetConnection>;
     /** Connection on which the request was sent last; undefined before that. */
     lastConnection: TargetConnection | undefined;
     /** True if the request may have run in any of these attempts. */
--- a/src/forwarding/requestPreparation.ts
+++ b/src/forwarding/requestPreparation.ts
@@ -77,7 +77,7 @@
             getFingerprints: () => fingerprints ??= fingerprintsOf(call, body.bytes, attemptHeaders),
             softDeadlineMs: receivedMs + route.targetLatencyMs - clientWaits.estimateWaitMs(route.routeId, call.budgetMs, receivedMs),
             deadlineMs: receivedMs + Math.min(call.budgetMs ?? Number.POSITIVE_INFINITY, route.timeoutMs),
-            attemptCount: 0, triedTargetIds: new Set(), rejectedOn: new Set(), lastConnection: undefined,
+            attemptCount: 0, triedTargetIds: new Set(), lastConnection: undefined,
             mayHaveRun: false,
             expectedMs: workTimes.meanMs(route.routeId, typicalWorkMs(route)),
         },
--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -7,6 +7,8 @@
 import { failure } from "../model/failure.js";
 import type { Address, HostId } from "../model/names.js";
 import { parseAddress } from "../model/valueSchemas.js";
+import type { RequestTraits } from "./connectionHistory.js";
+import { ConnectionHistory } from "./connectionHistory.js";
 import type { Exchange, OutgoingRequest } from "./exchange.js";
 import { ExchangeState } from "./exchange.js";
 import type { ResponseHead } from "./responseHead.js";
@@ -21,7 +23,7 @@
 
 /** An open connection to a target. */
 export interface TargetConnection {
-    /** True if no request is in progress and the connection can carry another one. */
+    /** True if no request is in progress and the connection can carry another one; which one, `mayCarry` tells. */
     readonly reusable: boolean;
     /** Idle time after which the target closes the connection, from its Keep-Alive header; undefined if it sent none. */
     readonly keepAliveMs: number | undefined;
@@ -31,10 +33,10 @@
     readonly localPort: number | undefined;
     /** Number of requests sent so far. */
     readonly requestCount: number;
-    /** True once a rejection that doesn't name its request has arrived. */
-    readonly hasUnnamedRejection: boolean;
-    /** Records that a rejection that doesn't name its request has arrived. */
-    recordUnnamedRejection(): void;
+    /** True if the connection may carry only requests that may run more than once. */
+    readonly isForIdempotentOnly: boolean;
+    /** Tells whether the connection may carry a request after it has been idle for `idleMs`. */
+    mayCarry(request: RequestTraits, idleMs: number): boolean;
     /** Resolves with the reason when the connection is closed. */
     readonly closed: Promise<string>;
     /** Sends a request. */
@@ -97,16 +99,15 @@
     let current: ExchangeState | undefined;
     let reusable = true;
     let keepAliveMs: number | undefined;
-    let hasUnnamedRejection = false;
+    const history = new ConnectionHistory();
     let closeReason = "closed by the target";
     let isSkipping = false;
     let skippedBytes = 0;
-    let requestCount = 0;
     const { localPort } = socket;
 
     const parser = new ResponseParser({
         onHead: (head) => {
-            isSkipping = current === undefined || current.responseHead !== undefined || !current.request.isAnswer(head);
+            isSkipping = current === undefined || current.responseHead !== undefined || !history.isAnswer(current.request.matchOf(head));
             if (isSkipping) {
                 onUnrelatedHead(head);
                 return;
@@ -146,7 +147,7 @@
 
     const onResponseEnd = () => {
         const exchange = current;
-        reusable = reusable && exchange?.responseHead?.persistent === true && exchange.bodySent;
+        reusable = reusable && exchange?.responseHead?.persistent === true && exchange.bodySent && !history.isFull;
         current = undefined;
         exchange?.onEnd();
         if (!reusable) {
@@ -228,7 +229,7 @@
         relay,
         localPort,
         get requestCount() {
-            return requestCount;
+            return history.requestCount;
         },
         get reusable() {
             return reusable && current === undefined;
@@ -236,18 +237,16 @@
         get keepAliveMs() {
             return keepAliveMs;
         },
-        get hasUnnamedRejection() {
-            return hasUnnamedRejection;
-        },
-        recordUnnamedRejection: () => {
-            hasUnnamedRejection = true;
+        get isForIdempotentOnly() {
+            return history.isForIdempotentOnly;
         },
+        mayCarry: (request, idleMs) => reusable && current === undefined && history.mayCarry(request, idleMs),
         closed,
         start: (request) => {
             const state = new ExchangeState(request, socket, reader);
             current = state;
             skippedBytes = 0;
-            requestCount += 1;
+            history.recordSent(request);
             parser.expectBodiless(request.method === "HEAD");
             if (socket.destroyed) {
                 state.onFailure(failure("unreachable", "forward", address, closeReason));
--- a/test/forwarding/forwarderUnderTest.ts
+++ b/test/forwarding/forwarderUnderTest.ts
@@ -92,12 +92,14 @@
     targetRateLimitChanged: () => undefined,
 };
 
+/** Each service has a route for requests that may run again, and one, `-order`, for those that may not. */
 const config: RoutingConfig = {
     version: 1,
-    routes: [keyed, plain].map((serviceId) => ({
-        routeId: serviceId as string as RouteId, hostName: "h", pathPrefix: `/${serviceId}/`, idempotent: true, timeoutMs: 2_500,
+    routes: [keyed, plain].flatMap((serviceId) => [true, false].map((idempotent) => ({
+        routeId: `${serviceId}${idempotent ? "" : "-order"}` as RouteId, hostName: "h",
+        pathPrefix: `/${serviceId}${idempotent ? "" : "-order"}/`, idempotent, timeoutMs: 2_500,
         targetLatencyMs: 100, priority: 1, maxAttempts: 2, backends: [{ serviceId, weight: 1 }],
-    })),
+    }))),
     services: [keyed, plain].map((serviceId) => ({
         serviceId, healthPath: "/", maxConnections: 10, sharded: serviceId === keyed, warmUpMs: 0,
     })),
@@ -140,7 +142,7 @@
         pool: createConnectionPool(systemClock, directConnector, () => undefined),
         paths: openPaths,
         dialect: {
-            reservedHeaders: new Set(), headersFor: () => [], isAnswerTo: () => true, namesRequest: () => true,
+            reservedHeaders: new Set(), headersFor: () => [], matchOf: () => "named",
             classify: (head) => headerOf(head.rawHeaders, "not-run") === undefined ? "answer" : "not-run",
             noticeOf: (head) => {
                 const pause = headerOf(head.rawHeaders, "pause");
--- a/test/forwarding/relay.spec.ts
+++ b/test/forwarding/relay.spec.ts
@@ -46,7 +46,8 @@
         }));
         const areSame = await Promise.all(["a", "b", "c"].map(async (name) => {
             const exchange = (await under.connect()).start({
-                method: "POST", head: `POST /${name} HTTP/1.1\r\n\r\n`, body: undefined, hasMore: false, isAnswer: () => true,
+                method: "POST", head: `POST /${name} HTTP/1.1\r\n\r\n`, body: undefined, hasMore: false,
+                requestId: undefined, idempotent: false, matchOf: () => "named",
             });
             await exchange.head();
             const pieces: Buffer[] = [];
--- a/test/forwarding/relayUnderTest.ts
+++ b/test/forwarding/relayUnderTest.ts
@@ -104,7 +104,8 @@
 /** Sends a request and reads its answer to the end; returns why the answer is not whole, if it is not. */
 export async function get(connection: TargetConnection, body = Buffer.alloc(0)): Promise<{ status: number; bytes: number } | string> {
     const exchange = connection.start({
-        method: "POST", head: `POST / HTTP/1.1\r\nContent-Length: ${String(body.length)}\r\n\r\n`, body, hasMore: false, isAnswer: () => true,
+        method: "POST", head: `POST / HTTP/1.1\r\nContent-Length: ${String(body.length)}\r\n\r\n`, body, hasMore: false,
+        requestId: undefined, idempotent: false, matchOf: () => "named",
     });
     const head = await exchange.head();
     if (head.isErr()) {
--- a/test/forwarding/targetConnection.spec.ts
+++ b/test/forwarding/targetConnection.spec.ts
@@ -5,7 +5,7 @@
 import { headerOf } from "../../src/forwarding/responseHead.js";
 import type { TargetConnection } from "../../src/forwarding/targetConnection.js";
 import { connectToTarget } from "../../src/forwarding/targetConnection.js";
-import type { Address } from "../../src/model/names.js";
+import type { Address, RequestId } from "../../src/model/names.js";
 
 const connectTimeoutMs = 500;
 
@@ -34,7 +34,8 @@
 function start(connection: TargetConnection, id: string): Exchange {
     return connection.start({
         method: "GET", head: `GET / HTTP/1.1\r\nRequest-Id: ${id}\r\n\r\n`, body: undefined, hasMore: false,
-        isAnswer: (head) => headerOf(head.rawHeaders, "request-id") === id,
+        requestId: id as RequestId, idempotent: true,
+        matchOf: (head) => headerOf(head.rawHeaders, "request-id") === id ? "named" : "other",
     });
 }
 
@@ -123,7 +124,8 @@
         const target = await startTarget((socket, requests) => requests === 1 ? socket.write(answer("r1", "too long")) : undefined);
         const connection = await open(target.address);
         const exchange = connection.start({
-            method: "POST", head: "POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n", body: undefined, hasMore: true, isAnswer: () => true,
+            method: "POST", head: "POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n", body: undefined, hasMore: true,
+            requestId: undefined, idempotent: false, matchOf: () => "named",
         });
         expect(await read(exchange)).to.equal("too long");
         expect(connection.reusable).to.equal(false);
--- a/test/forwarding/unexpectedErrors.spec.ts
+++ b/test/forwarding/unexpectedErrors.spec.ts
@@ -8,7 +8,6 @@
 import { createClientHttp } from "../../src/entry/clientHttp.js";
 import type { ConnectionPool } from "../../src/forwarding/connectionPool.js";
 import { createConnectionPool } from "../../src/forwarding/connectionPool.js";
-import { reuseForIdempotent } from "../../src/forwarding/connectionReuse.js";
 import type { ForwarderDependencies } from "../../src/forwarding/forwarder.js";
 import { createForwarder } from "../../src/forwarding/forwarder.js";
 import { probeTarget } from "../../src/forwarding/targetProbe.js";
@@ -138,7 +137,7 @@
             pool: createConnectionPool(clock, directConnector, () => undefined),
             paths: openPaths,
             dialect: {
-                reservedHeaders: new Set(), headersFor: () => [], isAnswerTo: () => true, namesRequest: () => true,
+                reservedHeaders: new Set(), headersFor: () => [], matchOf: () => "named",
                 classify: () => "answer",
                 noticeOf: () => ({ isLeaving: false, pauseMs: undefined, rateLimit: { kind: "none" } }),
             },
@@ -329,7 +328,7 @@
             expect(connected._unsafeUnwrapErr()).to.include({ kind: "unreachable", step: "connect", peer: address, refused: false });
             const pool = createConnectionPool(clock, directConnector, () => undefined);
             expect(await probeTarget(pool, directConnector, address as Address)).to.equal("no-answer");
-            expect((await pool.acquire(address as Address, { ...reuseForIdempotent, maxIdleMs: 0 })).isErr()).to.equal(true);
+            expect((await pool.acquire(address as Address, { requestId: undefined, idempotent: true })).isErr()).to.equal(true);
         });
     }
 });
--- a/test/platform/decoders.spec.ts
+++ b/test/platform/decoders.spec.ts
@@ -106,10 +106,10 @@
 
     it("match an answer to its request by id; an answer without an id is accepted only if it says that the request was not run", () => {
         const id = "r1" as RequestId;
-        expect(platformTargetDialect.isAnswerTo(head("Request-Id", "r1"), id)).to.equal(true);
-        expect(platformTargetDialect.isAnswerTo(head("Request-Id", "r0"), id)).to.equal(false);
-        expect(platformTargetDialect.isAnswerTo(head("Not-Executed", "1"), id)).to.equal(true);
-        expect(platformTargetDialect.isAnswerTo(head("Response-Signature", "x"), id)).to.equal(false);
+        expect(platformTargetDialect.matchOf(head("Request-Id", "r1"), id)).to.equal("named");
+        expect(platformTargetDialect.matchOf(head("Request-Id", "r0"), id)).to.equal("other");
+        expect(platformTargetDialect.matchOf(head("Not-Executed", "1"), id)).to.equal("unnamed-rejection");
+        expect(platformTargetDialect.matchOf(head("Response-Signature", "x"), id)).to.equal("other");
     });
 
     it("pass the request's terms to the target and replace headers of the same names from the client", () => {
--- a/test/world/crashForwarder.ts
+++ b/test/world/crashForwarder.ts
@@ -75,7 +75,7 @@
         return {
             call: call as unknown as ClientCall, route, service, body: Buffer.alloc(0), getFingerprints: () => fingerprintsOf(content),
             softDeadlineMs: nowMs + targetLatencyMs, deadlineMs: nowMs + timeoutMs, attemptCount: 0, triedTargetIds: new Set(),
-            rejectedOn: new Set(), lastConnection: undefined, mayHaveRun: false, expectedMs: typicalWorkMs(route),
+            lastConnection: undefined, mayHaveRun: false, expectedMs: typicalWorkMs(route),
         };
     }
 
