A late copy is never read with the framing of another answer: answers to HEAD requests

The answer to a HEAD request has no body whatever its head says, and the parser was told which framing to use by the method of the request that waits, also for a late copy of the answer to an earlier one. The body of a copied GET answer was read as the next response while a HEAD request waited; a copied HEAD answer swallowed the head of the answer behind it, so that its body was read as the response. A body that holds text in the form of a response with a known id passed for the answer.

Evidence: two tests of targetConnection.spec, which failed before: the HEAD request got the head that stood in the copied body (length 6 in place of 12), the GET request got 'forged'.

Change: the history of the connection says what becomes of a response before its framing is chosen: answer, answer without body, skip, or close, if the response may be for a HEAD request before. A HEAD request and a rejection without an id share no connection. What can't be read ends the parsing there, and nothing that has arrived behind it is parsed, on a relayed connection neither.

Why it works: the same random sequences as for review/11, now with HEAD requests among them, check the framing of each response.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -2,6 +2,7 @@
 import { describeFailure } from "../model/failure.js";
 import type { AttemptEnd } from "./attemptEnds.js";
 import type { AttemptDependencies, AttemptProgress, AttemptRequest } from "./attemptRequest.js";
+import type { RequestTraits } from "./connectionHistory.js";
 import { endAfterSending, endBeforeSending, pathLost } from "./endsByInterrupt.js";
 import type { Exchange } from "./exchange.js";
 import type { Interrupt } from "./interrupt.js";
@@ -22,7 +23,7 @@
     const interrupt = createInterrupt({ clientLeft: request.cancelIfClientLeaves ? call.clientLeft : undefined, timeoutMs, giveUpPolicy });
     const progress: AttemptProgress = { connection: undefined, isSent: false, isStreaming: false };
     try {
-        const opening = dependencies.pool.acquire(target.address, { requestId: call.requestId, idempotent: request.idempotent });
+        const opening = dependencies.pool.acquire(target.address, traitsOf(request));
         const opened = await Promise.race([opening, interrupt.raised]);
         if (typeof opened === "string") {
             void opening.then((late) => late.map((connection) => {
@@ -50,6 +51,10 @@
     }
 }
 
+function traitsOf({ call: { method, requestId }, idempotent }: AttemptRequest): RequestTraits {
+    return { method, requestId, idempotent };
+}
+
 function isPathLost(end: AttemptEnd): boolean {
     return end.kind === "lost" && end.why === pathLost;
 }
@@ -73,12 +78,10 @@
     const requestHead = requestHeadOf(dependencies.dialect, request);
     progress.isSent = true;
     const exchange = connection.start({
-        method: request.call.method,
+        ...traitsOf(request),
         head: requestHead,
         body: request.body,
         hasMore: request.body === undefined,
-        requestId: request.call.requestId,
-        idempotent: request.idempotent,
         matchOf: (head) => dependencies.dialect.matchOf(head, request.call.requestId),
     });
     const stopWatching = connection.relay === undefined ? watchForLoss(dependencies, request, interrupt) : () => undefined;
--- a/src/forwarding/connectionHistory.ts
+++ b/src/forwarding/connectionHistory.ts
@@ -8,6 +8,8 @@
  * - A response that names its request is the answer if the request is sent once only on the connection. No id is sent there twice.
  * - A rejection without an id may be for any request. The first one on a connection is no copy; a later one may be, and proves
  *   nothing. From the first one on, a request that must not run twice isn't sent there.
+ * - The answer to a HEAD request has no body, whatever its head says. So a copy can be skipped, and a rejection without an id be read to
+ *   its end, only if it is known which of the two it is.
  */
 import type { RequestId } from "../model/names.js";
 import { hash } from "../model/rendezvous.js";
@@ -19,19 +21,35 @@
 /** Most requests on a connection, so that the ids of all of them can be remembered. */
 const maxRequests = 1_000;
 
+const methodWithoutBody = "HEAD";
+
 /** What decides which connection may carry a request. */
 export interface RequestTraits {
+    method: string;
     /** Undefined if the client gave none; the target then rejects the request. */
     requestId: RequestId | undefined;
     /** True if the request may run more than once. */
     idempotent: boolean;
 }
 
+/** What becomes of a response that has arrived while a request waits for one. */
+export type ResponseUse =
+    /** It is the answer, and its body is framed as its head says. */
+    | "answer"
+    /** It is the answer, and has no body. */
+    | "answer-without-body"
+    /** It belongs to an earlier request, and its body is framed as its head says. */
+    | "skip"
+    /** It belongs to an earlier request, and where it ends can't be known. */
+    | "close";
+
 /** The history of one connection. */
 export class ConnectionHistory {
     /** Hashes of the ids; two ids with the same hash are never on the same connection, which costs another one at most. */
     private readonly idHashes = new Set<number>();
     private hasUnnamedRejection = false;
+    private hasEarlierHead = false;
+    private isCurrentHead = false;
     private count = 0;
 
     /** Number of requests sent so far. */
@@ -40,8 +58,8 @@
     }
 
     /** True once the connection may not carry any further request. */
-    get isFull(): boolean {
-        return this.count >= maxRequests;
+    get isSpent(): boolean {
+        return this.count >= maxRequests || (this.hasUnnamedRejection && (this.hasEarlierHead || this.isCurrentHead));
     }
 
     /** True if the connection may carry only requests that may run more than once. */
@@ -53,14 +71,21 @@
      * Decides whether the connection, on which every request has had an answer, may carry a request.
      * @param idleMs time for which the connection has been idle
      */
-    mayCarry({ requestId, idempotent }: RequestTraits, idleMs: number): boolean {
-        const isNewId = requestId === undefined || !this.idHashes.has(hashOf(requestId));
-        return isNewId && !this.isFull && (idempotent || (!this.hasUnnamedRejection && idleMs < maxIdleNonIdempotentMs));
+    mayCarry({ method, requestId, idempotent }: RequestTraits, idleMs: number): boolean {
+        if (this.isSpent || (requestId !== undefined && this.idHashes.has(hashOf(requestId)))) {
+            return false;
+        }
+        if (this.hasUnnamedRejection) {
+            return idempotent && method !== methodWithoutBody;
+        }
+        return idempotent || idleMs < maxIdleNonIdempotentMs;
     }
 
     /** Records that a request is sent. */
-    recordSent({ requestId }: RequestTraits): void {
+    recordSent({ method, requestId }: RequestTraits): void {
         this.count += 1;
+        this.hasEarlierHead ||= this.isCurrentHead;
+        this.isCurrentHead = method === methodWithoutBody;
         if (requestId !== undefined) {
             this.idHashes.add(hashOf(requestId));
         }
@@ -70,9 +95,12 @@
      * Decides whether a response that has arrived is the answer to the request that waits for one.
      * @param match what the response states
      */
-    isAnswer(match: ResponseMatch): boolean {
+    useOf(match: ResponseMatch): ResponseUse {
+        if (match === "other") {
+            return this.hasEarlierHead ? "close" : "skip";
+        }
         this.hasUnnamedRejection ||= match === "unnamed-rejection";
-        return match !== "other";
+        return this.isCurrentHead ? "answer-without-body" : "answer";
     }
 }
 
--- a/src/forwarding/dialect.ts
+++ b/src/forwarding/dialect.ts
@@ -2,7 +2,7 @@
 import type { Key, RequestId, TargetId } from "../model/names.js";
 import type { RateLimitNotice } from "../model/rateLimit.js";
 import type { LoadNotice } from "../model/targetLoad.js";
-import type { ResponseHead } from "./responseHead.js";
+import type { ResponseHead, StatedHead } from "./responseHead.js";
 
 /** What the head of a response proves about the execution of the request. */
 export type ResponseClass =
@@ -50,7 +50,7 @@
     /** Headers that this host sets on a request: alternating names and values. */
     headersFor(terms: TargetTerms): readonly string[];
     /** Returns how a response relates to a request. */
-    matchOf(head: ResponseHead, requestId: RequestId | undefined): ResponseMatch;
+    matchOf(head: StatedHead, requestId: RequestId | undefined): ResponseMatch;
     /** Determines what a response proves about the execution of its request. */
     classify(head: ResponseHead): ResponseClass;
     /** Reads what a response states about its target. */
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -7,14 +7,13 @@
 import { ByteBuffer } from "../model/byteBuffer.js";
 import type { RequestTraits } from "./connectionHistory.js";
 import type { ResponseMatch } from "./dialect.js";
-import type { ResponseHead } from "./responseHead.js";
+import type { ResponseHead, StatedHead } from "./responseHead.js";
 
 /** Number of unread body bytes at which reading from the target's socket is paused. */
 const maxBufferedBytes = 262_144;
 
 /** A request as it is written to the socket. */
 export interface OutgoingRequest extends RequestTraits {
-    method: string;
     /** Request line and headers, including the empty line after them. */
     head: string;
     /** The complete body, or undefined if there is none or it is written through `Exchange.write`. */
@@ -22,7 +21,7 @@
     /** True if the body is written through `Exchange.write`. */
     hasMore: boolean;
     /** Returns how a response relates to this request. */
-    matchOf: (head: ResponseHead) => ResponseMatch;
+    matchOf: (head: StatedHead) => ResponseMatch;
 }
 
 /** A request that was sent, and its response. */
--- a/src/forwarding/responseHead.ts
+++ b/src/forwarding/responseHead.ts
@@ -1,11 +1,15 @@
 /** The head of a response: its status line and headers, and what they say about its body. */
 
-/** Status line and headers of a response. */
-export interface ResponseHead {
+/** What the head of a response states, before it is known how its body is framed. */
+export interface StatedHead {
     status: number;
-    reasonPhrase: string;
     /** Alternating names and values, as received. */
     rawHeaders: readonly string[];
+}
+
+/** Status line and headers of a response. */
+export interface ResponseHead extends StatedHead {
+    reasonPhrase: string;
     /** False if the connection cannot be reused after this response. */
     persistent: boolean;
 }
--- a/src/forwarding/responseParser.ts
+++ b/src/forwarding/responseParser.ts
@@ -3,11 +3,13 @@
  * complete, shorter one. Consecutive responses on a connection are reported one after another.
  */
 import { ByteInput } from "./byteInput.js";
-import type { ResponseHead, StatusLine } from "./responseHead.js";
+import type { ResponseHead, StatedHead, StatusLine } from "./responseHead.js";
 import { framingOf, parseHeaderLine, parseStatusLine, ResponseSyntaxError } from "./responseHead.js";
 
 /** Callbacks for the parts of a response. */
 export interface ResponseEvents {
+    /** Tells whether a response has no body, whatever its head says; called before `onHead`. */
+    isBodiless(head: StatedHead): boolean;
     onHead(head: ResponseHead): void;
     /** A piece of the body: the bytes of `input` from `start` to `end`, which are valid during the call only. */
     onBody(input: Buffer, start: number, end: number): void;
@@ -34,7 +36,6 @@
     private state: State = "head";
     private readonly input = new ByteInput();
     private remainingBodyBytes = 0;
-    private bodiless = false;
     private interimCount = 0;
     private trailerCount = 0;
 
@@ -51,14 +52,6 @@
         return this.state === "until-close";
     }
 
-    /**
-     * Sets whether the next response has no body, whatever its headers say.
-     * @param bodiless true for the response to a HEAD request
-     */
-    expectBodiless(bodiless: boolean): void {
-        this.bodiless = bodiless;
-    }
-
     /**
      * Parses received bytes, which may be overwritten afterwards.
      * @throws ResponseSyntaxError if the response violates the protocol or exceeds a limit
@@ -109,7 +102,7 @@
         this.interimCount = 0;
         this.trailerCount = 0;
         const framing = framingOf(rawHeaders, isHttp11);
-        const hasNoBody = this.bodiless || code === 204 || code === 304 || framing.lengthBytes === 0;
+        const hasNoBody = this.events.isBodiless({ status: code, rawHeaders }) || code === 204 || code === 304 || framing.lengthBytes === 0;
         const endsAtClose = !hasNoBody && framing.lengthBytes === undefined && !framing.chunked;
         this.events.onHead({ status: code, reasonPhrase, rawHeaders, persistent: framing.persistent && !endsAtClose });
         if (hasNoBody) {
--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -7,12 +7,12 @@
 import { failure } from "../model/failure.js";
 import type { Address, HostId } from "../model/names.js";
 import { parseAddress } from "../model/valueSchemas.js";
-import type { RequestTraits } from "./connectionHistory.js";
+import type { RequestTraits, ResponseUse } from "./connectionHistory.js";
 import { ConnectionHistory } from "./connectionHistory.js";
 import type { Exchange, OutgoingRequest } from "./exchange.js";
 import { ExchangeState } from "./exchange.js";
 import type { ResponseHead } from "./responseHead.js";
-import { headerOf } from "./responseHead.js";
+import { headerOf, ResponseSyntaxError } from "./responseHead.js";
 import { ResponseParser } from "./responseParser.js";
 import type { EndCheck, TargetStream } from "./targetStream.js";
 import { directStream } from "./targetStream.js";
@@ -101,53 +101,67 @@
     let keepAliveMs: number | undefined;
     const history = new ConnectionHistory();
     let closeReason = "closed by the target";
-    let isSkipping = false;
+    /** What becomes of the response that arrives now; undefined between responses, and for one that no request waits for. */
+    let use: ResponseUse | undefined;
     let skippedBytes = 0;
     const { localPort } = socket;
 
     const parser = new ResponseParser({
+        isBodiless: (head) => {
+            use = current === undefined ? undefined : history.useOf(current.request.matchOf(head));
+            return use === "answer-without-body";
+        },
         onHead: (head) => {
-            isSkipping = current === undefined || current.responseHead !== undefined || !history.isAnswer(current.request.matchOf(head));
-            if (isSkipping) {
-                onUnrelatedHead(head);
+            if (current === undefined || use === undefined) {
+                throw new ResponseSyntaxError("received a response that no request is waiting for");
+            }
+            if (isSkipping()) {
+                skipResponse(current, head);
                 return;
             }
             keepAliveMs = keepAliveOf(head) ?? keepAliveMs;
-            current?.onHead(head);
+            current.onHead(head);
         },
         onBody: (input, start, end) => {
-            if (!isSkipping) {
+            if (!isSkipping()) {
                 current?.onBody(input, start, end);
                 return;
             }
             skippedBytes += end - start;
             if (skippedBytes > maxSkippedBytes) {
-                closeConnection("body of a response to another request exceeds the size limit");
+                throw new ResponseSyntaxError("body of a response to another request exceeds the size limit");
             }
         },
         onEnd: () => {
-            if (!isSkipping) {
+            if (!isSkipping()) {
                 onResponseEnd();
             }
-            isSkipping = false;
+            use = undefined;
         },
     });
 
-    /** Skips a response to another request while the current one waits for its own; without a waiting request, closes the connection. */
-    const onUnrelatedHead = (head: ResponseHead) => {
-        if (current === undefined || current.responseHead !== undefined || !head.persistent) {
-            closeConnection("received a response that no request is waiting for");
-            return;
+    const isSkipping = () => use === "skip" || use === "close";
+
+    /**
+     * Skips a response to another request while `waiting` waits for its own.
+     * @throws ResponseSyntaxError if that is not possible
+     */
+    const skipResponse = (waiting: ExchangeState, head: ResponseHead) => {
+        waiting.skippedResponses += 1;
+        if (use === "close") {
+            throw new ResponseSyntaxError("received a response to another request, which may be the HEAD request before");
         }
-        current.skippedResponses += 1;
-        if (current.skippedResponses > maxSkippedResponses) {
-            closeConnection("too many responses to other requests");
+        if (!head.persistent) {
+            throw new ResponseSyntaxError("received a response to another request, which ends with the connection");
+        }
+        if (waiting.skippedResponses > maxSkippedResponses) {
+            throw new ResponseSyntaxError("too many responses to other requests");
         }
     };
 
     const onResponseEnd = () => {
         const exchange = current;
-        reusable = reusable && exchange?.responseHead?.persistent === true && exchange.bodySent && !history.isFull;
+        reusable = reusable && exchange?.responseHead?.persistent === true && exchange.bodySent && !history.isSpent;
         current = undefined;
         exchange?.onEnd();
         if (!reusable) {
@@ -171,6 +185,9 @@
     };
 
     const onBytes = (bytes: Buffer) => {
+        if (socket.destroyed) {
+            return;
+        }
         const wasIdle = current === undefined;
         parseOrClose(() => {
             parser.push(bytes);
@@ -247,7 +264,6 @@
             current = state;
             skippedBytes = 0;
             history.recordSent(request);
-            parser.expectBodiless(request.method === "HEAD");
             if (socket.destroyed) {
                 state.onFailure(failure("unreachable", "forward", address, closeReason));
                 return state;
--- a/test/forwarding/connectionHistory.spec.ts
+++ b/test/forwarding/connectionHistory.spec.ts
@@ -6,11 +6,15 @@
 import type { RequestId } from "../../src/model/names.js";
 
 function read(id: string): RequestTraits {
-    return { requestId: id as RequestId, idempotent: true };
+    return { method: "GET", requestId: id as RequestId, idempotent: true };
+}
+
+function headRead(id: string): RequestTraits {
+    return { method: "HEAD", requestId: id as RequestId, idempotent: true };
 }
 
 function order(id: string): RequestTraits {
-    return { requestId: id as RequestId, idempotent: false };
+    return { method: "POST", requestId: id as RequestId, idempotent: false };
 }
 
 /** A response on its way, with the request that it really is for. */
@@ -28,7 +32,7 @@
 
 const idArbitrary = fc.integer({ min: 0, max: 5 }).map((number) => `r${String(number)}`);
 const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
-    fc.record({ kind: fc.constant("send" as const), request: fc.oneof(idArbitrary.map(read), idArbitrary.map(order)) }),
+    fc.record({ kind: fc.constant("send" as const), request: fc.oneof(...[read, headRead, order].map((create) => idArbitrary.map(create))) }),
     fc.record({ kind: fc.constant("answer" as const), isNamed: fc.boolean() }),
     fc.record({ kind: fc.constant("copy" as const), index: fc.nat(9) }),
 );
@@ -40,7 +44,7 @@
     return answers.requestId === request.requestId ? "named" : "other";
 }
 
-/** Plays steps on a connection until a response arrives that no request waits for; returns what each request took for its answer. */
+/** Plays steps on a connection until it is closed; returns what each request took for its answer. */
 function play(steps: readonly Step[]): { request: RequestTraits; taken: Response }[] {
     const history = new ConnectionHistory();
     const due: RequestTraits[] = [];
@@ -48,15 +52,19 @@
     const ended: { request: RequestTraits; taken: Response }[] = [];
     let current: RequestTraits | undefined;
 
+    /** Returns whether the connection stays open. */
     const receive = (response: Response): boolean => {
-        if (current === undefined) {
+        const use = current === undefined ? "close" : history.useOf(matchOf(response, current));
+        if (current === undefined || use === "close") {
             return false;
         }
-        if (history.isAnswer(matchOf(response, current))) {
-            ended.push({ request: current, taken: response });
-            current = undefined;
+        expect(use === "answer-without-body", "framed as it was sent").to.equal(response.answers.method === "HEAD");
+        if (use === "skip") {
+            return true;
         }
-        return true;
+        ended.push({ request: current, taken: response });
+        current = undefined;
+        return !history.isSpent;
     };
 
     const responseOf = (step: Exclude<Step, { kind: "send" }>): Response | undefined => {
@@ -87,8 +95,8 @@
 }
 
 describe("the history of a connection to a target", () => {
-    // Guards against an answer that is another request's: of a copy, or of a request before it (review/11).
-    it("takes no response but its own for the answer to a request that must not run twice, for any sequence of requests, copies and rejections", () => {
+    // Guards against an answer that is another request's (review/11), and against a copy that is read with the framing of another answer.
+    it("takes only its own response for the answer to an order, for any sequence of requests, copies and rejections", () => {
         fc.assert(fc.property(fc.array(stepArbitrary, { minLength: 4, maxLength: 30 }), (steps) => {
             for (const { request, taken } of play(steps)) {
                 if (!request.idempotent || taken.isNamed) {
@@ -101,7 +109,7 @@
     it("carries requests one after another, with an idle time of less than a second before one that must not run twice", () => {
         const history = new ConnectionHistory();
         history.recordSent(read("r1"));
-        expect(history.isAnswer("named")).to.equal(true);
+        expect(history.useOf("named")).to.equal("answer");
         expect(history.mayCarry(order("r2"), 999)).to.equal(true);
         expect(history.mayCarry(order("r2"), 1_000)).to.equal(false);
         expect(history.mayCarry(read("r2"), 60_000)).to.equal(true);
@@ -110,7 +118,7 @@
     it("carries no request twice", () => {
         const history = new ConnectionHistory();
         history.recordSent(read("r1"));
-        history.isAnswer("named");
+        history.useOf("named");
         expect(history.mayCarry(read("r1"), 0)).to.equal(false);
         expect(history.mayCarry(order("r1"), 0)).to.equal(false);
     });
@@ -119,7 +127,7 @@
         const history = new ConnectionHistory();
         history.recordSent(order("r1"));
         expect(history.isForIdempotentOnly).to.equal(false);
-        expect(history.isAnswer("unnamed-rejection")).to.equal(true);
+        expect(history.useOf("unnamed-rejection")).to.equal("answer");
         expect(history.isForIdempotentOnly).to.equal(true);
         expect([order("r2"), read("r2")].map((request) => history.mayCarry(request, 0))).to.deep.equal([false, true]);
     });
@@ -127,17 +135,39 @@
     it("ends after 1,000 requests, so that what it remembers stays small", () => {
         const history = new ConnectionHistory();
         for (let count = 0; count < 1_000; count++) {
-            expect(history.isFull).to.equal(false);
+            expect(history.isSpent).to.equal(false);
             history.recordSent(read(`r${String(count)}`));
         }
-        expect(history.isFull).to.equal(true);
+        expect(history.isSpent).to.equal(true);
         expect(history.mayCarry(read("r1000"), 0)).to.equal(false);
     });
 
+    it("reads no rejection without an id if it may be for a HEAD request or for another", () => {
+        const afterHead = new ConnectionHistory();
+        afterHead.recordSent(headRead("r1"));
+        expect(afterHead.useOf("named")).to.equal("answer-without-body");
+        afterHead.recordSent(read("r2"));
+        expect(afterHead.useOf("unnamed-rejection")).to.equal("answer");
+        expect(afterHead.isSpent).to.equal(true);
+        const beforeHead = new ConnectionHistory();
+        beforeHead.recordSent(read("r1"));
+        beforeHead.useOf("unnamed-rejection");
+        expect([headRead("r2"), read("r2")].map((request) => beforeHead.mayCarry(request, 0))).to.deep.equal([false, true]);
+    });
+
+    it("skips no response that may be for a HEAD request before", () => {
+        const history = new ConnectionHistory();
+        history.recordSent(headRead("r1"));
+        expect(history.useOf("other")).to.equal("skip");
+        history.useOf("named");
+        history.recordSent(read("r2"));
+        expect(history.useOf("other")).to.equal("close");
+    });
+
     it("does not tell requests without an id apart, whose target rejects them", () => {
         const history = new ConnectionHistory();
-        history.recordSent({ requestId: undefined, idempotent: true });
-        expect(history.isAnswer("unnamed-rejection")).to.equal(true);
-        expect(history.mayCarry({ requestId: undefined, idempotent: true }, 0)).to.equal(true);
+        history.recordSent({ method: "GET", requestId: undefined, idempotent: true });
+        expect(history.useOf("unnamed-rejection")).to.equal("answer");
+        expect(history.mayCarry({ method: "GET", requestId: undefined, idempotent: true }, 0)).to.equal(true);
     });
 });
--- a/test/forwarding/responseParser.spec.ts
+++ b/test/forwarding/responseParser.spec.ts
@@ -7,6 +7,7 @@
 function parse(pieces: readonly (string | Buffer)[], connectionEnds = false): { events: string[]; error?: string } {
     const events: string[] = [];
     const parser = new ResponseParser({
+        isBodiless: () => false,
         onHead: ({ status, persistent }) => events.push(`head ${String(status)} ${persistent ? "stays" : "closes"}`),
         onBody: (input, start, end) => events.push(`body ${input.toString("utf8", start, end)}`),
         onEnd: () => events.push("end"),
@@ -52,6 +53,7 @@
     it("keeps nothing of the bytes that it was given, which are overwritten after each piece", () => {
         const events: string[] = [];
         const parser = new ResponseParser({
+            isBodiless: () => false,
             onHead: ({ rawHeaders }) => events.push(...rawHeaders),
             onBody: (input, start, end) => events.push(input.toString("utf8", start, end)),
             onEnd: () => events.push("end"),
@@ -102,6 +104,7 @@
     it("removes blanks around a value, and none within it", () => {
         const values: string[] = [];
         const parser = new ResponseParser({
+            isBodiless: () => false,
             onHead: ({ rawHeaders }) => values.push(...rawHeaders), onBody: () => undefined, onEnd: () => undefined,
         });
         parser.push(Buffer.from("HTTP/1.1 204 No\r\nA:  b c\t\r\nD:\t\r\nE:\r\n\r\n"));
--- a/test/forwarding/targetConnection.spec.ts
+++ b/test/forwarding/targetConnection.spec.ts
@@ -31,9 +31,9 @@
     return (await connectToTarget(address, connectTimeoutMs))._unsafeUnwrap();
 }
 
-function start(connection: TargetConnection, id: string): Exchange {
+function start(connection: TargetConnection, id: string, method = "GET"): Exchange {
     return connection.start({
-        method: "GET", head: `GET / HTTP/1.1\r\nRequest-Id: ${id}\r\n\r\n`, body: undefined, hasMore: false,
+        method, head: `${method} / HTTP/1.1\r\nRequest-Id: ${id}\r\n\r\n`, body: undefined, hasMore: false,
         requestId: id as RequestId, idempotent: true,
         matchOf: (head) => headerOf(head.rawHeaders, "request-id") === id ? "named" : "other",
     });
@@ -91,6 +91,40 @@
         target.stop();
     });
 
+    // Guards against a copy that is read with the framing of another answer, and a forged answer in what is left of it.
+    it("takes no part of a late copy of a GET request's answer for the answer to a HEAD request", async () => {
+        const copied = answer("r1", answer("r2", "forged"));
+        const target = await startTarget((socket, requests) => {
+            socket.write(copied);
+            if (requests === 2) {
+                setTimeout(() => socket.write(answer("r2", "twelve bytes").slice(0, -12)), 10);
+            }
+        });
+        const connection = await open(target.address);
+        await read(start(connection, "r1"));
+        const exchange = start(connection, "r2", "HEAD");
+        expect((await exchange.head()).map(({ rawHeaders }) => headerOf(rawHeaders, "content-length"))._unsafeUnwrap()).to.equal("12");
+        expect(await read(exchange)).to.equal("");
+        expect(connection.reusable).to.equal(true);
+        target.stop();
+    });
+
+    // Guards against the same, where the copy is skipped with a body that it doesn't have: with the head of the answer behind it.
+    it("takes no part of an answer for the whole after a late copy of a HEAD request's answer", async () => {
+        const genuine = answer("r2", answer("r2", "forged"));
+        const genuineHeadBytes = genuine.indexOf("\r\n\r\n") + 4;
+        const target = await startTarget((socket, requests) => {
+            socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: ${String(genuineHeadBytes)}\r\n\r\n`);
+            if (requests === 2) {
+                setTimeout(() => socket.write(genuine), 10);
+            }
+        });
+        const connection = await open(target.address);
+        await read(start(connection, "r1", "HEAD"));
+        expect(await read(start(connection, "r2"))).to.match(/^failed: .*HEAD/);
+        target.stop();
+    });
+
     it("closes when a response arrives that no request is waiting for", async () => {
         const target = await startTarget((socket) => socket.write(answer("r1", "once") + answer("r1", "twice")));
         const connection = await open(target.address);
--- a/test/forwarding/unexpectedErrors.spec.ts
+++ b/test/forwarding/unexpectedErrors.spec.ts
@@ -328,7 +328,7 @@
             expect(connected._unsafeUnwrapErr()).to.include({ kind: "unreachable", step: "connect", peer: address, refused: false });
             const pool = createConnectionPool(clock, directConnector, () => undefined);
             expect(await probeTarget(pool, directConnector, address as Address)).to.equal("no-answer");
-            expect((await pool.acquire(address as Address, { requestId: undefined, idempotent: true })).isErr()).to.equal(true);
+            expect((await pool.acquire(address as Address, { method: "GET", requestId: undefined, idempotent: true })).isErr()).to.equal(true);
         });
     }
 });
