--- a/deploy/codeCache.mjs
+++ b/deploy/codeCache.mjs
@@ -150,7 +150,8 @@
         await send(warm.admin, "/metrics");
         const ended = once(warm.child, "exit");
         warm.child.kill("SIGUSR2");
-        await Promise.race([ended, sleep(writeTimeoutMs)]);
+        // Without a reference: the build ends with its work, not with this timer.
+        await Promise.race([ended, sleep(writeTimeoutMs, undefined, { ref: false })]);
         if (!existsSync(cacheFile)) {
             throw new Error("the daemon did not write its code cache");
         }
