--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -84,9 +84,10 @@
         hasMore: request.body === undefined,
         matchOf: (head) => dependencies.dialect.matchOf(head, request.call.requestId),
     });
-    const stopWatching = connection.relay === undefined ? watchForLoss(dependencies, request, interrupt) : () => undefined;
+    const isDirect = connection.relay === undefined;
+    const stopWatching = isDirect ? watchForLoss(dependencies, request, interrupt) : () => undefined;
     try {
-        return await exchangeMessages(dependencies, request, connection, exchange, interrupt, progress, startedMs);
+        return await awaitEnd(dependencies, request, { exchange, interrupt, progress, startedMs, isDirect });
     }
     finally {
         stopWatching();
@@ -107,9 +108,20 @@
     });
 }
 
-async function exchangeMessages(
-    dependencies: AttemptDependencies, request: AttemptRequest, connection: TargetConnection, exchange: Exchange, interrupt: Interrupt,
-    progress: AttemptProgress, startedMs: number,
+/** A request that has been sent, except for a body that is streamed. */
+interface SentRequest {
+    exchange: Exchange;
+    interrupt: Interrupt;
+    progress: AttemptProgress;
+    /** Monotonic time at which it was sent. */
+    startedMs: number;
+    /** False if another host relays the connection. */
+    isDirect: boolean;
+}
+
+/** Sends what is left of a request, and receives the response. */
+async function awaitEnd(
+    dependencies: AttemptDependencies, request: AttemptRequest, { exchange, interrupt, progress, startedMs, isDirect }: SentRequest,
 ): Promise<AttemptEnd> {
     const upload = request.body === undefined ? sendBody(request.call, exchange) : Promise.resolve("sent" as const);
     const head = await Promise.race([
@@ -121,7 +133,7 @@
     if (head.isErr()) {
         return { kind: "lost", why: head.error.message };
     }
-    if (connection.relay === undefined) {
+    if (isDirect) {
         dependencies.paths.recordHeard(request.target.targetId);
     }
     dependencies.onNotice(request.target, dependencies.dialect.noticeOf(head.value), startedMs);
--- a/src/forwarding/relayServer.ts
+++ b/src/forwarding/relayServer.ts
@@ -12,7 +12,7 @@
 import { relayMethods } from "./relayMessages.js";
 import type { RelayedConnection } from "./relayedConnection.js";
 import { relayConnection } from "./relayedConnection.js";
-import { openTargetSocket } from "./targetConnection.js";
+import { openTargetSocket } from "./targetSocket.js";
 
 const connectTimeoutMs = 250;
 
--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -1,12 +1,8 @@
 /** A connection to a target, which carries one request at a time. */
-import type net from "node:net";
 import type { Result } from "neverthrow";
-import { err, ok } from "neverthrow";
-import { openSocket } from "../adapters/socketReader.js";
 import type { Failure } from "../model/failure.js";
 import { failure } from "../model/failure.js";
 import type { Address, HostId } from "../model/names.js";
-import { parseAddress } from "../model/valueSchemas.js";
 import type { RequestTraits, ResponseUse } from "./connectionHistory.js";
 import { ConnectionHistory } from "./connectionHistory.js";
 import type { Exchange, OutgoingRequest } from "./exchange.js";
@@ -14,6 +10,7 @@
 import type { ResponseHead } from "./responseHead.js";
 import { headerOf, ResponseSyntaxError } from "./responseHead.js";
 import { ResponseParser } from "./responseParser.js";
+import { openTargetSocket } from "./targetSocket.js";
 import type { EndCheck, TargetStream } from "./targetStream.js";
 import { directStream } from "./targetStream.js";
 
@@ -57,37 +54,6 @@
     return opened.map((socket) => createTargetConnection(directStream(socket), address, undefined));
 }
 
-/**
- * Opens a socket to a target.
- * @param address the target's address
- * @param timeoutMs time within which it must be open
- * @returns the socket, which is to be read by `readSocket` and whose two directions end independently, or a failure of kind `unreachable`
- */
-export function openTargetSocket(address: Address, timeoutMs: number): Promise<Result<net.Socket, Failure>> {
-    const endpoint = parseAddress(address);
-    if (endpoint === undefined) {
-        return Promise.resolve(err(failure("unreachable", "connect", address, "the address has no host or no valid port")));
-    }
-    return new Promise((resolve) => {
-        const socket = openSocket({ ...endpoint, noDelay: true, allowHalfOpen: true });
-        const fail = (reason: string, refused = false) => {
-            clearTimeout(timer);
-            socket.destroy();
-            resolve(err(failure("unreachable", "connect", address, reason, refused)));
-        };
-        const timer = setTimeout(fail, timeoutMs, "timed out");
-        const onError = (error: NodeJS.ErrnoException) => {
-            fail(error.message, error.code === "ECONNREFUSED");
-        };
-        socket.once("error", onError);
-        socket.once("connect", () => {
-            clearTimeout(timer);
-            socket.off("error", onError);
-            resolve(ok(socket));
-        });
-    });
-}
-
 /**
  * Creates a connection on an open stream.
  * @param stream the target's bytes, and the socket to write to
