--- a/test/soak/faultInjection.ts
+++ b/test/soak/faultInjection.ts
@@ -181,6 +181,7 @@
         const server = this.random.pick(this.fleet.servers);
         const faults = this.random.pick([
             { shedShare: 0.5 }, { shedShare: 0.5, retryAfterSeconds: 0.7 }, { loseAnswerShare: 0.3 }, { extraAnswerShare: 0.3 },
+            { failShare: 0.3, shedShare: 0.1, shedAfterMs: 40, namesRejections: false, repeatAnswerShare: 0.5, repeatRejectionShare: 0.5 },
             { cutAnswerShare: 0.3 }, { slowness: 8 },
         ]);
         this.runFault(`${server.id} ${JSON.stringify(faults)}`, async () => {
