--- a/src/forwarding/connectionHistory.ts
+++ b/src/forwarding/connectionHistory.ts
@@ -21,7 +21,8 @@
 /** Most requests on a connection, so that the ids of all of them can be remembered. */
 const maxRequests = 1_000;
 
-const methodWithoutBody = "HEAD";
+/** The method whose answers have no body. */
+const headMethod = "HEAD";
 
 /** What decides which connection may carry a request. */
 export interface RequestTraits {
@@ -48,7 +49,9 @@
     /** Hashes of the ids; two ids with the same hash are never on the same connection, which costs another one at most. */
     private readonly idHashes = new Set<number>();
     private hasUnnamedRejection = false;
+    /** True if a HEAD request was sent before the last request. */
     private hasEarlierHead = false;
+    /** True if the last request is a HEAD request. */
     private isCurrentHead = false;
     private count = 0;
 
@@ -76,7 +79,7 @@
             return false;
         }
         if (this.hasUnnamedRejection) {
-            return idempotent && method !== methodWithoutBody;
+            return idempotent && method !== headMethod;
         }
         return idempotent || idleMs < maxIdleNonIdempotentMs;
     }
@@ -85,17 +88,17 @@
     recordSent({ method, requestId }: RequestTraits): void {
         this.count += 1;
         this.hasEarlierHead ||= this.isCurrentHead;
-        this.isCurrentHead = method === methodWithoutBody;
+        this.isCurrentHead = method === headMethod;
         if (requestId !== undefined) {
             this.idHashes.add(hashOf(requestId));
         }
     }
 
     /**
-     * Decides whether a response that has arrived is the answer to the request that waits for one.
-     * @param match what the response states
+     * Records that the head of a response has arrived while a request waits for its answer, and decides what becomes of the response.
+     * @param match how it relates to that request
      */
-    useOf(match: ResponseMatch): ResponseUse {
+    recordResponse(match: ResponseMatch): ResponseUse {
         if (match === "other") {
             return this.hasEarlierHead ? "close" : "skip";
         }
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -160,6 +160,7 @@
         const mayRetry = isRepeatable && !isTrial && giveUpAfterMs + slot.expectedMs < remainingMs;
         context.triedTargetIds.add(slot.target.targetId);
         context.attemptCount += 1;
+        context.lastConnection = undefined;
         return attempt(attemptDependencies, {
             call: context.call,
             target: slot.target,
--- a/src/forwarding/requestContext.ts
+++ b/src/forwarding/requestContext.ts
@@ -22,7 +22,7 @@
     attemptCount: number;
     /** Targets of these attempts. */
     triedTargetIds: Set<TargetId>;
-    /** Connection on which the request was sent last; undefined before that. */
+    /** Connection of the latest attempt; undefined until it has one. */
     lastConnection: TargetConnection | undefined;
     /** True if the request may have run in any of these attempts. */
     mayHaveRun: boolean;
--- a/src/forwarding/targetConnection.ts
+++ b/src/forwarding/targetConnection.ts
@@ -74,7 +74,7 @@
 
     const parser = new ResponseParser({
         isBodiless: (head) => {
-            use = current === undefined ? undefined : history.useOf(current.request.matchOf(head));
+            use = current === undefined ? undefined : history.recordResponse(current.request.matchOf(head));
             return use === "answer-without-body";
         },
         onHead: (head) => {
--- a/test/forwarding/connectionHistory.spec.ts
+++ b/test/forwarding/connectionHistory.spec.ts
@@ -54,7 +54,7 @@
 
     /** Returns whether the connection stays open. */
     const receive = (response: Response): boolean => {
-        const use = current === undefined ? "close" : history.useOf(matchOf(response, current));
+        const use = current === undefined ? "close" : history.recordResponse(matchOf(response, current));
         if (current === undefined || use === "close") {
             return false;
         }
@@ -109,7 +109,7 @@
     it("carries requests one after another, with an idle time of less than a second before one that must not run twice", () => {
         const history = new ConnectionHistory();
         history.recordSent(read("r1"));
-        expect(history.useOf("named")).to.equal("answer");
+        expect(history.recordResponse("named")).to.equal("answer");
         expect(history.mayCarry(order("r2"), 999)).to.equal(true);
         expect(history.mayCarry(order("r2"), 1_000)).to.equal(false);
         expect(history.mayCarry(read("r2"), 60_000)).to.equal(true);
@@ -118,7 +118,7 @@
     it("carries no request twice", () => {
         const history = new ConnectionHistory();
         history.recordSent(read("r1"));
-        history.useOf("named");
+        history.recordResponse("named");
         expect(history.mayCarry(read("r1"), 0)).to.equal(false);
         expect(history.mayCarry(order("r1"), 0)).to.equal(false);
     });
@@ -127,7 +127,7 @@
         const history = new ConnectionHistory();
         history.recordSent(order("r1"));
         expect(history.isForIdempotentOnly).to.equal(false);
-        expect(history.useOf("unnamed-rejection")).to.equal("answer");
+        expect(history.recordResponse("unnamed-rejection")).to.equal("answer");
         expect(history.isForIdempotentOnly).to.equal(true);
         expect([order("r2"), read("r2")].map((request) => history.mayCarry(request, 0))).to.deep.equal([false, true]);
     });
@@ -145,29 +145,29 @@
     it("reads no rejection without an id if it may be for a HEAD request or for another", () => {
         const afterHead = new ConnectionHistory();
         afterHead.recordSent(headRead("r1"));
-        expect(afterHead.useOf("named")).to.equal("answer-without-body");
+        expect(afterHead.recordResponse("named")).to.equal("answer-without-body");
         afterHead.recordSent(read("r2"));
-        expect(afterHead.useOf("unnamed-rejection")).to.equal("answer");
+        expect(afterHead.recordResponse("unnamed-rejection")).to.equal("answer");
         expect(afterHead.isSpent).to.equal(true);
         const beforeHead = new ConnectionHistory();
         beforeHead.recordSent(read("r1"));
-        beforeHead.useOf("unnamed-rejection");
+        beforeHead.recordResponse("unnamed-rejection");
         expect([headRead("r2"), read("r2")].map((request) => beforeHead.mayCarry(request, 0))).to.deep.equal([false, true]);
     });
 
     it("skips no response that may be for a HEAD request before", () => {
         const history = new ConnectionHistory();
         history.recordSent(headRead("r1"));
-        expect(history.useOf("other")).to.equal("skip");
-        history.useOf("named");
+        expect(history.recordResponse("other")).to.equal("skip");
+        history.recordResponse("named");
         history.recordSent(read("r2"));
-        expect(history.useOf("other")).to.equal("close");
+        expect(history.recordResponse("other")).to.equal("close");
     });
 
     it("does not tell requests without an id apart, whose target rejects them", () => {
         const history = new ConnectionHistory();
         history.recordSent({ method: "GET", requestId: undefined, idempotent: true });
-        expect(history.useOf("unnamed-rejection")).to.equal("answer");
+        expect(history.recordResponse("unnamed-rejection")).to.equal("answer");
         expect(history.mayCarry({ method: "GET", requestId: undefined, idempotent: true }, 0)).to.equal(true);
     });
 });
