Tests: those that start hornbeamctl are no part of test:quick

README says that test:quick needs no build; without target/ 58 of its tests failed, those of two files, which start the bundled hornbeamctl.

--- a/test/platform/ctl.spec.ts
+++ b/test/fleet/ctl.spec.ts
@@ -20,7 +20,7 @@
 import { ClusterView } from "../../src/store/clusterView.js";
 import { createTopicReader } from "../../src/store/topicReader.js";
 import { sampleDocument } from "../config/sample.js";
-import { buildRoutingConfig } from "../fleet/fleet.js";
+import { buildRoutingConfig } from "./fleet.js";
 import { run } from "./ctlProcess.js";
 
 const silentLog = { info: () => undefined, warn: () => undefined, error: () => undefined };
