--- a/test/forwarding/orderedTarget.ts
+++ b/test/forwarding/orderedTarget.ts
@@ -12,8 +12,8 @@
     connection: number;
     /** Number of earlier requests with the same id on the connection. */
     earlierOnConnection: number;
-    /** What was written last on the connection; undefined if nothing yet. */
-    lastResponse: string | undefined;
+    /** What was written on the connection so far. */
+    responses: readonly string[];
     /** Writes a response, or a copy of one. */
     write(response: string): void;
     /** Records that the request runs. */
@@ -57,7 +57,7 @@
         const connection = this.connectionCount;
         const countById = new Map<string, number>();
         let input = "";
-        let lastResponse: string | undefined;
+        const responses: string[] = [];
         let served = Promise.resolve();
         socket.on("error", () => undefined);
         socket.on("close", () => this.sockets.delete(socket));
@@ -71,9 +71,9 @@
                 const earlierOnConnection = countById.get(requestId) ?? 0;
                 countById.set(requestId, earlierOnConnection + 1);
                 served = served.then(() => this.script({
-                    requestId, method: head.slice(0, head.indexOf(" ")), connection, earlierOnConnection, lastResponse,
+                    requestId, method: head.slice(0, head.indexOf(" ")), connection, earlierOnConnection, responses,
                     write: (response) => {
-                        lastResponse = response;
+                        responses.push(response);
                         socket.write(response);
                     },
                     run: () => this.runs.push(requestId),
@@ -83,11 +83,16 @@
     }
 }
 
+/** Body of the response to a request that has run. */
+export function bodyOf(requestId: string): string {
+    return `answer to ${requestId}`;
+}
+
 /** Formats a response of a target that has run the request. */
-export function answerOf(requestId: string, status = 200): string {
-    const body = `answer to ${requestId}`;
+export function answerOf(requestId: string, status = 200, method = "GET"): string {
+    const body = bodyOf(requestId);
     return `HTTP/1.1 ${String(status)} Some\r\nRequest-Id: ${requestId}\r\nResponse-Signature: signed-${requestId}\r\n`
-        + `Content-Length: ${String(body.length)}\r\n\r\n${body}`;
+        + `Content-Length: ${String(body.length)}\r\n\r\n${method === "HEAD" ? "" : body}`;
 }
 
 /** Formats a rejection; it names its request if `requestId` is given. */
