--- a/test/forwarding/orderedTarget.ts
+++ b/test/forwarding/orderedTarget.ts
@@ -8,8 +8,6 @@
 export interface ArrivedRequest {
     requestId: string;
     method: string;
-    /** Number of the connection, in the order of their opening. */
-    connection: number;
     /** Number of earlier requests with the same id on the connection. */
     earlierOnConnection: number;
     /** What was written on the connection so far. */
@@ -27,8 +25,6 @@
 export class OrderedTarget {
     /** Ids of the requests that ran, in order. */
     readonly runs: string[] = [];
-    /** Number of connections so far. */
-    connectionCount = 0;
     private server: net.Server | undefined;
     private readonly sockets = new Set<net.Socket>();
 
@@ -52,9 +48,7 @@
 
     /** Serves one connection. */
     serve(socket: net.Socket): void {
-        this.connectionCount += 1;
         this.sockets.add(socket);
-        const connection = this.connectionCount;
         const countById = new Map<string, number>();
         let input = "";
         const responses: string[] = [];
@@ -71,7 +65,7 @@
                 const earlierOnConnection = countById.get(requestId) ?? 0;
                 countById.set(requestId, earlierOnConnection + 1);
                 served = served.then(() => this.script({
-                    requestId, method: head.slice(0, head.indexOf(" ")), connection, earlierOnConnection, responses,
+                    requestId, method: head.slice(0, head.indexOf(" ")), earlierOnConnection, responses,
                     write: (response) => {
                         responses.push(response);
                         socket.write(response);
--- a/test/forwarding/repeatedAnswers.spec.ts
+++ b/test/forwarding/repeatedAnswers.spec.ts
@@ -21,13 +21,16 @@
 
 /** Load of the tests with random faults. */
 const clientCount = 12;
+const requestsPerSeed = 400;
+
+/** Share of the requests before whose response one of the last few responses on the connection is written once more. */
 const repeatShare = 0.4;
 const maxRepeatedBack = 3;
 
 /** Share of the requests that are rejected without their id: those that the connection has carried before, and others. */
 const unnamedShareAgain = 0.5;
 const unnamedShareFirst = 0.02;
-const requestsPerSeed = 400;
+
 const targetId = "t-1" as TargetId;
 
 /** What the target answers to the first sending of a read. */
